Fix the boundaries: events, effects, ports, wire messages, verdicts, reducer registry

Cause: four concerns are to grow side by side and need one agreed set of types. Change: pure reducer with handlers in a registry, slotted records for events and effects with a trace codec, msgspec messages for the wire and the log, ports, settings, and first handlers for calls, key ownership, generation, cancels and idempotent services. Nothing runs end to end yet. Conclusion: handler modules can be filled in independently.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: install test demo format check model capacity bench clean
+
+$(STAMP): pyproject.toml requirements.lock
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --quiet --no-deps --editable .
+	touch $(STAMP)
+
+install: $(STAMP)
+
+test: install
+	$(BIN)/python -W error::DeprecationWarning:wasabiwick -m unittest discover -s tests -t .
+
+demo: install
+	$(BIN)/wasabiwick demo
+
+format: install
+	$(BIN)/black --quiet src tests
+	$(BIN)/ruff check --quiet --fix src tests
+
+check: install
+	$(BIN)/black --check --quiet src tests
+	$(BIN)/ruff check src tests
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/src/wasabiwick/_errors.py
@@ -0,0 +1,106 @@
+"""Sentinel reasons for failures, and the failure value that travels to the caller."""
+
+import typing
+
+from ._verdict import Verdict
+
+
+class Reason:
+    """A sentinel that names one way to fail.
+
+    Args:
+        code: Stable identifier that callers and logs see.
+        status: HTTP status of the answer.
+        text: One sentence for a person.
+    """
+
+    __slots__ = ("code", "status", "text")
+    _registry: typing.ClassVar[dict[str, "Reason"]] = {}
+
+    def __init__(self, code: str, status: int, text: str) -> None:
+        if code in Reason._registry:
+            raise ValueError(f"reason {code!r} is defined twice")
+        self.code = code
+        self.status = status
+        self.text = text
+        Reason._registry[code] = self
+
+    def __repr__(self) -> str:
+        return f"<{self.code}>"
+
+    @classmethod
+    def by_code(cls, code: str) -> "Reason":
+        """Return the reason with this code.
+
+        Raises:
+            ValueError: If no reason has the code.
+        """
+        try:
+            return cls._registry[code]
+        except KeyError:
+            raise ValueError(f"reason {code!r} does not exist") from None
+
+
+class Failure:
+    """An error value: why a request failed and whether it may have run.
+
+    Args:
+        reason: The sentinel that names the way it failed.
+        verdict: Whether the request may have run.
+        detail: Sentence that names the thing concerned; the reason's text if empty.
+        retry_after: Seconds after which a retry may help, or None where it does not.
+    """
+
+    __slots__ = ("reason", "verdict", "detail", "retry_after")
+
+    def __init__(
+        self,
+        *,
+        reason: Reason,
+        verdict: Verdict,
+        detail: str = "",
+        retry_after: float | None = None,
+    ) -> None:
+        self.reason = reason
+        self.verdict = verdict
+        self.detail = detail or reason.text
+        self.retry_after = retry_after
+
+    def __eq__(self, other: object) -> bool:
+        if not isinstance(other, Failure):
+            return NotImplemented
+        return (self.reason, self.verdict, self.detail, self.retry_after) == (
+            other.reason,
+            other.verdict,
+            other.detail,
+            other.retry_after,
+        )
+
+    __hash__ = None
+
+    def __repr__(self) -> str:
+        return f"Failure({self.reason.code}, {self.verdict.value}, {self.detail!r})"
+
+
+BAD_REQUEST = Reason("bad_request", 400, "the request is malformed")
+BAD_KEY = Reason("bad_key", 401, "the API key is not known")
+KEY_REQUIRED = Reason("key_required", 400, "the service needs an Idempotency-Key")
+KEY_EXPIRED = Reason("key_expired", 409, "the Idempotency-Key is older than the horizon")
+KEY_REUSED = Reason("key_reused", 422, "the Idempotency-Key was used for another request")
+NOT_FOUND = Reason("not_found", 404, "the path does not exist")
+UNKNOWN_MODEL = Reason("unknown_model", 404, "the model does not exist")
+UNKNOWN_SERVICE = Reason("unknown_service", 404, "the service does not exist")
+NOT_ALLOWED = Reason("not_allowed", 403, "the plan does not include this")
+TOO_LARGE = Reason("too_large", 413, "the body is too large")
+LIMIT_REACHED = Reason("limit_reached", 429, "the plan's limit is reached")
+OVERLOADED = Reason("overloaded", 503, "no capacity within the deadline")
+NO_ENDPOINT = Reason("no_endpoint", 503, "no endpoint is available")
+NO_CONFIGURATION = Reason("no_configuration", 503, "no configuration has been read yet")
+STOPPING = Reason("stopping", 503, "the host is stopping")
+LOG_UNAVAILABLE = Reason("log_unavailable", 503, "the log service does not answer")
+OUTCOME_UNKNOWN = Reason("outcome_unknown", 502, "the outcome of an earlier attempt is unknown")
+ENDPOINT_FAILED = Reason("endpoint_failed", 502, "the endpoint failed")
+ENDPOINT_REFUSED = Reason("endpoint_refused", 503, "the endpoint refused the work")
+ENDPOINT_SILENT = Reason("endpoint_silent", 504, "the endpoint stopped answering")
+DEADLINE_PASSED = Reason("deadline_passed", 504, "the deadline passed")
+SUPERSEDED = Reason("superseded", 409, "a newer call with the same key replaced this one")
--- /dev/null
+++ b/src/wasabiwick/_handlers/__init__.py
@@ -0,0 +1,29 @@
+"""Handlers of the reducer, one module per concern, in the order in which they see an event."""
+
+from . import (  # noqa: I001 - the order of import is the order of registration
+    host,
+    members,
+    lists,
+    calls,
+    keys,
+    admission,
+    slots,
+    generation,
+    cancels,
+    services,
+    closing,
+)
+
+__all__ = [
+    "admission",
+    "calls",
+    "cancels",
+    "closing",
+    "generation",
+    "host",
+    "keys",
+    "lists",
+    "members",
+    "services",
+    "slots",
+]
--- /dev/null
+++ b/src/wasabiwick/_handlers/generation.py
@@ -0,0 +1,417 @@
+"""Generation requests: slot, prefill, decode, resume, hand-over and abandonment."""
+
+import typing
+
+from .._effects import (
+    AttachCall,
+    CloseCall,
+    Count,
+    DropStream,
+    FinishStream,
+    Observe,
+    ResumeStream,
+    SendPeer,
+    StartDecode,
+    StartPrefill,
+    StartTimer,
+    StopTimer,
+)
+from .._errors import DEADLINE_PASSED, ENDPOINT_FAILED, Failure
+from .._events import (
+    AdmissionGiven,
+    AttemptFailed,
+    CallerGone,
+    PrefillDone,
+    RequestClosed,
+    RequestDenied,
+    SlotAdopted,
+    SlotFreed,
+    SlotHeld,
+    SlotWanted,
+    StreamEnded,
+    StreamProgress,
+    TimerFired,
+)
+from .._reducer import Step, handles, on_timer
+from .._settings import Settings
+from .._state import State, state_slice
+from .._verdict import Verdict
+from .._wire import Owner, Supersede, Superseded
+from . import calls, cancels, keys
+
+MAX_ATTEMPTS = 6
+MAX_RESUMES = 3  # Consecutive failures to open a running attempt's stream again.
+RESUME_DELAY = 0.1  # Seconds.
+FAILED_RETRY = 1.0  # Seconds told to callers when every attempt failed.
+
+
+class Generation:
+    """The progress of one generation request on this host.
+
+    ``phase`` is ``slot``, ``prefill``, ``decode`` or ``ended``. ``offset`` counts the output tokens
+    that this host has.
+    """
+
+    __slots__ = (
+        "phase",
+        "attempt_id",
+        "attempts",
+        "prefill_engine",
+        "decode_engine",
+        "offset",
+        "last_output",
+        "resumes",
+        "avoid",
+        "successor",
+    )
+
+    def __init__(self, *, phase: str, attempt_id: str) -> None:
+        self.phase = phase
+        self.attempt_id = attempt_id
+        self.attempts = 1
+        self.prefill_engine = ""
+        self.decode_engine = ""
+        self.offset = 0
+        self.last_output = 0.0
+        self.resumes = 0
+        self.avoid: tuple[str, ...] = ()
+        self.successor: Supersede | None = None
+
+
+@state_slice("generation")
+class GenerationState:
+    """Generations by request id, and the counter that makes attempt ids unique."""
+
+    __slots__ = ("running", "attempts")
+
+    def __init__(self, cfg: Settings) -> None:
+        self.running: dict[str, Generation] = {}
+        self.attempts = 0
+
+
+def next_attempt(state: State) -> str:
+    """Return an attempt id that no other attempt of any host has."""
+    mine = state["generation"]
+    mine.attempts += 1
+    return f"{state.owner.host}.{state.owner.incarnation}.{mine.attempts}"
+
+
+def running_attempts(state: State) -> frozenset[str]:
+    """Return the attempts that this host knows to be its own."""
+    return frozenset(one.attempt_id for one in state["generation"].running.values())
+
+
+def _current(state: State, request_id: str, attempt_id: str) -> Generation | None:
+    gen = state["generation"].running.get(request_id)
+    return gen if gen and gen.attempt_id == attempt_id else None
+
+
+# --- Start ---------------------------------------------------------------------------------------
+
+
+@handles(AdmissionGiven)
+def start(state: State, event: AdmissionGiven) -> typing.Iterator[Step]:
+    """Ask for a slot for the first attempt."""
+    req = calls.request_of(state, event.request_id)
+    if req is None or req.call.kind != "generate":
+        return
+    gen = Generation(phase="slot", attempt_id=next_attempt(state))
+    state["generation"].running[event.request_id] = gen
+    yield AttachCall(call_id=req.call.call_id, request_id=event.request_id)
+    yield StartTimer(
+        timer="deadline", key=event.request_id, delay=max(0.0, req.call.deadline - event.at)
+    )
+    yield SlotWanted(at=event.at, request_id=event.request_id, attempt_id=gen.attempt_id)
+
+
+def adopt(
+    state: State, request_id: str, attempt_id: str, engine: str, at: float
+) -> typing.Iterator[Step]:
+    """Go on with an attempt that another host started, from the first token on."""
+    req = calls.request_of(state, request_id)
+    if req is None:
+        yield from cancels.cancel(state, request_id, attempt_id, engine)
+        return
+    gen = Generation(phase="decode", attempt_id=attempt_id)
+    gen.decode_engine = engine
+    state["generation"].running[request_id] = gen
+    calls.mark_ran(state, request_id)
+    yield AttachCall(call_id=req.call.call_id, request_id=request_id)
+    yield SlotAdopted(at=at, request_id=request_id, attempt_id=attempt_id, decode_engine=engine)
+    yield ResumeStream(request_id=request_id, attempt_id=attempt_id, endpoint=engine)
+    yield from keys.report(state, request_id, attempt_id, engine=engine)
+
+
+@handles(SlotHeld)
+def prefill(state: State, event: SlotHeld) -> typing.Iterator[Step]:
+    """Prefill, now that the decode slot is held."""
+    gen = _current(state, event.request_id, event.attempt_id)
+    req = calls.request_of(state, event.request_id)
+    if gen is None or req is None:
+        yield SlotFreed(at=event.at, request_id=event.request_id, attempt_id=event.attempt_id)
+        return
+    gen.phase = "prefill"
+    gen.prefill_engine = event.prefill_engine
+    gen.decode_engine = event.decode_engine
+    calls.mark_ran(state, event.request_id)
+    yield Observe(metric="slot_wait", value=event.at - req.arrived, label=req.customer.name)
+    yield StartPrefill(
+        request_id=event.request_id,
+        attempt_id=event.attempt_id,
+        endpoint=event.prefill_engine,
+        model=req.call.target,
+        priority=req.plan.priority,
+    )
+
+
+@handles(PrefillDone)
+def decode(state: State, event: PrefillDone) -> typing.Iterator[Step]:
+    """Stream the output from the engine whose slot is held."""
+    gen = _current(state, event.request_id, event.attempt_id)
+    if gen is None or gen.phase != "prefill":
+        yield Count(metric="prefill_wasted", amount=event.prompt_tokens - event.cached_tokens)
+        return
+    req = calls.request_of(state, event.request_id)
+    gen.phase = "decode"
+    yield Count(metric="prefill_tokens", amount=event.prompt_tokens - event.cached_tokens)
+    yield StartDecode(
+        request_id=event.request_id,
+        attempt_id=event.attempt_id,
+        endpoint=gen.decode_engine,
+        model=req.call.target,
+        source=event.endpoint,
+        handle=event.handle,
+        max_tokens=req.call.max_tokens,
+        priority=req.plan.priority,
+    )
+    if req.call.has_key:
+        yield from keys.report(state, event.request_id, event.attempt_id, engine=gen.decode_engine)
+
+
+# --- Output --------------------------------------------------------------------------------------
+
+
+@handles(StreamProgress)
+def progress(state: State, event: StreamProgress) -> typing.Iterator[Step]:
+    """Measure both latencies, and hand over to a successor that waits for the stream."""
+    gen = _current(state, event.request_id, event.attempt_id)
+    if gen is None:
+        yield Count(metric="frames_dropped", amount=event.count)
+        return
+    req = calls.request_of(state, event.request_id)
+    if gen.offset == 0:
+        yield StopTimer(timer="deadline", key=event.request_id)
+        yield Observe(metric="first_output", value=event.at - req.arrived, label=req.customer.name)
+    else:
+        gap = (event.at - gen.last_output) / event.count
+        yield Observe(metric="between_outputs", value=gap, label=req.customer.name)
+    gen.offset = event.offset
+    gen.last_output = event.at
+    gen.resumes = 0
+    if gen.successor:
+        yield from _let_go(state, event.request_id, gen, gen.successor, event.at)
+
+
+@handles(StreamEnded)
+def ended(state: State, event: StreamEnded) -> typing.Iterator[Step]:
+    """Finish the answer; the engine has freed the slot by itself."""
+    gen = _current(state, event.request_id, event.attempt_id)
+    if gen is None:
+        return
+    req = calls.request_of(state, event.request_id)
+    gen.phase = "ended"
+    gen.offset = event.offset
+    yield SlotFreed(at=event.at, request_id=event.request_id, attempt_id=event.attempt_id)
+    yield StopTimer(timer="deadline", key=event.request_id)
+    if req.caller_present:
+        yield FinishStream(
+            call_id=req.call.call_id, request_id=event.request_id, finish=event.finish
+        )
+    if req.call.has_key:
+        yield from keys.report(state, event.request_id, event.attempt_id, ended=True)
+
+
+# --- Failure -------------------------------------------------------------------------------------
+
+
+@handles(AttemptFailed)
+def failed(state: State, event: AttemptFailed) -> typing.Iterator[Step]:
+    """Resume a stream that was cut, or try again elsewhere."""
+    if event.phase not in ("prefill", "decode", "resume"):
+        return
+    gen = _current(state, event.request_id, event.attempt_id)
+    if gen is None or gen.phase == "ended":
+        return
+    yield Count(metric="attempt_failed", label=event.phase)
+    may_run = event.failure.verdict is not Verdict.NOT_RUN
+    if event.phase != "prefill" and may_run and gen.resumes < MAX_RESUMES:
+        gen.resumes += 1
+        yield StartTimer(timer="resume", key=event.request_id, delay=RESUME_DELAY * gen.resumes)
+        return
+    yield from _try_elsewhere(state, event, gen, may_run)
+
+
+@on_timer("resume")
+def resume(state: State, event: TimerFired) -> typing.Iterator[Step]:
+    """Open the stream of a running attempt again."""
+    gen = state["generation"].running.get(event.key)
+    if gen is None or gen.phase != "decode":
+        return
+    yield Count(metric="resumed")
+    yield ResumeStream(request_id=event.key, attempt_id=gen.attempt_id, endpoint=gen.decode_engine)
+
+
+def _try_elsewhere(
+    state: State, event: AttemptFailed, gen: Generation, may_run: bool
+) -> typing.Iterator[Step]:
+    """Give the attempt up, and begin another one that continues the output so far."""
+    yield DropStream(
+        request_id=event.request_id, attempt_id=event.attempt_id, endpoint=event.endpoint
+    )
+    if may_run:
+        yield from cancels.cancel(state, event.request_id, event.attempt_id, event.endpoint)
+    if not may_run or event.endpoint != gen.decode_engine:
+        yield SlotFreed(at=event.at, request_id=event.request_id, attempt_id=event.attempt_id)
+    if gen.attempts >= MAX_ATTEMPTS:
+        failure = Failure(
+            reason=ENDPOINT_FAILED,
+            verdict=Verdict.MAY_HAVE_RUN,
+            detail=f'endpoint "{event.endpoint}" failed: {event.failure.detail}',
+            retry_after=FAILED_RETRY,
+        )
+        yield RequestDenied(at=event.at, request_id=event.request_id, failure=failure)
+        return
+    gen.attempts += 1
+    gen.attempt_id = next_attempt(state)
+    gen.phase = "slot"
+    gen.resumes = 0
+    gen.avoid = (*gen.avoid, event.endpoint)
+    yield SlotWanted(
+        at=event.at,
+        request_id=event.request_id,
+        attempt_id=gen.attempt_id,
+        avoid=gen.avoid,
+    )
+
+
+@on_timer("deadline")
+def expire(state: State, event: TimerFired) -> typing.Iterator[Step]:
+    """Refuse a request that has no output when its deadline passes."""
+    gen = state["generation"].running.get(event.key)
+    req = calls.request_of(state, event.key)
+    if gen is None or req is None or gen.offset:
+        return
+    failure = Failure(
+        reason=DEADLINE_PASSED,
+        verdict=calls.verdict_of(state, req.call),
+        retry_after=FAILED_RETRY,
+    )
+    yield from _abandon(state, event.key, gen, event.at)
+    yield RequestDenied(at=event.at, request_id=event.key, failure=failure)
+
+
+# --- Callers that leave or move ------------------------------------------------------------------
+
+
+def rejoin(state: State, req: "calls.Request", at: float) -> typing.Iterator[Step]:
+    """Relay the running stream to a newer call on this host, from the first token on."""
+    request_id = req.call.request_id
+    gen = state["generation"].running.get(request_id)
+    yield StopTimer(timer="caller", key=request_id)
+    if gen is None:
+        return
+    yield AttachCall(call_id=req.call.call_id, request_id=request_id)
+    if gen.successor:
+        gen.successor = None
+        yield from keys.report(state, request_id, gen.attempt_id, engine=gen.decode_engine)
+    if gen.phase == "ended":
+        yield FinishStream(call_id=req.call.call_id, request_id=request_id, finish="stop")
+
+
+@handles(CallerGone)
+def caller_gone(state: State, event: CallerGone) -> typing.Iterator[Step]:
+    """Keep a keyed request for a short grace, in which a retry may take its stream over."""
+    req = calls.request_of(state, event.request_id)
+    if req is None or req.call.call_id != event.call_id or req.call.kind != "generate":
+        return
+    grace = state.cfg.timing.caller_grace if req.call.has_key else 0.0
+    yield StartTimer(timer="caller", key=event.request_id, delay=grace)
+
+
+@on_timer("caller")
+def abandon(state: State, event: TimerFired) -> typing.Iterator[Step]:
+    """Free everything that a request holds whose caller did not come back."""
+    req = calls.request_of(state, event.key)
+    if req is None or req.caller_present:
+        return
+    gen = state["generation"].running.get(event.key)
+    yield Count(metric="abandoned")
+    if gen:
+        yield from _abandon(state, event.key, gen, event.at)
+        if req.call.has_key:
+            yield from keys.report(state, event.key, gen.attempt_id, ended=True)
+    yield RequestClosed(at=event.at, request_id=event.key)
+
+
+def _abandon(state: State, request_id: str, gen: Generation, at: float) -> typing.Iterator[Step]:
+    if gen.phase == "slot":
+        yield SlotFreed(at=at, request_id=request_id, attempt_id=gen.attempt_id)
+        return
+    if gen.phase == "ended":
+        return
+    engine = gen.decode_engine
+    if gen.phase == "prefill":
+        engine = gen.prefill_engine
+        yield SlotFreed(at=at, request_id=request_id, attempt_id=gen.attempt_id)
+    yield DropStream(request_id=request_id, attempt_id=gen.attempt_id, endpoint=engine)
+    yield from cancels.cancel(state, request_id, gen.attempt_id, engine)
+
+
+def hand_over(state: State, asked: Supersede, at: float) -> typing.Iterator[Step]:
+    """Close the older call unanswered and let the asking host go on with the stream."""
+    gen = state["generation"].running.get(asked.request_id)
+    req = calls.request_of(state, asked.request_id)
+    if gen is None or req is None or asked.by == state.owner:
+        yield from _tell(asked, asked.by)
+        return
+    if req.caller_present:
+        req.caller_present = False
+        yield CloseCall(call_id=req.call.call_id)
+    if gen.phase in ("slot", "prefill") or (gen.phase == "decode" and gen.offset == 0):
+        # The successor asks again until the stream runs, so that no prefill is paid twice.
+        gen.successor = asked
+        yield StopTimer(timer="caller", key=asked.request_id)
+        return
+    yield from _let_go(state, asked.request_id, gen, asked, at)
+
+
+def _let_go(
+    state: State, request_id: str, gen: Generation, asked: Supersede, at: float
+) -> typing.Iterator[Step]:
+    engine = gen.decode_engine if gen.phase == "decode" else ""
+    yield DropStream(request_id=request_id, attempt_id=gen.attempt_id, endpoint=engine)
+    yield SlotFreed(at=at, request_id=request_id, attempt_id=gen.attempt_id, handed_over=True)
+    yield Count(metric="handed_over")
+    yield from _tell(asked, asked.by, attempt_id=gen.attempt_id, engine=engine)
+    yield RequestClosed(at=at, request_id=request_id)
+
+
+def _tell(
+    asked: Supersede, to: Owner, *, attempt_id: str = "", engine: str = ""
+) -> typing.Iterator[Step]:
+    message = Superseded(
+        request_id=asked.request_id,
+        attempt_id=asked.attempt_id,
+        running_attempt=attempt_id,
+        engine=engine,
+    )
+    yield SendPeer(host=to.host, message=message)
+
+
+@handles(RequestClosed)
+def close(state: State, event: RequestClosed) -> typing.Iterator[Step]:
+    """Drop the generation of a request that is over."""
+    if state["generation"].running.pop(event.request_id, None):
+        yield StopTimer(timer="deadline", key=event.request_id)
+        yield StopTimer(timer="caller", key=event.request_id)
+        yield StopTimer(timer="resume", key=event.request_id)
--- /dev/null
+++ b/src/wasabiwick/_handlers/services.py
@@ -0,0 +1,167 @@
+"""Plain services: calls that may be repeated are balanced and tried again elsewhere."""
+
+import typing
+
+from .._effects import AnswerCall, CallService, Count, RefuseCall
+from .._errors import ENDPOINT_FAILED, KEY_REQUIRED, NO_ENDPOINT, Failure
+from .._events import (
+    AdmissionGiven,
+    AttemptFailed,
+    CallerGone,
+    RequestClosed,
+    RequestDenied,
+    ServiceAnswered,
+    ServiceWanted,
+)
+from .._reducer import Step, handles
+from .._settings import Settings
+from .._state import State, state_slice
+from .._verdict import Verdict
+from . import calls, generation, lists, members
+
+MAX_ATTEMPTS = 3
+RETRY = 0.5  # Seconds told to callers.
+
+
+class ServiceCall:
+    """The attempt that runs for one idempotent service call."""
+
+    __slots__ = ("attempt_id", "attempts", "avoid")
+
+    def __init__(self, *, attempt_id: str) -> None:
+        self.attempt_id = attempt_id
+        self.attempts = 1
+        self.avoid: tuple[str, ...] = ()
+
+
+@state_slice("services")
+class ServicesState:
+    """Idempotent calls in flight, by request id."""
+
+    __slots__ = ("running",)
+
+    def __init__(self, cfg: Settings) -> None:
+        self.running: dict[str, ServiceCall] = {}
+
+
+def is_idempotent(state: State, service: str, method: str, path: str) -> bool:
+    """Tell whether the operators declare that a call may be repeated."""
+    known = lists.current(state)
+    traits = known.services.get(service) if known else None
+    if traits is None:
+        return False
+    for pattern in traits.idempotent:
+        verb, _, prefix = pattern.partition(" ")
+        exact = not prefix.endswith("*")
+        stem = prefix.rstrip("*")
+        if verb == method and (path == stem if exact else path.startswith(stem)):
+            return True
+    return False
+
+
+@handles(AdmissionGiven)
+def start(state: State, event: AdmissionGiven) -> typing.Iterator[Step]:
+    """Send an idempotent call; any other needs the effect protocol."""
+    req = calls.request_of(state, event.request_id)
+    if req is None or req.call.kind != "service":
+        return
+    call = req.call
+    if not is_idempotent(state, call.target, call.method, call.path):
+        if not call.has_key:
+            failure = Failure(reason=KEY_REQUIRED, verdict=Verdict.NOT_RUN)
+            yield RequestDenied(at=event.at, request_id=event.request_id, failure=failure)
+            return
+        yield ServiceWanted(at=event.at, request_id=event.request_id)
+        return
+    running = ServiceCall(attempt_id=generation.next_attempt(state))
+    state["services"].running[event.request_id] = running
+    yield from _send(state, event.request_id, running, event.at)
+
+
+def pick_endpoint(state: State, service: str, avoid: tuple[str, ...] = ()) -> str:
+    """Return a usable endpoint of a plain service, or an empty string."""
+    usable = [entry.name for entry in members.usable_endpoints(state, service)]
+    fresh = [name for name in usable if name not in avoid] or usable
+    return state.rng.choice(sorted(fresh)) if fresh else ""
+
+
+def _send(state: State, request_id: str, running: ServiceCall, at: float) -> typing.Iterator[Step]:
+    call = calls.request_of(state, request_id).call
+    endpoint = pick_endpoint(state, call.target, running.avoid)
+    if not endpoint:
+        failure = Failure(
+            reason=NO_ENDPOINT,
+            verdict=calls.verdict_of(state, call),
+            detail=f'service "{call.target}" has no endpoint',
+            retry_after=RETRY,
+        )
+        yield RequestDenied(at=at, request_id=request_id, failure=failure)
+        return
+    calls.mark_ran(state, request_id)
+    yield CallService(
+        request_id=request_id,
+        attempt_id=running.attempt_id,
+        endpoint=endpoint,
+        service=call.target,
+        method=call.method,
+        path=call.path,
+    )
+
+
+@handles(ServiceAnswered)
+def answered(state: State, event: ServiceAnswered) -> typing.Iterator[Step]:
+    """Pass an idempotent call's answer on."""
+    running = state["services"].running.get(event.request_id)
+    req = calls.request_of(state, event.request_id)
+    if running is None or running.attempt_id != event.attempt_id or not req.caller_present:
+        return
+    yield AnswerCall(
+        call_id=req.call.call_id,
+        status=event.status,
+        body=event.body,
+        content_type=event.content_type,
+    )
+
+
+@handles(AttemptFailed)
+def failed(state: State, event: AttemptFailed) -> typing.Iterator[Step]:
+    """Try an idempotent call elsewhere."""
+    running = state["services"].running.get(event.request_id)
+    if running is None or event.phase != "service" or running.attempt_id != event.attempt_id:
+        return
+    if running.attempts >= MAX_ATTEMPTS:
+        failure = Failure(
+            reason=ENDPOINT_FAILED,
+            verdict=Verdict.MAY_HAVE_RUN,
+            detail=event.failure.detail,
+            retry_after=RETRY,
+        )
+        yield RequestDenied(at=event.at, request_id=event.request_id, failure=failure)
+        return
+    running.attempts += 1
+    running.attempt_id = generation.next_attempt(state)
+    running.avoid = (*running.avoid, event.endpoint)
+    yield Count(metric="service_retries")
+    yield from _send(state, event.request_id, running, event.at)
+
+
+@handles(CallerGone)
+def caller_gone(state: State, event: CallerGone) -> typing.Iterator[Step]:
+    """Drop an idempotent call that nobody waits for."""
+    if event.request_id in state["services"].running:
+        yield RequestClosed(at=event.at, request_id=event.request_id)
+
+
+@handles(RequestClosed)
+def close(state: State, event: RequestClosed) -> None:
+    """Drop the attempt of a call that is over."""
+    state["services"].running.pop(event.request_id, None)
+
+
+@handles(ServiceWanted)
+def refuse_unsupported(state: State, event: ServiceWanted) -> typing.Iterator[Step]:
+    """Refuse work that may run only once while no concern can run it."""
+    req = calls.request_of(state, event.request_id)
+    failure = Failure(reason=NO_ENDPOINT, verdict=calls.verdict_of(state, req.call))
+    yield RefuseCall(call_id=req.call.call_id, failure=failure)
+    yield RequestClosed(at=event.at, request_id=event.request_id)
--- /dev/null
+++ b/src/wasabiwick/_lists.py
@@ -0,0 +1,181 @@
+"""The operators' two lists: the plans that customers hold, and what each plan may use."""
+
+import typing
+
+import msgspec
+
+
+class Customer:
+    """One customer: its plan and the hashes of its API keys (SHA-256, hexadecimal)."""
+
+    __slots__ = ("name", "plan", "keys")
+
+    def __init__(self, *, name: str, plan: str, keys: typing.Iterable[str] = ()) -> None:
+        self.name = name
+        self.plan = plan
+        self.keys = tuple(keys)
+
+
+class Plan:
+    """What one plan may use.
+
+    Args:
+        name: Name of the plan.
+        models: Models it may call.
+        services: Plain services it may call.
+        rate: Requests per second, for one customer on all hosts together.
+        burst: Requests that may come at once.
+        concurrency: Requests in flight, for one customer on all hosts together.
+        tokens_per_minute: Prompt and output tokens, for one customer on all hosts together.
+        priority: Higher goes first.
+        may_wait: Whether the customer's work is kept in a queue rather than refused early.
+    """
+
+    __slots__ = (
+        "name",
+        "models",
+        "services",
+        "rate",
+        "burst",
+        "concurrency",
+        "tokens_per_minute",
+        "priority",
+        "may_wait",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        models: typing.Iterable[str] = (),
+        services: typing.Iterable[str] = (),
+        rate: float = 100.0,
+        burst: float = 200.0,
+        concurrency: int = 1_000,
+        tokens_per_minute: float = 10_000_000.0,
+        priority: int = 0,
+        may_wait: bool = False,
+    ) -> None:
+        self.name = name
+        self.models = frozenset(models)
+        self.services = frozenset(services)
+        self.rate = rate
+        self.burst = burst
+        self.concurrency = concurrency
+        self.tokens_per_minute = tokens_per_minute
+        self.priority = priority
+        self.may_wait = may_wait
+
+
+class ServiceTraits:
+    """What operators declare of a plain service.
+
+    Args:
+        name: Name of the service.
+        idempotent: Path patterns, as ``METHOD /path*``, of calls that may be repeated.
+        accepts_key: The service itself runs a key at most once.
+        can_query: The service says by key what became of a call.
+        fencing: Whether the service refuses a call with an old fencing number: ``honoured`` or
+            ``ignored``.
+    """
+
+    __slots__ = ("name", "idempotent", "accepts_key", "can_query", "fencing")
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        idempotent: typing.Iterable[str] = (),
+        accepts_key: bool = False,
+        can_query: bool = False,
+        fencing: str = "ignored",
+    ) -> None:
+        self.name = name
+        self.idempotent = tuple(idempotent)
+        self.accepts_key = accepts_key
+        self.can_query = can_query
+        self.fencing = fencing
+
+
+class ModelTraits:
+    """What operators declare of a model.
+
+    Args:
+        name: Name of the model.
+        version: Version of its weights.
+        minimum: Engines of each availability zone that serve it at least.
+        fencing: Whether its engines refuse an order with an old fencing number: ``honoured`` or
+            ``ignored``.
+    """
+
+    __slots__ = ("name", "version", "minimum", "fencing")
+
+    def __init__(
+        self, *, name: str, version: str = "1", minimum: int = 1, fencing: str = "ignored"
+    ) -> None:
+        self.name = name
+        self.version = version
+        self.minimum = minimum
+        self.fencing = fencing
+
+
+class Lists:
+    """One version of both lists, with the look-ups that requests need."""
+
+    __slots__ = ("version", "customers", "plans", "services", "models", "_by_key")
+
+    def __init__(
+        self,
+        *,
+        version: int,
+        customers: dict[str, Customer],
+        plans: dict[str, Plan],
+        services: dict[str, ServiceTraits],
+        models: dict[str, ModelTraits],
+    ) -> None:
+        self.version = version
+        self.customers = customers
+        self.plans = plans
+        self.services = services
+        self.models = models
+        self._by_key = {key: one for one in customers.values() for key in one.keys}
+
+    def customer_of(self, key_hash: str) -> Customer | None:
+        """Return the customer that holds an API key, by the key's hash."""
+        return self._by_key.get(key_hash)
+
+    def plan_of(self, customer: Customer) -> Plan | None:
+        """Return the plan that a customer holds."""
+        return self.plans.get(customer.plan)
+
+
+def lists_from_json(version: int, plans: str, allowances: str) -> Lists:
+    """Build the lists from the JSON texts of a configuration record.
+
+    Args:
+        version: Version of the record.
+        plans: JSON object of customers: name to plan and keys.
+        allowances: JSON object with ``plans``, ``services`` and ``models``.
+
+    Returns:
+        The lists.
+
+    Raises:
+        ValueError: If a text is not valid JSON of the expected form.
+    """
+    customers = _named(Customer, msgspec.json.decode(plans, type=dict[str, dict]))
+    uses = msgspec.json.decode(allowances, type=dict[str, dict[str, dict]])
+    return Lists(
+        version=version,
+        customers=customers,
+        plans=_named(Plan, uses.get("plans", {})),
+        services=_named(ServiceTraits, uses.get("services", {})),
+        models=_named(ModelTraits, uses.get("models", {})),
+    )
+
+
+def _named(cls: type, entries: dict[str, dict]) -> dict:
+    try:
+        return {name: cls(name=name, **fields) for name, fields in entries.items()}
+    except TypeError as exc:
+        raise ValueError(f"{cls.__name__.lower()} has an unknown or missing field: {exc}") from None
--- /dev/null
+++ b/src/wasabiwick/_ports/engine.py
@@ -0,0 +1,42 @@
+"""Port to model engines."""
+
+import typing
+
+from .._errors import Failure
+from .._wire import (
+    CacheEvent,
+    CancelAnswer,
+    CancelAsk,
+    DecodeAsk,
+    EngineReport,
+    Frame,
+    OrderAsk,
+    PrefillAnswer,
+    PrefillAsk,
+    ResumeAsk,
+)
+
+
+class Engine(typing.Protocol):
+    """Calls that an engine answers; ``address`` is its base URL."""
+
+    async def prefill(self, address: str, ask: PrefillAsk) -> PrefillAnswer | Failure:
+        """Prefill a prompt and keep the result for export."""
+
+    def decode(self, address: str, ask: DecodeAsk) -> typing.AsyncIterator[list[Frame] | Failure]:
+        """Stream a request's output in batches; a failure is the last item."""
+
+    def resume(self, address: str, ask: ResumeAsk) -> typing.AsyncIterator[list[Frame] | Failure]:
+        """Stream a running request again from an offset; a failure is the last item."""
+
+    async def cancel(self, address: str, ask: CancelAsk) -> CancelAnswer | Failure:
+        """Forget an attempt."""
+
+    async def report(self, address: str) -> EngineReport | Failure:
+        """Return the engine's load."""
+
+    async def cache_events(self, address: str, after: int) -> tuple[CacheEvent, ...] | Failure:
+        """Return prefix cache events after a sequence number."""
+
+    async def order(self, address: str, ask: OrderAsk) -> bool | Failure:
+        """Order the engine to a state; False if it refused the fencing number."""
--- /dev/null
+++ b/src/wasabiwick/_ports/log_service.py
@@ -0,0 +1,16 @@
+"""Port to the platform's append-only log service."""
+
+import typing
+
+from .._errors import Failure
+from .._wire import LogPage
+
+
+class LogService(typing.Protocol):
+    """Appends and reads of named streams."""
+
+    async def append(self, stream: str, records: tuple[str, ...]) -> int | Failure:
+        """Append records together; returns the first one's offset."""
+
+    async def read(self, stream: str, offset: int, wait: float) -> LogPage | Failure:
+        """Read from an offset; waits up to ``wait`` seconds if there is nothing yet."""
--- /dev/null
+++ b/src/wasabiwick/_settings.py
@@ -0,0 +1,249 @@
+"""Settings of an entry host, passed whole to whatever is built from them."""
+
+
+class Listen:
+    """Addresses that the host listens on; port 0 lets the system pick one.
+
+    Args:
+        callers: Address for callers, health and metrics, as ``host:port``.
+        peers: Address for other entry hosts, as ``host:port``.
+    """
+
+    __slots__ = ("callers", "peers")
+
+    def __init__(self, *, callers: str = "127.0.0.1:0", peers: str = "127.0.0.1:0") -> None:
+        self.callers = callers
+        self.peers = peers
+
+
+class Platform:
+    """Base URLs of the platform's services."""
+
+    __slots__ = ("log", "hosts", "weights")
+
+    def __init__(self, *, log: str, hosts: str, weights: str = "") -> None:
+        self.log = log
+        self.hosts = hosts
+        self.weights = weights
+
+
+class Tls:
+    """Certificate files. ``authority`` verifies peers; files are read again when they change."""
+
+    __slots__ = ("certificate", "key", "authority")
+
+    def __init__(self, *, certificate: str, key: str, authority: str) -> None:
+        self.certificate = certificate
+        self.key = key
+        self.authority = authority
+
+
+class Limits:
+    """Bounds on what callers may send and on what the host keeps.
+
+    Args:
+        max_body_bytes: Longest body of a call.
+        max_header_bytes: Longest header line or field of a call.
+        max_calls: Calls served at once.
+        stream_buffer_bytes: Output buffered for one slow caller before reading pauses.
+        header_timeout: Seconds a caller may take to send a whole request.
+        default_deadline: Seconds a call waits if the caller names no deadline.
+    """
+
+    __slots__ = (
+        "max_body_bytes",
+        "max_header_bytes",
+        "max_calls",
+        "stream_buffer_bytes",
+        "header_timeout",
+        "default_deadline",
+    )
+
+    def __init__(
+        self,
+        *,
+        max_body_bytes: int = 4 * 1024 * 1024,
+        max_header_bytes: int = 8 * 1024,
+        max_calls: int = 4_000,
+        stream_buffer_bytes: int = 64 * 1024,
+        header_timeout: float = 5.0,
+        default_deadline: float = 60.0,
+    ) -> None:
+        self.max_body_bytes = max_body_bytes
+        self.max_header_bytes = max_header_bytes
+        self.max_calls = max_calls
+        self.stream_buffer_bytes = stream_buffer_bytes
+        self.header_timeout = header_timeout
+        self.default_deadline = default_deadline
+
+
+class Timing:
+    """Intervals and timeouts, all in seconds.
+
+    Args:
+        heartbeat: Between heartbeats to hosts of the zone.
+        peer_suspect: Silence after which a host gets no new roles.
+        peer_dead: Silence after which a host's work is taken over.
+        host_list: Between readings of the host list.
+        report: Between readings of an engine's report by its coordinator.
+        reservation: Life of a reservation that is not renewed.
+        renew: Between renewals of reservations.
+        reap_grace: Time in which a retry may adopt a dead host's stream.
+        caller_grace: Time in which a retry may adopt the stream of a caller that went away.
+        cancel_retry: Between repeated cancels.
+        stream_silence: Silence on a stream after which it is opened again.
+        connect: To establish a connection.
+        prefill: Longest prefill call.
+        service: Longest service call.
+        peer: Longest call to another host.
+        log: Longest append or read of the log.
+        log_poll: Longest wait of a tail for new records.
+        drain: Longest graceful shutdown.
+    """
+
+    __slots__ = (
+        "heartbeat",
+        "peer_suspect",
+        "peer_dead",
+        "host_list",
+        "report",
+        "reservation",
+        "renew",
+        "reap_grace",
+        "caller_grace",
+        "cancel_retry",
+        "stream_silence",
+        "connect",
+        "prefill",
+        "service",
+        "peer",
+        "log",
+        "log_poll",
+        "drain",
+    )
+
+    def __init__(
+        self,
+        *,
+        heartbeat: float = 0.5,
+        peer_suspect: float = 1.5,
+        peer_dead: float = 3.0,
+        host_list: float = 1.0,
+        report: float = 0.25,
+        reservation: float = 3.0,
+        renew: float = 1.0,
+        reap_grace: float = 1.0,
+        caller_grace: float = 0.25,
+        cancel_retry: float = 0.5,
+        stream_silence: float = 2.0,
+        connect: float = 1.0,
+        prefill: float = 30.0,
+        service: float = 30.0,
+        peer: float = 1.0,
+        log: float = 2.0,
+        log_poll: float = 10.0,
+        drain: float = 120.0,
+    ) -> None:
+        self.heartbeat = heartbeat
+        self.peer_suspect = peer_suspect
+        self.peer_dead = peer_dead
+        self.host_list = host_list
+        self.report = report
+        self.reservation = reservation
+        self.renew = renew
+        self.reap_grace = reap_grace
+        self.caller_grace = caller_grace
+        self.cancel_retry = cancel_retry
+        self.stream_silence = stream_silence
+        self.connect = connect
+        self.prefill = prefill
+        self.service = service
+        self.peer = peer
+        self.log = log
+        self.log_poll = log_poll
+        self.drain = drain
+
+
+class Once:
+    """Settings of work that may run only once.
+
+    Args:
+        shards: Log streams that the keys are spread over; equal on all hosts.
+        commit_interval: Seconds between group commits to one stream.
+        horizon: Age in seconds at which a key without a record is refused.
+        keep: Seconds for which the log keeps a record.
+    """
+
+    __slots__ = ("shards", "commit_interval", "horizon", "keep")
+
+    def __init__(
+        self,
+        *,
+        shards: int = 16,
+        commit_interval: float = 0.02,
+        horizon: float = 86_400.0,
+        keep: float = 172_800.0,
+    ) -> None:
+        self.shards = shards
+        self.commit_interval = commit_interval
+        self.horizon = horizon
+        self.keep = keep
+
+
+class Settings:
+    """All settings of one entry host.
+
+    Args:
+        host: Name of the host, as in the host list.
+        zone: Availability zone.
+        region: Region of the availability zone.
+        platform: Where the platform's services are.
+        listen: Where the host listens.
+        tls: Certificates, or None for plain HTTP.
+        limits: Bounds on callers.
+        timing: Intervals and timeouts.
+        once: Settings of work that may run only once.
+        publishers: Public keys of publishers by key id, hexadecimal Ed25519.
+        trace: File that events are recorded to, or empty.
+    """
+
+    __slots__ = (
+        "host",
+        "zone",
+        "region",
+        "platform",
+        "listen",
+        "tls",
+        "limits",
+        "timing",
+        "once",
+        "publishers",
+        "trace",
+    )
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        zone: str,
+        region: str,
+        platform: Platform,
+        listen: Listen | None = None,
+        tls: Tls | None = None,
+        limits: Limits | None = None,
+        timing: Timing | None = None,
+        once: Once | None = None,
+        publishers: dict[str, str] | None = None,
+        trace: str = "",
+    ) -> None:
+        self.host = host
+        self.zone = zone
+        self.region = region
+        self.platform = platform
+        self.listen = listen or Listen()
+        self.tls = tls
+        self.limits = limits or Limits()
+        self.timing = timing or Timing()
+        self.once = once or Once()
+        self.publishers = publishers or {}
+        self.trace = trace
--- /dev/null
+++ b/src/wasabiwick/_wire.py
@@ -0,0 +1,438 @@
+"""Wire messages: what hosts send each other, and what they keep in the log.
+
+Each message is a tagged `msgspec.Struct`, encoded as a JSON object whose ``type`` names it. Unknown
+fields are ignored, so that hosts of neighbouring versions understand each other.
+"""
+
+import msgspec
+
+
+class Owner(msgspec.Struct, frozen=True, order=True):
+    """One run of one entry host: the host's name and the incarnation of its process."""
+
+    host: str
+    incarnation: str
+
+
+class Base(msgspec.Struct, frozen=True, tag_field="type", tag=True, omit_defaults=True):
+    """Base of all tagged messages."""
+
+
+# --- Between hosts: key ownership of generation requests -----------------------------------------
+
+
+class ClaimKey(Base):
+    """Asks the owner of a request key whether the request is being served already."""
+
+    request_id: str
+    attempt_id: str
+    claimant: Owner
+    config_version: int = 0
+    deadline: float = 0.0
+
+
+class KeyClaimed(Base):
+    """Answers `ClaimKey`: the claimant serves the key from now on.
+
+    ``running`` names the earlier serving host, attempt and decode engine where a stream exists.
+    """
+
+    request_id: str
+    attempt_id: str
+    serving: Owner | None = None
+    running_attempt: str = ""
+    engine: str = ""
+
+
+class KeyServed(Base):
+    """Tells the owner of a key which engine runs the serving host's attempt."""
+
+    request_id: str
+    attempt_id: str
+    serving: Owner
+    engine: str = ""
+    ended: bool = False
+
+
+class Supersede(Base):
+    """Tells a serving host that a newer call took the request over; it must not answer it."""
+
+    request_id: str
+    attempt_id: str
+    by: Owner
+
+
+class Superseded(Base):
+    """Answers `Supersede`: the old call is closed unanswered, its stream is kept at the engine.
+
+    ``answered`` is true where the old call had its whole answer already.
+    """
+
+    request_id: str
+    attempt_id: str
+    running_attempt: str = ""
+    engine: str = ""
+    answered: bool = False
+
+
+# --- Between hosts: reservations at an engine's coordinator --------------------------------------
+
+
+class Reserve(Base):
+    """Asks an engine's coordinator for a decode slot and a share of its transfer link."""
+
+    request_id: str
+    attempt_id: str
+    owner: Owner
+    engine: str
+    config_version: int
+    deadline: float
+    priority: int = 0
+    customer: str = ""
+    prompt_tokens: int = 0
+    max_tokens: int = 0
+    pieces: tuple[int, ...] = ()
+
+
+class Granted(Base):
+    """Answers `Reserve`: the slot is held for the attempt until released or not renewed."""
+
+    request_id: str
+    attempt_id: str
+    engine: str
+    prefill_engine: str
+    cached_tokens: int = 0
+
+
+class Denied(Base):
+    """Answers `Reserve`: no slot; ``wait`` seconds later one is likely."""
+
+    request_id: str
+    attempt_id: str
+    engine: str
+    wait: float = 0.0
+
+
+class Release(Base):
+    """Gives a reservation back."""
+
+    request_id: str
+    attempt_id: str
+    owner: Owner
+    engine: str
+
+
+class Renew(Base):
+    """Renews all reservations that an owner holds at one coordinator.
+
+    ``attempts`` lists (engine, request id, attempt id, slot is in use).
+    """
+
+    owner: Owner
+    attempts: tuple[tuple[str, str, str, bool], ...] = ()
+
+
+# --- Between hosts: membership and configuration -------------------------------------------------
+
+
+class Heartbeat(Base):
+    """Periodic sign of life within an availability zone.
+
+    ``version`` and ``offset`` are the newest configuration record the sender has in force.
+    ``leaving`` lists endpoints that the sender knows to be leaving.
+    """
+
+    owner: Owner
+    zone: str
+    sequence: int
+    version: int = 0
+    offset: int = -1
+    stopping: bool = False
+    leaving: tuple[str, ...] = ()
+
+
+# --- Streams of the log --------------------------------------------------------------------------
+
+
+class Intent(Base):
+    """Record: an attempt wants to run a request that may run only once."""
+
+    key: str
+    attempt_id: str
+    owner: Owner
+    after: int
+    service: str
+    digest: str = ""
+
+
+class Void(Base):
+    """Record: an attempt gives up; effective unless another attempt has won the epoch."""
+
+    key: str
+    attempt_id: str
+
+
+class Outcome(Base):
+    """Record: the answer of the attempt that ran."""
+
+    key: str
+    attempt_id: str
+    status: int
+    body: str
+    content_type: str = "application/json"
+
+
+class Checkpoint(Base):
+    """Record: the folded state of live keys up to ``upto``, so that older records may expire.
+
+    ``entries`` lists (key, epoch, winner attempt id, status or -1, body, digest).
+    """
+
+    upto: int
+    entries: tuple[tuple[str, int, str, int, str, str], ...] = ()
+
+
+class Configuration(Base):
+    """Record: one version of the operators' two lists, or the difference to the one it replaces.
+
+    ``replaces`` is the offset-independent version number that this record follows. ``plans`` and
+    ``allowances`` hold JSON text. With ``partial``, they hold only changed entries and
+    ``removed`` lists the names of removed ones.
+    """
+
+    version: int
+    replaces: int
+    author: str
+    plans: str
+    allowances: str
+    partial: bool = False
+    removed: tuple[str, ...] = ()
+    digest: str = ""
+    signature: str = ""
+    key_id: str = ""
+
+
+class LeaseClaim(Base):
+    """Record: an owner claims the lease of a zone's model; its offset is the fencing number."""
+
+    zone: str
+    model: str
+    owner: Owner
+    term: float
+    after: int
+
+
+Message = (
+    ClaimKey
+    | KeyClaimed
+    | KeyServed
+    | Supersede
+    | Superseded
+    | Reserve
+    | Granted
+    | Denied
+    | Release
+    | Renew
+    | Heartbeat
+    | Intent
+    | Void
+    | Outcome
+    | Checkpoint
+    | Configuration
+    | LeaseClaim
+)
+
+
+class Envelope(msgspec.Struct, frozen=True):
+    """A batch of messages from one host to another."""
+
+    sender: Owner
+    zone: str
+    messages: tuple[Message, ...]
+
+
+# --- Endpoint and platform interfaces (HTTP bodies) ----------------------------------------------
+
+
+class HostEntry(msgspec.Struct, frozen=True):
+    """One line of the host list.
+
+    ``kind`` is ``entry``, ``engine`` or ``service``. ``service`` names what an endpoint serves.
+    """
+
+    name: str
+    kind: str
+    zone: str
+    address: str
+    service: str = ""
+    leaving: bool = False
+
+
+class StreamReport(msgspec.Struct, frozen=True):
+    """One request that an engine holds memory for."""
+
+    request_id: str
+    attempt_id: str
+    owner: str
+    phase: str
+    offset: int = 0
+
+
+class EngineReport(msgspec.Struct, frozen=True):
+    """An engine's own account of its load, as of ``sequence``.
+
+    ``prefill_rate`` is in tokens/s, ``link_rate`` in bytes/s, ``decode_interval`` in seconds
+    between two outputs of one stream at the present batch size.
+    """
+
+    engine: str
+    sequence: int
+    slots: int
+    used: int
+    queued_prefill_tokens: int = 0
+    prefill_rate: float = 0.0
+    link_rate: float = 0.0
+    decode_interval: float = 0.0
+    piece_tokens: int = 16
+    kv_bytes_per_token: int = 0
+    models: tuple[str, ...] = ()
+    roles: tuple[str, ...] = ("prefill", "decode")
+    fence: int = -1
+    streams: tuple[StreamReport, ...] = ()
+
+
+class CacheEvent(msgspec.Struct, frozen=True):
+    """One change of an engine's prefix cache; a gap in ``sequence`` means events were lost."""
+
+    sequence: int
+    stored: tuple[int, ...] = ()
+    evicted: tuple[int, ...] = ()
+    cleared: bool = False
+
+
+class PrefillAsk(msgspec.Struct, frozen=True):
+    """Body of ``POST /v1/prefill`` at an engine.
+
+    ``prefix`` is output of an earlier attempt that the caller already has; the engine treats it as
+    part of the context, so that a decode can go on after it.
+    """
+
+    request_id: str
+    attempt_id: str
+    owner: str
+    model: str
+    prompt: str
+    prefix: str = ""
+    priority: int = 0
+
+
+class PrefillAnswer(msgspec.Struct, frozen=True):
+    """Answer of ``POST /v1/prefill``: a KV handle that expires in ``expires_in`` seconds."""
+
+    handle: str
+    expires_in: float
+    prompt_tokens: int
+    cached_tokens: int
+    seconds: float
+
+
+class DecodeAsk(msgspec.Struct, frozen=True):
+    """Body of ``POST /v1/decode`` at an engine; it imports the KV cache from ``source``.
+
+    ``source`` is the base URL of the engine that holds ``handle``, and may be the engine itself.
+    Output starts at ``offset`` and ends at ``max_tokens``, both counted from the prompt's end. The
+    answer is a stream of JSON lines, each a `Frame`. An engine without a free slot answers 503
+    and has not run the request.
+    """
+
+    request_id: str
+    attempt_id: str
+    owner: str
+    model: str
+    source: str
+    handle: str
+    max_tokens: int
+    offset: int = 0
+    priority: int = 0
+
+
+class ResumeAsk(msgspec.Struct, frozen=True):
+    """Body of ``POST /v1/resume``: stream a running request again from ``offset``."""
+
+    request_id: str
+    attempt_id: str
+    owner: str
+    offset: int = 0
+
+
+class CancelAsk(msgspec.Struct, frozen=True):
+    """Body of ``POST /v1/cancel``: forget the attempt and free its memory. Idempotent."""
+
+    request_id: str
+    attempt_id: str
+
+
+class CancelAnswer(msgspec.Struct, frozen=True):
+    """Answer of ``POST /v1/cancel``; ``gone`` is true once no memory is held."""
+
+    gone: bool
+
+
+class OrderAsk(msgspec.Struct, frozen=True):
+    """Body of ``POST /v1/orders``: bring the engine to this state.
+
+    ``action`` is ``load``, ``unload`` or ``role``.
+    """
+
+    action: str
+    model: str
+    version: str
+    fence: int
+    roles: tuple[str, ...] = ()
+
+
+class Frame(msgspec.Struct, frozen=True):
+    """One line of an engine's stream: ``text`` holds the ``count`` tokens that follow ``offset``.
+
+    A frame with ``count`` 0 and no ``done`` is a heartbeat. ``finish`` is ``stop``, ``length``,
+    ``cancelled`` or ``error``.
+    """
+
+    request_id: str
+    attempt_id: str
+    offset: int
+    count: int = 0
+    text: str = ""
+    done: bool = False
+    finish: str = ""
+
+
+class LogAppend(msgspec.Struct, frozen=True):
+    """Body of ``POST /streams/{stream}/append`` at the log service."""
+
+    records: tuple[str, ...]
+
+
+class LogAppendAnswer(msgspec.Struct, frozen=True):
+    """Answer of an append: the offset of its first record."""
+
+    offset: int
+
+
+class LogRecord(msgspec.Struct, frozen=True):
+    """One record read from the log; ``time`` is its append time in Unix seconds."""
+
+    offset: int
+    time: float
+    data: str
+
+
+class LogPage(msgspec.Struct, frozen=True):
+    """Answer of ``GET /streams/{stream}?from=N&wait=S``.
+
+    ``first`` is the oldest offset still kept, ``end`` the offset that the next append will get.
+    """
+
+    first: int
+    end: int
+    records: tuple[LogRecord, ...] = ()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of wasabiwick, one module each."""
