--- /dev/null
+++ b/src/wasabiwick/_bench/policies.py
@@ -0,0 +1,98 @@
+"""Baselines to compare with: they choose engines without any coordinator.
+
+A baseline replaces only the choice of engines. Admission, retries, resumes and cancels are those of
+the real handlers, and an engine without a free slot refuses the decode after the prefill was paid.
+"""
+
+import typing
+
+from .._events import EngineReported, SlotWanted
+from .._handlers import calls, members, slots
+from .._reducer import Step, handles
+from .._settings import Settings
+from .._state import State, state_slice
+from .._wire import EngineReport, HostEntry
+
+OURS = "ours"
+BASELINES = ("round_robin", "least_load", "affinity")
+POLICIES = (OURS, *BASELINES)
+
+
+@state_slice("bench_baselines")
+class BaselineState:
+    """What the baselines know: a counter, engines' reports, and which engine saw a prefix last."""
+
+    __slots__ = ("turns", "reports", "seen")
+
+    def __init__(self, cfg: Settings) -> None:
+        self.turns = 0
+        self.reports: dict[str, EngineReport] = {}
+        self.seen: dict[int, str] = {}
+
+
+@handles(EngineReported)
+def reported(state: State, event: EngineReported) -> None:
+    """Keep the newest report of each engine."""
+    state["bench_baselines"].reports[event.report.engine] = event.report
+
+
+def _engines(state: State, event: SlotWanted) -> tuple[list[HostEntry], list[HostEntry]]:
+    """Return the engines for prefill and for decode that were not tried yet."""
+    req = calls.request_of(state, event.request_id)
+    usable = sorted(members.usable_endpoints(state, req.call.target), key=lambda one: one.name)
+    reports = state["bench_baselines"].reports
+    decode = [one for one in usable if one.name not in reports or reports[one.name].slots]
+    prefill = [one for one in usable if one not in decode] or usable
+    fresh = [one for one in decode if one.name not in event.avoid] or decode
+    return prefill, fresh
+
+
+@slots.policy("round_robin")
+def round_robin(state: State, event: SlotWanted) -> typing.Iterator[Step]:
+    """Take the engines in turn."""
+    prefill, decode = _engines(state, event)
+    mine = state["bench_baselines"]
+    mine.turns += 1
+    yield from slots.hold(
+        state,
+        event,
+        prefill=prefill[mine.turns % len(prefill)].name,
+        decode=decode[mine.turns % len(decode)].name,
+    )
+
+
+@slots.policy("least_load")
+def least_load(state: State, event: SlotWanted) -> typing.Iterator[Step]:
+    """Take the engines with the least load by their lagging reports."""
+    prefill, decode = _engines(state, event)
+    yield from slots.hold(
+        state,
+        event,
+        prefill=min(prefill, key=lambda one: _prefill_load(state, one.name)).name,
+        decode=min(decode, key=lambda one: _decode_load(state, one.name)).name,
+    )
+
+
+def _prefill_load(state: State, name: str) -> tuple[float, float]:
+    report = state["bench_baselines"].reports.get(name)
+    return (report.queued_prefill_tokens if report else 0, state.rng.random())
+
+
+def _decode_load(state: State, name: str) -> tuple[float, float]:
+    report = state["bench_baselines"].reports.get(name)
+    return (report.used if report else 0, state.rng.random())
+
+
+@slots.policy("affinity")
+def affinity(state: State, event: SlotWanted) -> typing.Iterator[Step]:
+    """Prefill where the longest known prefix was prefilled before, whatever the load."""
+    prefill, decode = _engines(state, event)
+    mine = state["bench_baselines"]
+    req = calls.request_of(state, event.request_id)
+    names = [one.name for one in prefill]
+    pieces = [piece for piece in req.call.pieces if piece]
+    known = (mine.seen.get(piece) for piece in reversed(pieces))
+    chosen = next((name for name in known if name in names), state.rng.choice(names))
+    for piece in pieces:
+        mine.seen[piece] = chosen
+    yield from slots.hold(state, event, prefill=chosen, decode=state.rng.choice(decode).name)
--- /dev/null
+++ b/src/wasabiwick/_bench/run.py
@@ -0,0 +1,256 @@
+"""One run of the bench, and the figures that it gives."""
+
+import msgspec
+
+from .._settings import Targets
+from .._state import State
+from . import policies, scenarios
+from .callers import Callers, Outcome
+from .workload import WARM_UP, WINDOW, Ask, Deployment
+from .world import World
+
+DRAIN = 90.0  # Seconds after the last arrival in which late answers are awaited.
+POLL = 0.25  # Seconds between reports that every host gets under a baseline.
+DEFAULT_HOSTS = {"sunday": 6, "counter_day": 8}
+
+
+class Figures(msgspec.Struct, frozen=True):
+    """What one run measured; times in seconds, rates in tokens/s, shares from 0 to 1.
+
+    ``fairness`` is Jain's index over the customers' shares of output tokens that were on time.
+    """
+
+    scenario: str
+    policy: str
+    seed: int
+    load: float
+    hosts: int
+    goodput: float
+    wasted_prefill: float
+    bound: float
+    offered: float
+    requests: int
+    answered: int
+    late: int
+    unanswered: int
+    refusals: int
+    first_output_p50: float
+    first_output_p95: float
+    first_output_p99: float
+    between_p50: float
+    between_p95: float
+    between_p99: float
+    fairness: float
+    events: int
+    messages: int
+
+
+class Capacity:
+    """The bound that slots and prefill rate allow, of a deployment with perfect decisions.
+
+    ``decode`` is the most output per second with each engine at its best batch within the target;
+    ``prefill`` is the output per second whose prompts all engines together can prefill if no token
+    is prefilled twice.
+    """
+
+    __slots__ = ("decode", "prefill", "mean_output")
+
+    def __init__(self, deployment: Deployment, asks: list[Ask], targets: Targets) -> None:
+        traits = [one for _, _, one in deployment.engines()]
+        self.decode = sum(
+            one.best_rate(targets.between_outputs) for one in traits if "decode" in one.roles
+        )
+        output = sum(one.output for one in asks)
+        self.mean_output = output / len(asks)
+        rate = sum(one.prefill_rate for one in traits)
+        self.prefill = rate * output / max(1, _first_time_tokens(asks))
+
+    def bound(self) -> float:
+        """Return the lower of both, in tokens/s."""
+        return min(self.decode, self.prefill)
+
+
+def _first_time_tokens(asks: list[Ask]) -> int:
+    seen: set[int] = set()
+    tokens = 0
+    for ask in asks:
+        for one in ask.segments:
+            if one.prefix not in seen:
+                seen.add(one.prefix)
+                tokens += one.tokens
+    return tokens
+
+
+def run(
+    *,
+    scenario: str,
+    policy: str,
+    seed: int,
+    hosts: int,
+    load: float,
+    without: tuple[str, ...] = (),
+) -> Figures:
+    """Run one scenario under one policy.
+
+    Args:
+        scenario: Name of the scenario.
+        policy: Name of the policy.
+        seed: Seed of workload, network and hosts.
+        hosts: Number of entry hosts, or 0 for the scenario's own.
+        load: Offered output tokens as a share of the bound.
+        without: Decisions to leave out, for an ablation.
+
+    Returns:
+        The measured figures.
+    """
+    deployment, fault = scenarios.split(scenario)
+    asks, capacity = _workload(deployment, seed, load)
+    callers = Callers(asks=asks, seed=seed, impatient=False)
+
+    def configure(state: State) -> None:
+        state["slots"].policy = "reserve" if policy == policies.OURS else policy
+        for name in without:
+            ABLATIONS[name](state)
+
+    world = World(
+        deployment=deployment,
+        hosts=hosts or DEFAULT_HOSTS[scenario.partition(".")[0]],
+        seed=seed,
+        configure=configure,
+        answers=callers,
+    )
+    world.run(START)
+    callers.begin(world)
+    if policy != policies.OURS:
+        _poll_everywhere(world)
+    if fault:
+        fault(world, callers)
+    world.run(START + WINDOW + DRAIN)
+    return _figures(Run(scenario, policy, seed, load, world, callers, capacity, Targets()))
+
+
+START = 2.5  # Seconds in which hosts boot and read engines' reports.
+
+
+def _workload(deployment: Deployment, seed: int, load: float) -> tuple[list[Ask], Capacity]:
+    import random
+
+    probe = deployment.requests(deployment, random.Random("probe"), 100.0)
+    capacity = Capacity(deployment, probe, Targets())
+    rate = load * capacity.bound() / capacity.mean_output
+    asks = deployment.requests(deployment, random.Random(f"asks {seed}"), rate)
+    return asks, capacity
+
+
+def _poll_everywhere(world: World) -> None:
+    from .._effects import FetchReport
+
+    for host in world.hosts.values():
+        for name in world.engines:
+            world.fetch_report(host, FetchReport(endpoint=name))
+    if world.now < START + WINDOW + DRAIN:
+        world.after(POLL, lambda: _poll_everywhere(world))
+
+
+class Run:
+    """A finished run, before its figures are worked out."""
+
+    __slots__ = (
+        "scenario",
+        "policy",
+        "seed",
+        "load",
+        "world",
+        "callers",
+        "capacity",
+        "targets",
+    )
+
+    def __init__(
+        self,
+        scenario: str,
+        policy: str,
+        seed: int,
+        load: float,
+        world: World,
+        callers: Callers,
+        capacity: Capacity,
+        targets: Targets,
+    ) -> None:
+        self.scenario = scenario
+        self.policy = policy
+        self.seed = seed
+        self.load = load
+        self.world = world
+        self.callers = callers
+        self.capacity = capacity
+        self.targets = targets
+
+
+def _figures(one: Run) -> Figures:
+    outcomes = list(one.callers.outcomes.values())
+    begin, end = START + WARM_UP, START + WINDOW
+    done = [out for out in outcomes if out.done]
+    on_time = [out for out in done if out.on_time(one.targets)]
+    good = sum(out.ask.output for out in on_time if begin <= out.done < end)
+    offered = sum(out.ask.output for out in outcomes) / WINDOW
+    first = sorted(out.first_output() for out in done if not out.ask.may_wait)
+    between = sorted(out.between_outputs() for out in done)
+    wasted = one.callers.wasted_tokens() / max(1, one.callers.prefilled_tokens)
+    return Figures(
+        scenario=one.scenario,
+        policy=one.policy,
+        seed=one.seed,
+        load=one.load,
+        hosts=len(one.world.hosts),
+        goodput=round(good / (end - begin), 1),
+        wasted_prefill=round(wasted, 5),
+        bound=round(min(offered, one.capacity.bound()), 1),
+        offered=round(offered, 1),
+        requests=len(outcomes),
+        answered=len(done),
+        late=len(done) - len(on_time),
+        unanswered=len(outcomes) - len(done),
+        refusals=one.callers.refusals,
+        first_output_p50=_quantile(first, 0.50),
+        first_output_p95=_quantile(first, 0.95),
+        first_output_p99=_quantile(first, 0.99),
+        between_p50=_quantile(between, 0.50),
+        between_p95=_quantile(between, 0.95),
+        between_p99=_quantile(between, 0.99),
+        fairness=_fairness(outcomes, on_time),
+        events=one.world.events,
+        messages=one.world.messages,
+    )
+
+
+def _quantile(values: list[float], share: float) -> float:
+    if not values:
+        return 0.0
+    return round(values[min(len(values) - 1, int(share * len(values)))], 4)
+
+
+def _fairness(outcomes: list[Outcome], on_time: list[Outcome]) -> float:
+    asked: dict[str, int] = {}
+    got: dict[str, int] = {}
+    for out in outcomes:
+        asked[out.ask.customer] = asked.get(out.ask.customer, 0) + out.ask.output
+    for out in on_time:
+        got[out.ask.customer] = got.get(out.ask.customer, 0) + out.ask.output
+    shares = [got.get(name, 0) / tokens for name, tokens in asked.items()]
+    squares = sum(share * share for share in shares)
+    return round(sum(shares) ** 2 / (len(shares) * squares), 4) if squares else 0.0
+
+
+def _without_scorer(name: str):
+    def configure(state: State) -> None:
+        mine = state["coordinator"]
+        mine.scorers = tuple(one for one in mine.scorers if one != name)
+
+    return configure
+
+
+ABLATIONS = {
+    name: _without_scorer(name)
+    for name in ("prefill_queue", "prefill_work", "transfer", "stall", "batch")
+}
--- /dev/null
+++ b/src/wasabiwick/_bench/workload.py
@@ -0,0 +1,215 @@
+"""Workloads of both deployments: places, engines, customers and the requests they make."""
+
+import random
+import typing
+
+import msgspec
+
+from .._pieces import MAX_PIECES, PIECE_TOKENS
+from .engine_model import EngineTraits, Segment
+
+WINDOW = 30.0  # Seconds in which requests arrive.
+WARM_UP = 10.0  # Seconds at the start that are not measured.
+
+
+class Ask:
+    """One request of one customer, as made by its first call."""
+
+    __slots__ = ("request_id", "at", "customer", "segments", "tokens", "output", "may_wait")
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        at: float,
+        customer: str,
+        segments: tuple[Segment, ...],
+        output: int,
+        may_wait: bool,
+    ) -> None:
+        self.request_id = request_id
+        self.at = at
+        self.customer = customer
+        self.segments = segments
+        self.tokens = sum(one.tokens for one in segments)
+        self.output = output
+        self.may_wait = may_wait
+
+    def pieces(self) -> tuple[int, ...]:
+        """Return the prompt's hash chain; only the ladder's lengths have real hashes."""
+        chain = [0] * min(MAX_PIECES, self.tokens // PIECE_TOKENS)
+        for one in self.segments:
+            for piece in one.pieces():
+                length = piece % 128
+                if length <= len(chain):
+                    chain[length - 1] = piece
+        return tuple(chain)
+
+
+class Deployment:
+    """One user's places, engines and customers.
+
+    Args:
+        model: Name of the model.
+        zones: Availability zones.
+        decode: Decode engines of each zone.
+        prefill: Prefill engines of each zone.
+        customers: Names of customers, most active first.
+        may_wait: Share of the customers whose plan may wait.
+    """
+
+    __slots__ = ("model", "zones", "decode", "prefill", "customers", "may_wait", "requests")
+
+    def __init__(
+        self,
+        *,
+        model: str,
+        zones: tuple[str, ...],
+        decode: tuple[int, ...],
+        prefill: tuple[int, ...],
+        customers: int,
+        may_wait: float,
+        requests: typing.Callable[["Deployment", random.Random, float], list[Ask]],
+    ) -> None:
+        self.model = model
+        self.zones = zones
+        self.decode = decode
+        self.prefill = prefill
+        self.customers = tuple(f"customer-{number:02d}" for number in range(customers))
+        self.may_wait = may_wait
+        self.requests = requests
+
+    def engines(self) -> list[tuple[str, str, EngineTraits]]:
+        """Return name, zone and traits of each engine."""
+        found = []
+        for zone, decode, prefill in zip(self.zones, self.decode, self.prefill, strict=True):
+            roles = [("prefill",)] * prefill + [("prefill", "decode")] * decode
+            for one in roles:
+                name = f"{self.model}-{len(found) + 1}"
+                found.append((name, zone, EngineTraits(roles=one)))
+        return found
+
+    def waits(self, customer: str) -> bool:
+        """Tell whether a customer's plan may wait."""
+        every = round(1 / self.may_wait) if self.may_wait else 0
+        return bool(every) and self.customers.index(customer) % every == every - 1
+
+    def lists(self) -> tuple[str, str]:
+        """Return both lists as JSON texts, with plans so wide that capacity is the limit."""
+        plans = {
+            name: {"plan": "waiting" if self.waits(name) else "prompt", "keys": [name]}
+            for name in self.customers
+        }
+        wide = {
+            "models": [self.model],
+            "rate": 10_000.0,
+            "burst": 10_000.0,
+            "concurrency": 100_000,
+            "tokens_per_minute": 1e9,
+        }
+        allowances = {
+            "plans": {"prompt": wide, "waiting": {**wide, "may_wait": True}},
+            "services": {},
+            "models": {self.model: {}},
+        }
+        return msgspec.json.encode(plans).decode(), msgspec.json.encode(allowances).decode()
+
+
+DEPLOYMENTS: dict[str, Deployment] = {}
+
+
+def _pick_customer(deployment: Deployment, rng: random.Random) -> str:
+    count = len(deployment.customers)
+    return deployment.customers[min(count - 1, int(rng.paretovariate(0.9)) - 1)]
+
+
+def _segments(parts: list[tuple[int, int]]) -> tuple[Segment, ...]:
+    segments = []
+    start = 0
+    for prefix, tokens in parts:
+        segments.append(Segment(prefix=prefix, tokens=tokens, start=start))
+        start += tokens
+    return tuple(segments)
+
+
+def _study_guides(deployment: Deployment, rng: random.Random, rate: float) -> list[Ask]:
+    """Notes of group leaders: a template of each customer, then text of their own.
+
+    A third of the requests comes in bursts, as deadlines cluster.
+    """
+    asks = []
+    at = 0.0
+    number = 0
+    while at < WINDOW:
+        at += rng.expovariate(rate * 0.75)
+        burst = int(rng.expovariate(1 / 8)) + 1 if rng.random() < 1 / 24 else 1
+        for _ in range(burst):
+            number += 1
+            customer = _pick_customer(deployment, rng)
+            template = 1_000 + deployment.customers.index(customer)
+            parts = [
+                (1, 256),
+                (template, 512),
+                (100_000 + number, int(rng.lognormvariate(6.7, 0.5))),
+            ]
+            asks.append(
+                Ask(
+                    request_id=f"r{number}",
+                    at=at + rng.random() * 0.5,
+                    customer=customer,
+                    segments=_segments(parts),
+                    output=max(16, min(600, int(rng.lognormvariate(4.9, 0.5)))),
+                    may_wait=deployment.waits(customer),
+                )
+            )
+    return sorted((one for one in asks if one.at < WINDOW), key=lambda one: one.at)
+
+
+def _follow_ups(deployment: Deployment, rng: random.Random, rate: float) -> list[Ask]:
+    """Follow-ups of quotes: long threads that come back and grow with each turn."""
+    asks = []
+    at = 0.0
+    number = 0
+    threads: list[tuple[str, list[tuple[int, int]]]] = []
+    while at < WINDOW:
+        at += rng.expovariate(rate)
+        number += 1
+        if threads and rng.random() < 0.7:
+            customer, parts = threads[rng.randrange(max(0, len(threads) - 60), len(threads))]
+            parts.append((100_000 + number, int(rng.lognormvariate(5.3, 0.5))))
+        else:
+            customer = _pick_customer(deployment, rng)
+            voice = 1_000 + deployment.customers.index(customer)
+            parts = [(voice, 640), (100_000 + number, int(rng.lognormvariate(8.2, 0.5)))]
+            threads.append((customer, parts))
+        asks.append(
+            Ask(
+                request_id=f"r{number}",
+                at=at,
+                customer=customer,
+                segments=_segments(parts),
+                output=max(16, min(400, int(rng.lognormvariate(4.7, 0.4)))),
+                may_wait=deployment.waits(customer),
+            )
+        )
+    return [one for one in asks if one.at < WINDOW]
+
+
+DEPLOYMENTS["sunday"] = Deployment(
+    model="lectio-lm",
+    zones=("tx-central-a", "tx-central-b", "tx-central-c"),
+    decode=(2, 2, 2),
+    prefill=(1, 1, 1),
+    customers=40,
+    may_wait=0.34,
+    requests=_study_guides,
+)
+DEPLOYMENTS["counter_day"] = Deployment(
+    model="redator",
+    zones=("porto-a", "porto-b", "braga-a", "gaia-a"),
+    decode=(2, 1, 1, 1),
+    prefill=(1, 1, 1, 1),
+    customers=30,
+    may_wait=0.0,
+    requests=_follow_ups,
+)
--- /dev/null
+++ b/src/wasabiwick/_bench/world.py
@@ -0,0 +1,498 @@
+"""Virtual clock, hosts and the carrying out of their effects against the engine models."""
+
+import heapq
+import random
+import typing
+
+from .. import _effects, _events, _handlers, _lists  # noqa: F401 - registers the handlers
+from .._effects import Effect
+from .._errors import ENDPOINT_FAILED, ENDPOINT_REFUSED, ENDPOINT_SILENT, Failure
+from .._events import Event
+from .._reducer import reduce
+from .._settings import Platform, Settings
+from .._state import State
+from .._verdict import Verdict
+from .._wire import HostEntry, Owner
+from .engine_model import Engine, Job, Stream
+from .workload import Ask, Deployment
+
+SAME_ZONE = 0.0003  # Seconds one way.
+CROSS_ZONE = 0.003
+CROSS_LOSS = 0.005  # Share of messages between zones that are sent again.
+RESEND = 0.2  # Seconds.
+REPORT_LAG = 0.15  # Seconds by which an engine's report is old.
+CACHE_LAG = 0.3
+CACHE_GAP = 0.1  # Share of cache events that are lost.
+LIST_LAG = 1.0  # Seconds until the host list shows a change.
+WALL = 1_700_000_000.0  # Unix time at the start.
+REFUSED_CONNECTION = 0.001  # Seconds until a call to a dead process fails.
+
+
+class Host:
+    """One run of an entry host: the reducer's state and its timers."""
+
+    __slots__ = ("name", "zone", "state", "alive", "timers", "incarnation")
+
+    def __init__(self, *, name: str, zone: str, state: State, incarnation: int) -> None:
+        self.name = name
+        self.zone = zone
+        self.state = state
+        self.alive = True
+        self.timers: dict[tuple[str, str], int] = {}
+        self.incarnation = incarnation
+
+
+class World:
+    """Hosts, engines and network on one virtual clock.
+
+    Args:
+        deployment: Places, engines and customers.
+        hosts: Number of entry hosts.
+        seed: Seed of all randomness.
+        configure: Called with the state of each host before it boots.
+        answers: Receives what callers see.
+    """
+
+    def __init__(
+        self,
+        *,
+        deployment: Deployment,
+        hosts: int,
+        seed: int,
+        configure: typing.Callable[[State], None],
+        answers: "Answers",
+    ) -> None:
+        self.deployment = deployment
+        self.rng = random.Random(f"world {seed}")
+        self.configure = configure
+        self.answers = answers
+        self.now = 0.0
+        self.report_lag = REPORT_LAG
+        self.cut_zone = ""
+        self.asks: dict[str, Ask] = {}
+        self.engines: dict[str, Engine] = {}
+        self.hosts: dict[str, Host] = {}
+        self.events = 0
+        self.messages = 0
+        self._heap: list[tuple[float, int, typing.Callable[[], None]]] = []
+        self._order = 0
+        self._dropped: set[tuple[str, str]] = set()
+        self._handles: dict[str, float] = {}
+        self._lists = _lists.lists_from_json(1, *deployment.lists())
+        for name, zone, traits in deployment.engines():
+            self.engines[name] = Engine(name=name, zone=zone, traits=traits, clock=self)
+        for number in range(hosts):
+            zone = deployment.zones[number % len(deployment.zones)]
+            self.boot(f"entry-{number + 1}", zone, 1)
+
+    # --- Clock -----------------------------------------------------------------------------------
+
+    def after(self, delay: float, action: typing.Callable[[], None]) -> None:
+        """Run an action after some seconds."""
+        if delay == float("inf"):
+            return
+        self._order += 1
+        heapq.heappush(self._heap, (self.now + delay, self._order, action))
+
+    def run(self, until: float) -> None:
+        """Run all actions up to a time."""
+        while self._heap and self._heap[0][0] <= until:
+            self.now, _, action = heapq.heappop(self._heap)
+            action()
+        self.now = until
+
+    # --- Hosts -----------------------------------------------------------------------------------
+
+    def boot(self, name: str, zone: str, incarnation: int) -> None:
+        """Start a host, or start it again with nothing kept."""
+        cfg = Settings(host=name, zone=zone, region="bench", platform=Platform(log="", hosts=""))
+        state = State(cfg)
+        state["lists"].lists = self._lists
+        self.configure(state)
+        host = Host(name=name, zone=zone, state=state, incarnation=incarnation)
+        self.hosts[name] = host
+        booted = _events.Booted(
+            at=self.now,
+            owner=Owner(host=name, incarnation=str(incarnation)),
+            zone=zone,
+            wall=WALL + self.now,
+            seed=self.rng.getrandbits(32),
+        )
+        self.deliver(host, booted)
+        self._list_hosts(host)
+
+    def deliver(self, host: Host, event: Event) -> None:
+        """Give an event to a host's reducer and carry out the effects."""
+        if not host.alive:
+            return
+        event.at = self.now
+        self.events += 1
+        for effect in reduce(host.state, event):
+            performer = _PERFORMERS.get(type(effect))
+            if performer:
+                performer(self, host, effect)
+
+    def send(self, host: Host, delay: float, event: Event) -> None:
+        """Deliver an event to a host after some seconds."""
+        self.after(delay, lambda: self.deliver(host, event))
+
+    def _list_hosts(self, host: Host) -> None:
+        entries = [
+            HostEntry(name=one.name, kind="entry", zone=one.zone, address=f"http://{one.name}")
+            for one in self.hosts.values()
+            if one.alive
+        ]
+        entries += [
+            HostEntry(
+                name=one.name,
+                kind="engine",
+                zone=one.zone,
+                address=f"http://{one.name}",
+                service=self.deployment.model,
+            )
+            for one in self.engines.values()
+            if one.alive
+        ]
+        self.send(host, LIST_LAG, _events.HostsListed(at=0.0, entries=tuple(entries)))
+
+    # --- Network ---------------------------------------------------------------------------------
+
+    def delay(self, one: str, other: str) -> float:
+        """Return the delay of one message between two zones, in seconds."""
+        if one == other:
+            return SAME_ZONE
+        seconds = CROSS_ZONE * (0.7 + 0.6 * self.rng.random())
+        return seconds + RESEND if self.rng.random() < CROSS_LOSS else seconds
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Tell whether two zones can't reach each other."""
+        return one != other and self.cut_zone in (one, other)
+
+    def send_peer(self, host: Host, effect: _effects.SendPeer) -> None:
+        """Carry a message to another host."""
+        self.messages += 1
+        peer = self.hosts.get(effect.host)
+        if peer is None or self.is_cut(host.zone, peer.zone) or not peer.alive:
+            dead = peer is not None and not peer.alive
+            failed = _events.PeerFailed(
+                at=0.0,
+                host=effect.host,
+                message=effect.message,
+                verdict=Verdict.NOT_RUN if dead else Verdict.MAY_HAVE_RUN,
+            )
+            wait = REFUSED_CONNECTION if dead else host.state.cfg.timing.peer
+            self.send(host, wait, failed)
+            return
+        message = _events.PeerMessage(
+            at=0.0, sender=host.state.owner, zone=host.zone, message=effect.message
+        )
+        self.send(peer, self.delay(host.zone, peer.zone), message)
+
+    # --- Timers and platform ---------------------------------------------------------------------
+
+    def start_timer(self, host: Host, effect: _effects.StartTimer) -> None:
+        """Run a timer of a host."""
+        key = (effect.timer, effect.key)
+        version = self._order
+        host.timers[key] = version
+
+        def fire() -> None:
+            if host.timers.get(key) == version:
+                del host.timers[key]
+                fired = _events.TimerFired(at=0.0, timer=effect.timer, key=effect.key)
+                self.deliver(host, fired)
+
+        self.after(effect.delay, fire)
+
+    def stop_timer(self, host: Host, effect: _effects.StopTimer) -> None:
+        """Forget a timer of a host."""
+        host.timers.pop((effect.timer, effect.key), None)
+
+    def fetch_host_list(self, host: Host, effect: Effect) -> None:
+        """Read the lagging host list."""
+        self._list_hosts(host)
+
+    # --- Engines ---------------------------------------------------------------------------------
+
+    def _engine(self, host: Host, name: str) -> Engine | None:
+        engine = self.engines[name]
+        return engine if engine.alive and not self.is_cut(host.zone, engine.zone) else None
+
+    def fail(
+        self, host: Host, effect: _effects.AttemptEffect, phase: str, *, refused: bool = False
+    ) -> None:
+        """Tell a host that its call to an engine failed."""
+        engine = self.engines[effect.endpoint]
+        silent = self.is_cut(host.zone, engine.zone)
+        reason = ENDPOINT_REFUSED if refused else ENDPOINT_SILENT if silent else ENDPOINT_FAILED
+        verdict = Verdict.NOT_RUN if refused else Verdict.MAY_HAVE_RUN
+        event = _events.AttemptFailed(
+            at=0.0,
+            request_id=effect.request_id,
+            attempt_id=effect.attempt_id,
+            endpoint=effect.endpoint,
+            phase=phase,
+            failure=Failure(reason=reason, verdict=verdict),
+        )
+        wait = host.state.cfg.timing.connect if silent else self.delay(host.zone, engine.zone)
+        self.send(host, wait, event)
+
+    def start_prefill(self, host: Host, effect: _effects.StartPrefill) -> None:
+        """Send a prefill to an engine."""
+        ask = self.asks[effect.request_id]
+
+        def arrive() -> None:
+            engine = self._engine(host, effect.endpoint)
+            if engine is None:
+                self.fail(host, effect, "prefill")
+                return
+            job = Job(
+                request_id=effect.request_id,
+                attempt_id=effect.attempt_id,
+                owner=host.name,
+                segments=ask.segments,
+                priority=effect.priority,
+                then=done,
+            )
+            self.answers.engine_lost_hooks.setdefault(engine.name, {})[effect.attempt_id] = (
+                lambda: self.fail(host, effect, "prefill")
+            )
+            engine.prefill(job)
+
+        def done(cached: int, seconds: float) -> None:
+            engine = self.engines[effect.endpoint]
+            self.answers.engine_lost_hooks[engine.name].pop(effect.attempt_id, None)
+            self.answers.prefilled(ask, effect.attempt_id, ask.tokens - cached, self.now)
+            self._handles[effect.attempt_id] = self.now + engine.traits.expiry
+            event = _events.PrefillDone(
+                at=0.0,
+                request_id=effect.request_id,
+                attempt_id=effect.attempt_id,
+                endpoint=effect.endpoint,
+                handle=effect.attempt_id,
+                expires_in=engine.traits.expiry,
+                prompt_tokens=ask.tokens,
+                cached_tokens=cached,
+                seconds=seconds,
+            )
+            self.send(host, self.delay(host.zone, engine.zone), event)
+
+        self.after(self.delay(host.zone, self.engines[effect.endpoint].zone), arrive)
+
+    def start_decode(self, host: Host, effect: _effects.StartDecode) -> None:
+        """Send a decode to an engine, which fetches the KV cache first."""
+        ask = self.asks[effect.request_id]
+
+        def arrive() -> None:
+            engine = self._engine(host, effect.endpoint)
+            if engine is None:
+                self.fail(host, effect, "decode")
+                return
+            if not engine.begin_import(effect.attempt_id, host.name):
+                self.fail(host, effect, "decode", refused=True)
+                return
+            local = effect.source == effect.endpoint
+            seconds = 0.0 if local else engine.transfer_seconds(ask.tokens)
+            left = self._handles.get(effect.attempt_id, 0.0) - self.now
+            if not local:
+                engine.transfers += 1
+            if seconds > left:
+                self.after(max(0.0, left), lambda: expired(engine))
+            else:
+                self.after(seconds, lambda: imported(engine, local))
+
+        def expired(engine: Engine) -> None:
+            engine.transfers -= 1
+            if engine.importing.pop(effect.attempt_id, None):
+                self.fail(host, effect, "decode")
+
+        def imported(engine: Engine, local: bool) -> None:
+            if not local:
+                engine.transfers -= 1
+            if effect.attempt_id not in engine.importing or not engine.alive:
+                return
+            engine.store(ask.segments)
+            self._begin_stream(host, effect, engine, ask)
+
+        self.after(self.delay(host.zone, self.engines[effect.endpoint].zone), arrive)
+
+    def _begin_stream(
+        self, host: Host, effect: _effects.StartDecode, engine: Engine, ask: Ask
+    ) -> None:
+        stream = Stream(
+            request_id=effect.request_id,
+            attempt_id=effect.attempt_id,
+            owner=host.name,
+            length=ask.output,
+            begin=0.0,
+            first=lambda: self._progress(engine, effect, 1),
+            done=lambda: self._ended(engine, effect, ask.output),
+        )
+        self.answers.attached[effect.attempt_id] = host
+        self.answers.engine_lost_hooks.setdefault(engine.name, {})[effect.attempt_id] = (
+            lambda: self._stream_lost(effect)
+        )
+        engine.start_stream(stream)
+
+    def _stream_lost(self, effect: _effects.AttemptEffect) -> None:
+        host = self.answers.attached.get(effect.attempt_id)
+        if host and (host.name, effect.attempt_id) not in self._dropped:
+            self.fail(host, effect, "decode")
+
+    def _progress(self, engine: Engine, effect: _effects.AttemptEffect, count: int) -> None:
+        host = self.answers.attached[effect.attempt_id]
+        event = _events.StreamProgress(
+            at=0.0,
+            request_id=effect.request_id,
+            attempt_id=effect.attempt_id,
+            endpoint=effect.endpoint,
+            count=count,
+            offset=count,
+        )
+        self._relay(engine, host, effect, event)
+
+    def _ended(self, engine: Engine, effect: _effects.AttemptEffect, offset: int) -> None:
+        self.answers.engine_lost_hooks[engine.name].pop(effect.attempt_id, None)
+        host = self.answers.attached[effect.attempt_id]
+        event = _events.StreamEnded(
+            at=0.0,
+            request_id=effect.request_id,
+            attempt_id=effect.attempt_id,
+            endpoint=effect.endpoint,
+            offset=offset,
+            finish="stop",
+        )
+        self._relay(engine, host, effect, event)
+
+    def _relay(
+        self, engine: Engine, host: Host, effect: _effects.AttemptEffect, event: Event
+    ) -> None:
+        if (host.name, effect.attempt_id) in self._dropped or self.is_cut(host.zone, engine.zone):
+            return
+
+        def arrive() -> None:
+            if host.alive and isinstance(event, _events.StreamProgress):
+                self.answers.output(effect.request_id, effect.attempt_id, self.now)
+            self.deliver(host, event)
+
+        self.after(self.delay(host.zone, engine.zone), arrive)
+
+    def resume_stream(self, host: Host, effect: _effects.ResumeStream) -> None:
+        """Open a running attempt's stream again from this host."""
+        self._dropped.discard((host.name, effect.attempt_id))
+
+        def arrive() -> None:
+            engine = self._engine(host, effect.endpoint)
+            if engine is None or effect.attempt_id not in engine.streams:
+                self.fail(host, effect, "resume")
+                return
+            self.answers.attached[effect.attempt_id] = host
+            self._progress(engine, effect, 1)
+
+        self.after(self.delay(host.zone, self.engines[effect.endpoint].zone), arrive)
+
+    def drop_stream(self, host: Host, effect: _effects.DropStream) -> None:
+        """Stop relaying an attempt's stream to a host."""
+        self._dropped.add((host.name, effect.attempt_id))
+
+    def cancel_attempt(self, host: Host, effect: _effects.CancelAttempt) -> None:
+        """Make an engine forget an attempt."""
+
+        def arrive() -> None:
+            engine = self._engine(host, effect.endpoint)
+            if engine is None:
+                self.fail(host, effect, "cancel")
+                return
+            engine.cancel(effect.attempt_id)
+            self.answers.engine_lost_hooks.get(engine.name, {}).pop(effect.attempt_id, None)
+            event = _events.CancelAnswered(
+                at=0.0,
+                request_id=effect.request_id,
+                attempt_id=effect.attempt_id,
+                endpoint=effect.endpoint,
+                gone=True,
+            )
+            self.send(host, self.delay(host.zone, engine.zone), event)
+
+        self.after(self.delay(host.zone, self.engines[effect.endpoint].zone), arrive)
+
+    def fetch_report(self, host: Host, effect: _effects.FetchReport) -> None:
+        """Fetch an engine's lagging report."""
+        engine = self._engine(host, effect.endpoint)
+        if engine is None:
+            wait = host.state.cfg.timing.connect
+            self.send(host, wait, _events.EngineSilent(at=0.0, endpoint=effect.endpoint))
+            return
+        event = _events.EngineReported(at=0.0, report=engine.report())
+        self.send(host, self.report_lag, event)
+
+    def fetch_cache_events(self, host: Host, effect: _effects.FetchCacheEvents) -> None:
+        """Fetch an engine's late and gappy cache events."""
+        engine = self._engine(host, effect.endpoint)
+        if engine is None:
+            return
+        changes = tuple(
+            one for one in engine.events_after(effect.sequence) if self.rng.random() >= CACHE_GAP
+        )
+        event = _events.CacheChanged(at=0.0, endpoint=effect.endpoint, changes=changes)
+        self.send(host, CACHE_LAG, event)
+
+    def refuse_call(self, host: Host, effect: _effects.RefuseCall) -> None:
+        """Tell a caller that its call was refused."""
+        self.answers.refused(effect.call_id, effect.failure, self.now)
+
+    def finish_stream(self, host: Host, effect: _effects.FinishStream) -> None:
+        """Tell a caller that it has its whole answer."""
+        self.answers.finished(effect.call_id, self.now)
+        event = _events.CallAnswered(at=0.0, call_id=effect.call_id, request_id=effect.request_id)
+        self.send(host, SAME_ZONE, event)
+
+    # --- Faults ----------------------------------------------------------------------------------
+
+    def lose_engine(self, name: str) -> None:
+        """End an engine's process: its streams break."""
+        engine = self.engines[name]
+        hooks = self.answers.engine_lost_hooks.pop(name, {})
+        engine.stop()
+        for hook in hooks.values():
+            hook()
+
+    def lose_host(self, name: str) -> None:
+        """End a host's process without notice."""
+        self.hosts[name].alive = False
+
+
+class Answers(typing.Protocol):
+    """What the world tells its callers."""
+
+    attached: dict[str, Host]
+    engine_lost_hooks: dict[str, dict[str, typing.Callable[[], None]]]
+
+    def prefilled(self, ask: Ask, attempt_id: str, tokens: int, at: float) -> None:
+        """Note tokens that were prefilled."""
+
+    def output(self, request_id: str, attempt_id: str, at: float) -> None:
+        """Note an attempt's output at its host."""
+
+    def refused(self, call_id: str, failure: Failure, at: float) -> None:
+        """Note a refused call."""
+
+    def finished(self, call_id: str, at: float) -> None:
+        """Note a whole answer."""
+
+
+_PERFORMERS: dict[type[Effect], typing.Callable[[World, Host, typing.Any], None]] = {
+    _effects.StartTimer: World.start_timer,
+    _effects.StopTimer: World.stop_timer,
+    _effects.FetchHostList: World.fetch_host_list,
+    _effects.SendPeer: World.send_peer,
+    _effects.StartPrefill: World.start_prefill,
+    _effects.StartDecode: World.start_decode,
+    _effects.ResumeStream: World.resume_stream,
+    _effects.DropStream: World.drop_stream,
+    _effects.CancelAttempt: World.cancel_attempt,
+    _effects.FetchReport: World.fetch_report,
+    _effects.FetchCacheEvents: World.fetch_cache_events,
+    _effects.RefuseCall: World.refuse_call,
+    _effects.FinishStream: World.finish_stream,
+}
--- /dev/null
+++ b/src/wasabiwick/_handlers/choice.py
@@ -0,0 +1,177 @@
+"""Choice of the prefill and the decode engine for the request that gets the next slot.
+
+A scorer predicts one part of the time to first output, or the harm done to other requests, in
+seconds. The option with the least sum wins. Options are few: each decode candidate together with
+the best prefill engine of the pool, and each decode candidate on its own.
+"""
+
+import random
+import typing
+
+from .._pieces import LADDER, PIECE_TOKENS
+from .._wire import Reserve
+from .ledger import LINK_SHARE, PREFILL_AHEAD, EngineLedger, Pool
+
+MAX_CANDIDATES = 12  # Engines looked at for one role; larger pools are sampled.
+STALL_SHARE = 0.25  # Cost of delaying one running request by a second, in seconds.
+
+
+class Placement:
+    """A pair of engines, and what is expected of it.
+
+    Args:
+        prefill: Engine that prefills.
+        decode: Engine that decodes; may be the same.
+        cached: Tokens of the prompt that the prefill engine is expected to hold.
+        seconds: Predicted time to first output, with the harm done to others.
+    """
+
+    __slots__ = ("prefill", "decode", "cached", "uncached", "seconds")
+
+    def __init__(
+        self, *, prefill: EngineLedger, decode: EngineLedger, cached: int, tokens: int
+    ) -> None:
+        self.prefill = prefill
+        self.decode = decode
+        self.cached = cached
+        self.uncached = max(1, tokens - cached)
+        self.seconds = 0.0
+
+
+Scorer = typing.Callable[[Pool, Reserve, Placement], float]
+
+SCORERS: dict[str, Scorer] = {}
+
+
+def scorer(name: str) -> typing.Callable[[Scorer], Scorer]:
+    """Register a scorer under a name."""
+
+    def register(function: Scorer) -> Scorer:
+        SCORERS[name] = function
+        return function
+
+    return register
+
+
+@scorer("prefill_queue")
+def prefill_queue(pool: Pool, asked: Reserve, option: Placement) -> float:
+    """Return the time until the engine has done the prefill work granted before."""
+    return option.prefill.prefill_wait()
+
+
+@scorer("prefill_work")
+def prefill_work(pool: Pool, asked: Reserve, option: Placement) -> float:
+    """Return the time to prefill the tokens that the engine does not hold."""
+    return option.prefill.prefill_rate.seconds(option.uncached)
+
+
+@scorer("transfer")
+def transfer(pool: Pool, asked: Reserve, option: Placement) -> float:
+    """Return the time to move the KV cache over the link that is shared with others."""
+    if option.prefill is option.decode:
+        return 0.0
+    share = 1 + option.decode.transfers
+    return share * option.decode.link_rate.seconds(option.decode.kv_bytes(asked.prompt_tokens))
+
+
+@scorer("stall")
+def stall(pool: Pool, asked: Reserve, option: Placement) -> float:
+    """Return the harm that a prefill does to the requests which the same engine decodes."""
+    seconds = option.prefill.prefill_rate.seconds(option.uncached)
+    return STALL_SHARE * seconds * len(option.prefill.held)
+
+
+@scorer("batch")
+def batch(pool: Pool, asked: Reserve, option: Placement) -> float:
+    """Return the time that the first steps take in the engine's batch."""
+    return 4 * option.decode.interval.at(len(option.decode.held) + 1)
+
+
+Usable = typing.Callable[[str], bool]
+
+
+def place(
+    pool: Pool,
+    asked: Reserve,
+    *,
+    scorers: typing.Iterable[str],
+    usable: Usable,
+    rng: random.Random,
+) -> Placement | None:
+    """Choose the engines for a request.
+
+    Args:
+        pool: The pool's ledgers.
+        asked: The request's reservation.
+        scorers: Names of the scorers to add up.
+        usable: Tells whether an endpoint may get work.
+        rng: Picks the sample of a large pool.
+
+    Returns:
+        The best placement, or None while no slot, link share or prefill engine is free.
+    """
+    decodes = [one for one in _sample(pool, rng) if _may_decode(pool, one, asked, usable)]
+    if not decodes:
+        return None
+    prefills = [one for one in _sample(pool, rng) if _may_prefill(one, asked, usable)]
+    chosen = tuple(SCORERS[name] for name in scorers)
+    ranked = [(_score_prefill(pool, asked, one, chosen), one.name, one) for one in prefills]
+    best = min(ranked)[2] if ranked else None
+    options = []
+    for decode in decodes:
+        if best and best is not decode and decode.transfers < LINK_SHARE:
+            options.append(_option(pool, asked, best, decode, chosen))
+        if decode in prefills:
+            options.append(_option(pool, asked, decode, decode, chosen))
+    return min(options, key=lambda one: (one.seconds, one.decode.name), default=None)
+
+
+def _sample(pool: Pool, rng: random.Random) -> list[EngineLedger]:
+    engines = list(pool.engines.values())
+    return engines if len(engines) <= MAX_CANDIDATES else rng.sample(engines, MAX_CANDIDATES)
+
+
+def _may_decode(pool: Pool, one: EngineLedger, asked: Reserve, usable: Usable) -> bool:
+    return one.name not in asked.avoid and one.free(pool.target) > 0 and usable(one.name)
+
+
+def _may_prefill(one: EngineLedger, asked: Reserve, usable: Usable) -> bool:
+    if not one.can("prefill") or one.name in asked.avoid:
+        return False
+    idle = one.prefill_count == 0 or one.prefill_wait() <= PREFILL_AHEAD
+    return idle and usable(one.name)
+
+
+def expected_cached(pool: Pool, asked: Reserve, one: EngineLedger) -> int:
+    """Return how many tokens of a prompt an engine is expected to hold."""
+    tokens, trust = one.prefixes.matched(asked.pieces)
+    if not tokens:
+        return 0
+    if len(asked.pieces) and tokens >= _ladder_tokens(asked):
+        # The ladder ends before the prompt does; what lies beyond is known from experience.
+        tokens += int(pool.beyond.value * max(0, asked.prompt_tokens - tokens))
+    return int(trust * min(tokens, asked.prompt_tokens))
+
+
+def _ladder_tokens(asked: Reserve) -> int:
+    return LADDER[len(asked.pieces) - 1] * PIECE_TOKENS
+
+
+def _score_prefill(
+    pool: Pool, asked: Reserve, one: EngineLedger, chosen: tuple[Scorer, ...]
+) -> float:
+    # Scored as if decoded there, so that the transfer is left out; it depends on the other side.
+    return _option(pool, asked, one, one, chosen).seconds
+
+
+def _option(
+    pool: Pool,
+    asked: Reserve,
+    prefill: EngineLedger,
+    decode: EngineLedger,
+    chosen: tuple[Scorer, ...],
+) -> Placement:
+    cached = expected_cached(pool, asked, prefill)
+    option = Placement(prefill=prefill, decode=decode, cached=cached, tokens=asked.prompt_tokens)
+    option.seconds = sum(function(pool, asked, option) for function in chosen)
+    return option
--- a/src/wasabiwick/_handlers/members.py
+++ b/src/wasabiwick/_handlers/members.py
@@ -27,6 +27,11 @@
     return entry.address if entry else ""
 
 
+def entry_of(state: State, name: str) -> HostEntry | None:
+    """Return the host list's entry of a host or endpoint, or None."""
+    return state["members"].entries.get(name)
+
+
 def zone_of(state: State, name: str) -> str:
     """Return the availability zone of a host or endpoint, or an empty string."""
     entry = state["members"].entries.get(name)
@@ -60,6 +65,15 @@
     ]
 
 
+def engines_of_zone(state: State, zone: str) -> list[HostEntry]:
+    """Return the engines of an availability zone that may get new work."""
+    return [
+        entry
+        for entry in state["members"].entries.values()
+        if entry.kind == "engine" and entry.zone == zone and not entry.leaving
+    ]
+
+
 def role_owner(state: State, role: str, zone: str) -> str:
     """Return the live host of a zone that holds a soft role, such as the owner of a key."""
     hosts = live_hosts(state, zone) or [state.owner.host]
--- a/src/wasabiwick/_handlers/services.py
+++ b/src/wasabiwick/_handlers/services.py
@@ -17,7 +17,7 @@
 from .._settings import Settings
 from .._state import State, state_slice
 from .._verdict import Verdict
-from . import calls, generation, lists, members
+from . import calls, generation, health, lists, members
 
 MAX_ATTEMPTS = 3
 RETRY = 0.5  # Seconds told to callers.
@@ -82,7 +82,7 @@
     """Return a usable endpoint of a plain service, or an empty string."""
     usable = [entry.name for entry in members.usable_endpoints(state, service)]
     fresh = [name for name in usable if name not in avoid] or usable
-    return state.rng.choice(sorted(fresh)) if fresh else ""
+    return health.pick(state, fresh)
 
 
 def _send(state: State, request_id: str, running: ServiceCall, at: float) -> typing.Iterator[Step]:
--- a/src/wasabiwick/_settings.py
+++ b/src/wasabiwick/_settings.py
@@ -164,6 +164,29 @@
         self.drain = drain
 
 
+class Targets:
+    """Latency targets, in seconds.
+
+    Args:
+        first_output: From a request's first call to its first output.
+        between_outputs: Between two outputs of one stream.
+        may_wait: From a request's first call to its first output, where its plan may wait.
+    """
+
+    __slots__ = ("first_output", "between_outputs", "may_wait")
+
+    def __init__(
+        self,
+        *,
+        first_output: float = 2.0,
+        between_outputs: float = 0.054,
+        may_wait: float = 60.0,
+    ) -> None:
+        self.first_output = first_output
+        self.between_outputs = between_outputs
+        self.may_wait = may_wait
+
+
 class Once:
     """Settings of work that may run only once.
 
@@ -203,6 +226,7 @@
         limits: Bounds on callers.
         timing: Intervals and timeouts.
         once: Settings of work that may run only once.
+        targets: Latency targets.
         publishers: Public keys of publishers by key id, hexadecimal Ed25519.
         trace: File that events are recorded to, or empty.
     """
@@ -217,6 +241,7 @@
         "limits",
         "timing",
         "once",
+        "targets",
         "publishers",
         "trace",
     )
@@ -233,6 +258,7 @@
         limits: Limits | None = None,
         timing: Timing | None = None,
         once: Once | None = None,
+        targets: Targets | None = None,
         publishers: dict[str, str] | None = None,
         trace: str = "",
     ) -> None:
@@ -245,5 +271,6 @@
         self.limits = limits or Limits()
         self.timing = timing or Timing()
         self.once = once or Once()
+        self.targets = targets or Targets()
         self.publishers = publishers or {}
         self.trace = trace
