--- /dev/null
+++ b/src/wasabiwick/__main__.py
@@ -0,0 +1,6 @@
+"""Lets ``python -m wasabiwick`` run the command line."""
+
+from ._cli import main
+
+if __name__ == "__main__":
+    main()
--- a/src/wasabiwick/_settings.py
+++ b/src/wasabiwick/_settings.py
@@ -1,4 +1,18 @@
-"""Settings of an entry host, passed whole to whatever is built from them."""
+"""Settings of an entry host, passed whole to whatever is built from them.
+
+The constructors' annotations and defaults are also the schema of the settings file.
+"""
+
+from ._fields import (
+    Address,
+    File,
+    Hex64,
+    Name,
+    PositiveInt,
+    Seconds,
+    Url,
+    UrlOrEmpty,
+)
 
 
 class Listen:
@@ -11,28 +25,40 @@
 
     __slots__ = ("callers", "peers")
 
-    def __init__(self, *, callers: str = "127.0.0.1:0", peers: str = "127.0.0.1:0") -> None:
+    def __init__(self, *, callers: Address = "127.0.0.1:0", peers: Address = "127.0.0.1:0") -> None:
         self.callers = callers
         self.peers = peers
 
 
 class Platform:
-    """Base URLs of the platform's services."""
+    """Base URLs of the platform's services.
+
+    Args:
+        log: The append-only log service.
+        hosts: The host list.
+        weights: The weight store, or empty where engines are not ordered to load.
+    """
 
     __slots__ = ("log", "hosts", "weights")
 
-    def __init__(self, *, log: str, hosts: str, weights: str = "") -> None:
+    def __init__(self, *, log: Url, hosts: Url, weights: UrlOrEmpty = "") -> None:
         self.log = log
         self.hosts = hosts
         self.weights = weights
 
 
 class Tls:
-    """Certificate files. ``authority`` verifies peers; files are read again when they change."""
+    """Certificate files in PEM form, which are read again when they change.
+
+    Args:
+        certificate: The host's certificate, followed by its chain.
+        key: The certificate's private key.
+        authority: Certificates that verify the other hosts.
+    """
 
     __slots__ = ("certificate", "key", "authority")
 
-    def __init__(self, *, certificate: str, key: str, authority: str) -> None:
+    def __init__(self, *, certificate: File, key: File, authority: File) -> None:
         self.certificate = certificate
         self.key = key
         self.authority = authority
@@ -62,12 +88,12 @@
     def __init__(
         self,
         *,
-        max_body_bytes: int = 4 * 1024 * 1024,
-        max_header_bytes: int = 8 * 1024,
-        max_calls: int = 4_000,
-        stream_buffer_bytes: int = 64 * 1024,
-        header_timeout: float = 5.0,
-        default_deadline: float = 60.0,
+        max_body_bytes: PositiveInt = 4 * 1024 * 1024,
+        max_header_bytes: PositiveInt = 8 * 1024,
+        max_calls: PositiveInt = 4_000,
+        stream_buffer_bytes: PositiveInt = 64 * 1024,
+        header_timeout: Seconds = 5.0,
+        default_deadline: Seconds = 60.0,
     ) -> None:
         self.max_body_bytes = max_body_bytes
         self.max_header_bytes = max_header_bytes
@@ -125,24 +151,24 @@
     def __init__(
         self,
         *,
-        heartbeat: float = 0.5,
-        peer_suspect: float = 1.5,
-        peer_dead: float = 3.0,
-        host_list: float = 1.0,
-        report: float = 0.25,
-        reservation: float = 3.0,
-        renew: float = 1.0,
-        reap_grace: float = 1.0,
-        caller_grace: float = 0.25,
-        cancel_retry: float = 0.5,
-        stream_silence: float = 2.0,
-        connect: float = 1.0,
-        prefill: float = 30.0,
-        service: float = 30.0,
-        peer: float = 1.0,
-        log: float = 2.0,
-        log_poll: float = 10.0,
-        drain: float = 120.0,
+        heartbeat: Seconds = 0.5,
+        peer_suspect: Seconds = 1.5,
+        peer_dead: Seconds = 3.0,
+        host_list: Seconds = 1.0,
+        report: Seconds = 0.25,
+        reservation: Seconds = 3.0,
+        renew: Seconds = 1.0,
+        reap_grace: Seconds = 1.0,
+        caller_grace: Seconds = 0.25,
+        cancel_retry: Seconds = 0.5,
+        stream_silence: Seconds = 2.0,
+        connect: Seconds = 1.0,
+        prefill: Seconds = 30.0,
+        service: Seconds = 30.0,
+        peer: Seconds = 1.0,
+        log: Seconds = 2.0,
+        log_poll: Seconds = 10.0,
+        drain: Seconds = 120.0,
     ) -> None:
         self.heartbeat = heartbeat
         self.peer_suspect = peer_suspect
@@ -179,10 +205,10 @@
     def __init__(
         self,
         *,
-        shards: int = 16,
-        commit_interval: float = 0.02,
-        horizon: float = 86_400.0,
-        keep: float = 172_800.0,
+        shards: PositiveInt = 16,
+        commit_interval: Seconds = 0.02,
+        horizon: Seconds = 86_400.0,
+        keep: Seconds = 172_800.0,
     ) -> None:
         self.shards = shards
         self.commit_interval = commit_interval
@@ -224,16 +250,16 @@
     def __init__(
         self,
         *,
-        host: str,
-        zone: str,
-        region: str,
+        host: Name,
+        zone: Name,
+        region: Name,
         platform: Platform,
         listen: Listen | None = None,
         tls: Tls | None = None,
         limits: Limits | None = None,
         timing: Timing | None = None,
         once: Once | None = None,
-        publishers: dict[str, str] | None = None,
+        publishers: dict[str, Hex64] | None = None,
         trace: str = "",
     ) -> None:
         self.host = host
