Run the reducer in a daemon with HTTP adapters

Cause: handlers could not be run against outside systems. Measured: by hand with no platform: /readyz 503, a call without configuration answers 503 NOT_RUN, malformed JSON 400 NOT_RUN, SIGTERM ends with nothing in flight. Unit tests pass. Conclusion: the path is whole but for the stand-ins.

--- /dev/null
+++ b/src/wasabiwick/_adapters/_http.py
@@ -0,0 +1,99 @@
+"""What the HTTP adapters share: requests whose errors come back as failure values."""
+
+import asyncio
+import typing
+
+import aiohttp
+import msgspec
+
+from .._errors import ENDPOINT_FAILED, ENDPOINT_REFUSED, ENDPOINT_SILENT, Failure
+from .._verdict import Verdict
+
+T = typing.TypeVar("T")
+
+HTTP_UNAVAILABLE = 503
+JSON_TYPE = {"Content-Type": "application/json"}
+
+
+def failure_of(exc: BaseException, address: str) -> Failure:
+    """Turn a transport error into a failure that says whether the request may have run.
+
+    Only an error before the connection stood proves that nothing was sent.
+
+    Args:
+        exc: What the client library raised.
+        address: Base URL that was called.
+
+    Returns:
+        The failure.
+    """
+    if isinstance(exc, aiohttp.ClientConnectorError | aiohttp.ConnectionTimeoutError):
+        return Failure(
+            reason=ENDPOINT_FAILED,
+            verdict=Verdict.NOT_RUN,
+            detail=f'connection to "{address}" was refused or timed out',
+        )
+    if isinstance(exc, TimeoutError):
+        return Failure(
+            reason=ENDPOINT_SILENT,
+            verdict=Verdict.MAY_HAVE_RUN,
+            detail=f'"{address}" stopped answering',
+        )
+    return Failure(
+        reason=ENDPOINT_FAILED,
+        verdict=Verdict.MAY_HAVE_RUN,
+        detail=f'connection to "{address}" broke: {type(exc).__name__}',
+    )
+
+
+def failure_of_status(status: int, address: str) -> Failure:
+    """Turn an error status into a failure; 503 and 4xx say that the request was not run."""
+    refused = status == HTTP_UNAVAILABLE or 400 <= status < 500
+    return Failure(
+        reason=ENDPOINT_REFUSED if refused else ENDPOINT_FAILED,
+        verdict=Verdict.NOT_RUN if refused else Verdict.MAY_HAVE_RUN,
+        detail=f'"{address}" answered status {status}',
+    )
+
+
+async def ask(
+    session: aiohttp.ClientSession,
+    method: str,
+    address: str,
+    path: str,
+    *,
+    timeout: float,
+    answer: type[T] | None,
+    body: object = None,
+) -> T | Failure:
+    """Send one JSON request and decode its JSON answer.
+
+    Args:
+        session: Client session.
+        method: HTTP method.
+        address: Base URL.
+        path: Path with query below the base URL.
+        timeout: Seconds for the whole exchange.
+        answer: Type of the answer's body, or None where the body does not matter.
+        body: Message to send as JSON, or None.
+
+    Returns:
+        The decoded answer, None if ``answer`` is None, or a failure.
+    """
+    data = None if body is None else msgspec.json.encode(body)
+    try:
+        async with (
+            asyncio.timeout(timeout),
+            session.request(method, address + path, data=data, headers=JSON_TYPE) as resp,
+        ):
+            if resp.status >= 400:
+                return failure_of_status(resp.status, address)
+            raw = await resp.read()
+    except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as exc:
+        return failure_of(exc, address)
+    if answer is None:
+        return None
+    try:
+        return msgspec.json.decode(raw, type=answer)
+    except msgspec.MsgspecError as exc:
+        return failure_of(exc, address)
--- /dev/null
+++ b/src/wasabiwick/_adapters/_log_service.py
@@ -0,0 +1,49 @@
+"""The log service over HTTP."""
+
+import aiohttp
+
+from .._errors import Failure
+from .._settings import Timing
+from .._wire import LogAppend, LogAppendAnswer, LogPage
+from ._http import ask
+
+
+class HttpLogService:
+    """The log service over HTTP.
+
+    Args:
+        session: Client session.
+        address: Base URL of the log service.
+        timing: Timeouts.
+    """
+
+    __slots__ = ("_session", "_address", "_timing")
+
+    def __init__(self, *, session: aiohttp.ClientSession, address: str, timing: Timing) -> None:
+        self._session = session
+        self._address = address
+        self._timing = timing
+
+    async def append(self, stream: str, records: tuple[str, ...]) -> int | Failure:
+        """Append records together; returns the first one's offset."""
+        answer = await ask(
+            self._session,
+            "POST",
+            self._address,
+            f"/streams/{stream}/append",
+            body=LogAppend(records=records),
+            answer=LogAppendAnswer,
+            timeout=self._timing.log,
+        )
+        return answer if isinstance(answer, Failure) else answer.offset
+
+    async def read(self, stream: str, offset: int, wait: float) -> LogPage | Failure:
+        """Read from an offset; waits up to ``wait`` seconds if there is nothing yet."""
+        return await ask(
+            self._session,
+            "GET",
+            self._address,
+            f"/streams/{stream}?from={offset}&wait={wait}",
+            answer=LogPage,
+            timeout=self._timing.log + wait,
+        )
--- /dev/null
+++ b/src/wasabiwick/_adapters/_service.py
@@ -0,0 +1,75 @@
+"""Plain services over HTTP."""
+
+import asyncio
+
+import aiohttp
+
+from .._errors import Failure
+from .._ports import ServiceAnswer
+from .._settings import Timing
+from ._http import failure_of
+
+
+class HttpService:
+    """Plain services over HTTP, one fresh connection for each call.
+
+    A reused connection may be closed by the other side while the request is on its way, and client
+    libraries then send the request again. A fresh one is never retried.
+
+    Args:
+        session: Client session whose connections are closed after each call.
+        timing: Timeouts.
+    """
+
+    __slots__ = ("_session", "_timing")
+
+    def __init__(self, *, session: aiohttp.ClientSession, timing: Timing) -> None:
+        self._session = session
+        self._timing = timing
+
+    async def call(
+        self,
+        address: str,
+        *,
+        method: str,
+        path: str,
+        body: bytes,
+        content_type: str,
+        key: str,
+        fence: int,
+        timeout: float,
+    ) -> ServiceAnswer | Failure:
+        """Send one call on a fresh connection, without any retry."""
+        headers = {"Content-Type": content_type}
+        if key:
+            headers["Idempotency-Key"] = key
+        if fence >= 0:
+            headers["X-Fence"] = str(fence)
+        return await self._exchange(address, method, path, body, headers, timeout)
+
+    async def query(self, address: str, *, key: str) -> ServiceAnswer | Failure:
+        """Ask what became of the call with this key; status 404 if it never ran."""
+        timeout = self._timing.service
+        return await self._exchange(address, "GET", f"/outcomes/{key}", b"", {}, timeout)
+
+    async def _exchange(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: dict[str, str],
+        timeout: float,
+    ) -> ServiceAnswer | Failure:
+        url = f"{address}/{path.lstrip('/')}"
+        try:
+            async with (
+                asyncio.timeout(timeout),
+                self._session.request(
+                    method, url, data=body or None, headers=headers, allow_redirects=False
+                ) as resp,
+            ):
+                text = await resp.text()
+                return ServiceAnswer(status=resp.status, body=text, content_type=resp.content_type)
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as exc:
+            return failure_of(exc, address)
--- /dev/null
+++ b/src/wasabiwick/_daemon.py
@@ -0,0 +1,121 @@
+"""The entry host daemon: a runner, its adapters, and two listeners."""
+
+import asyncio
+import secrets
+import signal
+
+import aiohttp
+from aiohttp import web
+from loguru import logger
+
+from . import (
+    _adapters,
+    _performers,  # noqa: F401 - registers the performers
+)
+from ._entry import Entry
+from ._events import StopAsked
+from ._peer_server import PeerServer
+from ._runner import Ports, Runner
+from ._settings import Settings
+from ._wire import Owner
+
+INCARNATION_BYTES = 6
+SEED_BITS = 32
+
+
+class Daemon:
+    """One entry host in one process.
+
+    Args:
+        cfg: The host's settings.
+    """
+
+    __slots__ = ("_cfg", "_sessions", "_servers", "runner", "callers_url", "peers_url")
+
+    def __init__(self, *, cfg: Settings) -> None:
+        self._cfg = cfg
+        self._sessions: list[aiohttp.ClientSession] = []
+        self._servers: list[web.AppRunner] = []
+        self.runner: Runner | None = None
+        self.callers_url = ""
+        self.peers_url = ""
+
+    async def start(self) -> None:
+        """Open the listeners and start the reducer."""
+        owner = Owner(host=self._cfg.host, incarnation=secrets.token_hex(INCARNATION_BYTES))
+        self.runner = Runner(
+            cfg=self._cfg, ports=self._ports(), owner=owner, seed=secrets.randbits(SEED_BITS)
+        )
+        entry = Entry(runner=self.runner).app()
+        peers = PeerServer(runner=self.runner).app()
+        self.callers_url = await self._serve(entry, self._cfg.listen.callers)
+        self.peers_url = await self._serve(peers, self._cfg.listen.peers)
+        self.runner.start()
+
+    async def stop(self) -> None:
+        """Close everything."""
+        for server in self._servers:
+            await server.cleanup()
+        await self.runner.close()
+        for session in self._sessions:
+            await session.close()
+
+    def _ports(self) -> Ports:
+        timing = self._cfg.timing
+        shared = self._session(aiohttp.TCPConnector(limit=0, keepalive_timeout=30))
+        once = self._session(aiohttp.TCPConnector(limit=0, force_close=True))
+        platform = self._cfg.platform
+        return Ports(
+            clock=_adapters.SystemClock(),
+            engine=_adapters.HttpEngine(session=shared, timing=timing),
+            host_list=_adapters.HttpHostList(session=shared, address=platform.hosts, timing=timing),
+            log=_adapters.HttpLogService(session=shared, address=platform.log, timing=timing),
+            peer=_adapters.HttpPeer(session=shared, timing=timing),
+            service=_adapters.HttpService(session=once, timing=timing),
+        )
+
+    def _session(self, connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._cfg.timing.connect)
+        session = aiohttp.ClientSession(connector=connector, timeout=timeout)
+        self._sessions.append(session)
+        return session
+
+    async def _serve(self, app: web.Application, address: str) -> str:
+        host, _, port = address.rpartition(":")
+        limits = self._cfg.limits
+        server = web.AppRunner(
+            app,
+            handler_cancellation=True,
+            access_log=None,
+            max_line_size=limits.max_header_bytes,
+            max_field_size=limits.max_header_bytes,
+        )
+        await server.setup()
+        site = web.TCPSite(server, host, int(port))
+        await site.start()
+        self._servers.append(server)
+        return f"http://{host}:{server.addresses[0][1]}"
+
+
+async def serve(cfg: Settings) -> None:
+    """Run an entry host until it has shut down gracefully.
+
+    Args:
+        cfg: The host's settings.
+    """
+    daemon = Daemon(cfg=cfg)
+    await daemon.start()
+    runner = daemon.runner
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, lambda: runner.post(StopAsked(at=runner.now())))
+    logger.info(
+        "event=listening host={} incarnation={} callers={} peers={}",
+        cfg.host,
+        runner.owner.incarnation,
+        daemon.callers_url,
+        daemon.peers_url,
+    )
+    await runner.ended.wait()
+    await daemon.stop()
+    logger.info("event=stopped host={} incarnation={}", cfg.host, runner.owner.incarnation)
--- /dev/null
+++ b/src/wasabiwick/_entry.py
@@ -0,0 +1,314 @@
+"""The callers' side of an entry host: HTTP in the conventions of OpenAI-style clients."""
+
+import asyncio
+import time
+
+import msgspec
+from aiohttp import web
+from aioprometheus.renderer import render
+from loguru import logger
+
+from . import _asks
+from ._answers import (
+    DONE,
+    HEARTBEAT,
+    REQUEST_HEADER,
+    ModelEntry,
+    ModelList,
+    Shape,
+    error_body,
+    error_headers,
+)
+from ._errors import NOT_FOUND, TOO_LARGE, Failure
+from ._events import CallAnswered, CallArrived, CallerGone
+from ._handlers import calls, lists
+from ._performers.telemetry import REGISTRY
+from ._runner import Body, Runner
+from ._sink import CallSink, Closed, Whole
+from ._verdict import Verdict
+
+JSON = "application/json"
+CALLER_HEARTBEAT = 10.0  # Seconds without output after which a comment line is sent.
+
+
+class Entry:
+    """Serves callers.
+
+    Args:
+        runner: The host's runner.
+    """
+
+    __slots__ = ("_runner", "_sequence")
+
+    def __init__(self, *, runner: Runner) -> None:
+        self._runner = runner
+        self._sequence = 0
+
+    def app(self) -> web.Application:
+        """Build the web application."""
+        app = web.Application(
+            client_max_size=self._runner.cfg.limits.max_body_bytes,
+            middlewares=[self._errors],
+        )
+        app.router.add_post("/v1/completions", self._completions)
+        app.router.add_post("/v1/chat/completions", self._chat)
+        app.router.add_get("/v1/models", self._models)
+        app.router.add_route("*", "/v1/services/{service}/{path:.*}", self._service)
+        app.router.add_get("/healthz", self._healthy)
+        app.router.add_get("/readyz", self._ready)
+        app.router.add_get("/metrics", self._metrics)
+        return app
+
+    # --- Calls -----------------------------------------------------------------------------------
+
+    async def _completions(self, req: web.Request) -> web.StreamResponse:
+        return await self._generate(req, _asks.CompletionAsk)
+
+    async def _chat(self, req: web.Request) -> web.StreamResponse:
+        return await self._generate(req, _asks.ChatAsk)
+
+    async def _generate(self, req: web.Request, form: type) -> web.StreamResponse:
+        envelope = self._envelope(req)
+        if isinstance(envelope, Failure):
+            return _refusal(req, envelope)
+        parsed = _asks.generation(envelope, await req.read(), form)
+        if isinstance(parsed, Failure):
+            return _refusal(req, parsed)
+        call, body, asked = parsed
+        shape = Shape(
+            chat=form is _asks.ChatAsk,
+            answer_id=call.call_id,
+            model=call.target,
+            created=int(time.time()),
+        )
+        waiting = Waiting(runner=self._runner, req=req, call=call, body=body)
+        return await waiting.serve(lambda: waiting.relay(shape, streamed=asked.stream))
+
+    async def _service(self, req: web.Request) -> web.StreamResponse:
+        envelope = self._envelope(req)
+        if isinstance(envelope, Failure):
+            return _refusal(req, envelope)
+        call, body = _asks.service_call(envelope, req, await req.read())
+        waiting = Waiting(runner=self._runner, req=req, call=call, body=body)
+        return await waiting.serve(waiting.whole)
+
+    def _envelope(self, req: web.Request) -> "_asks.Envelope | Failure":
+        known = lists.current(self._runner.state)
+        customer = known.customer_of(_asks.key_hash(req)) if known else None
+        name = customer.name if customer else ""
+        return _asks.read_headers(self._runner, req, req["call_id"], name)
+
+    def _next_call(self) -> str:
+        self._sequence += 1
+        return f"{self._runner.owner.host}.{self._runner.owner.incarnation}.c{self._sequence}"
+
+    @web.middleware
+    async def _errors(self, req: web.Request, handler: object) -> web.StreamResponse:
+        """Give every call an identifier, and every error the one JSON form."""
+        req["call_id"] = self._next_call()
+        try:
+            resp = await handler(req)
+        except web.HTTPRequestEntityTooLarge:
+            limit = self._runner.cfg.limits.max_body_bytes
+            failure = Failure(
+                reason=TOO_LARGE,
+                verdict=Verdict.NOT_RUN,
+                detail=f"the body is over {limit} bytes",
+            )
+            resp = _refusal(req, failure)
+        except (web.HTTPNotFound, web.HTTPMethodNotAllowed) as exc:
+            detail = f"{req.method} {req.path} does not exist"
+            failure = Failure(reason=NOT_FOUND, verdict=Verdict.NOT_RUN, detail=detail)
+            resp = _refusal(req, failure, status=exc.status)
+        _log_answer(req, resp)
+        return resp
+
+    # --- Health and metrics ----------------------------------------------------------------------
+
+    async def _models(self, req: web.Request) -> web.Response:
+        known = lists.current(self._runner.state)
+        names = sorted(known.models) if known else ()
+        body = ModelList(data=tuple(ModelEntry(id=name) for name in names))
+        return web.Response(body=msgspec.json.encode(body), content_type=JSON)
+
+    async def _healthy(self, req: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def _ready(self, req: web.Request) -> web.Response:
+        state = self._runner.state
+        if state.stopping:
+            return web.Response(status=503, text="stopping\n")
+        if lists.current(state) is None:
+            return web.Response(status=503, text="no configuration\n")
+        return web.Response(text="ready\n")
+
+    async def _metrics(self, req: web.Request) -> web.Response:
+        content, headers = render(REGISTRY, req.headers.getall("Accept", []))
+        return web.Response(body=content, headers=headers)
+
+
+class Waiting:
+    """One call while it is served.
+
+    Args:
+        runner: The host's runner.
+        req: The HTTP request.
+        call: The call made from it.
+        body: What the runner keeps for endpoints.
+    """
+
+    __slots__ = ("_runner", "_req", "_call", "_body", "_sink", "_answered")
+
+    def __init__(self, *, runner: Runner, req: web.Request, call: object, body: Body) -> None:
+        self._runner = runner
+        self._req = req
+        self._call = call
+        self._body = body
+        self._sink = CallSink()
+        self._answered = False
+
+    async def serve(self, answer: object) -> web.StreamResponse:
+        """Register the call, wait for its answer, and tell the reducer how it ended.
+
+        Args:
+            answer: Coroutine function that turns the sink's content into the answer.
+
+        Returns:
+            The answer.
+        """
+        runner, call = self._runner, self._call
+        runner.sinks[call.call_id] = self._sink
+        runner.bodies.setdefault(call.request_id, self._body)
+        try:
+            runner.post(CallArrived(at=runner.now(), call=call))
+            await self._sink.decided()
+            return await answer()
+        finally:
+            runner.sinks.pop(call.call_id, None)
+            if calls.request_of(runner.state, call.request_id) is None:
+                runner.bodies.pop(call.request_id, None)
+            self._tell()
+
+    def _tell(self) -> None:
+        runner, call = self._runner, self._call
+        event = CallAnswered if self._answered else CallerGone
+        runner.post(event(at=runner.now(), call_id=call.call_id, request_id=call.request_id))
+
+    async def whole(self) -> web.StreamResponse:
+        """Answer with a service's body."""
+        return self._end(self._sink.end)
+
+    async def relay(self, shape: Shape, *, streamed: bool) -> web.StreamResponse:
+        """Answer with a generation's output, as it comes or as a whole."""
+        if self._sink.end is not None:
+            return self._end(self._sink.end)
+        if streamed:
+            return await self._stream(shape)
+        return await self._collect(shape)
+
+    async def _collect(self, shape: Shape) -> web.StreamResponse:
+        output = self._sink.output
+        position = 0
+        while not output.finish and self._sink.end is None:
+            await output.changed()
+            _, position = output.take(position)
+        if self._sink.end is not None:
+            return self._end(self._sink.end)
+        body = shape.whole(output.text(), output.finish, self._call.prompt_tokens, output.offset)
+        self._answered = True
+        return web.Response(body=body, content_type=JSON, headers=self._headers())
+
+    async def _stream(self, shape: Shape) -> web.StreamResponse:
+        output = self._sink.output
+        resp: web.StreamResponse | None = None
+        position = 0
+        while True:
+            text, position = output.take(position)
+            if self._sink.end is not None:
+                return await self._cut(resp)
+            if text or output.finish:
+                resp = resp or await self._open()
+            if text:
+                await resp.write(shape.chunk(text))
+            elif output.finish:
+                await resp.write(shape.chunk("", output.finish) + DONE)
+                await resp.write_eof()
+                self._answered = True
+                return resp
+            else:
+                await self._pause(output, resp)
+
+    async def _pause(self, output: object, resp: web.StreamResponse | None) -> None:
+        """Wait for output; a silent stream gets a comment line now and then."""
+        if resp is None:
+            await output.changed()
+            return
+        try:
+            async with asyncio.timeout(CALLER_HEARTBEAT):
+                await output.changed()
+        except TimeoutError:
+            await resp.write(HEARTBEAT)
+
+    async def _open(self) -> web.StreamResponse:
+        headers = {"Content-Type": "text/event-stream", "Cache-Control": "no-store"}
+        resp = web.StreamResponse(headers={**headers, **self._headers()})
+        await resp.prepare(self._req)
+        return resp
+
+    async def _cut(self, resp: web.StreamResponse | None) -> web.StreamResponse:
+        """End a call that got no whole answer."""
+        end = self._sink.end
+        if resp is None:
+            return self._end(end)
+        if isinstance(end, Failure):
+            await resp.write(b"event: error\ndata: " + error_body(end) + b"\n\n")
+            await resp.write_eof()
+            self._answered = True
+            return resp
+        # Without the final chunk, the client sees that the answer is not whole.
+        self._drop()
+        return resp
+
+    def _end(self, end: Failure | Whole | Closed | None) -> web.StreamResponse:
+        if isinstance(end, Failure):
+            self._answered = True
+            return _refusal(self._req, end)
+        if isinstance(end, Whole):
+            self._answered = True
+            return web.Response(
+                status=end.status,
+                body=end.body.encode(),
+                headers={"Content-Type": end.content_type, **self._headers()},
+            )
+        self._drop()
+        return web.Response(status=499)
+
+    def _drop(self) -> None:
+        if self._req.transport:
+            self._req.transport.abort()
+
+    def _headers(self) -> dict[str, str]:
+        return {REQUEST_HEADER: self._call.call_id}
+
+
+def _refusal(req: web.Request, failure: Failure, *, status: int = 0) -> web.Response:
+    headers = error_headers(failure)
+    headers[REQUEST_HEADER] = req["call_id"]
+    req["reason"] = failure.reason.code
+    return web.Response(
+        status=status or failure.reason.status,
+        body=error_body(failure),
+        content_type=JSON,
+        headers=headers,
+    )
+
+
+def _log_answer(req: web.Request, resp: web.StreamResponse) -> None:
+    logger.debug(
+        "event=answered call={} method={} path={} status={} reason={}",
+        req["call_id"],
+        req.method,
+        req.path,
+        resp.status,
+        req.get("reason", "-"),
+    )
--- /dev/null
+++ b/src/wasabiwick/_peer_server.py
@@ -0,0 +1,80 @@
+"""The hosts' side of an entry host: messages of peers, status and drain."""
+
+import msgspec
+from aiohttp import web
+
+from ._adapters._peer import MESSAGES_PATH
+from ._events import PeerMessage, StopAsked
+from ._handlers import lists
+from ._handlers.host import in_flight
+from ._runner import Runner
+from ._wire import Envelope
+
+MAX_ENVELOPE_BYTES = 8 * 1024 * 1024
+
+
+class Status(msgspec.Struct):
+    """Answer of ``GET /status``."""
+
+    host: str
+    incarnation: str
+    zone: str
+    version: int
+    offset: int
+    in_flight: int
+    stopping: bool
+
+
+class PeerServer:
+    """Serves other entry hosts and operators.
+
+    Args:
+        runner: The host's runner.
+    """
+
+    __slots__ = ("_runner", "_decoder")
+
+    def __init__(self, *, runner: Runner) -> None:
+        self._runner = runner
+        self._decoder = msgspec.json.Decoder(Envelope)
+
+    def app(self) -> web.Application:
+        """Build the web application."""
+        app = web.Application(client_max_size=MAX_ENVELOPE_BYTES)
+        app.router.add_post(MESSAGES_PATH, self._messages)
+        app.router.add_get("/status", self._status)
+        app.router.add_post("/drain", self._drain)
+        return app
+
+    async def _messages(self, req: web.Request) -> web.Response:
+        try:
+            envelope = self._decoder.decode(await req.read())
+        except msgspec.MsgspecError as exc:
+            return web.Response(status=400, text=f"envelope is not valid: {exc}\n")
+        for message in envelope.messages:
+            self._runner.post(
+                PeerMessage(
+                    at=self._runner.now(),
+                    sender=envelope.sender,
+                    zone=envelope.zone,
+                    message=message,
+                )
+            )
+        return web.Response(status=204)
+
+    async def _status(self, req: web.Request) -> web.Response:
+        state = self._runner.state
+        status = Status(
+            host=state.owner.host,
+            incarnation=state.owner.incarnation,
+            zone=state.zone,
+            version=lists.version(state),
+            offset=state["lists"].offset,
+            in_flight=in_flight(state),
+            stopping=state.stopping,
+        )
+        return web.Response(body=msgspec.json.encode(status), content_type="application/json")
+
+    async def _drain(self, req: web.Request) -> web.Response:
+        self._runner.post(StopAsked(at=self._runner.now()))
+        return web.Response(status=202)
--- /dev/null
+++ b/src/wasabiwick/_performers/__init__.py
@@ -0,0 +1,5 @@
+"""Performers: one function for each type of effect, by outside system."""
+
+from . import callers, engines, peers, platform, services, telemetry, timers
+
+__all__ = ["callers", "engines", "peers", "platform", "services", "telemetry", "timers"]
--- /dev/null
+++ b/src/wasabiwick/_performers/engines.py
@@ -0,0 +1,350 @@
+"""Effects on engines."""
+
+import contextlib
+import typing
+
+from .._effects import (
+    AttemptEffect,
+    CancelAttempt,
+    Count,
+    DropStream,
+    FetchCacheEvents,
+    FetchReport,
+    OrderEngine,
+    ResumeStream,
+    StartDecode,
+    StartPrefill,
+)
+from .._errors import ENDPOINT_FAILED, NO_ENDPOINT, Failure
+from .._events import (
+    AttemptFailed,
+    CacheChanged,
+    CancelAnswered,
+    EngineReported,
+    EngineSilent,
+    OrderAnswered,
+    PrefillDone,
+    StreamEnded,
+    StreamProgress,
+)
+from .._handlers import members
+from .._output import Output
+from .._runner import Runner, performs
+from .._verdict import Verdict
+from .._wire import CancelAsk, DecodeAsk, Frame, PrefillAsk, ResumeAsk
+from . import callers, telemetry
+
+PROGRESS_INTERVAL = 0.25  # Seconds between reports of one stream to the reducer.
+COMPLETE = ("stop", "length")
+
+
+def _owner(runner: Runner) -> str:
+    return f"{runner.owner.host}/{runner.owner.incarnation}"
+
+
+def _address(runner: Runner, endpoint: str) -> str:
+    return members.address_of(runner.state, endpoint)
+
+
+def _fail(runner: Runner, effect: AttemptEffect, phase: str, failure: Failure) -> None:
+    runner.post(
+        AttemptFailed(
+            at=runner.now(),
+            request_id=effect.request_id,
+            attempt_id=effect.attempt_id,
+            endpoint=effect.endpoint,
+            phase=phase,
+            failure=failure,
+        )
+    )
+
+
+def _unknown(endpoint: str) -> Failure:
+    return Failure(
+        reason=NO_ENDPOINT,
+        verdict=Verdict.NOT_RUN,
+        detail=f'endpoint "{endpoint}" has no address',
+    )
+
+
+# --- Prefill -------------------------------------------------------------------------------------
+
+
+@performs(StartPrefill)
+def start_prefill(runner: Runner, effect: StartPrefill) -> None:
+    """Prefill in a task of the request."""
+    runner.spawn(f"attempt/{effect.request_id}", _prefill(runner, effect))
+
+
+async def _prefill(runner: Runner, effect: StartPrefill) -> None:
+    address = _address(runner, effect.endpoint)
+    if not address:
+        _fail(runner, effect, "prefill", _unknown(effect.endpoint))
+        return
+    ask = PrefillAsk(
+        request_id=effect.request_id,
+        attempt_id=effect.attempt_id,
+        owner=_owner(runner),
+        model=effect.model,
+        prompt=runner.bodies[effect.request_id].prompt,
+        prefix=callers.output_of(runner, effect.request_id).text(),
+        priority=effect.priority,
+    )
+    answer = await runner.ports.engine.prefill(address, ask)
+    if isinstance(answer, Failure):
+        _fail(runner, effect, "prefill", answer)
+        return
+    runner.post(
+        PrefillDone(
+            at=runner.now(),
+            request_id=effect.request_id,
+            attempt_id=effect.attempt_id,
+            endpoint=effect.endpoint,
+            handle=answer.handle,
+            expires_in=answer.expires_in,
+            prompt_tokens=answer.prompt_tokens,
+            cached_tokens=answer.cached_tokens,
+            seconds=answer.seconds,
+        )
+    )
+
+
+# --- Streams -------------------------------------------------------------------------------------
+
+
+@performs(StartDecode)
+def start_decode(runner: Runner, effect: StartDecode) -> None:
+    """Open the stream of a new decode."""
+    output = callers.output_of(runner, effect.request_id)
+    output.attempt_id = effect.attempt_id
+    ask = DecodeAsk(
+        request_id=effect.request_id,
+        attempt_id=effect.attempt_id,
+        owner=_owner(runner),
+        model=effect.model,
+        source=_address(runner, effect.source),
+        handle=effect.handle,
+        max_tokens=effect.max_tokens,
+        offset=output.offset,
+        priority=effect.priority,
+    )
+    reader = Reader(runner=runner, effect=effect, phase="decode", output=output)
+    stream = runner.ports.engine.decode(_address(runner, effect.endpoint), ask)
+    runner.spawn(f"attempt/{effect.request_id}", reader.run(stream))
+
+
+@performs(ResumeStream)
+def resume(runner: Runner, effect: ResumeStream) -> None:
+    """Open a running attempt's stream from the first token that is lacking."""
+    output = callers.output_of(runner, effect.request_id)
+    output.attempt_id = effect.attempt_id
+    ask = ResumeAsk(
+        request_id=effect.request_id,
+        attempt_id=effect.attempt_id,
+        owner=_owner(runner),
+        offset=output.offset,
+    )
+    reader = Reader(runner=runner, effect=effect, phase="resume", output=output)
+    stream = runner.ports.engine.resume(_address(runner, effect.endpoint), ask)
+    runner.spawn(f"attempt/{effect.request_id}", reader.run(stream))
+
+
+@performs(DropStream)
+def drop(runner: Runner, effect: DropStream) -> None:
+    """Stop reading an attempt's stream."""
+    output = runner.outputs.get(effect.request_id)
+    if output and output.attempt_id == effect.attempt_id:
+        output.attempt_id = ""
+    runner.stop_task(f"attempt/{effect.request_id}")
+
+
+class Reader:
+    """Reads one stream of one attempt into the request's output.
+
+    Args:
+        runner: The host's runner.
+        effect: The effect that opened the stream.
+        phase: ``decode`` or ``resume``.
+        output: Where the tokens go.
+    """
+
+    __slots__ = ("_runner", "_effect", "_phase", "_output", "_count", "_reported_at")
+
+    def __init__(
+        self, *, runner: Runner, effect: AttemptEffect, phase: str, output: Output
+    ) -> None:
+        self._runner = runner
+        self._effect = effect
+        self._phase = phase
+        self._output = output
+        self._count = 0
+        self._reported_at = float("-inf")
+
+    async def run(self, stream: typing.AsyncIterator[list[Frame] | Failure]) -> None:
+        """Read until the end, a failure, or until another attempt takes the output over."""
+        async with contextlib.aclosing(stream):
+            async for batch in stream:
+                if isinstance(batch, Failure):
+                    self._report()
+                    _fail(self._runner, self._effect, self._phase, batch)
+                    return
+                for frame in batch:
+                    if not self._take(frame):
+                        return
+                self._report_at_times()
+                await self._output.room()
+
+    def _take(self, frame: Frame) -> bool:
+        """Add one frame; False once the stream is over or of no more use."""
+        effect = self._effect
+        mine = (frame.request_id, frame.attempt_id) == (effect.request_id, effect.attempt_id)
+        if not mine or self._output.attempt_id != effect.attempt_id:
+            telemetry.count(self._runner, Count(metric="frames_dropped", amount=frame.count))
+            return self._output.attempt_id == effect.attempt_id
+        if frame.count and frame.offset + frame.count > self._output.offset:
+            if frame.offset != self._output.offset:
+                self._report()
+                _fail(self._runner, effect, self._phase, _gap(effect.endpoint))
+                return False
+            self._output.add(frame.text, frame.count)
+            self._count += frame.count
+        if frame.done:
+            self._end(frame)
+            return False
+        return True
+
+    def _report_at_times(self) -> None:
+        if self._count and self._runner.now() - self._reported_at >= PROGRESS_INTERVAL:
+            self._report()
+
+    def _report(self) -> None:
+        if not self._count:
+            return
+        now = self._runner.now()
+        event = StreamProgress(
+            at=now,
+            request_id=self._effect.request_id,
+            attempt_id=self._effect.attempt_id,
+            endpoint=self._effect.endpoint,
+            count=self._count,
+            offset=self._output.offset,
+        )
+        self._count = 0
+        self._reported_at = now
+        self._runner.post(event)
+
+    def _end(self, frame: Frame) -> None:
+        self._report()
+        effect = self._effect
+        if frame.finish not in COMPLETE:
+            failure = Failure(
+                reason=ENDPOINT_FAILED,
+                verdict=Verdict.MAY_HAVE_RUN,
+                detail=f'endpoint "{effect.endpoint}" ended the stream: {frame.finish}',
+            )
+            _fail(self._runner, effect, self._phase, failure)
+            return
+        self._runner.post(
+            StreamEnded(
+                at=self._runner.now(),
+                request_id=effect.request_id,
+                attempt_id=effect.attempt_id,
+                endpoint=effect.endpoint,
+                offset=self._output.offset,
+                finish=frame.finish,
+            )
+        )
+
+
+def _gap(endpoint: str) -> Failure:
+    return Failure(
+        reason=ENDPOINT_FAILED,
+        verdict=Verdict.MAY_HAVE_RUN,
+        detail=f'endpoint "{endpoint}" left tokens out',
+    )
+
+
+# --- Control -------------------------------------------------------------------------------------
+
+
+@performs(CancelAttempt)
+def cancel(runner: Runner, effect: CancelAttempt) -> None:
+    """Cancel an attempt at its engine."""
+    runner.spawn(f"cancel/{effect.attempt_id}", _cancel(runner, effect))
+
+
+async def _cancel(runner: Runner, effect: CancelAttempt) -> None:
+    address = _address(runner, effect.endpoint)
+    if not address:
+        _fail(runner, effect, "cancel", _unknown(effect.endpoint))
+        return
+    ask = CancelAsk(request_id=effect.request_id, attempt_id=effect.attempt_id)
+    answer = await runner.ports.engine.cancel(address, ask)
+    if isinstance(answer, Failure):
+        _fail(runner, effect, "cancel", answer)
+        return
+    runner.post(
+        CancelAnswered(
+            at=runner.now(),
+            request_id=effect.request_id,
+            attempt_id=effect.attempt_id,
+            endpoint=effect.endpoint,
+            gone=answer.gone,
+        )
+    )
+
+
+@performs(FetchReport)
+def fetch_report(runner: Runner, effect: FetchReport) -> None:
+    """Ask an engine for its report."""
+    runner.spawn(f"report/{effect.endpoint}", _report(runner, effect.endpoint))
+
+
+async def _report(runner: Runner, endpoint: str) -> None:
+    address = _address(runner, endpoint)
+    answer = await runner.ports.engine.report(address) if address else _unknown(endpoint)
+    if isinstance(answer, Failure):
+        runner.post(EngineSilent(at=runner.now(), endpoint=endpoint))
+    else:
+        runner.post(EngineReported(at=runner.now(), report=answer))
+
+
+@performs(FetchCacheEvents)
+def fetch_cache_events(runner: Runner, effect: FetchCacheEvents) -> None:
+    """Ask an engine for its prefix cache events."""
+    runner.spawn(f"cache/{effect.endpoint}", _cache_events(runner, effect))
+
+
+async def _cache_events(runner: Runner, effect: FetchCacheEvents) -> None:
+    address = _address(runner, effect.endpoint)
+    if not address:
+        return
+    answer = await runner.ports.engine.cache_events(address, effect.sequence)
+    if not isinstance(answer, Failure):
+        runner.post(CacheChanged(at=runner.now(), endpoint=effect.endpoint, changes=answer))
+
+
+@performs(OrderEngine)
+def order(runner: Runner, effect: OrderEngine) -> None:
+    """Send an order to an engine."""
+    runner.spawn(f"order/{effect.attempt_id}", _order(runner, effect))
+
+
+async def _order(runner: Runner, effect: OrderEngine) -> None:
+    address = _address(runner, effect.endpoint)
+    if not address:
+        _fail(runner, effect, "order", _unknown(effect.endpoint))
+        return
+    answer = await runner.ports.engine.order(address, effect.order)
+    if isinstance(answer, Failure):
+        _fail(runner, effect, "order", answer)
+        return
+    runner.post(
+        OrderAnswered(
+            at=runner.now(),
+            request_id=effect.request_id,
+            attempt_id=effect.attempt_id,
+            endpoint=effect.endpoint,
+            accepted=answer,
+        )
+    )
--- /dev/null
+++ b/src/wasabiwick/_performers/services.py
@@ -0,0 +1,78 @@
+"""Effects on plain services."""
+
+from .._effects import AttemptEffect, CallService, QueryService
+from .._errors import NO_ENDPOINT, Failure
+from .._events import AttemptFailed, ServiceAnswered
+from .._handlers import members
+from .._ports import ServiceAnswer
+from .._runner import Runner, performs
+from .._verdict import Verdict
+
+
+@performs(CallService)
+def call(runner: Runner, effect: CallService) -> None:
+    """Send the request's body, once."""
+    # The task is not named by request: it goes on when the caller has gone.
+    runner.spawn(f"service/{effect.attempt_id}", _call(runner, effect))
+
+
+async def _call(runner: Runner, effect: CallService) -> None:
+    address = members.address_of(runner.state, effect.endpoint)
+    body = runner.bodies.get(effect.request_id)
+    if not address or body is None:
+        failure = Failure(
+            reason=NO_ENDPOINT,
+            verdict=Verdict.NOT_RUN,
+            detail=f'endpoint "{effect.endpoint}" has no address',
+        )
+        _pass_on(runner, effect, failure)
+        return
+    answer = await runner.ports.service.call(
+        address,
+        method=effect.method,
+        path=effect.path,
+        body=body.raw,
+        content_type=body.content_type,
+        key=effect.request_id,
+        fence=effect.fence,
+        timeout=runner.cfg.timing.service,
+    )
+    _pass_on(runner, effect, answer)
+
+
+@performs(QueryService)
+def query(runner: Runner, effect: QueryService) -> None:
+    """Ask a service what became of a call."""
+    runner.spawn(f"query/{effect.attempt_id}", _query(runner, effect))
+
+
+async def _query(runner: Runner, effect: QueryService) -> None:
+    address = members.address_of(runner.state, effect.endpoint)
+    answer = await runner.ports.service.query(address, key=effect.request_id)
+    _pass_on(runner, effect, answer)
+
+
+def _pass_on(runner: Runner, effect: AttemptEffect, answer: ServiceAnswer | Failure) -> None:
+    if isinstance(answer, Failure):
+        runner.post(
+            AttemptFailed(
+                at=runner.now(),
+                request_id=effect.request_id,
+                attempt_id=effect.attempt_id,
+                endpoint=effect.endpoint,
+                phase="query" if isinstance(effect, QueryService) else "service",
+                failure=answer,
+            )
+        )
+        return
+    runner.post(
+        ServiceAnswered(
+            at=runner.now(),
+            request_id=effect.request_id,
+            attempt_id=effect.attempt_id,
+            endpoint=effect.endpoint,
+            status=answer.status,
+            body=answer.body,
+            content_type=answer.content_type,
+        )
+    )
--- /dev/null
+++ b/src/wasabiwick/_runner.py
@@ -0,0 +1,219 @@
+"""The runner: feeds events to the reducer, one at a time, and carries its effects out."""
+
+import asyncio
+import collections
+import typing
+
+import reactivex
+from loguru import logger
+from reactivex import operators
+
+from . import _handlers  # noqa: F401 - registers the handlers
+from ._effects import Effect
+from ._events import Booted, Event
+from ._output import Output
+from ._ports import Clock, Engine, HostList, LogService, Peer, Service
+from ._reducer import reduce
+from ._settings import Settings
+from ._state import State
+from ._wire import Owner
+
+E = typing.TypeVar("E", bound=Effect)
+Performer = typing.Callable[["Runner", typing.Any], None]
+
+_PERFORMERS: dict[type[Effect], Performer] = {}
+
+
+def performs(effect: type[Effect]) -> typing.Callable[[Performer], Performer]:
+    """Register the function that carries one type of effect out."""
+
+    def register(performer: Performer) -> Performer:
+        if effect in _PERFORMERS:
+            raise ValueError(f"effect {effect.__name__!r} has two performers")
+        _PERFORMERS[effect] = performer
+        return performer
+
+    return register
+
+
+class Ports:
+    """The adapters that one host uses."""
+
+    __slots__ = ("clock", "engine", "host_list", "log", "peer", "service")
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        engine: Engine,
+        host_list: HostList,
+        log: LogService,
+        peer: Peer,
+        service: Service,
+    ) -> None:
+        self.clock = clock
+        self.engine = engine
+        self.host_list = host_list
+        self.log = log
+        self.peer = peer
+        self.service = service
+
+
+class Body:
+    """What a caller sent, kept while its request is served."""
+
+    __slots__ = ("prompt", "raw", "content_type")
+
+    def __init__(self, *, prompt: str, raw: bytes, content_type: str) -> None:
+        self.prompt = prompt
+        self.raw = raw
+        self.content_type = content_type
+
+
+class Sink(typing.Protocol):
+    """The waiting end of one call, as performers see it."""
+
+    def attach(self, output: Output) -> None:
+        """Relay this output from its first token on."""
+
+    def refuse(self, failure: object) -> None:
+        """Answer with a failure."""
+
+    def answer(self, status: int, body: str, content_type: str) -> None:
+        """Answer with a whole body."""
+
+    def close(self) -> None:
+        """Close the connection without an answer."""
+
+
+class Runner:
+    """Runs one host's reducer over asyncio.
+
+    Args:
+        cfg: The host's settings.
+        ports: Adapters to the outside.
+        owner: The host and the incarnation of this process.
+        seed: Seed of the host's jitter.
+
+    Attributes:
+        state: The reducer's state; read only outside the reducer.
+        events: Every event, paired with its effects, for recorders.
+        sinks: Waiting calls by call id.
+        bodies: What callers sent, by request id.
+        outputs: Output of generations by request id.
+        tasks: Running tasks by name; starting one of the same name replaces it.
+        ended: Set once the process may end.
+    """
+
+    __slots__ = (
+        "cfg",
+        "ports",
+        "owner",
+        "seed",
+        "state",
+        "events",
+        "sinks",
+        "bodies",
+        "outputs",
+        "timers",
+        "tasks",
+        "mailboxes",
+        "ended",
+        "_queue",
+        "_busy",
+    )
+
+    def __init__(self, *, cfg: Settings, ports: Ports, owner: Owner, seed: int) -> None:
+        self.cfg = cfg
+        self.ports = ports
+        self.owner = owner
+        self.seed = seed
+        self.state = State(cfg)
+        self.events: reactivex.Subject[tuple[Event, list[Effect]]] = reactivex.Subject()
+        self.sinks: dict[str, Sink] = {}
+        self.bodies: dict[str, Body] = {}
+        self.outputs: dict[str, Output] = {}
+        self.timers: dict[tuple[str, str], asyncio.TimerHandle] = {}
+        self.tasks: dict[str, asyncio.Task] = {}
+        self.mailboxes: dict[str, typing.Any] = {}
+        self.ended = asyncio.Event()
+        self._queue: collections.deque[Event] = collections.deque()
+        self._busy = False
+        self.events.pipe(
+            operators.flat_map(lambda step: reactivex.from_iterable(step[1]))
+        ).subscribe(on_next=self._perform)
+
+    def now(self) -> float:
+        """Return the host's monotonic clock in seconds."""
+        return self.ports.clock.monotonic()
+
+    def start(self) -> None:
+        """Raise the first event."""
+        self.post(
+            Booted(
+                at=self.now(),
+                owner=self.owner,
+                zone=self.cfg.zone,
+                wall=self.ports.clock.wall(),
+                seed=self.seed,
+            )
+        )
+
+    def post(self, event: Event) -> None:
+        """Reduce an event and carry its effects out.
+
+        An event that is raised while effects are carried out waits for its turn, so that the
+        reducer sees one event at a time.
+
+        Args:
+            event: What happened.
+        """
+        self._queue.append(event)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._queue:
+                one = self._queue.popleft()
+                self.events.on_next((one, reduce(self.state, one)))
+        finally:
+            self._busy = False
+
+    def spawn(self, name: str, work: typing.Coroutine) -> None:
+        """Start a task under a name, in place of an older one of the same name.
+
+        Args:
+            name: Name of the task.
+            work: What it does.
+        """
+        self.stop_task(name)
+        task = asyncio.get_running_loop().create_task(work, name=name)
+        self.tasks[name] = task
+        task.add_done_callback(self._task_done)
+
+    def stop_task(self, name: str) -> None:
+        """Cancel a task, if one of this name runs."""
+        task = self.tasks.pop(name, None)
+        if task:
+            task.cancel()
+
+    async def close(self) -> None:
+        """Stop all timers and tasks."""
+        for handle in self.timers.values():
+            handle.cancel()
+        running = list(self.tasks.values())
+        self.tasks.clear()
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+
+    def _task_done(self, task: asyncio.Task) -> None:
+        if self.tasks.get(task.get_name()) is task:
+            del self.tasks[task.get_name()]
+        if not task.cancelled() and task.exception():
+            logger.opt(exception=task.exception()).error(
+                "event=task_failed task={}", task.get_name()
+            )
+
+    def _perform(self, effect: Effect) -> None:
+        _PERFORMERS[type(effect)](self, effect)
--- /dev/null
+++ b/src/wasabiwick/_sink.py
@@ -0,0 +1,73 @@
+"""The waiting end of one call."""
+
+import asyncio
+
+from ._errors import Failure
+from ._output import Output
+
+
+class Whole:
+    """A whole answer of a service."""
+
+    __slots__ = ("status", "body", "content_type")
+
+    def __init__(self, *, status: int, body: str, content_type: str) -> None:
+        self.status = status
+        self.body = body
+        self.content_type = content_type
+
+
+class Closed:
+    """The call was replaced by a newer one; its connection ends without an answer."""
+
+    __slots__ = ()
+
+
+CLOSED = Closed()
+
+
+class CallSink:
+    """Receives what becomes of a call while its handler waits.
+
+    Attributes:
+        output: Output to relay, once attached.
+        end: How the call ended, or None while it has not.
+    """
+
+    __slots__ = ("output", "end", "_changed")
+
+    def __init__(self) -> None:
+        self.output: Output | None = None
+        self.end: Failure | Whole | Closed | None = None
+        self._changed = asyncio.Event()
+
+    def attach(self, output: Output) -> None:
+        """Relay this output from its first token on."""
+        self.output = output
+        self._changed.set()
+
+    def refuse(self, failure: Failure) -> None:
+        """Answer with a failure."""
+        self._finish(failure)
+
+    def answer(self, status: int, body: str, content_type: str) -> None:
+        """Answer with a whole body."""
+        self._finish(Whole(status=status, body=body, content_type=content_type))
+
+    def close(self) -> None:
+        """Close the connection without an answer."""
+        self._finish(CLOSED)
+
+    def _finish(self, end: Failure | Whole | Closed) -> None:
+        # The first end counts: no call is answered twice.
+        if self.end is None:
+            self.end = end
+            self._changed.set()
+            if self.output:
+                self.output.wake()
+
+    async def decided(self) -> None:
+        """Wait until the call has an end or an output to relay."""
+        while self.end is None and self.output is None:
+            await self._changed.wait()
+            self._changed.clear()
