Let a retry take its stream over, also from a host that was cut off

Test support: reducers joined by a virtual clock. Conclusion: retries on any host of the zone cost no prefill while the stream or its engine lives.

--- a/src/wasabiwick/_adapters/_engine.py
+++ b/src/wasabiwick/_adapters/_engine.py
@@ -20,9 +20,7 @@
     PrefillAsk,
     ResumeAsk,
 )
-from ._http import JSON_TYPE, ask, failure_of, failure_of_status
-
-HTTP_CONFLICT = 409
+from ._http import HTTP_CONFLICT, JSON_TYPE, ask, failure_of, failure_of_status
 
 Batch = list[Frame] | Failure
 
--- a/src/wasabiwick/_adapters/_http.py
+++ b/src/wasabiwick/_adapters/_http.py
@@ -6,11 +6,12 @@
 import aiohttp
 import msgspec
 
-from .._errors import ENDPOINT_FAILED, ENDPOINT_REFUSED, ENDPOINT_SILENT, Failure
+from .._errors import ENDPOINT_FAILED, ENDPOINT_REFUSED, ENDPOINT_SILENT, SUPERSEDED, Failure
 from .._verdict import Verdict
 
 T = typing.TypeVar("T")
 
+HTTP_CONFLICT = 409
 HTTP_UNAVAILABLE = 503
 JSON_TYPE = {"Content-Type": "application/json"}
 
@@ -48,6 +49,8 @@
 
 def failure_of_status(status: int, address: str) -> Failure:
     """Turn an error status into a failure; 503 and 4xx say that the request was not run."""
+    if status == HTTP_CONFLICT:
+        return Failure(reason=SUPERSEDED, verdict=Verdict.MAY_HAVE_RUN)
     refused = status == HTTP_UNAVAILABLE or 400 <= status < 500
     return Failure(
         reason=ENDPOINT_REFUSED if refused else ENDPOINT_FAILED,
--- a/src/wasabiwick/_effects.py
+++ b/src/wasabiwick/_effects.py
@@ -149,9 +149,19 @@
 
 
 class ResumeStream(AttemptEffect):
-    """Open a running attempt's stream again, from the offset that this host still lacks."""
+    """Open a running attempt's stream again, from the offset that this host still lacks.
 
-    __slots__ = ()
+    With ``takeover``, the engine makes this host the attempt's owner; without, it refuses where
+    another host has become the owner meanwhile.
+    """
+
+    __slots__ = ("takeover",)
+
+    def __init__(
+        self, *, request_id: str, attempt_id: str, endpoint: str, takeover: bool = False
+    ) -> None:
+        super().__init__(request_id=request_id, attempt_id=attempt_id, endpoint=endpoint)
+        self.takeover = takeover
 
 
 class DropStream(AttemptEffect):
--- a/src/wasabiwick/_handlers/generation.py
+++ b/src/wasabiwick/_handlers/generation.py
@@ -16,7 +16,7 @@
     StartTimer,
     StopTimer,
 )
-from .._errors import DEADLINE_PASSED, ENDPOINT_FAILED, Failure
+from .._errors import DEADLINE_PASSED, ENDPOINT_FAILED, SUPERSEDED, Failure
 from .._events import (
     AdmissionGiven,
     AttemptFailed,
@@ -101,6 +101,15 @@
     return frozenset(one.attempt_id for one in state["generation"].running.values())
 
 
+def keyed(state: State) -> list[tuple[str, Generation]]:
+    """Return the running generations that a retry elsewhere may look for."""
+    return [
+        (request_id, gen)
+        for request_id, gen in state["generation"].running.items()
+        if gen.phase != "ended" and calls.request_of(state, request_id).call.has_key
+    ]
+
+
 def _current(state: State, request_id: str, attempt_id: str) -> Generation | None:
     gen = state["generation"].running.get(request_id)
     return gen if gen and gen.attempt_id == attempt_id else None
@@ -138,7 +147,7 @@
     calls.mark_ran(state, request_id)
     yield AttachCall(call_id=req.call.call_id, request_id=request_id)
     yield SlotAdopted(at=at, request_id=request_id, attempt_id=attempt_id, decode_engine=engine)
-    yield ResumeStream(request_id=request_id, attempt_id=attempt_id, endpoint=engine)
+    yield ResumeStream(request_id=request_id, attempt_id=attempt_id, endpoint=engine, takeover=True)
     yield from keys.report(state, request_id, attempt_id, engine=engine)
 
 
@@ -242,6 +251,9 @@
     gen = _current(state, event.request_id, event.attempt_id)
     if gen is None or gen.phase == "ended":
         return
+    if event.failure.reason is SUPERSEDED:
+        yield from _taken_over(state, event)
+        return
     yield Count(metric="attempt_failed", label=event.phase)
     may_run = event.failure.verdict is not Verdict.NOT_RUN
     if event.phase != "prefill" and may_run and gen.resumes < MAX_RESUMES:
@@ -251,6 +263,21 @@
     yield from _try_elsewhere(state, event, gen, may_run)
 
 
+def _taken_over(state: State, event: AttemptFailed) -> typing.Iterator[Step]:
+    """Another host adopted the stream while this one was cut off: leave the answer to it."""
+    req = calls.request_of(state, event.request_id)
+    if req.caller_present:
+        yield CloseCall(call_id=req.call.call_id)
+    yield Count(metric="taken_over")
+    yield SlotFreed(
+        at=event.at,
+        request_id=event.request_id,
+        attempt_id=event.attempt_id,
+        handed_over=True,
+    )
+    yield RequestClosed(at=event.at, request_id=event.request_id)
+
+
 @on_timer("resume")
 def resume(state: State, event: TimerFired) -> typing.Iterator[Step]:
     """Open the stream of a running attempt again."""
@@ -371,12 +398,16 @@
     """Close the older call unanswered and let the asking host go on with the stream."""
     gen = state["generation"].running.get(asked.request_id)
     req = calls.request_of(state, asked.request_id)
-    if gen is None or req is None or asked.by == state.owner:
+    if req is None or asked.by == state.owner:
         yield from _tell(asked, asked.by)
         return
     if req.caller_present:
         req.caller_present = False
         yield CloseCall(call_id=req.call.call_id)
+    if gen is None:
+        yield from _tell(asked, asked.by)
+        yield RequestClosed(at=at, request_id=asked.request_id)
+        return
     if gen.phase in ("slot", "prefill") or (gen.phase == "decode" and gen.offset == 0):
         # The successor asks again until the stream runs, so that no prefill is paid twice.
         gen.successor = asked
--- a/src/wasabiwick/_handlers/keys.py
+++ b/src/wasabiwick/_handlers/keys.py
@@ -7,7 +7,16 @@
 import typing
 
 from .._effects import Count, SendPeer, StartTimer, StopTimer
-from .._events import AdmissionWanted, Call, PeerFailed, PeerMessage, TimerFired
+from .._events import (
+    AdmissionWanted,
+    Booted,
+    Call,
+    MembersChanged,
+    PeerFailed,
+    PeerMessage,
+    RequestClosed,
+    TimerFired,
+)
 from .._reducer import Step, handles, on_message, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
@@ -15,6 +24,8 @@
 from . import generation, members
 
 MAX_ASKS = 30  # Supersede messages sent before a request is run anew.
+SWEEP_INTERVAL = 30.0  # Seconds between looks for records whose serving host is lost.
+KEEP_LOST = 60.0  # Seconds for which the stream of a lost host can be adopted.
 
 
 class Claim:
@@ -29,25 +40,27 @@
 
 
 class Served:
-    """What the owner of a key knows of its request."""
+    """What the owner of a key knows of its request, as of monotonic time ``at``."""
 
-    __slots__ = ("serving", "attempt_id", "engine")
+    __slots__ = ("serving", "attempt_id", "engine", "at")
 
-    def __init__(self, *, serving: Owner, attempt_id: str, engine: str = "") -> None:
+    def __init__(self, *, serving: Owner, attempt_id: str, at: float, engine: str = "") -> None:
         self.serving = serving
         self.attempt_id = attempt_id
+        self.at = at
         self.engine = engine
 
 
 @state_slice("keys")
 class KeysState:
-    """Claims of this host, and the keys that it owns, by request id."""
+    """Claims of this host, the keys it owns, and the owners it has told, by request id."""
 
-    __slots__ = ("claims", "served")
+    __slots__ = ("claims", "served", "told")
 
     def __init__(self, cfg: Settings) -> None:
         self.claims: dict[str, Claim] = {}
         self.served: dict[str, Served] = {}
+        self.told: dict[str, str] = {}
 
 
 def claim(state: State, call: Call, at: float) -> typing.Iterator[Step]:
@@ -75,7 +88,9 @@
         engine=engine,
         ended=ended,
     )
-    yield SendPeer(host=_owner(state, request_id), message=message)
+    owner = _owner(state, request_id)
+    state["keys"].told[request_id] = owner
+    yield SendPeer(host=owner, message=message)
 
 
 def _owner(state: State, request_id: str) -> str:
@@ -101,6 +116,7 @@
     served[asked.request_id] = Served(
         serving=asked.claimant,
         attempt_id=answer.running_attempt,
+        at=event.at,
         engine=answer.engine,
     )
     yield SendPeer(host=asked.claimant.host, message=answer)
@@ -117,7 +133,7 @@
             del served[told.request_id]
     elif known is None or known.serving == told.serving:
         served[told.request_id] = Served(
-            serving=told.serving, attempt_id=told.attempt_id, engine=told.engine
+            serving=told.serving, attempt_id=told.attempt_id, at=event.at, engine=told.engine
         )
 
 
@@ -162,6 +178,42 @@
     yield from generation.adopt(state, request_id, answer.running_attempt, answer.engine, at)
 
 
+@handles(MembersChanged)
+def report_again(state: State, event: MembersChanged) -> typing.Iterator[Step]:
+    """Tell new owners of the keys that this host serves."""
+    mine = state["keys"]
+    for request_id, gen in generation.keyed(state):
+        owner = _owner(state, request_id)
+        if mine.told.get(request_id) != owner:
+            yield from report(state, request_id, gen.attempt_id, engine=gen.decode_engine)
+
+
+@handles(Booted)
+def begin(state: State, event: Booted) -> typing.Iterator[Step]:
+    """Start to sweep records of lost hosts."""
+    yield StartTimer(timer="keys_sweep", delay=SWEEP_INTERVAL)
+
+
+@on_timer("keys_sweep")
+def sweep(state: State, event: TimerFired) -> typing.Iterator[Step]:
+    """Drop records whose serving host is lost, or that another host owns by now."""
+    served = state["keys"].served
+    for request_id, known in list(served.items()):
+        lost = not members.is_live(state, known.serving)
+        moved = _owner(state, request_id) != state.owner.host
+        if (lost or moved) and event.at - known.at > KEEP_LOST:
+            del served[request_id]
+    yield StartTimer(timer="keys_sweep", delay=SWEEP_INTERVAL)
+
+
+@handles(RequestClosed)
+def close(state: State, event: RequestClosed) -> typing.Iterator[Step]:
+    """Drop the claim of a request that is over."""
+    state["keys"].told.pop(event.request_id, None)
+    if state["keys"].claims.pop(event.request_id, None):
+        yield StopTimer(timer="claim", key=event.request_id)
+
+
 @on_message(Superseded)
 def superseded(state: State, event: PeerMessage) -> typing.Iterator[Step]:
     """The older host let go: adopt its stream, or run the request anew."""
--- a/src/wasabiwick/_performers/engines.py
+++ b/src/wasabiwick/_performers/engines.py
@@ -15,7 +15,7 @@
     StartDecode,
     StartPrefill,
 )
-from .._errors import ENDPOINT_FAILED, NO_ENDPOINT, Failure
+from .._errors import ENDPOINT_FAILED, NO_ENDPOINT, SUPERSEDED, Failure
 from .._events import (
     AttemptFailed,
     CacheChanged,
@@ -143,6 +143,7 @@
         attempt_id=effect.attempt_id,
         owner=_owner(runner),
         offset=output.offset,
+        takeover=effect.takeover,
     )
     reader = Reader(runner=runner, effect=effect, phase="resume", output=output)
     stream = runner.ports.engine.resume(_address(runner, effect.endpoint), ask)
@@ -238,7 +239,7 @@
         effect = self._effect
         if frame.finish not in COMPLETE:
             failure = Failure(
-                reason=ENDPOINT_FAILED,
+                reason=SUPERSEDED if frame.finish == "superseded" else ENDPOINT_FAILED,
                 verdict=Verdict.MAY_HAVE_RUN,
                 detail=f'endpoint "{effect.endpoint}" ended the stream: {frame.finish}',
             )
--- a/src/wasabiwick/_wire.py
+++ b/src/wasabiwick/_wire.py
@@ -357,12 +357,17 @@
 
 
 class ResumeAsk(msgspec.Struct, frozen=True):
-    """Body of ``POST /v1/resume``: stream a running request again from ``offset``."""
+    """Body of ``POST /v1/resume``: stream a running request again from ``offset``.
+
+    With ``takeover`` the sender becomes the owner, and an older reader gets a last frame with
+    finish ``superseded``. Without, the engine answers 409 to any but the present owner.
+    """
 
     request_id: str
     attempt_id: str
     owner: str
     offset: int = 0
+    takeover: bool = False
 
 
 class CancelAsk(msgspec.Struct, frozen=True):
@@ -395,7 +400,7 @@
     """One line of an engine's stream: ``text`` holds the ``count`` tokens that follow ``offset``.
 
     A frame with ``count`` 0 and no ``done`` is a heartbeat. ``finish`` is ``stop``, ``length``,
-    ``cancelled`` or ``error``.
+    ``cancelled``, ``superseded`` or ``error``.
     """
 
     request_id: str
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,275 @@
+"""A few reducers joined by a virtual clock, for tests of what hosts do together."""
+
+import hashlib
+import heapq
+import itertools
+
+import msgspec
+
+from wasabiwick import _effects, _events, _handlers, _reducer, _settings, _state, _wire
+from wasabiwick._verdict import Verdict
+
+API_KEY = "secret"
+KEY_HASH = hashlib.sha256(API_KEY.encode()).hexdigest()
+MODEL = "lectio-lm"
+SERVICE = "signup-app"
+ZONE = "tx-central-a"
+LATENCY = 0.002  # Seconds between hosts.
+EPOCH = 1_800_000_000.0  # Unix time at virtual time 0.
+
+assert _handlers  # Imported for its registrations.
+
+
+def make_settings(host: str = "a", zone: str = ZONE) -> _settings.Settings:
+    """Return settings of a host with the default timing."""
+    return _settings.Settings(
+        host=host,
+        zone=zone,
+        region="tx-central",
+        platform=_settings.Platform(log="http://127.0.0.1:1", hosts="http://127.0.0.1:1"),
+    )
+
+
+def configuration(version: int = 1) -> _wire.Configuration:
+    """Return lists with one customer, one model and one service."""
+    plans = {"lonestar": {"plan": "study", "keys": [KEY_HASH]}}
+    allowances = {
+        "plans": {"study": {"models": [MODEL], "services": [SERVICE], "may_wait": True}},
+        "services": {SERVICE: {"idempotent": ["GET /*"]}},
+        "models": {MODEL: {}},
+    }
+    return _wire.Configuration(
+        version=version,
+        replaces=version - 1,
+        author="operator",
+        plans=msgspec.json.encode(plans).decode(),
+        allowances=msgspec.json.encode(allowances).decode(),
+    )
+
+
+class FakeEngine:
+    """Counts what it was asked; streams only what the test tells it to."""
+
+    def __init__(self, name: str, *, slots: int = 24) -> None:
+        self.name = name
+        self.slots = slots
+        self.held: dict[str, str] = {}
+        self.prefills: list[str] = []
+        self.cancels: list[str] = []
+        self.confirms_cancels = True
+        self.sequence = 0
+
+    def report(self) -> _wire.EngineReport:
+        """Return the engine's load."""
+        self.sequence += 1
+        streams = tuple(
+            _wire.StreamReport(
+                request_id="", attempt_id=attempt, owner=owner, phase="decode", offset=0
+            )
+            for attempt, owner in self.held.items()
+        )
+        return _wire.EngineReport(
+            engine=self.name,
+            sequence=self.sequence,
+            slots=self.slots,
+            used=len(self.held),
+            prefill_rate=10_000.0,
+            link_rate=1e9,
+            decode_interval=0.02,
+            kv_bytes_per_token=1_000,
+            models=(MODEL,),
+            streams=streams,
+        )
+
+
+class Fabric:
+    """Hosts of one availability zone and their engines on a virtual clock.
+
+    Effects on engines are collected in ``effects`` of each host; prefills, reports and cancels are
+    answered at once unless ``answer_prefills`` is false.
+    """
+
+    def __init__(self, *names: str, engines: int = 2) -> None:
+        self.now = 100.0
+        self.answer_prefills = True
+        self.engines = {f"e{i}": FakeEngine(f"e{i}") for i in range(engines)}
+        self.states: dict[str, _state.State] = {}
+        self.effects: dict[str, list[_effects.Effect]] = {}
+        self.down: set[str] = set()
+        self.timers: dict[tuple[str, str, str], int] = {}
+        self._order = itertools.count()
+        self._queue: list[tuple[float, int, str, _events.Event, tuple | None]] = []
+        for name in names:
+            self.boot(name)
+        self.list_hosts()
+        self.publish(configuration())
+        self.run(2.0)
+        for name in names:
+            self.effects[name].clear()
+
+    def boot(self, name: str, incarnation: str = "1") -> None:
+        """Start a host's process."""
+        self.states[name] = _state.State(make_settings(name))
+        self.effects[name] = []
+        owner = _wire.Owner(host=name, incarnation=incarnation)
+        wall = EPOCH + self.now
+        self.feed(name, _events.Booted(at=self.now, owner=owner, zone=ZONE, wall=wall, seed=7))
+
+    def kill(self, name: str) -> None:
+        """End a host's process at once."""
+        self.down.add(name)
+
+    def list_hosts(self) -> None:
+        """Give every host the host list."""
+        entries = [
+            _wire.HostEntry(name=n, kind="entry", zone=ZONE, address=f"http://{n}")
+            for n in self.states
+        ]
+        entries += [
+            _wire.HostEntry(name=n, kind="engine", zone=ZONE, address=f"http://{n}", service=MODEL)
+            for n in self.engines
+        ]
+        entries.append(
+            _wire.HostEntry(
+                name="s0", kind="service", zone=ZONE, address="http://s0", service=SERVICE
+            )
+        )
+        self.entries = tuple(entries)
+        for name in self.states:
+            self.feed(name, _events.HostsListed(at=self.now, entries=self.entries))
+
+    def publish(self, record: _wire.Configuration) -> None:
+        """Let every host read a configuration record."""
+        data = msgspec.json.encode(record).decode()
+        offset = record.version - 1
+        one = _wire.LogRecord(offset=offset, time=EPOCH + self.now, data=data)
+        for name in self.states:
+            event = _events.LogRead(
+                at=self.now,
+                stream="configuration",
+                tag="",
+                records=(one,),
+                next=offset + 1,
+                first=0,
+                end=offset + 1,
+            )
+            self.feed(name, event)
+
+    def feed(self, name: str, event: _events.Event) -> list[_effects.Effect]:
+        """Reduce an event at a host and carry out the effects that the fabric knows."""
+        if name in self.down:
+            return []
+        event.at = self.now
+        effects = _reducer.reduce(self.states[name], event)
+        self.effects[name].extend(effects)
+        for effect in effects:
+            self._perform(name, effect)
+        return effects
+
+    def run(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        end = self.now + seconds
+        while self._queue and self._queue[0][0] <= end:
+            at, order, name, event, timer = heapq.heappop(self._queue)
+            if timer is not None and self.timers.get(timer) != order:
+                continue
+            self.now = max(self.now, at)
+            self.feed(name, event)
+        self.now = end
+
+    def later(
+        self, delay: float, name: str, event: _events.Event, timer: tuple | None = None
+    ) -> None:
+        """Feed an event to a host after a delay."""
+        order = next(self._order)
+        if timer is not None:
+            self.timers[timer] = order
+        heapq.heappush(self._queue, (self.now + delay, order, name, event, timer))
+
+    def of(self, name: str, kind: type) -> list:
+        """Return a host's effects of one type so far."""
+        return [effect for effect in self.effects[name] if isinstance(effect, kind)]
+
+    def _perform(self, name: str, effect: _effects.Effect) -> None:
+        match effect:
+            case _effects.StartTimer():
+                event = _events.TimerFired(at=0, timer=effect.timer, key=effect.key)
+                self.later(effect.delay, name, event, (name, effect.timer, effect.key))
+            case _effects.StopTimer():
+                self.timers.pop((name, effect.timer, effect.key), None)
+            case _effects.SendPeer():
+                self._send(name, effect)
+            case _effects.FetchHostList():
+                if hasattr(self, "entries"):
+                    event = _events.HostsListed(at=0, entries=self.entries)
+                    self.later(LATENCY, name, event)
+            case _effects.FetchReport() if effect.endpoint in self.engines:
+                report = self.engines[effect.endpoint].report()
+                self.later(LATENCY, name, _events.EngineReported(at=0, report=report))
+            case _effects.StartPrefill():
+                self._prefill(name, effect)
+            case _effects.CancelAttempt():
+                self._cancel(name, effect)
+
+    def _send(self, name: str, effect: _effects.SendPeer) -> None:
+        if effect.host in self.down or effect.host not in self.states:
+            event = _events.PeerFailed(
+                at=0, host=effect.host, message=effect.message, verdict=Verdict.NOT_RUN
+            )
+            self.later(LATENCY, name, event)
+            return
+        event = _events.PeerMessage(
+            at=0, sender=self.states[name].owner, zone=ZONE, message=effect.message
+        )
+        self.later(LATENCY, effect.host, event)
+
+    def _prefill(self, name: str, effect: _effects.StartPrefill) -> None:
+        self.engines[effect.endpoint].prefills.append(effect.request_id)
+        if self.answer_prefills:
+            self.later(LATENCY, name, prefill_done(effect))
+
+    def _cancel(self, name: str, effect: _effects.CancelAttempt) -> None:
+        engine = self.engines[effect.endpoint]
+        engine.cancels.append(effect.attempt_id)
+        if engine.confirms_cancels:
+            engine.held.pop(effect.attempt_id, None)
+        event = _events.CancelAnswered(
+            at=0,
+            request_id=effect.request_id,
+            attempt_id=effect.attempt_id,
+            endpoint=effect.endpoint,
+            gone=engine.confirms_cancels,
+        )
+        self.later(LATENCY, name, event)
+
+
+def prefill_done(effect: _effects.StartPrefill) -> _events.PrefillDone:
+    """Return the event that ends a prefill."""
+    return _events.PrefillDone(
+        at=0,
+        request_id=effect.request_id,
+        attempt_id=effect.attempt_id,
+        endpoint=effect.endpoint,
+        handle="kv",
+        expires_in=0.8,
+        prompt_tokens=100,
+        cached_tokens=0,
+        seconds=0.01,
+    )
+
+
+def make_call(call_id: str, key: str = "k1", **fields: object) -> _events.Call:
+    """Return a call; without a key if ``key`` is empty."""
+    defaults = {
+        "call_id": call_id,
+        "request_id": f"lonestar:{key}" if key else call_id,
+        "has_key": bool(key),
+        "key_hash": KEY_HASH,
+        "kind": "generate",
+        "target": MODEL,
+        "deadline": 1e9,
+        "digest": "d",
+        "prompt_tokens": 100,
+        "max_tokens": 50,
+    }
+    return _events.Call(**{**defaults, **fields})
--- /dev/null
+++ b/tests/test_generation.py
@@ -0,0 +1,275 @@
+"""Tests of generation requests, from the call to the freed slot."""
+
+import unittest
+
+from wasabiwick import _effects, _errors, _events
+from wasabiwick._handlers import members
+from wasabiwick._verdict import Verdict
+
+from . import support
+
+REQUEST = "lonestar:k1"
+
+
+class GenerationCase(unittest.TestCase):
+    """A fabric of two hosts with helpers for the events of an attempt."""
+
+    def setUp(self) -> None:
+        self.fabric = support.Fabric("a", "b")
+
+    def arrive(self, host: str, call_id: str, **fields: object) -> list[_effects.Effect]:
+        call = support.make_call(call_id, **fields)
+        return self.fabric.feed(host, _events.CallArrived(at=0, call=call))
+
+    def decode_of(self, host: str) -> _effects.StartDecode:
+        return self.fabric.of(host, _effects.StartDecode)[-1]
+
+    def progress(self, host: str, attempt: _effects.AttemptEffect, offset: int) -> None:
+        event = _events.StreamProgress(at=0, **_attempt(attempt), count=5, offset=offset)
+        self.fabric.feed(host, event)
+
+    def end(self, host: str, attempt: _effects.AttemptEffect) -> None:
+        event = _events.StreamEnded(at=0, **_attempt(attempt), offset=50, finish="stop")
+        self.fabric.feed(host, event)
+
+    def fail(
+        self,
+        host: str,
+        attempt: _effects.AttemptEffect,
+        phase: str,
+        *,
+        verdict: Verdict = Verdict.MAY_HAVE_RUN,
+        reason: _errors.Reason = _errors.ENDPOINT_FAILED,
+    ) -> None:
+        failure = _errors.Failure(reason=reason, verdict=verdict)
+        event = _events.AttemptFailed(at=0, **_attempt(attempt), phase=phase, failure=failure)
+        self.fabric.feed(host, event)
+
+    def running(self, host: str = "a", call_id: str = "c1", **fields: object) -> None:
+        self.arrive(host, call_id, **fields)
+        self.fabric.run(0.5)
+        self.progress(host, self.decode_of(host), 5)
+
+    def prefills(self) -> int:
+        return sum(len(engine.prefills) for engine in self.fabric.engines.values())
+
+
+def _attempt(effect: _effects.AttemptEffect) -> dict[str, str]:
+    return {
+        "request_id": effect.request_id,
+        "attempt_id": effect.attempt_id,
+        "endpoint": effect.endpoint,
+    }
+
+
+class TestPath(GenerationCase):
+    """A request is prefilled, decoded, answered and forgotten."""
+
+    def test_whole_answer(self) -> None:
+        self.running()
+        self.end("a", self.decode_of("a"))
+        self.assertEqual(len(self.fabric.of("a", _effects.FinishStream)), 1)
+        answered = _events.CallAnswered(at=0, call_id="c1", request_id=REQUEST)
+        self.fabric.feed("a", answered)
+        self.assertEqual(self.fabric.states["a"]["calls"].requests, {})
+        self.assertEqual(self.fabric.states["a"]["generation"].running, {})
+        self.assertEqual(len(self.fabric.of("a", _effects.ForgetRequest)), 1)
+
+    def test_unknown_model_is_refused_without_running(self) -> None:
+        effects = self.arrive("a", "c1", key="", target="nothing")
+        refused = [one for one in effects if isinstance(one, _effects.RefuseCall)]
+        self.assertIs(refused[0].failure.reason, _errors.UNKNOWN_MODEL)
+        self.assertIs(refused[0].failure.verdict, Verdict.NOT_RUN)
+        self.assertEqual(self.prefills(), 0)
+
+    def test_deadline_before_output(self) -> None:
+        self.fabric.answer_prefills = False
+        self.arrive("a", "c1", deadline=self.fabric.now + 3)
+        self.fabric.run(4)
+        refused = self.fabric.of("a", _effects.RefuseCall)
+        self.assertIs(refused[-1].failure.reason, _errors.DEADLINE_PASSED)
+        self.assertIs(refused[-1].failure.verdict, Verdict.MAY_HAVE_RUN)
+        self.assertEqual(len(self.fabric.of("a", _effects.CancelAttempt)), 1)
+
+    def test_stop_waits_for_the_request(self) -> None:
+        self.running()
+        self.fabric.feed("a", _events.StopAsked(at=0))
+        self.fabric.run(2)
+        self.assertEqual(self.fabric.of("a", _effects.EndProcess), [])
+        self.end("a", self.decode_of("a"))
+        self.fabric.feed("a", _events.CallAnswered(at=0, call_id="c1", request_id=REQUEST))
+        self.fabric.run(2)
+        self.assertEqual(len(self.fabric.of("a", _effects.EndProcess)), 1)
+
+
+class TestFailures(GenerationCase):
+    """A failed attempt is resumed or tried elsewhere; the caller does not notice."""
+
+    def test_refused_slot_is_tried_elsewhere(self) -> None:
+        self.arrive("a", "c1")
+        self.fabric.run(0.5)
+        first = self.decode_of("a")
+        self.fail("a", first, "decode", verdict=Verdict.NOT_RUN)
+        self.fabric.run(0.5)
+        second = self.decode_of("a")
+        self.assertNotEqual(second.attempt_id, first.attempt_id)
+        self.assertNotEqual(second.endpoint, first.endpoint)
+
+    def test_cut_stream_is_resumed_at_the_same_engine(self) -> None:
+        self.running()
+        decode = self.decode_of("a")
+        self.fail("a", decode, "decode")
+        self.fabric.run(0.5)
+        resumed = self.fabric.of("a", _effects.ResumeStream)
+        self.assertEqual([one.attempt_id for one in resumed], [decode.attempt_id])
+        self.assertFalse(resumed[0].takeover)
+        self.assertEqual(self.prefills(), 1)
+
+    def test_lost_engine_leads_to_a_new_attempt(self) -> None:
+        self.running()
+        decode = self.decode_of("a")
+        for phase in ("decode", "resume", "resume", "resume"):
+            self.fail("a", decode, phase)
+            self.fabric.run(0.5)
+        self.assertNotEqual(self.decode_of("a").attempt_id, decode.attempt_id)
+        self.assertEqual(self.prefills(), 2)
+
+    def test_late_prefill_of_a_given_up_attempt_is_dropped(self) -> None:
+        self.fabric.answer_prefills = False
+        self.arrive("a", "c1", key="")
+        self.fabric.run(0.5)
+        prefill = self.fabric.of("a", _effects.StartPrefill)[-1]
+        self.fabric.feed("a", _events.CallerGone(at=0, call_id="c1", request_id="c1"))
+        self.fabric.run(0.5)
+        self.fabric.feed("a", support.prefill_done(prefill))
+        self.assertEqual(self.fabric.of("a", _effects.StartDecode), [])
+
+
+class TestRetries(GenerationCase):
+    """A retry takes the running stream over; no prefill is paid twice, no call answered twice."""
+
+    def test_retry_on_the_same_host(self) -> None:
+        self.running()
+        effects = self.arrive("a", "c2")
+        kinds = [type(one) for one in effects]
+        self.assertIn(_effects.CloseCall, kinds)
+        self.assertIn(_effects.AttachCall, kinds)
+        self.assertEqual(self.prefills(), 1)
+
+    def test_retry_with_another_body_is_refused(self) -> None:
+        self.running()
+        effects = self.arrive("a", "c2", digest="other")
+        refused = [one for one in effects if isinstance(one, _effects.RefuseCall)]
+        self.assertIs(refused[0].failure.reason, _errors.KEY_REUSED)
+        self.assertNotIn(_effects.CloseCall, [type(one) for one in effects])
+
+    def test_retry_on_another_host_adopts_the_stream(self) -> None:
+        self.running()
+        decode = self.decode_of("a")
+        self.arrive("b", "c2")
+        self.fabric.run(0.5)
+        self.assertEqual([one.call_id for one in self.fabric.of("a", _effects.CloseCall)], ["c1"])
+        resumed = self.fabric.of("b", _effects.ResumeStream)[-1]
+        self.assertEqual(resumed.attempt_id, decode.attempt_id)
+        self.assertTrue(resumed.takeover)
+        self.assertEqual(self.prefills(), 1)
+        self.assertEqual(self.fabric.of("a", _effects.CancelAttempt), [])
+
+    def test_retry_during_the_prefill_waits_for_the_stream(self) -> None:
+        self.fabric.answer_prefills = False
+        self.arrive("a", "c1")
+        self.fabric.run(0.5)
+        self.arrive("b", "c2")
+        self.fabric.run(2.5)
+        self.assertEqual(self.fabric.of("b", _effects.StartPrefill), [])
+        prefill = self.fabric.of("a", _effects.StartPrefill)[-1]
+        self.fabric.feed("a", support.prefill_done(prefill))
+        self.progress("a", self.decode_of("a"), 5)
+        self.fabric.run(0.5)
+        self.assertEqual(len(self.fabric.of("b", _effects.ResumeStream)), 1)
+        self.assertEqual(self.prefills(), 1)
+
+    def test_retry_after_the_serving_host_died(self) -> None:
+        for key in ("k1", "k2", "k3", "k4"):
+            with self.subTest(key=key):
+                self.fabric = support.Fabric("a", "b", "c")
+                self._retry_after_death(key)
+
+    def _retry_after_death(self, key: str) -> None:
+        request_id = f"lonestar:{key}"
+        owner = _owner(self.fabric, request_id)
+        serving, other = [name for name in ("a", "b", "c") if name != owner]
+        self.running(serving, key=key)
+        decode = self.decode_of(serving)
+        self.fabric.kill(serving)
+        self.arrive(other, "c2", key=key)
+        self.fabric.run(5.0)
+        resumed = self.fabric.of(other, _effects.ResumeStream)
+        self.assertEqual([one.attempt_id for one in resumed], [decode.attempt_id])
+        self.assertEqual(self.prefills(), 1)
+
+    def test_owner_of_the_key_died(self) -> None:
+        request_id = REQUEST
+        self.fabric = support.Fabric("a", "b", "c")
+        owner = _owner(self.fabric, request_id)
+        other = next(name for name in ("a", "b", "c") if name != owner)
+        self.fabric.kill(owner)
+        self.arrive(other, "c1")
+        self.fabric.run(5.0)
+        self.assertEqual(len(self.fabric.of(other, _effects.StartDecode)), 1)
+
+    def test_host_that_was_cut_off_leaves_the_answer_to_its_successor(self) -> None:
+        self.running()
+        self.fail("a", self.decode_of("a"), "resume", reason=_errors.SUPERSEDED)
+        self.assertEqual([one.call_id for one in self.fabric.of("a", _effects.CloseCall)], ["c1"])
+        self.fabric.run(2.0)
+        self.assertEqual(self.fabric.of("a", _effects.CancelAttempt), [])
+        self.assertEqual(self.fabric.states["a"]["calls"].requests, {})
+
+
+def _owner(fabric: support.Fabric, request_id: str) -> str:
+    return members.role_owner(fabric.states["a"], f"key/{request_id}", support.ZONE)
+
+
+class TestAbandoned(GenerationCase):
+    """A request whose caller has gone holds nothing at an engine."""
+
+    def gone(self, call_id: str, request_id: str) -> None:
+        event = _events.CallerGone(at=0, call_id=call_id, request_id=request_id)
+        self.fabric.feed("a", event)
+
+    def test_without_a_key_it_is_cancelled_at_once(self) -> None:
+        self.running(key="")
+        self.gone("c1", "c1")
+        self.fabric.run(0.05)
+        self.assertEqual(len(self.fabric.of("a", _effects.CancelAttempt)), 1)
+        self.assertEqual(self.fabric.states["a"]["calls"].requests, {})
+
+    def test_with_a_key_a_retry_in_time_keeps_it(self) -> None:
+        self.running()
+        self.gone("c1", REQUEST)
+        self.fabric.run(0.1)
+        self.arrive("a", "c2")
+        self.fabric.run(2.0)
+        self.assertEqual(self.fabric.of("a", _effects.CancelAttempt), [])
+
+    def test_with_a_key_it_is_cancelled_after_the_grace(self) -> None:
+        self.running()
+        self.gone("c1", REQUEST)
+        self.fabric.run(2.0)
+        self.assertEqual(len(self.fabric.of("a", _effects.CancelAttempt)), 1)
+
+    def test_cancel_is_repeated_until_confirmed(self) -> None:
+        self.running(key="")
+        for engine in self.fabric.engines.values():
+            engine.confirms_cancels = False
+        self.gone("c1", "c1")
+        self.fabric.run(3.0)
+        self.assertGreater(len(self.fabric.of("a", _effects.CancelAttempt)), 2)
+        for engine in self.fabric.engines.values():
+            engine.confirms_cancels = True
+        self.fabric.run(1.0)
+        sent = len(self.fabric.of("a", _effects.CancelAttempt))
+        self.fabric.run(3.0)
+        self.assertEqual(len(self.fabric.of("a", _effects.CancelAttempt)), sent)
+        self.assertEqual(self.fabric.states["a"]["cancels"].pending, {})
