Record events with their effects, and replay them

Cause: nothing could show that a recorded run still has the same effects. Change: TraceWriter (JSON lines, bounded), Trace, replay, stated outcomes per call, 'wasabiwick replay', scripts for six kinds of outcome over small fakes.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install test demo format check model capacity bench clean
+.PHONY: traces install test demo format check model capacity bench clean
 
 $(STAMP): pyproject.toml requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -29,3 +29,6 @@
 
 clean:
 	rm -rf $(VENV) build
+
+traces: install
+	$(BIN)/python -m tests._scripts
--- a/src/wasabiwick/_cli.py
+++ b/src/wasabiwick/_cli.py
@@ -2,7 +2,7 @@
 
 import click
 
-from . import _cli_check
+from . import _cli_check, _cli_replay
 
 
 @click.group()
@@ -11,3 +11,4 @@
 
 
 main.add_command(_cli_check.check)
+main.add_command(_cli_replay.replay_command)
--- a/src/wasabiwick/_settings_file.py
+++ b/src/wasabiwick/_settings_file.py
@@ -1,9 +1,10 @@
 """Settings files: reading one whole, with every fault in it."""
 
+import inspect
 import pathlib
 import typing
 
-from ._schema import Fault, FieldFault, cross_rule, read_yaml
+from ._schema import Fault, FieldFault, cross_rule, params_of, read_yaml
 from ._settings import Once, Settings, Timing
 
 
@@ -46,3 +47,28 @@
     # A key's records must outlive the age at which the key itself is refused.
     if once.keep <= once.horizon:
         yield "keep", "must be longer than once.horizon"
+
+
+def settings_to_builtins(cfg: object) -> dict[str, typing.Any]:
+    """Turn settings into the mapping that a settings file would hold."""
+    fields = {}
+    for name in params_of(type(cfg)):
+        value = getattr(cfg, name)
+        plain = value is None or isinstance(value, str | int | float | bool | dict)
+        fields[name] = value if plain else settings_to_builtins(value)
+    return fields
+
+
+def settings_from_builtins(fields: dict[str, typing.Any], cls: type = Settings) -> typing.Any:
+    """Rebuild settings that `settings_to_builtins` turned into a mapping.
+
+    Nothing is checked, since files may be gone. Keys of another version are left out.
+    """
+    params = params_of(cls)
+    built = {}
+    for name, value in fields.items():
+        if name not in params:
+            continue
+        nested = isinstance(value, dict) and inspect.isclass(params[name].kind)
+        built[name] = settings_from_builtins(value, params[name].kind) if nested else value
+    return cls(**built)
--- /dev/null
+++ b/tests/_scripts.py
@@ -0,0 +1,135 @@
+"""Scripts of the shipped traces: what happens, and what must have become of each call.
+
+``make traces`` records them again. The stated outcomes are written here by hand and are checked by
+the recording itself, so that recording again can't hide a change of outcome.
+"""
+
+import pathlib
+import sys
+import typing
+
+from tests._world import SERVICE, World
+from wasabiwick._replay import replay
+from wasabiwick._trace import Stated
+
+FOLDER = pathlib.Path(__file__).parent / "traces"
+Script = typing.Callable[[World], list[Stated]]
+
+SCRIPTS: dict[str, Script] = {}
+
+
+def script(function: Script) -> Script:
+    """Register a script under its name; the trace is that of host ``a``."""
+    SCRIPTS[function.__name__.strip("_")] = function
+    return function
+
+
+def record(name: str, path: pathlib.Path) -> list[Stated]:
+    """Run a script, record the events of host ``a`` and state the outcomes.
+
+    Args:
+        name: Name of the script.
+        path: File to record to.
+
+    Returns:
+        The stated outcomes.
+    """
+    world = World(("a", "b"), {"a": path})
+    stated = SCRIPTS[name](world)
+    writer = world.hosts["a"].trace
+    for outcome in stated:
+        writer.state(outcome)
+    writer.close()
+    return stated
+
+
+@script
+def _answered(world: World) -> list[Stated]:
+    host = world.hosts["a"]
+    host.call("c1", "r1", has_key=False)
+    host.call("c2", "r2", has_key=False, kind="service", target=SERVICE, method="GET", path="/x")
+    world.run(2.0)
+    return [
+        Stated(call_id="c1", result="answered", resumed=0),
+        Stated(call_id="c2", result="answered", dispatched=1),
+    ]
+
+
+@script
+def _refused(world: World) -> list[Stated]:
+    host = world.hosts["a"]
+    host.call("c1", "r1", has_key=False, key_hash="00" * 32)
+    host.call("c2", "r2", has_key=False, target="other")
+    host.call("c3", "r3", has_key=False, kind="service", target=SERVICE, path="/signup")
+    world.run(1.0)
+    return [
+        Stated(call_id="c1", result="refused", reason="bad_key", verdict="NOT_RUN"),
+        Stated(call_id="c2", result="refused", reason="unknown_model", verdict="NOT_RUN"),
+        Stated(
+            call_id="c3",
+            result="refused",
+            reason="key_required",
+            verdict="NOT_RUN",
+            dispatched=0,
+        ),
+    ]
+
+
+@script
+def _cancelled(world: World) -> list[Stated]:
+    host = world.hosts["a"]
+    host.call("c1", "r1", has_key=False)
+    world.run(0.25)
+    host.leave("c1")
+    world.run(2.0)
+    if world.attempts:
+        raise AssertionError("an engine still holds the cancelled request")
+    return [Stated(call_id="c1", result="cancelled")]
+
+
+@script
+def _resumed(world: World) -> list[Stated]:
+    host = world.hosts["a"]
+    host.call("c1", "r1", has_key=False)
+    world.run(0.25)
+    world.cut("r1")
+    world.run(2.0)
+    return [Stated(call_id="c1", result="answered", resumed=1)]
+
+
+@script
+def _superseded(world: World) -> list[Stated]:
+    host = world.hosts["a"]
+    host.call("c1", "r1", has_key=True)
+    world.run(0.2)
+    host.call("c2", "r1", has_key=True)
+    world.run(2.0)
+    return [
+        Stated(call_id="c1", result="superseded"),
+        Stated(call_id="c2", result="answered"),
+    ]
+
+
+@script
+def _adopted(world: World) -> list[Stated]:
+    world.hosts["b"].call("c1", "r1", has_key=True)
+    world.run(0.25)
+    world.hosts["a"].call("c2", "r1", has_key=True)
+    world.run(2.0)
+    return [Stated(call_id="c2", result="answered", resumed=1)]
+
+
+def main() -> None:
+    """Record all traces again, and replay each."""
+    FOLDER.mkdir(exist_ok=True)
+    for name in SCRIPTS:
+        path = FOLDER / f"{name}.jsonl"
+        record(name, path)
+        result = replay(path)
+        print(f"{path.name}: {result.events} events, {result.confirmed} outcomes")
+        if result.difference:
+            sys.exit(f"{path.name}: {result.difference}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_replay.py
@@ -0,0 +1,165 @@
+"""Tests of recorded traces and their replay."""
+
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+import unittest
+
+import click.testing
+import msgspec
+
+from tests import _scripts
+from wasabiwick import _cli, _effects, _events, _replay, _settings, _trace
+
+
+class TraceTest(unittest.TestCase):
+    """Base with a folder for traces."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name, "trace.jsonl")
+
+    def rewrite(self, change: object) -> None:
+        lines = [json.loads(line) for line in self.path.read_text().splitlines()]
+        change(lines)
+        self.path.write_text("".join(json.dumps(line) + "\n" for line in lines))
+
+    def run_replay(self, *args: str) -> click.testing.Result:
+        return click.testing.CliRunner().invoke(_cli.main, ["replay", str(self.path), *args])
+
+
+class TestRecordedScripts(TraceTest):
+    """Each kind of outcome is recorded, and the replay confirms effects and outcomes."""
+
+    def test_each_script(self) -> None:
+        for name in _scripts.SCRIPTS:
+            with self.subTest(name):
+                stated = _scripts.record(name, self.path)
+                result = _replay.replay(self.path)
+                self.assertIsNone(result.difference)
+                self.assertEqual(result.confirmed, len(stated))
+
+    def test_other_hash_seed_gives_the_same_effects(self) -> None:
+        for seed in ("1", "2"):
+            _scripts.record("adopted", self.path)
+            env = {**os.environ, "PYTHONHASHSEED": seed}
+            command = [sys.executable, "-m", "wasabiwick", "replay", str(self.path)]
+            done = subprocess.run(command, env=env, capture_output=True, text=True, timeout=60)
+            self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
+
+
+class TestDifferences(TraceTest):
+    """The first difference is named with its line, and the status is 1."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        _scripts.record("resumed", self.path)
+
+    def test_changed_effect(self) -> None:
+        def change(lines: list) -> None:
+            at, entry = next(
+                (number, one)
+                for number, one in enumerate(lines, start=1)
+                if any(e["record"] == "StartDecode" for e in one.get("effects", ()))
+            )
+            self.line = at
+            decode = next(e for e in entry["effects"] if e["record"] == "StartDecode")
+            decode["max_tokens"] = 9
+
+        self.rewrite(change)
+        done = self.run_replay()
+        self.assertEqual(done.exit_code, 1)
+        self.assertIn(f"line {self.line}: effect", done.output)
+        self.assertIn("max_tokens=9", done.output)
+
+    def test_changed_metric_counts_unless_left_out(self) -> None:
+        def change(lines: list) -> None:
+            for one in lines:
+                for effect in one.get("effects", ()):
+                    if effect["record"] == "Count":
+                        effect["amount"] = 77
+
+        self.rewrite(change)
+        self.assertEqual(self.run_replay().exit_code, 1)
+        self.assertEqual(self.run_replay("--no-metrics").exit_code, 0)
+
+    def test_wrong_outcome(self) -> None:
+        def change(lines: list) -> None:
+            lines[-1]["result"] = "refused"
+
+        self.rewrite(change)
+        done = self.run_replay("--json")
+        self.assertEqual(done.exit_code, 1)
+        self.assertIn("stated is 'refused'", json.loads(done.output)["difference"]["text"])
+
+    def test_call_that_never_arrived(self) -> None:
+        def change(lines: list) -> None:
+            lines[-1]["call_id"] = "c9"
+
+        self.rewrite(change)
+        self.assertIn('call "c9" never arrived', self.run_replay().output)
+
+    def test_not_a_trace(self) -> None:
+        self.path.write_text("{}\n")
+        self.assertEqual(self.run_replay().exit_code, 2)
+
+    def test_event_of_another_version(self) -> None:
+        def change(lines: list) -> None:
+            lines[1]["event"]["extra"] = 1
+
+        self.rewrite(change)
+        self.assertIn("other fields in this version", self.run_replay().output)
+
+
+class TestTraceWriter(TraceTest):
+    """A trace is bounded, and a cut-off one is replayed up to the cut."""
+
+    def write(self, limit: int, events: int) -> None:
+        platform = _settings.Platform(log="http://127.0.0.1:1", hosts="http://127.0.0.1:2")
+        cfg = _settings.Settings(host="a", zone="z", region="r", platform=platform)
+        writer = _trace.TraceWriter(self.path, cfg, limit_bytes=limit)
+        effects = [_effects.FetchHostList()]
+        for number in range(events):
+            event = _events.TimerFired(at=float(number), timer="host_list")
+            writer.record(event, effects)
+        writer.close()
+
+    def test_limit(self) -> None:
+        self.write(limit=3_000, events=1_000)
+        self.assertLess(self.path.stat().st_size, 3_100)
+        result = _replay.replay(self.path)
+        self.assertTrue(result.cut)
+        self.assertIsNone(result.difference)
+        self.assertGreater(result.events, 5)
+
+    def test_torn_last_line(self) -> None:
+        self.write(limit=0, events=3)
+        self.path.write_bytes(self.path.read_bytes()[:-10])
+        result = _replay.replay(self.path)
+        self.assertTrue(result.cut)
+        self.assertEqual(result.events, 2)
+
+    def test_settings_survive(self) -> None:
+        platform = _settings.Platform(log="http://127.0.0.1:1", hosts="http://127.0.0.1:2")
+        cfg = _settings.Settings(
+            host="a",
+            zone="z",
+            region="r",
+            platform=platform,
+            timing=_settings.Timing(prefill=7.0),
+            publishers={"k": "00"},
+        )
+        _trace.TraceWriter(self.path, cfg).close()
+        found = _trace.Trace(self.path).settings
+        self.assertEqual(found.timing.prefill, 7.0)
+        self.assertEqual(found.publishers, {"k": "00"})
+        self.assertEqual(found.platform.log, "http://127.0.0.1:1")
+        self.assertIsNone(found.tls)
+
+    def test_header_is_json(self) -> None:
+        self.write(limit=0, events=0)
+        self.assertEqual(msgspec.json.decode(self.path.read_bytes())["line"], "header")
