--- a/src/wasabiwick/_settings.py
+++ b/src/wasabiwick/_settings.py
@@ -230,7 +230,9 @@
         timing: Intervals and timeouts.
         once: Settings of work that may run only once.
         publishers: Public keys of publishers by key id, hexadecimal Ed25519.
-        trace: File that events are recorded to, or empty.
+        trace: File that events are recorded to, or empty. It holds answers of plain services and
+            what the log holds, so that it wants the same care as these.
+        trace_bytes: Longest trace; recording stops there.
     """
 
     __slots__ = (
@@ -245,6 +247,7 @@
         "once",
         "publishers",
         "trace",
+        "trace_bytes",
     )
 
     def __init__(
@@ -261,6 +264,7 @@
         once: Once | None = None,
         publishers: dict[str, Hex64] | None = None,
         trace: str = "",
+        trace_bytes: PositiveInt = 64 * 1024 * 1024,
     ) -> None:
         self.host = host
         self.zone = zone
@@ -273,3 +277,4 @@
         self.once = once or Once()
         self.publishers = publishers or {}
         self.trace = trace
+        self.trace_bytes = trace_bytes
--- a/src/wasabiwick/_trace.py
+++ b/src/wasabiwick/_trace.py
@@ -13,6 +13,7 @@
 from . import _settings_file
 from ._effects import Effect
 from ._events import Event
+from ._logging import log_event
 from ._record import from_builtins, to_builtins
 from ._settings import Settings
 from ._version import VERSION
@@ -111,12 +112,18 @@
 
     def _write(self, line: Line) -> None:
         data = _ENCODER.encode(line) + b"\n"
-        if self._limit and len(data) > self._left:
-            self._file.write(_ENCODER.encode(Cut(limit_bytes=self._limit)) + b"\n")
-            self.close()
-            return
+        full = self._limit and len(data) > self._left
+        if full:
+            data = _ENCODER.encode(Cut(limit_bytes=self._limit)) + b"\n"
         self._left -= len(data)
-        self._file.write(data)
+        try:
+            self._file.write(data)
+            if full:
+                self.close()
+        except OSError as exc:
+            # A full disk ends the recording and not the host.
+            log_event("trace_failed", level="WARNING", error=exc.strerror)
+            self._file = None
 
 
 class Trace:
