--- a/src/wasabiwick/_cli_run.py
+++ b/src/wasabiwick/_cli_run.py
@@ -4,13 +4,11 @@
 
 import click
 import uvloop
-from loguru import logger
 
 from ._daemon import serve
+from ._logging import configure
 from ._settings_file import load_settings
 
-LOG_FORMAT = "ts={time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} {message}"
-
 EXIT_FAULTS = 2
 
 
@@ -19,8 +17,7 @@
 @click.option("--log-level", default="INFO", show_default=True)
 def run(path: str, log_level: str) -> None:
     """Run an entry host until SIGTERM, then shut down gracefully."""
-    logger.remove()
-    logger.add(sys.stdout, format=LOG_FORMAT, level=log_level.upper())
+    configure(log_level)
     cfg = load_settings(path)
     if isinstance(cfg, list):
         for fault in cfg:
--- a/src/wasabiwick/_daemon.py
+++ b/src/wasabiwick/_daemon.py
@@ -6,7 +6,6 @@
 
 import aiohttp
 from aiohttp import web
-from loguru import logger
 
 from . import (
     _adapters,
@@ -14,9 +13,11 @@
 )
 from ._entry import Entry
 from ._events import StopAsked
+from ._logging import log_event
 from ._peer_server import PeerServer
 from ._runner import Ports, Runner
 from ._settings import Settings
+from ._trace import TraceWriter
 from ._wire import Owner
 
 INCARNATION_BYTES = 6
@@ -30,10 +31,11 @@
         cfg: The host's settings.
     """
 
-    __slots__ = ("_cfg", "_sessions", "_servers", "runner", "callers_url", "peers_url")
+    __slots__ = ("_cfg", "_sessions", "_servers", "_trace", "runner", "callers_url", "peers_url")
 
     def __init__(self, *, cfg: Settings) -> None:
         self._cfg = cfg
+        self._trace: TraceWriter | None = None
         self._sessions: list[aiohttp.ClientSession] = []
         self._servers: list[web.AppRunner] = []
         self.runner: Runner | None = None
@@ -46,6 +48,8 @@
         self.runner = Runner(
             cfg=self._cfg, ports=self._ports(), owner=owner, seed=secrets.randbits(SEED_BITS)
         )
+        if self._cfg.trace:
+            self._record()
         entry = Entry(runner=self.runner).app()
         peers = PeerServer(runner=self.runner).app()
         self.callers_url = await self._serve(entry, self._cfg.listen.callers)
@@ -59,6 +63,14 @@
         await self.runner.close()
         for session in self._sessions:
             await session.close()
+        if self._trace:
+            self._trace.close()
+
+    def _record(self) -> None:
+        """Record every event with its effects, from the first one on."""
+        trace = TraceWriter(self._cfg.trace, self._cfg, limit_bytes=self._cfg.trace_bytes)
+        self.runner.events.subscribe(on_next=lambda step: trace.record(*step))
+        self._trace = trace
 
     def _ports(self) -> Ports:
         timing = self._cfg.timing
@@ -109,13 +121,8 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, lambda: runner.post(StopAsked(at=runner.now())))
-    logger.info(
-        "event=listening host={} incarnation={} callers={} peers={}",
-        cfg.host,
-        runner.owner.incarnation,
-        daemon.callers_url,
-        daemon.peers_url,
-    )
+    about = {"host": cfg.host, "incarnation": runner.owner.incarnation}
+    log_event("listening", **about, callers=daemon.callers_url, peers=daemon.peers_url)
     await runner.ended.wait()
     await daemon.stop()
-    logger.info("event=stopped host={} incarnation={}", cfg.host, runner.owner.incarnation)
+    log_event("stopped", **about)
--- a/src/wasabiwick/_entry.py
+++ b/src/wasabiwick/_entry.py
@@ -6,7 +6,6 @@
 import msgspec
 from aiohttp import web
 from aioprometheus.renderer import render
-from loguru import logger
 
 from . import _asks
 from ._answers import (
@@ -22,6 +21,7 @@
 from ._errors import NOT_FOUND, TOO_LARGE, Failure
 from ._events import CallAnswered, CallArrived, CallerGone
 from ._handlers import calls, lists
+from ._logging import log_event
 from ._performers.telemetry import REGISTRY
 from ._runner import Body, Runner
 from ._sink import CallSink, Closed, Whole
@@ -304,11 +304,12 @@
 
 
 def _log_answer(req: web.Request, resp: web.StreamResponse) -> None:
-    logger.debug(
-        "event=answered call={} method={} path={} status={} reason={}",
-        req["call_id"],
-        req.method,
-        req.path,
-        resp.status,
-        req.get("reason", "-"),
+    log_event(
+        "answered",
+        level="DEBUG",
+        call=req["call_id"],
+        method=req.method,
+        path=req.path,
+        status=resp.status,
+        reason=req.get("reason", "-"),
     )
--- a/src/wasabiwick/_performers/telemetry.py
+++ b/src/wasabiwick/_performers/telemetry.py
@@ -2,9 +2,9 @@
 
 from aioprometheus import Counter, Histogram
 from aioprometheus.collectors import REGISTRY
-from loguru import logger
 
 from .._effects import Count, LogLine, Observe
+from .._logging import log_event
 from .._runner import Runner, performs
 
 PREFIX = "wasabiwick"
@@ -40,8 +40,7 @@
 @performs(LogLine)
 def log_line(runner: Runner, effect: LogLine) -> None:
     """Write one line of key=value pairs."""
-    pairs = " ".join(f"{key}={value}" for key, value in effect.fields.items())
-    logger.info("event={} {}", effect.event, pairs)
+    log_event(effect.event, **effect.fields)
 
 
 __all__ = ["REGISTRY", "count", "log_line", "observe"]
--- a/src/wasabiwick/_runner.py
+++ b/src/wasabiwick/_runner.py
@@ -5,12 +5,12 @@
 import typing
 
 import reactivex
-from loguru import logger
 from reactivex import operators
 
 from . import _handlers  # noqa: F401 - registers the handlers
 from ._effects import Effect
 from ._events import Booted, Event
+from ._logging import log_exception
 from ._output import Output
 from ._ports import Clock, Engine, HostList, LogService, Peer, Service
 from ._reducer import reduce
@@ -211,9 +211,7 @@
         if self.tasks.get(task.get_name()) is task:
             del self.tasks[task.get_name()]
         if not task.cancelled() and task.exception():
-            logger.opt(exception=task.exception()).error(
-                "event=task_failed task={}", task.get_name()
-            )
+            log_exception("task_failed", task.exception(), task=task.get_name())
 
     def _perform(self, effect: Effect) -> None:
         _PERFORMERS[type(effect)](self, effect)
