--- a/src/wasabiwick/_bench/callers.py
+++ b/src/wasabiwick/_bench/callers.py
@@ -18,13 +18,14 @@
 class Outcome:
     """What one request's callers saw.
 
-    ``first`` and ``done`` are the times of the first output and of the whole answer.
+    ``at``, ``first`` and ``done`` are the times of the first call, output and whole answer.
     """
 
-    __slots__ = ("ask", "first", "done", "calls", "refusals", "call_id", "host")
+    __slots__ = ("ask", "first", "done", "calls", "refusals", "call_id", "host", "at")
 
     def __init__(self, ask: Ask) -> None:
         self.ask = ask
+        self.at = 0.0
         self.first = 0.0
         self.done = 0.0
         self.calls = 0
@@ -34,7 +35,7 @@
 
     def first_output(self) -> float:
         """Return the time from the first call to the first output, in seconds."""
-        return self.first - self.ask.at
+        return self.first - self.at
 
     def between_outputs(self) -> float:
         """Return the mean time between outputs, in seconds."""
@@ -76,6 +77,7 @@
         self.world = world
         for outcome in self.outcomes.values():
             world.asks[outcome.ask.request_id] = outcome.ask
+            outcome.at = world.now + outcome.ask.at
             world.after(outcome.ask.at, lambda one=outcome: self.call(one))
 
     def call(self, outcome: Outcome) -> None:
@@ -103,7 +105,7 @@
             prompt_tokens=ask.tokens,
             max_tokens=ask.output,
             pieces=ask.pieces(),
-            born=WALL + ask.at,
+            born=WALL + outcome.at,
             deadline=self.world.now + DEADLINE,
         )
         self.world.deliver(host, _events.CallArrived(at=0.0, call=call))
--- a/src/wasabiwick/_bench/scenarios.py
+++ b/src/wasabiwick/_bench/scenarios.py
@@ -6,8 +6,8 @@
 from .workload import DEPLOYMENTS, Deployment
 from .world import World
 
-FAULT_AT = 12.0  # Seconds.
-FAULT_ENDS = 22.0
+FAULT_AT = 14.0  # Seconds after the first call.
+FAULT_ENDS = 24.0
 SLOW_FACTOR = 3.0
 STALE_LAG = 2.0  # Seconds.
 
