--- /dev/null
+++ b/src/wasabiwick/_configuration.py
@@ -0,0 +1,381 @@
+"""Configuration records: their digest and signature, and the order in which they take effect.
+
+`History` folds the configuration stream. Every host and the publishing command use it, so that all
+decide alike which of two racing records won.
+"""
+
+import hashlib
+import typing
+
+import msgspec
+from cryptography.exceptions import InvalidSignature
+from cryptography.hazmat.primitives.asymmetric import ed25519
+
+from . import _lists
+from ._wire import Configuration, ConfigurationCopy, LogRecord
+
+SECTIONS = ("customers", "plans", "services", "models")
+DIGEST_BITS = 256
+
+Entries = dict[str, dict[str, dict]]
+
+
+class InvalidRecord(ValueError):
+    """A configuration record that every reader skips."""
+
+
+class Content:
+    """Both lists as plain entries by section and name, with a digest kept up to date.
+
+    The digest is the sum of the hashes of all entries, so that a change costs as much as the entries
+    it touches and not as much as the lists.
+    """
+
+    __slots__ = ("entries", "total")
+
+    def __init__(self, *, entries: Entries | None = None, total: int = 0) -> None:
+        self.entries = entries or {section: {} for section in SECTIONS}
+        self.total = total
+
+    @property
+    def digest(self) -> str:
+        """The digest in hexadecimal."""
+        return f"{self.total:064x}"
+
+    def changed(self, changes: Entries, removed: typing.Iterable[str]) -> "Content":
+        """Return the content with some entries put and others removed.
+
+        Args:
+            changes: New entries by section and name.
+            removed: Names of removed entries, as ``section/name``.
+
+        Raises:
+            InvalidRecord: If an entry to remove, or a section, does not exist.
+        """
+        entries = {section: dict(self.entries[section]) for section in SECTIONS}
+        total = self.total
+        for path in removed:
+            section, _, name = path.partition("/")
+            if name not in entries.get(section, ()):
+                raise InvalidRecord(f'removed entry "{path}" does not exist')
+            total -= _entry_hash(section, name, entries[section].pop(name))
+        for section, named in changes.items():
+            for name, fields in named.items():
+                old = entries[section].get(name)
+                if old is not None:
+                    total -= _entry_hash(section, name, old)
+                total += _entry_hash(section, name, fields)
+                entries[section][name] = fields
+        return Content(entries=entries, total=total % 2**DIGEST_BITS)
+
+
+def _entry_hash(section: str, name: str, fields: dict) -> int:
+    body = msgspec.json.encode([section, name, fields], order="sorted")
+    return int.from_bytes(hashlib.sha256(body).digest())
+
+
+def content_of(entries: Entries) -> Content:
+    """Return the content that consists of these entries."""
+    return Content().changed(entries, ())
+
+
+def difference(old: Content, new: Content) -> tuple[Entries, list[str]]:
+    """Return the entries to put and the ``section/name`` to remove that turn one into the other."""
+    changes: Entries = {}
+    removed = []
+    for section in SECTIONS:
+        before, after = old.entries[section], new.entries[section]
+        put = {name: fields for name, fields in after.items() if before.get(name) != fields}
+        if put:
+            changes[section] = put
+        removed.extend(f"{section}/{name}" for name in before if name not in after)
+    return changes, sorted(removed)
+
+
+def make_record(
+    *, version: int, replaces: int, author: str, old: Content, new: Content, partial: bool
+) -> Configuration:
+    """Build the unsigned record that turns the old content into the new one.
+
+    Args:
+        version: Version that the record creates.
+        replaces: Version that it follows.
+        author: Name of the operator.
+        old: Content in force.
+        new: Content to publish.
+        partial: Whether to ship only the difference.
+    """
+    changes, removed = difference(old, new) if partial else (new.entries, [])
+    allowances = {key: changes[key] for key in SECTIONS[1:] if changes.get(key)}
+    return Configuration(
+        version=version,
+        replaces=replaces,
+        author=author,
+        plans=msgspec.json.encode(changes.get("customers", {})).decode(),
+        allowances=msgspec.json.encode(allowances).decode(),
+        partial=partial,
+        removed=tuple(removed),
+        digest=new.digest,
+    )
+
+
+def sign(record: Configuration, key_id: str, key: ed25519.Ed25519PrivateKey) -> Configuration:
+    """Return the record signed with a publisher's private key."""
+    unsigned = msgspec.structs.replace(record, key_id=key_id, signature="")
+    return msgspec.structs.replace(unsigned, signature=key.sign(_encoded(unsigned)).hex())
+
+
+def verify(record: Configuration, publishers: dict[str, str]) -> None:
+    """Check a record's signature; without any known publisher every record passes.
+
+    Args:
+        record: The record.
+        publishers: Ed25519 public keys by key id, hexadecimal.
+
+    Raises:
+        InvalidRecord: If the publisher is not known or the signature does not match.
+    """
+    if not publishers:
+        return
+    if record.key_id not in publishers:
+        raise InvalidRecord(f'publisher key "{record.key_id}" is not known')
+    key = ed25519.Ed25519PublicKey.from_public_bytes(bytes.fromhex(publishers[record.key_id]))
+    unsigned = msgspec.structs.replace(record, signature="")
+    try:
+        key.verify(bytes.fromhex(record.signature), _encoded(unsigned))
+    except (InvalidSignature, ValueError):
+        raise InvalidRecord(f'signature by key "{record.key_id}" does not match') from None
+
+
+def _encoded(record: Configuration) -> bytes:
+    return msgspec.json.encode(record)
+
+
+def decode(data: str) -> Configuration | ConfigurationCopy:
+    """Decode a record of the configuration stream.
+
+    Raises:
+        InvalidRecord: If it is neither a configuration nor a copy of one.
+    """
+    try:
+        return msgspec.json.decode(data, type=Configuration | ConfigurationCopy)
+    except msgspec.MsgspecError as exc:
+        raise InvalidRecord(f"record is malformed: {exc}") from None
+
+
+def entries_of(record: Configuration) -> Entries:
+    """Decode and check the entries that a record puts.
+
+    Raises:
+        InvalidRecord: If they do not have the form of the two lists.
+    """
+    try:
+        entries: Entries = {"customers": msgspec.json.decode(record.plans, type=dict[str, dict])}
+        entries.update(msgspec.json.decode(record.allowances, type=dict[str, dict[str, dict]]))
+        for section, named in entries.items():
+            _lists.check_entries(section, named)
+    except (msgspec.MsgspecError, ValueError) as exc:
+        raise InvalidRecord(f"version {record.version} is malformed: {exc}") from None
+    return entries
+
+
+class Skipped:
+    """A record that did not take effect, and why."""
+
+    __slots__ = ("offset", "cause")
+
+    def __init__(self, *, offset: int, cause: str) -> None:
+        self.offset = offset
+        self.cause = cause
+
+
+class History:
+    """The configuration stream as read so far.
+
+    A record takes effect if it is valid and names the version in force at its offset as the one
+    that it replaces. Where records were lost to retention, the order among the rest cannot be told;
+    then only a copy that another host made is taken, and the records after its ``upto``.
+
+    Args:
+        publishers: Public keys of publishers by key id.
+    """
+
+    __slots__ = (
+        "publishers",
+        "version",
+        "offset",
+        "upto",
+        "content",
+        "lists",
+        "chain",
+        "anchor",
+        "complete",
+        "_held",
+        "_held_from",
+    )
+
+    def __init__(self, publishers: dict[str, str]) -> None:
+        self.publishers = publishers
+        self.version = 0
+        self.offset = -1  # Of the record in force, -1 if it came from a peer.
+        self.upto = -1  # Last offset of which the effect is known.
+        self.content = Content()
+        self.lists: _lists.Lists | None = None
+        self.chain: list[str] = []  # A full record, then the partial ones after it.
+        self.anchor = 0.0  # Append time of the newest full record or copy, Unix seconds.
+        self.complete = True  # False where records before those held were lost.
+        self._held: list[LogRecord] = []
+        self._held_from = 0
+
+    def read(self, records: typing.Iterable[LogRecord], *, first: int) -> list[Skipped]:
+        """Fold records in the order of their offsets.
+
+        Args:
+            records: The records that follow those read before.
+            first: Oldest offset that the log still keeps.
+
+        Returns:
+            The records that did not take effect although they are new.
+        """
+        if first > self.upto + 1 and self.complete:
+            self.complete = False
+            self._held = []
+            self._held_from = first
+        skipped = []
+        for record in records:
+            cause = self._read_one(record)
+            if cause:
+                skipped.append(Skipped(offset=record.offset, cause=cause))
+        return skipped
+
+    def _read_one(self, record: LogRecord) -> str:
+        try:
+            message = decode(record.data)
+            if isinstance(message, ConfigurationCopy):
+                return self._read_copy(record, message)
+            if message.version <= self.version and not message.partial:
+                self.anchor = max(self.anchor, self._anchor_of(record, message))
+            if record.offset <= self.upto:
+                return ""
+            if not self.complete:
+                return self._hold(record, message)
+            self.upto = record.offset
+            self._apply(record.data, message)
+        except InvalidRecord as exc:
+            if self.complete:
+                self.upto = max(self.upto, record.offset)
+            return str(exc)
+        self.offset = record.offset
+        if not message.partial:
+            self.anchor = record.time
+        return ""
+
+    def _anchor_of(self, record: LogRecord, message: Configuration) -> float:
+        return record.time if record.data in self.chain[:1] else 0.0
+
+    def _hold(self, record: LogRecord, message: Configuration) -> str:
+        if self.version == 0 and message.replaces == 0 and not message.partial:
+            # Nobody can have put another one in force before it: it follows nothing.
+            self.complete = True
+            self.upto = record.offset
+            self._apply(record.data, message)
+            self.offset = record.offset
+            self.anchor = record.time
+            return ""
+        if not self._held or record.offset > self._held[-1].offset:
+            self._held.append(record)
+        return ""
+
+    def _read_copy(self, record: LogRecord, copy: ConfigurationCopy) -> str:
+        self.adopt(copy)
+        if copy.version <= self.version:
+            self.anchor = max(self.anchor, record.time)
+        if self.complete:
+            self.upto = max(self.upto, record.offset)
+        return ""
+
+    def adopt(self, copy: ConfigurationCopy) -> bool:
+        """Take over a later version from the records that led another host to it.
+
+        Args:
+            copy: The records, from the log or from a peer.
+
+        Returns:
+            Whether a later version is in force now.
+
+        Raises:
+            InvalidRecord: If a record of the copy is forged, truncated or out of order.
+        """
+        before = self.version
+        if copy.version > self.version:
+            self._follow(copy)
+        if not self.complete and copy.upto >= self._held_from - 1 and copy.version <= self.version:
+            self._resume(copy)
+        elif self.complete and copy.version == self.version > before:
+            self.upto = max(self.upto, copy.upto)
+        return self.version > before
+
+    def _follow(self, copy: ConfigurationCopy) -> None:
+        reached = self._fork()
+        for data in copy.records:
+            message = decode(data)
+            if not isinstance(message, Configuration):
+                raise InvalidRecord("copy contains a record that is no configuration")
+            if message.version <= reached.version:
+                continue
+            reached._apply(data, message, linked=message.partial)
+        if reached.version != copy.version:
+            raise InvalidRecord(f"copy of version {copy.version} ends at {reached.version}")
+        self.version = reached.version
+        self.content = reached.content
+        self.lists = reached.lists
+        self.chain = reached.chain
+        self.offset = -1
+
+    def _fork(self) -> "History":
+        fork = History(self.publishers)
+        fork.version = self.version
+        fork.content = self.content
+        fork.lists = self.lists
+        fork.chain = list(self.chain)
+        return fork
+
+    def _resume(self, copy: ConfigurationCopy) -> None:
+        held = [record for record in self._held if record.offset > copy.upto]
+        self.complete = True
+        self.upto = max(self.upto, copy.upto)
+        self._held = []
+        for record in held:
+            self._read_one(record)
+
+    def _apply(self, data: str, message: Configuration, *, linked: bool = True) -> None:
+        if linked and message.replaces != self.version:
+            raise InvalidRecord(
+                f"version {message.version} by {message.author} replaces {message.replaces}, "
+                f"but {self.version} is in force"
+            )
+        if message.version <= self.version:
+            raise InvalidRecord(f"version {message.version} is not after {self.version}")
+        verify(message, self.publishers)
+        base = self.content if message.partial else Content()
+        entries = entries_of(message)
+        content = base.changed(entries, message.removed)
+        if content.digest != message.digest:
+            raise InvalidRecord(f"digest of version {message.version} does not match")
+        earlier = self.lists if message.partial else None
+        self.lists = _lists.changed(earlier, message.version, entries, message.removed)
+        self.content = content
+        self.version = message.version
+        self.chain = [*self.chain, data] if message.partial else [data]
+
+    def copy(self, after: int = 0) -> ConfigurationCopy:
+        """Return the records that lead to the version in force, for a peer or the log.
+
+        Args:
+            after: Version that the receiver has, or 0.
+        """
+        records = [data for data in self.chain if decode(data).version > after]
+        linked = bool(records) and decode(records[0]).replaces <= after
+        return ConfigurationCopy(
+            upto=self.upto, version=self.version, records=tuple(records if linked else self.chain)
+        )
--- a/src/wasabiwick/_lists.py
+++ b/src/wasabiwick/_lists.py
@@ -149,8 +149,98 @@
         return self.plans.get(customer.plan)
 
 
+class _CustomerEntry(msgspec.Struct):
+    plan: str
+    keys: tuple[str, ...] = ()
+
+
+class _PlanEntry(msgspec.Struct):
+    models: tuple[str, ...] = ()
+    services: tuple[str, ...] = ()
+    rate: float = 100.0
+    burst: float = 200.0
+    concurrency: int = 1_000
+    tokens_per_minute: float = 10_000_000.0
+    priority: int = 0
+    may_wait: bool = False
+
+
+class _ServiceEntry(msgspec.Struct):
+    idempotent: tuple[str, ...] = ()
+    accepts_key: bool = False
+    can_query: bool = False
+    fencing: typing.Literal["honoured", "ignored"] = "ignored"
+
+
+class _ModelEntry(msgspec.Struct):
+    version: str = "1"
+    minimum: int = 1
+    fencing: typing.Literal["honoured", "ignored"] = "ignored"
+
+
+_FORMS = {
+    "customers": (_CustomerEntry, Customer),
+    "plans": (_PlanEntry, Plan),
+    "services": (_ServiceEntry, ServiceTraits),
+    "models": (_ModelEntry, ModelTraits),
+}
+
+
+def check_entries(section: str, entries: dict[str, dict]) -> None:
+    """Check the form of one section's entries; unknown fields pass, for later versions use them.
+
+    Args:
+        section: ``customers``, ``plans``, ``services`` or ``models``.
+        entries: Entries by name.
+
+    Raises:
+        ValueError: If the section does not exist or a field has a wrong type.
+    """
+    _built(section, entries)
+
+
+def _built(section: str, entries: dict[str, dict]) -> dict:
+    if section not in _FORMS:
+        raise ValueError(f'section "{section}" does not exist')
+    form, cls = _FORMS[section]
+    built = {}
+    for name, fields in entries.items():
+        try:
+            entry = msgspec.convert(fields, form)
+        except msgspec.ValidationError as exc:
+            raise ValueError(f'{section} entry "{name}": {exc}') from None
+        built[name] = cls(name=name, **msgspec.structs.asdict(entry))
+    return built
+
+
+def changed(
+    lists: Lists | None,
+    version: int,
+    entries: dict[str, dict[str, dict]],
+    removed: typing.Iterable[str] = (),
+) -> Lists:
+    """Return the lists with some entries put and others removed.
+
+    Args:
+        lists: Lists to start from, or None for empty ones.
+        version: Version of the result.
+        entries: Entries to put, by section and name.
+        removed: Entries to remove, as ``section/name``.
+
+    Raises:
+        ValueError: If an entry has not the form of its section.
+    """
+    sections = {name: dict(getattr(lists, name)) if lists else {} for name in _FORMS}
+    for path in removed:
+        section, _, name = path.partition("/")
+        sections[section].pop(name, None)
+    for section, named in entries.items():
+        sections.setdefault(section, {}).update(_built(section, named))
+    return Lists(version=version, **sections)
+
+
 def lists_from_json(version: int, plans: str, allowances: str) -> Lists:
-    """Build the lists from the JSON texts of a configuration record.
+    """Build the lists from the JSON texts of a full configuration record.
 
     Args:
         version: Version of the record.
@@ -163,19 +253,6 @@
     Raises:
         ValueError: If a text is not valid JSON of the expected form.
     """
-    customers = _named(Customer, msgspec.json.decode(plans, type=dict[str, dict]))
-    uses = msgspec.json.decode(allowances, type=dict[str, dict[str, dict]])
-    return Lists(
-        version=version,
-        customers=customers,
-        plans=_named(Plan, uses.get("plans", {})),
-        services=_named(ServiceTraits, uses.get("services", {})),
-        models=_named(ModelTraits, uses.get("models", {})),
-    )
-
-
-def _named(cls: type, entries: dict[str, dict]) -> dict:
-    try:
-        return {name: cls(name=name, **fields) for name, fields in entries.items()}
-    except TypeError as exc:
-        raise ValueError(f"{cls.__name__.lower()} has an unknown or missing field: {exc}") from None
+    entries = {"customers": msgspec.json.decode(plans, type=dict[str, dict])}
+    entries.update(msgspec.json.decode(allowances, type=dict[str, dict[str, dict]]))
+    return changed(None, version, entries)
