Decide the order of configurations alike, and watch hosts in a ring

Cause: a re-read, headless or raced configuration stream could put hosts on different versions, and membership trusted the lagging host list alone. Each host is watched by 4 others of its zone, who tell the zone of silence, return, stop and new incarnations.

--- a/src/wasabiwick/_configuration.py
+++ b/src/wasabiwick/_configuration.py
@@ -20,15 +20,15 @@
 Entries = dict[str, dict[str, dict]]
 
 
-class InvalidRecord(ValueError):
+class InvalidRecordError(ValueError):
     """A configuration record that every reader skips."""
 
 
 class Content:
     """Both lists as plain entries by section and name, with a digest kept up to date.
 
-    The digest is the sum of the hashes of all entries, so that a change costs as much as the entries
-    it touches and not as much as the lists.
+    The digest is the sum of the hashes of all entries, so that a change costs as much as the
+    entries it touches and not as much as the lists.
     """
 
     __slots__ = ("entries", "total")
@@ -50,14 +50,14 @@
             removed: Names of removed entries, as ``section/name``.
 
         Raises:
-            InvalidRecord: If an entry to remove, or a section, does not exist.
+            InvalidRecordError: If an entry to remove, or a section, does not exist.
         """
         entries = {section: dict(self.entries[section]) for section in SECTIONS}
         total = self.total
         for path in removed:
             section, _, name = path.partition("/")
             if name not in entries.get(section, ()):
-                raise InvalidRecord(f'removed entry "{path}" does not exist')
+                raise InvalidRecordError(f'removed entry "{path}" does not exist')
             total -= _entry_hash(section, name, entries[section].pop(name))
         for section, named in changes.items():
             for name, fields in named.items():
@@ -133,18 +133,18 @@
         publishers: Ed25519 public keys by key id, hexadecimal.
 
     Raises:
-        InvalidRecord: If the publisher is not known or the signature does not match.
+        InvalidRecordError: If the publisher is not known or the signature does not match.
     """
     if not publishers:
         return
     if record.key_id not in publishers:
-        raise InvalidRecord(f'publisher key "{record.key_id}" is not known')
+        raise InvalidRecordError(f'publisher key "{record.key_id}" is not known')
     key = ed25519.Ed25519PublicKey.from_public_bytes(bytes.fromhex(publishers[record.key_id]))
     unsigned = msgspec.structs.replace(record, signature="")
     try:
         key.verify(bytes.fromhex(record.signature), _encoded(unsigned))
     except (InvalidSignature, ValueError):
-        raise InvalidRecord(f'signature by key "{record.key_id}" does not match') from None
+        raise InvalidRecordError(f'signature by key "{record.key_id}" does not match') from None
 
 
 def _encoded(record: Configuration) -> bytes:
@@ -155,19 +155,19 @@
     """Decode a record of the configuration stream.
 
     Raises:
-        InvalidRecord: If it is neither a configuration nor a copy of one.
+        InvalidRecordError: If it is neither a configuration nor a copy of one.
     """
     try:
         return msgspec.json.decode(data, type=Configuration | ConfigurationCopy)
     except msgspec.MsgspecError as exc:
-        raise InvalidRecord(f"record is malformed: {exc}") from None
+        raise InvalidRecordError(f"record is malformed: {exc}") from None
 
 
 def entries_of(record: Configuration) -> Entries:
     """Decode and check the entries that a record puts.
 
     Raises:
-        InvalidRecord: If they do not have the form of the two lists.
+        InvalidRecordError: If they do not have the form of the two lists.
     """
     try:
         entries: Entries = {"customers": msgspec.json.decode(record.plans, type=dict[str, dict])}
@@ -175,7 +175,7 @@
         for section, named in entries.items():
             _lists.check_entries(section, named)
     except (msgspec.MsgspecError, ValueError) as exc:
-        raise InvalidRecord(f"version {record.version} is malformed: {exc}") from None
+        raise InvalidRecordError(f"version {record.version} is malformed: {exc}") from None
     return entries
 
 
@@ -210,8 +210,10 @@
         "chain",
         "anchor",
         "complete",
+        "_seen",
         "_held",
         "_held_from",
+        "_copied",
     )
 
     def __init__(self, publishers: dict[str, str]) -> None:
@@ -224,8 +226,10 @@
         self.chain: list[str] = []  # A full record, then the partial ones after it.
         self.anchor = 0.0  # Append time of the newest full record or copy, Unix seconds.
         self.complete = True  # False where records before those held were lost.
+        self._seen = -1  # Last offset read.
         self._held: list[LogRecord] = []
         self._held_from = 0
+        self._copied = False  # Whether a copy was read while records were held.
 
     def read(self, records: typing.Iterable[LogRecord], *, first: int) -> list[Skipped]:
         """Fold records in the order of their offsets.
@@ -237,12 +241,15 @@
         Returns:
             The records that did not take effect although they are new.
         """
-        if first > self.upto + 1 and self.complete:
+        known = self.upto if self.complete else self._seen
+        if first > known + 1:
             self.complete = False
+            self._copied = False
             self._held = []
             self._held_from = first
         skipped = []
         for record in records:
+            self._seen = max(self._seen, record.offset)
             cause = self._read_one(record)
             if cause:
                 skipped.append(Skipped(offset=record.offset, cause=cause))
@@ -253,15 +260,15 @@
             message = decode(record.data)
             if isinstance(message, ConfigurationCopy):
                 return self._read_copy(record, message)
-            if message.version <= self.version and not message.partial:
-                self.anchor = max(self.anchor, self._anchor_of(record, message))
+            if self.chain and record.data == self.chain[0]:
+                self.anchor = max(self.anchor, record.time)
             if record.offset <= self.upto:
                 return ""
             if not self.complete:
-                return self._hold(record, message)
+                return self._hold(record)
             self.upto = record.offset
             self._apply(record.data, message)
-        except InvalidRecord as exc:
+        except InvalidRecordError as exc:
             if self.complete:
                 self.upto = max(self.upto, record.offset)
             return str(exc)
@@ -270,23 +277,26 @@
             self.anchor = record.time
         return ""
 
-    def _anchor_of(self, record: LogRecord, message: Configuration) -> float:
-        return record.time if record.data in self.chain[:1] else 0.0
-
-    def _hold(self, record: LogRecord, message: Configuration) -> str:
-        if self.version == 0 and message.replaces == 0 and not message.partial:
-            # Nobody can have put another one in force before it: it follows nothing.
-            self.complete = True
-            self.upto = record.offset
-            self._apply(record.data, message)
-            self.offset = record.offset
-            self.anchor = record.time
-            return ""
+    def _hold(self, record: LogRecord) -> str:
         if not self._held or record.offset > self._held[-1].offset:
             self._held.append(record)
         return ""
 
+    def begin_anew(self) -> list[Skipped]:
+        """Fold the records held as if nothing came before them.
+
+        Called at the stream's end, where neither the log nor any host has a copy: no host was left
+        while the earlier records expired. A full record that replaces version 0 begins the order.
+        """
+        if self.complete or self.version or self._copied:
+            return []
+        held, self._held = self._held, []
+        self.complete = True
+        self.upto = self._held_from - 1
+        return self.read(held, first=self._held_from)
+
     def _read_copy(self, record: LogRecord, copy: ConfigurationCopy) -> str:
+        self._copied = True
         self.adopt(copy)
         if copy.version <= self.version:
             self.anchor = max(self.anchor, record.time)
@@ -304,7 +314,7 @@
             Whether a later version is in force now.
 
         Raises:
-            InvalidRecord: If a record of the copy is forged, truncated or out of order.
+            InvalidRecordError: If a record of the copy is forged, truncated or out of order.
         """
         before = self.version
         if copy.version > self.version:
@@ -320,12 +330,12 @@
         for data in copy.records:
             message = decode(data)
             if not isinstance(message, Configuration):
-                raise InvalidRecord("copy contains a record that is no configuration")
+                raise InvalidRecordError("copy contains a record that is no configuration")
             if message.version <= reached.version:
                 continue
             reached._apply(data, message, linked=message.partial)
         if reached.version != copy.version:
-            raise InvalidRecord(f"copy of version {copy.version} ends at {reached.version}")
+            raise InvalidRecordError(f"copy of version {copy.version} ends at {reached.version}")
         self.version = reached.version
         self.content = reached.content
         self.lists = reached.lists
@@ -350,18 +360,18 @@
 
     def _apply(self, data: str, message: Configuration, *, linked: bool = True) -> None:
         if linked and message.replaces != self.version:
-            raise InvalidRecord(
+            raise InvalidRecordError(
                 f"version {message.version} by {message.author} replaces {message.replaces}, "
                 f"but {self.version} is in force"
             )
         if message.version <= self.version:
-            raise InvalidRecord(f"version {message.version} is not after {self.version}")
+            raise InvalidRecordError(f"version {message.version} is not after {self.version}")
         verify(message, self.publishers)
         base = self.content if message.partial else Content()
         entries = entries_of(message)
         content = base.changed(entries, message.removed)
         if content.digest != message.digest:
-            raise InvalidRecord(f"digest of version {message.version} does not match")
+            raise InvalidRecordError(f"digest of version {message.version} does not match")
         earlier = self.lists if message.partial else None
         self.lists = _lists.changed(earlier, message.version, entries, message.removed)
         self.content = content
--- a/src/wasabiwick/_errors.py
+++ b/src/wasabiwick/_errors.py
@@ -101,6 +101,7 @@
 OUTCOME_UNKNOWN = Reason("outcome_unknown", 502, "the outcome of an earlier attempt is unknown")
 ENDPOINT_FAILED = Reason("endpoint_failed", 502, "the endpoint failed")
 ENDPOINT_REFUSED = Reason("endpoint_refused", 503, "the endpoint refused the work")
+ENDPOINT_LEAVING = Reason("endpoint_leaving", 503, "the endpoint is leaving")
 ENDPOINT_SILENT = Reason("endpoint_silent", 504, "the endpoint stopped answering")
 DEADLINE_PASSED = Reason("deadline_passed", 504, "the deadline passed")
 SUPERSEDED = Reason("superseded", 409, "a newer call with the same key replaced this one")
--- a/src/wasabiwick/_handlers/__init__.py
+++ b/src/wasabiwick/_handlers/__init__.py
@@ -3,7 +3,9 @@
 from . import (  # noqa: I001 - the order of import is the order of registration
     host,
     members,
+    members_watch,
     lists,
+    lists_keeping,
     calls,
     keys,
     admission,
@@ -23,7 +25,9 @@
     "host",
     "keys",
     "lists",
+    "lists_keeping",
     "members",
+    "members_watch",
     "services",
     "slots",
 ]
--- /dev/null
+++ b/src/wasabiwick/_handlers/lists_keeping.py
@@ -0,0 +1,70 @@
+"""Keeping the configuration in the log: a copy is appended before the records expire.
+
+The delay until a copy is due is drawn anew on each host, and reset on all when one host's copy is
+read. So a copy is appended once, and not once per host.
+"""
+
+import typing
+
+from .._effects import AppendLog, Count, StartTimer
+from .._events import LogAppendFailed, LogRead, TimerFired
+from .._reducer import Step, handles, on_timer
+from .._settings import Settings
+from .._state import State, state_slice
+from . import lists
+
+EARLIEST = 0.5  # Share of a record's life after which the first host may append a copy.
+LATEST = 0.75  # Share after which the last host does.
+LOST_SPREAD = 60.0  # Seconds over which hosts spread where the log has lost the record already.
+RETRY_SPREAD = 10.0  # Seconds over which a failed append is repeated.
+TAG = "keep"
+
+
+@state_slice("lists_keeping")
+class KeepingState:
+    """Append time of the record that the running timer is set for, Unix seconds, or -1."""
+
+    __slots__ = ("anchor",)
+
+    def __init__(self, cfg: Settings) -> None:
+        self.anchor = -1.0
+
+
+@handles(LogRead)
+def schedule(state: State, event: LogRead) -> typing.Iterator[Step]:
+    """Set the timer anew where a newer full record or copy was read."""
+    history = state["lists"].history
+    mine = state["lists_keeping"]
+    at_end = event.next >= event.end
+    if event.stream != lists.STREAM or event.tag or not (at_end and history.version):
+        return
+    if history.anchor == mine.anchor:
+        return
+    mine.anchor = history.anchor
+    yield StartTimer(timer="lists_keep", delay=_delay(state, event.at))
+
+
+def _delay(state: State, at: float) -> float:
+    anchor = state["lists_keeping"].anchor
+    if not anchor:
+        return state.rng.uniform(0, LOST_SPREAD)
+    due = anchor + state.cfg.once.keep * state.rng.uniform(EARLIEST, LATEST)
+    return max(state.rng.uniform(0, LOST_SPREAD), due - state.wall(at))
+
+
+@on_timer("lists_keep")
+def append(state: State, event: TimerFired) -> typing.Iterator[Step]:
+    """Append a copy of the records that lead to the version in force."""
+    history = state["lists"].history
+    if not history.complete or lists.current(state) is None:
+        yield StartTimer(timer="lists_keep", delay=LOST_SPREAD)
+        return
+    yield Count(metric="configuration_kept")
+    yield AppendLog(stream=lists.STREAM, tag=TAG, records=(history.copy(),))
+
+
+@handles(LogAppendFailed)
+def retry(state: State, event: LogAppendFailed) -> typing.Iterator[Step]:
+    """Append again later, unless another host's copy is read first."""
+    if event.stream == lists.STREAM and event.tag == TAG:
+        yield StartTimer(timer="lists_keep", delay=state.rng.uniform(0, RETRY_SPREAD))
--- a/src/wasabiwick/_handlers/members.py
+++ b/src/wasabiwick/_handlers/members.py
@@ -1,24 +1,75 @@
-"""Membership: live hosts and usable endpoints, from the host list."""
+"""Membership: live hosts and usable endpoints.
+
+The host list lags. It is joined with what hosts of the zone see of each other (`members_watch`,
+which keeps the peers of this slice), with failed calls, and with signs that an endpoint is leaving.
+"""
 
 import typing
 
 from .. import _rendezvous
-from .._effects import FetchHostList, StartTimer
-from .._events import Booted, HostListFailed, HostsListed, MembersChanged, TimerFired
+from .._effects import Count, FetchHostList, StartTimer
+from .._errors import ENDPOINT_LEAVING
+from .._events import (
+    AttemptFailed,
+    Booted,
+    Event,
+    HostListFailed,
+    HostsListed,
+    MembersChanged,
+    TimerFired,
+)
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
 from .._wire import HostEntry, Owner
 
+LEAVING_PASSED_ON = 10.0  # Seconds after the first sign in which neighbours are told.
+LEAVING_KEPT = 60.0  # Seconds after which only the host list's word counts.
+READERS = 4  # Hosts of a zone that read the host list within one interval of the settings.
+LONGEST_LIST_DELAY = 10.0  # Seconds.
+WATCHERS = 4  # Hosts that receive one host's heartbeats.
+
+LIVE = "live"
+SILENT = "silent"
+DEAD = "dead"
+STOPPING = "stopping"
+
+
+class Peer:
+    """What is known of another host of the zone.
+
+    Args:
+        at: Monotonic time at which it was first known.
+    """
+
+    __slots__ = ("incarnation", "retired", "heard", "state", "reports", "failures", "failed_at")
+
+    def __init__(self, *, at: float) -> None:
+        self.incarnation = ""
+        self.retired: set[str] = set()
+        self.heard = at
+        self.state = LIVE  # As this host itself sees it.
+        self.reports: dict[str, str] = {}  # State by reporting watcher.
+        self.failures = 0  # Calls in a row that failed.
+        self.failed_at = 0.0
+
 
 @state_slice("members")
 class MembersState:
-    """Entries of the host list by name."""
+    """Entries of the host list by name, peers of the zone, and endpoints known to be leaving."""
 
-    __slots__ = ("entries",)
+    __slots__ = ("entries", "peers", "leaving", "hosts", "endpoints", "order")
 
     def __init__(self, cfg: Settings) -> None:
         self.entries: dict[str, HostEntry] = {}
+        self.peers: dict[str, Peer] = {}
+        self.leaving: dict[str, float] = {}  # Monotonic time of the first sign.
+        self.hosts: dict[str, list[str]] = {}  # Live hosts by zone.
+        self.endpoints: dict[str, list[HostEntry]] = {}  # Usable endpoints by service.
+        self.order: list[str] = []  # The zone's ring, empty until it is worked out again.
+
+
+# --- What others ask -----------------------------------------------------------------------------
 
 
 def address_of(state: State, name: str) -> str:
@@ -34,30 +85,48 @@
 
 
 def live_hosts(state: State, zone: str) -> list[str]:
-    """Return the names of a zone's live entry hosts that take roles, this one included."""
-    names = {
-        entry.name
-        for entry in state["members"].entries.values()
-        if entry.kind == "entry" and entry.zone == zone and not entry.leaving
-    }
+    """Return the names of a zone's live entry hosts that take roles, in order.
+
+    This host is one of them unless it is stopping. Hosts of other zones are judged by the
+    host list only.
+    """
+    names = state["members"].hosts.get(zone, ())
+    own = state.owner.host
     if zone == state.zone and not state.stopping:
-        names.add(state.owner.host)
-    return sorted(names)
+        return list(names) if own in names else sorted([*names, own])
+    return [name for name in names if name != own or not state.stopping]
 
 
 def is_live(state: State, owner: Owner) -> bool:
-    """Tell whether this run of a host may still be alive."""
-    entry = state["members"].entries.get(owner.host)
-    return entry is not None or owner == state.owner
+    """Tell whether this run of a host may still be alive.
+
+    It is not after a newer incarnation was seen, or after its watchers agreed that it was silent
+    for too long.
+    """
+    mine = state["members"]
+    if owner.host == state.owner.host:
+        return owner == state.owner
+    peer = mine.peers.get(owner.host)
+    if peer is None:
+        return owner.host in mine.entries
+    return owner.incarnation not in peer.retired and not agreed(state, owner.host, DEAD)
 
 
 def usable_endpoints(state: State, service: str) -> list[HostEntry]:
     """Return the endpoints of a service or model that may get new work."""
-    return [
-        entry
-        for entry in state["members"].entries.values()
-        if entry.service == service and entry.kind != "entry" and not entry.leaving
-    ]
+    return list(state["members"].endpoints.get(service, ()))
+
+
+def is_usable(state: State, name: str) -> bool:
+    """Tell whether an endpoint is in the host list and not known to be leaving."""
+    entry = state["members"].entries.get(name)
+    return entry is not None and not entry.leaving and name not in state["members"].leaving
+
+
+def endpoints_of(state: State, zone: str) -> list[HostEntry]:
+    """Return all engines of a zone in the host list, leaving ones included."""
+    entries = state["members"].entries.values()
+    return [entry for entry in entries if entry.kind == "engine" and entry.zone == zone]
 
 
 def role_owner(state: State, role: str, zone: str) -> str:
@@ -66,6 +135,137 @@
     return _rendezvous.owner_of(role, hosts)
 
 
+def leaving_signs(state: State, at: float) -> tuple[tuple[str, float], ...]:
+    """Return the endpoints to tell neighbours of, with the seconds since the first sign."""
+    signs = state["members"].leaving.items()
+    return tuple(
+        (name, round(at - since, 1)) for name, since in signs if at - since < LEAVING_PASSED_ON
+    )
+
+
+# --- The ring of watchers ------------------------------------------------------------------------
+
+
+def ring(state: State) -> list[str]:
+    """Return all hosts of the zone that are in the list or were heard, in an order all share."""
+    mine = state["members"]
+    if not mine.order:
+        mine.order = _rendezvous.ranked(state.zone, mine.peers.keys() | {state.owner.host})
+    return mine.order
+
+
+def meet(state: State, host: str, at: float) -> Peer:
+    """Return the record of a host of the zone, made anew if the host was not known."""
+    mine = state["members"]
+    if host not in mine.peers:
+        mine.peers[host] = Peer(at=at)
+        mine.order = []
+    return mine.peers[host]
+
+
+def watchers_of(state: State, host: str) -> list[str]:
+    """Return the hosts that receive a host's heartbeats: those next to it in the ring."""
+    names = ring(state)
+    if host not in names:
+        return []
+    at = names.index(host)
+    following = names[at + 1 :] + names[:at]
+    return following[:WATCHERS]
+
+
+def agreed(state: State, host: str, worst: str) -> bool:
+    """Tell whether enough of a host's watchers report it to be silent, or dead.
+
+    Two reports are enough, or those of all its watchers that are alive: one lost link makes one
+    watcher deaf, not two.
+    """
+    peer = state["members"].peers[host]
+    if peer.state == LIVE and not peer.reports:
+        return False
+    watchers = watchers_of(state, host)
+    reports = dict(peer.reports)
+    if state.owner.host in watchers:
+        reports[state.owner.host] = peer.state
+    wanted = (DEAD,) if worst == DEAD else (SILENT, DEAD)
+    able = sum(1 for name in watchers if _can_report(state, name))
+    matching = sum(1 for told in reports.values() if told in wanted)
+    return 0 < min(2, able) <= matching
+
+
+def _can_report(state: State, name: str) -> bool:
+    peer = state["members"].peers.get(name)
+    return name == state.owner.host or (peer is not None and peer.state == LIVE)
+
+
+# --- Changes -------------------------------------------------------------------------------------
+
+
+def refresh(state: State, at: float) -> typing.Iterator[Step]:
+    """Work out live hosts and usable endpoints again; tells the others only of a change."""
+    mine = state["members"]
+    _expire_signs(state, at)
+    hosts = _hosts_by_zone(state)
+    endpoints: dict[str, list[HostEntry]] = {}
+    for entry in mine.entries.values():
+        if entry.kind != "entry" and is_usable(state, entry.name):
+            endpoints.setdefault(entry.service, []).append(entry)
+    if hosts != mine.hosts or endpoints != mine.endpoints:
+        mine.hosts = hosts
+        mine.endpoints = endpoints
+        yield MembersChanged(at=at)
+
+
+def _hosts_by_zone(state: State) -> dict[str, list[str]]:
+    mine = state["members"]
+    hosts: dict[str, list[str]] = {}
+    for entry in mine.entries.values():
+        if entry.kind == "entry" and not entry.leaving and _takes_roles(state, entry.name):
+            hosts.setdefault(entry.zone, []).append(entry.name)
+    for names in hosts.values():
+        names.sort()
+    return hosts
+
+
+def _takes_roles(state: State, name: str) -> bool:
+    peer = state["members"].peers.get(name)
+    if peer is None:
+        return True
+    if peer.state != LIVE or STOPPING in peer.reports.values():
+        return False
+    return not agreed(state, name, SILENT)
+
+
+def _expire_signs(state: State, at: float) -> None:
+    signs = state["members"].leaving
+    for name in [name for name, since in signs.items() if at - since > LEAVING_KEPT]:
+        del signs[name]
+
+
+def note_leaving(
+    state: State, signs: typing.Iterable[tuple[str, float]], at: float
+) -> typing.Iterator[Step]:
+    """Take endpoints out of use at the first sign that they are leaving.
+
+    Args:
+        state: The host's state.
+        signs: Endpoints, each with the seconds since the first sign.
+        at: Monotonic time, seconds.
+    """
+    mine = state["members"]
+    changed = False
+    for name, age in signs:
+        since = at - age
+        if age < LEAVING_KEPT and since < mine.leaving.get(name, float("inf")):
+            changed = changed or name not in mine.leaving
+            mine.leaving[name] = since
+    if changed:
+        yield Count(metric="endpoint_leaving")
+        yield from refresh(state, at)
+
+
+# --- The host list -------------------------------------------------------------------------------
+
+
 @handles(Booted)
 def begin(state: State, event: Booted) -> typing.Iterator[Step]:
     """Read the host list at once."""
@@ -75,12 +275,44 @@
 @handles(HostsListed)
 def update(state: State, event: HostsListed) -> typing.Iterator[Step]:
     """Take over a newly read host list."""
+    mine = state["members"]
     entries = {entry.name: entry for entry in event.entries}
-    changed = entries != state["members"].entries
-    state["members"].entries = entries
-    yield StartTimer(timer="host_list", delay=state.cfg.timing.host_list)
-    if changed:
-        yield MembersChanged(at=event.at)
+    for name in [name for name in mine.leaving if _came_back(mine.entries, entries, name)]:
+        del mine.leaving[name]
+    for entry in entries.values():
+        if entry.kind != "entry" and entry.leaving:
+            mine.leaving.setdefault(entry.name, event.at)
+    mine.entries = entries
+    _follow_hosts(state, event)
+    yield StartTimer(timer="host_list", delay=_list_delay(state))
+    yield from refresh(state, event.at)
+
+
+def _list_delay(state: State) -> float:
+    """The hosts of a large zone read the list in turn; signs of leaving reach all by heartbeat."""
+    turns = max(1.0, len(ring(state)) / READERS)
+    delay = min(LONGEST_LIST_DELAY, state.cfg.timing.host_list * turns)
+    return max(delay, state.cfg.timing.host_list)
+
+
+def _came_back(before: dict[str, HostEntry], after: dict[str, HostEntry], name: str) -> bool:
+    """An endpoint that had left the list, or moved, is another one under the same name."""
+    new, old = after.get(name), before.get(name)
+    if new is None or new.leaving:
+        return False
+    return old is None or old.address != new.address or old.leaving
+
+
+def _follow_hosts(state: State, event: Event) -> None:
+    """Watch the zone's hosts that the list names, and forget silent ones that it dropped."""
+    mine = state["members"]
+    for entry in mine.entries.values():
+        if entry.kind == "entry" and entry.zone == state.zone and entry.name != state.owner.host:
+            meet(state, entry.name, event.at)
+    for name, peer in list(mine.peers.items()):
+        if name not in mine.entries and event.at - peer.heard > LEAVING_KEPT:
+            del mine.peers[name]
+            mine.order = []
 
 
 @handles(HostListFailed)
@@ -93,3 +325,10 @@
 def fetch(state: State, event: TimerFired) -> typing.Iterator[Step]:
     """Read the host list again."""
     yield FetchHostList()
+
+
+@handles(AttemptFailed)
+def refused(state: State, event: AttemptFailed) -> typing.Iterator[Step]:
+    """Take an endpoint out of use that refuses work because it is leaving."""
+    if event.failure.reason is ENDPOINT_LEAVING:
+        yield from note_leaving(state, ((event.endpoint, 0.0),), event.at)
--- /dev/null
+++ b/src/wasabiwick/_handlers/members_watch.py
@@ -0,0 +1,205 @@
+"""Heartbeats: each host of a zone is watched by the few hosts that follow it in a ring.
+
+So the traffic of a host does not grow with the zone. A watcher tells the whole zone when a host
+falls silent, comes back or stops; that is rare.
+"""
+
+import typing
+
+from .._effects import Count, LogLine, SendPeer, StartTimer
+from .._events import Booted, PeerFailed, PeerMessage, StopAsked, TimerFired
+from .._reducer import Step, handles, on_message, on_timer
+from .._settings import Settings
+from .._state import State, state_slice
+from .._wire import Heartbeat, HostSeen, Owner
+from . import lists, members
+from .members import DEAD, LIVE, SILENT, STOPPING
+
+MAX_FAILURES = 2  # Calls in a row that fail before a host counts as silent to this one.
+REPEAT_SILENT = 5.0  # Seconds between repeated reports of a silent host.
+
+
+@state_slice("members_watch")
+class WatchState:
+    """The sequence of this host's heartbeats, and when it sent the last one."""
+
+    __slots__ = ("sequence", "beat_at", "told_at", "watched")
+
+    def __init__(self, cfg: Settings) -> None:
+        self.sequence = 0
+        self.beat_at = 0.0
+        self.told_at: dict[str, float] = {}  # Time of the last report, by silent host.
+        self.watched: set[str] = set()
+
+
+@handles(Booted)
+def begin(state: State, event: Booted) -> typing.Iterator[Step]:
+    """Start the heartbeats."""
+    state["members_watch"].beat_at = event.at
+    yield StartTimer(timer="heartbeat", delay=state.rng.uniform(0, state.cfg.timing.heartbeat))
+
+
+@on_timer("heartbeat")
+def beat(state: State, event: TimerFired) -> typing.Iterator[Step]:
+    """Send a heartbeat to this host's watchers, and look whom it has not heard."""
+    _forgive_own_pause(state, event.at)
+    state["members_watch"].beat_at = event.at
+    yield StartTimer(timer="heartbeat", delay=state.cfg.timing.heartbeat)
+    message = _heartbeat(state, event.at)
+    for host in members.watchers_of(state, state.owner.host):
+        yield SendPeer(host=host, message=message)
+    yield from _judge(state, event.at)
+
+
+def _heartbeat(state: State, at: float) -> Heartbeat:
+    mine = state["members_watch"]
+    mine.sequence += 1
+    return Heartbeat(
+        owner=state.owner,
+        zone=state.zone,
+        sequence=mine.sequence,
+        version=lists.version(state),
+        offset=lists.offset(state),
+        stopping=state.stopping,
+        leaving=members.leaving_signs(state, at),
+    )
+
+
+def _forgive_own_pause(state: State, at: float) -> None:
+    """A host that was paused itself has heard nobody, and must not blame the others."""
+    timing = state.cfg.timing
+    if at - state["members_watch"].beat_at > timing.heartbeat + timing.peer_suspect / 2:
+        for peer in state["members"].peers.values():
+            peer.heard = at
+
+
+def _judge(state: State, at: float) -> typing.Iterator[Step]:
+    _take_watch(state, at)
+    changed = False
+    for host, peer in state["members"].peers.items():
+        seen = _state_of(state, host, peer, at)
+        if seen != peer.state:
+            peer.state = seen
+            changed = True
+            yield from _tell(state, host, at)
+        elif seen == DEAD and at - state["members_watch"].told_at.get(host, 0) > REPEAT_SILENT:
+            yield from _tell(state, host, at)
+    if changed:
+        yield from members.refresh(state, at)
+
+
+def _take_watch(state: State, at: float) -> None:
+    """Begin to count the silence of hosts that this one watches since the ring changed."""
+    watch, own = state["members_watch"], state.owner.host
+    hosts = state["members"].peers
+    watched = {host for host in hosts if own in members.watchers_of(state, host)}
+    for host in watched - watch.watched:
+        hosts[host].heard = at
+    watch.watched = watched
+
+
+def _state_of(state: State, host: str, peer: members.Peer, at: float) -> str:
+    timing = state.cfg.timing
+    silence = at - peer.heard if host in state["members_watch"].watched else 0.0
+    if silence >= timing.peer_dead:
+        return DEAD
+    if silence >= timing.peer_suspect or _unreachable(state, peer, at):
+        return SILENT
+    return STOPPING if peer.state == STOPPING else LIVE
+
+
+def _unreachable(state: State, peer: members.Peer, at: float) -> bool:
+    """A host that does not answer is tried again after a while without a failed call."""
+    return peer.failures >= MAX_FAILURES and at - peer.failed_at < state.cfg.timing.peer_dead
+
+
+def _tell(state: State, host: str, at: float) -> typing.Iterator[Step]:
+    """Tell the whole zone what this host sees of another."""
+    peer = state["members"].peers[host]
+    state["members_watch"].told_at[host] = at
+    seen = HostSeen(host=Owner(host=host, incarnation=peer.incarnation), state=peer.state)
+    yield LogLine(event="host_seen", fields={"host": host, "state": peer.state})
+    yield from _broadcast(state, seen, but=host)
+
+
+def _broadcast(state: State, message: Heartbeat | HostSeen, but: str = "") -> typing.Iterator[Step]:
+    for name in members.ring(state):
+        if name not in (but, state.owner.host):
+            yield SendPeer(host=name, message=message)
+
+
+@on_message(Heartbeat)
+def heard(state: State, event: PeerMessage) -> typing.Iterator[Step]:
+    """Note that a host lives, which version it has in force, and what it knows to be leaving."""
+    beat = event.message
+    if beat.zone == state.zone:
+        yield from _note(state, event, beat)
+    yield from members.note_leaving(state, beat.leaving, event.at)
+    yield from lists.hear(state, beat.owner.host, beat.version, event.at)
+
+
+def _note(state: State, event: PeerMessage, beat: Heartbeat) -> typing.Iterator[Step]:
+    mine = state["members"]
+    changed = beat.owner.host not in mine.peers
+    peer = members.meet(state, beat.owner.host, event.at)
+    if beat.owner.incarnation in peer.retired:
+        yield Count(metric="heartbeat_stale")
+        return
+    renewed = _adopt_incarnation(peer, beat.owner.incarnation)
+    peer.heard = event.at
+    seen = STOPPING if beat.stopping else LIVE
+    if _unreachable(state, peer, event.at):
+        return  # It can send but does not answer: heartbeats alone do not clear it.
+    if seen != peer.state or renewed:
+        peer.state = seen
+        changed = True
+        yield from _tell(state, beat.owner.host, event.at)
+    if changed:
+        yield from members.refresh(state, event.at)
+
+
+def _adopt_incarnation(peer: members.Peer, incarnation: str) -> bool:
+    """Retire the earlier run of a host once a later one is seen."""
+    if incarnation in (peer.incarnation, "") or incarnation in peer.retired:
+        return False
+    if peer.incarnation:
+        peer.retired.add(peer.incarnation)
+    peer.incarnation = incarnation
+    peer.reports.clear()
+    peer.failures = 0
+    return True
+
+
+@on_message(HostSeen)
+def told(state: State, event: PeerMessage) -> typing.Iterator[Step]:
+    """Note what a watcher saw of another host; one report alone decides little."""
+    seen = event.message
+    peer = state["members"].peers.get(seen.host.host)
+    if peer is None or seen.host.incarnation in peer.retired:
+        return
+    _adopt_incarnation(peer, seen.host.incarnation)
+    peer.reports[event.sender.host] = seen.state
+    yield from members.refresh(state, event.at)
+
+
+@handles(PeerFailed)
+def not_reached(state: State, event: PeerFailed) -> typing.Iterator[Step]:
+    """Count a call to a host of the zone that failed."""
+    peer = state["members"].peers.get(event.host)
+    if peer is None:
+        return
+    if event.at - peer.failed_at >= state.cfg.timing.peer_dead:
+        peer.failures = 0
+    peer.failures += 1
+    peer.failed_at = event.at
+    yield Count(metric="peer_failed")
+    if peer.failures >= MAX_FAILURES and peer.state == LIVE:
+        peer.state = SILENT
+        yield from _tell(state, event.host, event.at)
+        yield from members.refresh(state, event.at)
+
+
+@handles(StopAsked)
+def leave(state: State, event: StopAsked) -> typing.Iterator[Step]:
+    """Give up all roles at once: tell the whole zone now and not at the next heartbeat."""
+    yield from _broadcast(state, _heartbeat(state, event.at))
--- a/src/wasabiwick/_lists.py
+++ b/src/wasabiwick/_lists.py
@@ -1,16 +1,21 @@
 """The operators' two lists: the plans that customers hold, and what each plan may use."""
 
+import collections.abc
+import functools
 import typing
 
 import msgspec
 
+from . import _schema
+from ._fields import Fencing, Hex64, Name, NotNegative, NotNegativeInt
+
 
 class Customer:
     """One customer: its plan and the hashes of its API keys (SHA-256, hexadecimal)."""
 
     __slots__ = ("name", "plan", "keys")
 
-    def __init__(self, *, name: str, plan: str, keys: typing.Iterable[str] = ()) -> None:
+    def __init__(self, *, name: Name, plan: Name, keys: typing.Iterable[Hex64] = ()) -> None:
         self.name = name
         self.plan = plan
         self.keys = tuple(keys)
@@ -46,13 +51,13 @@
     def __init__(
         self,
         *,
-        name: str,
-        models: typing.Iterable[str] = (),
-        services: typing.Iterable[str] = (),
-        rate: float = 100.0,
-        burst: float = 200.0,
-        concurrency: int = 1_000,
-        tokens_per_minute: float = 10_000_000.0,
+        name: Name,
+        models: typing.Iterable[Name] = (),
+        services: typing.Iterable[Name] = (),
+        rate: NotNegative = 100.0,
+        burst: NotNegative = 200.0,
+        concurrency: NotNegativeInt = 1_000,
+        tokens_per_minute: NotNegative = 10_000_000.0,
         priority: int = 0,
         may_wait: bool = False,
     ) -> None:
@@ -84,11 +89,11 @@
     def __init__(
         self,
         *,
-        name: str,
+        name: Name,
         idempotent: typing.Iterable[str] = (),
         accepts_key: bool = False,
         can_query: bool = False,
-        fencing: str = "ignored",
+        fencing: Fencing = "ignored",
     ) -> None:
         self.name = name
         self.idempotent = tuple(idempotent)
@@ -111,7 +116,12 @@
     __slots__ = ("name", "version", "minimum", "fencing")
 
     def __init__(
-        self, *, name: str, version: str = "1", minimum: int = 1, fencing: str = "ignored"
+        self,
+        *,
+        name: Name,
+        version: Name = "1",
+        minimum: NotNegativeInt = 1,
+        fencing: Fencing = "ignored",
     ) -> None:
         self.name = name
         self.version = version
@@ -149,41 +159,28 @@
         return self.plans.get(customer.plan)
 
 
-class _CustomerEntry(msgspec.Struct):
-    plan: str
-    keys: tuple[str, ...] = ()
-
-
-class _PlanEntry(msgspec.Struct):
-    models: tuple[str, ...] = ()
-    services: tuple[str, ...] = ()
-    rate: float = 100.0
-    burst: float = 200.0
-    concurrency: int = 1_000
-    tokens_per_minute: float = 10_000_000.0
-    priority: int = 0
-    may_wait: bool = False
-
-
-class _ServiceEntry(msgspec.Struct):
-    idempotent: tuple[str, ...] = ()
-    accepts_key: bool = False
-    can_query: bool = False
-    fencing: typing.Literal["honoured", "ignored"] = "ignored"
-
-
-class _ModelEntry(msgspec.Struct):
-    version: str = "1"
-    minimum: int = 1
-    fencing: typing.Literal["honoured", "ignored"] = "ignored"
+_CLASSES = {
+    "customers": Customer,
+    "plans": Plan,
+    "services": ServiceTraits,
+    "models": ModelTraits,
+}
 
 
-_FORMS = {
-    "customers": (_CustomerEntry, Customer),
-    "plans": (_PlanEntry, Plan),
-    "services": (_ServiceEntry, ServiceTraits),
-    "models": (_ModelEntry, ModelTraits),
-}
+@functools.cache
+def _form_of(section: str) -> type[msgspec.Struct]:
+    """Return the form of a section's JSON entries, made from its class's constructor."""
+    required, optional = [], []
+    for param in _schema.params_of(_CLASSES[section]).values():
+        if param.name == "name":
+            continue
+        sequence = typing.get_origin(param.kind) is collections.abc.Iterable
+        kind = tuple[str, ...] if sequence else param.kind
+        if param.required:
+            required.append((param.name, kind))
+        else:
+            optional.append((param.name, kind, param.default))
+    return msgspec.defstruct(f"{_CLASSES[section].__name__}Entry", [*required, *optional])
 
 
 def check_entries(section: str, entries: dict[str, dict]) -> None:
@@ -200,9 +197,9 @@
 
 
 def _built(section: str, entries: dict[str, dict]) -> dict:
-    if section not in _FORMS:
+    if section not in _CLASSES:
         raise ValueError(f'section "{section}" does not exist')
-    form, cls = _FORMS[section]
+    form, cls = _form_of(section), _CLASSES[section]
     built = {}
     for name, fields in entries.items():
         try:
@@ -230,7 +227,7 @@
     Raises:
         ValueError: If an entry has not the form of its section.
     """
-    sections = {name: dict(getattr(lists, name)) if lists else {} for name in _FORMS}
+    sections = {name: dict(getattr(lists, name)) if lists else {} for name in _CLASSES}
     for path in removed:
         section, _, name = path.partition("/")
         sections[section].pop(name, None)
