--- a/src/wasabiwick/_effects.py
+++ b/src/wasabiwick/_effects.py
@@ -190,13 +190,19 @@
 
 
 class QueryService(AttemptEffect):
-    """Ask a service by key what became of a call; answers arrive as `ServiceAnswered`."""
+    """Ask a service by key what became of a call; answers arrive as `ServiceAnswered`.
 
-    __slots__ = ("service",)
+    A service that honours fencing refuses calls with a number below ``fence`` from then on.
+    """
 
-    def __init__(self, *, request_id: str, attempt_id: str, endpoint: str, service: str) -> None:
+    __slots__ = ("service", "fence")
+
+    def __init__(
+        self, *, request_id: str, attempt_id: str, endpoint: str, service: str, fence: int = -1
+    ) -> None:
         super().__init__(request_id=request_id, attempt_id=attempt_id, endpoint=endpoint)
         self.service = service
+        self.fence = fence
 
 
 class FetchReport(Effect):
--- /dev/null
+++ b/src/wasabiwick/_fuzz/_network.py
@@ -0,0 +1,207 @@
+"""Delivery of what is on its way: in full, not at all, without its answer, or late."""
+
+import enum
+import functools
+
+from .._effects import AppendLog, CallService, QueryService, ReadLog, SendPeer
+from .._errors import ENDPOINT_FAILED, LOG_UNAVAILABLE, Failure, Reason
+from .._events import (
+    AttemptFailed,
+    LogAppended,
+    LogAppendFailed,
+    LogRead,
+    LogReadFailed,
+    PeerFailed,
+    PeerMessage,
+    ServiceAnswered,
+)
+from .._verdict import Verdict
+from ._fleet import Fleet, Host, Item
+from ._service import Answer, FakeService
+
+
+class Fate(enum.Enum):
+    """What becomes of something on its way."""
+
+    DELIVERED = "delivered"
+    REFUSED = "refused"  # Not delivered, and the sender knows.
+    LOST = "lost"  # Not delivered, and the sender can't tell.
+    CUT = "cut"  # Delivered, but the answer is lost.
+    LATE = "late"  # The sender hears of a failure first; it is delivered some time later.
+
+
+class Network:
+    """Decides what becomes of the items of a fleet.
+
+    Args:
+        fleet: The hosts and what is on its way between them.
+        services: Fake services by name.
+    """
+
+    def __init__(self, fleet: Fleet, services: dict[str, FakeService]) -> None:
+        self.fleet = fleet
+        self.services = services
+
+    def settle(self, rounds: int = 400) -> None:
+        """Deliver everything until nothing is on its way and every tail has read its end."""
+        for _ in range(rounds):
+            if self.fleet.items:
+                self.meet(0, Fate.DELIVERED)
+            elif not self.read_tails():
+                return
+        raise RuntimeError("hosts exchange messages without end")
+
+    def meet(self, index: int, fate: Fate) -> None:
+        """Take one item off its way."""
+        item = self.fleet.items.pop(index)
+        if fate is Fate.LATE:
+            self.fleet.items.append(_unanswered(item))
+            fate = Fate.LOST
+        self._carry_out(item.effect, item, fate)
+
+    def read_tails(self, name: str | None = None) -> bool:
+        """Deliver new records to the tails of one host or of all; false if there were none."""
+        fleet = self.fleet
+        moved = False
+        for host in fleet.running():
+            if name in (None, host.name) and not host.paused and fleet.log.up:
+                moved = self._read_tails_of(host) or moved
+        return moved
+
+    def _read_tails_of(self, host: Host) -> bool:
+        moved = False
+        for stream, offset in list(host.tails.items()):
+            records = self.fleet.log.read(stream, offset)
+            if not records and (host.name, host.runs, stream) in self._seen:
+                continue
+            self._seen.add((host.name, host.runs, stream))
+            end = self.fleet.log.end(stream)
+            host.tails[stream] = end
+            moved = True
+            self.fleet.post(
+                host,
+                LogRead(
+                    at=self.fleet.now,
+                    stream=stream,
+                    tag="",
+                    records=records,
+                    next=end,
+                    first=0,
+                    end=end,
+                ),
+            )
+        return moved
+
+    @functools.cached_property
+    def _seen(self) -> set[tuple[str, int, str]]:
+        return set()
+
+    # --- Kinds of items --------------------------------------------------------------------------
+
+    @functools.singledispatchmethod
+    def _carry_out(self, effect: object, item: Item, fate: Fate) -> None:
+        raise TypeError(f"effect {type(effect).__name__!r} can't be delivered")
+
+    @_carry_out.register
+    def _(self, effect: SendPeer, item: Item, fate: Fate) -> None:
+        if fate in (Fate.DELIVERED, Fate.CUT):
+            host = self.fleet.hosts.get(effect.host)
+            if host and host.alive:
+                message = PeerMessage(
+                    at=self.fleet.now,
+                    sender=item.host.owner,
+                    zone=item.host.zone,
+                    message=effect.message,
+                )
+                self.fleet.post(host, message)
+            else:
+                fate = Fate.REFUSED
+        if fate is not Fate.DELIVERED:
+            verdict = Verdict.NOT_RUN if fate is Fate.REFUSED else Verdict.MAY_HAVE_RUN
+            failed = PeerFailed(
+                at=self.fleet.now, host=effect.host, message=effect.message, verdict=verdict
+            )
+            self._reply(item, failed)
+
+    @_carry_out.register
+    def _(self, effect: AppendLog, item: Item, fate: Fate) -> None:
+        log = self.fleet.log
+        if not log.up and fate is not Fate.LATE:
+            fate = Fate.LOST if fate is Fate.CUT else Fate.REFUSED
+        if fate in (Fate.DELIVERED, Fate.CUT):
+            offset = log.append(effect.stream, effect.records, self.fleet.wall)
+            if fate is Fate.DELIVERED:
+                appended = LogAppended(
+                    at=self.fleet.now, stream=effect.stream, tag=effect.tag, offset=offset
+                )
+                self._reply(item, appended)
+                return
+        failure = _failure(LOG_UNAVAILABLE, fate)
+        failed = LogAppendFailed(
+            at=self.fleet.now, stream=effect.stream, tag=effect.tag, failure=failure
+        )
+        self._reply(item, failed)
+
+    @_carry_out.register
+    def _(self, effect: ReadLog, item: Item, fate: Fate) -> None:
+        log = self.fleet.log
+        if fate is not Fate.DELIVERED or not log.up:
+            failed = LogReadFailed(at=self.fleet.now, stream=effect.stream, tag=effect.tag)
+            self._reply(item, failed)
+            return
+        end = log.end(effect.stream)
+        read = LogRead(
+            at=self.fleet.now,
+            stream=effect.stream,
+            tag=effect.tag,
+            records=log.read(effect.stream, effect.offset),
+            next=end,
+            first=0,
+            end=end,
+        )
+        self._reply(item, read)
+
+    @_carry_out.register
+    def _(self, effect: CallService, item: Item, fate: Fate) -> None:
+        answer = None
+        if fate in (Fate.DELIVERED, Fate.CUT):
+            answer = self.services[effect.service].call(effect)
+        self._answer(item, fate, answer)
+
+    @_carry_out.register
+    def _(self, effect: QueryService, item: Item, fate: Fate) -> None:
+        answer = None
+        if fate in (Fate.DELIVERED, Fate.CUT):
+            answer = self.services[effect.service].query(effect)
+        self._answer(item, fate, answer)
+
+    def _answer(self, item: Item, fate: Fate, answer: Answer | None) -> None:
+        effect = item.effect
+        place = {
+            "at": self.fleet.now,
+            "request_id": effect.request_id,
+            "attempt_id": effect.attempt_id,
+            "endpoint": effect.endpoint,
+        }
+        if fate is Fate.DELIVERED:
+            answered = ServiceAnswered(**place, status=answer.status, body=answer.body)
+            self._reply(item, answered)
+            return
+        phase = "service" if isinstance(effect, CallService) else "query"
+        failed = AttemptFailed(**place, phase=phase, failure=_failure(ENDPOINT_FAILED, fate))
+        self._reply(item, failed)
+
+    def _reply(self, item: Item, event: object) -> None:
+        if item.reply:
+            self.fleet.post(item.host, event, run=item.run)
+
+
+def _unanswered(item: Item) -> Item:
+    late = Item(host=item.host, effect=item.effect, reply=False)
+    late.run = item.run
+    return late
+
+
+def _failure(reason: Reason, fate: Fate) -> Failure:
+    verdict = Verdict.NOT_RUN if fate is Fate.REFUSED else Verdict.MAY_HAVE_RUN
+    return Failure(reason=reason, verdict=verdict)
--- a/src/wasabiwick/_handlers/__init__.py
+++ b/src/wasabiwick/_handlers/__init__.py
@@ -11,6 +11,8 @@
     generation,
     cancels,
     services,
+    once_shard,
+    once,
     closing,
 )
 
@@ -24,6 +26,8 @@
     "keys",
     "lists",
     "members",
+    "once",
+    "once_shard",
     "services",
     "slots",
 ]
--- a/src/wasabiwick/_handlers/calls.py
+++ b/src/wasabiwick/_handlers/calls.py
@@ -136,9 +136,11 @@
 def _join(state: State, req: Request, event: CallArrived) -> typing.Iterator[Step]:
     call = event.call
     if call.digest != req.call.digest or call.key_hash != req.call.key_hash:
+        # Another host may have run this body under the key before.
+        verdict = Verdict.NOT_RUN if call.kind == "generate" else Verdict.MAY_HAVE_RUN
         failure = Failure(
             reason=KEY_REUSED,
-            verdict=Verdict.NOT_RUN,
+            verdict=verdict,
             detail="the Idempotency-Key is in use for a request with another body",
         )
         yield RefuseCall(call_id=call.call_id, failure=failure)
--- a/src/wasabiwick/_handlers/members.py
+++ b/src/wasabiwick/_handlers/members.py
@@ -33,6 +33,12 @@
     return entry.zone if entry else ""
 
 
+def zones(state: State) -> list[str]:
+    """Return the availability zones that have entry hosts, this host's own included."""
+    entries = state["members"].entries.values()
+    return sorted({entry.zone for entry in entries if entry.kind == "entry"} | {state.zone})
+
+
 def live_hosts(state: State, zone: str) -> list[str]:
     """Return the names of a zone's live entry hosts that take roles, this one included."""
     names = {
--- /dev/null
+++ b/src/wasabiwick/_handlers/once_shard.py
@@ -0,0 +1,338 @@
+"""Shards of work that may run only once: their coordinator reads and appends for a whole zone.
+
+The keys are spread over log streams. In each availability zone one live host coordinates a shard:
+it follows the stream, folds it, appends in groups what other hosts ask it to, and tells them the
+state of their keys. It is a soft role. A stale or second coordinator tells an older prefix of the
+same stream, which is safe, because only the log decides which attempt wins.
+"""
+
+import typing
+
+import msgspec
+import xxhash
+
+from .. import _fold
+from .._effects import AppendLog, Count, ReadLog, SendPeer, StartTimer, TailLog
+from .._events import (
+    LogAppended,
+    LogAppendFailed,
+    LogRead,
+    LogReadFailed,
+    PeerMessage,
+    TimerFired,
+)
+from .._reducer import Step, handles, on_message, on_timer
+from .._settings import Settings
+from .._state import State, state_slice
+from .._wire import Checkpoint, KeyAsk, KeyState, KeyTold, LogRecord
+from . import members
+from .host import busy_check
+
+STREAM_PREFIX = "effects-"
+WATCH = 10.0  # Seconds for which a host is told the changes of a key that it asked for.
+APPENDS_PER_SECOND = 160.0  # Of all hosts together; leaves room for other streams of the log.
+APPEND_BURST = 4.0
+RETRY_FIRST = 0.1  # Seconds until a failed append or read is tried again.
+RETRY_LAST = 2.0
+
+
+class Shard:
+    """What the coordinator of a shard keeps."""
+
+    __slots__ = (
+        "number",
+        "keys",
+        "position",
+        "ready",
+        "watchers",
+        "queue",
+        "in_flight",
+        "unresolved",
+        "failures",
+    )
+
+    def __init__(self, *, number: int) -> None:
+        self.number = number
+        self.keys: dict[str, KeyState] = {}
+        self.position = 0
+        self.ready = False
+        self.watchers: dict[str, dict[str, float]] = {}
+        self.queue: list[_fold.EffectRecord] = []
+        self.in_flight: list[_fold.EffectRecord] = []
+        self.unresolved = False
+        self.failures = 0
+
+    @property
+    def stream(self) -> str:
+        """Return the name of the shard's stream."""
+        return f"{STREAM_PREFIX}{self.number}"
+
+
+@state_slice("once_shard")
+class ShardState:
+    """Shards that this host reads, and the rate at which it may append."""
+
+    __slots__ = ("shards", "tokens", "refilled", "due", "appends")
+
+    def __init__(self, cfg: Settings) -> None:
+        self.shards: dict[int, Shard] = {}
+        self.tokens = APPEND_BURST
+        self.refilled = 0.0
+        self.due = False
+        self.appends = 0
+
+
+def shard_of(state: State, key: str) -> int:
+    """Return the number of the shard that keeps a key's records."""
+    return xxhash.xxh3_64_intdigest(key.encode()) % state.cfg.once.shards
+
+
+def coordinator_of(state: State, shard: int) -> str:
+    """Return the host of this zone that reads and appends for a shard."""
+    return members.role_owner(state, f"effects/{shard}", state.zone)
+
+
+def append_rate(state: State) -> float:
+    """Return the appends per second that this host may make, so that all keep the log's limit."""
+    zones = max(1, len(members.zones(state)))
+    hosts = max(1, len(members.live_hosts(state, state.zone)))
+    return APPENDS_PER_SECOND / zones / min(hosts, state.cfg.once.shards)
+
+
+def known_key(state: State, key: str) -> KeyState | None:
+    """Return a key's state as far as this host itself has read it, or None."""
+    shard = state["once_shard"].shards.get(shard_of(state, key))
+    return shard.keys.get(key) if shard else None
+
+
+@busy_check
+def unwritten(state: State) -> int:
+    """Count records that hosts asked for and that the log has not confirmed."""
+    shards = state["once_shard"].shards.values()
+    return sum(len(shard.queue) + len(shard.in_flight) for shard in shards)
+
+
+# --- Questions -----------------------------------------------------------------------------------
+
+
+@on_message(KeyAsk)
+def asked(state: State, event: PeerMessage) -> typing.Iterator[Step]:
+    """Append the record, and tell the key's state as soon as the shard has been read."""
+    ask = event.message
+    shard = state["once_shard"].shards.get(ask.shard)
+    if shard is None:
+        shard = Shard(number=ask.shard)
+        state["once_shard"].shards[ask.shard] = shard
+        yield TailLog(stream=shard.stream, offset=0)
+    watchers = shard.watchers.setdefault(ask.key, {})
+    watchers[ask.owner.host] = event.at + WATCH
+    if ask.record:
+        _enqueue(shard, ask.record)
+        yield from _schedule(state, shard, event.at)
+    if shard.ready:
+        yield _told(shard, ask.key, ask.owner.host)
+
+
+def _enqueue(shard: Shard, record: _fold.EffectRecord) -> None:
+    if isinstance(record, _fold.Void):
+        # An intent that was never sent to the log is dropped together with its attempt.
+        shard.queue = [one for one in shard.queue if not _is_intent_of(one, record.attempt_id)]
+    if record not in shard.queue and record not in shard.in_flight:
+        shard.queue.append(record)
+
+
+def _is_intent_of(record: _fold.EffectRecord, attempt_id: str) -> bool:
+    return isinstance(record, _fold.Intent) and record.attempt_id == attempt_id
+
+
+def _told(shard: Shard, key: str, host: str) -> SendPeer:
+    message = KeyTold(
+        shard=shard.number,
+        key=key,
+        position=shard.position,
+        found=shard.keys.get(key, _fold.NEW_KEY),
+    )
+    return SendPeer(host=host, message=message)
+
+
+# --- Appends -------------------------------------------------------------------------------------
+
+
+def _schedule(state: State, shard: Shard, at: float) -> typing.Iterator[Step]:
+    """Arm the next group commit."""
+    mine = state["once_shard"]
+    if mine.due or not _sendable(shard):
+        return
+    mine.due = True
+    _refill(state, at)
+    wait = max(0.0, 1.0 - mine.tokens) / append_rate(state)
+    yield StartTimer(timer="once_commit", delay=max(state.cfg.once.commit_interval, wait))
+
+
+def _refill(state: State, at: float) -> None:
+    mine = state["once_shard"]
+    gained = (at - mine.refilled) * append_rate(state)
+    mine.tokens = min(APPEND_BURST, mine.tokens + gained)
+    mine.refilled = at
+
+
+def _sendable(shard: Shard) -> bool:
+    # Nothing is appended before the shard was read: most of what can't count is dropped then.
+    return bool(shard.queue) and shard.ready and not shard.in_flight and not shard.unresolved
+
+
+@on_timer("once_commit")
+def commit(state: State, event: TimerFired) -> typing.Iterator[Step]:
+    """Append what each shard has waiting, the longest queue first, within the append rate."""
+    mine = state["once_shard"]
+    mine.due = False
+    _refill(state, event.at)
+    waiting = sorted(
+        (shard for shard in mine.shards.values() if _sendable(shard)),
+        key=lambda shard: (-len(shard.queue), shard.number),
+    )
+    for shard in waiting:
+        shard.queue = [one for one in shard.queue if _is_useful(shard, one)]
+        if shard.queue and mine.tokens >= 1.0:
+            yield from _append(state, shard)
+    for shard in waiting:
+        yield from _schedule(state, shard, event.at)
+
+
+def _is_useful(shard: Shard, record: _fold.EffectRecord) -> bool:
+    known = shard.keys.get(record.key, _fold.NEW_KEY)
+    queued = any(_is_intent_of(one, record.attempt_id) for one in shard.queue)
+    return queued or _fold.can_count(known, record)
+
+
+def _append(state: State, shard: Shard) -> typing.Iterator[Step]:
+    mine = state["once_shard"]
+    mine.tokens -= 1.0
+    mine.appends += 1
+    shard.in_flight = shard.queue
+    shard.queue = []
+    tag = f"{shard.number}.{mine.appends}"
+    yield AppendLog(stream=shard.stream, tag=tag, records=tuple(shard.in_flight))
+    yield Count(metric="once_appends")
+    yield Count(metric="once_records", amount=len(shard.in_flight))
+
+
+def _shard_of_stream(state: State, stream: str) -> Shard | None:
+    if not stream.startswith(STREAM_PREFIX):
+        return None
+    number = stream.removeprefix(STREAM_PREFIX)
+    return state["once_shard"].shards.get(int(number)) if number.isdigit() else None
+
+
+@handles(LogAppended)
+def appended(state: State, event: LogAppended) -> typing.Iterator[Step]:
+    """Go on with the next group; the records take effect once they are read back."""
+    shard = _shard_of_stream(state, event.stream)
+    if shard is None:
+        return
+    shard.in_flight = []
+    shard.failures = 0
+    yield from _schedule(state, shard, event.at)
+
+
+@handles(LogAppendFailed)
+def append_failed(state: State, event: LogAppendFailed) -> typing.Iterator[Step]:
+    """Read the stream before anything is appended again: the records may be there."""
+    shard = _shard_of_stream(state, event.stream)
+    if shard is None:
+        return
+    yield Count(metric="once_append_failed")
+    shard.queue = [*shard.in_flight, *shard.queue]
+    shard.in_flight = []
+    shard.unresolved = True
+    yield from _back_off(shard)
+
+
+def _back_off(shard: Shard) -> typing.Iterator[Step]:
+    delay = min(RETRY_LAST, RETRY_FIRST * 2**shard.failures)
+    shard.failures = min(shard.failures + 1, 10)
+    yield StartTimer(timer="once_resolve", key=str(shard.number), delay=delay)
+
+
+@on_timer("once_resolve")
+def resolve(state: State, event: TimerFired) -> typing.Iterator[Step]:
+    """Read from where this host is to the present end of the stream."""
+    shard = state["once_shard"].shards.get(int(event.key))
+    if shard:
+        yield ReadLog(stream=shard.stream, tag="resolve", offset=shard.position)
+
+
+@handles(LogReadFailed)
+def read_failed(state: State, event: LogReadFailed) -> typing.Iterator[Step]:
+    """Try again later to resolve a lost append."""
+    shard = _shard_of_stream(state, event.stream)
+    if shard and event.tag == "resolve":
+        yield from _back_off(shard)
+
+
+# --- Records -------------------------------------------------------------------------------------
+
+
+@handles(LogRead)
+def read(state: State, event: LogRead) -> typing.Iterator[Step]:
+    """Fold the records, and tell the hosts that asked for the keys concerned."""
+    shard = _shard_of_stream(state, event.stream)
+    if shard is None:
+        return
+    touched = _take_in(state, shard, event)
+    reached_end = shard.position >= event.end
+    if reached_end and event.tag == "resolve":
+        shard.unresolved = False
+    if reached_end and not shard.ready:
+        shard.ready = True
+        touched = list(shard.watchers)
+    for key in touched:
+        yield from _tell_watchers(shard, key, event.at)
+    yield from _schedule(state, shard, event.at)
+
+
+def _take_in(state: State, shard: Shard, event: LogRead) -> list[str]:
+    if event.first > shard.position:
+        # What the log has dropped is older than any key that can still be won.
+        shard.keys.clear()
+        shard.position = event.first
+    touched = {}
+    for record in event.records:
+        if record.offset == shard.position:
+            touched[_apply(state, shard, record)] = True
+            shard.position += 1
+    touched.pop("", None)
+    return list(touched)
+
+
+def _apply(state: State, shard: Shard, record: LogRecord) -> str:
+    """Fold one record and return its key, or an empty string if it has none."""
+    try:
+        message = msgspec.json.decode(
+            record.data, type=_fold.Intent | _fold.Void | _fold.Outcome | Checkpoint
+        )
+    except msgspec.MsgspecError:
+        return ""
+    if isinstance(message, Checkpoint):
+        return ""
+    shard.keys[message.key] = _fold.fold(
+        shard.keys.get(message.key, _fold.NEW_KEY),
+        message,
+        offset=record.offset,
+        time=record.time,
+        horizon=state.cfg.once.horizon,
+    )
+    return message.key
+
+
+def _tell_watchers(shard: Shard, key: str, at: float) -> typing.Iterator[Step]:
+    watchers = shard.watchers.get(key)
+    if watchers is None:
+        return
+    for host, until in list(watchers.items()):
+        if until < at:
+            del watchers[host]
+        else:
+            yield _told(shard, key, host)
+    if not watchers:
+        del shard.watchers[key]
--- /dev/null
+++ b/src/wasabiwick/_handlers/once_work.py
@@ -0,0 +1,122 @@
+"""Work that may run only once, as the host that has the caller keeps it."""
+
+from .._errors import Failure
+from .._settings import Settings
+from .._state import State, state_slice
+from .._wire import Intent, KeyState, Outcome, Void
+from . import calls
+from .host import busy_check
+from .once_resolution import UNRESOLVED, Resolution
+
+
+class Work:
+    """One key that this host works on.
+
+    Args:
+        key: The key in the log: customer and request id.
+        shard: Number of the key's shard.
+        attempt_id: The only attempt that this work makes.
+        req: The request that waits for it.
+        base: Position up to which the log was known when the call arrived.
+        epoch: The epoch that the attempt's intent names.
+        digest: Digest of service, method, path and body.
+
+    ``sends`` counts sends of the call and ``misses`` unanswered questions. ``position`` and
+    ``found`` are what was told last; ``fence`` is the offset of the attempt's intent once it won.
+
+    ``phase`` is ``asking`` until the attempt is read back as the winner, then ``running`` or
+    ``querying`` while the service has it, then ``recording``; or ``voiding`` once given up.
+    """
+
+    __slots__ = (
+        "key",
+        "shard",
+        "attempt_id",
+        "req",
+        "call",
+        "base",
+        "epoch",
+        "digest",
+        "phase",
+        "record",
+        "resolution",
+        "found",
+        "sends",
+        "avoid",
+        "misses",
+        "failure",
+        "may_have_run",
+        "position",
+        "fence",
+    )
+
+    def __init__(
+        self,
+        *,
+        key: str,
+        shard: int,
+        attempt_id: str,
+        req: "calls.Request",
+        base: int,
+        epoch: int,
+        digest: str,
+    ) -> None:
+        self.key = key
+        self.shard = shard
+        self.attempt_id = attempt_id
+        self.req: calls.Request | None = req
+        self.call = req.call
+        self.base = base
+        self.epoch = epoch
+        self.digest = digest
+        self.phase = "asking"
+        self.record: Intent | Void | Outcome | None = None
+        self.resolution: Resolution = UNRESOLVED
+        self.found: KeyState | None = None
+        self.sends = 0
+        self.avoid: tuple[str, ...] = ()
+        self.misses = 0
+        self.failure: Failure | None = None
+        self.may_have_run = False
+        self.position = 0
+        self.fence = -1
+
+    @property
+    def waiting(self) -> bool:
+        """Tell whether a caller waits for an answer."""
+        return self.req is not None and self.req.caller_present
+
+    @property
+    def deadline(self) -> float:
+        """Return the monotonic time until which the newest caller waits."""
+        return self.req.call.deadline if self.req else self.call.deadline
+
+
+@state_slice("once")
+class OnceState:
+    """Work by key, keys by attempt, and what this host knows of the log.
+
+    ``positions`` holds, by shard, the highest position that was told; ``bases`` the position that
+    was known when a request arrived, by request id.
+    """
+
+    __slots__ = ("works", "keys", "positions", "bases")
+
+    def __init__(self, cfg: Settings) -> None:
+        self.works: dict[str, Work] = {}
+        self.keys: dict[str, str] = {}
+        self.positions: dict[int, int] = {}
+        self.bases: dict[str, int] = {}
+
+
+def work_of_attempt(state: State, attempt_id: str) -> Work | None:
+    """Return the work that an attempt belongs to, or None."""
+    mine = state["once"]
+    work = mine.works.get(mine.keys.get(attempt_id, ""))
+    return work if work and work.attempt_id == attempt_id else None
+
+
+@busy_check
+def unsettled(state: State) -> int:
+    """Count work whose record is not settled yet."""
+    return len(state["once"].works)
--- a/src/wasabiwick/_handlers/services.py
+++ b/src/wasabiwick/_handlers/services.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from .._effects import AnswerCall, CallService, Count, RefuseCall
+from .._effects import AnswerCall, CallService, Count
 from .._errors import ENDPOINT_FAILED, KEY_REQUIRED, NO_ENDPOINT, Failure
 from .._events import (
     AdmissionGiven,
@@ -147,8 +147,9 @@
 
 @handles(CallerGone)
 def caller_gone(state: State, event: CallerGone) -> typing.Iterator[Step]:
-    """Drop an idempotent call that nobody waits for."""
-    if event.request_id in state["services"].running:
+    """Drop a service call that nobody waits for; the effect protocol ends its own work."""
+    req = calls.request_of(state, event.request_id)
+    if req and req.call.call_id == event.call_id and req.call.kind == "service":
         yield RequestClosed(at=event.at, request_id=event.request_id)
 
 
@@ -156,12 +157,3 @@
 def close(state: State, event: RequestClosed) -> None:
     """Drop the attempt of a call that is over."""
     state["services"].running.pop(event.request_id, None)
-
-
-@handles(ServiceWanted)
-def refuse_unsupported(state: State, event: ServiceWanted) -> typing.Iterator[Step]:
-    """Refuse work that may run only once while no concern can run it."""
-    req = calls.request_of(state, event.request_id)
-    failure = Failure(reason=NO_ENDPOINT, verdict=calls.verdict_of(state, req.call))
-    yield RefuseCall(call_id=req.call.call_id, failure=failure)
-    yield RequestClosed(at=event.at, request_id=event.request_id)
--- a/src/wasabiwick/_rendezvous.py
+++ b/src/wasabiwick/_rendezvous.py
@@ -16,4 +16,4 @@
 
 
 def _weight(key: str, name: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{key}\0{name}")
+    return xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode())
--- a/src/wasabiwick/_wire.py
+++ b/src/wasabiwick/_wire.py
@@ -155,7 +155,12 @@
 
 
 class Intent(Base):
-    """Record: an attempt wants to run a request that may run only once."""
+    """Record: an attempt wants to run a request that may run only once.
+
+    ``after`` is the epoch that the attempt knew when its call arrived: the offset of the key's last
+    effective void, or -1. ``over`` names the winner that a takeover replaces, or is empty. ``born``
+    is the Unix time at which the key was made.
+    """
 
     key: str
     attempt_id: str
@@ -163,6 +168,8 @@
     after: int
     service: str
     digest: str = ""
+    born: float = 0.0
+    over: str = ""
 
 
 class Void(Base):
@@ -170,10 +177,11 @@
 
     key: str
     attempt_id: str
+    born: float = 0.0
 
 
 class Outcome(Base):
-    """Record: the answer of the attempt that ran."""
+    """Record: the answer of the attempt that ran; status 0 says that it is not known."""
 
     key: str
     attempt_id: str
@@ -182,14 +190,73 @@
     content_type: str = "application/json"
 
 
+class KeyState(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What the records of one key come to.
+
+    Args:
+        epoch: Offset of the last effective void, or -1.
+        winner: Attempt that won the epoch, or empty.
+        owner: Host and incarnation of the winner.
+        fence: Offset of the winner's intent; its fencing number.
+        since: Time at which the log took the winner's intent, in Unix seconds.
+        earlier: Winners of the epoch that a takeover replaced.
+        voided: Attempts whose own voids were effective, the newest last.
+        status: HTTP status of the recorded answer, 0 for an unknown outcome, or -1 for none.
+        body: Body of the recorded answer.
+        content_type: Media type of the recorded answer.
+        service: Service that the winner calls.
+        digest: Digest of the winner's request.
+        born: Unix time at which the key was made.
+    """
+
+    epoch: int = -1
+    winner: str = ""
+    owner: Owner | None = None
+    fence: int = -1
+    since: float = 0.0
+    earlier: tuple[str, ...] = ()
+    voided: tuple[str, ...] = ()
+    status: int = -1
+    body: str = ""
+    content_type: str = "application/json"
+    service: str = ""
+    digest: str = ""
+    born: float = 0.0
+
+
 class Checkpoint(Base):
     """Record: the folded state of live keys up to ``upto``, so that older records may expire.
 
-    ``entries`` lists (key, epoch, winner attempt id, status or -1, body, digest).
+    A checkpoint without entries in the stream of checkpoints points to one: ``upto`` is the offset
+    at which a reader has to begin.
     """
 
     upto: int
-    entries: tuple[tuple[str, int, str, int, str, str], ...] = ()
+    entries: tuple[tuple[str, KeyState], ...] = ()
+
+
+# --- Between hosts: keys of work that may run only once ------------------------------------------
+
+
+class KeyAsk(Base):
+    """Asks the coordinator of a shard to append a record and to tell the key's state.
+
+    The asking host is told at once, and again at each change for a while.
+    """
+
+    shard: int
+    key: str
+    owner: Owner
+    record: Intent | Void | Outcome | None = None
+
+
+class KeyTold(Base):
+    """Answers `KeyAsk`: the key's state as of all records before ``position``."""
+
+    shard: int
+    key: str
+    position: int
+    found: KeyState
 
 
 class Configuration(Base):
@@ -234,6 +301,8 @@
     | Release
     | Renew
     | Heartbeat
+    | KeyAsk
+    | KeyTold
     | Intent
     | Void
     | Outcome
