--- a/src/wasabiwick/_handlers/__init__.py
+++ b/src/wasabiwick/_handlers/__init__.py
@@ -13,6 +13,8 @@
     generation,
     cancels,
     services,
+    once_shard,
+    once,
     closing,
 )
 
@@ -28,6 +30,8 @@
     "lists_keeping",
     "members",
     "members_watch",
+    "once",
+    "once_shard",
     "services",
     "slots",
 ]
