--- a/src/wasabiwick/_handlers/__init__.py
+++ b/src/wasabiwick/_handlers/__init__.py
@@ -3,7 +3,9 @@
 from . import (  # noqa: I001 - the order of import is the order of registration
     host,
     members,
+    members_watch,
     lists,
+    lists_keeping,
     calls,
     keys,
     health,
@@ -14,6 +16,8 @@
     generation,
     cancels,
     services,
+    once_shard,
+    once,
     closing,
 )
 
@@ -28,7 +32,11 @@
     "host",
     "keys",
     "lists",
+    "lists_keeping",
     "members",
+    "members_watch",
+    "once",
+    "once_shard",
     "pools",
     "services",
     "slots",
