--- a/src/wasabiwick/_bench/world.py
+++ b/src/wasabiwick/_bench/world.py
@@ -4,7 +4,9 @@
 import random
 import typing
 
-from .. import _effects, _events, _handlers, _lists  # noqa: F401 - registers the handlers
+import msgspec
+
+from .. import _effects, _events, _handlers  # noqa: F401 - registers the handlers
 from .._effects import Effect
 from .._errors import ENDPOINT_FAILED, ENDPOINT_REFUSED, ENDPOINT_SILENT, Failure
 from .._events import Event
@@ -12,7 +14,7 @@
 from .._settings import Platform, Settings
 from .._state import State
 from .._verdict import Verdict
-from .._wire import HostEntry, Owner
+from .._wire import Configuration, HostEntry, LogRecord, Owner
 from .engine_model import Engine, Job, Stream
 from .workload import Ask, Deployment
 
@@ -78,7 +80,7 @@
         self._order = 0
         self._dropped: set[tuple[str, str]] = set()
         self._handles: dict[str, float] = {}
-        self._lists = _lists.lists_from_json(1, *deployment.lists())
+        self._configuration = self._encode_lists()
         for name, zone, traits in deployment.engines():
             self.engines[name] = Engine(name=name, zone=zone, traits=traits, clock=self)
         for number in range(hosts):
@@ -107,7 +109,6 @@
         """Start a host, or start it again with nothing kept."""
         cfg = Settings(host=name, zone=zone, region="bench", platform=Platform(log="", hosts=""))
         state = State(cfg)
-        state["lists"].lists = self._lists
         self.configure(state)
         host = Host(name=name, zone=zone, state=state, incarnation=incarnation)
         self.hosts[name] = host
@@ -208,6 +209,28 @@
         """Forget a timer of a host."""
         host.timers.pop((effect.timer, effect.key), None)
 
+    def _encode_lists(self) -> str:
+        plans, allowances = self.deployment.lists()
+        record = Configuration(
+            version=1, replaces=0, author="bench", plans=plans, allowances=allowances
+        )
+        return msgspec.json.encode(record).decode()
+
+    def tail_log(self, host: Host, effect: _effects.TailLog) -> None:
+        """Give a host the configuration, which does not change; other streams stay empty."""
+        record = LogRecord(offset=0, time=WALL, data=self._configuration)
+        records = (record,) if effect.stream == "configuration" else ()
+        event = _events.LogRead(
+            at=0.0,
+            stream=effect.stream,
+            tag="",
+            records=records,
+            next=len(records),
+            first=0,
+            end=len(records),
+        )
+        self.send(host, SAME_ZONE, event)
+
     def fetch_host_list(self, host: Host, effect: Effect) -> None:
         """Read the lagging host list."""
         self._list_hosts(host)
@@ -484,6 +507,7 @@
 _PERFORMERS: dict[type[Effect], typing.Callable[[World, Host, typing.Any], None]] = {
     _effects.StartTimer: World.start_timer,
     _effects.StopTimer: World.stop_timer,
+    _effects.TailLog: World.tail_log,
     _effects.FetchHostList: World.fetch_host_list,
     _effects.SendPeer: World.send_peer,
     _effects.StartPrefill: World.start_prefill,
--- a/src/wasabiwick/_handlers/choice.py
+++ b/src/wasabiwick/_handlers/choice.py
@@ -23,6 +23,7 @@
         prefill: Engine that prefills.
         decode: Engine that decodes; may be the same.
         cached: Tokens of the prompt that the prefill engine is expected to hold.
+        uncached: The other tokens.
         seconds: Predicted time to first output, with the harm done to others.
     """
 
@@ -38,7 +39,7 @@
         self.seconds = 0.0
 
 
-Scorer = typing.Callable[[Pool, Reserve, Placement], float]
+Scorer = typing.Callable[[Pool, Reserve, Placement, float], float]
 
 SCORERS: dict[str, Scorer] = {}
 
@@ -54,19 +55,19 @@
 
 
 @scorer("prefill_queue")
-def prefill_queue(pool: Pool, asked: Reserve, option: Placement) -> float:
+def prefill_queue(pool: Pool, asked: Reserve, option: Placement, at: float) -> float:
     """Return the time until the engine has done the prefill work granted before."""
-    return option.prefill.prefill_wait()
+    return option.prefill.prefill_wait(at)
 
 
 @scorer("prefill_work")
-def prefill_work(pool: Pool, asked: Reserve, option: Placement) -> float:
+def prefill_work(pool: Pool, asked: Reserve, option: Placement, at: float) -> float:
     """Return the time to prefill the tokens that the engine does not hold."""
     return option.prefill.prefill_rate.seconds(option.uncached)
 
 
 @scorer("transfer")
-def transfer(pool: Pool, asked: Reserve, option: Placement) -> float:
+def transfer(pool: Pool, asked: Reserve, option: Placement, at: float) -> float:
     """Return the time to move the KV cache over the link that is shared with others."""
     if option.prefill is option.decode:
         return 0.0
@@ -75,14 +76,14 @@
 
 
 @scorer("stall")
-def stall(pool: Pool, asked: Reserve, option: Placement) -> float:
+def stall(pool: Pool, asked: Reserve, option: Placement, at: float) -> float:
     """Return the harm that a prefill does to the requests which the same engine decodes."""
     seconds = option.prefill.prefill_rate.seconds(option.uncached)
     return STALL_SHARE * seconds * len(option.prefill.held)
 
 
 @scorer("batch")
-def batch(pool: Pool, asked: Reserve, option: Placement) -> float:
+def batch(pool: Pool, asked: Reserve, option: Placement, at: float) -> float:
     """Return the time that the first steps take in the engine's batch."""
     return 4 * option.decode.interval.at(len(option.decode.held) + 1)
 
@@ -97,6 +98,7 @@
     scorers: typing.Iterable[str],
     usable: Usable,
     rng: random.Random,
+    at: float,
 ) -> Placement | None:
     """Choose the engines for a request.
 
@@ -106,6 +108,7 @@
         scorers: Names of the scorers to add up.
         usable: Tells whether an endpoint may get work.
         rng: Picks the sample of a large pool.
+        at: Monotonic time.
 
     Returns:
         The best placement, or None while no slot, link share or prefill engine is free.
@@ -113,16 +116,16 @@
     decodes = [one for one in _sample(pool, rng) if _may_decode(pool, one, asked, usable)]
     if not decodes:
         return None
-    prefills = [one for one in _sample(pool, rng) if _may_prefill(one, asked, usable)]
+    prefills = [one for one in _sample(pool, rng) if _may_prefill(pool, one, asked, usable, at)]
     chosen = tuple(SCORERS[name] for name in scorers)
-    ranked = [(_score_prefill(pool, asked, one, chosen), one.name, one) for one in prefills]
+    ranked = [(_score_prefill(pool, asked, one, chosen, at), one.name, one) for one in prefills]
     best = min(ranked)[2] if ranked else None
     options = []
     for decode in decodes:
         if best and best is not decode and decode.transfers < LINK_SHARE:
-            options.append(_option(pool, asked, best, decode, chosen))
+            options.append(_option(pool, asked, best, decode, chosen, at))
         if decode in prefills:
-            options.append(_option(pool, asked, decode, decode, chosen))
+            options.append(_option(pool, asked, decode, decode, chosen, at))
     return min(options, key=lambda one: (one.seconds, one.decode.name), default=None)
 
 
@@ -135,11 +138,14 @@
     return one.name not in asked.avoid and one.free(pool.target) > 0 and usable(one.name)
 
 
-def _may_prefill(one: EngineLedger, asked: Reserve, usable: Usable) -> bool:
+def _may_prefill(pool: Pool, one: EngineLedger, asked: Reserve, usable: Usable, at: float) -> bool:
     if not one.can("prefill") or one.name in asked.avoid:
         return False
-    idle = one.prefill_count == 0 or one.prefill_wait() <= PREFILL_AHEAD
-    return idle and usable(one.name)
+    if one.prefill_count and one.prefill_wait(at) > PREFILL_AHEAD:
+        return False
+    uncached = max(1, asked.prompt_tokens - expected_cached(pool, asked, one))
+    seconds = one.prefill_rate.seconds(uncached)
+    return usable(one.name) and one.may_stall(at, seconds, pool.target)
 
 
 def expected_cached(pool: Pool, asked: Reserve, one: EngineLedger) -> int:
@@ -147,21 +153,22 @@
     tokens, trust = one.prefixes.matched(asked.pieces)
     if not tokens:
         return 0
-    if len(asked.pieces) and tokens >= _ladder_tokens(asked):
+    if tokens >= ladder_tokens(asked):
         # The ladder ends before the prompt does; what lies beyond is known from experience.
         tokens += int(pool.beyond.value * max(0, asked.prompt_tokens - tokens))
     return int(trust * min(tokens, asked.prompt_tokens))
 
 
-def _ladder_tokens(asked: Reserve) -> int:
-    return LADDER[len(asked.pieces) - 1] * PIECE_TOKENS
+def ladder_tokens(asked: Reserve) -> int:
+    """Return the length in tokens of the prefix that a request's ladder covers."""
+    return LADDER[len(asked.pieces) - 1] * PIECE_TOKENS if asked.pieces else 0
 
 
 def _score_prefill(
-    pool: Pool, asked: Reserve, one: EngineLedger, chosen: tuple[Scorer, ...]
+    pool: Pool, asked: Reserve, one: EngineLedger, chosen: tuple[Scorer, ...], at: float
 ) -> float:
     # Scored as if decoded there, so that the transfer is left out; it depends on the other side.
-    return _option(pool, asked, one, one, chosen).seconds
+    return _option(pool, asked, one, one, chosen, at).seconds
 
 
 def _option(
@@ -170,8 +177,9 @@
     prefill: EngineLedger,
     decode: EngineLedger,
     chosen: tuple[Scorer, ...],
+    at: float,
 ) -> Placement:
     cached = expected_cached(pool, asked, prefill)
     option = Placement(prefill=prefill, decode=decode, cached=cached, tokens=asked.prompt_tokens)
-    option.seconds = sum(function(pool, asked, option) for function in chosen)
+    option.seconds = sum(function(pool, asked, option, at) for function in chosen)
     return option
--- a/src/wasabiwick/_handlers/coordinator.py
+++ b/src/wasabiwick/_handlers/coordinator.py
@@ -20,15 +20,17 @@
 from .._reducer import Step, handles, on_message, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
-from .._wire import Advanced, Denied, Granted, Release, Renew, Reserve
+from .._wire import Advanced, Denied, Granted, PoolLoad, Release, Renew, Reserve
 from . import choice, health, members
-from .ledger import RESTART_MARGIN, EngineLedger, Pool, Reservation
+from .ledger import RESTART_MARGIN, EngineLedger, OtherPool, Pool, Reservation
 from .queueing import LATE, MAX_RELAXED, RELAXED, URGENT, URGENT_SLACK, Waiting
 
 SWEEP = 0.1  # Seconds between looks for reservations and queued requests that have expired.
 LATE_SECONDS = 4.0  # Length of the late band's queue, in seconds of its share of the grants.
-LATE_SHARE = 0.05
+LATE_SHARE = 0.02
 CACHE_POLLS = 2  # Reports fetched for each fetch of cache events.
+SPARE = 2  # Free slots that another pool must have to be sent requests of a full one.
+LOAD_STALE = 1.0  # Seconds after which another pool's load is not believed any more.
 FULL_MARGIN = 1  # Slots kept back at an engine that refused a granted decode, until it reports.
 
 
@@ -120,9 +122,41 @@
             yield FetchReport(endpoint=engine.name)
             if mine.polls % CACHE_POLLS == 0:
                 yield FetchCacheEvents(endpoint=engine.name, sequence=engine.prefixes.sequence)
+        yield from _tell_others(state, pool)
     yield StartTimer(timer="coordinate", delay=state.cfg.timing.report)
 
 
+def _tell_others(state: State, pool: Pool) -> typing.Iterator[Step]:
+    message = PoolLoad(
+        model=pool.model,
+        zone=pool.zone,
+        free=max(0, pool.free() - len(pool.queue)),
+        wait=round(pool.wait(), 3),
+    )
+    for zone in members.zones_of_service(state, pool.model):
+        if zone != pool.zone:
+            yield SendPeer(host=coordinator_of(state, pool.model, zone), message=message)
+
+
+@on_message(PoolLoad)
+def other_load(state: State, event: PeerMessage) -> typing.Iterator[Step]:
+    """Note another pool's load, and send queued requests there if it has slots free."""
+    told = event.message
+    for pool in state["coordinator"].pools.values():
+        if pool.model != told.model or pool.zone == told.zone:
+            continue
+        pool.others[told.zone] = OtherPool(free=told.free, wait=told.wait, told_at=event.at)
+        yield from _send_away(pool, event.at)
+
+
+def _send_away(pool: Pool, at: float) -> typing.Iterator[Step]:
+    for one in list(pool.queue.waiting.values()):
+        zone = _better_zone(pool, one.asked, at)
+        if zone:
+            pool.queue.remove(one.asked.attempt_id)
+            yield from _deny(pool, one.asked, wait=pool.wait(), elsewhere=zone)
+
+
 @handles(EngineReported)
 def reported(state: State, event: EngineReported) -> typing.Iterator[Step]:
     """Take in an engine's report; memory that it freed may serve queued requests."""
@@ -167,15 +201,35 @@
     if asked.attempt_id in pool.queue.waiting or asked.attempt_id in pool.reservations:
         return
     pool.owners[asked.owner] = event.at
+    elsewhere = _better_zone(pool, asked, event.at)
+    if elsewhere:
+        yield from _deny(pool, asked, wait=pool.wait(), elsewhere=elsewhere)
+        return
     one = _judge(state, pool, asked, event.at)
     if one is None:
         yield Count(metric="reserve_denied")
-        yield from _deny(pool, asked, wait=_wait(pool))
+        yield from _deny(pool, asked, wait=pool.wait())
         return
     pool.queue.add(one)
     yield from _dispatch(state, pool, event.at)
 
 
+def _better_zone(pool: Pool, asked: Reserve, at: float) -> str:
+    """Return a zone whose pool has slots free while this one has none, or an empty string."""
+    if asked.redirected or pool.free() > len(pool.queue):
+        return ""
+    fresh = [
+        (one.free, zone)
+        for zone, one in pool.others.items()
+        if one.free >= SPARE and at - one.told_at < LOAD_STALE
+    ]
+    if not fresh:
+        return ""
+    free, zone = max(fresh)
+    pool.others[zone].free = free - 1
+    return zone
+
+
 def _judge(state: State, pool: Pool, asked: Reserve, at: float) -> Waiting | None:
     """Return the request's place in the queue, or None where it is better refused now."""
     due = state.monotonic(asked.target)
@@ -198,12 +252,13 @@
     return Waiting(asked=asked, since=at, due=due, deadline=deadline, band=band)
 
 
-def _wait(pool: Pool) -> float:
-    return (1 + len(pool.queue)) / pool.grants_per_second()
-
-
 def _deny(
-    pool: Pool | None, asked: Reserve, *, wait: float = 0.0, unknown: bool = False
+    pool: Pool | None,
+    asked: Reserve,
+    *,
+    wait: float = 0.0,
+    unknown: bool = False,
+    elsewhere: str = "",
 ) -> typing.Iterator[Step]:
     message = Denied(
         request_id=asked.request_id,
@@ -211,6 +266,7 @@
         engine=asked.engine,
         wait=round(wait, 3),
         unknown=unknown,
+        elsewhere=elsewhere,
     )
     yield SendPeer(host=asked.owner.host, message=message)
 
@@ -229,6 +285,7 @@
             scorers=state["coordinator"].scorers,
             usable=usable,
             rng=state.rng,
+            at=at,
         )
         if placement is None:
             return
@@ -245,6 +302,7 @@
         prefill_engine=placement.prefill.name,
         at=at,
         prefill_tokens=placement.uncached,
+        matched=placement.prefill.prefixes.matched(asked.pieces)[0],
     )
     pool.hold_slot(reservation, asked.pieces)
     health.chosen(state, placement.decode.name)
@@ -256,7 +314,7 @@
         prefill_engine=placement.prefill.name,
         cached_tokens=placement.cached,
         free=max(0, pool.free() - len(pool.queue)),
-        wait=round(len(pool.queue) / pool.grants_per_second(), 3),
+        wait=round(pool.wait(), 3),
     )
     yield SendPeer(host=asked.owner.host, message=message)
 
@@ -274,11 +332,11 @@
     elif told.phase == "transfer":
         _learn_prefill(pool, one, told)
         health.succeeded(state, one.prefill_engine)
-        pool.advance(one, told.phase)
+        pool.advance(one, told.phase, event.at)
     elif told.phase == "decode":
         _learn_transfer(pool, one, told)
         health.succeeded(state, one.engine)
-        pool.advance(one, told.phase)
+        pool.advance(one, told.phase, event.at)
     yield from _dispatch(state, pool, event.at)
 
 
@@ -289,11 +347,10 @@
     uncached = told.tokens - told.cached
     engine.prefill_rate.observe(uncached, told.seconds)
     pool.uncached.observe(uncached)
-    matched, _ = engine.prefixes.matched(one.asked.pieces)
-    if told.cached < matched // 2:
-        engine.prefixes.disprove(one.asked.pieces)
-    elif matched and told.tokens > matched:
-        pool.beyond.observe(max(0, told.cached - matched) / (told.tokens - matched))
+    if told.cached < one.matched // 2:
+        engine.prefixes.disprove()
+    elif one.matched >= choice.ladder_tokens(one.asked) > 0 and told.tokens > one.matched:
+        pool.beyond.observe((told.cached - one.matched) / (told.tokens - one.matched))
 
 
 def _learn_transfer(pool: Pool, one: Reservation, told: Advanced) -> None:
@@ -413,4 +470,4 @@
         return
     pool.queue.remove(one.asked.attempt_id)
     yield Count(metric="reserve_denied")
-    yield from _deny(pool, one.asked, wait=_wait(pool))
+    yield from _deny(pool, one.asked, wait=pool.wait())
--- a/src/wasabiwick/_handlers/ledger.py
+++ b/src/wasabiwick/_handlers/ledger.py
@@ -1,5 +1,6 @@
 """Ledgers of a pool: decode slots, prefill work and transfer links of its engines."""
 
+import math
 import typing
 
 from .._wire import EngineReport, Owner, Reserve
@@ -16,11 +17,16 @@
 RESTART_MARGIN = 2  # Slots of each engine kept back while a new coordinator learns its ledger.
 FREED_MEMORY = 1.0  # Seconds for which a lagging report may still show a released attempt.
 PREFILL_AHEAD = 0.15  # Seconds of prefill work queued at an engine beyond the running one.
+STALL_WINDOW = 3.0  # Seconds over which prefills at a decode engine are averaged.
+MOST_OF_PREFILL = 0.9  # Share of a running prefill that is taken for done at most.
 LINK_SHARE = 2  # Transfers that may share one engine's link.
 
 
 class Reservation:
-    """A decode slot, a link share and prefill work, held for one attempt."""
+    """A decode slot, a link share and prefill work, held for one attempt.
+
+    ``matched`` tokens of the prompt were in the prefill engine's index when the slot was granted.
+    """
 
     __slots__ = (
         "asked",
@@ -28,12 +34,20 @@
         "prefill_engine",
         "granted_at",
         "prefill_tokens",
+        "matched",
         "phase",
         "renewed_at",
     )
 
     def __init__(
-        self, *, asked: Reserve, engine: str, prefill_engine: str, at: float, prefill_tokens: int
+        self,
+        *,
+        asked: Reserve,
+        engine: str,
+        prefill_engine: str,
+        at: float,
+        prefill_tokens: int,
+        matched: int = 0,
     ) -> None:
         self.asked = asked
         self.engine = engine
@@ -41,6 +55,7 @@
         self.granted_at = at
         self.renewed_at = at
         self.prefill_tokens = prefill_tokens
+        self.matched = matched
         self.phase = "prefill"
 
 
@@ -57,12 +72,15 @@
         "margin",
         "prefill_tokens",
         "prefill_count",
+        "prefill_since",
         "transfers",
         "prefill_rate",
         "link_rate",
         "interval",
         "prefixes",
         "silent",
+        "_stalled",
+        "_stalled_at",
     )
 
     def __init__(self, name: str, *, margin: int) -> None:
@@ -75,12 +93,15 @@
         self.margin = margin
         self.prefill_tokens = 0
         self.prefill_count = 0
+        self.prefill_since = 0.0
         self.transfers = 0
         self.prefill_rate = predict.Rate(PRIOR_PREFILL)
         self.link_rate = predict.Rate(PRIOR_LINK)
         self.interval = predict.IntervalLine()
         self.prefixes = PrefixIndex()
         self.silent = 0
+        self._stalled = 0.0
+        self._stalled_at = 0.0
 
     def can(self, role: str) -> bool:
         """Tell whether the engine has a role; one that has not reported may have any."""
@@ -97,9 +118,38 @@
             return 0
         return self.batch_limit(target) - len(self.held) - self.foreign - self.margin
 
-    def prefill_wait(self) -> float:
-        """Return the predicted time of all prefill work granted to the engine, in seconds."""
-        return self.prefill_rate.seconds(self.prefill_tokens)
+    def stalled_share(self, at: float, more: float = 0.0) -> float:
+        """Return the share of recent time that the engine's batch shared with prefills.
+
+        Args:
+            at: Monotonic time.
+            more: Seconds of a further prefill.
+        """
+        left = self._stalled * math.exp((self._stalled_at - at) / STALL_WINDOW)
+        return (left + more) / STALL_WINDOW
+
+    def may_stall(self, at: float, seconds: float, target: float) -> bool:
+        """Tell whether a prefill here leaves the batch's interval within the target."""
+        if not self.held:
+            return True
+        interval = self.interval.at(len(self.held) + 1)
+        return interval * (1.0 + self.stalled_share(at, seconds)) <= target * INTERVAL_MARGIN
+
+    def note_stall(self, at: float, seconds: float) -> None:
+        """Count a prefill that was granted to the engine while it decodes."""
+        self._stalled = self.stalled_share(at, seconds) * STALL_WINDOW
+        self._stalled_at = at
+
+    def prefill_wait(self, at: float) -> float:
+        """Return the predicted time until granted prefill work is done, in seconds."""
+        return self.prefill_rate.seconds(self.prefill_tokens) - self._prefilled_for(at)
+
+    def _prefilled_for(self, at: float) -> float:
+        """Return how long the oldest granted prefill has run, but never all of its time."""
+        if not self.prefill_count:
+            return 0.0
+        mean = self.prefill_rate.seconds(self.prefill_tokens / self.prefill_count)
+        return min(MOST_OF_PREFILL * mean, at - self.prefill_since)
 
     def kv_bytes(self, tokens: int) -> int:
         """Return the size of a prompt's KV cache."""
@@ -137,6 +187,17 @@
             self.foreign = max(0, report.used - len(known) - len(self.released))
 
 
+class OtherPool:
+    """What a coordinator was last told of the same model's pool in another zone."""
+
+    __slots__ = ("free", "wait", "told_at")
+
+    def __init__(self, *, free: int, wait: float, told_at: float) -> None:
+        self.free = free
+        self.wait = wait
+        self.told_at = told_at
+
+
 class Pool:
     """The engines of one model in one availability zone, under one coordinator."""
 
@@ -152,6 +213,7 @@
         "uncached",
         "beyond",
         "target",
+        "others",
     )
 
     def __init__(self, *, model: str, zone: str, at: float, target: float) -> None:
@@ -166,6 +228,7 @@
         self.uncached = predict.Mean(PRIOR_UNCACHED)
         self.beyond = predict.Mean(0.5)
         self.target = target
+        self.others: dict[str, OtherPool] = {}
 
     def set_engines(self, names: typing.Iterable[str], *, margin: int) -> None:
         """Take over the pool's engines; a known one keeps its ledger."""
@@ -200,6 +263,11 @@
         share = min(1.0, self.uncached.value / max(1.0, tokens))
         return min(rate.seconds(tokens * share) for rate in rates) + PREFILL_AHEAD
 
+    def wait(self) -> float:
+        """Return the predicted wait of a request that came now, in seconds."""
+        ahead = 1 + len(self.queue) - self.free()
+        return max(0.0, ahead / self.grants_per_second())
+
     def hold_slot(self, one: Reservation, ladder: tuple[int, ...]) -> None:
         """Enter a reservation into the ledgers."""
         attempt_id = one.asked.attempt_id
@@ -208,19 +276,25 @@
         self.engines[one.engine].held.add(attempt_id)
         prefill = self.engines.get(one.prefill_engine)
         if prefill and one.phase == "prefill":
+            if not prefill.prefill_count:
+                prefill.prefill_since = one.granted_at
             prefill.prefill_tokens += one.prefill_tokens
             prefill.prefill_count += 1
             prefill.prefixes.expect(ladder)
+            if prefill.held:
+                seconds = prefill.prefill_rate.seconds(one.prefill_tokens)
+                prefill.note_stall(one.granted_at, seconds)
         if one.prefill_engine != one.engine and one.phase == "prefill":
             self.engines[one.engine].transfers += 1
 
-    def advance(self, one: Reservation, phase: str) -> None:
+    def advance(self, one: Reservation, phase: str, at: float) -> None:
         """Give back the prefill work, and then the link share, of an attempt that goes on."""
         if one.phase == "prefill":
             prefill = self.engines.get(one.prefill_engine)
             if prefill:
                 prefill.prefill_tokens -= one.prefill_tokens
                 prefill.prefill_count -= 1
+                prefill.prefill_since = at
         if one.phase != "decode" and phase == "decode":
             engine = self.engines.get(one.engine)
             if engine and one.prefill_engine != one.engine:
@@ -232,7 +306,7 @@
         one = self.reservations.pop(attempt_id, None)
         if one is None:
             return None
-        self.advance(one, "decode")
+        self.advance(one, "decode", at)
         engine = self.engines.get(one.engine)
         if engine:
             engine.held.discard(attempt_id)
--- a/src/wasabiwick/_handlers/members.py
+++ b/src/wasabiwick/_handlers/members.py
@@ -128,6 +128,11 @@
     return list(state["members"].endpoints.get(service, ()))
 
 
+def zones_of_service(state: State, service: str) -> list[str]:
+    """Return the availability zones that have usable endpoints of a service or model."""
+    return sorted({entry.zone for entry in state["members"].endpoints.get(service, ())})
+
+
 def is_usable(state: State, name: str) -> bool:
     """Tell whether an endpoint is in the host list and not known to be leaving."""
     entry = state["members"].entries.get(name)
@@ -145,7 +150,7 @@
     return [
         entry
         for entry in state["members"].entries.values()
-        if entry.kind == "engine" and entry.zone == zone and not entry.leaving
+        if entry.kind == "engine" and entry.zone == zone and is_usable(state, entry.name)
     ]
 
 
--- a/src/wasabiwick/_handlers/pools.py
+++ b/src/wasabiwick/_handlers/pools.py
@@ -7,6 +7,7 @@
 import typing
 
 from .. import _rendezvous
+from .._pieces import piece_ladder
 from .._settings import Settings
 from .._state import State, state_slice
 from . import members, predict
@@ -15,6 +16,8 @@
 CROSSING = 0.004  # Seconds assumed one way between availability zones.
 SPILL_MARGIN = 0.05  # Seconds by which another zone must be better; keeps choices from flapping.
 CUT_OFF = 2.0  # Seconds for which a coordinator that did not answer is not asked.
+PRIOR_HOME = 0.5  # Share of a prompt found cached in its home zone.
+PRIOR_AWAY = 0.2
 PRIOR_PREFILL = 8_000.0  # Tokens/s.
 
 
@@ -45,8 +48,8 @@
     __slots__ = ("home", "away", "prefill_rate")
 
     def __init__(self) -> None:
-        self.home = predict.Mean(0.2)
-        self.away = predict.Mean(0.2)
+        self.home = predict.Mean(PRIOR_HOME)
+        self.away = predict.Mean(PRIOR_AWAY)
         self.prefill_rate = predict.Rate(PRIOR_PREFILL)
 
     def gain(self, tokens: int) -> float:
@@ -76,16 +79,12 @@
     return state["pools"].affinities.setdefault(model, Affinity())
 
 
-def zones_of(state: State, model: str) -> list[str]:
-    """Return the availability zones that have engines of a model, sorted."""
-    return sorted({entry.zone for entry in members.usable_endpoints(state, model)})
-
-
 def home_zone(zones: typing.Sequence[str], pieces: tuple[int, ...]) -> str:
     """Return the zone that a prompt's prefix is assigned to, or an empty string."""
-    if not pieces or not zones:
+    ladder = piece_ladder(pieces)
+    if not ladder or not zones:
         return ""
-    return _rendezvous.owner_of(str(pieces[-1]), zones)
+    return _rendezvous.owner_of(str(ladder[-1]), zones)
 
 
 def ranked(
@@ -103,7 +102,7 @@
     Returns:
         Pairs of predicted delay in seconds and zone, best first.
     """
-    zones = zones_of(state, model)
+    zones = members.zones_of_service(state, model)
     home = home_zone(zones, pieces) if state["pools"].by_affinity else ""
     gain = affinity_of(state, model).gain(tokens)
     return sorted((_delay(state, model, zone, home, gain, at), zone) for zone in zones)
--- a/src/wasabiwick/_handlers/prefixes.py
+++ b/src/wasabiwick/_handlers/prefixes.py
@@ -59,10 +59,9 @@
             if piece not in self._entries:
                 self._store(piece, GUESS_TRUST)
 
-    def disprove(self, ladder: tuple[int, ...]) -> None:
-        """Drop prefixes that a prefill did not find in the cache."""
-        for piece in ladder:
-            self._entries.pop(piece, None)
+    def disprove(self) -> None:
+        """Lower the trust in all entries: a prefill did not find what the index promised."""
+        self.gaps += 1
 
     def _store(self, piece: int, trust: float) -> None:
         self._entries[piece] = Entry(trust=trust, gaps=self.gaps)
--- a/src/wasabiwick/_handlers/queueing.py
+++ b/src/wasabiwick/_handlers/queueing.py
@@ -11,7 +11,7 @@
 
 URGENT, RELAXED, LATE = range(3)
 RELAXED_TURN = 12  # Every so many grants go to the relaxed band, if it has any.
-LATE_TURN = 20
+LATE_TURN = 50
 MAX_RELAXED = 2_000
 URGENT_SLACK = 5.0  # Seconds to its target at which relaxed work becomes urgent.
 
--- a/src/wasabiwick/_handlers/slots.py
+++ b/src/wasabiwick/_handlers/slots.py
@@ -57,7 +57,7 @@
 class Pending:
     """An attempt that waits for a slot."""
 
-    __slots__ = ("request_id", "model", "zone", "avoid", "asked", "asked_at", "lost")
+    __slots__ = ("request_id", "model", "zone", "avoid", "asked", "asked_at", "lost", "redirected")
 
     def __init__(self, *, request_id: str, model: str, avoid: tuple[str, ...]) -> None:
         self.request_id = request_id
@@ -67,6 +67,7 @@
         self.asked: list[str] = []
         self.asked_at = 0.0
         self.lost = 0
+        self.redirected = False
 
 
 Policy = typing.Callable[[State, SlotWanted], typing.Iterable[Step]]
@@ -207,6 +208,7 @@
         target=target_of(state, req),
         may_wait=req.plan.may_wait,
         avoid=pending.avoid,
+        redirected=pending.redirected,
     )
 
 
@@ -280,7 +282,7 @@
 def _note_affinity(state: State, pending: Pending, told: Granted) -> None:
     req = calls.request_of(state, pending.request_id)
     affinity = pools.affinity_of(state, pending.model)
-    home = pools.home_zone(pools.zones_of(state, pending.model), req.call.pieces)
+    home = pools.home_zone(members.zones_of_service(state, pending.model), req.call.pieces)
     share = told.cached_tokens / max(1, req.call.prompt_tokens)
     (affinity.home if pending.zone == home else affinity.away).observe(share)
 
@@ -297,6 +299,11 @@
         return
     view = pools.view_of(state, pending.model, pending.zone)
     _note(state, pending, told.wait, 0, event.at)
+    if told.elsewhere and not pending.redirected:
+        pending.redirected = True
+        yield Count(metric="reserve_redirected")
+        yield from _ask(state, told.attempt_id, pending, told.elsewhere, event.at)
+        return
     req = calls.request_of(state, pending.request_id)
     if target_of(state, req) <= state.wall(event.at):
         view.late_denied_at = event.at
--- a/src/wasabiwick/_wire.py
+++ b/src/wasabiwick/_wire.py
@@ -83,7 +83,8 @@
 
     A pool is the engines of one model in one availability zone. ``engine`` is empty where any
     engine of the pool will do. ``target`` is the Unix time by which the first output is due.
-    ``pieces`` is a `piece_ladder`: the chain's hashes at a few lengths.
+    ``pieces`` is a `piece_ladder`: the chain's hashes at a few lengths. A ``redirected`` request
+    comes from a full pool and is not sent on.
     """
 
     request_id: str
@@ -102,6 +103,7 @@
     target: float = 0.0
     may_wait: bool = False
     avoid: tuple[str, ...] = ()
+    redirected: bool = False
 
 
 class Granted(Base):
@@ -123,7 +125,8 @@
     """Answers `Reserve`: no slot; ``wait`` seconds later one is likely.
 
     ``unknown`` answers a `Renew` of a queued attempt that the coordinator does not know, as after
-    its restart: the attempt has to be reserved again.
+    its restart: the attempt has to be reserved again. ``elsewhere`` names an availability zone
+    whose pool has slots free.
     """
 
     request_id: str
@@ -131,6 +134,19 @@
     engine: str
     wait: float = 0.0
     unknown: bool = False
+    elsewhere: str = ""
+
+
+class PoolLoad(Base):
+    """Tells the coordinators of a model's other pools how loaded the sender's pool is.
+
+    ``free`` slots may be granted now; ``wait`` is what a request that came now would wait.
+    """
+
+    model: str
+    zone: str
+    free: int = 0
+    wait: float = 0.0
 
 
 class Advanced(Base):
@@ -369,6 +385,7 @@
     | Reserve
     | Granted
     | Denied
+    | PoolLoad
     | Advanced
     | Release
     | Renew
