--- a/src/wasabiwick/_handlers/choice.py
+++ b/src/wasabiwick/_handlers/choice.py
@@ -159,6 +159,15 @@
     return int(trust * min(tokens, asked.prompt_tokens))
 
 
+def saved(pool: Pool, asked: Reserve) -> float:
+    """Return the prefill time that the pool's caches save a request, in seconds."""
+    engines = list(pool.engines.values())[:MAX_CANDIDATES]
+    return max(
+        (one.prefill_rate.seconds(expected_cached(pool, asked, one)) for one in engines),
+        default=0.0,
+    )
+
+
 def ladder_tokens(asked: Reserve) -> int:
     """Return the length in tokens of the prefix that a request's ladder covers."""
     return LADDER[len(asked.pieces) - 1] * PIECE_TOKENS if asked.pieces else 0
--- a/src/wasabiwick/_handlers/coordinator.py
+++ b/src/wasabiwick/_handlers/coordinator.py
@@ -23,13 +23,14 @@
 from .._wire import Advanced, Denied, Granted, PoolLoad, Release, Renew, Reserve
 from . import choice, health, members
 from .ledger import RESTART_MARGIN, EngineLedger, OtherPool, Pool, Reservation
+from .pools import PREFILL_WEIGHT
 from .queueing import LATE, MAX_RELAXED, RELAXED, URGENT, URGENT_SLACK, Waiting
 
 SWEEP = 0.1  # Seconds between looks for reservations and queued requests that have expired.
 LATE_SECONDS = 4.0  # Length of the late band's queue, in seconds of its share of the grants.
 LATE_SHARE = 0.02
 CACHE_POLLS = 2  # Reports fetched for each fetch of cache events.
-SPARE = 2  # Free slots that another pool must have to be sent requests of a full one.
+SPILL_SECONDS = 0.1  # Time that another pool must save to be sent a request.
 LOAD_STALE = 1.0  # Seconds after which another pool's load is not believed any more.
 FULL_MARGIN = 1  # Slots kept back at an engine that refused a granted decode, until it reports.
 
@@ -122,16 +123,16 @@
             yield FetchReport(endpoint=engine.name)
             if mine.polls % CACHE_POLLS == 0:
                 yield FetchCacheEvents(endpoint=engine.name, sequence=engine.prefixes.sequence)
-        yield from _tell_others(state, pool)
+        yield from _tell_others(state, pool, event.at)
     yield StartTimer(timer="coordinate", delay=state.cfg.timing.report)
 
 
-def _tell_others(state: State, pool: Pool) -> typing.Iterator[Step]:
+def _tell_others(state: State, pool: Pool, at: float) -> typing.Iterator[Step]:
     message = PoolLoad(
         model=pool.model,
         zone=pool.zone,
         free=max(0, pool.free() - len(pool.queue)),
-        wait=round(pool.wait(), 3),
+        wait=round(pool.wait(at), 3),
     )
     for zone in members.zones_of_service(state, pool.model):
         if zone != pool.zone:
@@ -154,7 +155,7 @@
         zone = _better_zone(pool, one.asked, at)
         if zone:
             pool.queue.remove(one.asked.attempt_id)
-            yield from _deny(pool, one.asked, wait=pool.wait(), elsewhere=zone)
+            yield from _deny(pool, one.asked, wait=pool.wait(at), elsewhere=zone)
 
 
 @handles(EngineReported)
@@ -203,30 +204,29 @@
     pool.owners[asked.owner] = event.at
     elsewhere = _better_zone(pool, asked, event.at)
     if elsewhere:
-        yield from _deny(pool, asked, wait=pool.wait(), elsewhere=elsewhere)
+        yield from _deny(pool, asked, wait=pool.wait(event.at), elsewhere=elsewhere)
         return
     one = _judge(state, pool, asked, event.at)
     if one is None:
         yield Count(metric="reserve_denied")
-        yield from _deny(pool, asked, wait=pool.wait())
+        yield from _deny(pool, asked, wait=pool.wait(event.at))
         return
     pool.queue.add(one)
     yield from _dispatch(state, pool, event.at)
 
 
 def _better_zone(pool: Pool, asked: Reserve, at: float) -> str:
-    """Return a zone whose pool has slots free while this one has none, or an empty string."""
-    if asked.redirected or pool.free() > len(pool.queue):
+    """Return a zone whose pool promises a clearly earlier output, or an empty string."""
+    if asked.redirected:
         return ""
-    fresh = [
-        (one.free, zone)
-        for zone, one in pool.others.items()
-        if one.free >= SPARE and at - one.told_at < LOAD_STALE
-    ]
-    if not fresh:
+    waits = [(one.wait, zone) for zone, one in pool.others.items() if at - one.told_at < LOAD_STALE]
+    if not waits:
         return ""
-    free, zone = max(fresh)
-    pool.others[zone].free = free - 1
+    wait, zone = min(waits)
+    spill = SPILL_SECONDS + PREFILL_WEIGHT * choice.saved(pool, asked)
+    if pool.wait(at) < wait + spill:
+        return ""
+    pool.others[zone].wait += 1.0 / pool.grants_per_second()
     return zone
 
 
@@ -314,7 +314,7 @@
         prefill_engine=placement.prefill.name,
         cached_tokens=placement.cached,
         free=max(0, pool.free() - len(pool.queue)),
-        wait=round(pool.wait(), 3),
+        wait=round(pool.wait(at), 3),
     )
     yield SendPeer(host=asked.owner.host, message=message)
 
@@ -461,13 +461,13 @@
         elif one.band == RELAXED and one.due - at < URGENT_SLACK:
             pool.queue.move(one, URGENT)
         elif one.band == URGENT and at > one.due:
-            yield from _too_late(pool, one)
+            yield from _too_late(pool, one, at)
 
 
-def _too_late(pool: Pool, one: Waiting) -> typing.Iterator[Step]:
+def _too_late(pool: Pool, one: Waiting, at: float) -> typing.Iterator[Step]:
     if one.asked.may_wait:
         pool.queue.move(one, LATE)
         return
     pool.queue.remove(one.asked.attempt_id)
     yield Count(metric="reserve_denied")
-    yield from _deny(pool, one.asked, wait=pool.wait())
+    yield from _deny(pool, one.asked, wait=pool.wait(at))
--- a/src/wasabiwick/_handlers/ledger.py
+++ b/src/wasabiwick/_handlers/ledger.py
@@ -107,6 +107,10 @@
         """Tell whether the engine has a role; one that has not reported may have any."""
         return self.report is None or role in self.report.roles
 
+    def is_prefill_only(self) -> bool:
+        """Tell whether the engine takes prefills and no decodes."""
+        return self.report is not None and self.can("prefill") and not self.can("decode")
+
     def batch_limit(self, target: float) -> int:
         """Return how many requests the engine may decode at once within a target interval."""
         slots = self.report.slots if self.report else PRIOR_SLOTS
@@ -263,10 +267,19 @@
         share = min(1.0, self.uncached.value / max(1.0, tokens))
         return min(rate.seconds(tokens * share) for rate in rates) + PREFILL_AHEAD
 
-    def wait(self) -> float:
+    def wait(self, at: float) -> float:
         """Return the predicted wait of a request that came now, in seconds."""
         ahead = 1 + len(self.queue) - self.free()
-        return max(0.0, ahead / self.grants_per_second())
+        by_slots = max(0.0, ahead * self.hold.value / max(1, self.slots()))
+        return max(by_slots, self._prefill_backlog(at))
+
+    def _prefill_backlog(self, at: float) -> float:
+        engines = [one for one in self.engines.values() if one.is_prefill_only()]
+        if not engines:
+            return 0.0
+        rate = sum(one.prefill_rate.per_second for one in engines)
+        granted = sum(one.prefill_wait(at) for one in engines) / len(engines)
+        return granted + len(self.queue) * self.uncached.value / rate
 
     def hold_slot(self, one: Reservation, ladder: tuple[int, ...]) -> None:
         """Enter a reservation into the ledgers."""
--- a/src/wasabiwick/_handlers/members.py
+++ b/src/wasabiwick/_handlers/members.py
@@ -4,6 +4,7 @@
 which keeps the peers of this slice), with failed calls, and with signs that an endpoint is leaving.
 """
 
+import collections
 import typing
 
 from .. import _rendezvous
@@ -130,7 +131,12 @@
 
 def zones_of_service(state: State, service: str) -> list[str]:
     """Return the availability zones that have usable endpoints of a service or model."""
-    return sorted({entry.zone for entry in state["members"].endpoints.get(service, ())})
+    return sorted(engines_by_zone(state, service))
+
+
+def engines_by_zone(state: State, service: str) -> dict[str, int]:
+    """Return the number of usable endpoints of a service or model in each zone."""
+    return collections.Counter(entry.zone for entry in state["members"].endpoints.get(service, ()))
 
 
 def is_usable(state: State, name: str) -> bool:
--- a/src/wasabiwick/_handlers/pools.py
+++ b/src/wasabiwick/_handlers/pools.py
@@ -4,8 +4,6 @@
 with zones and not with engines.
 """
 
-import typing
-
 from .. import _rendezvous
 from .._pieces import piece_ladder
 from .._settings import Settings
@@ -18,6 +16,7 @@
 CUT_OFF = 2.0  # Seconds for which a coordinator that did not answer is not asked.
 PRIOR_HOME = 0.5  # Share of a prompt found cached in its home zone.
 PRIOR_AWAY = 0.2
+PREFILL_WEIGHT = 6.0  # A prefill paid twice delays others too, not only its own request.
 PRIOR_PREFILL = 8_000.0  # Tokens/s.
 
 
@@ -37,7 +36,7 @@
     def predicted_wait(self, at: float) -> float:
         """Return the wait that the pool's last answers promise, in seconds."""
         age = at - self.told_at
-        if age >= STALE or self.free > 0:
+        if age >= STALE:
             return 0.0
         return self.wait * (1.0 - age / STALE)
 
@@ -79,12 +78,16 @@
     return state["pools"].affinities.setdefault(model, Affinity())
 
 
-def home_zone(zones: typing.Sequence[str], pieces: tuple[int, ...]) -> str:
-    """Return the zone that a prompt's prefix is assigned to, or an empty string."""
+def home_zone(state: State, model: str, pieces: tuple[int, ...]) -> str:
+    """Return the zone that a prompt's prefix is assigned to, or an empty string.
+
+    Zones get prefixes by the number of their engines.
+    """
     ladder = piece_ladder(pieces)
-    if not ladder or not zones:
+    engines = members.engines_by_zone(state, model)
+    if not ladder or not engines:
         return ""
-    return _rendezvous.owner_of(str(ladder[-1]), zones)
+    return _rendezvous.weighted_owner_of(str(ladder[-1]), engines)
 
 
 def ranked(
@@ -103,7 +106,7 @@
         Pairs of predicted delay in seconds and zone, best first.
     """
     zones = members.zones_of_service(state, model)
-    home = home_zone(zones, pieces) if state["pools"].by_affinity else ""
+    home = home_zone(state, model, pieces) if state["pools"].by_affinity else ""
     gain = affinity_of(state, model).gain(tokens)
     return sorted((_delay(state, model, zone, home, gain, at), zone) for zone in zones)
 
@@ -114,7 +117,7 @@
     if zone != state.zone:
         seconds += 2 * view.crossing.value + SPILL_MARGIN
     if home and zone != home:
-        seconds += gain
+        seconds += PREFILL_WEIGHT * gain
     if at < view.cut_until:
         seconds += CUT_OFF
     return seconds
--- a/src/wasabiwick/_handlers/slots.py
+++ b/src/wasabiwick/_handlers/slots.py
@@ -282,7 +282,7 @@
 def _note_affinity(state: State, pending: Pending, told: Granted) -> None:
     req = calls.request_of(state, pending.request_id)
     affinity = pools.affinity_of(state, pending.model)
-    home = pools.home_zone(members.zones_of_service(state, pending.model), req.call.pieces)
+    home = pools.home_zone(state, pending.model, req.call.pieces)
     share = told.cached_tokens / max(1, req.call.prompt_tokens)
     (affinity.home if pending.zone == home else affinity.away).observe(share)
 
--- a/src/wasabiwick/_rendezvous.py
+++ b/src/wasabiwick/_rendezvous.py
@@ -1,9 +1,12 @@
 """Rendezvous hashing: a lost member moves only its own share of the keys."""
 
+import math
 import typing
 
 import xxhash
 
+HASHES = 2**64
+
 
 def ranked(key: str, members: typing.Iterable[str]) -> list[str]:
     """Order members by their weight for a key, heaviest first."""
@@ -15,5 +18,14 @@
     return max(members, key=lambda name: (_weight(key, name), name), default=None)
 
 
+def weighted_owner_of(key: str, members: dict[str, int]) -> str | None:
+    """Return the member that owns a key, where each owns keys in proportion to its number."""
+    return max(members, key=lambda name: (_share(key, name, members[name]), name), default=None)
+
+
+def _share(key: str, name: str, number: int) -> float:
+    return -number / math.log((_weight(key, name) + 1) / (HASHES + 1))
+
+
 def _weight(key: str, name: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode())
