Let pools' coordinators weigh each other and send requests where they cost least

Change: coordinators of a model tell each other their predicted wait; the one that is asked redirects where wait and weighted prefill are clearly lower. A prefix has a home zone, whose coordinator remembers where it sent the prefix.

--- a/src/wasabiwick/_handlers/choice.py
+++ b/src/wasabiwick/_handlers/choice.py
@@ -13,6 +13,7 @@
 from .ledger import LINK_SHARE, PREFILL_AHEAD, EngineLedger, Pool
 
 MAX_CANDIDATES = 12  # Engines looked at for one role; larger pools are sampled.
+PREFILL_WEIGHT = 3.0  # A prefill paid twice delays others too, not only its own request.
 STALL_SHARE = 0.25  # Cost of delaying one running request by a second, in seconds.
 
 
@@ -159,13 +160,23 @@
     return int(trust * min(tokens, asked.prompt_tokens))
 
 
-def saved(pool: Pool, asked: Reserve) -> float:
-    """Return the prefill time that the pool's caches save a request, in seconds."""
+def prefill_cost(pool: Pool, asked: Reserve, *, known: bool | None = None) -> float:
+    """Return the weighted prefill time of a request, in seconds.
+
+    Args:
+        pool: The pool that was asked.
+        asked: The request.
+        known: None for this pool; for another one, whether it served the same prefix before.
+    """
     engines = list(pool.engines.values())[:MAX_CANDIDATES]
-    return max(
-        (one.prefill_rate.seconds(expected_cached(pool, asked, one)) for one in engines),
-        default=0.0,
-    )
+    if not engines:
+        return 0.0
+    if known is None:
+        cached = max(expected_cached(pool, asked, one) for one in engines)
+    else:
+        cached = int(pool.beyond.value * asked.prompt_tokens) if known else 0
+    rate = max(one.prefill_rate.per_second for one in engines)
+    return PREFILL_WEIGHT * (asked.prompt_tokens - cached) / rate
 
 
 def ladder_tokens(asked: Reserve) -> int:
--- a/src/wasabiwick/_handlers/coordinator.py
+++ b/src/wasabiwick/_handlers/coordinator.py
@@ -23,7 +23,6 @@
 from .._wire import Advanced, Denied, Granted, PoolLoad, Release, Renew, Reserve
 from . import choice, health, members
 from .ledger import RESTART_MARGIN, EngineLedger, OtherPool, Pool, Reservation
-from .pools import PREFILL_WEIGHT
 from .queueing import LATE, MAX_RELAXED, RELAXED, URGENT, URGENT_SLACK, Waiting
 
 SWEEP = 0.1  # Seconds between looks for reservations and queued requests that have expired.
@@ -147,12 +146,12 @@
         if pool.model != told.model or pool.zone == told.zone:
             continue
         pool.others[told.zone] = OtherPool(free=told.free, wait=told.wait, told_at=event.at)
-        yield from _send_away(pool, event.at)
+        yield from _send_away(state, pool, event.at)
 
 
-def _send_away(pool: Pool, at: float) -> typing.Iterator[Step]:
+def _send_away(state: State, pool: Pool, at: float) -> typing.Iterator[Step]:
     for one in list(pool.queue.waiting.values()):
-        zone = _better_zone(pool, one.asked, at)
+        zone = _better_zone(state, pool, one.asked, at)
         if zone:
             pool.queue.remove(one.asked.attempt_id)
             yield from _deny(pool, one.asked, wait=pool.wait(at), elsewhere=zone)
@@ -202,7 +201,7 @@
     if asked.attempt_id in pool.queue.waiting or asked.attempt_id in pool.reservations:
         return
     pool.owners[asked.owner] = event.at
-    elsewhere = _better_zone(pool, asked, event.at)
+    elsewhere = _better_zone(state, pool, asked, event.at)
     if elsewhere:
         yield from _deny(pool, asked, wait=pool.wait(event.at), elsewhere=elsewhere)
         return
@@ -215,19 +214,28 @@
     yield from _dispatch(state, pool, event.at)
 
 
-def _better_zone(pool: Pool, asked: Reserve, at: float) -> str:
-    """Return a zone whose pool promises a clearly earlier output, or an empty string."""
+def _better_zone(state: State, pool: Pool, asked: Reserve, at: float) -> str:
+    """Return a zone whose pool serves the request at a clearly lower cost, or an empty string.
+
+    The cost is the wait, and the prefill of what the zone's caches lack: a prefill paid twice
+    delays others too. Late requests look at the prefill alone.
+    """
     if asked.redirected:
         return ""
-    waits = [(one.wait, zone) for zone, one in pool.others.items() if at - one.told_at < LOAD_STALE]
-    if not waits:
-        return ""
-    wait, zone = min(waits)
-    spill = SPILL_SECONDS + PREFILL_WEIGHT * choice.saved(pool, asked)
-    if pool.wait(at) < wait + spill:
-        return ""
-    pool.others[zone].wait += 1.0 / pool.grants_per_second()
-    return zone
+    weight = 0.0 if state.monotonic(asked.target) < at else 1.0
+    placed = pool.directory.zone_of(asked.pieces)
+    here = choice.prefill_cost(pool, asked) + weight * pool.wait(at)
+    best, chosen = here - SPILL_SECONDS, ""
+    for zone, other in sorted(pool.others.items()):
+        if at - other.told_at >= LOAD_STALE:
+            continue
+        away = choice.prefill_cost(pool, asked, known=zone == placed) + weight * other.wait
+        if away < best:
+            best, chosen = away, zone
+    if chosen:
+        pool.others[chosen].wait += 1.0 / pool.grants_per_second()
+        pool.directory.note(asked.pieces, chosen)
+    return chosen
 
 
 def _judge(state: State, pool: Pool, asked: Reserve, at: float) -> Waiting | None:
--- a/src/wasabiwick/_handlers/ledger.py
+++ b/src/wasabiwick/_handlers/ledger.py
@@ -5,7 +5,7 @@
 
 from .._wire import EngineReport, Owner, Reserve
 from . import predict
-from .prefixes import PrefixIndex
+from .prefixes import Directory, PrefixIndex
 from .queueing import WaitQueue
 
 PRIOR_PREFILL = 8_000.0  # Tokens/s assumed of an engine that has not reported.
@@ -218,6 +218,7 @@
         "beyond",
         "target",
         "others",
+        "directory",
     )
 
     def __init__(self, *, model: str, zone: str, at: float, target: float) -> None:
@@ -233,6 +234,7 @@
         self.beyond = predict.Mean(0.5)
         self.target = target
         self.others: dict[str, OtherPool] = {}
+        self.directory = Directory()
 
     def set_engines(self, names: typing.Iterable[str], *, margin: int) -> None:
         """Take over the pool's engines; a known one keeps its ledger."""
@@ -286,6 +288,7 @@
         attempt_id = one.asked.attempt_id
         self.reservations[attempt_id] = one
         self.owners.setdefault(one.asked.owner, one.granted_at)
+        self.directory.forget(ladder)
         self.engines[one.engine].held.add(attempt_id)
         prefill = self.engines.get(one.prefill_engine)
         if prefill and one.phase == "prefill":
--- a/src/wasabiwick/_handlers/pools.py
+++ b/src/wasabiwick/_handlers/pools.py
@@ -10,9 +10,7 @@
 from .._state import State, state_slice
 from . import members, predict
 
-STALE = 1.0  # Seconds after which a coordinator's answer says nothing about its load.
 CROSSING = 0.004  # Seconds assumed one way between availability zones.
-SPILL_MARGIN = 0.05  # Seconds by which another zone must be better; keeps choices from flapping.
 CUT_OFF = 2.0  # Seconds for which a coordinator that did not answer is not asked.
 PRIOR_HOME = 0.5  # Share of a prompt found cached in its home zone.
 PRIOR_AWAY = 0.2
@@ -23,23 +21,14 @@
 class View:
     """What this host knows of one pool: the answers of its coordinator."""
 
-    __slots__ = ("wait", "free", "told_at", "late_denied_at", "cut_until", "crossing")
+    __slots__ = ("wait", "late_denied_at", "cut_until", "crossing")
 
     def __init__(self) -> None:
         self.wait = 0.0
-        self.free = 0
-        self.told_at = -STALE
-        self.late_denied_at = -STALE
+        self.late_denied_at = -CUT_OFF
         self.cut_until = 0.0
         self.crossing = predict.Mean(CROSSING, share=0.1)
 
-    def predicted_wait(self, at: float) -> float:
-        """Return the wait that the pool's last answers promise, in seconds."""
-        age = at - self.told_at
-        if age >= STALE:
-            return 0.0
-        return self.wait * (1.0 - age / STALE)
-
 
 class Affinity:
     """How much a model's prompts gain from the zone that served the same prefix before."""
@@ -90,10 +79,11 @@
     return _rendezvous.weighted_owner_of(str(ladder[-1]), engines)
 
 
-def ranked(
-    state: State, model: str, pieces: tuple[int, ...], tokens: int, at: float
-) -> list[tuple[float, str]]:
-    """Order the zones of a model by the predicted delay of asking each.
+def ranked(state: State, model: str, pieces: tuple[int, ...], tokens: int, at: float) -> list[str]:
+    """Order the zones of a model in which their coordinators are asked.
+
+    The home zone of the prompt's prefix is first where its caches save more than the crossing
+    costs; else this host's own zone. How loaded the zones are is for the coordinators to weigh.
 
     Args:
         state: The host's state.
@@ -103,21 +93,19 @@
         at: Monotonic time.
 
     Returns:
-        Pairs of predicted delay in seconds and zone, best first.
+        Names of zones; those that are cut off come last, or not at all if not this host's own.
     """
-    zones = members.zones_of_service(state, model)
-    home = home_zone(state, model, pieces) if state["pools"].by_affinity else ""
     gain = affinity_of(state, model).gain(tokens)
-    return sorted((_delay(state, model, zone, home, gain, at), zone) for zone in zones)
-
-
-def _delay(state: State, model: str, zone: str, home: str, gain: float, at: float) -> float:
-    view = view_of(state, model, zone)
-    seconds = view.predicted_wait(at)
-    if zone != state.zone:
-        seconds += 2 * view.crossing.value + SPILL_MARGIN
-    if home and zone != home:
-        seconds += PREFILL_WEIGHT * gain
-    if at < view.cut_until:
-        seconds += CUT_OFF
-    return seconds
+    home = home_zone(state, model, pieces) if state["pools"].by_affinity and gain > 0 else ""
+
+    def cost(zone: str) -> tuple[float, float, str]:
+        view = view_of(state, model, zone)
+        crossing = 0.0 if zone == state.zone else 2 * view.crossing.value
+        away = gain if home and zone != home else 0.0
+        return (at < view.cut_until, crossing + away, zone)
+
+    zones = members.zones_of_service(state, model)
+    reachable = [
+        zone for zone in zones if zone == state.zone or at >= view_of(state, model, zone).cut_until
+    ]
+    return sorted(reachable, key=cost)
--- a/src/wasabiwick/_handlers/prefixes.py
+++ b/src/wasabiwick/_handlers/prefixes.py
@@ -13,6 +13,8 @@
 MAX_ENTRIES = 8_192  # Pieces kept for one engine; the least recently used goes first.
 GAP_TRUST = 0.6  # Trust that an entry keeps at each gap.
 GUESS_TRUST = 0.8  # Trust in a prefix that a granted prefill is about to store.
+MAX_DIRECTORY = 8_192  # Prefixes whose zone is remembered.
+DIRECTORY_LENGTH = 6  # Steps of the ladder, below which a prefix is not worth remembering.
 FORGET_TRUST = 0.1  # Entries below this trust are dropped when met.
 
 
@@ -95,3 +97,33 @@
             if trust > 0.0:
                 return LADDER[place] * PIECE_TOKENS, trust
         return 0, 0.0
+
+
+class Directory:
+    """Which zone's pool was last sent the prompts of a prefix, as kept by its home coordinator."""
+
+    __slots__ = ("_zones",)
+
+    def __init__(self) -> None:
+        self._zones: collections.OrderedDict[int, str] = collections.OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._zones)
+
+    def note(self, ladder: tuple[int, ...], zone: str) -> None:
+        """Note that a prompt was sent to a zone."""
+        if len(ladder) < DIRECTORY_LENGTH:
+            return
+        self._zones[ladder[-1]] = zone
+        self._zones.move_to_end(ladder[-1])
+        if len(self._zones) > MAX_DIRECTORY:
+            self._zones.popitem(last=False)
+
+    def forget(self, ladder: tuple[int, ...]) -> None:
+        """Note that a prompt is served here."""
+        if ladder:
+            self._zones.pop(ladder[-1], None)
+
+    def zone_of(self, ladder: tuple[int, ...]) -> str:
+        """Return the zone that a prompt's prefix was sent to, or an empty string."""
+        return self._zones.get(ladder[-1], "") if ladder else ""
--- a/src/wasabiwick/_handlers/slots.py
+++ b/src/wasabiwick/_handlers/slots.py
@@ -153,25 +153,16 @@
 
 def _ask_next(state: State, attempt_id: str, pending: Pending, at: float) -> typing.Iterator[Step]:
     req = calls.request_of(state, pending.request_id)
-    ranked = pools.ranked(state, pending.model, req.call.pieces, req.call.prompt_tokens, at)
-    left = target_of(state, req) - state.wall(at)
-    for delay, zone in ranked:
-        if zone in pending.asked or not _worth_asking(state, pending, zone, left, delay, at):
-            continue
-        yield from _ask(state, attempt_id, pending, zone, at)
-        return
-    yield from _refuse(state, attempt_id, pending, bool(ranked), at)
-
-
-def _worth_asking(
-    state: State, pending: Pending, zone: str, left: float, delay: float, at: float
-) -> bool:
-    view = pools.view_of(state, pending.model, zone)
-    if len(pending.asked) >= MAX_ASKED or (at < view.cut_until and zone != state.zone):
-        return False
-    if left > 0:
-        return not pending.asked or delay < left
-    return not pending.asked and at - view.late_denied_at > LATE_QUIET
+    zones = pools.ranked(state, pending.model, req.call.pieces, req.call.prompt_tokens, at)
+    late = target_of(state, req) < state.wall(at)
+    for zone in zones:
+        quiet = late and at - pools.view_of(state, pending.model, zone).late_denied_at < LATE_QUIET
+        if quiet or len(pending.asked) >= MAX_ASKED:
+            break
+        if zone not in pending.asked:
+            yield from _ask(state, attempt_id, pending, zone, at)
+            return
+    yield from _refuse(state, attempt_id, pending, bool(zones), at)
 
 
 def _ask(
@@ -184,7 +175,6 @@
     if at < view.cut_until:
         yield from _go_alone(state, attempt_id, pending, at)
         return
-    view.free -= 1
     host = coordinator.coordinator_of(state, pending.model, zone)
     yield SendPeer(host=host, message=_reserve(state, attempt_id, pending))
 
@@ -237,7 +227,7 @@
     if pending is None:
         yield from _give_back(state, told, event)
         return
-    _note(state, pending, told.wait, told.free, event.at)
+    _note(state, pending, told.wait)
     _note_affinity(state, pending, told)
     state["slots"].held[told.attempt_id] = Held(
         request_id=told.request_id,
@@ -271,11 +261,9 @@
     yield SendPeer(host=event.sender.host, message=message)
 
 
-def _note(state: State, pending: Pending, wait: float, free: int, at: float) -> None:
+def _note(state: State, pending: Pending, wait: float) -> None:
     view = pools.view_of(state, pending.model, pending.zone)
     view.wait = wait
-    view.free = free
-    view.told_at = at
     view.cut_until = 0.0
 
 
@@ -289,7 +277,7 @@
 
 @on_message(Denied)
 def denied(state: State, event: PeerMessage) -> typing.Iterator[Step]:
-    """Ask another pool, or the same again where its coordinator has lost the attempt."""
+    """Go where the coordinator points, or refuse; reserve again where it lost the attempt."""
     told = event.message
     pending = state["slots"].waiting.get(told.attempt_id)
     if pending is None:
@@ -298,7 +286,7 @@
         yield from _lost(state, told.attempt_id, pending, event.at)
         return
     view = pools.view_of(state, pending.model, pending.zone)
-    _note(state, pending, told.wait, 0, event.at)
+    _note(state, pending, told.wait)
     if told.elsewhere and not pending.redirected:
         pending.redirected = True
         yield Count(metric="reserve_redirected")
@@ -309,7 +297,8 @@
         view.late_denied_at = event.at
     elif pending.zone != state.zone:
         view.crossing.observe(min(1.0, (event.at - pending.asked_at) / 2))
-    yield from _ask_next(state, told.attempt_id, pending, event.at)
+    # The coordinator has weighed the other pools: none would serve the request in time.
+    yield from _refuse(state, told.attempt_id, pending, True, event.at)
 
 
 def _lost(state: State, attempt_id: str, pending: Pending, at: float) -> typing.Iterator[Step]:
