--- /dev/null
+++ b/src/wasabiwick/_cli_report.py
@@ -0,0 +1,151 @@
+"""Commands that report on how the service has been doing."""
+
+import pathlib
+import re
+import time
+
+import aiohttp
+import click
+import msgspec
+
+from ._operator_http import fetch_all
+from ._slo import (
+    BETWEEN_OUTPUTS,
+    BETWEEN_OUTPUTS_TARGET,
+    DEFAULT_GOAL,
+    DEFAULT_WINDOWS,
+    FIRST_OUTPUT,
+    FIRST_OUTPUT_TARGET,
+    Objective,
+    Observations,
+    alerts,
+    burns,
+)
+from ._slo_page import as_html, as_text, report_of
+from ._slo_sources import Snapshot, from_snapshots, from_traces, is_trace, snapshot_of
+from ._trace import TraceError
+
+UNITS = {"s": 1.0, "m": 60.0, "h": 3_600.0, "d": 86_400.0}
+SCRAPE_TIMEOUT = 5.0  # Seconds.
+
+
+class Duration(click.ParamType):
+    """A length of time such as ``30s``, ``5m`` or ``6h``."""
+
+    name = "duration"
+
+    def convert(self, value: object, param: object, ctx: object) -> float:
+        """Return the length in seconds."""
+        if isinstance(value, float):
+            return value
+        found = re.fullmatch(r"(\d+(?:\.\d+)?)([smhd])", str(value))
+        if not found or not float(found[1]):
+            self.fail(f"{value!r} is not a length of time such as 30s, 5m or 6h")
+        return float(found[1]) * UNITS[found[2]]
+
+
+@click.group()
+def report() -> None:
+    """Report on how the service has been doing."""
+
+
+@report.command()
+@click.argument("inputs", nargs=-1, type=click.Path(exists=True, path_type=pathlib.Path))
+@click.option("--scrape", "urls", multiple=True, help="Base URL of a host whose metrics to read.")
+@click.option("--for", "span", type=Duration(), default="60s", show_default=True)
+@click.option("--every", type=Duration(), default="5s", show_default=True)
+@click.option("--save", type=click.Path(file_okay=False, path_type=pathlib.Path))
+@click.option("--first-output", default=FIRST_OUTPUT_TARGET, show_default=True, help="Seconds.")
+@click.option("--between", default=BETWEEN_OUTPUTS_TARGET, show_default=True, help="Seconds.")
+@click.option(
+    "--goal",
+    type=click.FloatRange(0.0, 1.0, max_open=True),
+    default=DEFAULT_GOAL,
+    show_default=True,
+    help="Share of observations within the target.",
+)
+@click.option("--window", "windows", type=Duration(), multiple=True, help="Length; repeatable.")
+@click.option("--most", default=40, show_default=True, help="Lines of the text table.")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@click.option("--html", "page", type=click.Path(dir_okay=False, path_type=pathlib.Path))
+def slo(
+    inputs: tuple[pathlib.Path, ...],
+    urls: tuple[str, ...],
+    span: float,
+    every: float,
+    save: pathlib.Path | None,
+    first_output: float,
+    between: float,
+    goal: float,
+    windows: tuple[float, ...],
+    most: int,
+    as_json: bool,
+    page: pathlib.Path | None,
+) -> None:
+    """Show how fast each customer's error budget burns, for both latency targets.
+
+    INPUTS are recorded traces, or metrics texts named HOST@UNIXTIME.prom. With --scrape, hosts'
+    metrics are read every few seconds instead; --save keeps them for later reports.
+    """
+    objectives = (
+        Objective(metric=FIRST_OUTPUT, target=first_output, goal=goal),
+        Objective(metric=BETWEEN_OUTPUTS, target=between, goal=goal),
+    )
+    if bool(inputs) == bool(urls):
+        raise click.UsageError("give either input files or --scrape")
+    if urls:
+        seen = from_snapshots(_scrape(urls, span, every, save), objectives)
+    else:
+        seen = _read(inputs, objectives)
+    found = burns(seen, objectives, windows or DEFAULT_WINDOWS)
+    made = report_of(seen, found, alerts(seen, objectives))
+    if page:
+        page.write_text(as_html(made, seen, objectives), encoding="utf-8")
+    click.echo(msgspec.json.encode(made) if as_json else as_text(made, most))
+
+
+def _read(inputs: tuple[pathlib.Path, ...], objectives: tuple[Objective, ...]) -> Observations:
+    kinds = {is_trace(path) for path in inputs}
+    if len(kinds) > 1:
+        raise click.UsageError("traces and metrics texts can't be mixed")
+    if not kinds.pop():
+        return from_snapshots(map(snapshot_of, inputs), objectives)
+    try:
+        return from_traces(inputs, objectives)
+    except TraceError as exc:
+        raise click.ClickException(str(exc)) from None
+
+
+def _scrape(
+    urls: tuple[str, ...], span: float, every: float, save: pathlib.Path | None
+) -> list[Snapshot]:
+    if save:
+        save.mkdir(parents=True, exist_ok=True)
+    snapshots = []
+    rounds = max(2, round(span / every) + 1)
+    with click.progressbar(
+        range(rounds), label="Reading metrics", file=click.get_text_stream("stderr")
+    ) as bar:
+        for number in bar:
+            if number:
+                time.sleep(every)
+            snapshots.extend(_scrape_once(urls, save))
+    return snapshots
+
+
+def _scrape_once(urls: tuple[str, ...], save: pathlib.Path | None) -> list[Snapshot]:
+    pages = fetch_all([f"{url.rstrip('/')}/metrics" for url in urls], timeout=SCRAPE_TIMEOUT)
+    snapshots = []
+    for url, text in zip(urls, pages, strict=True):
+        if isinstance(text, aiohttp.ClientError | TimeoutError | OSError):
+            continue
+        snapshot = Snapshot(host=_file_name(url), time=time.time(), text=text)
+        snapshots.append(snapshot)
+        if save:
+            path = save / f"{snapshot.host}@{snapshot.time:.3f}.prom"
+            path.write_text(text, encoding="utf-8")
+    return snapshots
+
+
+def _file_name(url: str) -> str:
+    return re.sub(r"[^A-Za-z0-9.-]+", "_", url.partition("://")[2].strip("/"))
