Serve callers by TLS and peers by mutual TLS

Cause: settings.tls was read and used nowhere. Change: TlsFiles makes new contexts when a file changes and hands them to each handshake by the server-name callback; loading into the old context would keep withdrawn authorities and, between a new certificate and its key, break the pair in use. HttpPeer asks for the present client context each time. The check reads the files. Bracketed IPv6 listen addresses work.

--- a/src/wasabiwick/_adapters/_http.py
+++ b/src/wasabiwick/_adapters/_http.py
@@ -1,6 +1,7 @@
 """What the HTTP adapters share: requests whose errors come back as failure values."""
 
 import asyncio
+import ssl
 import typing
 
 import aiohttp
@@ -68,6 +69,7 @@
     timeout: float,
     answer: type[T] | None,
     body: object = None,
+    tls: ssl.SSLContext | bool = True,
 ) -> T | Failure:
     """Send one JSON request and decode its JSON answer.
 
@@ -79,6 +81,7 @@
         timeout: Seconds for the whole exchange.
         answer: Type of the answer's body, or None where the body does not matter.
         body: Message to send as JSON, or None.
+        tls: Context for HTTPS; True stands for the system's authorities.
 
     Returns:
         The decoded answer, None if ``answer`` is None, or a failure.
@@ -87,7 +90,7 @@
     try:
         async with (
             asyncio.timeout(timeout),
-            session.request(method, address + path, data=data, headers=JSON_TYPE) as resp,
+            session.request(method, address + path, data=data, headers=JSON_TYPE, ssl=tls) as resp,
         ):
             if resp.status >= 400:
                 return failure_of_status(resp.status, address)
--- a/src/wasabiwick/_adapters/_peer.py
+++ b/src/wasabiwick/_adapters/_peer.py
@@ -4,6 +4,7 @@
 
 from .._errors import Failure
 from .._settings import Timing
+from .._tls import TlsFiles
 from .._wire import Envelope
 from ._http import ask
 
@@ -16,13 +17,17 @@
     Args:
         session: Client session.
         timing: Timeouts.
+        tls: The host's certificates, or None where hosts speak plain HTTP.
     """
 
-    __slots__ = ("_session", "_timing")
+    __slots__ = ("_session", "_timing", "_tls")
 
-    def __init__(self, *, session: aiohttp.ClientSession, timing: Timing) -> None:
+    def __init__(
+        self, *, session: aiohttp.ClientSession, timing: Timing, tls: TlsFiles | None = None
+    ) -> None:
         self._session = session
         self._timing = timing
+        self._tls = tls
 
     async def send(self, address: str, envelope: Envelope) -> Failure | None:
         """Deliver a batch of messages; None once the other host has taken it."""
@@ -34,4 +39,6 @@
             body=envelope,
             answer=None,
             timeout=self._timing.peer,
+            # Asked for each time: a changed certificate makes it another context.
+            tls=self._tls.client if self._tls else True,
         )
--- a/src/wasabiwick/_daemon.py
+++ b/src/wasabiwick/_daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import secrets
 import signal
+import ssl
 
 import aiohttp
 from aiohttp import web
@@ -17,6 +18,7 @@
 from ._peer_server import PeerServer
 from ._runner import Ports, Runner
 from ._settings import Settings
+from ._tls import TlsFiles
 from ._trace import TraceWriter
 from ._wire import Owner
 
@@ -31,10 +33,20 @@
         cfg: The host's settings.
     """
 
-    __slots__ = ("_cfg", "_sessions", "_servers", "_trace", "runner", "callers_url", "peers_url")
+    __slots__ = (
+        "_cfg",
+        "_sessions",
+        "_servers",
+        "_tls",
+        "_trace",
+        "runner",
+        "callers_url",
+        "peers_url",
+    )
 
     def __init__(self, *, cfg: Settings) -> None:
         self._cfg = cfg
+        self._tls = TlsFiles(cfg.tls) if cfg.tls else None
         self._trace: TraceWriter | None = None
         self._sessions: list[aiohttp.ClientSession] = []
         self._servers: list[web.AppRunner] = []
@@ -52,8 +64,11 @@
             self._record()
         entry = Entry(runner=self.runner).app()
         peers = PeerServer(runner=self.runner).app()
-        self.callers_url = await self._serve(entry, self._cfg.listen.callers)
-        self.peers_url = await self._serve(peers, self._cfg.listen.peers)
+        listen, tls = self._cfg.listen, self._tls
+        self.callers_url = await self._serve(entry, listen.callers, tls and tls.callers)
+        self.peers_url = await self._serve(peers, listen.peers, tls and tls.peers)
+        if tls:
+            self.runner.spawn("tls", tls.watch())
         self.runner.start()
 
     async def stop(self) -> None:
@@ -82,7 +97,7 @@
             engine=_adapters.HttpEngine(session=shared, timing=timing),
             host_list=_adapters.HttpHostList(session=shared, address=platform.hosts, timing=timing),
             log=_adapters.HttpLogService(session=shared, address=platform.log, timing=timing),
-            peer=_adapters.HttpPeer(session=shared, timing=timing),
+            peer=_adapters.HttpPeer(session=shared, timing=timing, tls=self._tls),
             service=_adapters.HttpService(session=once, timing=timing),
         )
 
@@ -92,7 +107,7 @@
         self._sessions.append(session)
         return session
 
-    async def _serve(self, app: web.Application, address: str) -> str:
+    async def _serve(self, app: web.Application, address: str, tls: ssl.SSLContext | None) -> str:
         host, _, port = address.rpartition(":")
         limits = self._cfg.limits
         server = web.AppRunner(
@@ -103,10 +118,11 @@
             max_field_size=limits.max_header_bytes,
         )
         await server.setup()
-        site = web.TCPSite(server, host, int(port))
+        site = web.TCPSite(server, host.strip("[]"), int(port), ssl_context=tls)
         await site.start()
         self._servers.append(server)
-        return f"http://{host}:{server.addresses[0][1]}"
+        scheme = "https" if tls else "http"
+        return f"{scheme}://{host}:{server.addresses[0][1]}"
 
 
 async def serve(cfg: Settings) -> None:
--- a/src/wasabiwick/_settings_file.py
+++ b/src/wasabiwick/_settings_file.py
@@ -2,10 +2,12 @@
 
 import inspect
 import pathlib
+import ssl
 import typing
 
+from . import _tls
 from ._schema import Fault, FieldFault, cross_rule, params_of, read_yaml
-from ._settings import Once, Settings, Timing
+from ._settings import Once, Settings, Timing, Tls
 
 
 def load_settings(path: str | pathlib.Path) -> Settings | list[Fault]:
@@ -49,6 +51,18 @@
         yield "keep", "must be longer than once.horizon"
 
 
+@cross_rule(Tls)
+def _files_agree(tls: Tls) -> typing.Iterator[FieldFault]:
+    try:
+        _tls.server_context(tls)
+    except OSError as exc:
+        yield "certificate", f"can't be used with the key: {exc}"
+    try:
+        ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT).load_verify_locations(cafile=tls.authority)
+    except OSError as exc:
+        yield "authority", f"holds no certificates: {exc}"
+
+
 def settings_to_builtins(cfg: object) -> dict[str, typing.Any]:
     """Turn settings into the mapping that a settings file would hold."""
     fields = {}
