--- a/src/wasabiwick/_handlers/__init__.py
+++ b/src/wasabiwick/_handlers/__init__.py
@@ -3,7 +3,9 @@
 from . import (  # noqa: I001 - the order of import is the order of registration
     host,
     members,
+    members_watch,
     lists,
+    lists_keeping,
     calls,
     keys,
     admission,
@@ -11,6 +13,8 @@
     generation,
     cancels,
     services,
+    once_shard,
+    once,
     closing,
 )
 
@@ -23,7 +27,11 @@
     "host",
     "keys",
     "lists",
+    "lists_keeping",
     "members",
+    "members_watch",
+    "once",
+    "once_shard",
     "services",
     "slots",
 ]
--- a/src/wasabiwick/_wire.py
+++ b/src/wasabiwick/_wire.py
@@ -139,7 +139,7 @@
     """Periodic sign of life within an availability zone.
 
     ``version`` and ``offset`` are the newest configuration record the sender has in force.
-    ``leaving`` lists endpoints that the sender knows to be leaving.
+    ``leaving`` lists endpoints that are leaving, each with the seconds since the first sign.
     """
 
     owner: Owner
@@ -148,14 +148,35 @@
     version: int = 0
     offset: int = -1
     stopping: bool = False
-    leaving: tuple[str, ...] = ()
+    leaving: tuple[tuple[str, float], ...] = ()
+
+
+class HostSeen(Base):
+    """Tells all hosts of a zone what a watcher of ``host`` saw change.
+
+    ``state`` is ``live``, ``silent``, ``dead`` or ``stopping``.
+    """
+
+    host: Owner
+    state: str
+
+
+class AskConfiguration(Base):
+    """Asks a host for the records that lead from a version to the one it has in force."""
+
+    after: int
 
 
 # --- Streams of the log --------------------------------------------------------------------------
 
 
 class Intent(Base):
-    """Record: an attempt wants to run a request that may run only once."""
+    """Record: an attempt wants to run a request that may run only once.
+
+    ``after`` is the epoch that the attempt knew when its call arrived: the offset of the key's last
+    effective void, or -1. ``over`` names the winner that a takeover replaces, or is empty. ``born``
+    is the Unix time at which the key was made.
+    """
 
     key: str
     attempt_id: str
@@ -163,6 +184,8 @@
     after: int
     service: str
     digest: str = ""
+    born: float = 0.0
+    over: str = ""
 
 
 class Void(Base):
@@ -170,10 +193,11 @@
 
     key: str
     attempt_id: str
+    born: float = 0.0
 
 
 class Outcome(Base):
-    """Record: the answer of the attempt that ran."""
+    """Record: the answer of the attempt that ran; status 0 says that it is not known."""
 
     key: str
     attempt_id: str
@@ -182,14 +206,73 @@
     content_type: str = "application/json"
 
 
+class KeyState(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What the records of one key come to.
+
+    Args:
+        epoch: Offset of the last effective void, or -1.
+        winner: Attempt that won the epoch, or empty.
+        owner: Host and incarnation of the winner.
+        fence: Offset of the winner's intent; its fencing number.
+        since: Time at which the log took the winner's intent, in Unix seconds.
+        earlier: Winners of the epoch that a takeover replaced.
+        voided: Attempts whose own voids were effective, the newest last.
+        status: HTTP status of the recorded answer, 0 for an unknown outcome, or -1 for none.
+        body: Body of the recorded answer.
+        content_type: Media type of the recorded answer.
+        service: Service that the winner calls.
+        digest: Digest of the winner's request.
+        born: Unix time at which the key was made.
+    """
+
+    epoch: int = -1
+    winner: str = ""
+    owner: Owner | None = None
+    fence: int = -1
+    since: float = 0.0
+    earlier: tuple[str, ...] = ()
+    voided: tuple[str, ...] = ()
+    status: int = -1
+    body: str = ""
+    content_type: str = "application/json"
+    service: str = ""
+    digest: str = ""
+    born: float = 0.0
+
+
 class Checkpoint(Base):
     """Record: the folded state of live keys up to ``upto``, so that older records may expire.
 
-    ``entries`` lists (key, epoch, winner attempt id, status or -1, body, digest).
+    A checkpoint without entries in the stream of checkpoints points to one: ``upto`` is the offset
+    at which a reader has to begin.
     """
 
     upto: int
-    entries: tuple[tuple[str, int, str, int, str, str], ...] = ()
+    entries: tuple[tuple[str, KeyState], ...] = ()
+
+
+# --- Between hosts: keys of work that may run only once ------------------------------------------
+
+
+class KeyAsk(Base):
+    """Asks the coordinator of a shard to append a record and to tell the key's state.
+
+    The asking host is told at once, and again at each change for a while.
+    """
+
+    shard: int
+    key: str
+    owner: Owner
+    record: Intent | Void | Outcome | None = None
+
+
+class KeyTold(Base):
+    """Answers `KeyAsk`: the key's state as of all records before ``position``."""
+
+    shard: int
+    key: str
+    position: int
+    found: KeyState
 
 
 class Configuration(Base):
@@ -212,6 +295,19 @@
     key_id: str = ""
 
 
+class ConfigurationCopy(Base):
+    """The signed records that lead to the version in force after offset ``upto``, unchanged.
+
+    Hosts send it to each other in answer to `AskConfiguration`, and append it to the log before the
+    originals expire. ``records`` begins with a full record, or with the one after the version asked
+    for.
+    """
+
+    upto: int
+    version: int
+    records: tuple[str, ...] = ()
+
+
 class LeaseClaim(Base):
     """Record: an owner claims the lease of a zone's model; its offset is the fencing number."""
 
@@ -234,11 +330,16 @@
     | Release
     | Renew
     | Heartbeat
+    | HostSeen
+    | AskConfiguration
+    | KeyAsk
+    | KeyTold
     | Intent
     | Void
     | Outcome
     | Checkpoint
     | Configuration
+    | ConfigurationCopy
     | LeaseClaim
 )
 
