Show the hosts' status and drain one by command

Cause: GET /status and POST /drain had no command, and no host told the roles it holds. Conclusion: a drained host is followed to its end; a silent one is named.

--- /dev/null
+++ b/src/wasabiwick/_cli_status.py
@@ -0,0 +1,226 @@
+"""Commands that look at running hosts and shut them down gracefully."""
+
+import collections
+import ssl
+import time
+
+import click
+import msgspec
+
+from ._operator_http import Answer, fetch_all
+from ._settings_file import load_settings
+from ._status import ENTRY, Status
+from ._tls import client_context
+from ._wire import HostEntry
+
+TIMEOUT = 3.0  # Seconds for each request to a host.
+DRAIN_POLL = 0.5  # Seconds between looks at a host that drains.
+DEFAULT_DRAIN_WAIT = 150.0
+
+_COLUMNS = ("host", "zone", "release", "config", "in flight", "state", "roles")
+
+
+class HostStatus(msgspec.Struct):
+    """One host as the command found it; ``error`` is set where it did not answer."""
+
+    name: str
+    zone: str
+    address: str
+    leaving: bool
+    status: Status | None = None
+    error: str = ""
+
+
+class Overview(msgspec.Struct):
+    """All hosts and endpoints, as printed by ``--json``."""
+
+    hosts: list[HostStatus]
+    endpoints: list[HostEntry]
+    versions: list[int]
+
+
+def _tls_option(ctx: object, param: object, path: str | None) -> ssl.SSLContext | None:
+    if path is None:
+        return None
+    cfg = load_settings(path)
+    if isinstance(cfg, list):
+        raise click.BadParameter(f"{path}: {cfg[0]}")
+    return client_context(cfg.tls) if cfg.tls else None
+
+
+_hosts = click.option(
+    "--hosts", "hosts_url", required=True, help="Base URL of the platform's host list."
+)
+_tls = click.option(
+    "--settings",
+    "tls",
+    callback=_tls_option,
+    help="Settings file with the certificates to show, where hosts use TLS.",
+)
+
+
+@click.command()
+@_hosts
+@_tls
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def status(hosts_url: str, tls: ssl.SSLContext | None, as_json: bool) -> None:
+    """Show hosts, endpoints, configuration versions, roles and work in flight."""
+    found = overview(hosts_url, tls)
+    click.echo(msgspec.json.encode(found) if as_json else _as_text(found))
+
+
+@click.command()
+@click.argument("host")
+@_hosts
+@_tls
+@click.option(
+    "--wait",
+    default=DEFAULT_DRAIN_WAIT,
+    show_default=True,
+    help="Seconds to wait for the end of the work in flight; 0 does not wait.",
+)
+def drain(host: str, hosts_url: str, tls: ssl.SSLContext | None, wait: float) -> None:
+    """Shut a host down gracefully: it takes no new work, ends what is in flight, and exits."""
+    address = _address_of(_entries(hosts_url), host)
+    answer = fetch_all([f"{address}/drain"], timeout=TIMEOUT, method="POST", tls=tls)[0]
+    if not isinstance(answer, str):
+        raise click.ClickException(f'host "{host}" does not answer: {answer!r}')
+    click.echo(f"{host}: draining", err=True)
+    if wait:
+        _await_end(host, address, tls, time.monotonic() + wait)
+
+
+def overview(hosts_url: str, tls: ssl.SSLContext | None) -> Overview:
+    """Ask every host on the host list for its status.
+
+    Args:
+        hosts_url: Base URL of the host list.
+        tls: Certificates to show, where hosts use TLS.
+
+    Returns:
+        All that was found.
+    """
+    entries = _entries(hosts_url)
+    hosts = [entry for entry in entries if entry.kind == ENTRY]
+    answers = fetch_all([f"{entry.address}/status" for entry in hosts], timeout=TIMEOUT, tls=tls)
+    found = [_host_status(entry, one) for entry, one in zip(hosts, answers, strict=True)]
+    return Overview(
+        hosts=found,
+        endpoints=[entry for entry in entries if entry.kind != ENTRY],
+        versions=sorted({one.status.version for one in found if one.status}),
+    )
+
+
+def _entries(hosts_url: str) -> list[HostEntry]:
+    answer = fetch_all([f"{hosts_url.rstrip('/')}/hosts"], timeout=TIMEOUT)[0]
+    if not isinstance(answer, str):
+        raise click.ClickException(f"the host list does not answer: {answer!r}")
+    try:
+        entries = msgspec.json.decode(answer, type=list[HostEntry])
+    except msgspec.MsgspecError as exc:
+        raise click.ClickException(f"the host list is not valid: {exc}") from None
+    return sorted(entries, key=lambda entry: (entry.zone, entry.name))
+
+
+def _address_of(entries: list[HostEntry], host: str) -> str:
+    for entry in entries:
+        if entry.kind == ENTRY and entry.name == host:
+            return entry.address
+    raise click.ClickException(f'host "{host}" is not on the host list')
+
+
+def _host_status(entry: HostEntry, answer: Answer) -> HostStatus:
+    found = HostStatus(
+        name=entry.name, zone=entry.zone, address=entry.address, leaving=entry.leaving
+    )
+    try:
+        if isinstance(answer, str):
+            found.status = msgspec.json.decode(answer, type=Status)
+        else:
+            found.error = repr(answer)
+    except msgspec.MsgspecError as exc:
+        found.error = f"status is not valid: {exc}"
+    return found
+
+
+def _await_end(host: str, address: str, tls: ssl.SSLContext | None, end: float) -> None:
+    before = -1
+    while time.monotonic() < end:
+        answer = fetch_all([f"{address}/status"], timeout=TIMEOUT, tls=tls)[0]
+        if isinstance(answer, TimeoutError):
+            continue
+        if not isinstance(answer, str):
+            click.echo(f"{host}: stopped", err=True)
+            return
+        left = msgspec.json.decode(answer, type=Status).in_flight
+        if left != before:
+            click.echo(f"{host}: {left} in flight", err=True)
+        before = left
+        time.sleep(DRAIN_POLL)
+    raise click.ClickException(f'host "{host}" has not stopped yet')
+
+
+def _as_text(found: Overview) -> str:
+    table = [_COLUMNS, *(_cells(one) for one in found.hosts)]
+    widths = [max(len(line[index]) for line in table) for index in range(len(_COLUMNS))]
+    lines = [
+        "  ".join(cell.ljust(width) for cell, width in zip(line, widths, strict=True)).rstrip()
+        for line in table
+    ]
+    return "\n".join([*lines, "", *_endpoint_lines(found), *_remarks(found)])
+
+
+def _cells(one: HostStatus) -> tuple[str, ...]:
+    if one.status is None:
+        return (one.name, one.zone, "-", "-", "-", "no answer", one.error)
+    status = one.status
+    state = "stopping" if status.stopping else "leaving" if one.leaving else "serving"
+    return (
+        one.name,
+        one.zone,
+        status.release,
+        str(status.version),
+        str(status.in_flight),
+        state,
+        _role_counts(status.roles),
+    )
+
+
+def _role_counts(roles: tuple[str, ...]) -> str:
+    kinds = collections.Counter(role.partition("/")[0] for role in roles)
+    return ", ".join(f"{kind} {count}" for kind, count in sorted(kinds.items())) or "-"
+
+
+def _endpoint_lines(found: Overview) -> list[str]:
+    listed: dict[str, int] = {}
+    for entry in found.endpoints:
+        listed[entry.service] = listed.get(entry.service, 0) + 1
+    return [
+        f"{service}: {count} endpoints listed, {_usable(found, service)}"
+        for service, count in sorted(listed.items())
+    ]
+
+
+def _usable(found: Overview, service: str) -> str:
+    seen = {
+        count.usable
+        for one in found.hosts
+        if one.status
+        for count in one.status.endpoints
+        if count.service == service
+    }
+    if not seen:
+        return "seen by no host"
+    low, high = min(seen), max(seen)
+    return f"{low} usable" if low == high else f"{low} to {high} usable, as hosts see it"
+
+
+def _remarks(found: Overview) -> list[str]:
+    remarks = []
+    if len(found.versions) > 1:
+        shown = ", ".join(map(str, found.versions))
+        remarks.append(f"hosts have different configuration versions: {shown}")
+    silent = [one.name for one in found.hosts if one.status is None]
+    if silent:
+        remarks.append(f"no answer from {', '.join(silent)}")
+    return remarks
--- a/src/wasabiwick/_handlers/coordinator.py
+++ b/src/wasabiwick/_handlers/coordinator.py
@@ -22,6 +22,7 @@
 from .._state import State, state_slice
 from .._wire import Advanced, Denied, Granted, Release, Renew, Reserve
 from . import choice, health, members
+from .host import role_report
 from .ledger import RESTART_MARGIN, EngineLedger, Pool, Reservation
 from .queueing import LATE, MAX_RELAXED, RELAXED, URGENT, URGENT_SLACK, Waiting
 
@@ -49,6 +50,12 @@
     return members.role_owner(state, f"pool/{model}", zone)
 
 
+@role_report
+def roles(state: State) -> typing.Iterator[str]:
+    """Name the pools that this host coordinates."""
+    return (f"pool/{model}/{zone}" for model, zone in state["coordinator"].pools)
+
+
 def coordinates(state: State, engine: str) -> bool:
     """Tell whether this host coordinates the pool that an engine belongs to."""
     entry = members.entry_of(state, engine)
--- a/src/wasabiwick/_handlers/host.py
+++ b/src/wasabiwick/_handlers/host.py
@@ -11,7 +11,10 @@
 
 BusyCheck = typing.Callable[[State], int]
 
+RoleReport = typing.Callable[[State], typing.Iterable[str]]
+
 _BUSY_CHECKS: list[BusyCheck] = []
+_ROLE_REPORTS: list[RoleReport] = []
 
 
 def busy_check(check: BusyCheck) -> BusyCheck:
@@ -25,6 +28,17 @@
     return sum(check(state) for check in _BUSY_CHECKS)
 
 
+def role_report(report: RoleReport) -> RoleReport:
+    """Register a function that names the soft roles which this host holds."""
+    _ROLE_REPORTS.append(report)
+    return report
+
+
+def roles_held(state: State) -> list[str]:
+    """Return the soft roles that this host holds."""
+    return sorted(role for report in _ROLE_REPORTS for role in report(state))
+
+
 @handles(Booted)
 def boot(state: State, event: Booted) -> None:
     """Take over the identity of the new process."""
--- a/src/wasabiwick/_handlers/once_shard.py
+++ b/src/wasabiwick/_handlers/once_shard.py
@@ -26,7 +26,7 @@
 from .._state import State, state_slice
 from .._wire import Checkpoint, KeyAsk, KeyState, KeyTold, LogRecord
 from . import members
-from .host import busy_check
+from .host import busy_check, role_report
 
 STREAM_PREFIX = "effects-"
 WATCH = 10.0  # Seconds for which a host is told the changes of a key that it asked for.
@@ -92,6 +92,14 @@
     return members.role_owner(state, f"effects/{shard}", state.zone)
 
 
+@role_report
+def roles(state: State) -> typing.Iterator[str]:
+    """Name the shards that this host coordinates."""
+    mine = state.owner.host
+    shards = state["once_shard"].shards
+    return (f"effects/{shard}" for shard in shards if coordinator_of(state, shard) == mine)
+
+
 def append_rate(state: State) -> float:
     """Return the appends per second that this host may make, so that all keep the log's limit."""
     zones = max(1, len(members.zones(state)))
--- a/src/wasabiwick/_peer_server.py
+++ b/src/wasabiwick/_peer_server.py
@@ -5,26 +5,13 @@
 
 from ._adapters._peer import MESSAGES_PATH
 from ._events import PeerMessage, StopAsked
-from ._handlers import lists
-from ._handlers.host import in_flight
 from ._runner import Runner
+from ._status import status_of
 from ._wire import Envelope
 
 MAX_ENVELOPE_BYTES = 8 * 1024 * 1024
 
 
-class Status(msgspec.Struct):
-    """Answer of ``GET /status``."""
-
-    host: str
-    incarnation: str
-    zone: str
-    version: int
-    offset: int
-    in_flight: int
-    stopping: bool
-
-
 class PeerServer:
     """Serves other entry hosts and operators.
 
@@ -63,16 +50,7 @@
         return web.Response(status=204)
 
     async def _status(self, req: web.Request) -> web.Response:
-        state = self._runner.state
-        status = Status(
-            host=state.owner.host,
-            incarnation=state.owner.incarnation,
-            zone=state.zone,
-            version=lists.version(state),
-            offset=lists.offset(state),
-            in_flight=in_flight(state),
-            stopping=state.stopping,
-        )
+        status = status_of(self._runner.state)
         return web.Response(body=msgspec.json.encode(status), content_type="application/json")
 
     async def _drain(self, req: web.Request) -> web.Response:
