--- a/src/wasabiwick/_handlers/calls.py
+++ b/src/wasabiwick/_handlers/calls.py
@@ -94,6 +94,13 @@
     return Verdict.NOT_RUN
 
 
+def refuse(call_id: str, failure: Failure) -> typing.Iterator[Step]:
+    """Answer a call with a failure and count it by reason and by verdict."""
+    yield RefuseCall(call_id=call_id, failure=failure)
+    yield Count(metric="refused", label=failure.reason.code)
+    yield Count(metric="refused_verdict", label=failure.verdict.value)
+
+
 @busy_check
 def open_requests(state: State) -> int:
     """Count requests whose callers still wait."""
@@ -111,7 +118,7 @@
         return
     refused = _check(state, call)
     if refused:
-        yield RefuseCall(call_id=call.call_id, failure=refused)
+        yield from refuse(call.call_id, refused)
         return
     yield from _open(state, event)
 
@@ -143,7 +150,7 @@
             verdict=verdict,
             detail="the Idempotency-Key is in use for a request with another body",
         )
-        yield RefuseCall(call_id=call.call_id, failure=failure)
+        yield from refuse(call.call_id, failure)
         return
     # A caller that asks again has given up on its earlier connection.
     if req.caller_present:
@@ -203,8 +210,7 @@
     if req is None:
         return
     if req.caller_present:
-        yield RefuseCall(call_id=req.call.call_id, failure=event.failure)
-    yield Count(metric="refused", label=event.failure.reason.code)
+        yield from refuse(req.call.call_id, event.failure)
     yield RequestClosed(at=event.at, request_id=event.request_id)
 
 
--- a/src/wasabiwick/_handlers/generation.py
+++ b/src/wasabiwick/_handlers/generation.py
@@ -110,6 +110,11 @@
     ]
 
 
+def runs(state: State, request_id: str, attempt_id: str) -> bool:
+    """Tell whether an attempt is the one that this host runs for a request."""
+    return _current(state, request_id, attempt_id) is not None
+
+
 def _current(state: State, request_id: str, attempt_id: str) -> Generation | None:
     gen = state["generation"].running.get(request_id)
     return gen if gen and gen.attempt_id == attempt_id else None
