Describe every metric, and make the reference pages from the code

Cause: metrics had no meaning anywhere, prefills without output were not counted as wasted unless late, and settings were documented in docstrings only. Change: _metrics describes counters, latencies and gauges; gauges are read from the state when scraped; handlers/measures counts prefills that gave no output; _reference writes docs/settings.md and docs/metrics.md ('make docs').

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: traces install test demo format check model capacity bench clean
+.PHONY: docs traces install test demo format check model capacity bench clean
 
 $(STAMP): pyproject.toml requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -32,3 +32,6 @@
 
 traces: install
 	$(BIN)/python -m tests._scripts
+
+docs: install
+	$(BIN)/python -m wasabiwick._reference docs
--- a/src/wasabiwick/_entry.py
+++ b/src/wasabiwick/_entry.py
@@ -22,7 +22,7 @@
 from ._events import CallAnswered, CallArrived, CallerGone
 from ._handlers import calls, lists
 from ._logging import log_event
-from ._performers.telemetry import REGISTRY
+from ._performers.telemetry import REGISTRY, read_gauges
 from ._runner import Body, Runner
 from ._sink import CallSink, Closed, Whole
 from ._verdict import Verdict
@@ -143,6 +143,7 @@
         return web.Response(text="ready\n")
 
     async def _metrics(self, req: web.Request) -> web.Response:
+        read_gauges(self._runner.state)
         content, headers = render(REGISTRY, req.headers.getall("Accept", []))
         return web.Response(body=content, headers=headers)
 
--- /dev/null
+++ b/src/wasabiwick/_handlers/measures.py
@@ -0,0 +1,90 @@
+"""The users' two measures: goodput within both latency targets, and wasted prefill.
+
+A prefill is wasted if no output came of it: its engine, the transfer or the decode failed first, or
+the caller left. A prefill that ends after its attempt did is counted by `generation`.
+"""
+
+import typing
+
+from .._effects import Count
+from .._events import PrefillDone, RequestClosed, StreamEnded, StreamProgress
+from .._reducer import Step, handles
+from .._settings import Settings
+from .._state import State, state_slice
+from . import calls, generation
+
+
+class Progress:
+    """When a request's first output came, and how many tokens came with it."""
+
+    __slots__ = ("first", "count")
+
+    def __init__(self, *, first: float, count: int) -> None:
+        self.first = first
+        self.count = count
+
+
+@state_slice("measures")
+class MeasuresState:
+    """First outputs, and prefilled tokens without any output yet, by request id."""
+
+    __slots__ = ("progress", "prefilled")
+
+    def __init__(self, cfg: Settings) -> None:
+        self.progress: dict[str, Progress] = {}
+        self.prefilled: dict[str, int] = {}
+
+
+@handles(PrefillDone)
+def prefilled(state: State, event: PrefillDone) -> typing.Iterator[Step]:
+    """Note a prefill that awaits its first output; an earlier one of the request was wasted."""
+    if not generation.runs(state, event.request_id, event.attempt_id):
+        return
+    yield from _waste(state, event.request_id)
+    state["measures"].prefilled[event.request_id] = event.prompt_tokens - event.cached_tokens
+
+
+@handles(StreamProgress)
+def begin(state: State, event: StreamProgress) -> None:
+    """Note the first output of a request that this host serves."""
+    mine = state["measures"]
+    if event.request_id in mine.progress and event.request_id not in mine.prefilled:
+        return
+    if generation.runs(state, event.request_id, event.attempt_id):
+        mine.prefilled.pop(event.request_id, None)
+        first = Progress(first=event.at, count=event.count)
+        mine.progress.setdefault(event.request_id, first)
+
+
+@handles(StreamEnded)
+def end(state: State, event: StreamEnded) -> typing.Iterator[Step]:
+    """Count the tokens of an answer, and those of one that met both targets once more."""
+    req = calls.request_of(state, event.request_id)
+    progress = state["measures"].progress.pop(event.request_id, None)
+    if req is None or progress is None or not req.caller_present:
+        return
+    customer = req.customer.name
+    yield Count(metric="output_tokens", label=customer, amount=event.offset)
+    if _met_targets(state, req, progress, event):
+        yield Count(metric="goodput_tokens", label=customer, amount=event.offset)
+
+
+def _met_targets(state: State, req: calls.Request, progress: Progress, event: StreamEnded) -> bool:
+    targets = state.cfg.targets
+    limit = targets.may_wait if req.plan.may_wait else targets.first_output
+    later = event.offset - progress.count
+    between = (event.at - progress.first) / later if later > 0 else 0.0
+    return progress.first - req.arrived <= limit and between <= targets.between_outputs
+
+
+@handles(RequestClosed)
+def close(state: State, event: RequestClosed) -> typing.Iterator[Step]:
+    """Forget a request that is over."""
+    state["measures"].progress.pop(event.request_id, None)
+    yield from _waste(state, event.request_id)
+
+
+def _waste(state: State, request_id: str) -> typing.Iterator[Step]:
+    tokens = state["measures"].prefilled.pop(request_id, 0)
+    if tokens:
+        yield Count(metric="prefill_wasted", amount=tokens)
--- /dev/null
+++ b/src/wasabiwick/_metrics.py
@@ -0,0 +1,197 @@
+"""Names and meanings of all metrics.
+
+Counters and latencies are written by the reducer's effects. Gauges are read from the state when the
+metrics are asked for. The page for operators is made from these descriptions.
+"""
+
+import typing
+
+from ._handlers import calls, cancels, lists, members
+from ._handlers.host import in_flight, roles_held
+from ._state import State
+
+PREFIX = "wasabiwick"
+
+GaugeValues = dict[str, float]
+GaugeReader = typing.Callable[[State], GaugeValues]
+
+
+class Metric:
+    """One metric.
+
+    Args:
+        name: Its name in effects.
+        kind: ``counter``, ``latency`` or ``gauge``.
+        text: What it counts or measures.
+        label: What its label holds, or empty.
+        read: Reads a gauge's values by label from the state.
+    """
+
+    __slots__ = ("name", "kind", "text", "label", "read")
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        kind: str,
+        text: str,
+        label: str = "",
+        read: GaugeReader | None = None,
+    ) -> None:
+        self.name = name
+        self.kind = kind
+        self.text = text
+        self.label = label
+        self.read = read
+
+    @property
+    def exported(self) -> str:
+        """The name under which the metric is exported."""
+        suffix = {"counter": "_total", "latency": "_seconds"}.get(self.kind, "")
+        return f"{PREFIX}_{self.name}{suffix}"
+
+
+METRICS: dict[str, Metric] = {}
+SECTIONS: dict[str, list[Metric]] = {}
+
+
+def _section(title: str, *metrics: Metric) -> None:
+    SECTIONS[title] = list(metrics)
+    METRICS.update((metric.name, metric) for metric in metrics)
+
+
+def _counter(name: str, text: str, label: str = "") -> Metric:
+    return Metric(name=name, kind="counter", text=text, label=label)
+
+
+def _latency(name: str, text: str, label: str = "") -> Metric:
+    return Metric(name=name, kind="latency", text=text, label=label)
+
+
+def gauge(name: str, text: str, label: str = "") -> typing.Callable[[GaugeReader], GaugeReader]:
+    """Register the function that reads a gauge's values by label from the state."""
+
+    def register(read: GaugeReader) -> GaugeReader:
+        metric = Metric(name=name, kind="gauge", text=text, label=label, read=read)
+        METRICS[name] = metric
+        SECTIONS.setdefault("State of the host", []).append(metric)
+        return read
+
+    return register
+
+
+def help_of(name: str) -> str:
+    """Return the description of a metric; its name where there is none."""
+    metric = METRICS.get(name)
+    return metric.text if metric else name.replace("_", " ")
+
+
+_section(
+    "Goodput and latency targets",
+    _latency("first_output", "From a request's first call to its first output.", "customer"),
+    _latency("between_outputs", "Between two outputs of one stream.", "customer"),
+    _counter("output_tokens", "Output tokens of whole answers.", "customer"),
+    _counter("goodput_tokens", "Output tokens of answers within both targets.", "customer"),
+    _latency("slot_wait", "From a request's first call until its slot was held.", "customer"),
+)
+_section(
+    "Wasted prefill",
+    _counter("prefill_tokens", "Prompt tokens prefilled, without cached ones."),
+    _counter("prefill_wasted", "Of these, tokens whose prefill gave no output."),
+)
+_section(
+    "Completion, retries and take-over",
+    _counter("calls", "Well-formed calls that arrived.", "kind of call"),
+    _counter("answered", "Answers written whole to the caller.", "kind of call"),
+    _counter("superseded", "Calls closed unanswered for a newer call of their request here."),
+    _counter("handed_over", "Requests let go to another host that a newer call reached."),
+    _counter("adopted", "Running streams that this host took over from another."),
+    _counter("taken_over", "Streams that another host took over while this one was cut off."),
+    _counter("resumed", "Streams opened again at the offset that was missing."),
+    _counter("attempt_failed", "Attempts that failed at an engine.", "phase"),
+    _counter("frames_dropped", "Output that fitted no present attempt, in tokens."),
+    _counter("service_retries", "Idempotent service calls sent again."),
+)
+_section(
+    "Refusals",
+    _counter("refused", "Refusals.", "reason"),
+    _counter("refused_verdict", "Refusals by what they say of execution.", "verdict"),
+)
+_section(
+    "Cancellation",
+    _counter("abandoned", "Requests given up because their caller did not come back."),
+    _counter("cancels", "Attempts that an engine was asked to forget."),
+    _counter("cancel_failed", "Cancels that did not reach their engine; they are repeated."),
+)
+_section(
+    "Calls executed at most once",
+    _counter("once_dispatched", "Calls sent to a service, each once."),
+    _counter("once_joined", "Calls that joined running work of their key."),
+    _counter("once_replayed", "Calls answered from the recorded outcome of their key."),
+    _counter("once_unknown", "Calls told that the outcome is unknown."),
+    _counter("once_given_up", "Attempts given up before they were sent.", "reason"),
+    _counter("once_resolutions", "Unknown outcomes resolved with the service.", "way"),
+    _counter("once_appends", "Group commits to the log."),
+    _counter("once_records", "Records in these."),
+    _counter("once_append_failed", "Group commits that the log did not confirm."),
+)
+_section(
+    "Choice of engines",
+    _counter("reserve_denied", "Reservations that a coordinator refused."),
+    _counter("coordinator_unreachable", "Coordinators that did not answer.", "zone"),
+    _counter("coordinator_bypassed", "Requests placed without a coordinator's word."),
+    _counter("ejected", "Times an endpoint was taken out after failures.", "endpoint"),
+)
+_section(
+    "Configuration and membership",
+    _counter("configuration_skipped", "Configuration records that were not valid."),
+    _counter("configuration_copy_invalid", "Copies of the configuration that were not valid."),
+    _counter("configuration_kept", "Times the configuration was appended again for retention."),
+    _counter("endpoint_leaving", "Signs that an endpoint is leaving."),
+    _counter("peer_failed", "Messages to other hosts that were not confirmed."),
+    _counter("heartbeat_stale", "Heartbeats of an earlier run, or out of order."),
+)
+
+
+@gauge("in_flight", "Work that a graceful shutdown would wait for.")
+def _in_flight(state: State) -> GaugeValues:
+    return {"": in_flight(state)}
+
+
+@gauge("open_requests", "Requests that this host serves.")
+def _open_requests(state: State) -> GaugeValues:
+    return {"": calls.open_requests(state)}
+
+
+@gauge("cancels_unconfirmed", "Attempts whose engine has not confirmed that it forgot them.")
+def _cancels(state: State) -> GaugeValues:
+    return {"": cancels.unconfirmed(state)}
+
+
+@gauge("configuration_version", "Version of the configuration in force; 0 before the first.")
+def _version(state: State) -> GaugeValues:
+    return {"": lists.version(state)}
+
+
+@gauge("endpoints_usable", "Endpoints that may get new work.", "service or model")
+def _usable(state: State) -> GaugeValues:
+    found: GaugeValues = {}
+    for entry in state["members"].entries.values():
+        if entry.kind != "entry":
+            usable = members.is_usable(state, entry.name)
+            found[entry.service] = found.get(entry.service, 0) + usable
+    return found
+
+
+@gauge("roles_held", "Soft roles that this host holds.", "kind of role")
+def _roles(state: State) -> GaugeValues:
+    found: GaugeValues = {}
+    for role in roles_held(state):
+        kind = role.partition("/")[0]
+        found[kind] = found.get(kind, 0) + 1
+    return found
+
+
+@gauge("stopping", "1 while the host shuts down gracefully.")
+def _stopping(state: State) -> GaugeValues:
+    return {"": int(state.stopping)}
--- a/src/wasabiwick/_performers/telemetry.py
+++ b/src/wasabiwick/_performers/telemetry.py
@@ -1,19 +1,20 @@
 """Log lines and metrics."""
 
-from aioprometheus import Counter, Histogram
+from aioprometheus import Counter, Gauge, Histogram
 from aioprometheus.collectors import REGISTRY
 
 from .._effects import Count, LogLine, Observe
 from .._logging import log_event
+from .._metrics import METRICS, PREFIX, Metric, help_of
 from .._runner import Runner, performs
-
-PREFIX = "wasabiwick"
+from .._state import State
 
 # Seconds; dense around both latency targets.
 BUCKETS = (0.005, 0.01, 0.02, 0.03, 0.04, 0.054, 0.07, 0.1, 0.2, 0.35, 0.55, 0.8, 1.5, 3.0, 10.0)
 
 _COUNTERS: dict[str, Counter] = {}
 _HISTOGRAMS: dict[str, Histogram] = {}
+_GAUGES: dict[str, Gauge] = {}
 
 
 @performs(Count)
@@ -21,7 +22,7 @@
     """Add to a counter."""
     counter = _COUNTERS.get(effect.metric)
     if counter is None:
-        counter = Counter(f"{PREFIX}_{effect.metric}_total", effect.metric.replace("_", " "))
+        counter = Counter(f"{PREFIX}_{effect.metric}_total", help_of(effect.metric))
         _COUNTERS[effect.metric] = counter
     counter.add({"label": effect.label}, effect.amount)
 
@@ -32,7 +33,7 @@
     histogram = _HISTOGRAMS.get(effect.metric)
     if histogram is None:
         name = f"{PREFIX}_{effect.metric}_seconds"
-        histogram = Histogram(name, effect.metric.replace("_", " "), buckets=list(BUCKETS))
+        histogram = Histogram(name, help_of(effect.metric), buckets=list(BUCKETS))
         _HISTOGRAMS[effect.metric] = histogram
     histogram.observe({"label": effect.label}, effect.value)
 
@@ -43,4 +44,21 @@
     log_event(effect.event, **effect.fields)
 
 
-__all__ = ["REGISTRY", "count", "log_line", "observe"]
+def read_gauges(state: State) -> None:
+    """Set all gauges to what the state says now."""
+    for metric in METRICS.values():
+        if metric.read:
+            _set_gauge(metric, metric.read(state))
+
+
+def _set_gauge(metric: Metric, values: dict[str, float]) -> None:
+    known = _GAUGES.get(metric.name)
+    if known is None:
+        known = _GAUGES[metric.name] = Gauge(metric.exported, metric.text)
+    # Labels that are gone, as of services that were removed, are not shown for ever.
+    known.values.clear()
+    for label, value in values.items():
+        known.set({"label": label}, value)
+
+
+__all__ = ["REGISTRY", "count", "log_line", "observe", "read_gauges"]
