Publish both lists and show what is in force

Cause: operators had no way to change the lists; a race or a lost answer left them guessing. Change: 'wasabiwick publish' checks both files, shows the difference, names the version replaced, appends the same bytes until the log shows who won, and waits for every live host; 'show' and 'publisher-key' go with it; 'check' knows both lists.

--- a/src/wasabiwick/_cli_check.py
+++ b/src/wasabiwick/_cli_check.py
@@ -6,6 +6,7 @@
 import click
 import msgspec
 
+from ._lists_file import check_allowances, check_plans
 from ._schema import Fault
 from ._settings_file import load_settings
 
@@ -26,6 +27,8 @@
 
 
 checker("settings")(load_settings)
+checker("plans")(check_plans)
+checker("allowances")(check_allowances)
 
 
 class FileReport(msgspec.Struct):
--- /dev/null
+++ b/src/wasabiwick/_cli_publish.py
@@ -0,0 +1,352 @@
+"""``wasabiwick publish``, ``show`` and ``publisher-key``: how operators change the lists."""
+
+import asyncio
+import getpass
+import pathlib
+import time
+import typing
+
+import aiohttp
+import click
+import msgspec
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric import ed25519
+
+from . import _configuration, _lists_file, _publish
+from ._adapters import HttpHostList, HttpLogService
+from ._configuration import Content, History
+from ._errors import Failure
+from ._publish import HostVersion, Publication, Result, Signer, Watch
+from ._settings import Settings, Timing
+from ._settings_file import load_settings
+
+EXIT_FAULTS = 2
+EXIT_LOST = 3
+EXIT_BEHIND = 4
+EXIT_UNKNOWN = 5
+EXIT_NOT_PUBLISHED = 6
+
+_EXITS = {
+    _publish.LOST: EXIT_LOST,
+    _publish.UNKNOWN: EXIT_UNKNOWN,
+    _publish.NOT_PUBLISHED: EXIT_NOT_PUBLISHED,
+}
+
+File = click.Path(exists=True, dir_okay=False, path_type=pathlib.Path)
+
+
+class Target:
+    """The platform's services, and the publishers that hosts trust."""
+
+    __slots__ = ("log", "hosts", "publishers")
+
+    def __init__(self, *, log: str, hosts: str, publishers: dict[str, str]) -> None:
+        self.log = log
+        self.hosts = hosts
+        self.publishers = publishers
+
+
+def _target(log: str, hosts: str, settings: pathlib.Path | None) -> Target:
+    cfg = load_settings(settings) if settings else None
+    if isinstance(cfg, list):
+        raise click.BadParameter("\n".join(str(fault) for fault in cfg), param_hint="--settings")
+    if isinstance(cfg, Settings):
+        log, hosts = log or cfg.platform.log, hosts or cfg.platform.hosts
+    if not log:
+        raise click.UsageError("give --log or --settings")
+    return Target(log=log, hosts=hosts, publishers=cfg.publishers if cfg else {})
+
+
+def _places(command: typing.Callable) -> typing.Callable:
+    for option in (
+        click.option("--settings", type=File, help="A host's settings: URLs and publishers' keys."),
+        click.option("--hosts", default="", help="Base URL of the host list."),
+        click.option("--log", default="", help="Base URL of the log service."),
+    ):
+        command = option(command)
+    return command
+
+
+@click.command()
+@_places
+@click.option("--plans", "plans_path", required=True, type=File, help="The list of customers.")
+@click.option(
+    "--allowances", "allowances_path", required=True, type=File, help="What plans may use."
+)
+@click.option("--key", type=File, help="Private Ed25519 key in PEM form that signs the record.")
+@click.option("--key-id", default="", help="Id of the key in the hosts' settings.")
+@click.option("--author", default=getpass.getuser, help="Name of the operator.")
+@click.option("--replaces", type=int, help="Version that the lists were edited from.")
+@click.option("--wait", default=30.0, show_default=True, help="Seconds to wait for the hosts.")
+@click.option("--timeout", default=30.0, show_default=True, help="Seconds to try the log for.")
+@click.option("--dry-run", is_flag=True, help="Check and show the difference only.")
+@click.option("--json", "as_json", is_flag=True, help="Print the result as JSON.")
+def publish(
+    log: str,
+    hosts: str,
+    settings: pathlib.Path | None,
+    plans_path: pathlib.Path,
+    allowances_path: pathlib.Path,
+    key: pathlib.Path | None,
+    key_id: str,
+    author: str,
+    replaces: int | None,
+    wait: float,
+    timeout: float,
+    dry_run: bool,
+    as_json: bool,
+) -> None:
+    """Publish a new version of both lists, and wait until every live host has it in force.
+
+    The status is 0 once all hosts follow, 2 if the lists have faults, 3 if another version won, 4
+    if hosts are behind, 5 if the log did not say what became of the record, 6 if it took nothing.
+    """
+    content = _checked(plans_path, allowances_path)
+    signer = _signer(key, key_id)
+    target = _target(log, hosts, settings)
+    options = _Options(
+        author=author, replaces=replaces, wait=wait, timeout=timeout, dry_run=dry_run, quiet=as_json
+    )
+    result = asyncio.run(_publish_to(target, content, signer, options))
+    if as_json:
+        click.echo(msgspec.json.encode(result))
+    else:
+        _explain(result)
+    raise SystemExit(_EXITS.get(result.outcome, EXIT_BEHIND if result.behind else 0))
+
+
+class _Options:
+    """How to publish."""
+
+    __slots__ = ("author", "replaces", "wait", "timeout", "dry_run", "quiet")
+
+    def __init__(
+        self,
+        *,
+        author: str,
+        replaces: int | None,
+        wait: float,
+        timeout: float,
+        dry_run: bool,
+        quiet: bool,
+    ) -> None:
+        self.author = author
+        self.replaces = replaces
+        self.wait = wait
+        self.timeout = timeout
+        self.dry_run = dry_run
+        self.quiet = quiet
+
+    def say(self, text: str) -> None:
+        """Print progress, unless only the result is wanted."""
+        if not self.quiet:
+            click.echo(text)
+
+
+def _checked(plans_path: pathlib.Path, allowances_path: pathlib.Path) -> Content:
+    plans, allowances = plans_path.read_text("utf-8"), allowances_path.read_text("utf-8")
+    faults = _lists_file.check_lists(plans, allowances)
+    for fault in faults:
+        click.echo(str(fault), err=True)
+    if faults:
+        raise SystemExit(EXIT_FAULTS)
+    return _configuration.content_of(_lists_file.read_lists(plans, allowances))
+
+
+def _signer(path: pathlib.Path | None, key_id: str) -> Signer | None:
+    if path is None:
+        return None
+    if not key_id:
+        raise click.UsageError("--key needs --key-id")
+    try:
+        key = serialization.load_pem_private_key(path.read_bytes(), password=None)
+    except (ValueError, TypeError) as exc:
+        raise click.BadParameter(f"{path} is no private key: {exc}", param_hint="--key") from None
+    if not isinstance(key, ed25519.Ed25519PrivateKey):
+        raise click.BadParameter(f"{path} is no Ed25519 key", param_hint="--key")
+    return Signer(key_id=key_id, key=key)
+
+
+async def _publish_to(
+    target: Target, content: Content, signer: Signer | None, options: _Options
+) -> Result:
+    async with aiohttp.ClientSession() as session:
+        log = HttpLogService(session=session, address=target.log, timing=Timing())
+        history = await _read(log, target.publishers)
+        options.say(_difference(history, content))
+        watch = _watch(session, target)
+        await _check_hosts_follow(watch, history)
+        publication = Publication(
+            log=log,
+            history=history,
+            content=content,
+            author=options.author,
+            signer=signer,
+            replaces=options.replaces,
+            timeout=options.timeout,
+        )
+        if options.dry_run:
+            return publication.result(_publish.NOT_PUBLISHED)
+        result = await publication.run()
+        if result.outcome in (_publish.IN_FORCE, _publish.UNCHANGED) and watch:
+            await _follow(watch, publication, result, options)
+        return result
+
+
+async def _read(log: HttpLogService, publishers: dict[str, str]) -> History:
+    try:
+        return await _publish.read_history(log, publishers)
+    except _publish.LogLost as exc:
+        raise click.ClickException(f"the log service does not answer: {exc}") from None
+
+
+def _watch(session: aiohttp.ClientSession, target: Target) -> Watch | None:
+    if not target.hosts:
+        return None
+    hosts = HttpHostList(session=session, address=target.hosts, timing=Timing())
+    return Watch(session=session, hosts=hosts)
+
+
+async def _check_hosts_follow(watch: Watch | None, history: History) -> None:
+    """Refuse where the log has lost versions that hosts have: they append a copy by themselves."""
+    found = await watch.versions() if watch else []
+    if isinstance(found, Failure):
+        return
+    newest = max((one.version for one in found), default=0)
+    if newest > history.version:
+        raise click.ClickException(
+            f"hosts have version {newest} in force, but the log shows {history.version}; "
+            "publish again once a host has appended a copy"
+        )
+
+
+async def _follow(
+    watch: Watch, publication: Publication, result: Result, options: _Options
+) -> None:
+    options.say(f"version {result.version} is accepted; waiting for the hosts")
+    tell = _teller(options)
+    result.hosts, result.behind = await watch.wait(result.version, options.wait, tell)
+    if publication.accepted_at and not result.behind:
+        result.seconds = round(time.time() - publication.accepted_at, 3)
+
+
+def _teller(options: _Options) -> typing.Callable[[list[HostVersion]], None]:
+    def tell(behind: list[HostVersion]) -> None:
+        if behind:
+            options.say(f"not yet in force on: {_named(behind)}")
+
+    return tell
+
+
+def _named(behind: list[HostVersion]) -> str:
+    return ", ".join(
+        f"{one.host} ({'no answer' if one.version < 0 else one.version})" for one in behind
+    )
+
+
+def _difference(history: History, content: Content) -> str:
+    changes, removed = _configuration.difference(history.content, content)
+    lines = [f"version in force: {history.version}"]
+    for section, named in changes.items():
+        before = history.content.entries[section]
+        for name, fields in named.items():
+            sign, old = ("~", before[name]) if name in before else ("+", {})
+            changed = {key: value for key, value in fields.items() if old.get(key) != value}
+            lines.append(f"{sign} {section}/{name}: {msgspec.json.encode(changed).decode()}")
+    lines.extend(f"- {path}" for path in removed)
+    return "\n".join(lines if len(lines) > 1 else [*lines, "nothing changes"])
+
+
+def _explain(result: Result) -> None:
+    texts = {
+        _publish.IN_FORCE: f"version {result.version} is in force on {result.hosts} hosts",
+        _publish.UNCHANGED: f"version {result.version} has these lists already",
+        _publish.LOST: (
+            f"version {result.version} was not accepted: {result.winner} replaced version "
+            f"{result.replaces} first; no host follows this one"
+        ),
+        _publish.UNKNOWN: (
+            f"the log did not say whether version {result.version} was appended; it may still "
+            "take effect: look with `wasabiwick show`"
+        ),
+        _publish.NOT_PUBLISHED: "nothing was published",
+    }
+    click.echo(texts[result.outcome])
+    if result.behind:
+        click.echo(f"still behind: {_named(result.behind)}")
+    elif result.seconds:
+        click.echo(f"all hosts had it {result.seconds:.2f} s after it was accepted")
+
+
+@click.command()
+@_places
+@click.option("--out", type=click.Path(file_okay=False, path_type=pathlib.Path), help="Directory.")
+@click.option("--json", "as_json", is_flag=True, help="Print as JSON.")
+def show(
+    log: str, hosts: str, settings: pathlib.Path | None, out: pathlib.Path | None, as_json: bool
+) -> None:
+    """Show the version in force in the log and on each host; --out writes both lists as YAML."""
+    target = _target(log, hosts, settings)
+    history, found = asyncio.run(_look(target))
+    if out:
+        _write(history.content, out)
+    last = _configuration.decode(history.chain[-1]) if history.chain else None
+    shown = Shown(
+        version=history.version,
+        offset=history.offset,
+        author=last.author if last else "",
+        digest=history.content.digest,
+        complete=history.complete,
+        hosts=found,
+    )
+    if as_json:
+        click.echo(msgspec.json.encode(shown))
+        return
+    click.echo(f"version {shown.version} by {shown.author or '-'} at offset {shown.offset}")
+    for one in found:
+        state = "no answer" if one.version < 0 else f"version {one.version}"
+        click.echo(f"{one.zone} {one.host}: {state}")
+
+
+class Shown(msgspec.Struct, kw_only=True):
+    """What ``wasabiwick show --json`` prints."""
+
+    version: int
+    offset: int
+    author: str
+    digest: str
+    complete: bool
+    hosts: list[HostVersion]
+
+
+async def _look(target: Target) -> tuple[History, list[HostVersion]]:
+    async with aiohttp.ClientSession() as session:
+        log = HttpLogService(session=session, address=target.log, timing=Timing())
+        history = await _read(log, target.publishers)
+        watch = _watch(session, target)
+        found = await watch.versions() if watch else []
+        return history, [] if isinstance(found, Failure) else found
+
+
+def _write(content: Content, out: pathlib.Path) -> None:
+    out.mkdir(parents=True, exist_ok=True)
+    plans, allowances = _lists_file.to_yaml(content.entries)
+    (out / "plans.yaml").write_text(plans, "utf-8")
+    (out / "allowances.yaml").write_text(allowances, "utf-8")
+
+
+@click.command("publisher-key")
+@click.option("--out", required=True, type=click.Path(path_type=pathlib.Path), help="New PEM file.")
+def publisher_key(out: pathlib.Path) -> None:
+    """Make a publisher's key; prints the public key for the settings' ``publishers``."""
+    key = ed25519.Ed25519PrivateKey.generate()
+    pem = key.private_bytes(
+        serialization.Encoding.PEM,
+        serialization.PrivateFormat.PKCS8,
+        serialization.NoEncryption(),
+    )
+    out.touch(mode=0o600, exist_ok=False)
+    out.write_bytes(pem)
+    public = key.public_key()
+    raw = public.public_bytes(serialization.Encoding.Raw, serialization.PublicFormat.Raw)
+    click.echo(raw.hex())
--- a/src/wasabiwick/_configuration.py
+++ b/src/wasabiwick/_configuration.py
@@ -4,6 +4,7 @@
 decide alike which of two racing records won.
 """
 
+import collections
 import hashlib
 import typing
 
@@ -16,6 +17,7 @@
 
 SECTIONS = ("customers", "plans", "services", "models")
 DIGEST_BITS = 256
+PAST_RECORDS = 64  # Records that took effect, kept for those who ask what became of theirs.
 
 Entries = dict[str, dict[str, dict]]
 
@@ -210,6 +212,7 @@
         "chain",
         "anchor",
         "complete",
+        "past",
         "_seen",
         "_held",
         "_held_from",
@@ -226,11 +229,21 @@
         self.chain: list[str] = []  # A full record, then the partial ones after it.
         self.anchor = 0.0  # Append time of the newest full record or copy, Unix seconds.
         self.complete = True  # False where records before those held were lost.
+        self.past: collections.deque[str] = collections.deque(maxlen=PAST_RECORDS)
         self._seen = -1  # Last offset read.
         self._held: list[LogRecord] = []
         self._held_from = 0
         self._copied = False  # Whether a copy was read while records were held.
 
+    @property
+    def next(self) -> int:
+        """Offset of the record to read next."""
+        return max(self.upto, self._seen) + 1
+
+    def took_effect(self, data: str) -> bool:
+        """Tell whether a record is, or lately was, in force."""
+        return data in self.chain or hashlib.sha256(data.encode()).hexdigest() in self.past
+
     def read(self, records: typing.Iterable[LogRecord], *, first: int) -> list[Skipped]:
         """Fold records in the order of their offsets.
 
@@ -377,6 +390,7 @@
         self.lists = _lists.changed(earlier, message.version, entries, message.removed)
         self.content = content
         self.version = message.version
+        self.past.append(hashlib.sha256(data.encode()).hexdigest())
         self.chain = [*self.chain, data] if message.partial else [data]
 
     def copy(self, after: int = 0) -> ConfigurationCopy:
--- a/src/wasabiwick/_lists_file.py
+++ b/src/wasabiwick/_lists_file.py
@@ -4,6 +4,7 @@
 keys, ``allowances.yaml`` has the sections ``plans``, ``services`` and ``models``.
 """
 
+import pathlib
 import typing
 
 import yaml
@@ -11,6 +12,7 @@
 from ._configuration import SECTIONS, Entries
 from ._lists import Customer, ModelTraits, Plan, ServiceTraits
 from ._schema import Fault, read_yaml
+from ._settings_file import read_text
 
 
 class Allowances:
@@ -129,3 +131,33 @@
     for key in place:
         node = next(value for name, value in node.value if name.value == key)
     return node.start_mark.line + 1
+
+
+def to_yaml(entries: Entries) -> tuple[str, str]:
+    """Return the texts of ``plans.yaml`` and ``allowances.yaml`` that hold these entries."""
+    allowances = {section: entries[section] for section in SECTIONS if section != "customers"}
+    return _dump(entries["customers"]), _dump(allowances)
+
+
+def _dump(value: object) -> str:
+    return yaml.safe_dump(value, sort_keys=True, default_flow_style=None)
+
+
+def check_plans(path: pathlib.Path) -> list[Fault]:
+    """Check a file of customers alone; `check_lists` checks it against the allowances too."""
+    return _check_file(path, dict[str, Customer])
+
+
+def check_allowances(path: pathlib.Path) -> list[Fault]:
+    """Check a file of what plans may use."""
+    return _check_file(path, Allowances)
+
+
+def _check_file(path: pathlib.Path, kind: typing.Any) -> list[Fault]:
+    text = read_text(path)
+    if isinstance(text, Fault):
+        return [text]
+    found = read_yaml(text, kind)
+    if isinstance(found, Allowances):
+        return list(_check_uses(found, text))
+    return found if isinstance(found, list) else []
--- /dev/null
+++ b/src/wasabiwick/_publish.py
@@ -0,0 +1,318 @@
+"""Publishing of the two lists: append one record, find out whether it won, wait for the hosts."""
+
+import asyncio
+import random
+import time
+import typing
+
+import aiohttp
+import msgspec
+from cryptography.hazmat.primitives.asymmetric import ed25519
+
+from . import _configuration
+from ._adapters._http import ask
+from ._configuration import Content, History
+from ._errors import Failure
+from ._peer_server import Status
+from ._ports import HostList, LogService
+from ._wire import Configuration, HostEntry
+
+STREAM = "configuration"
+APPEND_RETRY = 0.2  # Seconds, doubled after each try.
+LONGEST_RETRY = 2.0  # Seconds.
+POLL = 0.2  # Seconds between looks at the hosts.
+STATUS_TIMEOUT = 1.0  # Seconds.
+MAX_STATUS_CALLS = 32  # Calls to hosts under way at once.
+
+IN_FORCE = "in_force"
+LOST = "lost"
+UNCHANGED = "unchanged"
+UNKNOWN = "unknown"
+NOT_PUBLISHED = "not_published"
+
+
+class Signer:
+    """A publisher's private key and its id in the hosts' settings."""
+
+    __slots__ = ("key_id", "key")
+
+    def __init__(self, *, key_id: str, key: ed25519.Ed25519PrivateKey) -> None:
+        self.key_id = key_id
+        self.key = key
+
+
+class HostVersion(msgspec.Struct):
+    """What one host said it has in force; ``version`` is -1 if it did not answer."""
+
+    host: str
+    zone: str
+    version: int
+
+
+class Result(msgspec.Struct, kw_only=True):
+    """What became of a publication.
+
+    ``outcome`` is ``in_force``, ``lost`` (another version won), ``unchanged``, ``not_published``
+    (nothing was appended) or ``unknown`` (the log did not say whether the record was appended).
+    ``behind`` lists the live hosts that don't have the version in force yet, and ``seconds`` the
+    time from its acceptance until all had it.
+    """
+
+    outcome: str
+    version: int
+    replaces: int
+    author: str = ""
+    winner: str = ""
+    behind: list[HostVersion] = []
+    hosts: int = 0
+    seconds: float = 0.0
+    appends: int = 0
+    record_bytes: int = 0
+
+
+class LogLost(Exception):  # noqa: N818 - the log service is at fault, not the caller
+    """The log service did not answer within the time given."""
+
+
+class Publication:
+    """One attempt to replace the lists in force.
+
+    Args:
+        log: The log service.
+        history: The configuration stream, read up to its end by `read_history`.
+        content: The lists to publish.
+        author: Name of the operator.
+        signer: Signs the record, or None where hosts take unsigned ones.
+        replaces: Version that the record replaces; the one in force if None.
+        timeout: Seconds for which the log is tried.
+    """
+
+    __slots__ = (
+        "log",
+        "history",
+        "content",
+        "record",
+        "data",
+        "appends",
+        "accepted_at",
+        "_timeout",
+    )
+
+    def __init__(
+        self,
+        *,
+        log: LogService,
+        history: History,
+        content: Content,
+        author: str,
+        signer: Signer | None = None,
+        replaces: int | None = None,
+        timeout: float = 30.0,
+    ) -> None:
+        self.log = log
+        self.history = history
+        self.content = content
+        self.record = make_record(history, content, author, signer, replaces)
+        self.data = msgspec.json.encode(self.record).decode()
+        self.appends = 0
+        self.accepted_at = 0.0
+        self._timeout = timeout
+
+    async def run(self) -> Result:
+        """Append the record until the log shows whether it took effect.
+
+        The same bytes are appended again after a lost answer: only the first copy can count.
+
+        Returns:
+            The outcome, without the hosts' part.
+        """
+        if self.content.digest == self.history.content.digest:
+            return self.result(UNCHANGED)
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self._timeout
+        delay = APPEND_RETRY
+        maybe = False
+        while loop.time() < end:
+            outcome = await self._decided()
+            if outcome:
+                return self.result(outcome)
+            self.appends += 1
+            answer = await self.log.append(STREAM, (self.data,))
+            if not isinstance(answer, Failure):
+                self.accepted_at = self.accepted_at or time.time()
+                maybe = True
+                continue
+            maybe = maybe or answer.verdict.value != "NOT_RUN"
+            await asyncio.sleep(delay * random.uniform(0.5, 1.0))
+            delay = min(LONGEST_RETRY, delay * 2)
+        outcome = await self._decided()
+        return self.result(outcome or (UNKNOWN if maybe else NOT_PUBLISHED))
+
+    async def _decided(self) -> str:
+        """Read on; say whether the record, or another that replaces the same version, won."""
+        try:
+            await read_on(self.log, self.history)
+        except LogLost:
+            return ""
+        if self.history.version < self.record.version:
+            return LOST if self.record.replaces != self.history.version else ""
+        return IN_FORCE if self.history.took_effect(self.data) else LOST
+
+    def result(self, outcome: str) -> Result:
+        """Return the result with this outcome."""
+        winner = _author_of(self.history) if outcome == LOST else ""
+        return Result(
+            outcome=outcome,
+            version=self.history.version if outcome == UNCHANGED else self.record.version,
+            replaces=self.record.replaces,
+            author=self.record.author,
+            winner=winner,
+            appends=self.appends,
+            record_bytes=len(self.data),
+        )
+
+
+def make_record(
+    history: History,
+    content: Content,
+    author: str,
+    signer: Signer | None,
+    replaces: int | None = None,
+) -> Configuration:
+    """Build the record that replaces a version: partial as long as that is the smaller burden.
+
+    A host that starts reads the last full record and all partial ones after it; they are kept below
+    the size of one full record.
+    """
+    in_force = history.version if replaces is None else replaces
+    partial = in_force == history.version > 0
+    record = _configuration.make_record(
+        version=in_force + 1,
+        replaces=in_force,
+        author=author,
+        old=history.content,
+        new=content,
+        partial=partial,
+    )
+    full_bytes = len(history.chain[0]) if history.chain else 0
+    partial_bytes = sum(map(len, history.chain[1:])) + len(record.plans) + len(record.allowances)
+    if partial and partial_bytes > full_bytes:
+        record = _configuration.make_record(
+            version=in_force + 1,
+            replaces=in_force,
+            author=author,
+            old=history.content,
+            new=content,
+            partial=False,
+        )
+    return _configuration.sign(record, signer.key_id, signer.key) if signer else record
+
+
+async def read_history(log: LogService, publishers: dict[str, str]) -> History:
+    """Read the configuration stream from its oldest record to its end.
+
+    Args:
+        log: The log service.
+        publishers: Public keys of publishers by key id.
+
+    Returns:
+        The folded stream.
+
+    Raises:
+        LogLost: If the log service does not answer.
+    """
+    history = History(publishers)
+    await read_on(log, history)
+    history.begin_anew()
+    return history
+
+
+async def read_on(log: LogService, history: History) -> None:
+    """Read the records that were appended since the last reading.
+
+    Raises:
+        LogLost: If the log service does not answer.
+    """
+    while True:
+        page = await log.read(STREAM, history.next, 0)
+        if isinstance(page, Failure):
+            raise LogLost(page.detail)
+        history.read(page.records, first=page.first)
+        if not page.records or page.records[-1].offset + 1 >= page.end:
+            return
+
+
+def _author_of(history: History) -> str:
+    return _configuration.decode(history.chain[-1]).author if history.chain else ""
+
+
+class Watch:
+    """Looks which live hosts have a version in force.
+
+    Args:
+        session: Client session for the hosts' status.
+        hosts: The host list.
+    """
+
+    __slots__ = ("_session", "_hosts", "_limit")
+
+    def __init__(self, *, session: aiohttp.ClientSession, hosts: HostList) -> None:
+        self._session = session
+        self._hosts = hosts
+        self._limit = asyncio.Semaphore(MAX_STATUS_CALLS)
+
+    async def versions(self) -> list[HostVersion] | Failure:
+        """Ask all hosts that the list names and that are not leaving."""
+        entries = await self._hosts.entries()
+        if isinstance(entries, Failure):
+            return entries
+        live = [entry for entry in entries if entry.kind == "entry" and not entry.leaving]
+        answers = await asyncio.gather(*(self._status(entry) for entry in live))
+        return [one for one in answers if one is not None]
+
+    async def _status(self, entry: HostEntry) -> HostVersion | None:
+        async with self._limit:
+            told = await ask(
+                self._session,
+                "GET",
+                entry.address,
+                "/status",
+                answer=Status,
+                timeout=STATUS_TIMEOUT,
+            )
+        if isinstance(told, Failure):
+            return HostVersion(host=entry.name, zone=entry.zone, version=-1)
+        if told.stopping:
+            return None
+        return HostVersion(host=entry.name, zone=entry.zone, version=told.version)
+
+    async def wait(
+        self,
+        version: int,
+        timeout: float,
+        tell: typing.Callable[[list[HostVersion]], None] = lambda behind: None,
+    ) -> tuple[int, list[HostVersion]]:
+        """Wait until every live host has a version in force.
+
+        Args:
+            version: The version, or a later one.
+            timeout: Longest wait in seconds.
+            tell: Called with the hosts that are behind whenever these change.
+
+        Returns:
+            The number of live hosts, and those that are still behind.
+        """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout
+        before: list[HostVersion] | None = None
+        while True:
+            found = await self.versions()
+            hosts = [] if isinstance(found, Failure) else found
+            behind = [one for one in hosts if one.version < version]
+            if behind != before:
+                tell(behind)
+                before = behind
+            done = bool(hosts) and not behind
+            if done or loop.time() >= end:
+                return len(hosts), behind
+            await asyncio.sleep(POLL)
