--- a/src/wasabiwick/_settings.py
+++ b/src/wasabiwick/_settings.py
@@ -190,6 +190,29 @@
         self.drain = drain
 
 
+class Targets:
+    """Latency targets, in seconds.
+
+    Args:
+        first_output: From a request's first call to its first output.
+        between_outputs: Between two outputs of one stream.
+        may_wait: From a request's first call to its first output, where its plan may wait.
+    """
+
+    __slots__ = ("first_output", "between_outputs", "may_wait")
+
+    def __init__(
+        self,
+        *,
+        first_output: Seconds = 2.0,
+        between_outputs: Seconds = 0.054,
+        may_wait: Seconds = 60.0,
+    ) -> None:
+        self.first_output = first_output
+        self.between_outputs = between_outputs
+        self.may_wait = may_wait
+
+
 class Once:
     """Settings of work that may run only once.
 
@@ -229,6 +252,7 @@
         limits: Bounds on callers.
         timing: Intervals and timeouts.
         once: Settings of work that may run only once.
+        targets: Latency targets.
         publishers: Public keys of publishers by key id, hexadecimal Ed25519.
         trace: File that events are recorded to, or empty. It holds answers of plain services and
             what the log holds, so that it wants the same care as these.
@@ -245,6 +269,7 @@
         "limits",
         "timing",
         "once",
+        "targets",
         "publishers",
         "trace",
         "trace_bytes",
@@ -262,6 +287,7 @@
         limits: Limits | None = None,
         timing: Timing | None = None,
         once: Once | None = None,
+        targets: Targets | None = None,
         publishers: dict[str, Hex64] | None = None,
         trace: str = "",
         trace_bytes: PositiveInt = 64 * 1024 * 1024,
@@ -275,6 +301,7 @@
         self.limits = limits or Limits()
         self.timing = timing or Timing()
         self.once = once or Once()
+        self.targets = targets or Targets()
         self.publishers = publishers or {}
         self.trace = trace
         self.trace_bytes = trace_bytes
