Take the hosts' status form and certificates from where they live now

Cause: the status form moved to its own module, and hosts may ask for certificates. Conclusion: both commands work before plain and TLS hosts alike.

--- a/src/wasabiwick/_cli_publish.py
+++ b/src/wasabiwick/_cli_publish.py
@@ -17,8 +17,9 @@
 from ._configuration import Content, History
 from ._errors import Failure
 from ._publish import HostVersion, Publication, Result, Signer, Watch
-from ._settings import Settings, Timing
+from ._settings import Settings, Timing, Tls
 from ._settings_file import load_settings
+from ._tls import client_context
 
 EXIT_FAULTS = 2
 EXIT_LOST = 3
@@ -36,14 +37,22 @@
 
 
 class Target:
-    """The platform's services, and the publishers that hosts trust."""
+    """The platform's services, the publishers that hosts trust, and the hosts' certificates."""
 
-    __slots__ = ("log", "hosts", "publishers")
+    __slots__ = ("log", "hosts", "publishers", "tls")
 
-    def __init__(self, *, log: str, hosts: str, publishers: dict[str, str]) -> None:
+    def __init__(
+        self, *, log: str, hosts: str, publishers: dict[str, str], tls: Tls | None = None
+    ) -> None:
         self.log = log
         self.hosts = hosts
         self.publishers = publishers
+        self.tls = tls
+
+    def session(self) -> aiohttp.ClientSession:
+        """Open a client session that shows the certificates where hosts use TLS."""
+        context = client_context(self.tls) if self.tls else True
+        return aiohttp.ClientSession(connector=aiohttp.TCPConnector(ssl=context))
 
 
 def _target(log: str, hosts: str, settings: pathlib.Path | None) -> Target:
@@ -54,7 +63,9 @@
         log, hosts = log or cfg.platform.log, hosts or cfg.platform.hosts
     if not log:
         raise click.UsageError("give --log or --settings")
-    return Target(log=log, hosts=hosts, publishers=cfg.publishers if cfg else {})
+    if cfg is None:
+        return Target(log=log, hosts=hosts, publishers={})
+    return Target(log=log, hosts=hosts, publishers=cfg.publishers, tls=cfg.tls)
 
 
 def _places(command: typing.Callable) -> typing.Callable:
@@ -170,7 +181,7 @@
 async def _publish_to(
     target: Target, content: Content, signer: Signer | None, options: _Options
 ) -> Result:
-    async with aiohttp.ClientSession() as session:
+    async with target.session() as session:
         log = HttpLogService(session=session, address=target.log, timing=Timing())
         history = await _read(log, target.publishers)
         options.say(_difference(history, content))
@@ -320,7 +331,7 @@
 
 
 async def _look(target: Target) -> tuple[History, list[HostVersion]]:
-    async with aiohttp.ClientSession() as session:
+    async with target.session() as session:
         log = HttpLogService(session=session, address=target.log, timing=Timing())
         history = await _read(log, target.publishers)
         watch = _watch(session, target)
--- a/src/wasabiwick/_publish.py
+++ b/src/wasabiwick/_publish.py
@@ -13,8 +13,8 @@
 from ._adapters._http import ask
 from ._configuration import Content, History
 from ._errors import Failure
-from ._peer_server import Status
 from ._ports import HostList, LogService
+from ._status import Status
 from ._wire import Configuration, HostEntry
 
 STREAM = "configuration"
