--- a/src/wasabiwick/_metrics.py
+++ b/src/wasabiwick/_metrics.py
@@ -138,6 +138,7 @@
 _section(
     "Choice of engines",
     _counter("reserve_denied", "Reservations that a coordinator refused."),
+    _counter("reserve_redirected", "Reservations that a coordinator sent to another pool."),
     _counter("coordinator_unreachable", "Coordinators that did not answer.", "zone"),
     _counter("coordinator_bypassed", "Requests placed without a coordinator's word."),
     _counter("ejected", "Times an endpoint was taken out after failures.", "endpoint"),
