Order engines under leases on the log

Cause: no host could load models or change roles without risking two that contradict each other. Change: the coordinator of a pool claims the lease of its model on the zone's stream; every reader judges claims by the log's clock, the offset fences orders, and the holder stops a margin early. Orders follow from lists and reports: one load at a time, never the last engine, roles only at drained engines. A new holder first raises the fence at engines that honour it, and waits out the longest order where they do not.

Shared: EngineReport.versions, settings orders, coordinator.engines_of; engines_of_zone leaves out endpoints known to be leaving.

--- a/src/wasabiwick/_fields.py
+++ b/src/wasabiwick/_fields.py
@@ -78,6 +78,7 @@
 
 
 Seconds = typing.Annotated[float, Rule(is_positive, "a number of seconds above 0")]
+PositiveNumber = typing.Annotated[float, Rule(is_positive, "a number above 0")]
 PositiveInt = typing.Annotated[int, at_least(1)]
 NotNegative = typing.Annotated[float, at_least(0)]
 NotNegativeInt = typing.Annotated[int, at_least(0)]
--- a/src/wasabiwick/_handlers/__init__.py
+++ b/src/wasabiwick/_handlers/__init__.py
@@ -18,6 +18,8 @@
     services,
     once_shard,
     once,
+    leases,
+    orders,
     closing,
 )
 
@@ -31,12 +33,14 @@
     "health",
     "host",
     "keys",
+    "leases",
     "lists",
     "lists_keeping",
     "members",
     "members_watch",
     "once",
     "once_shard",
+    "orders",
     "pools",
     "services",
     "slots",
--- a/src/wasabiwick/_handlers/coordinator.py
+++ b/src/wasabiwick/_handlers/coordinator.py
@@ -62,6 +62,12 @@
     return entry is not None and (entry.service, entry.zone) in state["coordinator"].pools
 
 
+def engines_of(state: State, model: str) -> list[str]:
+    """Return the engines of this zone's pool of a model, if this host coordinates it."""
+    pool = state["coordinator"].pools.get((model, state.zone))
+    return list(pool.engines) if pool else []
+
+
 def _pool_of_engine(state: State, engine: str) -> tuple[Pool, EngineLedger] | None:
     entry = members.entry_of(state, engine)
     pool = state["coordinator"].pools.get((entry.service, entry.zone)) if entry else None
--- a/src/wasabiwick/_handlers/members.py
+++ b/src/wasabiwick/_handlers/members.py
@@ -134,18 +134,12 @@
     return entry is not None and not entry.leaving and name not in state["members"].leaving
 
 
-def endpoints_of(state: State, zone: str) -> list[HostEntry]:
-    """Return all engines of a zone in the host list, leaving ones included."""
-    entries = state["members"].entries.values()
-    return [entry for entry in entries if entry.kind == "engine" and entry.zone == zone]
-
-
 def engines_of_zone(state: State, zone: str) -> list[HostEntry]:
     """Return the engines of an availability zone that may get new work."""
     return [
         entry
         for entry in state["members"].entries.values()
-        if entry.kind == "engine" and entry.zone == zone and not entry.leaving
+        if entry.kind == "engine" and entry.zone == zone and is_usable(state, entry.name)
     ]
 
 
--- a/src/wasabiwick/_settings.py
+++ b/src/wasabiwick/_settings.py
@@ -8,7 +8,9 @@
     File,
     Hex64,
     Name,
+    NotNegative,
     PositiveInt,
+    PositiveNumber,
     Seconds,
     Url,
     UrlOrEmpty,
@@ -239,6 +241,32 @@
         self.keep = keep
 
 
+class Orders:
+    """Settings of orders to engines; equal on all hosts.
+
+    Args:
+        lease: Seconds for which a lease holds unless it is renewed.
+        longest: Seconds after which an order that an engine took has ended.
+        weight_bytes: Size of the largest model version in the weight store.
+        weight_rate: Bytes per second that all hosts together may let engines read from it.
+    """
+
+    __slots__ = ("lease", "longest", "weight_bytes", "weight_rate")
+
+    def __init__(
+        self,
+        *,
+        lease: Seconds = 30.0,
+        longest: Seconds = 60.0,
+        weight_bytes: NotNegative = 0.0,
+        weight_rate: PositiveNumber = 1e9,
+    ) -> None:
+        self.lease = lease
+        self.longest = longest
+        self.weight_bytes = weight_bytes
+        self.weight_rate = weight_rate
+
+
 class Settings:
     """All settings of one entry host.
 
@@ -253,6 +281,7 @@
         timing: Intervals and timeouts.
         once: Settings of work that may run only once.
         targets: Latency targets.
+        orders: Settings of orders to engines.
         publishers: Public keys of publishers by key id, hexadecimal Ed25519.
         trace: File that events are recorded to, or empty. It holds answers of plain services and
             what the log holds, so that it wants the same care as these.
@@ -270,6 +299,7 @@
         "timing",
         "once",
         "targets",
+        "orders",
         "publishers",
         "trace",
         "trace_bytes",
@@ -288,6 +318,7 @@
         timing: Timing | None = None,
         once: Once | None = None,
         targets: Targets | None = None,
+        orders: Orders | None = None,
         publishers: dict[str, Hex64] | None = None,
         trace: str = "",
         trace_bytes: PositiveInt = 64 * 1024 * 1024,
@@ -302,6 +333,7 @@
         self.timing = timing or Timing()
         self.once = once or Once()
         self.targets = targets or Targets()
+        self.orders = orders or Orders()
         self.publishers = publishers or {}
         self.trace = trace
         self.trace_bytes = trace_bytes
--- a/src/wasabiwick/_wire.py
+++ b/src/wasabiwick/_wire.py
@@ -351,7 +351,10 @@
 
 
 class LeaseClaim(Base):
-    """Record: an owner claims the lease of a zone's model; its offset is the fencing number."""
+    """Record: an owner claims the lease of a zone's model; its offset is the fencing number.
+
+    ``term`` is in seconds, and ``after`` the offset of the last valid claim that the owner read.
+    """
 
     zone: str
     model: str
@@ -426,7 +429,8 @@
     """An engine's own account of its load, as of ``sequence``.
 
     ``prefill_rate`` is in tokens/s, ``link_rate`` in bytes/s, ``decode_interval`` in seconds
-    between two outputs of one stream at the present batch size.
+    between two outputs of one stream at the present batch size. ``versions`` are those of
+    ``models``, in the same order, where the engine tells them.
     """
 
     engine: str
@@ -440,6 +444,7 @@
     piece_tokens: int = 16
     kv_bytes_per_token: int = 0
     models: tuple[str, ...] = ()
+    versions: tuple[str, ...] = ()
     roles: tuple[str, ...] = ("prefill", "decode")
     fence: int = -1
     streams: tuple[StreamReport, ...] = ()
