--- a/src/wasabiwick/_handlers/__init__.py
+++ b/src/wasabiwick/_handlers/__init__.py
@@ -19,6 +19,8 @@
     services,
     once_shard,
     once,
+    leases,
+    orders,
     closing,
 )
 
@@ -32,6 +34,7 @@
     "health",
     "host",
     "keys",
+    "leases",
     "lists",
     "lists_keeping",
     "measures",
@@ -39,6 +42,7 @@
     "members_watch",
     "once",
     "once_shard",
+    "orders",
     "pools",
     "services",
     "slots",
