Script traces of calls executed at most once

Cause: the effect protocol landed without a recorded trace of its outcomes. Change: three scripts: answered and replayed, unknown, log down.

--- a/tests/_scripts.py
+++ b/tests/_scripts.py
@@ -119,6 +119,51 @@
     return [Stated(call_id="c2", result="answered", resumed=1)]
 
 
+@script
+def _once_answered(world: World) -> list[Stated]:
+    host = world.hosts["a"]
+    once = {"has_key": True, "kind": "service", "target": SERVICE, "path": "/signup"}
+    host.call("c1", "r1", **once)
+    world.run(2.0)
+    host.call("c2", "r1", **once)
+    world.run(2.0)
+    if world.service_runs["r1"] != 1:
+        raise AssertionError(f"the service ran the call {world.service_runs['r1']} times")
+    return [
+        Stated(call_id="c1", result="answered", dispatched=1),
+        Stated(call_id="c2", result="answered", dispatched=1),
+    ]
+
+
+@script
+def _once_unknown(world: World) -> list[Stated]:
+    host = world.hosts["a"]
+    once = {"has_key": True, "kind": "service", "target": SERVICE, "path": "/signup"}
+    world.service_silent = True
+    host.call("c1", "r1", **once)
+    world.run(2.0)
+    world.service_silent = False
+    host.call("c2", "r1", **once)
+    world.run(2.0)
+    unknown = {"result": "refused", "reason": "outcome_unknown", "verdict": "MAY_HAVE_RUN"}
+    return [
+        Stated(call_id="c1", dispatched=1, **unknown),
+        Stated(call_id="c2", dispatched=1, **unknown),
+    ]
+
+
+@script
+def _once_log_down(world: World) -> list[Stated]:
+    host = world.hosts["a"]
+    world.log_down = True
+    once = {"has_key": True, "kind": "service", "target": SERVICE, "path": "/signup"}
+    host.call("c1", "r1", patience=1.0, **once)
+    world.run(2.0)
+    # An earlier attempt of the key may stand in the log that nobody can read.
+    late = {"result": "refused", "reason": "deadline_passed", "verdict": "MAY_HAVE_RUN"}
+    return [Stated(call_id="c1", dispatched=0, **late)]
+
+
 def main() -> None:
     """Record all traces again, and replay each."""
     FOLDER.mkdir(exist_ok=True)
--- a/tests/_world.py
+++ b/tests/_world.py
@@ -109,7 +109,7 @@
             key_hash=fields.pop("key_hash", API_KEY_HASH),
             kind=fields.pop("kind", "generate"),
             target=fields.pop("target", MODEL),
-            deadline=self.world.now + 20.0,
+            deadline=self.world.now + fields.pop("patience", 20.0),
             digest="d",
             prompt_tokens=32,
             max_tokens=8,
