--- a/src/wasabiwick/_cli_report.py
+++ b/src/wasabiwick/_cli_report.py
@@ -3,8 +3,8 @@
 import pathlib
 import re
 import time
+import typing
 
-import aiohttp
 import click
 import msgspec
 
@@ -22,10 +22,11 @@
     burns,
 )
 from ._slo_page import as_html, as_text, report_of
-from ._slo_sources import Snapshot, from_snapshots, from_traces, is_trace, snapshot_of
-from ._trace import TraceError
+from ._slo_sources import from_snapshots, from_traces, is_trace, snapshots_of
+from ._telemetry import Snapshot
 
 UNITS = {"s": 1.0, "m": 60.0, "h": 3_600.0, "d": 86_400.0}
+PATH = "/metrics/customers"
 SCRAPE_TIMEOUT = 5.0  # Seconds.
 
 
@@ -51,10 +52,10 @@
 
 @report.command()
 @click.argument("inputs", nargs=-1, type=click.Path(exists=True, path_type=pathlib.Path))
-@click.option("--scrape", "urls", multiple=True, help="Base URL of a host whose metrics to read.")
+@click.option("--scrape", "urls", multiple=True, help="Base URL of a host to ask.")
 @click.option("--for", "span", type=Duration(), default="60s", show_default=True)
 @click.option("--every", type=Duration(), default="5s", show_default=True)
-@click.option("--save", type=click.Path(file_okay=False, path_type=pathlib.Path))
+@click.option("--save", type=click.File("ab"), help="File to append the snapshots to.")
 @click.option("--first-output", default=FIRST_OUTPUT_TARGET, show_default=True, help="Seconds.")
 @click.option("--between", default=BETWEEN_OUTPUTS_TARGET, show_default=True, help="Seconds.")
 @click.option(
@@ -73,7 +74,7 @@
     urls: tuple[str, ...],
     span: float,
     every: float,
-    save: pathlib.Path | None,
+    save: typing.BinaryIO | None,
     first_output: float,
     between: float,
     goal: float,
@@ -84,8 +85,8 @@
 ) -> None:
     """Show how fast each customer's error budget burns, for both latency targets.
 
-    INPUTS are recorded traces, or metrics texts named HOST@UNIXTIME.prom. With --scrape, hosts'
-    metrics are read every few seconds instead; --save keeps them for later reports.
+    INPUTS are recorded traces, or files of snapshots that --save wrote. With --scrape, hosts are
+    asked for snapshots every few seconds instead.
     """
     objectives = (
         Objective(metric=FIRST_OUTPUT, target=first_output, goal=goal),
@@ -105,26 +106,26 @@
 
 
 def _read(inputs: tuple[pathlib.Path, ...], objectives: tuple[Objective, ...]) -> Observations:
-    kinds = {is_trace(path) for path in inputs}
-    if len(kinds) > 1:
-        raise click.UsageError("traces and metrics texts can't be mixed")
-    if not kinds.pop():
-        return from_snapshots(map(snapshot_of, inputs), objectives)
     try:
-        return from_traces(inputs, objectives)
-    except TraceError as exc:
+        kinds = {is_trace(path) for path in inputs}
+        if len(kinds) > 1:
+            raise click.UsageError("traces and snapshots can't be mixed")
+        if kinds.pop():
+            return from_traces(inputs, objectives)
+        snapshots = [one for path in inputs for one in snapshots_of(path)]
+        return from_snapshots(snapshots, objectives)
+    except ValueError as exc:
+        # Includes TraceError and msgspec's errors.
         raise click.ClickException(str(exc)) from None
 
 
 def _scrape(
-    urls: tuple[str, ...], span: float, every: float, save: pathlib.Path | None
+    urls: tuple[str, ...], span: float, every: float, save: typing.BinaryIO | None
 ) -> list[Snapshot]:
-    if save:
-        save.mkdir(parents=True, exist_ok=True)
     snapshots = []
     rounds = max(2, round(span / every) + 1)
     with click.progressbar(
-        range(rounds), label="Reading metrics", file=click.get_text_stream("stderr")
+        range(rounds), label="Reading snapshots", file=click.get_text_stream("stderr")
     ) as bar:
         for number in bar:
             if number:
@@ -133,19 +134,13 @@
     return snapshots
 
 
-def _scrape_once(urls: tuple[str, ...], save: pathlib.Path | None) -> list[Snapshot]:
-    pages = fetch_all([f"{url.rstrip('/')}/metrics" for url in urls], timeout=SCRAPE_TIMEOUT)
+def _scrape_once(urls: tuple[str, ...], save: typing.BinaryIO | None) -> list[Snapshot]:
     snapshots = []
-    for url, text in zip(urls, pages, strict=True):
-        if isinstance(text, aiohttp.ClientError | TimeoutError | OSError):
+    for text in fetch_all([url.rstrip("/") + PATH for url in urls], timeout=SCRAPE_TIMEOUT):
+        if not isinstance(text, str):
+            # A host that doesn't answer once is seen again at the next round.
             continue
-        snapshot = Snapshot(host=_file_name(url), time=time.time(), text=text)
-        snapshots.append(snapshot)
+        snapshots.append(msgspec.json.decode(text, type=Snapshot))
         if save:
-            path = save / f"{snapshot.host}@{snapshot.time:.3f}.prom"
-            path.write_text(text, encoding="utf-8")
+            save.write(text.encode() + b"\n")
     return snapshots
-
-
-def _file_name(url: str) -> str:
-    return re.sub(r"[^A-Za-z0-9.-]+", "_", url.partition("://")[2].strip("/"))
--- a/src/wasabiwick/_entry.py
+++ b/src/wasabiwick/_entry.py
@@ -5,7 +5,6 @@
 
 import msgspec
 from aiohttp import web
-from aioprometheus.renderer import render
 
 from . import _asks
 from ._answers import (
@@ -22,12 +21,12 @@
 from ._events import CallAnswered, CallArrived, CallerGone
 from ._handlers import calls, lists
 from ._logging import log_event
-from ._performers.telemetry import REGISTRY, read_gauges
 from ._runner import Body, Runner
 from ._sink import CallSink, Closed, Whole
 from ._verdict import Verdict
 
 JSON = "application/json"
+COMPRESS_INLINE_BYTES = 16 * 1024
 CALLER_HEARTBEAT = 10.0  # Seconds without output after which a comment line is sent.
 
 
@@ -57,6 +56,7 @@
         app.router.add_get("/healthz", self._healthy)
         app.router.add_get("/readyz", self._ready)
         app.router.add_get("/metrics", self._metrics)
+        app.router.add_get("/metrics/customers", self._customers)
         return app
 
     # --- Calls -----------------------------------------------------------------------------------
@@ -143,10 +143,22 @@
         return web.Response(text="ready\n")
 
     async def _metrics(self, req: web.Request) -> web.Response:
-        read_gauges(self._runner.state)
-        content, headers = render(REGISTRY, req.headers.getall("Accept", []))
+        runner = self._runner
+        content, headers = runner.telemetry.text(req.headers.getall("Accept", []), runner.state)
         return web.Response(body=content, headers=headers)
 
+    async def _customers(self, req: web.Request) -> web.Response:
+        runner = self._runner
+        snapshot = runner.telemetry.snapshot(runner.owner, runner.ports.clock.wall())
+        resp = web.Response(
+            body=msgspec.json.encode(snapshot),
+            content_type=JSON,
+            # Compressed in a thread, so that streams don't wait for it.
+            zlib_executor_size=COMPRESS_INLINE_BYTES,
+        )
+        resp.enable_compression()
+        return resp
+
 
 class Waiting:
     """One call while it is served.
--- a/src/wasabiwick/_metrics.py
+++ b/src/wasabiwick/_metrics.py
@@ -11,6 +11,10 @@
 from ._state import State
 
 PREFIX = "wasabiwick"
+CUSTOMER = "customer"  # Label of what is kept per customer.
+REFUSED = "refused"
+
+_SUFFIXES = {"counter": "_total", "latency": "_seconds", "gauge": ""}
 
 GaugeValues = dict[str, float]
 GaugeReader = typing.Callable[[State], GaugeValues]
@@ -47,8 +51,12 @@
     @property
     def exported(self) -> str:
         """The name under which the metric is exported."""
-        suffix = {"counter": "_total", "latency": "_seconds"}.get(self.kind, "")
-        return f"{PREFIX}_{self.name}{suffix}"
+        return exported_name(self.name, self.kind)
+
+
+def exported_name(name: str, kind: str) -> str:
+    """Return the name under which a metric is exported."""
+    return f"{PREFIX}_{name}{_SUFFIXES[kind]}"
 
 
 METRICS: dict[str, Metric] = {}
@@ -88,11 +96,11 @@
 
 _section(
     "Goodput and latency targets",
-    _latency("first_output", "From a request's first call to its first output.", "customer"),
-    _latency("between_outputs", "Between two outputs of one stream.", "customer"),
-    _counter("output_tokens", "Output tokens of whole answers.", "customer"),
-    _counter("goodput_tokens", "Output tokens of answers within both targets.", "customer"),
-    _latency("slot_wait", "From a request's first call until its slot was held.", "customer"),
+    _latency("first_output", "From a request's first call to its first output.", CUSTOMER),
+    _latency("between_outputs", "Between two outputs of one stream.", CUSTOMER),
+    _counter("output_tokens", "Output tokens of whole answers.", CUSTOMER),
+    _counter("goodput_tokens", "Output tokens of answers within both targets.", CUSTOMER),
+    _latency("slot_wait", "From a request's first call until its slot was held.", CUSTOMER),
 )
 _section(
     "Wasted prefill",
@@ -114,7 +122,7 @@
 )
 _section(
     "Refusals",
-    _counter("refused", "Refusals.", "reason"),
+    _counter(REFUSED, "Refusals.", "reason"),
     _counter("refused_verdict", "Refusals by what they say of execution.", "verdict"),
 )
 _section(
--- a/src/wasabiwick/_reference.py
+++ b/src/wasabiwick/_reference.py
@@ -43,7 +43,9 @@
 both latency targets, 0.054 s and 0.55 s, so that shares within the targets are exact. Each metric
 has one label, `label`, which holds what the table says, or nothing.
 
-`wasabiwick report slo --scrape http://HOST:PORT` turns two of the latencies into burn rates; see
+What is kept per customer is summed over customers here, so that the text does not grow with them.
+`GET /metrics/customers` shows it per customer, as one JSON object of counts since the process
+started. `wasabiwick report slo --scrape http://HOST:PORT` turns it into burn rates; see
 [slo.md](slo.md).
 """
 
--- a/src/wasabiwick/_runner.py
+++ b/src/wasabiwick/_runner.py
@@ -16,6 +16,7 @@
 from ._reducer import reduce
 from ._settings import Settings
 from ._state import State
+from ._telemetry import Telemetry
 from ._wire import Owner
 
 E = typing.TypeVar("E", bound=Effect)
@@ -98,6 +99,7 @@
     Attributes:
         state: The reducer's state; read only outside the reducer.
         events: Every event, paired with its effects, for recorders.
+        telemetry: Counters and latencies.
         sinks: Waiting calls by call id.
         bodies: What callers sent, by request id.
         outputs: Output of generations by request id.
@@ -112,6 +114,7 @@
         "seed",
         "state",
         "events",
+        "telemetry",
         "sinks",
         "bodies",
         "outputs",
@@ -130,6 +133,7 @@
         self.seed = seed
         self.state = State(cfg)
         self.events: reactivex.Subject[tuple[Event, list[Effect]]] = reactivex.Subject()
+        self.telemetry = Telemetry()
         self.sinks: dict[str, Sink] = {}
         self.bodies: dict[str, Body] = {}
         self.outputs: dict[str, Output] = {}
--- a/src/wasabiwick/_slo_sources.py
+++ b/src/wasabiwick/_slo_sources.py
@@ -1,79 +1,40 @@
-"""Sources of observed latencies: recorded traces, and metrics texts scraped from hosts."""
+"""Sources of observed latencies: recorded traces, and snapshots that hosts give of their counts."""
 
 import pathlib
-import re
 import typing
 
+import msgspec
+
 from ._effects import Count, Observe
+from ._metrics import REFUSED
 from ._record import from_builtins
 from ._slo import Objective, Observations
-from ._trace import Entry, Trace
-
-METRIC_PREFIX = "wasabiwick"
-REFUSED = "refused"
-TIME_MARK = "@"  # NAME@UNIXTIME.prom names the host and the time of a scraped text.
-
-_SAMPLE = re.compile(r"(?P<name>\w+)\{(?P<labels>.*)\}\s+(?P<value>\S+)")
-_LABEL = re.compile(r'(\w+)="((?:[^"\\]|\\.)*)"')
+from ._telemetry import Snapshot
+from ._trace import Entry, Header, Trace
 
 Point = tuple[float, str, str, float, float]  # Time, metric, customer, good, bad.
 
-
-class Snapshot:
-    """The counters of one host at one time.
-
-    Args:
-        host: Name of the host.
-        time: Unix time of the scrape.
-        text: The metrics in the text format.
-    """
-
-    __slots__ = ("host", "time", "buckets", "totals", "refused")
-
-    def __init__(self, *, host: str, time: float, text: str) -> None:
-        self.host = host
-        self.time = time
-        self.buckets: dict[tuple[str, str], dict[float, float]] = {}
-        self.totals: dict[tuple[str, str], float] = {}
-        self.refused: dict[str, float] = {}
-        for found in filter(None, map(_SAMPLE.match, text.splitlines())):
-            self._take(found["name"], dict(_LABEL.findall(found["labels"])), float(found["value"]))
-
-    def _take(self, name: str, labels: dict[str, str], value: float) -> None:
-        base = name.removeprefix(f"{METRIC_PREFIX}_")
-        label = labels.get("label", "")
-        if base.endswith("_seconds_bucket"):
-            key = (base.removesuffix("_seconds_bucket"), label)
-            self.buckets.setdefault(key, {})[float(labels["le"])] = value
-        elif base.endswith("_seconds_count"):
-            self.totals[base.removesuffix("_seconds_count"), label] = value
-        elif base == f"{REFUSED}_total":
-            self.refused[label] = value
-
-    def counts(self, objective: Objective, customer: str) -> tuple[float, float, float]:
-        """Return good and bad observations, and the bucket's limit that told them apart."""
-        key = (objective.metric, customer)
-        limits = [limit for limit in self.buckets.get(key, ()) if limit <= objective.target]
-        limit = max(limits, default=0.0)
-        good = self.buckets[key][limit] if limits else 0.0
-        return good, self.totals.get(key, 0.0) - good, limit
-
-    def customers(self, objective: Objective) -> list[str]:
-        """Return the customers with observations of an objective."""
-        return [customer for metric, customer in self.totals if metric == objective.metric]
+_FIRST_LINE = msgspec.json.Decoder(Header | Snapshot)
+_SNAPSHOT = msgspec.json.Decoder(Snapshot)
 
 
 def is_trace(path: pathlib.Path) -> bool:
-    """Tell whether a file is a recorded trace rather than a metrics text."""
+    """Tell whether a file is a recorded trace rather than a file of snapshots.
+
+    Raises:
+        ValueError: If it is neither.
+    """
     with path.open("rb") as file:
-        return file.read(1) == b"{"
+        return isinstance(_FIRST_LINE.decode(file.readline()), Header)
 
 
-def snapshot_of(path: pathlib.Path) -> Snapshot:
-    """Read a scraped metrics text; its time is in its name or that of its last change."""
-    host, mark, time = path.stem.partition(TIME_MARK)
-    when = float(time) if mark else path.stat().st_mtime
-    return Snapshot(host=host, time=when, text=path.read_text(encoding="utf-8"))
+def snapshots_of(path: pathlib.Path) -> list[Snapshot]:
+    """Read a file of snapshots, one a line.
+
+    Raises:
+        ValueError: If a line is not a snapshot.
+    """
+    return [_SNAPSHOT.decode(line) for line in path.read_bytes().splitlines() if line]
 
 
 def from_traces(
@@ -91,7 +52,7 @@
     targets = {one.metric: one.target for one in objectives}
     seen = Observations()
     points: list[Point] = []
-    spans: list[float] = []
+    times: list[float] = []
     for path in paths:
         trace = Trace(path)
         offset = 0.0
@@ -99,11 +60,11 @@
             if isinstance(line, Entry):
                 offset = _wall_offset(line, offset)
                 time = line.event["at"] + offset
-                spans.append(time)
+                times.append(time)
                 points.extend(_points(line, time, targets, seen))
         if trace.cut:
             seen.notes.append(f"{path}: the trace was cut off")
-    _fill(seen, points, spans)
+    _fill(seen, points, times)
     return seen
 
 
@@ -130,64 +91,67 @@
 def from_snapshots(
     snapshots: typing.Iterable[Snapshot], objectives: typing.Sequence[Objective]
 ) -> Observations:
-    """Collect the latencies between the scrapes of each host.
+    """Collect the latencies between the snapshots of each host.
 
-    Counters that went down belong to a new process of the host, which began at zero. What a host
-    counted before its first scrape is taken into account only if there is no second one.
+    A new incarnation of a host began at zero. What the first snapshot of a host holds is taken into
+    account only if there is no second one, since nobody knows when it was counted.
 
     Args:
-        snapshots: Scrapes of one or several hosts.
+        snapshots: Snapshots of one or several hosts.
         objectives: The objectives of interest.
 
     Returns:
-        The observations, each at the time of the scrape that showed it.
+        The observations, each at the time of the snapshot that showed it.
     """
     seen = Observations()
     by_host: dict[str, list[Snapshot]] = {}
     for snapshot in sorted(snapshots, key=lambda one: one.time):
-        by_host.setdefault(snapshot.host, []).append(snapshot)
+        by_host.setdefault(snapshot.owner.host, []).append(snapshot)
     points: list[Point] = []
     for host, series in by_host.items():
-        earlier = series[0]
         if len(series) == 1:
-            seen.notes.append(
-                f"{host}: one scrape, so all windows tell of the time since its start"
-            )
-            earlier = Snapshot(host=host, time=series[0].time, text="")
-            series.insert(0, earlier)
+            seen.notes.append(f"{host}: one snapshot, so windows tell of the time since its start")
+            series.insert(0, _empty(series[0]))
         for before, after in zip(series, series[1:], strict=False):
+            if before.owner != after.owner:
+                before = _empty(after)
             points.extend(_steps(before, after, objectives, seen))
     _fill(seen, points, [one.time for series in by_host.values() for one in series])
     return seen
 
 
+def _empty(like: Snapshot) -> Snapshot:
+    return msgspec.structs.replace(like, latencies={}, counts={}, refused={})
+
+
 def _steps(
     before: Snapshot, after: Snapshot, objectives: typing.Sequence[Objective], seen: Observations
 ) -> typing.Iterator[Point]:
     for reason, count in after.refused.items():
-        seen.refuse(reason, _increase(before.refused.get(reason, 0.0), count))
+        seen.refuse(reason, count - before.refused.get(reason, 0))
     for objective in objectives:
-        for customer in after.customers(objective):
-            good, bad, limit = after.counts(objective, customer)
-            old_good, old_bad, _ = before.counts(objective, customer)
-            if good + bad < old_good + old_bad:
-                old_good = old_bad = 0.0
-            if limit != objective.target:
-                _note(seen, f"{objective.metric}: judged by the bucket of {limit:g} s")
-            yield after.time, objective.metric, customer, good - old_good, bad - old_bad
-
-
-def _increase(before: float, after: float) -> float:
-    return after - before if after >= before else after
-
-
-def _note(seen: Observations, text: str) -> None:
-    if text not in seen.notes:
-        seen.notes.append(text)
-
-
-def _fill(seen: Observations, points: list[Point], spans: list[float]) -> None:
+        kept = _buckets_within(after, objective, seen)
+        old = before.latencies.get(objective.metric, {})
+        for customer, buckets in after.latencies.get(objective.metric, {}).items():
+            earlier = old.get(customer) or [0] * len(buckets)
+            good = sum(buckets[:kept]) - sum(earlier[:kept])
+            bad = sum(buckets[kept:]) - sum(earlier[kept:])
+            yield after.time, objective.metric, customer, good, bad
+
+
+def _buckets_within(snapshot: Snapshot, objective: Objective, seen: Observations) -> int:
+    """Return how many buckets hold good observations only."""
+    kept = sum(limit <= objective.target for limit in snapshot.limits)
+    if objective.target not in snapshot.limits:
+        judged = snapshot.limits[kept - 1] if kept else 0.0
+        note = f"{objective.metric}: judged by the bucket of {judged:g} s"
+        if note not in seen.notes:
+            seen.notes.append(note)
+    return kept
+
+
+def _fill(seen: Observations, points: list[Point], times: list[float]) -> None:
     for time, metric, customer, good, bad in sorted(points):
         seen.add(metric, customer, time, good, bad)
-    seen.start = min(spans, default=0.0)
-    seen.end = max(spans, default=0.0)
+    seen.start = min(times, default=0.0)
+    seen.end = max(times, default=0.0)
--- a/tests/test_slo.py
+++ b/tests/test_slo.py
@@ -7,13 +7,11 @@
 import tempfile
 import unittest
 
-import aioprometheus
-import aioprometheus.renderer
 import click.testing
+import msgspec
 
 from tests import _scripts
-from wasabiwick import _cli, _slo, _slo_page, _slo_sources
-from wasabiwick._performers.telemetry import BUCKETS
+from wasabiwick import _cli, _slo, _slo_page, _slo_sources, _telemetry, _wire
 
 FIRST = _slo.Objective(metric=_slo.FIRST_OUTPUT, target=0.55)
 BETWEEN = _slo.Objective(metric=_slo.BETWEEN_OUTPUTS, target=0.054)
@@ -28,17 +26,15 @@
     return seen
 
 
-def metrics_text(values: dict[str, list[float]]) -> str:
-    registry = aioprometheus.Registry()
-    histogram = aioprometheus.Histogram(
-        "wasabiwick_first_output_seconds", "d", buckets=list(BUCKETS), registry=registry
-    )
-    refused = aioprometheus.Counter("wasabiwick_refused_total", "d", registry=registry)
+def snapshot(
+    time: float, values: dict[str, list[float]], incarnation: str = "1"
+) -> _telemetry.Snapshot:
+    telemetry = _telemetry.Telemetry()
     for customer, latencies in values.items():
         for latency in latencies:
-            histogram.observe({"label": customer}, latency)
-    refused.add({"label": "overloaded"}, 3)
-    return aioprometheus.renderer.render(registry, [])[0].decode()
+            telemetry.observe(_slo.FIRST_OUTPUT, customer, latency)
+    telemetry.count("refused", "overloaded", 3)
+    return telemetry.snapshot(_wire.Owner(host="a", incarnation=incarnation), time)
 
 
 class TestBurn(unittest.TestCase):
@@ -69,17 +65,14 @@
 
 
 class TestSources(unittest.TestCase):
-    """Scraped metrics and traces give the counts of what was observed."""
+    """Snapshots and traces give the counts of what was observed."""
 
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = pathlib.Path(folder.name)
 
-    def snapshot(self, time: float, values: dict[str, list[float]]) -> _slo_sources.Snapshot:
-        return _slo_sources.Snapshot(host="a", time=time, text=metrics_text(values))
-
-    def totals(self, *snapshots: _slo_sources.Snapshot) -> tuple[float, float]:
+    def totals(self, *snapshots: _telemetry.Snapshot) -> tuple[float, float]:
         seen = _slo_sources.from_snapshots(snapshots, [FIRST])
         return seen.series[FIRST.metric, "church"].between(0.0, 1e9)
 
@@ -87,21 +80,21 @@
         rng = random.Random(4)
         values = [rng.expovariate(3.0) for _ in range(500)]
         good = sum(value <= 0.55 for value in values)
-        self.assertEqual(self.totals(self.snapshot(9.0, {"church": values})), (good, 500 - good))
+        self.assertEqual(self.totals(snapshot(9.0, {"church": values})), (good, 500 - good))
 
-    def test_only_the_increase_between_scrapes_counts(self) -> None:
-        before = self.snapshot(1.0, {"church": [0.1, 0.9]})
-        after = self.snapshot(2.0, {"church": [0.1, 0.9, 0.1, 0.1, 0.9]})
+    def test_only_the_increase_between_snapshots_counts(self) -> None:
+        before = snapshot(1.0, {"church": [0.1, 0.9]})
+        after = snapshot(2.0, {"church": [0.1, 0.9, 0.1, 0.1, 0.9]})
         self.assertEqual(self.totals(before, after), (2, 1))
 
     def test_restarted_host_counts_from_zero(self) -> None:
-        before = self.snapshot(1.0, {"church": [0.9] * 10})
-        after = self.snapshot(2.0, {"church": [0.1] * 4})
-        self.assertEqual(self.totals(before, after), (4, 0))
+        before = snapshot(1.0, {"church": [0.9] * 10})
+        after = snapshot(2.0, {"church": [0.1] * 40}, incarnation="2")
+        self.assertEqual(self.totals(before, after), (40, 0))
 
     def test_target_between_buckets_is_judged_strictly(self) -> None:
         objective = _slo.Objective(metric=_slo.FIRST_OUTPUT, target=0.6)
-        one = self.snapshot(1.0, {"church": [0.5, 0.58]})
+        one = snapshot(1.0, {"church": [0.5, 0.58]})
         seen = _slo_sources.from_snapshots([one], [objective])
         self.assertEqual(seen.series[FIRST.metric, "church"].between(0.0, 9.0), (1, 1))
         self.assertIn("judged by the bucket of 0.55 s", " ".join(seen.notes))
@@ -115,12 +108,13 @@
         self.assertGreater(seen.start, 1e9)
 
     def test_command_prints_json_and_a_page_that_loads_nothing(self) -> None:
-        for time, values in ((100, [0.1]), (200, [0.1, 0.1, 0.9])):
-            path = self.folder / f"a@{time}.prom"
-            path.write_text(metrics_text({"church": values, "<b>": [0.1]}))
+        kept = self.folder / "kept.jsonl"
+        with kept.open("wb") as file:
+            for time, values in ((100.0, [0.1]), (200.0, [0.1, 0.1, 0.9])):
+                line = snapshot(time, {"church": values, "<b>": [0.1]})
+                file.write(msgspec.json.encode(line) + b"\n")
         page = self.folder / "page.html"
-        inputs = [str(path) for path in self.folder.glob("*.prom")]
-        args = ["report", "slo", *inputs, "--window", "5m", "--json", "--html", str(page)]
+        args = ["report", "slo", str(kept), "--window", "5m", "--json", "--html", str(page)]
         done = click.testing.CliRunner().invoke(_cli.main, args)
         self.assertEqual(done.exit_code, 0, done.output)
         report = json.loads(done.output)
@@ -132,7 +126,7 @@
         self.assertFalse({"script", "link", "img", "b"} & set(tags.names))
 
     def test_text_names_what_is_left_out(self) -> None:
-        seen = _slo_sources.from_snapshots([self.snapshot(1.0, {"church": [0.9]})], [FIRST])
+        seen = _slo_sources.from_snapshots([snapshot(1.0, {"church": [0.9]})], [FIRST])
         report = _slo_page.report_of(seen, _slo.burns(seen, [FIRST], [60.0, 300.0]), [])
         text = _slo_page.as_text(report, most=1)
         cells = ["first_output", "church", "1m*", "1", "1", "100.00%", "20.00", "-"]
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -141,3 +141,26 @@
             self.assertEqual(done.exit_code, 0, done.output)
             found = next(one for one in json.loads(done.stdout)["hosts"] if one["name"] == "a")
             self.assertEqual(found["status"] is not None, wanted)
+
+
+class TestReport(CommandTest):
+    """The service-level report reads what running hosts count."""
+
+    async def test_scrape_of_many_customers(self) -> None:
+        telemetry = self.daemons["a"].runner.telemetry
+
+        async def serve() -> None:
+            while True:
+                for number in range(500):
+                    telemetry.observe("first_output", f"customer-{number}", 0.9)
+                await asyncio.sleep(0.01)
+
+        serving = asyncio.create_task(serve())
+        self.addCleanup(serving.cancel)
+        url = self.daemons["a"].callers_url
+        args = ["report", "slo", "--scrape", url, "--for", "0.2s", "--every", "0.1s", "--json"]
+        done = await asyncio.to_thread(click.testing.CliRunner().invoke, _cli.main, args)
+        self.assertEqual(done.exit_code, 0, done.output)
+        rows = json.loads(done.stdout)["burns"]
+        self.assertEqual({row["burn"] for row in rows}, {20.0})
+        self.assertEqual(len({row["customer"] for row in rows}), 500)
