--- a/src/wasabiwick/_metrics.py
+++ b/src/wasabiwick/_metrics.py
@@ -152,6 +152,16 @@
     _counter("heartbeat_stale", "Heartbeats of an earlier run, or out of order."),
 )
 
+_section(
+    "Orders to engines",
+    _counter("orders", "Orders sent to engines.", label="load, unload or role"),
+    _counter("order_refused", "Orders that an engine refused for their fencing number."),
+    _counter("order_failed", "Orders that an engine did not confirm."),
+    _counter("lease_claim_lost", "Claims read that did not take a lease."),
+    _counter("lease_claim_malformed", "Records among the claims that are none."),
+    _counter("lease_overtaken", "Leases given up as an engine had obeyed a later holder."),
+)
+
 
 @gauge("in_flight", "Work that a graceful shutdown would wait for.")
 def _in_flight(state: State) -> GaugeValues:
