--- a/src/wasabiwick/_handlers/admission.py
+++ b/src/wasabiwick/_handlers/admission.py
@@ -146,9 +146,7 @@
         yield from _ask(state, told.customer, account, event)
 
 
-def _let_in(
-    state: State, account: Account, number: int, event: Event
-) -> typing.Iterator[Step]:
+def _let_in(state: State, account: Account, number: int, event: Event) -> typing.Iterator[Step]:
     for _ in range(min(number, len(account.waiting))):
         request_id = account.waiting.popleft()
         req = calls.request_of(state, request_id)
@@ -225,9 +223,7 @@
     yield from _ask(state, customer, account, event)
 
 
-def _go_alone(
-    state: State, customer: str, account: Account, event: Event
-) -> typing.Iterator[Step]:
+def _go_alone(state: State, customer: str, account: Account, event: Event) -> typing.Iterator[Step]:
     plan = _plan_of_waiting(state, account)
     if plan is None:
         account.waiting.clear()
