--- a/src/wasabiwick/_bench/workload.py
+++ b/src/wasabiwick/_bench/workload.py
@@ -8,6 +8,7 @@
 from .._pieces import MAX_PIECES, PIECE_TOKENS
 from .engine_model import EngineTraits, Segment
 
+WIDE = {"rate": 1e4, "burst": 1e4, "concurrency": 100_000, "tokens_per_minute": 1e9}
 WINDOW = 30.0  # Seconds in which requests arrive.
 RECENT_THREADS = 150  # Threads that may still come back.
 WARM_UP = 10.0  # Seconds at the start that are not measured.
@@ -57,9 +58,20 @@
         prefill: Prefill engines of each zone.
         customers: Names of customers, most active first.
         may_wait: Share of the customers whose plan may wait.
+        requests: Makes the requests for a rate per second.
+        limits: Limits of all plans; wide ones if empty, so that capacity is the limit.
     """
 
-    __slots__ = ("model", "zones", "decode", "prefill", "customers", "may_wait", "requests")
+    __slots__ = (
+        "model",
+        "zones",
+        "decode",
+        "prefill",
+        "customers",
+        "may_wait",
+        "requests",
+        "limits",
+    )
 
     def __init__(
         self,
@@ -71,6 +83,7 @@
         customers: int,
         may_wait: float,
         requests: typing.Callable[["Deployment", random.Random, float], list[Ask]],
+        limits: dict[str, float] | None = None,
     ) -> None:
         self.model = model
         self.zones = zones
@@ -79,6 +92,7 @@
         self.customers = tuple(f"customer-{number:02d}" for number in range(customers))
         self.may_wait = may_wait
         self.requests = requests
+        self.limits = limits or WIDE
 
     def engines(self) -> list[tuple[str, str, EngineTraits]]:
         """Return name, zone and traits of each engine."""
@@ -96,18 +110,12 @@
         return bool(every) and self.customers.index(customer) % every == every - 1
 
     def lists(self) -> tuple[str, str]:
-        """Return both lists as JSON texts, with plans so wide that capacity is the limit."""
+        """Return both lists as JSON texts."""
         plans = {
             name: {"plan": "waiting" if self.waits(name) else "prompt", "keys": [name]}
             for name in self.customers
         }
-        wide = {
-            "models": [self.model],
-            "rate": 10_000.0,
-            "burst": 10_000.0,
-            "concurrency": 100_000,
-            "tokens_per_minute": 1e9,
-        }
+        wide = {"models": [self.model], **self.limits}
         allowances = {
             "plans": {"prompt": wide, "waiting": {**wide, "may_wait": True}},
             "services": {},
--- a/src/wasabiwick/_bench/world.py
+++ b/src/wasabiwick/_bench/world.py
@@ -120,7 +120,6 @@
             seed=self.rng.getrandbits(32),
         )
         self.deliver(host, booted)
-        self._list_hosts(host)
 
     def deliver(self, host: Host, event: Event) -> None:
         """Give an event to a host's reducer and carry out the effects."""
@@ -233,7 +232,7 @@
 
     def fetch_host_list(self, host: Host, effect: Effect) -> None:
         """Read the lagging host list."""
-        self._list_hosts(host)
+        self.after(0.0, lambda: self._list_hosts(host))
 
     # --- Engines ---------------------------------------------------------------------------------
 
