Grant only what will be on time, and keep the last slots from late work

Cause: a third of the streams were late ones: requests granted just before their target passed, and late work that filled valleys and met the next burst. Change: a request whose predicted first output misses its target at grant time goes behind or is refused; late work leaves 8% of a pool's slots free, besides its fixed share of the grants. The gain of home zones is learned from the zone that was asked first.

--- a/src/wasabiwick/_handlers/choice.py
+++ b/src/wasabiwick/_handlers/choice.py
@@ -25,10 +25,11 @@
         decode: Engine that decodes; may be the same.
         cached: Tokens of the prompt that the prefill engine is expected to hold.
         uncached: The other tokens.
-        seconds: Predicted time to first output, with the harm done to others.
+        seconds: Sum of the scores.
+        ready: Predicted time to first output, in seconds.
     """
 
-    __slots__ = ("prefill", "decode", "cached", "uncached", "seconds")
+    __slots__ = ("prefill", "decode", "cached", "uncached", "seconds", "ready")
 
     def __init__(
         self, *, prefill: EngineLedger, decode: EngineLedger, cached: int, tokens: int
@@ -38,6 +39,7 @@
         self.cached = cached
         self.uncached = max(1, tokens - cached)
         self.seconds = 0.0
+        self.ready = 0.0
 
 
 Scorer = typing.Callable[[Pool, Reserve, Placement, float], float]
@@ -127,7 +129,11 @@
             options.append(_option(pool, asked, best, decode, chosen, at))
         if decode in prefills:
             options.append(_option(pool, asked, decode, decode, chosen, at))
-    return min(options, key=lambda one: (one.seconds, one.decode.name), default=None)
+    chosen_one = min(options, key=lambda one: (one.seconds, one.decode.name), default=None)
+    if chosen_one:
+        parts = (prefill_queue, prefill_work, transfer)
+        chosen_one.ready = sum(part(pool, asked, chosen_one, at) for part in parts)
+    return chosen_one
 
 
 def _sample(pool: Pool, rng: random.Random) -> list[EngineLedger]:
--- a/src/wasabiwick/_handlers/coordinator.py
+++ b/src/wasabiwick/_handlers/coordinator.py
@@ -32,6 +32,8 @@
 CACHE_POLLS = 2  # Reports fetched for each fetch of cache events.
 SPILL_SECONDS = 0.1  # Time that another pool must save to be sent a request.
 LOAD_STALE = 1.0  # Seconds after which another pool's load is not believed any more.
+READY_MARGIN = 0.1  # Seconds that a first output may come later than predicted.
+KEPT_BACK = 0.08  # Share of a pool's slots that late work leaves free.
 FULL_MARGIN = 1  # Slots kept back at an engine that refused a granted decode, until it reports.
 
 
@@ -308,12 +310,22 @@
             rng=state.rng,
             at=at,
         )
-        if placement is None:
+        if placement is None or _kept_back(pool, one):
             return
+        if one.band == URGENT and at + placement.ready + READY_MARGIN > one.due:
+            yield from _too_late(pool, one, at)
+            continue
         pool.queue.granted(one)
         yield from _grant(state, pool, one.asked, placement, at)
 
 
+def _kept_back(pool: Pool, one: Waiting) -> bool:
+    """Tell whether the last free slots wait for requests that can still meet their target."""
+    if one.band != LATE or pool.queue.is_late_turn():
+        return False
+    return pool.free() <= KEPT_BACK * pool.slots()
+
+
 def _grant(
     state: State, pool: Pool, asked: Reserve, placement: choice.Placement, at: float
 ) -> typing.Iterator[Step]:
--- a/src/wasabiwick/_handlers/queueing.py
+++ b/src/wasabiwick/_handlers/queueing.py
@@ -119,8 +119,12 @@
                 return one
         return None
 
+    def is_late_turn(self) -> bool:
+        """Tell whether the next grant is the late band's by its fixed share."""
+        return self._grants % LATE_TURN == LATE_TURN - 1
+
     def _order(self) -> tuple[int, ...]:
-        if self._grants % LATE_TURN == LATE_TURN - 1:
+        if self.is_late_turn():
             return LATE, URGENT, RELAXED
         if self._grants % RELAXED_TURN == RELAXED_TURN - 1:
             return RELAXED, URGENT, LATE
--- a/src/wasabiwick/_handlers/slots.py
+++ b/src/wasabiwick/_handlers/slots.py
@@ -272,7 +272,8 @@
     affinity = pools.affinity_of(state, pending.model)
     home = pools.home_zone(state, pending.model, req.call.pieces)
     share = told.cached_tokens / max(1, req.call.prompt_tokens)
-    (affinity.home if pending.zone == home else affinity.away).observe(share)
+    # A home zone that sends a prompt on to where its prefix is has done its work.
+    (affinity.home if pending.asked[0] == home else affinity.away).observe(share)
 
 
 @on_message(Denied)
