Keep limits while their keeper dies, and test the decisions

Cause: a new keeper that noticed the death first let itself in up to the whole concurrency of the plan, since it had heard of nobody (2.04 times the plan). Change: for four seconds after the hosts change, hosts not heard of count as using their share; hosts report at once when members change. Late work may queue where slots were to spare lately; of queued requests the one with the cheapest prefill goes first while prefill is scarce.

--- a/src/wasabiwick/_handlers/admission.py
+++ b/src/wasabiwick/_handlers/admission.py
@@ -14,6 +14,7 @@
     AdmissionWanted,
     Booted,
     Event,
+    MembersChanged,
     PeerFailed,
     PeerMessage,
     RequestClosed,
@@ -26,7 +27,7 @@
 from .._settings import Settings
 from .._state import State, state_slice
 from .._wire import LimitAsk, LimitGiven, LimitReport
-from . import calls, limits, members
+from . import calls, limits
 from .limits import Bucket
 
 MAX_WAITING = 200  # Requests of one customer that wait for admission on one host.
@@ -228,7 +229,7 @@
     if plan is None:
         account.waiting.clear()
         return
-    share = account.share or 1.0 / _hosts(state)
+    share = account.share or 1.0 / max(1, limits.hosts(state))
     if account.own is None:
         account.own = Bucket(level=1.0, at=event.at)
     account.own.fill(rate=plan.rate * share, burst=max(1.0, plan.rate * share), at=event.at)
@@ -255,10 +256,6 @@
     return max(QUIET, (left - account.own.level) / max(0.01, plan.rate * share))
 
 
-def _hosts(state: State) -> int:
-    return max(1, sum(len(members.live_hosts(state, zone)) for zone in members.zones(state)))
-
-
 # --- End of requests -----------------------------------------------------------------------------
 
 
@@ -295,6 +292,17 @@
 @on_timer("limit_report")
 def report(state: State, event: TimerFired) -> typing.Iterator[Step]:
     """Tell the keepers of budgets what this host has in flight."""
+    yield from _report_all(state, event.at)
+    yield StartTimer(timer="limit_report", delay=REPORT)
+
+
+@handles(MembersChanged)
+def keepers_changed(state: State, event: MembersChanged) -> typing.Iterator[Step]:
+    """Tell keepers, which may be new, before they let more in."""
+    yield from _report_all(state, event.at)
+
+
+def _report_all(state: State, at: float) -> typing.Iterator[Step]:
     mine = state["admission"]
     by_keeper: dict[str, list[tuple[str, int, int]]] = {}
     for customer, account in list(mine.accounts.items()):
@@ -304,9 +312,8 @@
             line = (customer, account.in_flight, account.refund)
             by_keeper.setdefault(limits.keeper_of(state, customer), []).append(line)
             account.refund = 0
-        elif not account.waiting and event.at > max(account.quiet, account.alone_until):
+        elif not account.waiting and at > max(account.quiet, account.alone_until):
             del mine.accounts[customer]
     for host, lines in by_keeper.items():
         message = LimitReport(owner=state.owner, entries=tuple(lines))
         yield SendPeer(host=host, message=message)
-    yield StartTimer(timer="limit_report", delay=REPORT)
--- a/src/wasabiwick/_handlers/coordinator.py
+++ b/src/wasabiwick/_handlers/coordinator.py
@@ -29,11 +29,15 @@
 SWEEP = 0.1  # Seconds between looks for reservations and queued requests that have expired.
 LATE_SECONDS = 4.0  # Length of the late band's queue, in seconds of its share of the grants.
 LATE_SHARE = 0.02
+IDLE_SECONDS = 8.0  # Seconds for which a pool counts as one that has slots to spare.
+IDLE_ROOM = 3.0  # Seconds' worth of its grants that may queue late at such a pool.
 CACHE_POLLS = 2  # Reports fetched for each fetch of cache events.
 SPILL_SECONDS = 0.1  # Time that another pool must save to be sent a request.
 LOAD_STALE = 1.0  # Seconds after which another pool's load is not believed any more.
 READY_MARGIN = 0.1  # Seconds that a first output may come later than predicted.
 KEPT_BACK = 0.08  # Share of a pool's slots that late work leaves free.
+PREFILL_BOUND = 0.1  # Share of free slots from which prefill, not memory, limits a pool.
+LOOK_AHEAD = 8  # Queued requests compared while prefill is scarce.
 FULL_MARGIN = 1  # Slots kept back at an engine that refused a granted decode, until it reports.
 
 
@@ -265,16 +269,20 @@
     elif ready <= due:
         fits, band = True, URGENT
     else:
-        room = 1 + LATE_SECONDS * LATE_SHARE * rate
-        idle = pool.free() > len(pool.queue)
-        late = pool.queue.bands[LATE].size
-        fits = idle or late < room or (asked.may_wait and late < MAX_RELAXED)
-        band = LATE
+        room = MAX_RELAXED if asked.may_wait else _late_room(pool, rate, at)
+        fits, band = pool.queue.bands[LATE].size < room, LATE
     if not fits:
         return None
     return Waiting(asked=asked, since=at, due=due, deadline=deadline, band=band)
 
 
+def _late_room(pool: Pool, rate: float, at: float) -> float:
+    """Return how many late requests may queue: few, unless the pool had slots to spare lately."""
+    if at - pool.idle_at < IDLE_SECONDS:
+        return 1 + rate * IDLE_ROOM
+    return 1 + rate * LATE_SECONDS * LATE_SHARE
+
+
 def _deny(
     pool: Pool | None,
     asked: Reserve,
@@ -300,8 +308,10 @@
     def usable(name: str) -> bool:
         return health.usable(state, name)
 
+    if not pool.queue.waiting and pool.free() > KEPT_BACK * pool.slots():
+        pool.idle_at = at
     while pool.queue.waiting:
-        one = pool.queue.first()
+        one = _next(pool)
         placement = choice.place(
             pool,
             one.asked,
@@ -319,6 +329,15 @@
         yield from _grant(state, pool, one.asked, placement, at)
 
 
+def _next(pool: Pool) -> Waiting:
+    """Return the request whose turn it is, or a cheaper one while prefill is what is scarce."""
+    one = pool.queue.first()
+    if one.band != URGENT or pool.free() <= PREFILL_BOUND * pool.slots():
+        return one
+    heads = pool.queue.heads(URGENT, LOOK_AHEAD)
+    return min(heads, key=lambda head: choice.prefill_cost(pool, head.asked))
+
+
 def _kept_back(pool: Pool, one: Waiting) -> bool:
     """Tell whether the last free slots wait for requests that can still meet their target."""
     if one.band != LATE or pool.queue.is_late_turn():
--- a/src/wasabiwick/_handlers/ledger.py
+++ b/src/wasabiwick/_handlers/ledger.py
@@ -219,6 +219,7 @@
         "target",
         "others",
         "directory",
+        "idle_at",
     )
 
     def __init__(self, *, model: str, zone: str, at: float, target: float) -> None:
@@ -235,6 +236,7 @@
         self.target = target
         self.others: dict[str, OtherPool] = {}
         self.directory = Directory()
+        self.idle_at = at
 
     def set_engines(self, names: typing.Iterable[str], *, margin: int) -> None:
         """Take over the pool's engines; a known one keeps its ledger."""
--- a/src/wasabiwick/_handlers/limits.py
+++ b/src/wasabiwick/_handlers/limits.py
@@ -22,6 +22,7 @@
 REPORT_LIFE = 3.0  # Seconds after which a host that does not report counts for nothing.
 FULL_WAIT = 0.25  # Seconds until a customer at its concurrency limit may ask again.
 LONGEST_WAIT = 30.0  # Seconds.
+LEARNING = 4.0  # Seconds in which a new keeper waits to hear of every host.
 MAX_BUDGETS = 20_000
 
 
@@ -70,13 +71,22 @@
         self.next_at = at
         self.used_at = at
 
-    def take(self, plan: Plan, asked: LimitAsk, at: float) -> int:
-        """Return how many of the requests may go on now, and charge for them."""
+    def take(self, plan: Plan, asked: LimitAsk, at: float, *, unheard: float) -> int:
+        """Return how many of the requests may go on now, and charge for them.
+
+        Args:
+            plan: The plan in force.
+            asked: The question.
+            at: Monotonic time.
+            unheard: Share of the concurrency that hosts not heard yet may be using.
+        """
         self._fill(plan, at)
         self.tokens.level += asked.refund
         mine = self._note(asked.owner, asked.in_flight, at)
         by_rate = int(self.requests.level)
-        by_concurrency = plan.concurrency - self._in_flight(at)
+        by_concurrency = int(plan.concurrency * (1.0 - unheard)) - self._in_flight(at)
+        if unheard and not asked.in_flight:
+            by_concurrency = max(1, by_concurrency)
         given = max(0, min(asked.requests, by_rate, by_concurrency))
         if self.tokens.level <= 0:
             given = 0
@@ -126,13 +136,14 @@
 
 @state_slice("limits")
 class LimitsState:
-    """Budgets that this host keeps, by customer, and since when it could keep them."""
+    """Budgets that this host keeps, by customer; live hosts, and since when they are these."""
 
-    __slots__ = ("budgets", "since")
+    __slots__ = ("budgets", "since", "hosts")
 
     def __init__(self, cfg: Settings) -> None:
         self.budgets: dict[str, Budget] = {}
         self.since = 0.0
+        self.hosts: list[str] = []
 
 
 def keeper_of(state: State, customer: str) -> str:
@@ -142,6 +153,11 @@
     return members.role_owner(state, role, zone)
 
 
+def hosts(state: State) -> int:
+    """Return the number of live hosts that share the customers' requests."""
+    return len(state["limits"].hosts)
+
+
 @handles(Booted)
 def begin(state: State, event: Booted) -> None:
     """Note when this host could first keep budgets."""
@@ -152,7 +168,10 @@
 def change(state: State, event: MembersChanged) -> None:
     """Forget budgets that another host keeps now."""
     mine = state["limits"]
-    mine.since = event.at
+    live = [name for zone in members.zones(state) for name in members.live_hosts(state, zone)]
+    if live != mine.hosts:
+        mine.hosts = live
+        mine.since = event.at
     for customer in list(mine.budgets):
         if keeper_of(state, customer) != state.owner.host:
             del mine.budgets[customer]
@@ -167,7 +186,8 @@
         yield _answer(told, given=0, wait=1.0, share=0.0)
         return
     budget = _budget_of(state, told.customer, plan, event.at)
-    given = budget.take(plan, told, event.at)
+    unheard = _unheard(state, budget, told.owner, event.at)
+    given = budget.take(plan, told, event.at, unheard=unheard)
     refused = told.requests - given
     wait = budget.wait(plan, refused, event.at) if refused else 0.0
     if refused:
@@ -175,6 +195,15 @@
     yield _answer(told, given=given, wait=wait, share=budget.usage[told.owner].share.value)
 
 
+def _unheard(state: State, budget: Budget, asking: Owner, at: float) -> float:
+    """Return the share of hosts that a new keeper has not heard of, for as long as it is new."""
+    mine = state["limits"]
+    if at - mine.since > LEARNING:
+        return 0.0
+    heard = {owner.host for owner in budget.usage} | {asking.host}
+    return 1.0 - min(1.0, len(heard) / max(1, len(mine.hosts)))
+
+
 def _answer(told: LimitAsk, *, given: int, wait: float, share: float) -> SendPeer:
     message = LimitGiven(
         customer=told.customer, requests=given, wait=round(wait, 3), share=round(share, 3)
--- a/src/wasabiwick/_handlers/queueing.py
+++ b/src/wasabiwick/_handlers/queueing.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import itertools
 
 from .._wire import Reserve
 
@@ -61,6 +62,11 @@
         lane = min(self._queues, key=lambda key: (-key[0], served.get(key[1], 0.0), key[1]))
         return next(iter(self._queues[lane].values()))
 
+    def heads(self, most: int) -> list[Waiting]:
+        """Return the oldest requests of up to ``most`` customers."""
+        lanes = itertools.islice(self._queues.values(), most)
+        return [next(iter(lane.values())) for lane in lanes]
+
     def longest(self) -> Waiting:
         """Return the newest request of the lowest priority's longest queue."""
         lane = min(self._queues, key=lambda key: (key[0], -len(self._queues[key]), key[1]))
@@ -119,6 +125,10 @@
                 return one
         return None
 
+    def heads(self, band: int, most: int) -> list[Waiting]:
+        """Return the oldest requests of some customers in a band."""
+        return self.bands[band].heads(most)
+
     def is_late_turn(self) -> bool:
         """Tell whether the next grant is the late band's by its fixed share."""
         return self._grants % LATE_TURN == LATE_TURN - 1
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,285 @@
+"""Tests of coordinators, queues, prefixes, predictors and endpoint health."""
+
+import unittest
+
+from wasabiwick import _effects, _events, _handlers, _reducer, _state, _wire
+from wasabiwick._handlers import coordinator, health, predict, prefixes, queueing
+
+from . import support
+
+ZONE = "tx-central-a"
+OWNER = _wire.Owner(host="other", incarnation="1")
+OTHER = _wire.Owner(host="third", incarnation="1")
+
+
+def started(*, engines: int = 1, at: float = 0.0) -> _state.State:
+    """Return a host that coordinates a pool of engines, none of which has reported yet."""
+    assert _handlers.coordinator
+    state = _state.State(support.make_settings("host", ZONE))
+    owner = _wire.Owner(host="host", incarnation="1")
+    booted = _events.Booted(at=at, owner=owner, zone=ZONE, wall=1e9, seed=1)
+    _reducer.reduce(state, booted)
+    entries = [_wire.HostEntry(name="host", kind="entry", zone=ZONE, address="http://host")]
+    entries += [
+        _wire.HostEntry(
+            name=f"engine-{number}",
+            kind="engine",
+            zone=ZONE,
+            address=f"http://engine-{number}",
+            service=support.MODEL,
+        )
+        for number in range(engines)
+    ]
+    _reducer.reduce(state, _events.HostsListed(at=at, entries=tuple(entries)))
+    return state
+
+
+def report(state: _state.State, at: float, *, slots: int, streams: tuple = (), engine: int = 0):
+    """Give the host a report and return the effects."""
+    told = _wire.EngineReport(
+        engine=f"engine-{engine}",
+        sequence=int(at * 1000) + 1,
+        slots=slots,
+        used=len(streams),
+        prefill_rate=10_000.0,
+        decode_interval=0.03,
+        streams=tuple(
+            _wire.StreamReport(request_id=one, attempt_id=one, owner="other", phase="decode")
+            for one in streams
+        ),
+    )
+    return _reducer.reduce(state, _events.EngineReported(at=at, report=told))
+
+
+def tell(state: _state.State, at: float, message: _wire.Message, sender=OWNER) -> list:
+    """Give the host a peer's message and return the messages that it sends."""
+    event = _events.PeerMessage(at=at, sender=sender, zone=ZONE, message=message)
+    effects = _reducer.reduce(state, event)
+    return [one.message for one in effects if isinstance(one, _effects.SendPeer)]
+
+
+def ask(state: _state.State, name: str, at: float, **fields: object) -> _wire.Reserve:
+    """Return a reservation of an attempt with this name."""
+    due = fields.pop("due", at + 2.0)
+    return _wire.Reserve(
+        **{
+            "request_id": name,
+            "attempt_id": name,
+            "owner": OWNER,
+            "engine": "",
+            "config_version": 1,
+            "deadline": state.wall(at + 60),
+            "prompt_tokens": 100,
+            "max_tokens": 50,
+            "model": support.MODEL,
+            "zone": ZONE,
+            "target": state.wall(due),
+            "customer": "lonestar",
+            **fields,
+        }
+    )
+
+
+def kinds(messages: list) -> list[str]:
+    """Return the names of messages' types."""
+    return [type(one).__name__ for one in messages]
+
+
+class TestSlots(unittest.TestCase):
+    """A slot is granted once at a time, and goes to the queue when it is free again."""
+
+    def setUp(self) -> None:
+        self.state = started()
+        report(self.state, 4.0, slots=1)
+
+    def test_second_waits_for_release(self) -> None:
+        first = tell(self.state, 4.1, ask(self.state, "a", 4.1))
+        self.assertEqual(kinds(first), ["Granted"])
+        self.assertEqual(tell(self.state, 4.2, ask(self.state, "b", 4.2, due=30.0)), [])
+        done = _wire.Release(
+            request_id="a",
+            attempt_id="a",
+            owner=OWNER,
+            engine="engine-0",
+            model=support.MODEL,
+            zone=ZONE,
+        )
+        granted = tell(self.state, 4.5, done)
+        self.assertEqual([one.attempt_id for one in granted], ["b"])
+
+    def test_hopeless_request_is_denied_at_once(self) -> None:
+        tell(self.state, 4.1, ask(self.state, "a", 4.1))
+        for name in "bcdefg":
+            tell(self.state, 4.2, ask(self.state, name, 4.2, due=4.3))
+        denied = tell(self.state, 4.2, ask(self.state, "late", 4.2, due=4.1, may_wait=False))
+        queue = self.state["coordinator"].pools[(support.MODEL, ZONE)].queue
+        self.assertLess(len(queue), 7 + len(denied))
+        self.assertTrue(denied or queue.bands[queueing.LATE].size)
+
+    def test_reservation_without_renewal_expires(self) -> None:
+        tell(self.state, 4.1, ask(self.state, "a", 4.1))
+        tell(self.state, 4.2, ask(self.state, "b", 4.2, due=30.0, owner=OTHER), OTHER)
+        for at in (5.0, 6.0, 7.0):
+            renewed = _wire.Renew(
+                owner=OTHER,
+                attempts=(("", "b", "b", False),),
+                model=support.MODEL,
+                zone=ZONE,
+            )
+            self.assertEqual(tell(self.state, at, renewed, OTHER), [])
+        effects = _reducer.reduce(self.state, _events.TimerFired(at=7.5, timer="sweep"))
+        sent = [one.message for one in effects if isinstance(one, _effects.SendPeer)]
+        self.assertEqual([one.attempt_id for one in sent], ["b"])
+
+    def test_foreign_memory_takes_slots(self) -> None:
+        report(self.state, 4.5, slots=2, streams=("unknown",))
+        tell(self.state, 4.6, ask(self.state, "a", 4.6))
+        self.assertEqual(tell(self.state, 4.7, ask(self.state, "b", 4.7, due=30.0)), [])
+
+
+class TestRestart(unittest.TestCase):
+    """A new coordinator keeps slots back, and takes over what routers hold and wait for."""
+
+    def test_margin_and_registration(self) -> None:
+        state = started(at=10.0)
+        report(state, 10.1, slots=4, streams=("old",))
+        pool = state["coordinator"].pools[(support.MODEL, ZONE)]
+        self.assertEqual(pool.free(), 1)
+        renewed = _wire.Renew(
+            owner=OWNER,
+            attempts=(("engine-0", "old", "old", True), ("", "lost", "lost", False)),
+            model=support.MODEL,
+            zone=ZONE,
+        )
+        answers = tell(state, 10.2, renewed)
+        self.assertEqual([(one.attempt_id, one.unknown) for one in answers], [("lost", True)])
+        self.assertEqual(pool.free(), 1)
+        report(state, 14.0, slots=4, streams=("old",))
+        self.assertEqual(pool.free(), 3)
+
+
+class TestQueue(unittest.TestCase):
+    """Customers take turns by tokens; late work gets its fixed share and no more."""
+
+    def waiting(self, name: str, customer: str, band: int) -> queueing.Waiting:
+        asked = _wire.Reserve(
+            request_id=name,
+            attempt_id=name,
+            owner=OWNER,
+            engine="",
+            config_version=1,
+            deadline=0.0,
+            customer=customer,
+            max_tokens=100,
+        )
+        return queueing.Waiting(asked=asked, since=0.0, due=1.0, deadline=9.0, band=band)
+
+    def test_turns(self) -> None:
+        queue = queueing.WaitQueue()
+        for number in range(4):
+            queue.add(self.waiting(f"busy-{number}", "busy", queueing.URGENT))
+        queue.add(self.waiting("quiet", "quiet", queueing.URGENT))
+        served = []
+        for _ in range(3):
+            one = queue.first()
+            queue.granted(one)
+            served.append(one.asked.customer)
+        self.assertIn("quiet", served[:2])
+
+    def test_late_share(self) -> None:
+        queue = queueing.WaitQueue()
+        for number in range(150):
+            queue.add(self.waiting(f"u{number}", "a", queueing.URGENT))
+            queue.add(self.waiting(f"l{number}", "b", queueing.LATE))
+        bands = []
+        for _ in range(100):
+            one = queue.first()
+            queue.granted(one)
+            bands.append(one.band)
+        self.assertEqual(bands.count(queueing.LATE), 100 // queueing.LATE_TURN)
+
+
+class TestPrefixes(unittest.TestCase):
+    """Gaps lower the trust in what was known before, and memory is bounded."""
+
+    def test_gap_lowers_trust(self) -> None:
+        index = prefixes.PrefixIndex()
+        index.apply(_wire.CacheEvent(sequence=1, stored=(11, 12)))
+        self.assertEqual(index.matched((11, 12)), (32, 1.0))
+        index.apply(_wire.CacheEvent(sequence=4, evicted=(12,), stored=(13,)))
+        self.assertEqual(index.matched((11, 12)), (16, prefixes.GAP_TRUST))
+        self.assertEqual(index.trust(13), 1.0)
+
+    def test_old_event_changes_nothing(self) -> None:
+        index = prefixes.PrefixIndex()
+        index.apply(_wire.CacheEvent(sequence=2, stored=(11,)))
+        index.apply(_wire.CacheEvent(sequence=1, evicted=(11,)))
+        self.assertEqual(index.trust(11), 1.0)
+
+    def test_memory_is_bounded(self) -> None:
+        index = prefixes.PrefixIndex()
+        index.apply(_wire.CacheEvent(sequence=1, stored=tuple(range(2 * prefixes.MAX_ENTRIES))))
+        self.assertEqual(len(index), prefixes.MAX_ENTRIES)
+
+
+class TestPredictors(unittest.TestCase):
+    """Predictors follow what is measured."""
+
+    def test_rate(self) -> None:
+        rate = predict.Rate(8_000.0)
+        for _ in range(40):
+            rate.observe(1_000, 0.5)
+        self.assertAlmostEqual(rate.per_second, 2_000.0, delta=100.0)
+
+    def test_batch_limit(self) -> None:
+        line = predict.IntervalLine()
+        for _ in range(30):
+            for batch in (4, 12, 20):
+                line.observe(batch, 0.03 + 0.002 * batch)
+        self.assertEqual(line.largest_batch(0.0505, 24), 10)
+
+
+class TestHealth(unittest.TestCase):
+    """An endpoint that fails is ejected, probed and taken back, but never too many at once."""
+
+    def fail(self, state: _state.State, name: str) -> None:
+        for _ in range(health.EJECT_AFTER):
+            tuple(health.failed(state, name))
+
+    def test_ejection_and_probe(self) -> None:
+        state = started(engines=4)
+        self.fail(state, "engine-0")
+        self.assertFalse(health.usable(state, "engine-0"))
+        _reducer.reduce(state, _events.TimerFired(at=2.0, timer="probe", key="engine-0"))
+        self.assertTrue(health.usable(state, "engine-0"))
+        health.chosen(state, "engine-0")
+        self.assertFalse(health.usable(state, "engine-0"))
+        health.succeeded(state, "engine-0")
+        self.assertTrue(health.usable(state, "engine-0"))
+
+    def test_floor(self) -> None:
+        state = started(engines=4)
+        for number in range(4):
+            self.fail(state, f"engine-{number}")
+        usable = [n for n in range(4) if health.usable(state, f"engine-{n}")]
+        self.assertEqual(len(usable), 2)
+
+    def test_silent_engine_gets_nothing(self) -> None:
+        state = started(engines=2)
+        for number in range(2):
+            report(state, 4.0, slots=4, engine=number)
+        for at in (4.1, 4.2, 4.3):
+            _reducer.reduce(state, _events.EngineSilent(at=at, endpoint="engine-0"))
+        granted = [tell(state, 4.4, ask(state, name, 4.4))[0].engine for name in "abc"]
+        self.assertEqual(set(granted), {"engine-1"})
+
+
+class TestRole(unittest.TestCase):
+    """The host polls the engines of the pools that it coordinates."""
+
+    def test_polls(self) -> None:
+        state = started(engines=3)
+        self.assertTrue(coordinator.coordinates(state, "engine-1"))
+        effects = _reducer.reduce(state, _events.TimerFired(at=1.0, timer="coordinate"))
+        fetched = [one.endpoint for one in effects if isinstance(one, _effects.FetchReport)]
+        self.assertEqual(fetched, ["engine-0", "engine-1", "engine-2"])
