--- a/src/wasabiwick/_handlers/pools.py
+++ b/src/wasabiwick/_handlers/pools.py
@@ -4,40 +4,31 @@
 with zones and not with engines.
 """
 
-import typing
-
 from .. import _rendezvous
+from .._pieces import piece_ladder
 from .._settings import Settings
 from .._state import State, state_slice
 from . import members, predict
 
-STALE = 1.0  # Seconds after which a coordinator's answer says nothing about its load.
 CROSSING = 0.004  # Seconds assumed one way between availability zones.
-SPILL_MARGIN = 0.05  # Seconds by which another zone must be better; keeps choices from flapping.
 CUT_OFF = 2.0  # Seconds for which a coordinator that did not answer is not asked.
+PRIOR_HOME = 0.5  # Share of a prompt found cached in its home zone.
+PRIOR_AWAY = 0.2
+PREFILL_WEIGHT = 6.0  # A prefill paid twice delays others too, not only its own request.
 PRIOR_PREFILL = 8_000.0  # Tokens/s.
 
 
 class View:
     """What this host knows of one pool: the answers of its coordinator."""
 
-    __slots__ = ("wait", "free", "told_at", "late_denied_at", "cut_until", "crossing")
+    __slots__ = ("wait", "late_denied_at", "cut_until", "crossing")
 
     def __init__(self) -> None:
         self.wait = 0.0
-        self.free = 0
-        self.told_at = -STALE
-        self.late_denied_at = -STALE
+        self.late_denied_at = -CUT_OFF
         self.cut_until = 0.0
         self.crossing = predict.Mean(CROSSING, share=0.1)
 
-    def predicted_wait(self, at: float) -> float:
-        """Return the wait that the pool's last answers promise, in seconds."""
-        age = at - self.told_at
-        if age >= STALE or self.free > 0:
-            return 0.0
-        return self.wait * (1.0 - age / STALE)
-
 
 class Affinity:
     """How much a model's prompts gain from the zone that served the same prefix before."""
@@ -45,8 +36,8 @@
     __slots__ = ("home", "away", "prefill_rate")
 
     def __init__(self) -> None:
-        self.home = predict.Mean(0.2)
-        self.away = predict.Mean(0.2)
+        self.home = predict.Mean(PRIOR_HOME)
+        self.away = predict.Mean(PRIOR_AWAY)
         self.prefill_rate = predict.Rate(PRIOR_PREFILL)
 
     def gain(self, tokens: int) -> float:
@@ -76,22 +67,23 @@
     return state["pools"].affinities.setdefault(model, Affinity())
 
 
-def zones_of(state: State, model: str) -> list[str]:
-    """Return the availability zones that have engines of a model, sorted."""
-    return sorted({entry.zone for entry in members.usable_endpoints(state, model)})
-
+def home_zone(state: State, model: str, pieces: tuple[int, ...]) -> str:
+    """Return the zone that a prompt's prefix is assigned to, or an empty string.
 
-def home_zone(zones: typing.Sequence[str], pieces: tuple[int, ...]) -> str:
-    """Return the zone that a prompt's prefix is assigned to, or an empty string."""
-    if not pieces or not zones:
+    Zones get prefixes by the number of their engines.
+    """
+    ladder = piece_ladder(pieces)
+    engines = members.engines_by_zone(state, model)
+    if not ladder or not engines:
         return ""
-    return _rendezvous.owner_of(str(pieces[-1]), zones)
+    return _rendezvous.weighted_owner_of(str(ladder[-1]), engines)
+
 
+def ranked(state: State, model: str, pieces: tuple[int, ...], tokens: int, at: float) -> list[str]:
+    """Order the zones of a model in which their coordinators are asked.
 
-def ranked(
-    state: State, model: str, pieces: tuple[int, ...], tokens: int, at: float
-) -> list[tuple[float, str]]:
-    """Order the zones of a model by the predicted delay of asking each.
+    The home zone of the prompt's prefix is first where its caches save more than the crossing
+    costs; else this host's own zone. How loaded the zones are is for the coordinators to weigh.
 
     Args:
         state: The host's state.
@@ -101,21 +93,19 @@
         at: Monotonic time.
 
     Returns:
-        Pairs of predicted delay in seconds and zone, best first.
+        Names of zones; those that are cut off come last, or not at all if not this host's own.
     """
-    zones = zones_of(state, model)
-    home = home_zone(zones, pieces) if state["pools"].by_affinity else ""
     gain = affinity_of(state, model).gain(tokens)
-    return sorted((_delay(state, model, zone, home, gain, at), zone) for zone in zones)
-
-
-def _delay(state: State, model: str, zone: str, home: str, gain: float, at: float) -> float:
-    view = view_of(state, model, zone)
-    seconds = view.predicted_wait(at)
-    if zone != state.zone:
-        seconds += 2 * view.crossing.value + SPILL_MARGIN
-    if home and zone != home:
-        seconds += gain
-    if at < view.cut_until:
-        seconds += CUT_OFF
-    return seconds
+    home = home_zone(state, model, pieces) if state["pools"].by_affinity and gain > 0 else ""
+
+    def cost(zone: str) -> tuple[float, float, str]:
+        view = view_of(state, model, zone)
+        crossing = 0.0 if zone == state.zone else 2 * view.crossing.value
+        away = gain if home and zone != home else 0.0
+        return (at < view.cut_until, crossing + away, zone)
+
+    zones = members.zones_of_service(state, model)
+    reachable = [
+        zone for zone in zones if zone == state.zone or at >= view_of(state, model, zone).cut_until
+    ]
+    return sorted(reachable, key=cost)
