--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: docs traces install test demo format check model capacity bench clean
+.PHONY: changelog docs traces install test demo format check model capacity bench clean
 
 $(STAMP): pyproject.toml requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -35,3 +35,6 @@
 
 docs: install
 	$(BIN)/python -m wasabiwick._reference docs
+
+changelog: install
+	$(BIN)/python tools/changelog.py
