Leave engines that make no progress, and know at once where a stream of the log ends

Cause: seen on a trial of the whole path with separate processes: (1) an engine that keeps a stream open with heartbeats but makes no token held its request for ever, because only silence was bounded; (2) the first call that may run once took 10.03 s, as the tail of an empty stream told its end only when the long poll ran out; (3) chunks lacked the choice's index, which clients read. Change: a stall timeout (timing.stall, 5 s) gives the attempt up and continues elsewhere; the first read of a tail does not wait; the index is always sent. Conclusion: ruled out as causes: the group commit (20 ms) and the coordinator's read.

--- a/src/wasabiwick/_answers.py
+++ b/src/wasabiwick/_answers.py
@@ -44,7 +44,7 @@
 class Choice(msgspec.Struct, omit_defaults=True):
     """One choice of an answer; which fields are set depends on the kind of call."""
 
-    index: int = 0
+    index: int
     text: str | None = None
     message: Message | None = None
     delta: Delta | None = None
@@ -127,10 +127,10 @@
     def chunk(self, text: str, finish: str | None = None) -> bytes:
         """Encode a piece of output as a server-sent event."""
         if self._chat:
-            choice = Choice(delta=Delta(content=text), finish_reason=finish)
+            choice = Choice(index=0, delta=Delta(content=text), finish_reason=finish)
             kind = "chat.completion.chunk"
         else:
-            choice = Choice(text=text, finish_reason=finish)
+            choice = Choice(index=0, text=text, finish_reason=finish)
             kind = "text_completion"
         return b"data: " + self._encode(kind, choice, None) + b"\n\n"
 
@@ -142,10 +142,10 @@
             total_tokens=prompt_tokens + tokens,
         )
         if self._chat:
-            choice = Choice(message=Message(content=text), finish_reason=finish)
+            choice = Choice(index=0, message=Message(content=text), finish_reason=finish)
             kind = "chat.completion"
         else:
-            choice = Choice(text=text, finish_reason=finish)
+            choice = Choice(index=0, text=text, finish_reason=finish)
             kind = "text_completion"
         return self._encode(kind, choice, usage)
 
--- a/src/wasabiwick/_handlers/calls.py
+++ b/src/wasabiwick/_handlers/calls.py
@@ -28,7 +28,7 @@
 from .._settings import Settings
 from .._state import State, state_slice
 from .._verdict import Verdict
-from . import generation, keys, lists
+from . import keys, lists, takeover
 from .host import busy_check
 
 STOPPING_RETRY = 0.2  # Seconds; another host answers at once.
@@ -158,7 +158,7 @@
     yield Count(metric="superseded")
     req.call = call
     req.caller_present = True
-    yield from generation.rejoin(state, req, event.at)
+    yield from takeover.rejoin(state, req, event.at)
 
 
 def _check(state: State, call: Call) -> Failure | None:
--- a/src/wasabiwick/_handlers/generation.py
+++ b/src/wasabiwick/_handlers/generation.py
@@ -4,19 +4,23 @@
 
 from .._effects import (
     AttachCall,
-    CloseCall,
     Count,
     DropStream,
     FinishStream,
     Observe,
     ResumeStream,
-    SendPeer,
     StartDecode,
     StartPrefill,
     StartTimer,
     StopTimer,
 )
-from .._errors import DEADLINE_PASSED, ENDPOINT_FAILED, SUPERSEDED, Failure
+from .._errors import (
+    DEADLINE_PASSED,
+    ENDPOINT_FAILED,
+    ENDPOINT_SILENT,
+    SUPERSEDED,
+    Failure,
+)
 from .._events import (
     AdmissionGiven,
     AttemptFailed,
@@ -24,7 +28,6 @@
     PrefillDone,
     RequestClosed,
     RequestDenied,
-    SlotAdopted,
     SlotFreed,
     SlotHeld,
     SlotWanted,
@@ -36,12 +39,13 @@
 from .._settings import Settings
 from .._state import State, state_slice
 from .._verdict import Verdict
-from .._wire import Owner, Supersede, Superseded
-from . import calls, cancels, keys
+from .._wire import Supersede
+from . import calls, cancels, keys, takeover
 
 MAX_ATTEMPTS = 6
 MAX_RESUMES = 3  # Consecutive failures to open a running attempt's stream again.
 RESUME_DELAY = 0.1  # Seconds.
+STALL_SLACK = 0.001  # Seconds by which a timer may fire early.
 FAILED_RETRY = 1.0  # Seconds told to callers when every attempt failed.
 
 
@@ -101,6 +105,19 @@
     return frozenset(one.attempt_id for one in state["generation"].running.values())
 
 
+def generation_of(state: State, request_id: str) -> Generation | None:
+    """Return the generation that runs for a request, or None."""
+    return state["generation"].running.get(request_id)
+
+
+def go_on(state: State, request_id: str, attempt_id: str, engine: str, at: float) -> None:
+    """Enter a running attempt that another host started."""
+    gen = Generation(phase="decode", attempt_id=attempt_id)
+    gen.decode_engine = engine
+    gen.last_output = at
+    state["generation"].running[request_id] = gen
+
+
 def keyed(state: State) -> list[tuple[str, Generation]]:
     """Return the running generations that a retry elsewhere may look for."""
     return [
@@ -138,24 +155,6 @@
     yield SlotWanted(at=event.at, request_id=event.request_id, attempt_id=gen.attempt_id)
 
 
-def adopt(
-    state: State, request_id: str, attempt_id: str, engine: str, at: float
-) -> typing.Iterator[Step]:
-    """Go on with an attempt that another host started, from the first token on."""
-    req = calls.request_of(state, request_id)
-    if req is None:
-        yield from cancels.cancel(state, request_id, attempt_id, engine)
-        return
-    gen = Generation(phase="decode", attempt_id=attempt_id)
-    gen.decode_engine = engine
-    state["generation"].running[request_id] = gen
-    calls.mark_ran(state, request_id)
-    yield AttachCall(call_id=req.call.call_id, request_id=request_id)
-    yield SlotAdopted(at=at, request_id=request_id, attempt_id=attempt_id, decode_engine=engine)
-    yield ResumeStream(request_id=request_id, attempt_id=attempt_id, endpoint=engine, takeover=True)
-    yield from keys.report(state, request_id, attempt_id, engine=engine)
-
-
 @handles(SlotHeld)
 def prefill(state: State, event: SlotHeld) -> typing.Iterator[Step]:
     """Prefill, now that the decode slot is held."""
@@ -187,6 +186,8 @@
         return
     req = calls.request_of(state, event.request_id)
     gen.phase = "decode"
+    gen.last_output = event.at
+    yield StartTimer(timer="stall", key=event.request_id, delay=state.cfg.timing.stall)
     yield Count(metric="prefill_tokens", amount=event.prompt_tokens - event.cached_tokens)
     yield StartDecode(
         request_id=event.request_id,
@@ -223,7 +224,7 @@
     gen.last_output = event.at
     gen.resumes = 0
     if gen.successor:
-        yield from _let_go(state, event.request_id, gen, gen.successor, event.at)
+        yield from takeover.let_go(state, event.request_id, gen, gen.successor, event.at)
 
 
 @handles(StreamEnded)
@@ -251,38 +252,23 @@
 @handles(AttemptFailed)
 def failed(state: State, event: AttemptFailed) -> typing.Iterator[Step]:
     """Resume a stream that was cut, or try again elsewhere."""
-    if event.phase not in ("prefill", "decode", "resume"):
+    if event.phase not in ("prefill", "decode", "resume", "stall"):
         return
     gen = _current(state, event.request_id, event.attempt_id)
     if gen is None or gen.phase == "ended":
         return
     if event.failure.reason is SUPERSEDED:
-        yield from _taken_over(state, event)
+        yield from takeover.taken_over(state, event)
         return
     yield Count(metric="attempt_failed", label=event.phase)
     may_run = event.failure.verdict is not Verdict.NOT_RUN
-    if event.phase != "prefill" and may_run and gen.resumes < MAX_RESUMES:
+    if event.phase in ("decode", "resume") and may_run and gen.resumes < MAX_RESUMES:
         gen.resumes += 1
         yield StartTimer(timer="resume", key=event.request_id, delay=RESUME_DELAY * gen.resumes)
         return
     yield from _try_elsewhere(state, event, gen, may_run)
 
 
-def _taken_over(state: State, event: AttemptFailed) -> typing.Iterator[Step]:
-    """Another host adopted the stream while this one was cut off: leave the answer to it."""
-    req = calls.request_of(state, event.request_id)
-    if req.caller_present:
-        yield CloseCall(call_id=req.call.call_id)
-    yield Count(metric="taken_over")
-    yield SlotFreed(
-        at=event.at,
-        request_id=event.request_id,
-        attempt_id=event.attempt_id,
-        handed_over=True,
-    )
-    yield RequestClosed(at=event.at, request_id=event.request_id)
-
-
 @on_timer("resume")
 def resume(state: State, event: TimerFired) -> typing.Iterator[Step]:
     """Open the stream of a running attempt again."""
@@ -342,22 +328,33 @@
     yield RequestDenied(at=event.at, request_id=event.key, failure=failure)
 
 
-# --- Callers that leave or move ------------------------------------------------------------------
+@on_timer("stall")
+def check_stall(state: State, event: TimerFired) -> typing.Iterator[Step]:
+    """Leave an engine whose stream is open but makes no progress."""
+    gen = generation_of(state, event.key)
+    if gen is None or gen.phase != "decode":
+        return
+    left = gen.last_output + state.cfg.timing.stall - event.at
+    if left > STALL_SLACK:
+        yield StartTimer(timer="stall", key=event.key, delay=left)
+        return
+    yield Count(metric="stalled", label=gen.decode_engine)
+    failure = Failure(
+        reason=ENDPOINT_SILENT,
+        verdict=Verdict.MAY_HAVE_RUN,
+        detail=f'endpoint "{gen.decode_engine}" makes no progress',
+    )
+    yield AttemptFailed(
+        at=event.at,
+        request_id=event.key,
+        attempt_id=gen.attempt_id,
+        endpoint=gen.decode_engine,
+        phase="stall",
+        failure=failure,
+    )
 
 
-def rejoin(state: State, req: "calls.Request", at: float) -> typing.Iterator[Step]:
-    """Relay the running stream to a newer call on this host, from the first token on."""
-    request_id = req.call.request_id
-    gen = state["generation"].running.get(request_id)
-    yield StopTimer(timer="caller", key=request_id)
-    if gen is None:
-        return
-    yield AttachCall(call_id=req.call.call_id, request_id=request_id)
-    if gen.successor:
-        gen.successor = None
-        yield from keys.report(state, request_id, gen.attempt_id, engine=gen.decode_engine)
-    if gen.phase == "ended":
-        yield FinishStream(call_id=req.call.call_id, request_id=request_id, finish="stop")
+# --- Callers that leave --------------------------------------------------------------------------
 
 
 @handles(CallerGone)
@@ -399,51 +396,6 @@
     yield from cancels.cancel(state, request_id, gen.attempt_id, engine)
 
 
-def hand_over(state: State, asked: Supersede, at: float) -> typing.Iterator[Step]:
-    """Close the older call unanswered and let the asking host go on with the stream."""
-    gen = state["generation"].running.get(asked.request_id)
-    req = calls.request_of(state, asked.request_id)
-    if req is None or asked.by == state.owner:
-        yield from _tell(asked, asked.by)
-        return
-    if req.caller_present:
-        req.caller_present = False
-        yield CloseCall(call_id=req.call.call_id)
-    if gen is None:
-        yield from _tell(asked, asked.by)
-        yield RequestClosed(at=at, request_id=asked.request_id)
-        return
-    if gen.phase in ("slot", "prefill") or (gen.phase == "decode" and gen.offset == 0):
-        # The successor asks again until the stream runs, so that no prefill is paid twice.
-        gen.successor = asked
-        yield StopTimer(timer="caller", key=asked.request_id)
-        return
-    yield from _let_go(state, asked.request_id, gen, asked, at)
-
-
-def _let_go(
-    state: State, request_id: str, gen: Generation, asked: Supersede, at: float
-) -> typing.Iterator[Step]:
-    engine = gen.decode_engine if gen.phase == "decode" else ""
-    yield DropStream(request_id=request_id, attempt_id=gen.attempt_id, endpoint=engine)
-    yield SlotFreed(at=at, request_id=request_id, attempt_id=gen.attempt_id, handed_over=True)
-    yield Count(metric="handed_over")
-    yield from _tell(asked, asked.by, attempt_id=gen.attempt_id, engine=engine)
-    yield RequestClosed(at=at, request_id=request_id)
-
-
-def _tell(
-    asked: Supersede, to: Owner, *, attempt_id: str = "", engine: str = ""
-) -> typing.Iterator[Step]:
-    message = Superseded(
-        request_id=asked.request_id,
-        attempt_id=asked.attempt_id,
-        running_attempt=attempt_id,
-        engine=engine,
-    )
-    yield SendPeer(host=to.host, message=message)
-
-
 @handles(RequestClosed)
 def close(state: State, event: RequestClosed) -> typing.Iterator[Step]:
     """Drop the generation of a request that is over."""
@@ -451,3 +403,4 @@
         yield StopTimer(timer="deadline", key=event.request_id)
         yield StopTimer(timer="caller", key=event.request_id)
         yield StopTimer(timer="resume", key=event.request_id)
+        yield StopTimer(timer="stall", key=event.request_id)
--- a/src/wasabiwick/_handlers/keys.py
+++ b/src/wasabiwick/_handlers/keys.py
@@ -21,7 +21,7 @@
 from .._settings import Settings
 from .._state import State, state_slice
 from .._wire import ClaimKey, KeyClaimed, KeyServed, Owner, Supersede, Superseded
-from . import generation, members
+from . import generation, members, takeover
 
 MAX_ASKS = 30  # Supersede messages sent before a request is run anew.
 SWEEP_INTERVAL = 30.0  # Seconds between looks for records whose serving host is lost.
@@ -175,7 +175,7 @@
         return
     state["keys"].claims.pop(request_id)
     yield StopTimer(timer="claim", key=request_id)
-    yield from generation.adopt(state, request_id, answer.running_attempt, answer.engine, at)
+    yield from takeover.adopt(state, request_id, answer.running_attempt, answer.engine, at)
 
 
 @handles(MembersChanged)
@@ -227,14 +227,14 @@
     state["keys"].claims.pop(told.request_id)
     yield StopTimer(timer="claim", key=told.request_id)
     yield Count(metric="adopted")
-    yield from generation.adopt(state, told.request_id, told.running_attempt, told.engine, event.at)
+    yield from takeover.adopt(state, told.request_id, told.running_attempt, told.engine, event.at)
 
 
 @on_message(Supersede)
 def yield_up(state: State, event: PeerMessage) -> typing.Iterator[Step]:
     """Hand a request over to the host that a newer call reached."""
     asked = event.message
-    yield from generation.hand_over(state, asked, event.at)
+    yield from takeover.hand_over(state, asked, event.at)
 
 
 @on_timer("claim")
--- a/src/wasabiwick/_performers/platform.py
+++ b/src/wasabiwick/_performers/platform.py
@@ -44,12 +44,14 @@
 
 async def _tail(runner: Runner, stream: str, offset: int) -> None:
     position = offset
+    wait = 0.0  # The first read tells at once where the stream ends.
     while True:
-        page = await runner.ports.log.read(stream, position, runner.cfg.timing.log_poll)
+        page = await runner.ports.log.read(stream, position, wait)
         if isinstance(page, Failure):
             runner.post(LogReadFailed(at=runner.now(), stream=stream, tag=""))
             await asyncio.sleep(TAIL_RETRY)
             continue
+        wait = runner.cfg.timing.log_poll
         position = _next(position, page.first, page.records)
         runner.post(
             LogRead(
--- a/src/wasabiwick/_settings.py
+++ b/src/wasabiwick/_settings.py
@@ -120,6 +120,7 @@
         caller_grace: Time in which a retry may adopt the stream of a caller that went away.
         cancel_retry: Between repeated cancels.
         stream_silence: Silence on a stream after which it is opened again.
+        stall: Time without a token, though not silent, after which an engine is left.
         connect: To establish a connection.
         prefill: Longest prefill call.
         service: Longest service call.
@@ -141,6 +142,7 @@
         "caller_grace",
         "cancel_retry",
         "stream_silence",
+        "stall",
         "connect",
         "prefill",
         "service",
@@ -164,6 +166,7 @@
         caller_grace: Seconds = 0.25,
         cancel_retry: Seconds = 0.5,
         stream_silence: Seconds = 2.0,
+        stall: Seconds = 5.0,
         connect: Seconds = 1.0,
         prefill: Seconds = 30.0,
         service: Seconds = 30.0,
@@ -183,6 +186,7 @@
         self.caller_grace = caller_grace
         self.cancel_retry = cancel_retry
         self.stream_silence = stream_silence
+        self.stall = stall
         self.connect = connect
         self.prefill = prefill
         self.service = service
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -134,6 +134,26 @@
         self.assertNotEqual(self.decode_of("a").attempt_id, decode.attempt_id)
         self.assertEqual(self.prefills(), 2)
 
+    def test_engine_that_makes_no_progress_is_left(self) -> None:
+        self.running()
+        first = self.decode_of("a")
+        stall = self.fabric.states["a"].cfg.timing.stall
+        self.fabric.run(stall - 0.6)
+        self.assertEqual(self.prefills(), 1)
+        self.fabric.run(2.0)
+        self.assertNotEqual(self.decode_of("a").attempt_id, first.attempt_id)
+        self.assertEqual(
+            [one.attempt_id for one in self.fabric.of("a", _effects.CancelAttempt)],
+            [first.attempt_id],
+        )
+
+    def test_engine_that_makes_progress_is_kept(self) -> None:
+        self.running()
+        for step in range(2, 8):
+            self.fabric.run(self.fabric.states["a"].cfg.timing.stall / 2)
+            self.progress("a", self.decode_of("a"), 5 * step)
+        self.assertEqual(self.prefills(), 1)
+
     def test_late_prefill_of_a_given_up_attempt_is_dropped(self) -> None:
         self.fabric.answer_prefills = False
         self.arrive("a", "c1", key="")
