--- a/src/wasabiwick/_adapters/_host_list.py
+++ b/src/wasabiwick/_adapters/_host_list.py
@@ -1,28 +1,15 @@
 """The host list over HTTP."""
 
-import aiohttp
-
 from .._errors import Failure
-from .._settings import Timing
 from .._wire import HostEntry
 from ._http import ask
+from ._platform import PlatformClient
 
 
-class HttpHostList:
-    """The host list over HTTP.
-
-    Args:
-        session: Client session.
-        address: Base URL of the host list.
-        timing: Timeouts.
-    """
-
-    __slots__ = ("_session", "_address", "_timing")
+class HttpHostList(PlatformClient):
+    """The host list over HTTP."""
 
-    def __init__(self, *, session: aiohttp.ClientSession, address: str, timing: Timing) -> None:
-        self._session = session
-        self._address = address
-        self._timing = timing
+    __slots__ = ()
 
     async def entries(self) -> tuple[HostEntry, ...] | Failure:
         """Return the list."""
--- a/src/wasabiwick/_adapters/_log_service.py
+++ b/src/wasabiwick/_adapters/_log_service.py
@@ -1,28 +1,15 @@
 """The log service over HTTP."""
 
-import aiohttp
-
 from .._errors import Failure
-from .._settings import Timing
 from .._wire import LogAppend, LogAppendAnswer, LogPage
 from ._http import ask
+from ._platform import PlatformClient
 
 
-class HttpLogService:
-    """The log service over HTTP.
-
-    Args:
-        session: Client session.
-        address: Base URL of the log service.
-        timing: Timeouts.
-    """
-
-    __slots__ = ("_session", "_address", "_timing")
+class HttpLogService(PlatformClient):
+    """The log service over HTTP."""
 
-    def __init__(self, *, session: aiohttp.ClientSession, address: str, timing: Timing) -> None:
-        self._session = session
-        self._address = address
-        self._timing = timing
+    __slots__ = ()
 
     async def append(self, stream: str, records: tuple[str, ...]) -> int | Failure:
         """Append records together; returns the first one's offset."""
--- a/src/wasabiwick/_adapters/_weight_store.py
+++ b/src/wasabiwick/_adapters/_weight_store.py
@@ -1,11 +1,10 @@
 """The weight store over HTTP."""
 
-import aiohttp
 import msgspec
 
 from .._errors import Failure
-from .._settings import Timing
 from ._http import ask
+from ._platform import PlatformClient
 
 
 class WeightSize(msgspec.Struct, frozen=True):
@@ -14,21 +13,10 @@
     size: int
 
 
-class HttpWeightStore:
-    """The weight store over HTTP.
+class HttpWeightStore(PlatformClient):
+    """The weight store over HTTP."""
 
-    Args:
-        session: Client session.
-        address: Base URL of the weight store.
-        timing: Timeouts.
-    """
-
-    __slots__ = ("_session", "_address", "_timing")
-
-    def __init__(self, *, session: aiohttp.ClientSession, address: str, timing: Timing) -> None:
-        self._session = session
-        self._address = address
-        self._timing = timing
+    __slots__ = ()
 
     async def size(self, model: str, version: str) -> int | Failure:
         """Return the bytes that loading a version of a model reads."""
--- /dev/null
+++ b/src/wasabiwick/_performers/_attempts.py
@@ -0,0 +1,30 @@
+"""What performers of attempts share: how a failed call to an endpoint becomes an event."""
+
+from .._effects import AttemptEffect
+from .._errors import NO_ENDPOINT, Failure
+from .._events import AttemptFailed
+from .._runner import Runner
+from .._verdict import Verdict
+
+
+def fail(runner: Runner, effect: AttemptEffect, phase: str, failure: Failure) -> None:
+    """Tell the reducer that a call to an endpoint failed in a phase of its attempt."""
+    runner.post(
+        AttemptFailed(
+            at=runner.now(),
+            request_id=effect.request_id,
+            attempt_id=effect.attempt_id,
+            endpoint=effect.endpoint,
+            phase=phase,
+            failure=failure,
+        )
+    )
+
+
+def no_address(endpoint: str) -> Failure:
+    """Return the failure of a call to an endpoint that is not on the host list."""
+    return Failure(
+        reason=NO_ENDPOINT,
+        verdict=Verdict.NOT_RUN,
+        detail=f'endpoint "{endpoint}" has no address',
+    )
--- a/src/wasabiwick/_performers/engines.py
+++ b/src/wasabiwick/_performers/engines.py
@@ -15,9 +15,8 @@
     StartDecode,
     StartPrefill,
 )
-from .._errors import ENDPOINT_FAILED, NO_ENDPOINT, SUPERSEDED, Failure
+from .._errors import ENDPOINT_FAILED, SUPERSEDED, Failure
 from .._events import (
-    AttemptFailed,
     CacheChanged,
     CancelAnswered,
     EngineReported,
@@ -33,6 +32,7 @@
 from .._verdict import Verdict
 from .._wire import CancelAsk, DecodeAsk, Frame, PrefillAsk, ResumeAsk
 from . import callers, telemetry
+from ._attempts import fail, no_address
 
 PROGRESS_INTERVAL = 0.25  # Seconds between reports of one stream to the reducer.
 COMPLETE = ("stop", "length")
@@ -42,31 +42,6 @@
     return f"{runner.owner.host}/{runner.owner.incarnation}"
 
 
-def _address(runner: Runner, endpoint: str) -> str:
-    return members.address_of(runner.state, endpoint)
-
-
-def _fail(runner: Runner, effect: AttemptEffect, phase: str, failure: Failure) -> None:
-    runner.post(
-        AttemptFailed(
-            at=runner.now(),
-            request_id=effect.request_id,
-            attempt_id=effect.attempt_id,
-            endpoint=effect.endpoint,
-            phase=phase,
-            failure=failure,
-        )
-    )
-
-
-def _unknown(endpoint: str) -> Failure:
-    return Failure(
-        reason=NO_ENDPOINT,
-        verdict=Verdict.NOT_RUN,
-        detail=f'endpoint "{endpoint}" has no address',
-    )
-
-
 # --- Prefill -------------------------------------------------------------------------------------
 
 
@@ -77,9 +52,9 @@
 
 
 async def _prefill(runner: Runner, effect: StartPrefill) -> None:
-    address = _address(runner, effect.endpoint)
+    address = members.address_of(runner.state, effect.endpoint)
     if not address:
-        _fail(runner, effect, "prefill", _unknown(effect.endpoint))
+        fail(runner, effect, "prefill", no_address(effect.endpoint))
         return
     ask = PrefillAsk(
         request_id=effect.request_id,
@@ -92,7 +67,7 @@
     )
     answer = await runner.ports.engine.prefill(address, ask)
     if isinstance(answer, Failure):
-        _fail(runner, effect, "prefill", answer)
+        fail(runner, effect, "prefill", answer)
         return
     runner.post(
         PrefillDone(
@@ -122,14 +97,14 @@
         attempt_id=effect.attempt_id,
         owner=_owner(runner),
         model=effect.model,
-        source=_address(runner, effect.source),
+        source=members.address_of(runner.state, effect.source),
         handle=effect.handle,
         max_tokens=effect.max_tokens,
         offset=output.offset,
         priority=effect.priority,
     )
     reader = Reader(runner=runner, effect=effect, phase="decode", output=output)
-    stream = runner.ports.engine.decode(_address(runner, effect.endpoint), ask)
+    stream = runner.ports.engine.decode(members.address_of(runner.state, effect.endpoint), ask)
     runner.spawn(f"attempt/{effect.request_id}", reader.run(stream))
 
 
@@ -146,7 +121,7 @@
         takeover=effect.takeover,
     )
     reader = Reader(runner=runner, effect=effect, phase="resume", output=output)
-    stream = runner.ports.engine.resume(_address(runner, effect.endpoint), ask)
+    stream = runner.ports.engine.resume(members.address_of(runner.state, effect.endpoint), ask)
     runner.spawn(f"attempt/{effect.request_id}", reader.run(stream))
 
 
@@ -187,7 +162,7 @@
             async for batch in stream:
                 if isinstance(batch, Failure):
                     self._report()
-                    _fail(self._runner, self._effect, self._phase, batch)
+                    fail(self._runner, self._effect, self._phase, batch)
                     return
                 for frame in batch:
                     if not self._take(frame):
@@ -205,7 +180,7 @@
         if frame.count and frame.offset + frame.count > self._output.offset:
             if frame.offset != self._output.offset:
                 self._report()
-                _fail(self._runner, effect, self._phase, _gap(effect.endpoint))
+                fail(self._runner, effect, self._phase, _gap(effect.endpoint))
                 return False
             self._output.add(frame.text, frame.count)
             self._count += frame.count
@@ -243,7 +218,7 @@
                 verdict=Verdict.MAY_HAVE_RUN,
                 detail=f'endpoint "{effect.endpoint}" ended the stream: {frame.finish}',
             )
-            _fail(self._runner, effect, self._phase, failure)
+            fail(self._runner, effect, self._phase, failure)
             return
         self._runner.post(
             StreamEnded(
@@ -275,14 +250,14 @@
 
 
 async def _cancel(runner: Runner, effect: CancelAttempt) -> None:
-    address = _address(runner, effect.endpoint)
+    address = members.address_of(runner.state, effect.endpoint)
     if not address:
-        _fail(runner, effect, "cancel", _unknown(effect.endpoint))
+        fail(runner, effect, "cancel", no_address(effect.endpoint))
         return
     ask = CancelAsk(request_id=effect.request_id, attempt_id=effect.attempt_id)
     answer = await runner.ports.engine.cancel(address, ask)
     if isinstance(answer, Failure):
-        _fail(runner, effect, "cancel", answer)
+        fail(runner, effect, "cancel", answer)
         return
     runner.post(
         CancelAnswered(
@@ -302,8 +277,8 @@
 
 
 async def _report(runner: Runner, endpoint: str) -> None:
-    address = _address(runner, endpoint)
-    answer = await runner.ports.engine.report(address) if address else _unknown(endpoint)
+    address = members.address_of(runner.state, endpoint)
+    answer = await runner.ports.engine.report(address) if address else no_address(endpoint)
     if isinstance(answer, Failure):
         runner.post(EngineSilent(at=runner.now(), endpoint=endpoint))
     else:
@@ -317,7 +292,7 @@
 
 
 async def _cache_events(runner: Runner, effect: FetchCacheEvents) -> None:
-    address = _address(runner, effect.endpoint)
+    address = members.address_of(runner.state, effect.endpoint)
     if not address:
         return
     answer = await runner.ports.engine.cache_events(address, effect.sequence)
@@ -332,13 +307,13 @@
 
 
 async def _order(runner: Runner, effect: OrderEngine) -> None:
-    address = _address(runner, effect.endpoint)
+    address = members.address_of(runner.state, effect.endpoint)
     if not address:
-        _fail(runner, effect, "order", _unknown(effect.endpoint))
+        fail(runner, effect, "order", no_address(effect.endpoint))
         return
     answer = await runner.ports.engine.order(address, effect.order)
     if isinstance(answer, Failure):
-        _fail(runner, effect, "order", answer)
+        fail(runner, effect, "order", answer)
         return
     runner.post(
         OrderAnswered(
--- a/src/wasabiwick/_performers/services.py
+++ b/src/wasabiwick/_performers/services.py
@@ -1,12 +1,12 @@
 """Effects on plain services."""
 
 from .._effects import AttemptEffect, CallService, QueryService
-from .._errors import NO_ENDPOINT, Failure
-from .._events import AttemptFailed, ServiceAnswered
+from .._errors import Failure
+from .._events import ServiceAnswered
 from .._handlers import members
 from .._ports import ServiceAnswer
 from .._runner import Runner, performs
-from .._verdict import Verdict
+from ._attempts import fail, no_address
 
 
 @performs(CallService)
@@ -20,12 +20,7 @@
     address = members.address_of(runner.state, effect.endpoint)
     body = runner.bodies.get(effect.request_id)
     if not address or body is None:
-        failure = Failure(
-            reason=NO_ENDPOINT,
-            verdict=Verdict.NOT_RUN,
-            detail=f'endpoint "{effect.endpoint}" has no address',
-        )
-        _pass_on(runner, effect, failure)
+        _pass_on(runner, effect, no_address(effect.endpoint))
         return
     answer = await runner.ports.service.call(
         address,
@@ -54,16 +49,8 @@
 
 def _pass_on(runner: Runner, effect: AttemptEffect, answer: ServiceAnswer | Failure) -> None:
     if isinstance(answer, Failure):
-        runner.post(
-            AttemptFailed(
-                at=runner.now(),
-                request_id=effect.request_id,
-                attempt_id=effect.attempt_id,
-                endpoint=effect.endpoint,
-                phase="query" if isinstance(effect, QueryService) else "service",
-                failure=answer,
-            )
-        )
+        phase = "query" if isinstance(effect, QueryService) else "service"
+        fail(runner, effect, phase, answer)
         return
     runner.post(
         ServiceAnswered(
