Add stand-ins for engines, services and the platform

Cause: the whole path needs engines, a service and the platform's services to run against. Change: five stand-ins, each a process of its own behind 'wasabiwick standin', with faults over /control. The output of an engine is a function of the prompt and the token's index, so that each answer can be checked against its own prompt. Conclusion: an engine ends a stream only on its end or a cancel, as the real ones do.

--- /dev/null
+++ b/src/wasabiwick/_standins/_decode.py
@@ -0,0 +1,193 @@
+"""Decode of a stand-in engine: continuous batching, and streams that outlive their readers."""
+
+import asyncio
+import typing
+
+import msgspec
+from aiohttp import web
+
+from .._wire import DecodeAsk, Frame, StreamReport
+from ._output import output, output_seed
+from ._prefill import KvEntry
+
+if typing.TYPE_CHECKING:
+    from .engine import Engine
+
+
+class Stream:
+    """One request in decode memory; ``phase`` is ``import``, ``decode`` or ``ended``."""
+
+    __slots__ = ("ask", "owner", "phase", "seed", "offset", "finish", "reader", "changed")
+
+    def __init__(self, ask: DecodeAsk) -> None:
+        self.ask = ask
+        self.owner = ask.owner
+        self.phase = "import"
+        self.seed = 0
+        self.offset = ask.offset
+        self.finish = ""
+        self.reader: web.Request | None = None
+        self.changed = asyncio.Event()
+
+    def wake(self) -> None:
+        """Wake the reader."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def end(self, finish: str) -> None:
+        """End the stream and free its slot."""
+        self.phase = "ended"
+        self.finish = finish
+        self.wake()
+
+
+class Batch:
+    """All streams of an engine, advanced together."""
+
+    __slots__ = ("streams", "peak", "outputs", "_engine", "_filled")
+
+    def __init__(self, engine: "Engine") -> None:
+        self.streams: dict[str, Stream] = {}
+        self.peak = 0
+        self.outputs = 0
+        self._engine = engine
+        self._filled = asyncio.Event()
+
+    @property
+    def used(self) -> int:
+        """Return the number of slots held."""
+        return sum(one.phase != "ended" for one in self.streams.values())
+
+    def interval(self) -> float:
+        """Return the seconds between outputs at the present batch size."""
+        knobs = self._engine.knobs
+        return knobs.step + knobs.step_per_stream * max(0, self.used - 1)
+
+    def add(self, ask: DecodeAsk) -> Stream:
+        """Hold a slot for a request whose KV cache is yet to come."""
+        stream = Stream(ask)
+        self.streams[ask.attempt_id] = stream
+        self.peak = max(self.peak, self.used)
+        return stream
+
+    def begin(self, stream: Stream, entry: KvEntry) -> None:
+        """Let a request join the batch."""
+        if stream.phase != "import":
+            return
+        stream.seed = output_seed(entry.prompt, entry.prefix)
+        stream.phase = "decode"
+        self._filled.set()
+
+    def drop(self, stream: Stream) -> None:
+        """Forget a stream."""
+        if self.streams.get(stream.ask.attempt_id) is stream:
+            del self.streams[stream.ask.attempt_id]
+
+    def cancel(self, attempt_id: str) -> None:
+        """End a stream and forget it."""
+        stream = self.streams.pop(attempt_id, None)
+        if stream:
+            stream.end("cancelled")
+
+    def cut(self) -> None:
+        """Cut the connections of all readers."""
+        for stream in self.streams.values():
+            if stream.reader is not None and stream.reader.transport is not None:
+                stream.reader.transport.abort()
+
+    async def run(self) -> None:
+        """Advance the batch, one step after the other."""
+        loop = asyncio.get_running_loop()
+        due = loop.time()
+        while True:
+            running = [one for one in self.streams.values() if one.phase == "decode"]
+            if not running:
+                self._filled.clear()
+                await self._filled.wait()
+                due = loop.time()
+                continue
+            due = max(due + self.interval(), loop.time())
+            await asyncio.sleep(due - loop.time())
+            if not self._engine.knobs.stall:
+                self._step(running)
+
+    def _step(self, running: list[Stream]) -> None:
+        for stream in running:
+            if stream.phase != "decode":
+                continue
+            gained = min(self._engine.knobs.step_tokens, stream.ask.max_tokens - stream.offset)
+            stream.offset += gained
+            self.outputs += gained
+            if stream.offset < stream.ask.max_tokens:
+                stream.wake()
+                continue
+            stream.end("length")
+            keep = self._engine.knobs.keep
+            asyncio.get_running_loop().call_later(keep, self.drop, stream)
+
+    def held(self) -> typing.Iterator[StreamReport]:
+        """Return the streams that hold a slot."""
+        for stream in self.streams.values():
+            if stream.phase != "ended":
+                yield StreamReport(
+                    request_id=stream.ask.request_id,
+                    attempt_id=stream.ask.attempt_id,
+                    owner=stream.owner,
+                    phase="decode",
+                    offset=stream.offset,
+                )
+
+
+async def relay(
+    engine: "Engine", request: web.Request, stream: Stream, offset: int
+) -> web.StreamResponse:
+    """Write a stream to its newest reader; an older reader's connection is closed."""
+    resp = web.StreamResponse(headers={"Content-Type": "application/x-ndjson"})
+    stream.reader = request
+    stream.wake()
+    try:
+        await resp.prepare(request)
+        while stream.reader is request:
+            await engine.hold(request)
+            changed = stream.changed
+            frame = _next_frame(stream, offset)
+            if frame is not None:
+                await resp.write(msgspec.json.encode(frame) + b"\n")
+                offset = frame.offset + frame.count
+                if frame.done:
+                    return resp
+            elif not await _wait(changed, engine.knobs.heartbeat):
+                await resp.write(_heartbeat(stream, offset))
+    except ConnectionError:
+        return resp
+    if request.transport is not None:
+        request.transport.close()
+    return resp
+
+
+def _next_frame(stream: Stream, offset: int) -> Frame | None:
+    ended = stream.phase == "ended"
+    if offset >= stream.offset and not ended:
+        return None
+    return Frame(
+        request_id=stream.ask.request_id,
+        attempt_id=stream.ask.attempt_id,
+        offset=offset,
+        count=max(0, stream.offset - offset),
+        text=output(stream.seed, offset, stream.offset),
+        done=ended,
+        finish=stream.finish,
+    )
+
+
+def _heartbeat(stream: Stream, offset: int) -> bytes:
+    frame = Frame(request_id=stream.ask.request_id, attempt_id=stream.ask.attempt_id, offset=offset)
+    return msgspec.json.encode(frame) + b"\n"
+
+
+async def _wait(changed: asyncio.Event, seconds: float) -> bool:
+    try:
+        await asyncio.wait_for(changed.wait(), seconds)
+    except TimeoutError:
+        return False
+    return True
--- /dev/null
+++ b/src/wasabiwick/_standins/_prefill.py
@@ -0,0 +1,180 @@
+"""Prefill of a stand-in engine: a serial worker, and results that expire soon."""
+
+import asyncio
+import contextlib
+import heapq
+import itertools
+import time
+import typing
+
+import msgspec
+
+from .._pieces import piece_chain, tokens_of
+from .._wire import PrefillAsk, StreamReport
+
+if typing.TYPE_CHECKING:
+    from .engine import Engine
+
+
+class AttemptCancelledError(Exception):
+    """The attempt was cancelled before its prefill was done."""
+
+
+class KvEntry(msgspec.Struct):
+    """The result of a prefill, as it travels to another engine."""
+
+    handle: str
+    request_id: str
+    attempt_id: str
+    owner: str
+    prompt: str
+    prefix: str
+    tokens: int
+    cached: int
+    seconds: float
+    expires: float
+
+
+class Job:
+    """A prefill that waits or runs."""
+
+    __slots__ = ("ask", "tokens", "chain", "done", "cancelled")
+
+    def __init__(self, ask: PrefillAsk) -> None:
+        self.ask = ask
+        self.tokens = len(tokens_of(ask.prompt)) + len(tokens_of(ask.prefix))
+        self.chain = piece_chain(ask.prompt)
+        self.done: asyncio.Future[KvEntry] = asyncio.get_running_loop().create_future()
+        self.cancelled = asyncio.Event()
+
+
+class Prefill:
+    """Runs one prefill at a time, the highest priority first."""
+
+    __slots__ = (
+        "tokens",
+        "cached",
+        "wasted",
+        "_engine",
+        "_queue",
+        "_order",
+        "_arrived",
+        "_jobs",
+        "_kept",
+        "_handles",
+        "_link",
+    )
+
+    def __init__(self, engine: "Engine") -> None:
+        self.tokens = 0
+        self.cached = 0
+        self.wasted = 0
+        self._engine = engine
+        self._queue: list[tuple[int, int, Job]] = []
+        self._order = itertools.count()
+        self._handles = itertools.count(1)
+        self._arrived = asyncio.Event()
+        self._jobs: dict[str, Job] = {}
+        self._kept: dict[str, KvEntry] = {}
+        self._link = asyncio.Lock()
+
+    async def submit(self, ask: PrefillAsk) -> KvEntry:
+        """Queue a prefill and wait for its result.
+
+        Raises:
+            AttemptCancelledError: If the attempt was cancelled meanwhile.
+        """
+        job = Job(ask)
+        self._jobs[ask.attempt_id] = job
+        heapq.heappush(self._queue, (-ask.priority, next(self._order), job))
+        self._arrived.set()
+        return await job.done
+
+    async def run(self) -> None:
+        """Work the queue off."""
+        while True:
+            while not self._queue:
+                self._arrived.clear()
+                await self._arrived.wait()
+            job = heapq.heappop(self._queue)[2]
+            if not job.cancelled.is_set():
+                await self._work(job)
+
+    async def _work(self, job: Job) -> None:
+        cached = min(self._engine.cache.match(job.chain), job.tokens)
+        began = time.monotonic()
+        cost = (job.tokens - cached) / self._engine.knobs.prefill_rate
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(job.cancelled.wait(), cost)
+        seconds = time.monotonic() - began
+        done = job.tokens - cached
+        if job.cancelled.is_set():
+            self.wasted += min(done, int(seconds * self._engine.knobs.prefill_rate))
+            return
+        self.tokens += done
+        self.cached += cached
+        self._engine.cache.store(job.chain)
+        self._jobs.pop(job.ask.attempt_id, None)
+        job.done.set_result(self._keep(job.ask, job.tokens, cached, seconds))
+
+    def _keep(self, ask: PrefillAsk, tokens: int, cached: int, seconds: float) -> KvEntry:
+        life = self._engine.knobs.kv_life
+        entry = KvEntry(
+            handle=f"{self._engine.name}-{next(self._handles)}",
+            request_id=ask.request_id,
+            attempt_id=ask.attempt_id,
+            owner=ask.owner,
+            prompt=ask.prompt,
+            prefix=ask.prefix,
+            tokens=tokens,
+            cached=cached,
+            seconds=seconds,
+            expires=time.monotonic() + life,
+        )
+        self._kept[entry.handle] = entry
+        asyncio.get_running_loop().call_later(life, self._expire, entry.handle)
+        return entry
+
+    def _expire(self, handle: str) -> None:
+        entry = self._kept.pop(handle, None)
+        if entry:
+            self.wasted += entry.tokens - entry.cached
+
+    def take(self, handle: str) -> KvEntry | None:
+        """Hand a result to the engine's own decode; None if it has expired."""
+        return self._kept.pop(handle, None)
+
+    async def export(self, handle: str) -> KvEntry | None:
+        """Send a result over the link, one at a time; None if it has expired before its turn."""
+        async with self._link:
+            entry = self.take(handle)
+            if entry:
+                knobs = self._engine.knobs
+                await asyncio.sleep(entry.tokens * knobs.kv_bytes_per_token / knobs.link_rate)
+            return entry
+
+    def cancel(self, attempt_id: str) -> None:
+        """Drop an attempt's waiting or running prefill, and its result."""
+        job = self._jobs.pop(attempt_id, None)
+        if job:
+            job.cancelled.set()
+            job.done.set_exception(AttemptCancelledError())
+        for handle in [one.handle for one in self._kept.values() if one.attempt_id == attempt_id]:
+            self._expire(handle)
+
+    def queued_tokens(self) -> int:
+        """Return the tokens of all prefills that wait or run."""
+        return sum(job.tokens for job in self._jobs.values())
+
+    def held(self) -> typing.Iterator[StreamReport]:
+        """Return the attempts that hold memory."""
+        for job in self._jobs.values():
+            yield _report(job.ask, "prefill")
+        for entry in self._kept.values():
+            yield _report(entry, "kv")
+
+
+def _report(one: PrefillAsk | KvEntry, phase: str) -> StreamReport:
+    return StreamReport(
+        request_id=one.request_id, attempt_id=one.attempt_id, owner=one.owner, phase=phase
+    )
--- /dev/null
+++ b/src/wasabiwick/_standins/engine.py
@@ -0,0 +1,264 @@
+"""Stand-in for a model engine: prefill, KV export and import, batched decode, resume and cancel."""
+
+import asyncio
+import typing
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from .._wire import (
+    CancelAnswer,
+    CancelAsk,
+    DecodeAsk,
+    EngineReport,
+    OrderAsk,
+    PrefillAnswer,
+    PrefillAsk,
+    ResumeAsk,
+    StreamReport,
+)
+from ._cache import PrefixCache
+from ._decode import Batch, relay
+from ._prefill import AttemptCancelledError, KvEntry, Prefill
+from ._serve import Knobs, StandIn, answer, body_of, knob, problem, stand_in
+
+IMPORT_TIMEOUT = aiohttp.ClientTimeout(total=10)
+
+
+class EngineKnobs(Knobs):
+    """Sizes, rates and faults of an engine."""
+
+    slots: knob(int, "Requests that decode memory holds.") = 24
+    models: knob(str, "Models that are loaded, comma-separated.") = "lectio-lm"
+    roles: knob(str, "Roles, comma-separated.") = "prefill,decode"
+    prefill_rate: knob(float, "Prefilled tokens per second.") = 20_000.0
+    link_rate: knob(float, "Bytes per second of KV export.") = 1_000_000_000.0
+    kv_bytes_per_token: knob(int, "Bytes of KV cache per token.") = 8_192
+    kv_life: knob(float, "Seconds that a prefill's result is kept.") = 0.8
+    step: knob(float, "Seconds between outputs of a batch of one.") = 0.01
+    step_per_stream: knob(float, "Seconds that each further request adds to a step.") = 0.0002
+    step_tokens: knob(int, "Tokens that a request gains in one step.") = 1
+    cache_pieces: knob(int, "Pieces that the prefix cache holds.") = 4_096
+    cache_lag: knob(float, "Seconds until a cache event shows.") = 0.3
+    cache_loss: knob(float, "Share of cache events that are lost.") = 0.02
+    report_lag: knob(float, "Seconds between new reports.") = 0.1
+    heartbeat: knob(float, "Seconds between heartbeats on an idle stream.") = 0.5
+    keep: knob(float, "Seconds that the output of an ended stream is kept.") = 5.0
+    honour_fence: knob(bool, "Refuse orders with an old fencing number.") = True
+    load_seconds: knob(float, "Seconds that an order to load takes without a weight store.") = 0.5
+    weights: knob(str, "Base URL of the weight store, or empty.") = ""
+    stall: knob(bool, "Make no progress in decode.") = False
+    fail_prefill: knob(int, "Prefills yet to come that fail with 500.") = 0
+    cut_streams: knob(bool, "Cut the connections of all streams once.") = False
+
+
+class Order(msgspec.Struct):
+    """An order as it was taken, and whether it was refused."""
+
+    ask: OrderAsk
+    accepted: bool
+
+
+@stand_in("engine")
+class Engine(StandIn):
+    """One model engine."""
+
+    knobs_type = EngineKnobs
+
+    def __init__(self, *, name: str, knobs: EngineKnobs) -> None:
+        super().__init__(name=name, knobs=knobs)
+        self.models = {one: "1" for one in knobs.models.split(",") if one}
+        self.roles = tuple(knobs.roles.split(","))
+        self.fence = -1
+        self.orders: list[Order] = []
+        self.refused = 0
+        self.cache = PrefixCache(self)
+        self.prefills = Prefill(self)
+        self.batch = Batch(self)
+        self._report: EngineReport | None = None
+        self._sequence = 0
+        self._tasks: list[asyncio.Task] = []
+        self._session: aiohttp.ClientSession | None = None
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of an engine."""
+        return [
+            web.post("/v1/prefill", self._prefill),
+            web.get("/v1/kv/{handle}", self._export),
+            web.post("/v1/decode", self._decode),
+            web.post("/v1/resume", self._resume),
+            web.post("/v1/cancel", self._cancel),
+            web.get("/v1/report", self._show_report),
+            web.get("/v1/cache_events", self._cache_events),
+            web.post("/v1/orders", self._order),
+        ]
+
+    async def start(self) -> None:
+        """Start the prefill worker, the decode batch and the reports."""
+        self._session = aiohttp.ClientSession(timeout=IMPORT_TIMEOUT)
+        works = (self.prefills.run(), self.batch.run(), self._keep_reporting())
+        self._tasks = [asyncio.create_task(one) for one in works]
+
+    async def close(self) -> None:
+        """Stop all background work."""
+        for task in self._tasks:
+            task.cancel()
+        await self._session.close()
+
+    def changed(self, before: Knobs) -> None:
+        """Cut streams where that was asked."""
+        if self.knobs.cut_streams:
+            self.knobs.cut_streams = False
+            self.batch.cut()
+
+    def state(self) -> dict[str, typing.Any]:
+        """Return what is held, counts and the order log."""
+        return {
+            "used": self.batch.used,
+            "peak_used": self.batch.peak,
+            "refused": self.refused,
+            "prefill_tokens": self.prefills.tokens,
+            "cached_tokens": self.prefills.cached,
+            "prefill_wasted": self.prefills.wasted,
+            "outputs": self.batch.outputs,
+            "streams": msgspec.to_builtins(self._streams()),
+            "orders": msgspec.to_builtins(self.orders),
+            "loaded": self.models,
+        }
+
+    # --- Serving ---------------------------------------------------------------------------------
+
+    async def _prefill(self, request: web.Request) -> web.Response:
+        ask = await body_of(request, PrefillAsk)
+        if ask.model not in self.models:
+            return problem(404, f'model "{ask.model}" is not loaded')
+        if self.knobs.fail_prefill:
+            self.knobs.fail_prefill -= 1
+            return problem(500, "prefill failed")
+        try:
+            entry = await self.prefills.submit(ask)
+        except AttemptCancelledError:
+            return problem(409, f'attempt "{ask.attempt_id}" was cancelled')
+        return answer(
+            PrefillAnswer(
+                handle=entry.handle,
+                expires_in=self.knobs.kv_life,
+                prompt_tokens=entry.tokens,
+                cached_tokens=entry.cached,
+                seconds=entry.seconds,
+            )
+        )
+
+    async def _export(self, request: web.Request) -> web.Response:
+        entry = await self.prefills.export(request.match_info["handle"])
+        if entry is None:
+            return problem(404, "the KV cache is gone")
+        return answer(entry)
+
+    async def _decode(self, request: web.Request) -> web.StreamResponse:
+        ask = await body_of(request, DecodeAsk)
+        if ask.model not in self.models:
+            return problem(404, f'model "{ask.model}" is not loaded')
+        if ask.attempt_id in self.batch.streams:
+            return problem(409, f'attempt "{ask.attempt_id}" runs already')
+        if self.batch.used >= self.knobs.slots:
+            self.refused += 1
+            return problem(503, "no free slot")
+        stream = self.batch.add(ask)
+        entry = await self._import(ask)
+        if entry is None:
+            self.batch.drop(stream)
+            return problem(410, "the KV cache is gone")
+        self.batch.begin(stream, entry)
+        return await relay(self, request, stream, ask.offset)
+
+    async def _import(self, ask: DecodeAsk) -> KvEntry | None:
+        if ask.source == self.address:
+            return self.prefills.take(ask.handle)
+        try:
+            async with self._session.get(f"{ask.source}/v1/kv/{ask.handle}") as resp:
+                if resp.status != 200:
+                    return None
+                return msgspec.json.decode(await resp.read(), type=KvEntry)
+        except (TimeoutError, aiohttp.ClientError):
+            return None
+
+    async def _resume(self, request: web.Request) -> web.StreamResponse:
+        ask = await body_of(request, ResumeAsk)
+        stream = self.batch.streams.get(ask.attempt_id)
+        if stream is None or stream.ask.request_id != ask.request_id:
+            return problem(404, f'attempt "{ask.attempt_id}" is not known')
+        stream.owner = ask.owner
+        return await relay(self, request, stream, ask.offset)
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        ask = await body_of(request, CancelAsk)
+        self.prefills.cancel(ask.attempt_id)
+        self.batch.cancel(ask.attempt_id)
+        return answer(CancelAnswer(gone=True))
+
+    # --- Reports ---------------------------------------------------------------------------------
+
+    def _streams(self) -> tuple[StreamReport, ...]:
+        return (*self.prefills.held(), *self.batch.held())
+
+    async def _keep_reporting(self) -> None:
+        while True:
+            self._sequence += 1
+            self._report = EngineReport(
+                engine=self.name,
+                sequence=self._sequence,
+                slots=self.knobs.slots,
+                used=self.batch.used,
+                queued_prefill_tokens=self.prefills.queued_tokens(),
+                prefill_rate=self.knobs.prefill_rate,
+                link_rate=self.knobs.link_rate,
+                decode_interval=self.batch.interval(),
+                kv_bytes_per_token=self.knobs.kv_bytes_per_token,
+                models=tuple(self.models),
+                roles=self.roles,
+                fence=self.fence,
+                streams=self._streams(),
+            )
+            await asyncio.sleep(self.knobs.report_lag)
+
+    async def _show_report(self, request: web.Request) -> web.Response:
+        return answer(self._report)
+
+    async def _cache_events(self, request: web.Request) -> web.Response:
+        try:
+            after = int(request.query.get("after", "0"))
+        except ValueError as exc:
+            return problem(400, str(exc))
+        return answer(self.cache.events_after(after))
+
+    # --- Orders ----------------------------------------------------------------------------------
+
+    async def _order(self, request: web.Request) -> web.Response:
+        ask = await body_of(request, OrderAsk)
+        accepted = not (self.knobs.honour_fence and ask.fence < self.fence)
+        self.orders.append(Order(ask=ask, accepted=accepted))
+        if not accepted:
+            return problem(409, f"fencing number {ask.fence} is older than {self.fence}")
+        self.fence = max(self.fence, ask.fence)
+        if ask.action == "load":
+            await self._load_weights(ask)
+            self.models[ask.model] = ask.version
+        elif ask.action == "unload":
+            self.models.pop(ask.model, None)
+        elif ask.action == "role":
+            self.roles = ask.roles
+        else:
+            return problem(400, f'action "{ask.action}" does not exist')
+        return answer({"done": True})
+
+    async def _load_weights(self, ask: OrderAsk) -> None:
+        if self.models.get(ask.model) == ask.version:
+            return
+        if not self.knobs.weights:
+            await asyncio.sleep(self.knobs.load_seconds)
+            return
+        url = f"{self.knobs.weights}/weights/{ask.model}/{ask.version}"
+        async with self._session.get(url, timeout=aiohttp.ClientTimeout(total=None)) as resp:
+            resp.raise_for_status()
--- /dev/null
+++ b/src/wasabiwick/_standins/service.py
@@ -0,0 +1,90 @@
+"""Stand-in for a plain service: counts the effects of each key."""
+
+import os
+import typing
+
+from aiohttp import web
+
+from ._serve import Knobs, StandIn, answer, knob, problem, stand_in
+
+SAFE_METHODS = ("GET", "HEAD")
+
+
+class ServiceKnobs(Knobs):
+    """Traits and faults of a plain service."""
+
+    accepts_key: knob(bool, "Run each key at most once.") = False
+    can_query: knob(bool, "Answer GET /outcomes/KEY.") = False
+    honour_fence: knob(bool, "Refuse a call whose X-Fence is older than the newest.") = False
+    die_before: knob(bool, "End the process at the next call, before its effect.") = False
+    die_after: knob(bool, "End the process at the next call, after its effect.") = False
+    lose_replies: knob(int, "Calls yet to come whose answer is lost after their effect.") = 0
+
+
+@stand_in("service")
+class Service(StandIn):
+    """Answers any path; a call that is not safe has one effect for its key."""
+
+    knobs_type = ServiceKnobs
+
+    def __init__(self, *, name: str, knobs: ServiceKnobs) -> None:
+        super().__init__(name=name, knobs=knobs)
+        self.effects: dict[str, int] = {}
+        self.reads = 0
+        self.load = 0
+        self._fences: dict[str, int] = {}
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of queries, load and all other calls."""
+        return [
+            web.get("/outcomes/{key}", self._query),
+            web.get("/load", self._load),
+            web.route("*", "/{path:.*}", self._call),
+        ]
+
+    def state(self) -> dict[str, typing.Any]:
+        """Return the effects of each key."""
+        doubled = [key for key, count in self.effects.items() if count > 1]
+        return {"effects": self.effects, "doubled": doubled, "reads": self.reads}
+
+    async def _load(self, request: web.Request) -> web.Response:
+        return answer({"load": self.load})
+
+    async def _query(self, request: web.Request) -> web.Response:
+        key = request.match_info["key"]
+        if not self.knobs.can_query:
+            return problem(501, "the service can't be asked by key")
+        if key not in self.effects:
+            return problem(404, f'key "{key}" did not run')
+        return answer(self._done(key))
+
+    async def _call(self, request: web.Request) -> web.Response:
+        self.load += 1
+        try:
+            body = await request.text()
+            if request.method in SAFE_METHODS:
+                self.reads += 1
+                return answer({"service": self.name, "path": request.path})
+            return self._effect(request, body)
+        finally:
+            self.load -= 1
+
+    def _effect(self, request: web.Request, body: str) -> web.Response:
+        key = request.headers.get("Idempotency-Key", "")
+        fence = int(request.headers.get("X-Fence", "-1"))
+        if self.knobs.honour_fence and fence < self._fences.get(key, -1):
+            return problem(409, f'key "{key}" was used with a newer fencing number')
+        self._fences[key] = max(fence, self._fences.get(key, -1))
+        if self.knobs.die_before:
+            os._exit(1)
+        if not (self.knobs.accepts_key and key in self.effects):
+            self.effects[key] = self.effects.get(key, 0) + 1
+        if self.knobs.die_after:
+            os._exit(1)
+        if self.knobs.lose_replies:
+            self.knobs.lose_replies -= 1
+            request.transport.abort()
+        return answer({**self._done(key), "echo": body})
+
+    def _done(self, key: str) -> dict[str, typing.Any]:
+        return {"service": self.name, "key": key, "done": True}
--- /dev/null
+++ b/tests/_processes.py
@@ -0,0 +1,85 @@
+"""Starts the project's processes for tests, and ends those it started."""
+
+import asyncio
+import sys
+import typing
+
+import aiohttp
+
+START_TIMEOUT = 20.0  # Seconds.
+STOP_TIMEOUT = 20.0  # Seconds.
+POLL_INTERVAL = 0.02  # Seconds.
+POLLS = 1_000
+
+
+class Process:
+    """One process of the project, and the addresses that it printed."""
+
+    def __init__(self, proc: asyncio.subprocess.Process, fields: dict[str, str]) -> None:
+        self.proc = proc
+        self.fields = fields
+        self.address = fields.get("address", fields.get("callers", ""))
+
+    async def stop(self) -> int:
+        """Ask the process to end, and return its exit status."""
+        if self.proc.returncode is None:
+            self.proc.terminate()
+        await asyncio.wait_for(self.proc.communicate(), STOP_TIMEOUT)
+        return self.proc.returncode
+
+
+class Processes:
+    """The processes of one test."""
+
+    def __init__(self) -> None:
+        self.started: list[Process] = []
+
+    async def start(self, *args: str) -> Process:
+        """Start ``wasabiwick`` with arguments, and wait until it says where it listens."""
+        proc = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "wasabiwick", *args, stdout=asyncio.subprocess.PIPE
+        )
+        one = Process(proc, {})
+        self.started.append(one)
+        async with asyncio.timeout(START_TIMEOUT):
+            line = (await proc.stdout.readline()).decode()
+        one.fields.update(part.split("=", 1) for part in line.split() if "=" in part)
+        one.address = one.fields.get("address", one.fields.get("callers", ""))
+        return one
+
+    async def standin(self, kind: str, *options: str) -> Process:
+        """Start a stand-in."""
+        return await self.start("standin", kind, *options)
+
+    async def close(self) -> None:
+        """End all processes that still run."""
+        for one in self.started:
+            if one.proc.returncode is None:
+                await one.stop()
+
+
+async def post(session: aiohttp.ClientSession, url: str, body: typing.Any) -> typing.Any:
+    """Post JSON and return the status and the decoded answer."""
+    async with session.post(url, json=body) as resp:
+        text = await resp.read()
+        return resp.status, await resp.json(content_type=None) if text else None
+
+
+async def control(session: aiohttp.ClientSession, one: Process, **knobs: typing.Any) -> dict:
+    """Set knobs of a stand-in, and return its state."""
+    status, state = await post(session, f"{one.address}/control", knobs)
+    assert status == 200, state
+    return state
+
+
+async def until(holds: typing.Callable[[], typing.Awaitable[bool]]) -> None:
+    """Wait until a condition holds.
+
+    Raises:
+        AssertionError: If it does not hold in the end.
+    """
+    for _ in range(POLLS):
+        if await holds():
+            return
+        await asyncio.sleep(POLL_INTERVAL)
+    raise AssertionError("the condition did not come to hold")
--- /dev/null
+++ b/tests/test_standins.py
@@ -0,0 +1,226 @@
+"""Stand-ins, each as a process of its own."""
+
+import asyncio
+import json
+import unittest
+
+import aiohttp
+
+from wasabiwick._standins._output import expected_output
+
+from ._processes import Processes, control, post, until
+
+
+class StandInCase(unittest.IsolatedAsyncioTestCase):
+    """Starts processes and ends them."""
+
+    async def asyncSetUp(self) -> None:
+        self.processes = Processes()
+        self.addAsyncCleanup(self.processes.close)
+        timeout = aiohttp.ClientTimeout(total=20)
+        self.session = aiohttp.ClientSession(timeout=timeout)
+        self.addAsyncCleanup(self.session.close)
+
+    async def state(self, one) -> dict:
+        async with self.session.get(f"{one.address}/control") as resp:
+            return await resp.json()
+
+
+class TestEngine(StandInCase):
+    """An engine moves a KV cache to another one and streams a text that the prompt fixes."""
+
+    async def prefill(self, one, prompt, attempt="a1", **more):
+        ask = {"request_id": "r1", "attempt_id": attempt, "owner": "h/1", "model": "lectio-lm"}
+        return await post(
+            self.session, f"{one.address}/v1/prefill", {**ask, "prompt": prompt, **more}
+        )
+
+    def decode(self, one, source, handle, tokens, attempt="a1", offset=0):
+        ask = {"request_id": "r1", "attempt_id": attempt, "owner": "h/1", "model": "lectio-lm"}
+        ask |= {"source": source.address, "handle": handle, "max_tokens": tokens, "offset": offset}
+        return self.session.post(f"{one.address}/v1/decode", json=ask)
+
+    def resume(self, one, offset, attempt="a1"):
+        ask = {"request_id": "r1", "attempt_id": attempt, "owner": "h/2", "offset": offset}
+        return self.session.post(f"{one.address}/v1/resume", json=ask)
+
+    @staticmethod
+    async def text_of(resp) -> str:
+        frames = [json.loads(line) async for line in resp.content]
+        assert frames[-1]["done"], frames[-1]
+        return "".join(one["text"] for one in frames)
+
+    async def test_moves_and_streams(self) -> None:
+        first = await self.processes.standin("engine", "--step", "0.001")
+        second = await self.processes.standin("engine", "--step", "0.001")
+        _, done = await self.prefill(first, "one two three")
+        async with self.decode(second, first, done["handle"], 20) as resp:
+            text = await self.text_of(resp)
+        self.assertEqual(text, expected_output("one two three", 20))
+        async with self.resume(second, 5) as resp:
+            self.assertEqual(await self.text_of(resp), expected_output("one two three", 20)[35:])
+        self.assertEqual((await self.state(second))["used"], 0)
+
+    async def test_goes_on_after_a_prefix(self) -> None:
+        one = await self.processes.standin("engine", "--step", "0.001")
+        whole = expected_output("p", 10)
+        _, done = await self.prefill(one, "p", prefix=whole[:28])
+        async with self.decode(one, one, done["handle"], 10, offset=4) as resp:
+            self.assertEqual(await self.text_of(resp), whole[28:])
+        _, done = await self.prefill(one, "p", attempt="a2", prefix="x" * 28)
+        async with self.decode(one, one, done["handle"], 10, attempt="a2", offset=4) as resp:
+            self.assertNotEqual(await self.text_of(resp), whole[28:])
+
+    async def test_keeps_a_slot_without_a_reader_until_cancelled(self) -> None:
+        one = await self.processes.standin("engine", "--slots", "1", "--step", "0.05")
+        _, done = await self.prefill(one, "p")
+        async with self.decode(one, one, done["handle"], 10_000) as resp:
+            await resp.content.readline()
+        _, done = await self.prefill(one, "p", attempt="a2")
+        async with self.decode(one, one, done["handle"], 5, attempt="a2") as resp:
+            self.assertEqual(resp.status, 503)
+        cancel = {"request_id": "r1", "attempt_id": "a1"}
+        for _ in range(2):
+            answer = await post(self.session, f"{one.address}/v1/cancel", cancel)
+            self.assertEqual(answer, (200, {"gone": True}))
+        self.assertEqual((await self.state(one))["used"], 0)
+
+    async def test_newest_reader_takes_over(self) -> None:
+        one = await self.processes.standin("engine", "--step", "0.02")
+        _, done = await self.prefill(one, "p")
+        async with self.decode(one, one, done["handle"], 30) as old:
+            await old.content.readline()
+            async with self.resume(one, 0) as new:
+                self.assertEqual(await self.text_of(new), expected_output("p", 30))
+            with self.assertRaises((aiohttp.ClientError, AssertionError)):
+                await self.text_of(old)
+
+    async def test_kv_expires(self) -> None:
+        one = await self.processes.standin("engine", "--kv-life", "0.05")
+        _, done = await self.prefill(one, "a b c")
+        await asyncio.sleep(0.2)
+        async with self.decode(one, one, done["handle"], 5) as resp:
+            self.assertEqual(resp.status, 410)
+        state = await self.state(one)
+        self.assertEqual((state["used"], state["prefill_wasted"]), (0, 3))
+
+    async def test_cancels_a_running_prefill(self) -> None:
+        one = await self.processes.standin("engine", "--prefill-rate", "1")
+        running = asyncio.create_task(self.prefill(one, "a b c d e f g h"))
+
+        async def runs() -> bool:
+            return bool((await self.state(one))["streams"])
+
+        await until(runs)
+        await post(
+            self.session,
+            f"{one.address}/v1/cancel",
+            {"request_id": "r1", "attempt_id": "a1"},
+        )
+        self.assertEqual((await running)[0], 409)
+        self.assertEqual((await self.state(one))["streams"], [])
+
+    async def test_silent_connection_leaves_new_ones_alone(self) -> None:
+        one = await self.processes.standin("engine", "--step", "0.02", "--heartbeat", "0.05")
+        _, done = await self.prefill(one, "p")
+        async with self.decode(one, one, done["handle"], 50) as old:
+            await old.content.readline()
+            async with aiohttp.ClientSession() as fresh:
+                await control(fresh, one, silence_open=True)
+            with self.assertRaises(TimeoutError):
+                while await asyncio.wait_for(old.content.readline(), 0.3):
+                    pass
+            async with aiohttp.ClientSession() as fresh:
+                self.session, kept = fresh, self.session
+                async with self.resume(one, 0) as resp:
+                    self.assertEqual(await self.text_of(resp), expected_output("p", 50))
+                self.session = kept
+
+    async def test_orders_and_fences(self) -> None:
+        one = await self.processes.standin("engine", "--load-seconds", "0")
+        url = f"{one.address}/v1/orders"
+        order = {"action": "load", "model": "m", "version": "2", "fence": 7}
+        self.assertEqual((await post(self.session, url, order))[0], 200)
+        self.assertEqual((await post(self.session, url, {**order, "fence": 6}))[0], 409)
+        await control(self.session, one, honour_fence=False)
+        self.assertEqual((await post(self.session, url, {**order, "fence": 6}))[0], 200)
+        state = await self.state(one)
+        self.assertEqual([each["accepted"] for each in state["orders"]], [True, False, True])
+
+
+class TestLogService(StandInCase):
+    """The log keeps order by offset, and fails as it is told to."""
+
+    async def test_appends_reads_and_faults(self) -> None:
+        one = await self.processes.standin("log-service", "--burst", "4", "--append-rate", "0")
+        url = f"{one.address}/streams/s"
+        poll = asyncio.create_task(self.read(f"{url}?from=0&wait=10"))
+        answer = await post(self.session, f"{url}/append", {"records": ["a", "b"]})
+        self.assertEqual(answer, (200, {"offset": 0}))
+        self.assertEqual([each["data"] for each in (await poll)["records"]], ["a", "b"])
+        await control(self.session, one, lose_replies=1)
+        with self.assertRaises(aiohttp.ClientError):
+            await post(self.session, f"{url}/append", {"records": ["c"]})
+        self.assertEqual((await self.read(f"{url}?from=2"))["records"][0]["data"], "c")
+        await control(self.session, one, outage=True)
+        self.assertEqual((await post(self.session, f"{url}/append", {"records": ["d"]}))[0], 503)
+        await control(self.session, one, outage=False, retention=0)
+        self.assertEqual((await self.read(f"{url}?from=0"))["first"], 3)
+        for status in (200, 200, 429):
+            answer = await post(self.session, f"{url}/append", {"records": ["e"]})
+            self.assertEqual(answer[0], status)
+
+    async def read(self, url: str) -> dict:
+        async with self.session.get(url) as resp:
+            return await resp.json()
+
+
+class TestHostList(StandInCase):
+    """The list shows changes late."""
+
+    async def test_lags(self) -> None:
+        one = await self.processes.standin("host-list", "--lag", "0.2")
+        entry = {"name": "a", "kind": "engine", "zone": "z", "address": "http://127.0.0.1:1"}
+        await control(self.session, one, hosts=[entry])
+        state = await control(self.session, one, leaving=["a"])
+        self.assertFalse(state["shown"][0]["leaving"])
+
+        async def leaves() -> bool:
+            return (await self.state(one))["shown"][0]["leaving"]
+
+        await until(leaves)
+
+
+class TestService(StandInCase):
+    """A plain service counts the effects of each key."""
+
+    async def test_counts_effects(self) -> None:
+        one = await self.processes.standin("service", "--can-query")
+        headers = {"Idempotency-Key": "k"}
+        for accepts in (False, False, True):
+            await control(self.session, one, accepts_key=accepts)
+            async with self.session.post(f"{one.address}/join", headers=headers) as resp:
+                self.assertEqual(resp.status, 200)
+        state = await self.state(one)
+        self.assertEqual((state["effects"], state["doubled"]), ({"k": 2}, ["k"]))
+        async with self.session.get(f"{one.address}/outcomes/other") as resp:
+            self.assertEqual(resp.status, 404)
+
+    async def test_refuses_an_old_fence(self) -> None:
+        one = await self.processes.standin("service", "--honour-fence")
+        for fence, status in ((2, 200), (1, 409), (2, 200)):
+            headers = {"Idempotency-Key": "k", "X-Fence": str(fence)}
+            async with self.session.post(f"{one.address}/join", headers=headers) as resp:
+                self.assertEqual(resp.status, status)
+
+
+class TestWeightStore(StandInCase):
+    """Loading takes the time that the store's rate gives."""
+
+    async def test_engine_loads_by_it(self) -> None:
+        store = await self.processes.standin("weight-store", "--size", "10", "--rate", "1000")
+        one = await self.processes.standin("engine", "--weights", store.address)
+        order = {"action": "load", "model": "m", "version": "2", "fence": 7}
+        self.assertEqual((await post(self.session, f"{one.address}/v1/orders", order))[0], 200)
+        self.assertEqual((await self.state(store))["reads"], 1)
+        self.assertEqual((await self.state(one))["loaded"]["m"], "2")
