--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install test demo format check model capacity bench clean
+.PHONY: changelog docs traces install test demo format check model capacity bench clean
 
 $(STAMP): pyproject.toml requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -29,3 +29,12 @@
 
 clean:
 	rm -rf $(VENV) build
+
+traces: install
+	$(BIN)/python -m tests._scripts
+
+docs: install
+	$(BIN)/python -m wasabiwick._reference docs
+
+changelog: install
+	$(BIN)/python tools/changelog.py
--- a/src/wasabiwick/__main__.py
+++ b/src/wasabiwick/__main__.py
@@ -2,4 +2,5 @@
 
 from ._cli import main
 
-main()
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/wasabiwick/_cli_run.py
@@ -0,0 +1,26 @@
+"""``wasabiwick run``: the entry host daemon."""
+
+import sys
+
+import click
+import uvloop
+
+from ._daemon import serve
+from ._logging import configure
+from ._settings_file import load_settings
+
+EXIT_FAULTS = 2
+
+
+@click.command()
+@click.option("--settings", "path", required=True, type=click.Path(exists=True, dir_okay=False))
+@click.option("--log-level", default="INFO", show_default=True)
+def run(path: str, log_level: str) -> None:
+    """Run an entry host until SIGTERM, then shut down gracefully."""
+    configure(log_level)
+    cfg = load_settings(path)
+    if isinstance(cfg, list):
+        for fault in cfg:
+            click.echo(f"{path}:{fault.line}: {fault.path}: {fault.text}", err=True)
+        sys.exit(EXIT_FAULTS)
+    uvloop.run(serve(cfg))
--- a/src/wasabiwick/_handlers/calls.py
+++ b/src/wasabiwick/_handlers/calls.py
@@ -28,7 +28,7 @@
 from .._settings import Settings
 from .._state import State, state_slice
 from .._verdict import Verdict
-from . import generation, keys, lists
+from . import keys, lists, takeover
 from .host import busy_check
 
 STOPPING_RETRY = 0.2  # Seconds; another host answers at once.
@@ -94,6 +94,13 @@
     return Verdict.NOT_RUN
 
 
+def refuse(call_id: str, failure: Failure) -> typing.Iterator[Step]:
+    """Answer a call with a failure and count it by reason and by verdict."""
+    yield RefuseCall(call_id=call_id, failure=failure)
+    yield Count(metric="refused", label=failure.reason.code)
+    yield Count(metric="refused_verdict", label=failure.verdict.value)
+
+
 @busy_check
 def open_requests(state: State) -> int:
     """Count requests whose callers still wait."""
@@ -111,7 +118,7 @@
         return
     refused = _check(state, call)
     if refused:
-        yield RefuseCall(call_id=call.call_id, failure=refused)
+        yield from refuse(call.call_id, refused)
         return
     yield from _open(state, event)
 
@@ -136,12 +143,14 @@
 def _join(state: State, req: Request, event: CallArrived) -> typing.Iterator[Step]:
     call = event.call
     if call.digest != req.call.digest or call.key_hash != req.call.key_hash:
+        # Another host may have run this body under the key before.
+        verdict = Verdict.NOT_RUN if call.kind == "generate" else Verdict.MAY_HAVE_RUN
         failure = Failure(
             reason=KEY_REUSED,
-            verdict=Verdict.NOT_RUN,
+            verdict=verdict,
             detail="the Idempotency-Key is in use for a request with another body",
         )
-        yield RefuseCall(call_id=call.call_id, failure=failure)
+        yield from refuse(call.call_id, failure)
         return
     # A caller that asks again has given up on its earlier connection.
     if req.caller_present:
@@ -149,7 +158,7 @@
     yield Count(metric="superseded")
     req.call = call
     req.caller_present = True
-    yield from generation.rejoin(state, req, event.at)
+    yield from takeover.rejoin(state, req, event.at)
 
 
 def _check(state: State, call: Call) -> Failure | None:
@@ -201,8 +210,7 @@
     if req is None:
         return
     if req.caller_present:
-        yield RefuseCall(call_id=req.call.call_id, failure=event.failure)
-    yield Count(metric="refused", label=event.failure.reason.code)
+        yield from refuse(req.call.call_id, event.failure)
     yield RequestClosed(at=event.at, request_id=event.request_id)
 
 
--- a/src/wasabiwick/_handlers/services.py
+++ b/src/wasabiwick/_handlers/services.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from .._effects import AnswerCall, CallService, Count, RefuseCall
+from .._effects import AnswerCall, CallService, Count
 from .._errors import ENDPOINT_FAILED, KEY_REQUIRED, NO_ENDPOINT, Failure
 from .._events import (
     AdmissionGiven,
@@ -17,7 +17,7 @@
 from .._settings import Settings
 from .._state import State, state_slice
 from .._verdict import Verdict
-from . import calls, generation, lists, members
+from . import calls, generation, health, lists, members
 
 MAX_ATTEMPTS = 3
 RETRY = 0.5  # Seconds told to callers.
@@ -82,7 +82,7 @@
     """Return a usable endpoint of a plain service, or an empty string."""
     usable = [entry.name for entry in members.usable_endpoints(state, service)]
     fresh = [name for name in usable if name not in avoid] or usable
-    return state.rng.choice(sorted(fresh)) if fresh else ""
+    return health.pick(state, fresh)
 
 
 def _send(state: State, request_id: str, running: ServiceCall, at: float) -> typing.Iterator[Step]:
@@ -147,8 +147,9 @@
 
 @handles(CallerGone)
 def caller_gone(state: State, event: CallerGone) -> typing.Iterator[Step]:
-    """Drop an idempotent call that nobody waits for."""
-    if event.request_id in state["services"].running:
+    """Drop a service call that nobody waits for; the effect protocol ends its own work."""
+    req = calls.request_of(state, event.request_id)
+    if req and req.call.call_id == event.call_id and req.call.kind == "service":
         yield RequestClosed(at=event.at, request_id=event.request_id)
 
 
@@ -156,12 +157,3 @@
 def close(state: State, event: RequestClosed) -> None:
     """Drop the attempt of a call that is over."""
     state["services"].running.pop(event.request_id, None)
-
-
-@handles(ServiceWanted)
-def refuse_unsupported(state: State, event: ServiceWanted) -> typing.Iterator[Step]:
-    """Refuse work that may run only once while no concern can run it."""
-    req = calls.request_of(state, event.request_id)
-    failure = Failure(reason=NO_ENDPOINT, verdict=calls.verdict_of(state, req.call))
-    yield RefuseCall(call_id=req.call.call_id, failure=failure)
-    yield RequestClosed(at=event.at, request_id=event.request_id)
--- /dev/null
+++ b/src/wasabiwick/_performers/telemetry.py
@@ -0,0 +1,23 @@
+"""Log lines and metrics."""
+
+from .._effects import Count, LogLine, Observe
+from .._logging import log_event
+from .._runner import Runner, performs
+
+
+@performs(Count)
+def count(runner: Runner, effect: Count) -> None:
+    """Add to a counter."""
+    runner.telemetry.count(effect.metric, effect.label, effect.amount)
+
+
+@performs(Observe)
+def observe(runner: Runner, effect: Observe) -> None:
+    """Add to a latency."""
+    runner.telemetry.observe(effect.metric, effect.label, effect.value)
+
+
+@performs(LogLine)
+def log_line(runner: Runner, effect: LogLine) -> None:
+    """Write one line of key=value pairs."""
+    log_event(effect.event, **effect.fields)
--- a/src/wasabiwick/_settings.py
+++ b/src/wasabiwick/_settings.py
@@ -1,4 +1,20 @@
-"""Settings of an entry host, passed whole to whatever is built from them."""
+"""Settings of an entry host, passed whole to whatever is built from them.
+
+The constructors' annotations and defaults are also the schema of the settings file.
+"""
+
+from ._fields import (
+    Address,
+    File,
+    Hex64,
+    Name,
+    NotNegative,
+    PositiveInt,
+    PositiveNumber,
+    Seconds,
+    Url,
+    UrlOrEmpty,
+)
 
 
 class Listen:
@@ -11,28 +27,40 @@
 
     __slots__ = ("callers", "peers")
 
-    def __init__(self, *, callers: str = "127.0.0.1:0", peers: str = "127.0.0.1:0") -> None:
+    def __init__(self, *, callers: Address = "127.0.0.1:0", peers: Address = "127.0.0.1:0") -> None:
         self.callers = callers
         self.peers = peers
 
 
 class Platform:
-    """Base URLs of the platform's services."""
+    """Base URLs of the platform's services.
+
+    Args:
+        log: The append-only log service.
+        hosts: The host list.
+        weights: The weight store, or empty where engines are not ordered to load.
+    """
 
     __slots__ = ("log", "hosts", "weights")
 
-    def __init__(self, *, log: str, hosts: str, weights: str = "") -> None:
+    def __init__(self, *, log: Url, hosts: Url, weights: UrlOrEmpty = "") -> None:
         self.log = log
         self.hosts = hosts
         self.weights = weights
 
 
 class Tls:
-    """Certificate files. ``authority`` verifies peers; files are read again when they change."""
+    """Certificate files in PEM form, which are read again when they change.
+
+    Args:
+        certificate: The host's certificate, followed by its chain.
+        key: The certificate's private key.
+        authority: Certificates that verify the other hosts.
+    """
 
     __slots__ = ("certificate", "key", "authority")
 
-    def __init__(self, *, certificate: str, key: str, authority: str) -> None:
+    def __init__(self, *, certificate: File, key: File, authority: File) -> None:
         self.certificate = certificate
         self.key = key
         self.authority = authority
@@ -62,12 +90,12 @@
     def __init__(
         self,
         *,
-        max_body_bytes: int = 4 * 1024 * 1024,
-        max_header_bytes: int = 8 * 1024,
-        max_calls: int = 4_000,
-        stream_buffer_bytes: int = 64 * 1024,
-        header_timeout: float = 5.0,
-        default_deadline: float = 60.0,
+        max_body_bytes: PositiveInt = 4 * 1024 * 1024,
+        max_header_bytes: PositiveInt = 8 * 1024,
+        max_calls: PositiveInt = 4_000,
+        stream_buffer_bytes: PositiveInt = 64 * 1024,
+        header_timeout: Seconds = 5.0,
+        default_deadline: Seconds = 60.0,
     ) -> None:
         self.max_body_bytes = max_body_bytes
         self.max_header_bytes = max_header_bytes
@@ -92,6 +120,7 @@
         caller_grace: Time in which a retry may adopt the stream of a caller that went away.
         cancel_retry: Between repeated cancels.
         stream_silence: Silence on a stream after which it is opened again.
+        stall: Time without a token, though not silent, after which an engine is left.
         connect: To establish a connection.
         prefill: Longest prefill call.
         service: Longest service call.
@@ -113,6 +142,7 @@
         "caller_grace",
         "cancel_retry",
         "stream_silence",
+        "stall",
         "connect",
         "prefill",
         "service",
@@ -125,24 +155,25 @@
     def __init__(
         self,
         *,
-        heartbeat: float = 0.5,
-        peer_suspect: float = 1.5,
-        peer_dead: float = 3.0,
-        host_list: float = 1.0,
-        report: float = 0.25,
-        reservation: float = 3.0,
-        renew: float = 1.0,
-        reap_grace: float = 1.0,
-        caller_grace: float = 0.25,
-        cancel_retry: float = 0.5,
-        stream_silence: float = 2.0,
-        connect: float = 1.0,
-        prefill: float = 30.0,
-        service: float = 30.0,
-        peer: float = 1.0,
-        log: float = 2.0,
-        log_poll: float = 10.0,
-        drain: float = 120.0,
+        heartbeat: Seconds = 0.5,
+        peer_suspect: Seconds = 1.5,
+        peer_dead: Seconds = 3.0,
+        host_list: Seconds = 1.0,
+        report: Seconds = 0.25,
+        reservation: Seconds = 3.0,
+        renew: Seconds = 1.0,
+        reap_grace: Seconds = 1.0,
+        caller_grace: Seconds = 0.25,
+        cancel_retry: Seconds = 0.5,
+        stream_silence: Seconds = 2.0,
+        stall: Seconds = 5.0,
+        connect: Seconds = 1.0,
+        prefill: Seconds = 30.0,
+        service: Seconds = 30.0,
+        peer: Seconds = 1.0,
+        log: Seconds = 2.0,
+        log_poll: Seconds = 10.0,
+        drain: Seconds = 120.0,
     ) -> None:
         self.heartbeat = heartbeat
         self.peer_suspect = peer_suspect
@@ -155,6 +186,7 @@
         self.caller_grace = caller_grace
         self.cancel_retry = cancel_retry
         self.stream_silence = stream_silence
+        self.stall = stall
         self.connect = connect
         self.prefill = prefill
         self.service = service
@@ -164,6 +196,29 @@
         self.drain = drain
 
 
+class Targets:
+    """Latency targets, in seconds.
+
+    Args:
+        first_output: From a request's first call to its first output.
+        between_outputs: Between two outputs of one stream.
+        may_wait: From a request's first call to its first output, where its plan may wait.
+    """
+
+    __slots__ = ("first_output", "between_outputs", "may_wait")
+
+    def __init__(
+        self,
+        *,
+        first_output: Seconds = 2.0,
+        between_outputs: Seconds = 0.054,
+        may_wait: Seconds = 60.0,
+    ) -> None:
+        self.first_output = first_output
+        self.between_outputs = between_outputs
+        self.may_wait = may_wait
+
+
 class Once:
     """Settings of work that may run only once.
 
@@ -179,10 +234,10 @@
     def __init__(
         self,
         *,
-        shards: int = 16,
-        commit_interval: float = 0.02,
-        horizon: float = 86_400.0,
-        keep: float = 172_800.0,
+        shards: PositiveInt = 16,
+        commit_interval: Seconds = 0.02,
+        horizon: Seconds = 86_400.0,
+        keep: Seconds = 172_800.0,
     ) -> None:
         self.shards = shards
         self.commit_interval = commit_interval
@@ -190,6 +245,32 @@
         self.keep = keep
 
 
+class Orders:
+    """Settings of orders to engines; equal on all hosts.
+
+    Args:
+        lease: Seconds for which a lease holds unless it is renewed.
+        longest: Seconds after which an order that an engine took has ended.
+        weight_bytes: Size of the largest model version in the weight store.
+        weight_rate: Bytes per second that all hosts together may let engines read from it.
+    """
+
+    __slots__ = ("lease", "longest", "weight_bytes", "weight_rate")
+
+    def __init__(
+        self,
+        *,
+        lease: Seconds = 30.0,
+        longest: Seconds = 60.0,
+        weight_bytes: NotNegative = 0.0,
+        weight_rate: PositiveNumber = 1e9,
+    ) -> None:
+        self.lease = lease
+        self.longest = longest
+        self.weight_bytes = weight_bytes
+        self.weight_rate = weight_rate
+
+
 class Settings:
     """All settings of one entry host.
 
@@ -203,8 +284,12 @@
         limits: Bounds on callers.
         timing: Intervals and timeouts.
         once: Settings of work that may run only once.
+        targets: Latency targets.
+        orders: Settings of orders to engines.
         publishers: Public keys of publishers by key id, hexadecimal Ed25519.
-        trace: File that events are recorded to, or empty.
+        trace: File that events are recorded to, or empty. It holds answers of plain services and
+            what the log holds, so that it wants the same care as these.
+        trace_bytes: Longest trace; recording stops there.
     """
 
     __slots__ = (
@@ -217,24 +302,30 @@
         "limits",
         "timing",
         "once",
+        "targets",
+        "orders",
         "publishers",
         "trace",
+        "trace_bytes",
     )
 
     def __init__(
         self,
         *,
-        host: str,
-        zone: str,
-        region: str,
+        host: Name,
+        zone: Name,
+        region: Name,
         platform: Platform,
         listen: Listen | None = None,
         tls: Tls | None = None,
         limits: Limits | None = None,
         timing: Timing | None = None,
         once: Once | None = None,
-        publishers: dict[str, str] | None = None,
+        targets: Targets | None = None,
+        orders: Orders | None = None,
+        publishers: dict[str, Hex64] | None = None,
         trace: str = "",
+        trace_bytes: PositiveInt = 64 * 1024 * 1024,
     ) -> None:
         self.host = host
         self.zone = zone
@@ -245,5 +336,8 @@
         self.limits = limits or Limits()
         self.timing = timing or Timing()
         self.once = once or Once()
+        self.targets = targets or Targets()
+        self.orders = orders or Orders()
         self.publishers = publishers or {}
         self.trace = trace
+        self.trace_bytes = trace_bytes
--- a/src/wasabiwick/_wire.py
+++ b/src/wasabiwick/_wire.py
@@ -79,7 +79,13 @@
 
 
 class Reserve(Base):
-    """Asks an engine's coordinator for a decode slot and a share of its transfer link."""
+    """Asks the coordinator of a pool for a decode slot and a share of a transfer link.
+
+    A pool is the engines of one model in one availability zone. ``engine`` is empty where any
+    engine of the pool will do. ``target`` is the Unix time by which the first output is due.
+    ``pieces`` is a `piece_ladder`: the chain's hashes at a few lengths. A ``redirected`` request
+    comes from a full pool and is not sent on.
+    """
 
     request_id: str
     attempt_id: str
@@ -92,25 +98,72 @@
     prompt_tokens: int = 0
     max_tokens: int = 0
     pieces: tuple[int, ...] = ()
+    model: str = ""
+    zone: str = ""
+    target: float = 0.0
+    may_wait: bool = False
+    avoid: tuple[str, ...] = ()
+    redirected: bool = False
 
 
 class Granted(Base):
-    """Answers `Reserve`: the slot is held for the attempt until released or not renewed."""
+    """Answers `Reserve`: the slot is held for the attempt until released or not renewed.
+
+    ``free`` slots of the pool are left, and a request that came now would wait ``wait`` seconds.
+    """
 
     request_id: str
     attempt_id: str
     engine: str
     prefill_engine: str
     cached_tokens: int = 0
+    free: int = 0
+    wait: float = 0.0
 
 
 class Denied(Base):
-    """Answers `Reserve`: no slot; ``wait`` seconds later one is likely."""
+    """Answers `Reserve`: no slot; ``wait`` seconds later one is likely.
+
+    ``unknown`` answers a `Renew` of a queued attempt that the coordinator does not know, as after
+    its restart: the attempt has to be reserved again. ``elsewhere`` names an availability zone
+    whose pool has slots free.
+    """
 
     request_id: str
     attempt_id: str
     engine: str
     wait: float = 0.0
+    unknown: bool = False
+    elsewhere: str = ""
+
+
+class PoolLoad(Base):
+    """Tells the coordinators of a model's other pools how loaded the sender's pool is.
+
+    ``free`` slots may be granted now; ``wait`` is what a request that came now would wait.
+    """
+
+    model: str
+    zone: str
+    free: int = 0
+    wait: float = 0.0
+
+
+class Advanced(Base):
+    """Tells a coordinator that a reserved attempt has reached its next phase.
+
+    ``phase`` is ``transfer`` once the prefill is done, and ``decode`` at the first output.
+    ``phase`` is ``failed`` or ``refused`` where the phase it was in went wrong instead. ``seconds``
+    is how long the phase before took; of ``tokens`` in the prompt, ``cached`` were not prefilled.
+    """
+
+    attempt_id: str
+    model: str
+    zone: str
+    phase: str
+    seconds: float = 0.0
+    tokens: int = 0
+    cached: int = 0
 
 
 class Release(Base):
@@ -120,16 +173,63 @@
     attempt_id: str
     owner: Owner
     engine: str
+    model: str = ""
+    zone: str = ""
 
 
 class Renew(Base):
-    """Renews all reservations that an owner holds at one coordinator.
+    """Renews all reservations that an owner holds at the coordinator of one pool.
 
-    ``attempts`` lists (engine, request id, attempt id, slot is in use).
+    ``attempts`` lists (engine, request id, attempt id, slot is in use). A queued attempt has no
+    engine yet.
     """
 
     owner: Owner
     attempts: tuple[tuple[str, str, str, bool], ...] = ()
+    model: str = ""
+    zone: str = ""
+
+
+# --- Between hosts: limits of the plans ----------------------------------------------------------
+
+
+class LimitAsk(Base):
+    """Asks the host that keeps a customer's budget to let requests in.
+
+    Args:
+        customer: Name of the customer.
+        owner: The asking run of a host.
+        requests: Requests that wait there.
+        tokens: Prompt and output tokens of all of them.
+        in_flight: Requests of the customer that the host serves already.
+        refund: Tokens charged before and not used.
+    """
+
+    customer: str
+    owner: Owner
+    requests: int
+    tokens: int
+    in_flight: int = 0
+    refund: int = 0
+
+
+class LimitGiven(Base):
+    """Answers `LimitAsk`: so many requests may go on; the others may ask in ``wait`` seconds.
+
+    ``share`` is the part of the customer's requests that lately came from the asking host.
+    """
+
+    customer: str
+    requests: int
+    wait: float = 0.0
+    share: float = 0.0
+
+
+class LimitReport(Base):
+    """Tells the keeper of budgets what a host has in flight: (customer, requests, refund)."""
+
+    owner: Owner
+    entries: tuple[tuple[str, int, int], ...] = ()
 
 
 # --- Between hosts: membership and configuration -------------------------------------------------
@@ -139,7 +239,7 @@
     """Periodic sign of life within an availability zone.
 
     ``version`` and ``offset`` are the newest configuration record the sender has in force.
-    ``leaving`` lists endpoints that the sender knows to be leaving.
+    ``leaving`` lists endpoints that are leaving, each with the seconds since the first sign.
     """
 
     owner: Owner
@@ -148,14 +248,35 @@
     version: int = 0
     offset: int = -1
     stopping: bool = False
-    leaving: tuple[str, ...] = ()
+    leaving: tuple[tuple[str, float], ...] = ()
+
+
+class HostSeen(Base):
+    """Tells all hosts of a zone what a watcher of ``host`` saw change.
+
+    ``state`` is ``live``, ``silent``, ``dead`` or ``stopping``.
+    """
+
+    host: Owner
+    state: str
+
+
+class AskConfiguration(Base):
+    """Asks a host for the records that lead from a version to the one it has in force."""
+
+    after: int
 
 
 # --- Streams of the log --------------------------------------------------------------------------
 
 
 class Intent(Base):
-    """Record: an attempt wants to run a request that may run only once."""
+    """Record: an attempt wants to run a request that may run only once.
+
+    ``after`` is the epoch that the attempt knew when its call arrived: the offset of the key's last
+    effective void, or -1. ``over`` names the winner that a takeover replaces, or is empty. ``born``
+    is the Unix time at which the key was made.
+    """
 
     key: str
     attempt_id: str
@@ -163,6 +284,8 @@
     after: int
     service: str
     digest: str = ""
+    born: float = 0.0
+    over: str = ""
 
 
 class Void(Base):
@@ -170,10 +293,11 @@
 
     key: str
     attempt_id: str
+    born: float = 0.0
 
 
 class Outcome(Base):
-    """Record: the answer of the attempt that ran."""
+    """Record: the answer of the attempt that ran; status 0 says that it is not known."""
 
     key: str
     attempt_id: str
@@ -182,14 +306,73 @@
     content_type: str = "application/json"
 
 
+class KeyState(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What the records of one key come to.
+
+    Args:
+        epoch: Offset of the last effective void, or -1.
+        winner: Attempt that won the epoch, or empty.
+        owner: Host and incarnation of the winner.
+        fence: Offset of the winner's intent; its fencing number.
+        since: Time at which the log took the winner's intent, in Unix seconds.
+        earlier: Winners of the epoch that a takeover replaced.
+        voided: Attempts whose own voids were effective, the newest last.
+        status: HTTP status of the recorded answer, 0 for an unknown outcome, or -1 for none.
+        body: Body of the recorded answer.
+        content_type: Media type of the recorded answer.
+        service: Service that the winner calls.
+        digest: Digest of the winner's request.
+        born: Unix time at which the key was made.
+    """
+
+    epoch: int = -1
+    winner: str = ""
+    owner: Owner | None = None
+    fence: int = -1
+    since: float = 0.0
+    earlier: tuple[str, ...] = ()
+    voided: tuple[str, ...] = ()
+    status: int = -1
+    body: str = ""
+    content_type: str = "application/json"
+    service: str = ""
+    digest: str = ""
+    born: float = 0.0
+
+
 class Checkpoint(Base):
     """Record: the folded state of live keys up to ``upto``, so that older records may expire.
 
-    ``entries`` lists (key, epoch, winner attempt id, status or -1, body, digest).
+    A checkpoint without entries in the stream of checkpoints points to one: ``upto`` is the offset
+    at which a reader has to begin.
     """
 
     upto: int
-    entries: tuple[tuple[str, int, str, int, str, str], ...] = ()
+    entries: tuple[tuple[str, KeyState], ...] = ()
+
+
+# --- Between hosts: keys of work that may run only once ------------------------------------------
+
+
+class KeyAsk(Base):
+    """Asks the coordinator of a shard to append a record and to tell the key's state.
+
+    The asking host is told at once, and again at each change for a while.
+    """
+
+    shard: int
+    key: str
+    owner: Owner
+    record: Intent | Void | Outcome | None = None
+
+
+class KeyTold(Base):
+    """Answers `KeyAsk`: the key's state as of all records before ``position``."""
+
+    shard: int
+    key: str
+    position: int
+    found: KeyState
 
 
 class Configuration(Base):
@@ -212,8 +395,24 @@
     key_id: str = ""
 
 
+class ConfigurationCopy(Base):
+    """The signed records that lead to the version in force after offset ``upto``, unchanged.
+
+    Hosts send it to each other in answer to `AskConfiguration`, and append it to the log before the
+    originals expire. ``records`` begins with a full record, or with the one after the version asked
+    for.
+    """
+
+    upto: int
+    version: int
+    records: tuple[str, ...] = ()
+
+
 class LeaseClaim(Base):
-    """Record: an owner claims the lease of a zone's model; its offset is the fencing number."""
+    """Record: an owner claims the lease of a zone's model; its offset is the fencing number.
+
+    ``term`` is in seconds, and ``after`` the offset of the last valid claim that the owner read.
+    """
 
     zone: str
     model: str
@@ -231,14 +430,24 @@
     | Reserve
     | Granted
     | Denied
+    | PoolLoad
+    | LimitAsk
+    | LimitGiven
+    | LimitReport
+    | Advanced
     | Release
     | Renew
     | Heartbeat
+    | HostSeen
+    | AskConfiguration
+    | KeyAsk
+    | KeyTold
     | Intent
     | Void
     | Outcome
     | Checkpoint
     | Configuration
+    | ConfigurationCopy
     | LeaseClaim
 )
 
@@ -282,7 +491,8 @@
     """An engine's own account of its load, as of ``sequence``.
 
     ``prefill_rate`` is in tokens/s, ``link_rate`` in bytes/s, ``decode_interval`` in seconds
-    between two outputs of one stream at the present batch size.
+    between two outputs of one stream at the present batch size. ``versions`` are those of
+    ``models``, in the same order, where the engine tells them.
     """
 
     engine: str
@@ -296,6 +506,7 @@
     piece_tokens: int = 16
     kv_bytes_per_token: int = 0
     models: tuple[str, ...] = ()
+    versions: tuple[str, ...] = ()
     roles: tuple[str, ...] = ("prefill", "decode")
     fence: int = -1
     streams: tuple[StreamReport, ...] = ()
@@ -357,12 +568,17 @@
 
 
 class ResumeAsk(msgspec.Struct, frozen=True):
-    """Body of ``POST /v1/resume``: stream a running request again from ``offset``."""
+    """Body of ``POST /v1/resume``: stream a running request again from ``offset``.
+
+    With ``takeover`` the sender becomes the owner, and an older reader gets a last frame with
+    finish ``superseded``. Without, the engine answers 409 to any but the present owner.
+    """
 
     request_id: str
     attempt_id: str
     owner: str
     offset: int = 0
+    takeover: bool = False
 
 
 class CancelAsk(msgspec.Struct, frozen=True):
@@ -395,7 +611,7 @@
     """One line of an engine's stream: ``text`` holds the ``count`` tokens that follow ``offset``.
 
     A frame with ``count`` 0 and no ``done`` is a heartbeat. ``finish`` is ``stop``, ``length``,
-    ``cancelled`` or ``error``.
+    ``cancelled``, ``superseded`` or ``error``.
     """
 
     request_id: str
