--- /dev/null
+++ b/src/wasabiwick/_load/_direct.py
@@ -0,0 +1,85 @@
+"""Asks an engine directly, without a router, for comparison."""
+
+import itertools
+
+import aiohttp
+import msgspec
+
+from .._standins._output import expected_output
+from .._wire import DecodeAsk, Frame, PrefillAnswer, PrefillAsk
+from ._caller import Ask, Clock
+from ._measure import Tally
+
+OWNER = "load/1"
+
+
+class Direct:
+    """Calls engines in turn: a prefill, and a decode on the same engine.
+
+    Args:
+        session: Client session.
+        engines: Base URLs of engines.
+        tally: Where counts and latencies go.
+    """
+
+    __slots__ = ("_session", "_engines", "_tally", "_number", "_decoder")
+
+    def __init__(
+        self, *, session: aiohttp.ClientSession, engines: tuple[str, ...], tally: Tally
+    ) -> None:
+        self._session = session
+        self._engines = itertools.cycle(engines)
+        self._tally = tally
+        self._number = itertools.count(1)
+        self._decoder = msgspec.json.Decoder(Frame)
+
+    async def generate(self, ask: Ask) -> None:
+        """Ask once; a failure counts as a lost call."""
+        tally = self._tally
+        tally.calls += 1
+        tally.attempts += 1
+        engine = next(self._engines)
+        clock = Clock(tally)
+        prompt = ask.body().text()
+        try:
+            text = await self._exchange(engine, prompt, ask, clock)
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            tally.refusals[type(exc).__name__] += 1
+            return
+        tally.answered += 1
+        tally.wrong += text != expected_output(prompt, ask.max_tokens)
+
+    async def _exchange(self, engine: str, prompt: str, ask: Ask, clock: Clock) -> str:
+        attempt = f"load.{next(self._number)}"
+        prefill = PrefillAsk(
+            request_id=attempt, attempt_id=attempt, owner=OWNER, model=ask.model, prompt=prompt
+        )
+        async with self._post(engine, "/v1/prefill", prefill) as resp:
+            resp.raise_for_status()
+            done = msgspec.json.decode(await resp.read(), type=PrefillAnswer)
+        decode = DecodeAsk(
+            request_id=attempt,
+            attempt_id=attempt,
+            owner=OWNER,
+            model=ask.model,
+            source=engine,
+            handle=done.handle,
+            max_tokens=ask.max_tokens,
+        )
+        async with self._post(engine, "/v1/decode", decode) as resp:
+            resp.raise_for_status()
+            return await self._read(resp, clock)
+
+    def _post(self, engine: str, path: str, body: msgspec.Struct) -> object:
+        return self._session.post(engine + path, data=msgspec.json.encode(body))
+
+    async def _read(self, resp: aiohttp.ClientResponse, clock: Clock) -> str:
+        rest = b""
+        texts = []
+        while chunk := await resp.content.readany():
+            *lines, rest = (rest + chunk).split(b"\n")
+            came = "".join(self._decoder.decode(line).text for line in lines)
+            if came:
+                clock.output(came)
+                texts.append(came)
+        return "".join(texts)
--- /dev/null
+++ b/src/wasabiwick/_load/_measure.py
@@ -0,0 +1,109 @@
+"""Counts and latencies of a load run."""
+
+import collections
+import typing
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+MICROSECONDS = 1e6
+MILLISECONDS = 1e-3  # Of a microsecond count.
+LONGEST = 600_000_000  # Microseconds.
+DIGITS = 3
+PERCENTILES = (50, 95, 99)
+
+
+class Quantiles(msgspec.Struct):
+    """A latency's distribution, in milliseconds."""
+
+    count: int
+    p50: float
+    p95: float
+    p99: float
+    max: float
+
+
+class Totals(msgspec.Struct):
+    """What a run came to; times are in milliseconds unless their name says seconds."""
+
+    calls: int
+    answered: int
+    lost: int
+    wrong: int
+    attempts: int
+    dropped: int
+    tokens: int
+    seconds: float
+    tokens_per_second: float
+    first_output: Quantiles
+    between_outputs: Quantiles
+    refusals: dict[str, int]
+
+
+class Latency:
+    """A histogram of seconds."""
+
+    __slots__ = ("_histogram",)
+
+    def __init__(self) -> None:
+        self._histogram = HdrHistogram(1, LONGEST, DIGITS)
+
+    def add(self, seconds: float, count: int = 1) -> None:
+        """Add ``count`` samples of one value."""
+        value = min(LONGEST, max(1, round(seconds * MICROSECONDS)))
+        self._histogram.record_value(value, count)
+
+    def quantiles(self) -> Quantiles:
+        """Return the distribution."""
+        of = self._histogram.get_value_at_percentile
+        return Quantiles(
+            count=self._histogram.get_total_count(),
+            p50=of(50) * MILLISECONDS,
+            p95=of(95) * MILLISECONDS,
+            p99=of(99) * MILLISECONDS,
+            max=self._histogram.get_max_value() * MILLISECONDS,
+        )
+
+
+class Tally:
+    """Running counts of a load run."""
+
+    __slots__ = (
+        "calls",
+        "answered",
+        "wrong",
+        "attempts",
+        "dropped",
+        "tokens",
+        "first",
+        "between",
+        "refusals",
+    )
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self.answered = 0
+        self.wrong = 0
+        self.attempts = 0
+        self.dropped = 0
+        self.tokens = 0
+        self.first = Latency()
+        self.between = Latency()
+        self.refusals: typing.Counter[str] = collections.Counter()
+
+    def totals(self, seconds: float) -> Totals:
+        """Sum up a run that took ``seconds``."""
+        return Totals(
+            calls=self.calls,
+            answered=self.answered,
+            lost=self.calls - self.answered,
+            wrong=self.wrong,
+            attempts=self.attempts,
+            dropped=self.dropped,
+            tokens=self.tokens,
+            seconds=round(seconds, 3),
+            tokens_per_second=round(self.tokens / seconds, 1) if seconds else 0.0,
+            first_output=self.first.quantiles(),
+            between_outputs=self.between.quantiles(),
+            refusals=dict(self.refusals),
+        )
--- /dev/null
+++ b/src/wasabiwick/_load/_run.py
@@ -0,0 +1,153 @@
+"""A load run: concurrent callers, bounded in count and time."""
+
+import asyncio
+import random
+import time
+import urllib.parse
+
+import click
+
+from ._caller import Ask, Caller, new_key, session_of
+from ._direct import Direct
+from ._measure import Tally, Totals
+
+LOOPBACK = ("127.0.0.1", "localhost", "::1")
+WORDS = ("plan", "quote", "group", "guide", "passage", "roster", "note", "print", "sign", "week")
+
+
+class Plan:
+    """How to put load on a router.
+
+    Args:
+        addresses: Base URLs of entry hosts.
+        engines: Base URLs of engines to ask directly, in turn with the router.
+        key: API key.
+        model: Name of the model.
+        callers: Concurrent callers.
+        calls: Calls in all.
+        seconds: Longest run.
+        prompt_tokens: Length of prompts.
+        max_tokens: Length of answers.
+        stream: Whether answers are streamed.
+        keyed: Whether calls carry an Idempotency-Key.
+        leave: Share of calls whose caller leaves once and asks again.
+        seed: Seed of prompts and choices.
+    """
+
+    __slots__ = (
+        "addresses",
+        "engines",
+        "key",
+        "model",
+        "callers",
+        "calls",
+        "seconds",
+        "prompt_tokens",
+        "max_tokens",
+        "stream",
+        "keyed",
+        "leave",
+        "seed",
+    )
+
+    def __init__(
+        self,
+        *,
+        addresses: tuple[str, ...],
+        engines: tuple[str, ...] = (),
+        key: str = "",
+        model: str = "lectio-lm",
+        callers: int = 10,
+        calls: int = 100,
+        seconds: float = 60.0,
+        prompt_tokens: int = 100,
+        max_tokens: int = 50,
+        stream: bool = True,
+        keyed: bool = False,
+        leave: float = 0.0,
+        seed: int = 1,
+    ) -> None:
+        self.addresses = addresses
+        self.engines = engines
+        self.key = key
+        self.model = model
+        self.callers = callers
+        self.calls = calls
+        self.seconds = seconds
+        self.prompt_tokens = prompt_tokens
+        self.max_tokens = max_tokens
+        self.stream = stream
+        self.keyed = keyed
+        self.leave = leave
+        self.seed = seed
+
+
+def check_loopback(url: str) -> str:
+    """Return a URL of this machine.
+
+    Raises:
+        click.BadParameter: If the URL is of another machine.
+    """
+    if urllib.parse.urlsplit(url).hostname not in LOOPBACK:
+        raise click.BadParameter(f"{url!r} is not a loopback address")
+    return url.rstrip("/")
+
+
+def prompt_of(rng: random.Random, tokens: int) -> str:
+    """Return a prompt that no other call has."""
+    words = [f"call-{rng.getrandbits(48):012x}"]
+    words += [rng.choice(WORDS) for _ in range(tokens - 1)]
+    return " ".join(words)
+
+
+async def run(plan: Plan) -> tuple[Totals, Totals]:
+    """Run a plan.
+
+    Args:
+        plan: What to do.
+
+    Returns:
+        What calls through the router came to, and what direct calls came to.
+    """
+    rng = random.Random(plan.seed)
+    routed, direct = Tally(), Tally()
+    began = time.monotonic()
+    async with session_of() as session:
+        caller = Caller(
+            session=session,
+            addresses=list(plan.addresses),
+            key=plan.key,
+            tally=routed,
+            rng=rng,
+            until=began + plan.seconds,
+        )
+        engines = Direct(session=session, engines=plan.engines, tally=direct)
+        todo = iter(range(plan.calls))
+
+        async def work() -> None:
+            for _ in todo:
+                if time.monotonic() >= caller.until:
+                    return
+                await _one_call(plan, rng, caller, engines)
+
+        await asyncio.gather(*(work() for _ in range(plan.callers)))
+    seconds = time.monotonic() - began
+    return routed.totals(seconds), direct.totals(seconds)
+
+
+async def _one_call(plan: Plan, rng: random.Random, caller: Caller, engines: Direct) -> None:
+    if plan.engines:
+        await engines.generate(_ask(plan, rng))
+    if plan.addresses:
+        leave = plan.max_tokens // 2 if rng.random() < plan.leave else 0
+        await caller.generate(_ask(plan, rng), leave_after=leave)
+
+
+def _ask(plan: Plan, rng: random.Random) -> Ask:
+    return Ask(
+        content=prompt_of(rng, plan.prompt_tokens),
+        max_tokens=plan.max_tokens,
+        model=plan.model,
+        stream=plan.stream,
+        key=new_key(rng) if plan.keyed else "",
+    )
--- a/src/wasabiwick/_standins/_decode.py
+++ b/src/wasabiwick/_standins/_decode.py
@@ -141,7 +141,7 @@
 async def relay(
     engine: "Engine", request: web.Request, stream: Stream, offset: int
 ) -> web.StreamResponse:
-    """Write a stream to its newest reader; an older reader's connection is closed."""
+    """Write a stream to its newest reader; an older one is told that it is superseded."""
     resp = web.StreamResponse(headers={"Content-Type": "application/x-ndjson"})
     stream.reader = request
     stream.wake()
@@ -157,11 +157,10 @@
                 if frame.done:
                     return resp
             elif not await _wait(changed, engine.knobs.heartbeat):
-                await resp.write(_heartbeat(stream, offset))
+                await resp.write(_frame(stream, offset))
+        await resp.write(_frame(stream, offset, done=True, finish="superseded"))
     except ConnectionError:
-        return resp
-    if request.transport is not None:
-        request.transport.close()
+        pass  # The reader has gone; the stream goes on without it.
     return resp
 
 
@@ -180,8 +179,14 @@
     )
 
 
-def _heartbeat(stream: Stream, offset: int) -> bytes:
-    frame = Frame(request_id=stream.ask.request_id, attempt_id=stream.ask.attempt_id, offset=offset)
+def _frame(stream: Stream, offset: int, *, done: bool = False, finish: str = "") -> bytes:
+    frame = Frame(
+        request_id=stream.ask.request_id,
+        attempt_id=stream.ask.attempt_id,
+        offset=offset,
+        done=done,
+        finish=finish,
+    )
     return msgspec.json.encode(frame) + b"\n"
 
 
--- a/src/wasabiwick/_standins/engine.py
+++ b/src/wasabiwick/_standins/engine.py
@@ -189,7 +189,10 @@
         stream = self.batch.streams.get(ask.attempt_id)
         if stream is None or stream.ask.request_id != ask.request_id:
             return problem(404, f'attempt "{ask.attempt_id}" is not known')
-        stream.owner = ask.owner
+        if ask.takeover:
+            stream.owner = ask.owner
+        elif ask.owner != stream.owner:
+            return problem(409, f'attempt "{ask.attempt_id}" belongs to "{stream.owner}"')
         return await relay(self, request, stream, ask.offset)
 
     async def _cancel(self, request: web.Request) -> web.Response:
@@ -217,6 +220,7 @@
                 decode_interval=self.batch.interval(),
                 kv_bytes_per_token=self.knobs.kv_bytes_per_token,
                 models=tuple(self.models),
+                versions=tuple(self.models.values()),
                 roles=self.roles,
                 fence=self.fence,
                 streams=self._streams(),
@@ -259,6 +263,6 @@
         if not self.knobs.weights:
             await asyncio.sleep(self.knobs.load_seconds)
             return
-        url = f"{self.knobs.weights}/weights/{ask.model}/{ask.version}"
+        url = f"{self.knobs.weights}/weights/{ask.model}/{ask.version}/data"
         async with self._session.get(url, timeout=aiohttp.ClientTimeout(total=None)) as resp:
             resp.raise_for_status()
--- a/src/wasabiwick/_standins/weight_store.py
+++ b/src/wasabiwick/_standins/weight_store.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from ._serve import Knobs, StandIn, knob, stand_in
+from ._serve import Knobs, StandIn, answer, knob, stand_in
 
 CHUNK_SECONDS = 0.05
 
@@ -19,7 +19,7 @@
 
 @stand_in("weight_store")
 class WeightStore(StandIn):
-    """Answers HEAD with the size; GET paces a reader and then says that all was read.
+    """Answers with a version's size; reading its data takes the time that the rate gives.
 
     No weights are sent: an engine stand-in needs only the time that loading them takes.
     """
@@ -34,8 +34,8 @@
     def routes(self) -> list[web.RouteDef]:
         """Return the routes of sizes and reads."""
         return [
-            web.head("/weights/{model}/{version}", self._size),
-            web.get("/weights/{model}/{version}", self._read, allow_head=False),
+            web.get("/weights/{model}/{version}", self._size),
+            web.get("/weights/{model}/{version}/data", self._read),
         ]
 
     def state(self) -> dict[str, typing.Any]:
@@ -43,7 +43,7 @@
         return {"reads": self.reads, "readers": self.readers}
 
     async def _size(self, request: web.Request) -> web.Response:
-        return web.Response(headers={"X-Weight-Bytes": str(self.knobs.size)})
+        return answer({"size": self.knobs.size, "rate": self.knobs.rate})
 
     async def _read(self, request: web.Request) -> web.Response:
         self.reads += 1
@@ -55,4 +55,4 @@
                 left -= self.knobs.rate * CHUNK_SECONDS / self.readers
         finally:
             self.readers -= 1
-        return web.Response(headers={"X-Weight-Bytes": str(self.knobs.size)})
+        return answer({"size": self.knobs.size})
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -40,8 +40,9 @@
         ask |= {"source": source.address, "handle": handle, "max_tokens": tokens, "offset": offset}
         return self.session.post(f"{one.address}/v1/decode", json=ask)
 
-    def resume(self, one, offset, attempt="a1"):
-        ask = {"request_id": "r1", "attempt_id": attempt, "owner": "h/2", "offset": offset}
+    def resume(self, one, offset, takeover=True):
+        ask = {"request_id": "r1", "attempt_id": "a1", "owner": "h/2", "offset": offset}
+        ask["takeover"] = takeover
         return self.session.post(f"{one.address}/v1/resume", json=ask)
 
     @staticmethod
@@ -90,10 +91,12 @@
         _, done = await self.prefill(one, "p")
         async with self.decode(one, one, done["handle"], 30) as old:
             await old.content.readline()
+            async with self.resume(one, 0, takeover=False) as refused:
+                self.assertEqual(refused.status, 409)
             async with self.resume(one, 0) as new:
                 self.assertEqual(await self.text_of(new), expected_output("p", 30))
-            with self.assertRaises((aiohttp.ClientError, AssertionError)):
-                await self.text_of(old)
+            last = [json.loads(line) async for line in old.content][-1]
+            self.assertEqual(last["finish"], "superseded")
 
     async def test_kv_expires(self) -> None:
         one = await self.processes.standin("engine", "--kv-life", "0.05")
