--- a/src/wasabiwick/_fuzz/_fleet.py
+++ b/src/wasabiwick/_fuzz/_fleet.py
@@ -96,6 +96,7 @@
         self.settings = settings
         self.told: list[tuple[Host, CallerEffect]] = []
         self.carried = CARRIED
+        self.on_sent: typing.Callable[[Host, Effect], None] | None = None
 
     # --- Life of hosts ---------------------------------------------------------------------------
 
@@ -192,6 +193,8 @@
         elif isinstance(effect, CallerEffect):
             self.told.append((host, effect))
         elif isinstance(effect, self.carried):
+            if self.on_sent:
+                self.on_sent(host, effect)
             self.items.append(Item(host=host, effect=effect))
 
     def advance(self, seconds: float) -> None:
--- a/src/wasabiwick/_fuzz/_world.py
+++ b/src/wasabiwick/_fuzz/_world.py
@@ -4,6 +4,7 @@
 
 from .._effects import AnswerCall, CallService, CloseCall, RefuseCall
 from .._events import Call, CallAnswered, CallArrived, CallerGone
+from .._handlers import once_work
 from .._lists import ServiceTraits
 from .._verdict import Verdict
 from .._wire import Configuration, HostEntry
@@ -64,7 +65,9 @@
         self.services = {name: FakeService(traits) for name, traits in SERVICES.items()}
         self.network = Network(self.fleet, self.services)
         self.callers = [Caller(f"key-{i}", service) for i, service in enumerate(callers)]
+        self.fleet.on_sent = self._note_sent
         self._told = 0
+        self._arrivals: dict[str, int] = {}
         self._by_call: dict[str, Caller] = {}
         self._closed: set[str] = set()
         self.fleet.log.append("configuration", (_configuration(),), WALL)
@@ -121,6 +124,13 @@
             gone = CallerGone(at=self.fleet.now, call_id=call_id, request_id=caller.key)
             self.fleet.post(host, gone)
 
+    def crash(self, name: str) -> None:
+        """End a host's run; its callers see their connections end."""
+        host = self.fleet.hosts[name]
+        self.fleet.crash(name)
+        for caller in self.callers:
+            caller.open = {one: at for one, at in caller.open.items() if at is not host}
+
     # --- Promises --------------------------------------------------------------------------------
 
     def check(self) -> None:
@@ -178,8 +188,16 @@
         effects = self.effects(caller)
         if len(effects) > 1:
             raise BrokenPromiseError(f"{caller.key!r} ran {len(effects)} times: {effects}")
-        if effects and caller.not_run_at == caller.calls:
-            raise BrokenPromiseError(f"{caller.key!r} ran after NOT_RUN was said to its last call")
+        if effects and self._arrivals[effects[0]] <= caller.not_run_at:
+            raise BrokenPromiseError(f"{caller.key!r} ran after NOT_RUN was said to a later call")
+
+    def _note_sent(self, host: Host, effect: object) -> None:
+        """Note which call an attempt that is sent to a service came in with."""
+        if isinstance(effect, CallService):
+            work = once_work.work_of_attempt(host.state, effect.attempt_id)
+            self._arrivals[effect.attempt_id] = self._by_call[work.call.call_id].arrivals[
+                work.call.call_id
+            ]
 
     # --- Recovery --------------------------------------------------------------------------------
 
--- a/src/wasabiwick/_handlers/once.py
+++ b/src/wasabiwick/_handlers/once.py
@@ -123,10 +123,12 @@
         return
     work.req = req
     yield Count(metric="once_joined")
-    if work.phase == "recording" and work.record.status != UNKNOWN:
-        yield from _answer(work, work.record.status, work.record.body, work.record.content_type)
-    else:
+    if work.phase != "recording":
         yield from _arm_deadline(state, work, at)
+    elif work.record.status == UNKNOWN:
+        yield _deny(state, req.call.request_id, OUTCOME_UNKNOWN, at)
+    else:
+        yield from _answer(work, work.record.status, work.record.body, work.record.content_type)
 
 
 def _intent(state: State, work: Work, over: str = "") -> Intent:
