--- a/src/wasabiwick/_settings.py
+++ b/src/wasabiwick/_settings.py
@@ -8,7 +8,9 @@
     File,
     Hex64,
     Name,
+    NotNegative,
     PositiveInt,
+    PositiveNumber,
     Seconds,
     Url,
     UrlOrEmpty,
@@ -190,6 +192,29 @@
         self.drain = drain
 
 
+class Targets:
+    """Latency targets, in seconds.
+
+    Args:
+        first_output: From a request's first call to its first output.
+        between_outputs: Between two outputs of one stream.
+        may_wait: From a request's first call to its first output, where its plan may wait.
+    """
+
+    __slots__ = ("first_output", "between_outputs", "may_wait")
+
+    def __init__(
+        self,
+        *,
+        first_output: Seconds = 2.0,
+        between_outputs: Seconds = 0.054,
+        may_wait: Seconds = 60.0,
+    ) -> None:
+        self.first_output = first_output
+        self.between_outputs = between_outputs
+        self.may_wait = may_wait
+
+
 class Once:
     """Settings of work that may run only once.
 
@@ -216,6 +241,32 @@
         self.keep = keep
 
 
+class Orders:
+    """Settings of orders to engines; equal on all hosts.
+
+    Args:
+        lease: Seconds for which a lease holds unless it is renewed.
+        longest: Seconds after which an order that an engine took has ended.
+        weight_bytes: Size of the largest model version in the weight store.
+        weight_rate: Bytes per second that all hosts together may let engines read from it.
+    """
+
+    __slots__ = ("lease", "longest", "weight_bytes", "weight_rate")
+
+    def __init__(
+        self,
+        *,
+        lease: Seconds = 30.0,
+        longest: Seconds = 60.0,
+        weight_bytes: NotNegative = 0.0,
+        weight_rate: PositiveNumber = 1e9,
+    ) -> None:
+        self.lease = lease
+        self.longest = longest
+        self.weight_bytes = weight_bytes
+        self.weight_rate = weight_rate
+
+
 class Settings:
     """All settings of one entry host.
 
@@ -229,6 +280,8 @@
         limits: Bounds on callers.
         timing: Intervals and timeouts.
         once: Settings of work that may run only once.
+        targets: Latency targets.
+        orders: Settings of orders to engines.
         publishers: Public keys of publishers by key id, hexadecimal Ed25519.
         trace: File that events are recorded to, or empty. It holds answers of plain services and
             what the log holds, so that it wants the same care as these.
@@ -245,6 +298,8 @@
         "limits",
         "timing",
         "once",
+        "targets",
+        "orders",
         "publishers",
         "trace",
         "trace_bytes",
@@ -262,6 +317,8 @@
         limits: Limits | None = None,
         timing: Timing | None = None,
         once: Once | None = None,
+        targets: Targets | None = None,
+        orders: Orders | None = None,
         publishers: dict[str, Hex64] | None = None,
         trace: str = "",
         trace_bytes: PositiveInt = 64 * 1024 * 1024,
@@ -275,6 +332,8 @@
         self.limits = limits or Limits()
         self.timing = timing or Timing()
         self.once = once or Once()
+        self.targets = targets or Targets()
+        self.orders = orders or Orders()
         self.publishers = publishers or {}
         self.trace = trace
         self.trace_bytes = trace_bytes
--- a/src/wasabiwick/_wire.py
+++ b/src/wasabiwick/_wire.py
@@ -79,7 +79,12 @@
 
 
 class Reserve(Base):
-    """Asks an engine's coordinator for a decode slot and a share of its transfer link."""
+    """Asks the coordinator of a pool for a decode slot and a share of a transfer link.
+
+    A pool is the engines of one model in one availability zone. ``engine`` is empty where any
+    engine of the pool will do. ``target`` is the Unix time by which the first output is due.
+    ``pieces`` is a `piece_ladder`: the chain's hashes at a few lengths.
+    """
 
     request_id: str
     attempt_id: str
@@ -92,25 +97,57 @@
     prompt_tokens: int = 0
     max_tokens: int = 0
     pieces: tuple[int, ...] = ()
+    model: str = ""
+    zone: str = ""
+    target: float = 0.0
+    may_wait: bool = False
+    avoid: tuple[str, ...] = ()
 
 
 class Granted(Base):
-    """Answers `Reserve`: the slot is held for the attempt until released or not renewed."""
+    """Answers `Reserve`: the slot is held for the attempt until released or not renewed.
+
+    ``free`` slots of the pool are left, and a request that came now would wait ``wait`` seconds.
+    """
 
     request_id: str
     attempt_id: str
     engine: str
     prefill_engine: str
     cached_tokens: int = 0
+    free: int = 0
+    wait: float = 0.0
 
 
 class Denied(Base):
-    """Answers `Reserve`: no slot; ``wait`` seconds later one is likely."""
+    """Answers `Reserve`: no slot; ``wait`` seconds later one is likely.
+
+    ``unknown`` answers a `Renew` of a queued attempt that the coordinator does not know, as after
+    its restart: the attempt has to be reserved again.
+    """
 
     request_id: str
     attempt_id: str
     engine: str
     wait: float = 0.0
+    unknown: bool = False
+
+
+class Advanced(Base):
+    """Tells a coordinator that a reserved attempt has reached its next phase.
+
+    ``phase`` is ``transfer`` once the prefill is done, and ``decode`` at the first output.
+    ``phase`` is ``failed`` or ``refused`` where the phase it was in went wrong instead. ``seconds``
+    is how long the phase before took; of ``tokens`` in the prompt, ``cached`` were not prefilled.
+    """
+
+    attempt_id: str
+    model: str
+    zone: str
+    phase: str
+    seconds: float = 0.0
+    tokens: int = 0
+    cached: int = 0
 
 
 class Release(Base):
@@ -120,16 +157,21 @@
     attempt_id: str
     owner: Owner
     engine: str
+    model: str = ""
+    zone: str = ""
 
 
 class Renew(Base):
-    """Renews all reservations that an owner holds at one coordinator.
+    """Renews all reservations that an owner holds at the coordinator of one pool.
 
-    ``attempts`` lists (engine, request id, attempt id, slot is in use).
+    ``attempts`` lists (engine, request id, attempt id, slot is in use). A queued attempt has no
+    engine yet.
     """
 
     owner: Owner
     attempts: tuple[tuple[str, str, str, bool], ...] = ()
+    model: str = ""
+    zone: str = ""
 
 
 # --- Between hosts: membership and configuration -------------------------------------------------
@@ -139,7 +181,7 @@
     """Periodic sign of life within an availability zone.
 
     ``version`` and ``offset`` are the newest configuration record the sender has in force.
-    ``leaving`` lists endpoints that the sender knows to be leaving.
+    ``leaving`` lists endpoints that are leaving, each with the seconds since the first sign.
     """
 
     owner: Owner
@@ -148,7 +190,23 @@
     version: int = 0
     offset: int = -1
     stopping: bool = False
-    leaving: tuple[str, ...] = ()
+    leaving: tuple[tuple[str, float], ...] = ()
+
+
+class HostSeen(Base):
+    """Tells all hosts of a zone what a watcher of ``host`` saw change.
+
+    ``state`` is ``live``, ``silent``, ``dead`` or ``stopping``.
+    """
+
+    host: Owner
+    state: str
+
+
+class AskConfiguration(Base):
+    """Asks a host for the records that lead from a version to the one it has in force."""
+
+    after: int
 
 
 # --- Streams of the log --------------------------------------------------------------------------
@@ -279,8 +337,24 @@
     key_id: str = ""
 
 
+class ConfigurationCopy(Base):
+    """The signed records that lead to the version in force after offset ``upto``, unchanged.
+
+    Hosts send it to each other in answer to `AskConfiguration`, and append it to the log before the
+    originals expire. ``records`` begins with a full record, or with the one after the version asked
+    for.
+    """
+
+    upto: int
+    version: int
+    records: tuple[str, ...] = ()
+
+
 class LeaseClaim(Base):
-    """Record: an owner claims the lease of a zone's model; its offset is the fencing number."""
+    """Record: an owner claims the lease of a zone's model; its offset is the fencing number.
+
+    ``term`` is in seconds, and ``after`` the offset of the last valid claim that the owner read.
+    """
 
     zone: str
     model: str
@@ -298,9 +372,12 @@
     | Reserve
     | Granted
     | Denied
+    | Advanced
     | Release
     | Renew
     | Heartbeat
+    | HostSeen
+    | AskConfiguration
     | KeyAsk
     | KeyTold
     | Intent
@@ -308,6 +385,7 @@
     | Outcome
     | Checkpoint
     | Configuration
+    | ConfigurationCopy
     | LeaseClaim
 )
 
@@ -351,7 +429,8 @@
     """An engine's own account of its load, as of ``sequence``.
 
     ``prefill_rate`` is in tokens/s, ``link_rate`` in bytes/s, ``decode_interval`` in seconds
-    between two outputs of one stream at the present batch size.
+    between two outputs of one stream at the present batch size. ``versions`` are those of
+    ``models``, in the same order, where the engine tells them.
     """
 
     engine: str
@@ -365,6 +444,7 @@
     piece_tokens: int = 16
     kv_bytes_per_token: int = 0
     models: tuple[str, ...] = ()
+    versions: tuple[str, ...] = ()
     roles: tuple[str, ...] = ("prefill", "decode")
     fence: int = -1
     streams: tuple[StreamReport, ...] = ()
