--- a/src/wasabiwick/_handlers/once.py
+++ b/src/wasabiwick/_handlers/once.py
@@ -56,13 +56,27 @@
 
 
 @handles(CallArrived)
-def arrive(state: State, event: CallArrived) -> None:
+def arrive(state: State, event: CallArrived) -> typing.Iterator[Step]:
     """Note how far the log was known before the call: no later void may let its attempt run."""
-    req = calls.request_of(state, event.call.request_id)
-    if req and req.call is event.call and req.call.kind == "service" and req.call.has_key:
-        mine = state["once"]
+    request_id = event.call.request_id
+    req = calls.request_of(state, request_id)
+    if req is None or req.call is not event.call or req.call.kind != "service":
+        return
+    mine = state["once"]
+    if request_id in mine.wanted:
+        yield from _join(state, req, event.at)
+    elif req.call.has_key:
         shard = once_shard.shard_of(state, _key(req))
-        mine.bases.setdefault(event.call.request_id, mine.positions.get(shard, 0))
+        mine.bases.setdefault(request_id, mine.positions.get(shard, 0))
+
+
+def _join(state: State, req: "calls.Request", at: float) -> typing.Iterator[Step]:
+    """Let a newer call of a request wait in place of the older one, which may be answered."""
+    work = state["once"].works.get(_key(req))
+    if work:
+        yield from _attach(state, work, req, at)
+    else:
+        yield ServiceWanted(at=at, request_id=req.call.request_id)
 
 
 @handles(ServiceWanted)
@@ -71,6 +85,7 @@
     req = calls.request_of(state, event.request_id)
     if req is None:
         return
+    state["once"].wanted.add(event.request_id)
     key = _key(req)
     running = state["once"].works.get(key)
     if running:
@@ -427,8 +442,8 @@
 def expire(state: State, event: TimerFired) -> typing.Iterator[Step]:
     """Give the attempt up, first in the log and then, at the deadline, to the caller."""
     work = state["once"].works.get(event.key)
-    if work is None or work.req is None:
-        return
+    if work is None or work.req is None or work.phase == "recording":
+        return  # Nobody waits, or the answer is on its way.
     left = work.deadline - event.at
     if work.phase == "asking" and left <= GIVE_UP_LONGEST:
         yield from _give_up(state, work, DEADLINE_PASSED, event.at)
@@ -456,7 +471,7 @@
 
 
 def _check_void(state: State, work: Work, found: KeyState, at: float) -> typing.Iterator[Step]:
-    if work.attempt_id in found.voided:
+    if work.attempt_id in found.voided and not found.winner:
         if work.req:
             yield RequestDenied(at=at, request_id=work.call.request_id, failure=work.failure)
         yield from _close(state, work)
@@ -528,6 +543,7 @@
     """Let go of a request that is over; what the log still needs goes on."""
     mine = state["once"]
     mine.bases.pop(event.request_id, None)
+    mine.wanted.discard(event.request_id)
     req = calls.request_of(state, event.request_id)
     work = mine.works.get(_key(req)) if req else None
     if work and work.req is req:
--- a/src/wasabiwick/_handlers/once_work.py
+++ b/src/wasabiwick/_handlers/once_work.py
@@ -97,16 +97,17 @@
     """Work by key, keys by attempt, and what this host knows of the log.
 
     ``positions`` holds, by shard, the highest position that was told; ``bases`` the position that
-    was known when a request arrived, by request id.
+    was known when a request arrived, by request id; ``wanted`` the requests that were let in.
     """
 
-    __slots__ = ("works", "keys", "positions", "bases")
+    __slots__ = ("works", "keys", "positions", "bases", "wanted")
 
     def __init__(self, cfg: Settings) -> None:
         self.works: dict[str, Work] = {}
         self.keys: dict[str, str] = {}
         self.positions: dict[int, int] = {}
         self.bases: dict[str, int] = {}
+        self.wanted: set[str] = set()
 
 
 def work_of_attempt(state: State, attempt_id: str) -> Work | None:
--- a/src/wasabiwick/_handlers/services.py
+++ b/src/wasabiwick/_handlers/services.py
@@ -7,6 +7,7 @@
 from .._events import (
     AdmissionGiven,
     AttemptFailed,
+    CallArrived,
     CallerGone,
     RequestClosed,
     RequestDenied,
@@ -26,12 +27,13 @@
 class ServiceCall:
     """The attempt that runs for one idempotent service call."""
 
-    __slots__ = ("attempt_id", "attempts", "avoid")
+    __slots__ = ("attempt_id", "attempts", "avoid", "answered")
 
     def __init__(self, *, attempt_id: str) -> None:
         self.attempt_id = attempt_id
         self.attempts = 1
         self.avoid: tuple[str, ...] = ()
+        self.answered = False
 
 
 @state_slice("services")
@@ -115,6 +117,7 @@
     req = calls.request_of(state, event.request_id)
     if running is None or running.attempt_id != event.attempt_id or not req.caller_present:
         return
+    running.answered = True
     yield AnswerCall(
         call_id=req.call.call_id,
         status=event.status,
@@ -123,6 +126,17 @@
     )
 
 
+@handles(CallArrived)
+def join(state: State, event: CallArrived) -> typing.Iterator[Step]:
+    """Send again for a newer call, where the older one took the answer."""
+    running = state["services"].running.get(event.call.request_id)
+    req = calls.request_of(state, event.call.request_id)
+    if running and running.answered and req.call is event.call:
+        running.answered = False
+        running.attempt_id = generation.next_attempt(state)
+        yield from _send(state, event.call.request_id, running, event.at)
+
+
 @handles(AttemptFailed)
 def failed(state: State, event: AttemptFailed) -> typing.Iterator[Step]:
     """Try an idempotent call elsewhere."""
