Tell files by their keys, and check the lists against each other

Cause: the check told files by their names, and missed a plan that the other list lacks; 'run' printed faults in another form; no test replayed what a daemon itself recorded. Change: kinds by keys, both lists together, Fault.located for both commands, a test that records a daemon and replays it. Conclusion: one form for faults; the recording hook is covered.

--- a/src/wasabiwick/_cli_check.py
+++ b/src/wasabiwick/_cli_check.py
@@ -6,58 +6,82 @@
 import click
 import msgspec
 
-from ._lists_file import check_allowances, check_plans
-from ._schema import Fault
-from ._settings_file import load_settings
+from ._lists_file import Allowances, check_allowances, check_lists, check_plans
+from ._schema import Fault, params_of, top_level_keys
+from ._settings import Settings
+from ._settings_file import load_settings, read_text
 
 EXIT_FAULTS = 2
+
 Checker = typing.Callable[[pathlib.Path], object]
 
-_CHECKERS: dict[str, Checker] = {}
+SETTINGS = "settings"
+PLANS = "plans"
+ALLOWANCES = "allowances"
+
+_CHECKERS: dict[str, Checker] = {
+    SETTINGS: load_settings,
+    PLANS: check_plans,
+    ALLOWANCES: check_allowances,
+}
 
 
-def checker(kind: str) -> typing.Callable[[Checker], Checker]:
-    """Register the function that reads one kind of file; it returns a list of faults or a value."""
+class FileReport:
+    """What the check of one file found."""
 
-    def register(check: Checker) -> Checker:
-        _CHECKERS[kind] = check
-        return check
+    __slots__ = ("path", "kind", "faults")
 
-    return register
+    def __init__(self, *, path: pathlib.Path, kind: str, faults: list[Fault]) -> None:
+        self.path = path
+        self.kind = kind
+        self.faults = faults
 
 
-checker("settings")(load_settings)
-checker("plans")(check_plans)
-checker("allowances")(check_allowances)
+class FaultRow(msgspec.Struct):
+    """One fault, as printed by ``--json``."""
 
+    path: str
+    line: int
+    text: str
 
-class FileReport(msgspec.Struct):
-    """What the check of one file found, as printed by ``--json``."""
+
+class FileRow(msgspec.Struct):
+    """One file, as printed by ``--json``."""
 
     file: str
     kind: str
-    faults: list[dict[str, str | int]]
+    faults: list[FaultRow]
 
 
 def kind_of(path: pathlib.Path) -> str:
-    """Return the kind of a file by its name: the settings of a host unless it names a list."""
-    return next((kind for kind in _CHECKERS if kind in path.stem), "settings")
+    """Return the kind of a file by its keys.
+
+    Settings and allowances have keys of their own; the keys of the plans are customers.
+    """
+    text = read_text(path)
+    keys = top_level_keys(text) if isinstance(text, str) else []
+    for kind, cls in ((SETTINGS, Settings), (ALLOWANCES, Allowances)):
+        if 2 * len(params_of(cls).keys() & keys) > len(keys):
+            return kind
+    return PLANS if keys else SETTINGS
 
 
 @click.command()
 @click.argument("files", nargs=-1, required=True, type=click.Path(path_type=pathlib.Path))
-@click.option("--kind", type=str, default="", help="Kind of the files: settings or a list's name.")
+@click.option(
+    "--kind", type=click.Choice(list(_CHECKERS)), help="Kind of the files, if not by their keys."
+)
 @click.option("--json", "as_json", is_flag=True, help="Print the faults as JSON.")
-def check(files: tuple[pathlib.Path, ...], kind: str, as_json: bool) -> None:
+def check(files: tuple[pathlib.Path, ...], kind: str | None, as_json: bool) -> None:
     """Check settings files and the operators' lists.
 
-    Every fault is printed with its file, line and path. The status is 2 if there is one.
+    Every fault is printed with its file, line and path. Plans and allowances that are given
+    together are checked against each other. The status is 2 if there is a fault.
     """
-    if kind and kind not in _CHECKERS:
-        raise click.BadParameter(f"{kind!r} is not one of {', '.join(sorted(_CHECKERS))}")
     reports = [_check(path, kind or kind_of(path)) for path in files]
+    _check_together(reports)
     if as_json:
-        click.echo(msgspec.json.encode(reports))
+        click.echo(msgspec.json.encode([_row(report) for report in reports]))
     else:
         _print(reports)
     if any(report.faults for report in reports):
@@ -67,18 +91,33 @@
 def _check(path: pathlib.Path, kind: str) -> FileReport:
     found = _CHECKERS[kind](path)
     faults = found if isinstance(found, list) else []
-    return FileReport(file=str(path), kind=kind, faults=[_as_fields(fault) for fault in faults])
+    return FileReport(path=path, kind=kind, faults=faults)
+
+
+def _check_together(reports: list[FileReport]) -> None:
+    """Check one list of plans and one of allowances against each other too."""
+    pair = [[one for one in reports if one.kind == kind] for kind in (PLANS, ALLOWANCES)]
+    if any(len(found) != 1 for found in pair):
+        return
+    plans, allowances = (found[0] for found in pair)
+    texts = [read_text(one.path) for one in (plans, allowances)]
+    if any(isinstance(text, Fault) for text in texts):
+        return
+    plans.faults, allowances.faults = [], []
+    for fault in check_lists(*texts):
+        kind, _, path = fault.path.partition(".")
+        report = plans if kind == PLANS else allowances
+        report.faults.append(Fault(path=path, line=fault.line, text=fault.text))
 
 
-def _as_fields(fault: Fault) -> dict[str, str | int]:
-    return {"path": fault.path, "line": fault.line, "text": fault.text}
+def _row(report: FileReport) -> FileRow:
+    rows = [FaultRow(path=one.path, line=one.line, text=one.text) for one in report.faults]
+    return FileRow(file=str(report.path), kind=report.kind, faults=rows)
 
 
 def _print(reports: list[FileReport]) -> None:
     for report in reports:
         if not report.faults:
-            click.echo(f"{report.file}: {report.kind} are valid")
+            click.echo(f"{report.path}: {report.kind} are valid")
         for fault in report.faults:
-            place = f"{report.file}:{fault['line']}"
-            where = f"{fault['path']}: " if fault["path"] else ""
-            click.echo(f"{place}: {where}{fault['text']}")
+            click.echo(fault.located(report.path))
--- a/src/wasabiwick/_cli_run.py
+++ b/src/wasabiwick/_cli_run.py
@@ -5,12 +5,11 @@
 import click
 import uvloop
 
+from ._cli_check import EXIT_FAULTS
 from ._daemon import serve
 from ._logging import configure
 from ._settings_file import load_settings
 
-EXIT_FAULTS = 2
-
 
 @click.command()
 @click.option("--settings", "path", required=True, type=click.Path(exists=True, dir_okay=False))
@@ -21,6 +20,6 @@
     cfg = load_settings(path)
     if isinstance(cfg, list):
         for fault in cfg:
-            click.echo(f"{path}:{fault.line}: {fault.path}: {fault.text}", err=True)
+            click.echo(fault.located(path), err=True)
         sys.exit(EXIT_FAULTS)
     uvloop.run(serve(cfg))
--- a/src/wasabiwick/_schema.py
+++ b/src/wasabiwick/_schema.py
@@ -46,6 +46,11 @@
         place = f"line {self.line}: {self.path}" if self.path else f"line {self.line}"
         return f"{place}: {self.text}"
 
+    def located(self, source: object) -> str:
+        """Return the fault with its file, in the form that editors understand."""
+        where = f"{self.path}: " if self.path else ""
+        return f"{source}:{self.line}: {where}{self.text}"
+
     def __repr__(self) -> str:
         return f"Fault({self})"
 
@@ -149,6 +154,14 @@
     return sorted(reader.faults, key=lambda fault: fault.line) if reader.faults else value
 
 
+def top_level_keys(text: str) -> list[str]:
+    """Return the keys of a document that is a mapping; none of any other text."""
+    node = _compose(text)
+    if not isinstance(node, yaml.MappingNode):
+        return []
+    return [str(key.value) for key, _ in node.value]
+
+
 def _compose(text: str) -> yaml.Node | Fault:
     try:
         node = yaml.compose(text, Loader=yaml.SafeLoader)
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -8,11 +8,13 @@
 import tempfile
 import unittest
 
+import aiohttp
 import click.testing
 import msgspec
+from loguru import logger
 
 from tests import _scripts
-from wasabiwick import _cli, _effects, _events, _replay, _settings, _trace
+from wasabiwick import _cli, _daemon, _effects, _events, _replay, _settings, _trace
 
 
 class TraceTest(unittest.TestCase):
@@ -163,3 +165,27 @@
     def test_header_is_json(self) -> None:
         self.write(limit=0, events=0)
         self.assertEqual(msgspec.json.decode(self.path.read_bytes())["line"], "header")
+
+
+class TestRecordedDaemon(TraceTest, unittest.IsolatedAsyncioTestCase):
+    """What a running daemon records replays without a difference."""
+
+    async def test_refused_call(self) -> None:
+        logger.remove()
+        platform = _settings.Platform(log="http://127.0.0.1:9", hosts="http://127.0.0.1:9")
+        cfg = _settings.Settings(
+            host="a", zone="z", region="r", platform=platform, trace=str(self.path)
+        )
+        daemon = _daemon.Daemon(cfg=cfg)
+        await daemon.start()
+        async with aiohttp.ClientSession() as session:
+            url = daemon.callers_url + "/v1/completions"
+            headers = {"Authorization": "Bearer k"}
+            body = {"model": "lm", "prompt": "Hello"}
+            async with session.post(url, json=body, headers=headers) as resp:
+                self.assertEqual(resp.status, 503)
+        await daemon.stop()
+        result = _replay.replay(self.path)
+        self.assertIsNone(result.difference)
+        refused = [one for one in result.outcomes.calls.values() if one.result == "refused"]
+        self.assertEqual([one.reason for one in refused], ["no_configuration"])
--- a/tests/test_schema.py
+++ b/tests/test_schema.py
@@ -132,3 +132,18 @@
     def test_missing_file(self) -> None:
         found = _settings_file.load_settings("no-such-file.yaml")
         self.assertIn("cannot be read", str(found[0]))
+
+    def test_kinds_are_told_by_keys_and_lists_checked_together(self) -> None:
+        plans = "church: {plan: gold, keys: []}\n"
+        allowances = "plans: {basic: {models: [lm]}}\nmodels: {}\n"
+        with tempfile.TemporaryDirectory() as folder:
+            paths = [pathlib.Path(folder, name) for name in ("one.yaml", "two.yaml", "three.yaml")]
+            for path, text in zip(paths, (GOOD, plans, allowances), strict=True):
+                path.write_text(text)
+            args = ["check", "--json", *map(str, paths)]
+            done = click.testing.CliRunner().invoke(_cli.main, args)
+        rows = json.loads(done.output)
+        self.assertEqual([row["kind"] for row in rows], ["settings", "plans", "allowances"])
+        self.assertEqual(rows[1]["faults"][0]["path"], "church.plan")
+        self.assertEqual(rows[2]["faults"][0]["path"], "plans.basic.models")
+        self.assertEqual(done.exit_code, 2)
