--- a/src/wasabiwick/_wire.py
+++ b/src/wasabiwick/_wire.py
@@ -83,7 +83,8 @@
 
     A pool is the engines of one model in one availability zone. ``engine`` is empty where any
     engine of the pool will do. ``target`` is the Unix time by which the first output is due.
-    ``pieces`` is a `piece_ladder`: the chain's hashes at a few lengths.
+    ``pieces`` is a `piece_ladder`: the chain's hashes at a few lengths. A ``redirected`` request
+    comes from a full pool and is not sent on.
     """
 
     request_id: str
@@ -102,6 +103,7 @@
     target: float = 0.0
     may_wait: bool = False
     avoid: tuple[str, ...] = ()
+    redirected: bool = False
 
 
 class Granted(Base):
@@ -123,7 +125,8 @@
     """Answers `Reserve`: no slot; ``wait`` seconds later one is likely.
 
     ``unknown`` answers a `Renew` of a queued attempt that the coordinator does not know, as after
-    its restart: the attempt has to be reserved again.
+    its restart: the attempt has to be reserved again. ``elsewhere`` names an availability zone
+    whose pool has slots free.
     """
 
     request_id: str
@@ -131,6 +134,19 @@
     engine: str
     wait: float = 0.0
     unknown: bool = False
+    elsewhere: str = ""
+
+
+class PoolLoad(Base):
+    """Tells the coordinators of a model's other pools how loaded the sender's pool is.
+
+    ``free`` slots may be granted now; ``wait`` is what a request that came now would wait.
+    """
+
+    model: str
+    zone: str
+    free: int = 0
+    wait: float = 0.0
 
 
 class Advanced(Base):
@@ -174,6 +190,48 @@
     zone: str = ""
 
 
+# --- Between hosts: limits of the plans ----------------------------------------------------------
+
+
+class LimitAsk(Base):
+    """Asks the host that keeps a customer's budget to let requests in.
+
+    Args:
+        customer: Name of the customer.
+        owner: The asking run of a host.
+        requests: Requests that wait there.
+        tokens: Prompt and output tokens of all of them.
+        in_flight: Requests of the customer that the host serves already.
+        refund: Tokens charged before and not used.
+    """
+
+    customer: str
+    owner: Owner
+    requests: int
+    tokens: int
+    in_flight: int = 0
+    refund: int = 0
+
+
+class LimitGiven(Base):
+    """Answers `LimitAsk`: so many requests may go on; the others may ask in ``wait`` seconds.
+
+    ``share`` is the part of the customer's requests that lately came from the asking host.
+    """
+
+    customer: str
+    requests: int
+    wait: float = 0.0
+    share: float = 0.0
+
+
+class LimitReport(Base):
+    """Tells the keeper of budgets what a host has in flight: (customer, requests, refund)."""
+
+    owner: Owner
+    entries: tuple[tuple[str, int, int], ...] = ()
+
+
 # --- Between hosts: membership and configuration -------------------------------------------------
 
 
@@ -372,6 +430,10 @@
     | Reserve
     | Granted
     | Denied
+    | PoolLoad
+    | LimitAsk
+    | LimitGiven
+    | LimitReport
     | Advanced
     | Release
     | Renew
