Report on the whole observed time by default

Cause: a trace of seconds was shown in windows of minutes and hours only. Change: the default windows include the observed time; refusals that did not grow are left out.

--- a/src/wasabiwick/_cli_report.py
+++ b/src/wasabiwick/_cli_report.py
@@ -13,13 +13,13 @@
     BETWEEN_OUTPUTS,
     BETWEEN_OUTPUTS_TARGET,
     DEFAULT_GOAL,
-    DEFAULT_WINDOWS,
     FIRST_OUTPUT,
     FIRST_OUTPUT_TARGET,
     Objective,
     Observations,
     alerts,
     burns,
+    default_windows,
 )
 from ._slo_page import as_html, as_text, report_of
 from ._slo_sources import from_snapshots, from_traces, is_trace, snapshots_of
@@ -98,7 +98,7 @@
         seen = from_snapshots(_scrape(urls, span, every, save), objectives)
     else:
         seen = _read(inputs, objectives)
-    found = burns(seen, objectives, windows or DEFAULT_WINDOWS)
+    found = burns(seen, objectives, windows or default_windows(seen))
     made = report_of(seen, found, alerts(seen, objectives))
     if page:
         page.write_text(as_html(made, seen, objectives), encoding="utf-8")
--- a/src/wasabiwick/_slo.py
+++ b/src/wasabiwick/_slo.py
@@ -6,6 +6,7 @@
 """
 
 import bisect
+import math
 import typing
 
 FIRST_OUTPUT = "first_output"
@@ -194,6 +195,12 @@
     ]
 
 
+def default_windows(seen: Observations) -> set[float]:
+    """Return the windows of the alert rules, and the time that was observed."""
+    span = math.ceil(seen.end - seen.start)
+    return {*DEFAULT_WINDOWS, float(span)} if span else set(DEFAULT_WINDOWS)
+
+
 def customers_of(seen: Observations, objective: Objective) -> list[str]:
     """Return the customers with observations of an objective's metric."""
     return sorted(customer for metric, customer in seen.series if metric == objective.metric)
--- a/src/wasabiwick/_slo_page.py
+++ b/src/wasabiwick/_slo_page.py
@@ -153,7 +153,8 @@
     if len(report.burns) > most:
         remarks.append(f"{len(report.burns) - most} more lines; see --most and --json")
     for reason, count in report.refused.items():
-        remarks.append(f"refused, not counted above: {reason} {count:g}")
+        if count:
+            remarks.append(f"refused, not counted above: {reason} {count:g}")
     return [*remarks, *report.notes]
 
 
