Say in one line why a host can't start; one layout of tables

Cause: an address in use or an unwritable trace ended 'run' with a traceback of many lines. Change: start_failed line and status 1, listeners and sessions closed on the way; equal listen addresses are a fault of the settings; the tables of two commands share _text_table. Conclusion: the logs' promise of one line holds at start too.

--- a/src/wasabiwick/_cli_run.py
+++ b/src/wasabiwick/_cli_run.py
@@ -7,9 +7,11 @@
 
 from ._cli_check import EXIT_FAULTS
 from ._daemon import serve
-from ._logging import configure
+from ._logging import configure, log_event
 from ._settings_file import load_settings
 
+EXIT_START_FAILED = 1
+
 
 @click.command()
 @click.option("--settings", "path", required=True, type=click.Path(exists=True, dir_okay=False))
@@ -22,4 +24,9 @@
         for fault in cfg:
             click.echo(fault.located(path), err=True)
         sys.exit(EXIT_FAULTS)
-    uvloop.run(serve(cfg))
+    try:
+        uvloop.run(serve(cfg))
+    except OSError as exc:
+        # An address in use, or a file that can't be opened; nothing was served.
+        log_event("start_failed", level="ERROR", error=str(exc))
+        sys.exit(EXIT_START_FAILED)
--- a/src/wasabiwick/_cli_status.py
+++ b/src/wasabiwick/_cli_status.py
@@ -10,6 +10,7 @@
 from ._operator_http import Answer, fetch_all
 from ._settings_file import load_settings
 from ._status import ENTRY, Status
+from ._text_table import text_table
 from ._tls import client_context
 from ._wire import HostEntry
 
@@ -161,12 +162,8 @@
 
 
 def _as_text(found: Overview) -> str:
-    table = [_COLUMNS, *(_cells(one) for one in found.hosts)]
-    widths = [max(len(line[index]) for line in table) for index in range(len(_COLUMNS))]
-    lines = [
-        "  ".join(cell.ljust(width) for cell, width in zip(line, widths, strict=True)).rstrip()
-        for line in table
-    ]
+    rows = [_COLUMNS, *(_cells(one) for one in found.hosts)]
+    lines = text_table(rows, right=len(_COLUMNS))
     return "\n".join([*lines, "", *_endpoint_lines(found), *_remarks(found)])
 
 
--- a/src/wasabiwick/_daemon.py
+++ b/src/wasabiwick/_daemon.py
@@ -132,13 +132,24 @@
         cfg: The host's settings.
     """
     daemon = Daemon(cfg=cfg)
-    await daemon.start()
+    try:
+        await daemon.start()
+        await _until_ended(daemon, cfg)
+    finally:
+        await daemon.stop()
+    log_event("stopped", host=cfg.host, incarnation=daemon.runner.owner.incarnation)
+
+
+async def _until_ended(daemon: Daemon, cfg: Settings) -> None:
     runner = daemon.runner
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, lambda: runner.post(StopAsked(at=runner.now())))
-    about = {"host": cfg.host, "incarnation": runner.owner.incarnation}
-    log_event("listening", **about, callers=daemon.callers_url, peers=daemon.peers_url)
+    log_event(
+        "listening",
+        host=cfg.host,
+        incarnation=runner.owner.incarnation,
+        callers=daemon.callers_url,
+        peers=daemon.peers_url,
+    )
     await runner.ended.wait()
-    await daemon.stop()
-    log_event("stopped", **about)
--- a/src/wasabiwick/_settings_file.py
+++ b/src/wasabiwick/_settings_file.py
@@ -7,7 +7,7 @@
 
 from . import _tls
 from ._schema import Fault, FieldFault, cross_rule, params_of, read_yaml
-from ._settings import Once, Settings, Timing, Tls
+from ._settings import Listen, Once, Settings, Timing, Tls
 
 
 def load_settings(path: str | pathlib.Path) -> Settings | list[Fault]:
@@ -44,6 +44,12 @@
             yield larger, f"must be longer than timing.{smaller}"
 
 
+@cross_rule(Listen)
+def _listeners_differ(listen: Listen) -> typing.Iterator[FieldFault]:
+    if listen.peers == listen.callers and not listen.peers.endswith(":0"):
+        yield "peers", "must differ from listen.callers"
+
+
 @cross_rule(Once)
 def _once_agrees(once: Once) -> typing.Iterator[FieldFault]:
     # A key's records must outlive the age at which the key itself is refused.
--- a/src/wasabiwick/_slo_page.py
+++ b/src/wasabiwick/_slo_page.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ._slo import Alert, Burn, Objective, Observations, burn_at, customers_of
+from ._text_table import text_table
 
 MAX_LINES = 8  # Customers in one plot.
 PLOT_POINTS = 200
@@ -134,15 +135,8 @@
 
 def as_text(report: Report, most: int) -> str:
     """Return the report as a table of the ``most`` fastest burns."""
-    table = [_COLUMNS, *(_cells(row) for row in report.burns[:most])]
-    widths = [max(len(line[index]) for line in table) for index in range(len(_COLUMNS))]
-    lines = [
-        "  ".join(
-            cell.ljust(width) if index < 2 else cell.rjust(width)
-            for index, (cell, width) in enumerate(zip(line, widths, strict=True))
-        ).rstrip()
-        for line in table
-    ]
+    rows = [_COLUMNS, *(_cells(row) for row in report.burns[:most])]
+    lines = text_table(rows, right=2)
     return "\n".join([*lines, *_remarks(report, most)])
 
 
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -164,3 +164,22 @@
         rows = json.loads(done.stdout)["burns"]
         self.assertEqual({row["burn"] for row in rows}, {20.0})
         self.assertEqual(len({row["customer"] for row in rows}), 500)
+
+
+class TestRun(unittest.TestCase):
+    """A host that can't start says why in one line, and exits with 1."""
+
+    def test_trace_that_can_not_be_written(self) -> None:
+        self.addCleanup(logger.remove)
+        self.addCleanup(logging.basicConfig, force=True)
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "host.yaml")
+            path.write_text(
+                "host: a\nzone: z\nregion: r\nplatform: {log: http://h, hosts: http://h}\n"
+                f"trace: {folder}/missing/trace.jsonl\n"
+            )
+            args = ["run", "--settings", str(path)]
+            done = click.testing.CliRunner().invoke(_cli.main, args)
+        self.assertEqual(done.exit_code, 1)
+        self.assertEqual(done.stdout.count("\n"), 1)
+        self.assertIn("event=start_failed", done.stdout)
