--- a/src/wasabiwick/_cli_run.py
+++ b/src/wasabiwick/_cli_run.py
@@ -5,11 +5,12 @@
 import click
 import uvloop
 
+from ._cli_check import EXIT_FAULTS
 from ._daemon import serve
-from ._logging import configure
+from ._logging import configure, log_event
 from ._settings_file import load_settings
 
-EXIT_FAULTS = 2
+EXIT_START_FAILED = 1
 
 
 @click.command()
@@ -21,6 +22,11 @@
     cfg = load_settings(path)
     if isinstance(cfg, list):
         for fault in cfg:
-            click.echo(f"{path}:{fault.line}: {fault.path}: {fault.text}", err=True)
+            click.echo(fault.located(path), err=True)
         sys.exit(EXIT_FAULTS)
-    uvloop.run(serve(cfg))
+    try:
+        uvloop.run(serve(cfg))
+    except OSError as exc:
+        # An address in use, or a file that can't be opened; nothing was served.
+        log_event("start_failed", level="ERROR", error=str(exc))
+        sys.exit(EXIT_START_FAILED)
