--- a/src/wasabiwick/_bench/engine_model.py
+++ b/src/wasabiwick/_bench/engine_model.py
@@ -304,6 +304,11 @@
         self.slow = factor
         self._reschedule()
 
+    def offset(self, attempt_id: str) -> int:
+        """Return how many outputs a running stream has made."""
+        self._advance()
+        return max(1, int(self._counter - self.streams[attempt_id].begin))
+
     def interval(self) -> float:
         """Return the present time between outputs, in seconds; a prefill doubles it."""
         seconds = self.traits.interval(len(self.streams)) * self.slow
--- a/src/wasabiwick/_bench/world.py
+++ b/src/wasabiwick/_bench/world.py
@@ -22,6 +22,7 @@
 CROSS_ZONE = 0.003
 CROSS_LOSS = 0.005  # Share of messages between zones that are sent again.
 RESEND = 0.2  # Seconds.
+PROGRESS = 1.0  # Seconds between batches of a stream's outputs, but for the first.
 REPORT_LAG = 0.15  # Seconds by which an engine's report is old.
 CACHE_LAG = 0.3
 CACHE_GAP = 0.1  # Share of cache events that are lost.
@@ -347,7 +348,7 @@
             owner=host.name,
             length=ask.output,
             begin=0.0,
-            first=lambda: self._progress(engine, effect, 1),
+            first=lambda: self._first_output(engine, effect),
             done=lambda: self._ended(engine, effect, ask.output),
         )
         self.answers.attached[effect.attempt_id] = host
@@ -356,6 +357,15 @@
         )
         engine.start_stream(stream)
 
+    def _first_output(self, engine: Engine, effect: _effects.AttemptEffect) -> None:
+        self._progress(engine, effect, 1)
+        self.after(PROGRESS, lambda: self._next_outputs(engine, effect))
+
+    def _next_outputs(self, engine: Engine, effect: _effects.AttemptEffect) -> None:
+        if engine.alive and effect.attempt_id in engine.streams:
+            self._progress(engine, effect, engine.offset(effect.attempt_id))
+            self.after(PROGRESS, lambda: self._next_outputs(engine, effect))
+
     def _stream_lost(self, effect: _effects.AttemptEffect) -> None:
         host = self.answers.attached.get(effect.attempt_id)
         if host and (host.name, effect.attempt_id) not in self._dropped:
@@ -409,7 +419,7 @@
                 self.fail(host, effect, "resume")
                 return
             self.answers.attached[effect.attempt_id] = host
-            self._progress(engine, effect, 1)
+            self._progress(engine, effect, engine.offset(effect.attempt_id))
 
         self.after(self.delay(host.zone, self.engines[effect.endpoint].zone), arrive)
 
