--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,9 @@
 	$(BIN)/black --check --quiet src tests
 	$(BIN)/ruff check src tests
 
+capacity: install
+	$(BIN)/python -m wasabiwick._capacity docs/CAPACITY.md
+
 clean:
 	rm -rf $(VENV) build
 
--- /dev/null
+++ b/src/wasabiwick/_capacity/__main__.py
@@ -0,0 +1,41 @@
+"""``python -m wasabiwick._capacity PAGE``: measures again and rewrites the page's tables."""
+
+import pathlib
+import sys
+import time
+
+from .._logging import configure
+from . import (
+    facts,  # noqa: F401 - registers its probes
+    page,
+    process,  # noqa: F401
+    relay,  # noqa: F401
+    shards,  # noqa: F401
+    transport,  # noqa: F401
+    work,  # noqa: F401
+)
+from .fit import Line
+from .probe import PROBES
+
+
+def measure() -> dict[str, list[Line]]:
+    """Run every probe; returns the lines by probe."""
+    measured = {}
+    for name, probe in PROBES.items():
+        begin = time.monotonic()
+        measured[name] = list(probe())
+        print(f"{name}: {time.monotonic() - begin:.1f} s", flush=True)
+    return measured
+
+
+def main(path: pathlib.Path) -> None:
+    """Measure, and rewrite the tables of a page."""
+    configure("ERROR")
+    measured = measure()
+    text = path.read_text(encoding="utf-8")
+    path.write_text(page.rewrite(text, measured), encoding="utf-8")
+    print("\n".join(page.host_table(measured)))
+
+
+if __name__ == "__main__":
+    main(pathlib.Path(sys.argv[1]))
--- /dev/null
+++ b/src/wasabiwick/_capacity/facts.py
@@ -0,0 +1,279 @@
+"""Measurements of the shared facts: configuration, membership, host list and leases."""
+
+import msgspec
+from cryptography.hazmat.primitives.asymmetric import ed25519
+from cryptography.hazmat.primitives.serialization import Encoding, PublicFormat
+
+from .. import _configuration
+from .._configuration import History
+from .._effects import SendPeer, StartTimer
+from .._events import HostsListed, PeerMessage, TimerFired
+from .._handlers import leases
+from .._reducer import reduce
+from .._wire import HostEntry, LeaseClaim, LogPage, LogRecord, Owner
+from . import fleet, letter
+from .fit import Line, cpu_seconds, kept_bytes
+from .probe import probe
+
+KEY = ed25519.Ed25519PrivateKey.from_private_bytes(bytes(range(32)))
+KEY_ID = "operator-1"
+PUBLIC = KEY.public_key().public_bytes(Encoding.Raw, PublicFormat.Raw).hex()
+CUSTOMERS = (300, 900, 1_800, 2_700, 3_600)
+ZONE_SIZES = (8, 16, 24, 44)
+LIST_SIZES = (200, 500, 900, 1_350)
+CHANGES = 50
+ZONE_SECONDS = 20.0
+AFTER_DEATH = 4.5  # Seconds, longer than the silence after which a host counts as dead.
+MODEL_COUNTS = (16, 32, 64, 128)
+CLAIMS = (200, 400, 800, 1_600)
+
+
+def _change(customers: int) -> tuple[str, list[str]]:
+    """Return a full record and partial ones that change one customer each."""
+    content = _configuration.content_of(fleet.entries_of(customers))
+    full = _configuration.make_record(
+        version=1,
+        replaces=0,
+        author="operator",
+        old=_configuration.Content(),
+        new=content,
+        partial=False,
+    )
+    partial = []
+    for number in range(CHANGES):
+        name = f"customer-{number:05d}"
+        fields = {"plan": f"plan-{(number + 1) % 10}", "keys": [f"{number + 10**9:064x}"]}
+        after = content.changed({"customers": {name: fields}}, ())
+        record = _configuration.make_record(
+            version=number + 2,
+            replaces=number + 1,
+            author="operator",
+            old=content,
+            new=after,
+            partial=True,
+        )
+        partial.append(_text(_configuration.sign(record, KEY_ID, KEY)))
+        content = after
+    return _text(_configuration.sign(full, KEY_ID, KEY)), partial
+
+
+def _text(record: msgspec.Struct) -> str:
+    return msgspec.json.encode(record).decode()
+
+
+def _records(texts: list[str], start: int) -> list[LogRecord]:
+    return [
+        LogRecord(offset=start + number, time=fleet.WALL, data=text)
+        for number, text in enumerate(texts)
+    ]
+
+
+@probe("configuration")
+def configuration() -> list[Line]:
+    """Measure one changed customer against the number of customers."""
+    change_bytes, full_bytes, seconds, kept = [], [], [], []
+    for count in CUSTOMERS:
+        full, partial = _change(count)
+        page = msgspec.json.encode(LogPage(first=0, end=1, records=tuple(_records(partial[:1], 0))))
+        change_bytes.append((count, float(len(page))))
+        full_bytes.append((count, len(full) / 1e3))
+        seconds.append((count, _change_seconds(full, partial) / CHANGES * 1e6))
+        kept.append((count, kept_bytes(lambda full=full: _history(full)) / 1e3))
+    unit = "customers"
+    return [
+        Line(name="change of one customer", x_unit=unit, y_unit="B", points=change_bytes),
+        Line(name="full record", x_unit=unit, y_unit="kB", points=full_bytes),
+        Line(name="change taken in", x_unit=unit, y_unit="us", points=seconds),
+        Line(name="lists in memory", x_unit=unit, y_unit="kB", points=kept),
+    ]
+
+
+def _history(full: str) -> History:
+    history = History({KEY_ID: PUBLIC})
+    history.read(_records([full], 0), first=0)
+    return history
+
+
+def _change_seconds(full: str, partial: list[str]) -> float:
+    def prepare() -> object:
+        history = _history(full)
+        return lambda: [history.read([one], first=0) for one in _records(partial, 1)]
+
+    return cpu_seconds(prepare)
+
+
+class Zone:
+    """All hosts of a zone on virtual time, of which only membership messages are carried."""
+
+    def __init__(self, count: int) -> None:
+        self.now = 0.2
+        self.messages = 0
+        self.bytes = 0
+        self.states = {
+            fleet.host(number): fleet.new_state(fleet.host(number)) for number in range(count)
+        }
+        self.due = dict.fromkeys(self.states, 0.3)
+        self.last_sent: dict[str, int] = {}
+        entries = fleet.host_entries(count) + fleet.engine_entries(letter.ZONE_ENGINES)
+        for state in self.states.values():
+            fleet.list_hosts(state, entries)
+
+    def run(self, seconds: float) -> None:
+        """Let heartbeats be sent and received."""
+        end = self.now + seconds
+        while min(self.due.values()) <= end:
+            name = min(self.due, key=self.due.get)
+            self.now = self.due[name]
+            self._beat(name)
+        self.now = end
+
+    def _beat(self, name: str) -> None:
+        state = self.states[name]
+        for effect in reduce(state, TimerFired(at=self.now, timer="heartbeat")):
+            if isinstance(effect, StartTimer) and effect.timer == "heartbeat":
+                self.due[name] += effect.delay
+            elif isinstance(effect, SendPeer):
+                self._send(name, effect)
+
+    def _send(self, name: str, effect: SendPeer) -> None:
+        self.messages += 1
+        self.bytes += fleet.envelope_bytes(effect.message)
+        target = self.states.get(effect.host)
+        if target is None:
+            return
+        event = PeerMessage(
+            at=self.now,
+            sender=self.states[name].owner,
+            zone=fleet.ZONE,
+            message=effect.message,
+        )
+        for answer in reduce(target, event):
+            if isinstance(answer, SendPeer):
+                self._send(effect.host, answer)
+
+
+@probe("membership")
+def membership() -> list[Line]:
+    """Measure heartbeats against the hosts of a zone."""
+    sent, sizes, seconds, kept = [], [], [], []
+    for count in ZONE_SIZES:
+        zone = Zone(count)
+        zone.run(2.0)
+        zone.messages = zone.bytes = 0
+
+        def prepare(zone: Zone = zone) -> object:
+            return lambda: zone.run(ZONE_SECONDS)
+
+        spent = cpu_seconds(prepare)
+        host_seconds = count * ZONE_SECONDS * 3
+        sent.append((count, zone.messages / host_seconds))
+        sizes.append((count, zone.bytes / host_seconds))
+        seconds.append((count, spent / (count * ZONE_SECONDS) * 1e6))
+        kept.append((count, _members_kept(count) / 1e3))
+    unit = "hosts of the zone"
+    return [
+        Line(name="heartbeats sent", x_unit=unit, y_unit="1/s", points=sent),
+        Line(name="heartbeats, payload", x_unit=unit, y_unit="B/s", points=sizes),
+        Line(name="heartbeats, reducer", x_unit=unit, y_unit="us/s", points=seconds),
+        Line(name="members in memory", x_unit=unit, y_unit="kB", points=kept),
+    ]
+
+
+def _members_kept(count: int) -> int:
+    state = fleet.new_state(fleet.host(0))
+    entries = fleet.host_entries(count) + fleet.engine_entries(letter.ZONE_ENGINES)
+    return kept_bytes(lambda: fleet.list_hosts(state, entries))
+
+
+@probe("host list")
+def host_list() -> list[Line]:
+    """Measure one reading of the host list against its length."""
+    sizes, seconds, kept = [], [], []
+    for count in LIST_SIZES:
+        hosts = count * letter.HOSTS // letter.ENTRIES
+        entries = fleet.host_entries(hosts) + fleet.engine_entries(count - hosts, letter.MODELS)
+        data = msgspec.json.encode(entries)
+        sizes.append((count, float(len(data))))
+        state = fleet.new_state(fleet.host(0))
+        kept.append(
+            (count, kept_bytes(lambda state=state, data=data: _take_list(state, data)) / 1e3)
+        )
+        spent = cpu_seconds(lambda state=state, data=data: lambda: _take_list(state, data))
+        seconds.append((count, spent * 1e6))
+    unit = "entries"
+    return [
+        Line(name="host list", x_unit=unit, y_unit="B", points=sizes),
+        Line(name="host list taken in", x_unit=unit, y_unit="us", points=seconds),
+        Line(name="host list in memory", x_unit=unit, y_unit="kB", points=kept),
+    ]
+
+
+def _take_list(state: object, data: bytes) -> None:
+    entries = msgspec.json.decode(data, type=tuple[HostEntry, ...])
+    reduce(state, HostsListed(at=1.0, entries=entries))
+
+
+@probe("leases")
+def lease_claims() -> list[Line]:
+    """Measure claims read, of all models of a zone in turn."""
+    sizes, seconds = [], []
+    for count in CLAIMS:
+        texts = [_claim(number) for number in range(count)]
+        sizes.append((count, sum(map(len, texts)) / 1e3))
+
+        def prepare(texts: list[str] = texts) -> object:
+            state = fleet.new_state(fleet.host(0))
+            stream = leases.stream_of(fleet.ZONE)
+            events = [
+                fleet.log_read(stream, [text], start=number) for number, text in enumerate(texts)
+            ]
+            return lambda: [reduce(state, event) for event in events]
+
+        seconds.append((count, cpu_seconds(prepare) * 1e6))
+    unit = "claims"
+    memory = [(count, _leases_kept(count) / 1e3) for count in MODEL_COUNTS]
+    return [
+        Line(name="leases in memory", x_unit="models", y_unit="kB", points=memory),
+        Line(name="lease claims", x_unit=unit, y_unit="kB", points=sizes),
+        Line(name="lease claims read", x_unit=unit, y_unit="us", points=seconds),
+    ]
+
+
+def _leases_kept(models: int) -> int:
+    state = fleet.new_state(fleet.host(0))
+    texts = [_claim(number, models) for number in range(models)]
+    event = fleet.log_read(leases.stream_of(fleet.ZONE), texts)
+    return kept_bytes(lambda: reduce(state, event))
+
+
+def _claim(number: int, models: int = letter.MODELS) -> str:
+    owner = Owner(host=fleet.host(number % 16), incarnation="0123456789ab")
+    claim = LeaseClaim(
+        zone=fleet.ZONE,
+        model=fleet.model(number % models),
+        owner=owner,
+        term=30.0,
+        after=number - models,
+    )
+    return msgspec.json.encode(claim).decode()
+
+
+@probe("death")
+def death() -> list[Line]:
+    """Measure the messages that the death of one host of a zone causes, until all know it."""
+    caused = []
+    for count in ZONE_SIZES:
+        quiet, hurt = Zone(count), Zone(count)
+        for zone in (quiet, hurt):
+            zone.run(2.0)
+            zone.messages = 0
+        lost = fleet.host(count - 1)
+        del hurt.states[lost]
+        del hurt.due[lost]
+        for zone in (quiet, hurt):
+            zone.run(AFTER_DEATH)
+        usual = quiet.messages * (count - 1) / count
+        caused.append((count, hurt.messages - usual))
+    return [
+        Line(name="death of a host", x_unit="hosts of the zone", y_unit="messages", points=caused)
+    ]
--- /dev/null
+++ b/src/wasabiwick/_capacity/letter.py
@@ -0,0 +1,38 @@
+"""The size to build towards, and what follows from it for one host."""
+
+HOSTS = 350
+ENGINES = 1_000
+ACCELERATORS = 8_100
+REQUESTS = 2_900.0  # Per second at the peak.
+TOKENS = 1_300_000.0  # Per second.
+FIRST_OUTPUT = 0.55  # Seconds, for 95 in 100.
+BETWEEN_OUTPUTS = 0.054  # Seconds, for 95 in 100.
+KV_BYTES = 2_000e9  # Per second.
+CUSTOMERS = 2_700
+MODELS = 16
+REGIONS = 2
+ZONES_PER_REGION = 4
+CHANGES = 4_400  # Per day.
+IN_FORCE = 12.0  # Seconds until a change is in force everywhere.
+FAILURES = 11  # Hosts per day.
+RESTARTS = 460  # Hosts per day.
+
+CORE_SHARE = 0.019  # Of one core, for control.
+MEMORY = 256e6  # Bytes.
+TRAFFIC = 23e3  # Bytes per second.
+
+DAY = 86_400.0
+ZONES = REGIONS * ZONES_PER_REGION
+ZONE_HOSTS = -(-HOSTS // ZONES)
+ZONE_ENGINES = ENGINES // ZONES
+POOLS = MODELS * ZONES
+POOL_ENGINES = ENGINES / POOLS
+HOST_REQUESTS = REQUESTS / HOSTS
+POOL_REQUESTS = REQUESTS / POOLS
+HOST_TOKENS = TOKENS / HOSTS
+OUTPUT_TOKENS = TOKENS / REQUESTS
+SECONDS = OUTPUT_TOKENS * BETWEEN_OUTPUTS + FIRST_OUTPUT  # Life of a request.
+IN_FLIGHT = REQUESTS * SECONDS
+ENGINE_STREAMS = IN_FLIGHT / ENGINES
+HOST_IN_FLIGHT = IN_FLIGHT / HOSTS
+ENTRIES = HOSTS + ENGINES  # Of the host list.
--- /dev/null
+++ b/src/wasabiwick/_capacity/probe.py
@@ -0,0 +1,19 @@
+"""Register of the measurements."""
+
+import typing
+
+from .fit import Line
+
+Probe = typing.Callable[[], typing.Iterable[Line]]
+
+PROBES: dict[str, Probe] = {}
+
+
+def probe(name: str) -> typing.Callable[[Probe], Probe]:
+    """Register a function that measures some lines under a name."""
+
+    def register(measure: Probe) -> Probe:
+        PROBES[name] = measure
+        return measure
+
+    return register
--- /dev/null
+++ b/src/wasabiwick/_capacity/transport.py
@@ -0,0 +1,184 @@
+"""Measurements of messages between hosts over HTTP, by the real adapter and server."""
+
+import asyncio
+import time
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from .._adapters import HttpLogService, HttpPeer
+from .._events import Event
+from .._peer_server import PeerServer
+from .._settings import Timing
+from .._wire import Envelope, Heartbeat, LogPage, LogRecord, Owner
+from . import fleet
+from .fit import REPEATS, Line
+from .probe import probe
+
+BATCHES = (1, 2, 4, 8, 16)
+EXCHANGES = 300
+RECORDS = (1, 2, 4, 8, 16)
+CHUNK = 65_536
+OWNER = Owner(host=fleet.host(1), incarnation="0123456789ab")
+
+
+class Counter:
+    """Passes a TCP connection on and counts the bytes of both directions."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task] = set()
+        self.bytes = 0
+
+    async def start(self) -> str:
+        """Listen on a free port; returns the URL to use in place of the server's."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        return f"http://127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def stop(self) -> None:
+        """Close the listener and all connections."""
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        there, back = await asyncio.open_connection("127.0.0.1", self._port)
+        for source, target in ((reader, back), (there, writer)):
+            self._tasks.add(asyncio.create_task(self._pass(source, target)))
+
+    async def _pass(self, source: asyncio.StreamReader, target: asyncio.StreamWriter) -> None:
+        while data := await source.read(CHUNK):
+            self.bytes += len(data)
+            target.write(data)
+        target.close()
+
+
+class _Sink:
+    """Stands for a runner: takes events and drops them."""
+
+    def __init__(self) -> None:
+        self.taken = 0
+
+    def now(self) -> float:
+        return 0.0
+
+    def post(self, event: Event) -> None:
+        self.taken += 1
+
+
+class Server:
+    """A web application on a free loopback port."""
+
+    def __init__(self, app: web.Application) -> None:
+        self._runner = web.AppRunner(app, access_log=None)
+        self.port = 0
+
+    async def __aenter__(self) -> "Server":
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        self.port = self._runner.addresses[0][1]
+        return self
+
+    async def __aexit__(self, *failure: object) -> None:
+        await self._runner.cleanup()
+
+
+def _envelope(count: int) -> Envelope:
+    beats = tuple(
+        Heartbeat(owner=OWNER, zone=fleet.ZONE, sequence=number, version=4_400, offset=9_000)
+        for number in range(count)
+    )
+    return Envelope(sender=OWNER, zone=fleet.ZONE, messages=beats)
+
+
+async def _measure_peers() -> tuple[list[tuple[float, float]], list[tuple[float, float]]]:
+    sizes, seconds = [], []
+    async with Server(PeerServer(runner=_Sink()).app()) as server, aiohttp.ClientSession() as http:
+        counter = Counter(server.port)
+        counted = await counter.start()
+        peer = HttpPeer(session=http, timing=Timing())
+        direct = f"http://127.0.0.1:{server.port}"
+        for count in BATCHES:
+            envelope = _envelope(count)
+            await peer.send(counted, envelope)
+            before = counter.bytes
+            await peer.send(counted, envelope)
+            payload = len(msgspec.json.encode(envelope))
+            sizes.append((count, float(counter.bytes - before - payload)))
+            seconds.append((count, await _exchange_seconds(peer, direct, envelope) * 1e6))
+        await counter.stop()
+    return sizes, seconds
+
+
+async def _exchange_seconds(peer: HttpPeer, address: str, envelope: Envelope) -> float:
+    best = float("inf")
+    for _ in range(REPEATS):
+        begin = time.process_time()
+        for _ in range(EXCHANGES):
+            await peer.send(address, envelope)
+        best = min(best, time.process_time() - begin)
+    return best / EXCHANGES
+
+
+@probe("transport")
+def transport() -> list[Line]:
+    """Measure one HTTP exchange between hosts: both ends together, and bytes beside the payload."""
+    sizes, seconds = asyncio.run(_measure_peers())
+    unit = "messages of the exchange"
+    return [
+        Line(name="HTTP beside the payload", x_unit=unit, y_unit="B", points=sizes),
+        Line(name="exchange, both ends", x_unit=unit, y_unit="us", points=seconds),
+    ]
+
+
+async def _measure_log() -> tuple[list[tuple[float, float]], list[tuple[float, float]]]:
+    pages: dict[int, LogPage] = {}
+
+    async def read(request: web.Request) -> web.Response:
+        page = pages[int(request.query["from"])]
+        return web.Response(body=msgspec.json.encode(page), content_type="application/json")
+
+    app = web.Application()
+    app.router.add_get("/streams/{stream}", read)
+    sizes, seconds = [], []
+    async with Server(app) as server, aiohttp.ClientSession() as http:
+        counter = Counter(server.port)
+        counted = await counter.start()
+        for count in RECORDS:
+            records = tuple(
+                LogRecord(offset=number, time=fleet.WALL, data="x" * 500) for number in range(count)
+            )
+            pages[count] = LogPage(first=0, end=count, records=records)
+            log = HttpLogService(session=http, address=counted, timing=Timing())
+            await log.read("configuration", count, 10.0)
+            before = counter.bytes
+            await log.read("configuration", count, 10.0)
+            sizes.append((count, float(counter.bytes - before)))
+            direct = f"http://127.0.0.1:{server.port}"
+            straight = HttpLogService(session=http, address=direct, timing=Timing())
+            seconds.append((count, await _read_seconds(straight, count) * 1e6))
+        await counter.stop()
+    return sizes, seconds
+
+
+async def _read_seconds(log: HttpLogService, count: int) -> float:
+    best = float("inf")
+    for _ in range(REPEATS):
+        begin = time.process_time()
+        for _ in range(EXCHANGES):
+            await log.read("configuration", count, 10.0)
+        best = min(best, time.process_time() - begin)
+    return best / EXCHANGES
+
+
+@probe("log")
+def log_reads() -> list[Line]:
+    """Measure one long poll of the log with records of 500 bytes; the time is of both ends."""
+    sizes, seconds = asyncio.run(_measure_log())
+    return [
+        Line(name="page of the log", x_unit="records", y_unit="B", points=sizes),
+        Line(name="long poll, both ends", x_unit="records", y_unit="us", points=seconds),
+    ]
--- /dev/null
+++ b/src/wasabiwick/_capacity/work.py
@@ -0,0 +1,446 @@
+"""Measurements of requests: relay, key owner, coordinator, renewals and engines' reports."""
+
+import itertools
+
+import msgspec
+
+from .. import _effects, _events
+from .._effects import Effect, SendPeer
+from .._events import Call, CallArrived, EngineReported, Event, PeerMessage, TimerFired
+from .._reducer import reduce
+from .._state import State
+from .._wire import (
+    Advanced,
+    ClaimKey,
+    EngineReport,
+    KeyServed,
+    Owner,
+    Release,
+    Renew,
+    Reserve,
+    StreamReport,
+)
+from . import fleet, letter
+from .fit import Line, cpu_seconds, kept_bytes
+from .probe import probe
+
+REQUESTS = (50, 100, 200, 400)
+BATCHES = (1, 16, 32, 64)
+ATTEMPTS = (50, 100, 200, 400)
+STREAMS = (8, 24, 48, 72)
+POOL_ENGINES = (2, 4, 8, 16)
+KEYS = (500, 1_000, 2_000, 4_000)
+SLOTS = 96
+KEY_HASH = f"{7:064x}"
+PROMPT_TOKENS = 2_000
+CALLER = "entry-900"  # A host that only asks.
+
+
+def report_of(engine: str, streams: int, models: tuple[str, ...], at: int = 1) -> EngineReport:
+    """Return a report with as many streams."""
+    return EngineReport(
+        engine=engine,
+        sequence=at,
+        slots=SLOTS,
+        used=streams,
+        queued_prefill_tokens=1_200,
+        prefill_rate=8_000.0,
+        link_rate=1e9,
+        decode_interval=0.004,
+        kv_bytes_per_token=160_000,
+        models=models,
+        versions=("1",) * len(models),
+        streams=tuple(
+            StreamReport(
+                request_id=f"customer-00007:0191d3a0-5b7c-7abc-8def-{number:012d}",
+                attempt_id=f"{fleet.host(number % 44)}.0123456789ab.{number}",
+                owner=f"{fleet.host(number % 44)}/0123456789ab",
+                phase="decode",
+                offset=number,
+            )
+            for number in range(streams)
+        ),
+    )
+
+
+class Fleet:
+    """The hosts of one zone with its engines: every effect is answered at once.
+
+    Args:
+        hosts: Number of hosts.
+        engines: Number of engines.
+        models: Number of models.
+        batches: Batches of output in each stream.
+    """
+
+    def __init__(self, *, hosts: int, engines: int, models: int, batches: int) -> None:
+        self.batches = batches
+        self.models = models
+        self.ends = True  # Whether streams end; otherwise they stay in flight.
+        self.now = 1.0
+        self.messages = 0
+        self.bytes = 0
+        self.served = 0
+        self.refused = 0
+        entries = fleet.host_entries(hosts) + fleet.engine_entries(engines, models)
+        self.states: dict[str, State] = {}
+        for number in range(hosts):
+            state = fleet.new_state(fleet.host(number))
+            fleet.list_hosts(state, entries)
+            fleet.put_in_force(state, fleet.entries_of(20, models))
+            self.states[fleet.host(number)] = state
+        for number in range(engines):
+            report = report_of(f"engine-{number:04d}", 0, (fleet.model(number % models),))
+            for state in self.states.values():
+                reduce(state, EngineReported(at=self.now, report=report))
+
+    def call(self, number: int) -> None:
+        """Serve one generation with a key from its call to its last token."""
+        name = fleet.host(number % len(self.states))
+        call = Call(
+            call_id=f"call-{number}",
+            request_id=f"customer-00007:0191d3a0-5b7c-7abc-8def-{number:012d}",
+            has_key=True,
+            key_hash=KEY_HASH,
+            kind="generate",
+            target=fleet.model(number % self.models),
+            deadline=self.now + 60.0,
+            digest=KEY_HASH,
+            prompt_tokens=PROMPT_TOKENS,
+            max_tokens=450,
+            pieces=tuple(range(number, number + 64)),
+            born=fleet.WALL + self.now,
+        )
+        self.now += 0.01
+        self._give(name, CallArrived(at=self.now, call=call))
+
+    def _give(self, name: str, event: Event) -> None:
+        for effect in reduce(self.states[name], event):
+            self._answer(name, effect)
+
+    def _answer(self, name: str, effect: Effect) -> None:
+        match effect:
+            case SendPeer():
+                self.messages += 1
+                self.bytes += fleet.envelope_bytes(effect.message)
+                owner = self.states[name].owner
+                event = PeerMessage(
+                    at=self.now, sender=owner, zone=fleet.ZONE, message=effect.message
+                )
+                self._give(effect.host, event)
+            case _effects.StartPrefill():
+                self._give(name, self._prefilled(effect))
+            case _effects.StartDecode():
+                self._stream(name, effect)
+            case _effects.FinishStream():
+                self.served += 1
+                self._give(
+                    name,
+                    _events.CallAnswered(
+                        at=self.now, call_id=effect.call_id, request_id=effect.request_id
+                    ),
+                )
+            case _effects.RefuseCall():
+                self.refused += 1
+
+    def _prefilled(self, effect: _effects.StartPrefill) -> Event:
+        return _events.PrefillDone(
+            at=self.now,
+            request_id=effect.request_id,
+            attempt_id=effect.attempt_id,
+            endpoint=effect.endpoint,
+            handle="kv",
+            expires_in=0.8,
+            prompt_tokens=PROMPT_TOKENS,
+            cached_tokens=0,
+            seconds=0.2,
+        )
+
+    def _stream(self, name: str, effect: _effects.StartDecode) -> None:
+        about = {
+            "request_id": effect.request_id,
+            "attempt_id": effect.attempt_id,
+            "endpoint": effect.endpoint,
+        }
+        for number in range(1, self.batches + 1):
+            event = _events.StreamProgress(at=self.now, count=1, offset=number, **about)
+            self._give(name, event)
+        if self.ends:
+            ended = _events.StreamEnded(at=self.now, offset=self.batches, finish="stop", **about)
+            self._give(name, ended)
+
+
+def _zone_fleet(batches: int = 1) -> Fleet:
+    return Fleet(
+        hosts=letter.ZONE_HOSTS,
+        engines=letter.ZONE_ENGINES,
+        models=letter.MODELS,
+        batches=batches,
+    )
+
+
+@probe("request")
+def request() -> list[Line]:
+    """Measure whole requests in a zone of the letter's size, over all its hosts."""
+    messages, sizes, seconds = [], [], []
+    for count in REQUESTS:
+        crew: list[Fleet] = []
+
+        def prepare(count: int = count, crew: list[Fleet] = crew) -> object:
+            crew.append(_zone_fleet())
+            one = crew[-1]
+            return lambda: [one.call(number) for number in range(count)]
+
+        spent = cpu_seconds(prepare)
+        last = crew[-1]
+        if last.served != count:
+            raise RuntimeError(f"{count - last.served} of {count} requests were not served")
+        messages.append((count, float(last.messages)))
+        sizes.append((count, last.bytes / 1e3))
+        seconds.append((count, spent * 1e6))
+    unit = "requests"
+    return [
+        Line(name="messages between hosts", x_unit=unit, y_unit="1", points=messages),
+        Line(name="messages, payload", x_unit=unit, y_unit="kB", points=sizes),
+        Line(name="requests, reducers of all roles", x_unit=unit, y_unit="us", points=seconds),
+    ]
+
+
+@probe("output")
+def output() -> list[Line]:
+    """Measure the reducer's part in a batch of output."""
+    seconds = []
+    for count in BATCHES:
+
+        def prepare(count: int = count) -> object:
+            one = Fleet(hosts=2, engines=4, models=1, batches=count)
+            return lambda: [one.call(number) for number in range(50)]
+
+        seconds.append((count, cpu_seconds(prepare) / 50 * 1e6))
+    return [Line(name="output, reducer", x_unit="batches", y_unit="us", points=seconds)]
+
+
+@probe("in flight")
+def in_flight() -> list[Line]:
+    """Measure the memory of requests in flight at a host that has all roles for them."""
+    kept = []
+    for count in ATTEMPTS:
+        one = Fleet(hosts=1, engines=64, models=1, batches=1)
+        one.ends = False
+        held = kept_bytes(lambda one=one, n=count: [one.call(number) for number in range(n)])
+        if len(one.states[fleet.host(0)]["generation"].running) != count:
+            raise RuntimeError(f"not all of {count} requests are in flight")
+        kept.append((count, held / 1e3))
+    return [Line(name="requests in memory", x_unit="requests", y_unit="kB", points=kept)]
+
+
+def _coordinator(engines: int) -> State:
+    """Return the coordinator of the only pool of a zone of one host."""
+    state = fleet.new_state(fleet.host(0))
+    fleet.list_hosts(state, fleet.host_entries(1) + fleet.engine_entries(engines))
+    fleet.put_in_force(state, fleet.entries_of(20, 1))
+    for number in range(engines):
+        # The ledger learns from reports that the batch may fill all slots within the target.
+        for at, batch in enumerate((1, 90) * 20 + (0,)):
+            report = report_of(f"engine-{number:04d}", 0, (fleet.model(0),), at + 1)
+            report = msgspec.structs.replace(report, used=batch)
+            reduce(state, EngineReported(at=1.0, report=report))
+    return state
+
+
+_attempts = itertools.count()
+
+
+def _reserve(number: int, at: float) -> Reserve:
+    return Reserve(
+        request_id=f"customer-00007:0191d3a0-5b7c-7abc-8def-{number:012d}",
+        attempt_id=f"{CALLER}.0123456789ab.{number}",
+        owner=Owner(host=CALLER, incarnation="0123456789ab"),
+        engine="",
+        config_version=1,
+        deadline=fleet.WALL + at + 60,
+        customer="customer-00007",
+        prompt_tokens=PROMPT_TOKENS,
+        max_tokens=450,
+        pieces=(1, 2, 3, 4, 5, 6),
+        model=fleet.model(0),
+        zone=fleet.ZONE,
+        target=fleet.WALL + at + 30.0,
+    )
+
+
+def _reserved(state: State, count: int, at: float = 1.1) -> list[Reserve]:
+    """Hold slots and let the attempts go on to decode."""
+    asked = []
+    for _ in range(count):
+        at += 0.01
+        one = _reserve(next(_attempts), at)
+        fleet.told(state, CALLER, one, at)
+        for phase in ("transfer", "decode"):
+            fleet.told(state, CALLER, _advanced(one, phase), at)
+        asked.append(one)
+    held = len(state["coordinator"].pools[fleet.model(0), fleet.ZONE].reservations)
+    if held < count:
+        raise RuntimeError(f"{count - held} of {count} reservations were not granted")
+    return asked
+
+
+def _advanced(asked: Reserve, phase: str) -> Advanced:
+    return Advanced(
+        attempt_id=asked.attempt_id,
+        model=asked.model,
+        zone=asked.zone,
+        phase=phase,
+        seconds=0.2,
+        tokens=PROMPT_TOKENS,
+    )
+
+
+@probe("coordinator")
+def coordinator() -> list[Line]:
+    """Measure reservations of a pool: the processor time and the memory of each."""
+    seconds, kept = [], []
+    for count in REQUESTS:
+
+        def prepare(count: int = count) -> object:
+            state = _coordinator(engines=8)
+            return lambda: _cycle(state, count)
+
+        seconds.append((count, cpu_seconds(prepare) * 1e6))
+        state = _coordinator(engines=8)
+        kept.append((count, kept_bytes(lambda s=state, n=count: _reserved(s, n)) / 1e3))
+    unit = "reservations"
+    return [
+        Line(name="reservations, reducer", x_unit=unit, y_unit="us", points=seconds),
+        Line(name="reservations in memory", x_unit=unit, y_unit="kB", points=kept),
+    ]
+
+
+def _cycle(state: State, count: int) -> None:
+    for one in _reserved(state, count):
+        message = Release(
+            request_id=one.request_id,
+            attempt_id=one.attempt_id,
+            owner=one.owner,
+            engine="engine-0000",
+            model=one.model,
+            zone=one.zone,
+        )
+        fleet.told(state, CALLER, message, 1.2)
+
+
+@probe("reports")
+def reports() -> list[Line]:
+    """Measure one engine's report against its streams, and the sweep against reservations."""
+    sizes, seconds, sweeps = [], [], []
+    state = _coordinator(engines=8)
+    for count in STREAMS:
+        data = msgspec.json.encode(report_of("engine-0000", count, (fleet.model(0),)))
+        sizes.append((count, float(len(data))))
+        work = cpu_seconds(lambda d=data: lambda: [_take_report(state, d) for _ in range(100)])
+        seconds.append((count, work / 100 * 1e6))
+    for count in REQUESTS:
+        busy = _coordinator(engines=8)
+        _reserved(busy, count)
+        work = cpu_seconds(lambda b=busy: lambda: [_sweep(b) for _ in range(20)])
+        sweeps.append((count, work / 20 * 1e6))
+    return [
+        Line(name="engine's report", x_unit="streams", y_unit="B", points=sizes),
+        Line(name="engine's report taken in", x_unit="streams", y_unit="us", points=seconds),
+        Line(name="sweep of a pool", x_unit="reservations", y_unit="us", points=sweeps),
+    ]
+
+
+def _take_report(state: State, data: bytes) -> None:
+    report = msgspec.json.decode(data, type=EngineReport)
+    reduce(state, EngineReported(at=1.2, report=report))
+
+
+def _sweep(state: State) -> None:
+    reduce(state, TimerFired(at=1.2, timer="sweep"))
+
+
+@probe("renewals")
+def renewals() -> list[Line]:
+    """Measure one renewal of an owner's reservations."""
+    sizes, seconds = [], []
+    for count in ATTEMPTS:
+        state = _coordinator(engines=8)
+        asked = _reserved(state, count)
+        message = Renew(
+            owner=asked[0].owner,
+            attempts=tuple((f"engine-{0:04d}", a.request_id, a.attempt_id, True) for a in asked),
+            model=fleet.model(0),
+            zone=fleet.ZONE,
+        )
+        sizes.append((count, float(fleet.envelope_bytes(message))))
+        data = msgspec.json.encode(message)
+        work = cpu_seconds(lambda s=state, d=data: lambda: [_renew(s, d) for _ in range(20)])
+        seconds.append((count, work / 20 * 1e6))
+    unit = "reservations"
+    return [
+        Line(name="renewal", x_unit=unit, y_unit="B", points=sizes),
+        Line(name="renewal taken in", x_unit=unit, y_unit="us", points=seconds),
+    ]
+
+
+def _renew(state: State, data: bytes) -> None:
+    fleet.told(state, CALLER, msgspec.json.decode(data, type=Renew), 1.2)
+
+
+@probe("engines")
+def engines() -> list[Line]:
+    """Measure the coordinator's memory for each engine of its pool."""
+    kept = []
+    for count in POOL_ENGINES:
+
+        def build(count: int = count) -> State:
+            state = _coordinator(engines=count)
+            for number in range(count):
+                report = report_of(f"engine-{number:04d}", 70, (fleet.model(0),), at=99)
+                data = msgspec.json.encode(report)
+                _take_report(state, data)
+            return state
+
+        kept.append((count, kept_bytes(build) / 1e3))
+    return [Line(name="engines in memory", x_unit="engines", y_unit="kB", points=kept)]
+
+
+@probe("keys")
+def keys() -> list[Line]:
+    """Measure what the owner of request keys does and keeps."""
+    seconds, kept = [], []
+    for count in KEYS:
+        seconds.append((count, cpu_seconds(lambda n=count: _key_work(n, ended=True)) * 1e6))
+        kept.append((count, kept_bytes(lambda n=count: _owner_of_keys(n)) / 1e3))
+    unit = "keys"
+    return [
+        Line(name="keys, reducer", x_unit=unit, y_unit="us", points=seconds),
+        Line(name="keys in memory", x_unit=unit, y_unit="kB", points=kept),
+    ]
+
+
+def _owner_of_keys(count: int) -> State:
+    state = fleet.new_state(fleet.host(0))
+    _own_keys(state, range(count), ended=False)
+    return state
+
+
+def _key_work(count: int, ended: bool) -> object:
+    state = fleet.new_state(fleet.host(0))
+    return lambda: _own_keys(state, range(count), ended=ended)
+
+
+def _own_keys(state: State, numbers: range, ended: bool) -> None:
+    claimant = Owner(host=CALLER, incarnation="0123456789ab")
+    for number in numbers:
+        request_id = f"customer-00007:0191d3a0-5b7c-7abc-8def-{number:012d}"
+        attempt_id = f"{CALLER}.0123456789ab.{number}"
+        claim = ClaimKey(request_id=request_id, attempt_id=attempt_id, claimant=claimant)
+        served = KeyServed(
+            request_id=request_id, attempt_id=attempt_id, serving=claimant, engine="engine-0000"
+        )
+        fleet.told(state, CALLER, claim, 1.0)
+        fleet.told(state, CALLER, served, 1.1)
+        if ended:
+            fleet.told(state, CALLER, msgspec.structs.replace(served, ended=True), 1.2)
