--- a/src/wasabiwick/_handlers/members.py
+++ b/src/wasabiwick/_handlers/members.py
@@ -4,6 +4,7 @@
 which keeps the peers of this slice), with failed calls, and with signs that an endpoint is leaving.
 """
 
+import collections
 import typing
 
 from .. import _rendezvous
@@ -128,6 +129,16 @@
     return list(state["members"].endpoints.get(service, ()))
 
 
+def zones_of_service(state: State, service: str) -> list[str]:
+    """Return the availability zones that have usable endpoints of a service or model."""
+    return sorted(engines_by_zone(state, service))
+
+
+def engines_by_zone(state: State, service: str) -> dict[str, int]:
+    """Return the number of usable endpoints of a service or model in each zone."""
+    return collections.Counter(entry.zone for entry in state["members"].endpoints.get(service, ()))
+
+
 def is_usable(state: State, name: str) -> bool:
     """Tell whether an endpoint is in the host list and not known to be leaving."""
     entry = state["members"].entries.get(name)
--- a/src/wasabiwick/_handlers/slots.py
+++ b/src/wasabiwick/_handlers/slots.py
@@ -57,7 +57,7 @@
 class Pending:
     """An attempt that waits for a slot."""
 
-    __slots__ = ("request_id", "model", "zone", "avoid", "asked", "asked_at", "lost")
+    __slots__ = ("request_id", "model", "zone", "avoid", "asked", "asked_at", "lost", "redirected")
 
     def __init__(self, *, request_id: str, model: str, avoid: tuple[str, ...]) -> None:
         self.request_id = request_id
@@ -67,6 +67,7 @@
         self.asked: list[str] = []
         self.asked_at = 0.0
         self.lost = 0
+        self.redirected = False
 
 
 Policy = typing.Callable[[State, SlotWanted], typing.Iterable[Step]]
@@ -152,25 +153,16 @@
 
 def _ask_next(state: State, attempt_id: str, pending: Pending, at: float) -> typing.Iterator[Step]:
     req = calls.request_of(state, pending.request_id)
-    ranked = pools.ranked(state, pending.model, req.call.pieces, req.call.prompt_tokens, at)
-    left = target_of(state, req) - state.wall(at)
-    for delay, zone in ranked:
-        if zone in pending.asked or not _worth_asking(state, pending, zone, left, delay, at):
-            continue
-        yield from _ask(state, attempt_id, pending, zone, at)
-        return
-    yield from _refuse(state, attempt_id, pending, bool(ranked), at)
-
-
-def _worth_asking(
-    state: State, pending: Pending, zone: str, left: float, delay: float, at: float
-) -> bool:
-    view = pools.view_of(state, pending.model, zone)
-    if len(pending.asked) >= MAX_ASKED or (at < view.cut_until and zone != state.zone):
-        return False
-    if left > 0:
-        return not pending.asked or delay < left
-    return not pending.asked and at - view.late_denied_at > LATE_QUIET
+    zones = pools.ranked(state, pending.model, req.call.pieces, req.call.prompt_tokens, at)
+    late = target_of(state, req) < state.wall(at)
+    for zone in zones:
+        quiet = late and at - pools.view_of(state, pending.model, zone).late_denied_at < LATE_QUIET
+        if quiet or len(pending.asked) >= MAX_ASKED:
+            break
+        if zone not in pending.asked:
+            yield from _ask(state, attempt_id, pending, zone, at)
+            return
+    yield from _refuse(state, attempt_id, pending, bool(zones), at)
 
 
 def _ask(
@@ -183,7 +175,6 @@
     if at < view.cut_until:
         yield from _go_alone(state, attempt_id, pending, at)
         return
-    view.free -= 1
     host = coordinator.coordinator_of(state, pending.model, zone)
     yield SendPeer(host=host, message=_reserve(state, attempt_id, pending))
 
@@ -207,6 +198,7 @@
         target=target_of(state, req),
         may_wait=req.plan.may_wait,
         avoid=pending.avoid,
+        redirected=pending.redirected,
     )
 
 
@@ -235,7 +227,7 @@
     if pending is None:
         yield from _give_back(state, told, event)
         return
-    _note(state, pending, told.wait, told.free, event.at)
+    _note(state, pending, told.wait)
     _note_affinity(state, pending, told)
     state["slots"].held[told.attempt_id] = Held(
         request_id=told.request_id,
@@ -269,25 +261,23 @@
     yield SendPeer(host=event.sender.host, message=message)
 
 
-def _note(state: State, pending: Pending, wait: float, free: int, at: float) -> None:
+def _note(state: State, pending: Pending, wait: float) -> None:
     view = pools.view_of(state, pending.model, pending.zone)
     view.wait = wait
-    view.free = free
-    view.told_at = at
     view.cut_until = 0.0
 
 
 def _note_affinity(state: State, pending: Pending, told: Granted) -> None:
     req = calls.request_of(state, pending.request_id)
     affinity = pools.affinity_of(state, pending.model)
-    home = pools.home_zone(pools.zones_of(state, pending.model), req.call.pieces)
+    home = pools.home_zone(state, pending.model, req.call.pieces)
     share = told.cached_tokens / max(1, req.call.prompt_tokens)
     (affinity.home if pending.zone == home else affinity.away).observe(share)
 
 
 @on_message(Denied)
 def denied(state: State, event: PeerMessage) -> typing.Iterator[Step]:
-    """Ask another pool, or the same again where its coordinator has lost the attempt."""
+    """Go where the coordinator points, or refuse; reserve again where it lost the attempt."""
     told = event.message
     pending = state["slots"].waiting.get(told.attempt_id)
     if pending is None:
@@ -296,13 +286,19 @@
         yield from _lost(state, told.attempt_id, pending, event.at)
         return
     view = pools.view_of(state, pending.model, pending.zone)
-    _note(state, pending, told.wait, 0, event.at)
+    _note(state, pending, told.wait)
+    if told.elsewhere and not pending.redirected:
+        pending.redirected = True
+        yield Count(metric="reserve_redirected")
+        yield from _ask(state, told.attempt_id, pending, told.elsewhere, event.at)
+        return
     req = calls.request_of(state, pending.request_id)
     if target_of(state, req) <= state.wall(event.at):
         view.late_denied_at = event.at
     elif pending.zone != state.zone:
         view.crossing.observe(min(1.0, (event.at - pending.asked_at) / 2))
-    yield from _ask_next(state, told.attempt_id, pending, event.at)
+    # The coordinator has weighed the other pools: none would serve the request in time.
+    yield from _refuse(state, told.attempt_id, pending, True, event.at)
 
 
 def _lost(state: State, attempt_id: str, pending: Pending, at: float) -> typing.Iterator[Step]:
--- a/src/wasabiwick/_metrics.py
+++ b/src/wasabiwick/_metrics.py
@@ -116,6 +116,7 @@
     _counter("adopted", "Running streams that this host took over from another."),
     _counter("taken_over", "Streams that another host took over while this one was cut off."),
     _counter("resumed", "Streams opened again at the offset that was missing."),
+    _counter("stalled", "Streams left because they made no progress.", "engine"),
     _counter("attempt_failed", "Attempts that failed at an engine.", "phase"),
     _counter("frames_dropped", "Output that fitted no present attempt, in tokens."),
     _counter("service_retries", "Idempotent service calls sent again."),
@@ -146,9 +147,12 @@
 _section(
     "Choice of engines",
     _counter("reserve_denied", "Reservations that a coordinator refused."),
+    _counter("reserve_redirected", "Reservations that a coordinator sent to another pool."),
     _counter("coordinator_unreachable", "Coordinators that did not answer.", "zone"),
     _counter("coordinator_bypassed", "Requests placed without a coordinator's word."),
     _counter("ejected", "Times an endpoint was taken out after failures.", "endpoint"),
+    _counter("limit_reached", "Requests beyond the limits of their plan, at the budget's keeper."),
+    _counter("limit_keeper_unreachable", "Questions about limits that got no answer."),
 )
 _section(
     "Configuration and membership",
