Never forget an operator's own record while its outcome is asked

Cause: publishing kept the hashes of the last 64 records that took effect. An operator whose answer was lost while more than 64 later versions came was told that it had lost; the racing test failed once so, under load. Change: the record is watched from before it is appended. Conclusion: the outcome told does not depend on how many versions came since.

--- a/src/wasabiwick/_configuration.py
+++ b/src/wasabiwick/_configuration.py
@@ -4,7 +4,6 @@
 decide alike which of two racing records won.
 """
 
-import collections
 import hashlib
 import typing
 
@@ -17,7 +16,6 @@
 
 SECTIONS = ("customers", "plans", "services", "models")
 DIGEST_BITS = 256
-PAST_RECORDS = 64  # Records that took effect, kept for those who ask what became of theirs.
 
 Entries = dict[str, dict[str, dict]]
 
@@ -212,7 +210,8 @@
         "chain",
         "anchor",
         "complete",
-        "past",
+        "_watched",
+        "_effected",
         "_seen",
         "_held",
         "_held_from",
@@ -229,7 +228,8 @@
         self.chain: list[str] = []  # A full record, then the partial ones after it.
         self.anchor = 0.0  # Append time of the newest full record or copy, Unix seconds.
         self.complete = True  # False where records before those held were lost.
-        self.past: collections.deque[str] = collections.deque(maxlen=PAST_RECORDS)
+        self._watched: set[str] = set()
+        self._effected: set[str] = set()
         self._seen = -1  # Last offset read.
         self._held: list[LogRecord] = []
         self._held_from = 0
@@ -240,9 +240,13 @@
         """Offset of the record to read next."""
         return max(self.upto, self._seen) + 1
 
+    def watch(self, data: str) -> None:
+        """Note a record of which `took_effect` is asked later."""
+        self._watched.add(data)
+
     def took_effect(self, data: str) -> bool:
-        """Tell whether a record is, or lately was, in force."""
-        return data in self.chain or hashlib.sha256(data.encode()).hexdigest() in self.past
+        """Tell whether a watched record was in force, now or at any time since it was watched."""
+        return data in self._effected
 
     def read(self, records: typing.Iterable[LogRecord], *, first: int) -> list[Skipped]:
         """Fold records in the order of their offsets.
@@ -361,6 +365,8 @@
         fork.content = self.content
         fork.lists = self.lists
         fork.chain = list(self.chain)
+        fork._watched = self._watched
+        fork._effected = self._effected
         return fork
 
     def _resume(self, copy: ConfigurationCopy) -> None:
@@ -390,7 +396,8 @@
         self.lists = _lists.changed(earlier, message.version, entries, message.removed)
         self.content = content
         self.version = message.version
-        self.past.append(hashlib.sha256(data.encode()).hexdigest())
+        if data in self._watched:
+            self._effected.add(data)
         self.chain = [*self.chain, data] if message.partial else [data]
 
     def copy(self, after: int = 0) -> ConfigurationCopy:
--- a/src/wasabiwick/_publish.py
+++ b/src/wasabiwick/_publish.py
@@ -114,6 +114,7 @@
         self.content = content
         self.record = make_record(history, content, author, signer, replaces)
         self.data = msgspec.json.encode(self.record).decode()
+        history.watch(self.data)
         self.appends = 0
         self.accepted_at = 0.0
         self._timeout = timeout
--- a/tests/test_publish.py
+++ b/tests/test_publish.py
@@ -164,6 +164,24 @@
 
         self.run_async(work())
 
+    def test_accepted_version_is_told_after_many_later_ones(self) -> None:
+        async def work() -> None:
+            log = FakeLog()
+            slow = _publish.Publication(
+                log=log,
+                history=await _publish.read_history(log, PUBLISHERS),
+                content=content(rate=1),
+                author="ana",
+                signer=SIGNER,
+            )
+            await log.append(_publish.STREAM, (slow.data,))
+            for rate in range(2, 82):
+                await published(log, rate, "rui")
+            result = await slow.run()
+            self.assertEqual((result.outcome, result.version), (_publish.IN_FORCE, 1))
+
+        self.run_async(work())
+
     def test_outage_that_lasts_is_told(self) -> None:
         async def work() -> None:
             log = FakeLog()
