Find a key's owner from every zone, and tell lost grants again

Cause: the demo's callers that asked a second host while the first answered got two whole answers (10 to 16 of 300 calls), since each zone had owners of its own for a key; and some calls hung until the caller gave up (2 to 13), since a grant that could not be delivered was never told again. Change: a key has a home zone and two owners there, by rendezvous hash; the second is told of the serving host too and answers while the first can't be reached. A zone of which two hosts were not reached is left out for 15 s. A renewal of a place that was granted tells the grant again. A host is ready only once the host list names it. With one owner the new test fails. Conclusion: for keyed calls two times in three the claim crosses zones once; calls without a key pay nothing.

--- a/src/wasabiwick/_demo/_run.py
+++ b/src/wasabiwick/_demo/_run.py
@@ -20,6 +20,7 @@
 SEED = 11
 CALLS_TIMEOUT = 35.0  # Seconds for all calls.
 READY_TIMEOUT = 15.0  # Seconds.
+LIST_DELAY = 1.2  # Seconds until hosts that are ready know all others from the host list.
 BALANCER_INTERVAL = 0.2  # Seconds between looks at the hosts' readiness.
 SETTLE_TIMEOUT = 6.0  # Seconds until engines have to have freed all slots.
 DRAIN_TIMEOUT = 20.0  # Seconds.
@@ -104,6 +105,7 @@
     await site.start(session)
     balancer = Balancer(session=session, hosts=site.hosts)
     await balancer.all_ready()
+    await asyncio.sleep(LIST_DELAY)
     click.echo(
         f"started {len(site.hosts)} entry hosts in 3 availability zones, "
         f"{len(site.engines)} engines, 1 plain service and the platform's stand-ins "
--- a/src/wasabiwick/_entry.py
+++ b/src/wasabiwick/_entry.py
@@ -19,7 +19,7 @@
 )
 from ._errors import NOT_FOUND, TOO_LARGE, Failure
 from ._events import CallAnswered, CallArrived, CallerGone
-from ._handlers import calls, lists
+from ._handlers import calls, lists, members
 from ._logging import log_event
 from ._runner import Body, Runner
 from ._sink import CallSink, Closed, Whole
@@ -37,11 +37,12 @@
         runner: The host's runner.
     """
 
-    __slots__ = ("_runner", "_sequence")
+    __slots__ = ("_runner", "_sequence", "_listed")
 
     def __init__(self, *, runner: Runner) -> None:
         self._runner = runner
         self._sequence = 0
+        self._listed = False
 
     def app(self) -> web.Application:
         """Build the web application."""
@@ -140,6 +141,10 @@
             return web.Response(status=503, text="stopping\n")
         if lists.current(state) is None:
             return web.Response(status=503, text="no configuration\n")
+        # Once is enough: a faulty list must not take all hosts away from the balancer.
+        self._listed = self._listed or members.entry_of(state, self._runner.owner.host) is not None
+        if not self._listed:
+            return web.Response(status=503, text="not in the host list\n")
         return web.Response(text="ready\n")
 
     async def _metrics(self, req: web.Request) -> web.Response:
--- a/src/wasabiwick/_handlers/coordinator.py
+++ b/src/wasabiwick/_handlers/coordinator.py
@@ -328,16 +328,20 @@
     pool.hold_slot(reservation, asked.pieces)
     health.chosen(state, placement.decode.name)
     health.chosen(state, placement.prefill.name)
+    yield _tell_grant(pool, reservation, placement.cached, at)
+
+
+def _tell_grant(pool: Pool, one: Reservation, cached: int, at: float) -> SendPeer:
     message = Granted(
-        request_id=asked.request_id,
-        attempt_id=asked.attempt_id,
-        engine=placement.decode.name,
-        prefill_engine=placement.prefill.name,
-        cached_tokens=placement.cached,
+        request_id=one.asked.request_id,
+        attempt_id=one.asked.attempt_id,
+        engine=one.engine,
+        prefill_engine=one.prefill_engine,
+        cached_tokens=cached,
         free=max(0, pool.free() - len(pool.queue)),
         wait=round(pool.wait(at), 3),
     )
-    yield SendPeer(host=asked.owner.host, message=message)
+    return SendPeer(host=one.asked.owner.host, message=message)
 
 
 @on_message(Advanced)
@@ -419,6 +423,8 @@
         one = pool.reservations.get(attempt_id)
         if one:
             one.renewed_at = event.at
+            if not engine:  # The router still waits, so the grant was lost on its way.
+                yield _tell_grant(pool, one, one.matched, event.at)
         elif engine in pool.engines:
             _register(pool, told, engine, request_id, attempt_id, event.at)
         elif not engine and attempt_id not in pool.queue.waiting:
--- a/src/wasabiwick/_handlers/keys.py
+++ b/src/wasabiwick/_handlers/keys.py
@@ -1,11 +1,16 @@
 """Ownership of request keys: a retry on another host finds the stream that runs already.
 
-The owner of a key is a live host of the zone, by rendezvous hash. It keeps which host serves the
-key, and at which engine the attempt runs. This is soft state: losing it costs time only.
+A key has a home zone, and its owners are two live hosts of that zone, all by rendezvous hash: a
+retry may reach a host of any zone, and has to find the same owners. The first keeps which host
+serves the key, and at which engine the attempt runs; the second is told too, and answers claims
+while the first can't be reached. This is soft state: losing it costs time only. A zone of which two
+hosts can't be reached is left out for a while, so that a partition does not hold requests up.
 """
 
+import itertools
 import typing
 
+from .. import _rendezvous
 from .._effects import Count, SendPeer, StartTimer, StopTimer
 from .._events import (
     AdmissionWanted,
@@ -25,62 +30,86 @@
 
 MAX_ASKS = 30  # Supersede messages sent before a request is run anew.
 SWEEP_INTERVAL = 30.0  # Seconds between looks for records whose serving host is lost.
+OWNERS = 2  # Hosts that know where a key is served.
+MAX_CLAIMS = 3  # Owners asked before a request is run without an answer.
+UNREACHED_PAUSE = 15.0  # Seconds for which an owner that was not reached is left out.
+UNREACHED_ZONE = 2  # Hosts of another zone not reached, after which the whole zone is left out.
 KEEP_LOST = 60.0  # Seconds for which the stream of a lost host can be adopted.
 
 
 class Claim:
-    """A claim of this host that has not been settled yet."""
+    """A claim of this host that has not been settled yet.
 
-    __slots__ = ("attempt_id", "answer", "asks")
+    ``message`` went to ``owner``, after ``claims`` others that did not answer.
+    """
 
-    def __init__(self, *, attempt_id: str) -> None:
-        self.attempt_id = attempt_id
+    __slots__ = ("message", "owner", "claims", "answer", "asks")
+
+    def __init__(self, *, message: ClaimKey) -> None:
+        self.message = message
+        self.owner = ""
+        self.claims = 0
         self.answer: KeyClaimed | None = None
         self.asks = 0
 
 
 class Served:
-    """What the owner of a key knows of its request, as of monotonic time ``at``."""
+    """What an owner of a key knows of its request, as of monotonic time ``at``.
+
+    ``claimed`` tells that the serving host claimed the key here, and did not only report it.
+    """
 
-    __slots__ = ("serving", "attempt_id", "engine", "at")
+    __slots__ = ("serving", "attempt_id", "engine", "at", "claimed")
 
-    def __init__(self, *, serving: Owner, attempt_id: str, at: float, engine: str = "") -> None:
+    def __init__(
+        self, *, serving: Owner, attempt_id: str, at: float, engine: str = "", claimed: bool = False
+    ) -> None:
         self.serving = serving
         self.attempt_id = attempt_id
         self.at = at
         self.engine = engine
+        self.claimed = claimed
 
 
 @state_slice("keys")
 class KeysState:
-    """Claims of this host, the keys it owns, and the owners it has told, by request id."""
+    """Claims of this host, the keys it owns, and the owners it has told, by request id.
 
-    __slots__ = ("claims", "served", "told")
+    ``unreached`` holds owners that are left out for a while.
+    """
+
+    __slots__ = ("claims", "served", "told", "unreached")
 
     def __init__(self, cfg: Settings) -> None:
         self.claims: dict[str, Claim] = {}
         self.served: dict[str, Served] = {}
-        self.told: dict[str, str] = {}
+        self.told: dict[str, list[str]] = {}
+        self.unreached: set[str] = set()
 
 
 def claim(state: State, call: Call, at: float) -> typing.Iterator[Step]:
     """Ask the key's owner whether the request is being served already."""
-    attempt_id = generation.next_attempt(state)
-    state["keys"].claims[call.request_id] = Claim(attempt_id=attempt_id)
     message = ClaimKey(
         request_id=call.request_id,
-        attempt_id=attempt_id,
+        attempt_id=generation.next_attempt(state),
         claimant=state.owner,
         deadline=state.wall(call.deadline),
     )
-    yield SendPeer(host=_owner(state, call.request_id), message=message)
-    yield StartTimer(timer="claim", key=call.request_id, delay=state.cfg.timing.peer)
+    state["keys"].claims[call.request_id] = Claim(message=message)
+    yield from _send_claim(state, call.request_id)
+
+
+def _send_claim(state: State, request_id: str) -> typing.Iterator[Step]:
+    waiting = state["keys"].claims[request_id]
+    waiting.owner = _owners(state, request_id)[0]
+    yield SendPeer(host=waiting.owner, message=waiting.message)
+    yield StartTimer(timer="claim", key=request_id, delay=state.cfg.timing.peer)
 
 
 def report(
     state: State, request_id: str, attempt_id: str, *, engine: str = "", ended: bool = False
 ) -> typing.Iterator[Step]:
-    """Tell the key's owner where the attempt runs, or that the request has ended."""
+    """Tell the key's owners where the attempt runs, or that the request has ended."""
     message = KeyServed(
         request_id=request_id,
         attempt_id=attempt_id,
@@ -88,13 +117,31 @@
         engine=engine,
         ended=ended,
     )
-    owner = _owner(state, request_id)
-    state["keys"].told[request_id] = owner
-    yield SendPeer(host=owner, message=message)
+    owners = _owners(state, request_id)
+    state["keys"].told[request_id] = owners
+    for owner in owners:
+        yield SendPeer(host=owner, message=message)
+
+
+def _owners(state: State, request_id: str) -> list[str]:
+    """Return the owners of a key, the first one first; this host if it can reach no other."""
+    role = f"key/{request_id}"
+    found = (
+        host
+        for zone in _rendezvous.ranked(role, members.zones(state))
+        for host in _rendezvous.ranked(role, _reachable(state, zone))
+    )
+    return list(itertools.islice(found, OWNERS)) or [state.owner.host]
 
 
-def _owner(state: State, request_id: str) -> str:
-    return members.role_owner(state, f"key/{request_id}", state.zone)
+def _reachable(state: State, zone: str) -> list[str]:
+    unreached = state["keys"].unreached
+    hosts = members.live_hosts(state, zone)
+    if not unreached:
+        return hosts
+    left = [host for host in hosts if host not in unreached]
+    cut_off = zone != state.zone and len(hosts) - len(left) >= UNREACHED_ZONE
+    return [] if cut_off else left
 
 
 @on_message(ClaimKey)
@@ -118,22 +165,27 @@
         attempt_id=answer.running_attempt,
         at=event.at,
         engine=answer.engine,
+        claimed=True,
     )
     yield SendPeer(host=asked.claimant.host, message=answer)
 
 
 @on_message(KeyServed)
 def note(state: State, event: PeerMessage) -> None:
-    """Record where the attempt of a key runs; an older serving host changes nothing."""
+    """Record where the attempt of a key runs; a claim is not undone by an older serving host."""
     told = event.message
     served = state["keys"].served
     known = served.get(told.request_id)
     if told.ended:
         if known and known.serving == told.serving:
             del served[told.request_id]
-    elif known is None or known.serving == told.serving:
+    elif known is None or known.serving == told.serving or not known.claimed:
         served[told.request_id] = Served(
-            serving=told.serving, attempt_id=told.attempt_id, at=event.at, engine=told.engine
+            serving=told.serving,
+            attempt_id=told.attempt_id,
+            at=event.at,
+            engine=told.engine,
+            claimed=known is not None and known.claimed,
         )
 
 
@@ -142,7 +194,7 @@
     """Run the request, or take it over from the host that serves it."""
     answer = event.message
     waiting = state["keys"].claims.get(answer.request_id)
-    if waiting is None or waiting.attempt_id != answer.attempt_id or waiting.answer:
+    if waiting is None or waiting.message.attempt_id != answer.attempt_id or waiting.answer:
         return
     waiting.answer = answer
     if answer.serving is None:
@@ -155,7 +207,9 @@
 
 def _ask(state: State, request_id: str, waiting: Claim) -> typing.Iterator[Step]:
     waiting.asks += 1
-    message = Supersede(request_id=request_id, attempt_id=waiting.attempt_id, by=state.owner)
+    message = Supersede(
+        request_id=request_id, attempt_id=waiting.message.attempt_id, by=state.owner
+    )
     yield SendPeer(host=waiting.answer.serving.host, message=message)
     yield StartTimer(timer="claim", key=request_id, delay=state.cfg.timing.peer)
 
@@ -183,8 +237,7 @@
     """Tell new owners of the keys that this host serves."""
     mine = state["keys"]
     for request_id, gen in generation.keyed(state):
-        owner = _owner(state, request_id)
-        if mine.told.get(request_id) != owner:
+        if mine.told.get(request_id) != _owners(state, request_id):
             yield from report(state, request_id, gen.attempt_id, engine=gen.decode_engine)
 
 
@@ -200,7 +253,7 @@
     served = state["keys"].served
     for request_id, known in list(served.items()):
         lost = not members.is_live(state, known.serving)
-        moved = _owner(state, request_id) != state.owner.host
+        moved = state.owner.host not in _owners(state, request_id)
         if (lost or moved) and event.at - known.at > KEEP_LOST:
             del served[request_id]
     yield StartTimer(timer="keys_sweep", delay=SWEEP_INTERVAL)
@@ -219,7 +272,7 @@
     """The older host let go: adopt its stream, or run the request anew."""
     told = event.message
     waiting = state["keys"].claims.get(told.request_id)
-    if waiting is None or waiting.attempt_id != told.attempt_id:
+    if waiting is None or waiting.message.attempt_id != told.attempt_id:
         return
     if not told.engine:
         yield from _run_anew(state, told.request_id, event.at)
@@ -247,6 +300,9 @@
     alive = answer and answer.serving and members.is_live(state, answer.serving)
     if alive and waiting.asks < MAX_ASKS:
         yield from _ask(state, event.key, waiting)
+    elif answer is None:
+        yield from _leave_out(state, waiting.owner)
+        yield from _claim_again(state, event.key, event.at)
     else:
         yield from _settle(state, event.key, event.at)
 
@@ -255,8 +311,35 @@
 def unanswered(state: State, event: PeerFailed) -> typing.Iterator[Step]:
     """Go on without the owner, or the older host, that can't be reached."""
     message = event.message
+    if isinstance(message, ClaimKey | KeyServed):
+        yield from _leave_out(state, event.host)
     if not isinstance(message, ClaimKey | Supersede):
         return
     waiting = state["keys"].claims.get(message.request_id)
-    if waiting and waiting.attempt_id == message.attempt_id:
+    if waiting is None or waiting.message.attempt_id != message.attempt_id:
+        return
+    if isinstance(message, Supersede):
         yield from _settle(state, message.request_id, event.at)
+    elif waiting.owner == event.host and waiting.answer is None:
+        yield from _claim_again(state, message.request_id, event.at)
+
+
+def _leave_out(state: State, host: str) -> typing.Iterator[Step]:
+    if host != state.owner.host:
+        state["keys"].unreached.add(host)
+        yield StartTimer(timer="key_owner", key=host, delay=UNREACHED_PAUSE)
+
+
+@on_timer("key_owner")
+def ask_owner_again(state: State, event: TimerFired) -> None:
+    """Ask an owner again that was left out."""
+    state["keys"].unreached.discard(event.key)
+
+
+def _claim_again(state: State, request_id: str, at: float) -> typing.Iterator[Step]:
+    waiting = state["keys"].claims[request_id]
+    waiting.claims += 1
+    if waiting.claims < MAX_CLAIMS:
+        yield from _send_claim(state, request_id)
+    else:
+        yield from _settle(state, request_id, at)
--- a/tests/support.py
+++ b/tests/support.py
@@ -86,10 +86,13 @@
     """Hosts of one availability zone and their engines on a virtual clock.
 
     Effects on engines are collected in ``effects`` of each host; prefills, reports and cancels are
-    answered at once unless ``answer_prefills`` is false.
+    answered at once unless ``answer_prefills`` is false. ``zones`` names the zones of hosts
+    that are not in the first one. A message of a type in ``lost`` is lost once.
     """
 
-    def __init__(self, *names: str, engines: int = 2) -> None:
+    def __init__(self, *names: str, engines: int = 2, zones: dict[str, str] | None = None) -> None:
+        self.zones = zones or {}
+        self.lost: list[type] = []
         self.now = 100.0
         self.answer_prefills = True
         self.engines = {f"e{i}": FakeEngine(f"e{i}") for i in range(engines)}
@@ -109,11 +112,16 @@
 
     def boot(self, name: str, incarnation: str = "1") -> None:
         """Start a host's process."""
-        self.states[name] = _state.State(make_settings(name))
+        self.states[name] = _state.State(make_settings(name, self.zone_of(name)))
         self.effects[name] = []
         owner = _wire.Owner(host=name, incarnation=incarnation)
         wall = EPOCH + self.now
-        self.feed(name, _events.Booted(at=self.now, owner=owner, zone=ZONE, wall=wall, seed=7))
+        zone = self.zone_of(name)
+        self.feed(name, _events.Booted(at=self.now, owner=owner, zone=zone, wall=wall, seed=7))
+
+    def zone_of(self, name: str) -> str:
+        """Return the availability zone of a host."""
+        return self.zones.get(name, ZONE)
 
     def kill(self, name: str) -> None:
         """End a host's process at once."""
@@ -122,7 +130,7 @@
     def list_hosts(self) -> None:
         """Give every host the host list."""
         entries = [
-            _wire.HostEntry(name=n, kind="entry", zone=ZONE, address=f"http://{n}")
+            _wire.HostEntry(name=n, kind="entry", zone=self.zone_of(n), address=f"http://{n}")
             for n in self.states
         ]
         entries += [
@@ -212,14 +220,17 @@
                 self._cancel(name, effect)
 
     def _send(self, name: str, effect: _effects.SendPeer) -> None:
-        if effect.host in self.down or effect.host not in self.states:
+        lost = type(effect.message) in self.lost
+        if lost:
+            self.lost.remove(type(effect.message))
+        if lost or effect.host in self.down or effect.host not in self.states:
             event = _events.PeerFailed(
                 at=0, host=effect.host, message=effect.message, verdict=Verdict.NOT_RUN
             )
             self.later(LATENCY, name, event)
             return
         event = _events.PeerMessage(
-            at=0, sender=self.states[name].owner, zone=ZONE, message=effect.message
+            at=0, sender=self.states[name].owner, zone=self.zone_of(name), message=effect.message
         )
         self.later(LATENCY, effect.host, event)
 
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from wasabiwick import _effects, _errors, _events
+from wasabiwick import _effects, _errors, _events, _wire
 from wasabiwick._handlers import members
 from wasabiwick._verdict import Verdict
 
@@ -251,6 +251,77 @@
     return members.role_owner(fabric.states["a"], f"key/{request_id}", support.ZONE)
 
 
+class TestZones(unittest.TestCase):
+    """A retry in another availability zone finds the request; a cut-off zone does not stop it."""
+
+    KEYS = 12
+
+    def setUp(self) -> None:
+        zones = {"c": "tx-central-c", "d": "tx-central-c"}
+        self.fabric = support.Fabric("a", "b", "c", "d", zones=zones)
+
+    def arrive(self, host: str, call_id: str, key: str) -> None:
+        call = support.make_call(call_id, key=key)
+        self.fabric.feed(host, _events.CallArrived(at=0, call=call))
+
+    def test_retry_in_another_zone_takes_the_stream_over(self) -> None:
+        for number in range(self.KEYS):
+            self.arrive("a", f"old{number}", f"k{number}")
+        self.fabric.run(0.5)
+        for attempt in self.fabric.of("a", _effects.StartDecode):
+            progress = _events.StreamProgress(at=0, **_attempt(attempt), count=5, offset=5)
+            self.fabric.feed("a", progress)
+        for number in range(self.KEYS):
+            self.arrive("c", f"new{number}", f"k{number}")
+        self.fabric.run(0.5)
+        self.assertEqual(len(self.fabric.of("c", _effects.ResumeStream)), self.KEYS)
+        self.assertEqual(len(self.fabric.of("a", _effects.CloseCall)), self.KEYS)
+        self.assertEqual(self.fabric.of("c", _effects.StartPrefill), [])
+
+    def test_second_owner_answers_once_the_first_is_lost(self) -> None:
+        for number in range(self.KEYS):
+            self.arrive("a", f"old{number}", f"k{number}")
+        self.fabric.run(0.5)
+        for attempt in self.fabric.of("a", _effects.StartDecode):
+            progress = _events.StreamProgress(at=0, **_attempt(attempt), count=5, offset=5)
+            self.fabric.feed("a", progress)
+        self.fabric.kill("b")
+        self.fabric.kill("d")
+        for number in range(self.KEYS):
+            self.arrive("c", f"new{number}", f"k{number}")
+        self.fabric.run(0.5)
+        self.assertEqual(len(self.fabric.of("c", _effects.ResumeStream)), self.KEYS)
+
+    def test_zone_that_is_cut_off_is_left_out(self) -> None:
+        self.fabric.kill("c")
+        self.fabric.kill("d")
+        for number in range(self.KEYS):
+            self.arrive("a", f"call{number}", f"k{number}")
+        self.fabric.run(0.5)
+        self.assertEqual(len(self.fabric.of("a", _effects.StartDecode)), self.KEYS)
+        self.fabric.effects["a"].clear()
+        for number in range(self.KEYS):
+            self.arrive("a", f"late{number}", f"l{number}")
+        hosts = {
+            one.host
+            for one in self.fabric.of("a", _effects.SendPeer)
+            if isinstance(one.message, _wire.ClaimKey)
+        }
+        self.assertEqual(hosts - {"a", "b"}, set())
+
+
+class TestLostGrant(GenerationCase):
+    """A grant that is lost on its way is told again when the router renews its place."""
+
+    def test_grant_is_told_again(self) -> None:
+        self.fabric.lost = [_wire.Granted]
+        for host in ("a", "b"):
+            self.arrive(host, f"call-{host}", key=f"k-{host}")
+        self.fabric.run(3.0)
+        self.assertEqual(self.fabric.lost, [])
+        self.assertEqual(self.prefills(), 2)
+
+
 class TestAbandoned(GenerationCase):
     """A request whose caller has gone holds nothing at an engine."""
 
