Give newcomers a README whose commands run, and a site to call

Cause: the README had two lines, and the demo ends before anybody could call it. Change: README with the path, two commands, and curls; 'wasabiwick site' serves until Ctrl-C and records traces, 'wasabiwick key' makes keys; a test runs the README's curls against a site of real processes, repeats the call that is executed at most once, and replays the host's trace.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: changelog docs traces install test demo format check model capacity bench clean
+.PHONY: site changelog docs traces install test demo format check model capacity bench clean
 
 $(STAMP): pyproject.toml requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -38,3 +38,6 @@
 
 changelog: install
 	$(BIN)/python tools/changelog.py
+
+site: install
+	$(BIN)/wasabiwick site
--- /dev/null
+++ b/src/wasabiwick/_cli_key.py
@@ -0,0 +1,19 @@
+"""``wasabiwick key``: keys that name requests."""
+
+import random
+
+import click
+
+from ._load import new_key
+
+
+@click.command()
+@click.option("--count", default=1, show_default=True, type=click.IntRange(1))
+def key(count: int) -> None:
+    """Make an Idempotency-Key, a UUID of version 7.
+
+    Its time tells hosts how old a request can be. Use one key for a request and all its retries.
+    """
+    rng = random.SystemRandom()
+    for _ in range(count):
+        click.echo(new_key(rng))
--- a/src/wasabiwick/_demo/__init__.py
+++ b/src/wasabiwick/_demo/__init__.py
@@ -1,5 +1,6 @@
 """A whole site on one machine, with mixed calls, failures, and checks of what came of them."""
 
 from ._run import run
+from ._stay import stay
 
-__all__ = ["run"]
+__all__ = ["run", "stay"]
--- a/src/wasabiwick/_demo/_site.py
+++ b/src/wasabiwick/_demo/_site.py
@@ -19,6 +19,7 @@
 MODEL = "lectio-lm"
 SERVICE = "signup-app"
 API_KEY = "demo-key"
+TRACE_SUFFIX = ".trace.jsonl"
 STARTING = 6  # Processes that start at once.
 
 PLANS = {"lonestar": {"plan": "study", "keys": [hashlib.sha256(API_KEY.encode()).hexdigest()]}}
@@ -35,12 +36,33 @@
     Args:
         processes: Starts the site's processes.
         folder: Where settings and lists are written.
-        session: Client session for control.
+        zones: Number of availability zones, up to three.
+        hosts: Entry hosts of each availability zone.
+        engines: Engines of each availability zone.
     """
 
-    __slots__ = ("log", "host_list", "engines", "service", "hosts", "_processes", "_folder")
-
-    def __init__(self, *, processes: Processes, folder: pathlib.Path) -> None:
+    __slots__ = (
+        "log",
+        "host_list",
+        "engines",
+        "service",
+        "hosts",
+        "_processes",
+        "_folder",
+        "_zones",
+        "_hosts_per_zone",
+        "_engines_per_zone",
+    )
+
+    def __init__(
+        self,
+        *,
+        processes: Processes,
+        folder: pathlib.Path,
+        zones: int = len(ZONES),
+        hosts: int = HOSTS_PER_ZONE,
+        engines: int = ENGINES_PER_ZONE,
+    ) -> None:
         self.log: Process | None = None
         self.host_list: Process | None = None
         self.service: Process | None = None
@@ -48,6 +70,9 @@
         self.hosts: list[Process] = []
         self._processes = processes
         self._folder = folder
+        self._zones = ZONES[:zones]
+        self._hosts_per_zone = hosts
+        self._engines_per_zone = engines
 
     async def start(self, session: aiohttp.ClientSession) -> None:
         """Start everything, and publish the two lists."""
@@ -58,12 +83,20 @@
         )
         gate = asyncio.Semaphore(STARTING)
         self.engines = await asyncio.gather(
-            *(self._engine(gate, zone, i) for zone in ZONES for i in range(ENGINES_PER_ZONE))
+            *(
+                self._engine(gate, zone, number)
+                for zone in self._zones
+                for number in range(self._engines_per_zone)
+            )
         )
         await self._publish()
         await self._list(session)
         self.hosts = await asyncio.gather(
-            *(self._host(gate, zone, i) for zone in ZONES for i in range(HOSTS_PER_ZONE))
+            *(
+                self._host(gate, zone, number)
+                for zone in self._zones
+                for number in range(self._hosts_per_zone)
+            )
         )
         await self._list(session)
 
@@ -78,6 +111,7 @@
             "host": name,
             "zone": zone,
             "region": REGION,
+            "trace": str(self._folder / f"{name}{TRACE_SUFFIX}"),
             "platform": {"log": self.log.address, "hosts": self.host_list.address},
         }
         path = self._folder / f"{name}.yaml"
--- a/src/wasabiwick/_load/__init__.py
+++ b/src/wasabiwick/_load/__init__.py
@@ -1,7 +1,7 @@
 """Callers that ask a router or an engine, check every answer and measure it."""
 
-from ._caller import Ask, Caller, Reply
+from ._caller import Ask, Caller, Reply, new_key
 from ._measure import Tally, Totals
 from ._run import Plan, run
 
-__all__ = ["Ask", "Caller", "Plan", "Reply", "Tally", "Totals", "run"]
+__all__ = ["Ask", "Caller", "Plan", "Reply", "Tally", "Totals", "new_key", "run"]
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -83,7 +83,7 @@
     def test_commands_and_options_exist(self) -> None:
         for path in pages():
             text = path.read_text("utf-8")
-            for line in re.findall(r"(?m)(?:`|^ {4,}|bin/)wasabiwick ([a-z][^\n`#|]*)", text):
+            for line in re.findall(r"(?m)(?:`|^ {4,}|bin/)wasabiwick ([a-z][^\n`#|)]*)", text):
                 with self.subTest(page=path.name, line=line):
                     self.check(line.split())
 
