--- a/src/wasabiwick/_bench/run.py
+++ b/src/wasabiwick/_bench/run.py
@@ -1,7 +1,12 @@
 """One run of the bench, and the figures that it gives."""
 
+import random
+import typing
+
 import msgspec
 
+from .._effects import FetchReport
+from .._handlers import choice, coordinator
 from .._settings import Targets
 from .._state import State
 from . import policies, scenarios
@@ -48,26 +53,32 @@
 class Capacity:
     """The bound that slots and prefill rate allow, of a deployment with perfect decisions.
 
-    ``decode`` is the most output per second with each engine at its best batch within the target;
+    ``decode`` is the most output per second with each engine at its best batch within the target,
+    less what a fault takes away;
     ``prefill`` is the output per second whose prompts all engines together can prefill if no token
     is prefilled twice.
     """
 
-    __slots__ = ("decode", "prefill", "mean_output")
+    __slots__ = ("decode", "prefill", "mean_output", "one_engine")
 
     def __init__(self, deployment: Deployment, asks: list[Ask], targets: Targets) -> None:
         traits = [one for _, _, one in deployment.engines()]
         self.decode = sum(
             one.best_rate(targets.between_outputs) for one in traits if "decode" in one.roles
         )
+        self.one_engine = max(one.best_rate(targets.between_outputs) for one in traits)
         output = sum(one.output for one in asks)
         self.mean_output = output / len(asks)
         rate = sum(one.prefill_rate for one in traits)
         self.prefill = rate * output / max(1, _first_time_tokens(asks))
 
-    def bound(self) -> float:
-        """Return the lower of both, in tokens/s."""
-        return min(self.decode, self.prefill)
+    def bound(self, lost_share: float = 0.0) -> float:
+        """Return the lower of both, in tokens/s.
+
+        Args:
+            lost_share: Part of the measured time in which one decode engine is lost, 0 to 1.
+        """
+        return min(self.decode - lost_share * self.one_engine, self.prefill)
 
 
 def _first_time_tokens(asks: list[Ask]) -> int:
@@ -133,8 +144,6 @@
 
 
 def _workload(deployment: Deployment, seed: int, load: float) -> tuple[list[Ask], Capacity]:
-    import random
-
     probe = deployment.requests(deployment, random.Random("probe"), 100.0)
     capacity = Capacity(deployment, probe, Targets())
     rate = load * capacity.bound() / capacity.mean_output
@@ -143,8 +152,6 @@
 
 
 def _poll_everywhere(world: World) -> None:
-    from .._effects import FetchReport
-
     for host in world.hosts.values():
         for name in world.engines:
             world.fetch_report(host, FetchReport(endpoint=name))
@@ -205,7 +212,7 @@
         hosts=len(one.world.hosts),
         goodput=round(good / (end - begin), 1),
         wasted_prefill=round(wasted, 5),
-        bound=round(min(offered, one.capacity.bound()), 1),
+        bound=round(min(offered, one.capacity.bound(scenarios.lost_share(one.scenario))), 1),
         offered=round(offered, 1),
         requests=len(outcomes),
         answered=len(done),
@@ -242,7 +249,7 @@
     return round(sum(shares) ** 2 / (len(shares) * squares), 4) if squares else 0.0
 
 
-def _without_scorer(name: str):
+def _without_scorer(name: str) -> typing.Callable[[State], None]:
     def configure(state: State) -> None:
         mine = state["coordinator"]
         mine.scorers = tuple(one for one in mine.scorers if one != name)
@@ -250,7 +257,27 @@
     return configure
 
 
+def _without_step(name: str) -> typing.Callable[[State], None]:
+    def configure(state: State) -> None:
+        state["coordinator"].steps -= {name}
+
+    return configure
+
+
+def _without_home_zone(state: State) -> None:
+    state["pools"].by_affinity = False
+
+
 ABLATIONS = {
-    name: _without_scorer(name)
-    for name in ("prefill_queue", "prefill_work", "transfer", "stall", "batch")
+    **{name: _without_scorer(name) for name in choice.SCORERS},
+    **{
+        name: _without_step(name)
+        for name in (
+            coordinator.REDIRECT,
+            coordinator.ON_TIME,
+            coordinator.KEEP_BACK,
+            coordinator.CHEAP_FIRST,
+        )
+    },
+    "home_zone": _without_home_zone,
 }
--- a/src/wasabiwick/_bench/scenarios.py
+++ b/src/wasabiwick/_bench/scenarios.py
@@ -3,7 +3,7 @@
 import typing
 
 from .callers import Callers
-from .workload import DEPLOYMENTS, Deployment
+from .workload import DEPLOYMENTS, WARM_UP, WINDOW, Deployment
 from .world import World
 
 FAULT_AT = 14.0  # Seconds after the first call.
@@ -11,6 +11,12 @@
 SLOW_FACTOR = 3.0
 STALE_LAG = 2.0  # Seconds.
 
+LOST_FOR = {
+    "engine_loss": WINDOW - FAULT_AT,
+    "slow_engine": FAULT_ENDS - FAULT_AT,
+    "two_faults": WINDOW - FAULT_AT,
+}  # Seconds of the measured time in which one decode engine can't meet the target.
+
 Fault = typing.Callable[[World, Callers], None]
 
 FAULTS: dict[str, Fault] = {}
@@ -44,6 +50,11 @@
     return DEPLOYMENTS[base], FAULTS.get(name)
 
 
+def lost_share(scenario: str) -> float:
+    """Return the part of the measured time in which one decode engine is lost, 0 to 1."""
+    return LOST_FOR.get(scenario.partition(".")[2], 0.0) / (WINDOW - WARM_UP)
+
+
 def decode_engines(world: World) -> list[str]:
     """Return the names of the engines that decode."""
     return [one.name for one in world.engines.values() if "decode" in one.traits.roles]
--- a/src/wasabiwick/_handlers/coordinator.py
+++ b/src/wasabiwick/_handlers/coordinator.py
@@ -26,6 +26,10 @@
 from .ledger import RESTART_MARGIN, EngineLedger, OtherPool, Pool, Reservation
 from .queueing import LATE, MAX_RELAXED, RELAXED, URGENT, URGENT_SLACK, Waiting
 
+REDIRECT = "redirect"  # Steps that an ablation leaves out.
+ON_TIME = "on_time"
+KEEP_BACK = "keep_back"
+CHEAP_FIRST = "cheap_first"
 SWEEP = 0.1  # Seconds between looks for reservations and queued requests that have expired.
 LATE_SECONDS = 4.0  # Length of the late band's queue, in seconds of its share of the grants.
 LATE_SHARE = 0.02
@@ -43,13 +47,14 @@
 
 @state_slice("coordinator")
 class CoordinatorState:
-    """Pools that this host coordinates, by model and zone, and the scorers in use."""
+    """Pools that this host coordinates, by model and zone; scorers and optional steps in use."""
 
-    __slots__ = ("pools", "scorers", "polls")
+    __slots__ = ("pools", "scorers", "steps", "polls")
 
     def __init__(self, cfg: Settings) -> None:
         self.pools: dict[tuple[str, str], Pool] = {}
         self.scorers: tuple[str, ...] = tuple(choice.SCORERS)
+        self.steps = frozenset((REDIRECT, ON_TIME, KEEP_BACK, CHEAP_FIRST))
         self.polls = 0
 
 
@@ -239,7 +244,7 @@
     The cost is the wait, and the prefill of what the zone's caches lack: a prefill paid twice
     delays others too. Late requests look at the prefill alone.
     """
-    if asked.redirected:
+    if asked.redirected or REDIRECT not in state["coordinator"].steps:
         return ""
     weight = 0.0 if state.monotonic(asked.target) < at else 1.0
     placed = pool.directory.zone_of(asked.pieces)
@@ -310,8 +315,9 @@
 
     if not pool.queue.waiting and pool.free() > KEPT_BACK * pool.slots():
         pool.idle_at = at
+    steps = state["coordinator"].steps
     while pool.queue.waiting:
-        one = _next(pool)
+        one = _next(pool) if CHEAP_FIRST in steps else pool.queue.first()
         placement = choice.place(
             pool,
             one.asked,
@@ -320,9 +326,10 @@
             rng=state.rng,
             at=at,
         )
-        if placement is None or _kept_back(pool, one):
+        if placement is None or (KEEP_BACK in steps and _kept_back(pool, one)):
             return
-        if one.band == URGENT and at + placement.ready + READY_MARGIN > one.due:
+        on_time = at + placement.ready + READY_MARGIN <= one.due
+        if one.band == URGENT and not on_time and ON_TIME in steps:
             yield from _too_late(pool, one, at)
             continue
         pool.queue.granted(one)
