--- a/src/wasabiwick/_bench/run.py
+++ b/src/wasabiwick/_bench/run.py
@@ -275,7 +275,6 @@
         for name in (
             coordinator.REDIRECT,
             coordinator.ON_TIME,
-            coordinator.KEEP_BACK,
             coordinator.CHEAP_FIRST,
         )
     },
--- a/src/wasabiwick/_handlers/coordinator.py
+++ b/src/wasabiwick/_handlers/coordinator.py
@@ -28,7 +28,6 @@
 
 REDIRECT = "redirect"  # Steps that an ablation leaves out.
 ON_TIME = "on_time"
-KEEP_BACK = "keep_back"
 CHEAP_FIRST = "cheap_first"
 SWEEP = 0.1  # Seconds between looks for reservations and queued requests that have expired.
 LATE_SECONDS = 4.0  # Length of the late band's queue, in seconds of its share of the grants.
@@ -39,7 +38,7 @@
 SPILL_SECONDS = 0.1  # Time that another pool must save to be sent a request.
 LOAD_STALE = 1.0  # Seconds after which another pool's load is not believed any more.
 READY_MARGIN = 0.1  # Seconds that a first output may come later than predicted.
-KEPT_BACK = 0.08  # Share of a pool's slots that late work leaves free.
+IDLE_SLOTS = 0.08  # Share of a pool's slots whose being free makes it one with slots to spare.
 PREFILL_BOUND = 0.1  # Share of free slots from which prefill, not memory, limits a pool.
 LOOK_AHEAD = 8  # Queued requests compared while prefill is scarce.
 FULL_MARGIN = 1  # Slots kept back at an engine that refused a granted decode, until it reports.
@@ -54,7 +53,7 @@
     def __init__(self, cfg: Settings) -> None:
         self.pools: dict[tuple[str, str], Pool] = {}
         self.scorers: tuple[str, ...] = tuple(choice.SCORERS)
-        self.steps = frozenset((REDIRECT, ON_TIME, KEEP_BACK, CHEAP_FIRST))
+        self.steps = frozenset((REDIRECT, ON_TIME, CHEAP_FIRST))
         self.polls = 0
 
 
@@ -313,7 +312,7 @@
     def usable(name: str) -> bool:
         return health.usable(state, name)
 
-    if not pool.queue.waiting and pool.free() > KEPT_BACK * pool.slots():
+    if not pool.queue.waiting and pool.free() > IDLE_SLOTS * pool.slots():
         pool.idle_at = at
     steps = state["coordinator"].steps
     while pool.queue.waiting:
@@ -326,7 +325,7 @@
             rng=state.rng,
             at=at,
         )
-        if placement is None or (KEEP_BACK in steps and _kept_back(pool, one)):
+        if placement is None:
             return
         on_time = at + placement.ready + READY_MARGIN <= one.due
         if one.band == URGENT and not on_time and ON_TIME in steps:
@@ -345,13 +344,6 @@
     return min(heads, key=lambda head: choice.prefill_cost(pool, head.asked))
 
 
-def _kept_back(pool: Pool, one: Waiting) -> bool:
-    """Tell whether the last free slots wait for requests that can still meet their target."""
-    if one.band != LATE or pool.queue.is_late_turn():
-        return False
-    return pool.free() <= KEPT_BACK * pool.slots()
-
-
 def _grant(
     state: State, pool: Pool, asked: Reserve, placement: choice.Placement, at: float
 ) -> typing.Iterator[Step]:
--- a/src/wasabiwick/_handlers/slots.py
+++ b/src/wasabiwick/_handlers/slots.py
@@ -32,6 +32,7 @@
 from . import calls, coordinator, members, pools, retries
 
 MAX_ASKED = 3  # Pools asked for one attempt.
+LONGEST_CROSSING = 0.05  # Seconds; an answer that took longer was waited for.
 LATE_QUIET = 0.5  # Seconds for which a pool that refused late work is not asked for more.
 ASK_AGAIN = 0.05  # Seconds before an attempt that its coordinator lost is reserved again.
 MAX_LOST = 40  # Times that an attempt is reserved again before it is refused.
@@ -227,7 +228,7 @@
     if pending is None:
         yield from _give_back(state, told, event)
         return
-    _note(state, pending, told.wait)
+    _note(state, pending, told.wait, event.at)
     _note_affinity(state, pending, told)
     state["slots"].held[told.attempt_id] = Held(
         request_id=told.request_id,
@@ -261,9 +262,12 @@
     yield SendPeer(host=event.sender.host, message=message)
 
 
-def _note(state: State, pending: Pending, wait: float) -> None:
+def _note(state: State, pending: Pending, wait: float, at: float) -> None:
     view = pools.view_of(state, pending.model, pending.zone)
     view.wait = wait
+    elapsed = at - pending.asked_at
+    if pending.zone != state.zone and elapsed < LONGEST_CROSSING:  # Else it was queued there.
+        view.crossing.observe(elapsed / 2)
     view.cut_until = 0.0
 
 
@@ -287,7 +291,7 @@
         yield from _lost(state, told.attempt_id, pending, event.at)
         return
     view = pools.view_of(state, pending.model, pending.zone)
-    _note(state, pending, told.wait)
+    _note(state, pending, told.wait, event.at)
     if told.elsewhere and not pending.redirected:
         pending.redirected = True
         yield Count(metric="reserve_redirected")
@@ -296,8 +300,6 @@
     req = calls.request_of(state, pending.request_id)
     if target_of(state, req) <= state.wall(event.at):
         view.late_denied_at = event.at
-    elif pending.zone != state.zone:
-        view.crossing.observe(min(1.0, (event.at - pending.asked_at) / 2))
     # The coordinator has weighed the other pools: none would serve the request in time.
     yield from _refuse(state, told.attempt_id, pending, True, event.at)
 
