Ask a lost coordinator or keeper one question at a time

Cause: whenever the time for which a cut-off host is not asked ran out, all requests of a second went to it and waited for its time-out. Change: a suspect coordinator gets one question at a time; a lost keeper of budgets gets a question for nothing, while requests go by the host's own share.

--- a/src/wasabiwick/_handlers/admission.py
+++ b/src/wasabiwick/_handlers/admission.py
@@ -52,10 +52,21 @@
     """One customer on this host.
 
     ``waiting`` requests have not been let in. ``asked`` of them are in a question whose answer is
-    due. ``share`` is the part of the plan that this host goes by on its own.
+    due. ``share`` is the part of the plan that this host goes by on its own, while its keeper is
+    ``lost``.
     """
 
-    __slots__ = ("waiting", "asked", "in_flight", "refund", "share", "alone_until", "own", "quiet")
+    __slots__ = (
+        "waiting",
+        "asked",
+        "in_flight",
+        "refund",
+        "share",
+        "alone_until",
+        "lost",
+        "own",
+        "quiet",
+    )
 
     def __init__(self) -> None:
         self.waiting: collections.deque[str] = collections.deque()
@@ -64,6 +75,7 @@
         self.refund = 0
         self.share = 0.0
         self.alone_until = 0.0
+        self.lost = False
         self.own: Bucket | None = None
         self.quiet = 0.0
 
@@ -106,7 +118,10 @@
 def _ask(state: State, customer: str, account: Account, event: Event) -> typing.Iterator[Step]:
     if account.asked or not account.waiting:
         return
-    if event.at < account.alone_until:
+    if account.lost:
+        if event.at >= account.alone_until:
+            account.alone_until = event.at + ALONE
+            yield _probe(state, customer, account)
         yield from _go_alone(state, customer, account, event)
         return
     requests = [calls.request_of(state, request_id) for request_id in account.waiting]
@@ -124,6 +139,18 @@
     yield StartTimer(timer="limit_answer", key=customer, delay=ANSWER_TIME)
 
 
+def _probe(state: State, customer: str, account: Account) -> SendPeer:
+    """Return a question for nothing, so that no request waits for a keeper that may be lost."""
+    message = LimitAsk(
+        customer=customer,
+        owner=state.owner,
+        requests=0,
+        tokens=0,
+        in_flight=account.in_flight,
+    )
+    return SendPeer(host=limits.keeper_of(state, customer), message=message)
+
+
 def _tokens(req: "calls.Request") -> int:
     return req.call.prompt_tokens + req.call.max_tokens
 
@@ -133,7 +160,10 @@
     """Let requests in, and refuse the others of this question unless they may wait."""
     told = event.message
     account = state["admission"].accounts.get(told.customer)
-    if account is None or not account.asked:
+    if account is None:
+        return
+    account.lost = False
+    if not account.asked:
         return
     asked, account.asked = account.asked, 0
     account.share = told.share
@@ -219,6 +249,7 @@
 
 def _alone(state: State, customer: str, account: Account, event: Event) -> typing.Iterator[Step]:
     account.asked = 0
+    account.lost = True
     account.alone_until = event.at + ALONE
     yield Count(metric="limit_keeper_unreachable")
     yield from _ask(state, customer, account, event)
--- a/src/wasabiwick/_handlers/pools.py
+++ b/src/wasabiwick/_handlers/pools.py
@@ -19,14 +19,18 @@
 
 
 class View:
-    """What this host knows of one pool: the answers of its coordinator."""
+    """What this host knows of one pool: the answers of its coordinator.
 
-    __slots__ = ("wait", "late_denied_at", "cut_until", "crossing")
+    A ``suspect`` coordinator left the last question unanswered; it gets one question at a time.
+    """
+
+    __slots__ = ("wait", "late_denied_at", "cut_until", "suspect", "crossing")
 
     def __init__(self) -> None:
         self.wait = 0.0
         self.late_denied_at = -CUT_OFF
         self.cut_until = 0.0
+        self.suspect = False
         self.crossing = predict.Mean(CROSSING, share=0.1)
 
 
--- a/src/wasabiwick/_handlers/slots.py
+++ b/src/wasabiwick/_handlers/slots.py
@@ -176,6 +176,8 @@
     if at < view.cut_until:
         yield from _go_alone(state, attempt_id, pending, at)
         return
+    if view.suspect:
+        view.cut_until = at + pools.CUT_OFF
     host = coordinator.coordinator_of(state, pending.model, zone)
     yield SendPeer(host=host, message=_reserve(state, attempt_id, pending))
 
@@ -265,6 +267,8 @@
 def _note(state: State, pending: Pending, wait: float, at: float) -> None:
     view = pools.view_of(state, pending.model, pending.zone)
     view.wait = wait
+    view.cut_until = 0.0
+    view.suspect = False
     elapsed = at - pending.asked_at
     if pending.zone != state.zone and elapsed < LONGEST_CROSSING:  # Else it was queued there.
         view.crossing.observe(elapsed / 2)
@@ -332,6 +336,7 @@
         return
     view = pools.view_of(state, message.model, message.zone)
     view.cut_until = event.at + pools.CUT_OFF
+    view.suspect = True
     yield Count(metric="coordinator_unreachable", label=message.zone)
     for attempt_id, pending in list(state["slots"].waiting.items()):
         if (pending.model, pending.zone) == (message.model, message.zone):
