--- a/src/wasabiwick/_demo/_site.py
+++ b/src/wasabiwick/_demo/_site.py
@@ -48,7 +48,7 @@
         "service",
         "hosts",
         "_processes",
-        "_folder",
+        "folder",
         "_zones",
         "_hosts_per_zone",
         "_engines_per_zone",
@@ -69,7 +69,7 @@
         self.engines: list[Process] = []
         self.hosts: list[Process] = []
         self._processes = processes
-        self._folder = folder
+        self.folder = folder
         self._zones = ZONES[:zones]
         self._hosts_per_zone = hosts
         self._engines_per_zone = engines
@@ -111,10 +111,10 @@
             "host": name,
             "zone": zone,
             "region": REGION,
-            "trace": str(self._folder / f"{name}{TRACE_SUFFIX}"),
+            "trace": str(self.folder / f"{name}{TRACE_SUFFIX}"),
             "platform": {"log": self.log.address, "hosts": self.host_list.address},
         }
-        path = self._folder / f"{name}.yaml"
+        path = self.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings))
         async with gate:
             return await self._processes.start(name, "run", "--settings", str(path))
@@ -124,7 +124,7 @@
         await self.control(session, self.host_list, hosts=entries)
 
     async def _publish(self) -> None:
-        plans, allowances = self._folder / "plans.yaml", self._folder / "allowances.yaml"
+        plans, allowances = self.folder / "plans.yaml", self.folder / "allowances.yaml"
         plans.write_text(yaml.safe_dump(PLANS))
         allowances.write_text(yaml.safe_dump(ALLOWANCES))
         args = ("--plans", str(plans), "--allowances", str(allowances), "--author", "demo")
--- a/src/wasabiwick/_demo/_table.py
+++ b/src/wasabiwick/_demo/_table.py
@@ -8,6 +8,7 @@
 
 from .._load import Tally
 from .._load._measure import Quantiles
+from ._replayed import Replayed
 from ._site import Site
 from ._traffic import Traffic
 
@@ -68,6 +69,8 @@
         effects = service["effects"]
         # The router passes a key on with the customer's name before it.
         known = {key.rpartition(":")[2] for key in effects}
+        replayed = Replayed(site.folder)
+        results.notes += replayed.notes
         missing = sum(key not in known for key in results.signups)
         calls, answered = sum(results.calls.values()), sum(results.answered.values())
         self._rows = [
@@ -86,6 +89,8 @@
             Row("exit status of the drained host", self._drain_status, 0),
             Row("attempts", tally.attempts),
             Row("callers that left and came back", tally.dropped),
+            Row("events replayed", replayed.events),
+            Row("differences in replay", len(replayed.notes), 0),
             *self._latencies(),
             Row("wasted prefill", _wasted(engines)),
             Row("calls per second", round(calls / self._seconds, 1)),
