Send the fencing number with a query by key

Cause: the demo's sign-ups whose host was killed stayed unknown, since its service was not declared to honour fencing; with that declared, the query by key still went out without its number, so that a late call could run after the service had said that it did not. Change: the number goes out with the query; the stand-in refuses older calls from then on, and the demo's service honours fencing. Conclusion: a service that can be asked but does not fence leaves such a sign-up unknown, as before.

--- a/src/wasabiwick/_adapters/_service.py
+++ b/src/wasabiwick/_adapters/_service.py
@@ -40,17 +40,16 @@
         timeout: float,
     ) -> ServiceAnswer | Failure:
         """Send one call on a fresh connection, without any retry."""
-        headers = {"Content-Type": content_type}
+        headers = {"Content-Type": content_type, **_fenced(fence)}
         if key:
             headers["Idempotency-Key"] = key
-        if fence >= 0:
-            headers["X-Fence"] = str(fence)
         return await self._exchange(address, method, path, body, headers, timeout)
 
-    async def query(self, address: str, *, key: str) -> ServiceAnswer | Failure:
+    async def query(self, address: str, *, key: str, fence: int) -> ServiceAnswer | Failure:
         """Ask what became of the call with this key; status 404 if it never ran."""
+        headers = _fenced(fence)
         timeout = self._timing.service
-        return await self._exchange(address, "GET", f"/outcomes/{key}", b"", {}, timeout)
+        return await self._exchange(address, "GET", f"/outcomes/{key}", b"", headers, timeout)
 
     async def _exchange(
         self,
@@ -73,3 +72,7 @@
                 return ServiceAnswer(status=resp.status, body=text, content_type=resp.content_type)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as exc:
             return failure_of(exc, address)
+
+
+def _fenced(fence: int) -> dict[str, str]:
+    return {"X-Fence": str(fence)} if fence >= 0 else {}
--- a/src/wasabiwick/_demo/_site.py
+++ b/src/wasabiwick/_demo/_site.py
@@ -25,7 +25,9 @@
 PLANS = {"lonestar": {"plan": "study", "keys": [hashlib.sha256(API_KEY.encode()).hexdigest()]}}
 ALLOWANCES = {
     "plans": {"study": {"models": [MODEL], "services": [SERVICE], "may_wait": True}},
-    "services": {SERVICE: {"idempotent": ["GET /*"], "can_query": True}},
+    "services": {
+        SERVICE: {"idempotent": ["GET /*"], "can_query": True, "fencing": "honoured"},
+    },
     "models": {MODEL: {}},
 }
 
@@ -79,7 +81,9 @@
         self.log, self.host_list, self.service = await asyncio.gather(
             self._processes.start("log", "standin", "log-service"),
             self._processes.start("hosts", "standin", "host-list"),
-            self._processes.start("signup-1", "standin", "service", "--can-query"),
+            self._processes.start(
+                "signup-1", "standin", "service", "--can-query", "--honour-fence"
+            ),
         )
         gate = asyncio.Semaphore(STARTING)
         self.engines = await asyncio.gather(
--- a/src/wasabiwick/_performers/services.py
+++ b/src/wasabiwick/_performers/services.py
@@ -43,7 +43,7 @@
 
 async def _query(runner: Runner, effect: QueryService) -> None:
     address = members.address_of(runner.state, effect.endpoint)
-    answer = await runner.ports.service.query(address, key=effect.request_id)
+    answer = await runner.ports.service.query(address, key=effect.request_id, fence=effect.fence)
     _pass_on(runner, effect, answer)
 
 
--- a/src/wasabiwick/_ports/service.py
+++ b/src/wasabiwick/_ports/service.py
@@ -33,5 +33,8 @@
     ) -> ServiceAnswer | Failure:
         """Send one call on a fresh connection, without any retry."""
 
-    async def query(self, address: str, *, key: str) -> ServiceAnswer | Failure:
-        """Ask what became of the call with this key; status 404 if it never ran."""
+    async def query(self, address: str, *, key: str, fence: int) -> ServiceAnswer | Failure:
+        """Ask what became of the call with this key; status 404 if it never ran.
+
+        A service that honours fencing refuses calls with a number below ``fence`` from then on.
+        """
--- a/src/wasabiwick/_standins/service.py
+++ b/src/wasabiwick/_standins/service.py
@@ -54,6 +54,7 @@
         key = request.match_info["key"]
         if not self.knobs.can_query:
             return problem(501, "the service can't be asked by key")
+        self._raise_fence(request, key)  # A call with an older one does not run from now on.
         if key not in self.effects:
             return problem(404, f'key "{key}" did not run')
         return answer(self._done(key))
@@ -71,10 +72,8 @@
 
     def _effect(self, request: web.Request, body: str) -> web.Response:
         key = request.headers.get("Idempotency-Key", "")
-        fence = int(request.headers.get("X-Fence", "-1"))
-        if self.knobs.honour_fence and fence < self._fences.get(key, -1):
+        if not self._raise_fence(request, key) and self.knobs.honour_fence:
             return problem(409, f'key "{key}" was used with a newer fencing number')
-        self._fences[key] = max(fence, self._fences.get(key, -1))
         if self.knobs.die_before:
             os._exit(1)
         if not (self.knobs.accepts_key and key in self.effects):
@@ -86,5 +85,12 @@
             request.transport.abort()
         return answer({**self._done(key), "echo": body})
 
+    def _raise_fence(self, request: web.Request, key: str) -> bool:
+        """Keep the newest fencing number of a key; False if the request's is older."""
+        fence = int(request.headers.get("X-Fence", "-1"))
+        newest = self._fences.get(key, -1)
+        self._fences[key] = max(fence, newest)
+        return fence >= newest
+
     def _done(self, key: str) -> dict[str, typing.Any]:
         return {"service": self.name, "key": key, "done": True}
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -6,6 +6,8 @@
 
 import aiohttp
 
+from wasabiwick._adapters import HttpService
+from wasabiwick._settings import Timing
 from wasabiwick._standins._output import expected_output
 
 from ._processes import Processes, control, post, until
@@ -210,13 +212,42 @@
             self.assertEqual(resp.status, 404)
 
     async def test_refuses_an_old_fence(self) -> None:
-        one = await self.processes.standin("service", "--honour-fence")
+        one = await self.processes.standin("service", "--honour-fence", "--can-query")
+        async with self.session.get(
+            f"{one.address}/outcomes/asked", headers={"X-Fence": "5"}
+        ) as resp:
+            self.assertEqual(resp.status, 404)
+        headers = {"Idempotency-Key": "asked", "X-Fence": "4"}
+        async with self.session.post(f"{one.address}/join", headers=headers) as resp:
+            self.assertEqual(resp.status, 409)
         for fence, status in ((2, 200), (1, 409), (2, 200)):
             headers = {"Idempotency-Key": "k", "X-Fence": str(fence)}
             async with self.session.post(f"{one.address}/join", headers=headers) as resp:
                 self.assertEqual(resp.status, status)
 
 
+class TestFencedQuery(StandInCase):
+    """Once a service was asked with a newer fencing number, an older call does not run."""
+
+    async def test_older_call_is_refused(self) -> None:
+        one = await self.processes.standin("service", "--honour-fence", "--can-query")
+        port = HttpService(session=self.session, timing=Timing())
+        found = await port.query(one.address, key="k", fence=5)
+        self.assertEqual(found.status, 404)
+        late = await port.call(
+            one.address,
+            method="POST",
+            path="/join",
+            body=b"",
+            content_type="text/plain",
+            key="k",
+            fence=4,
+            timeout=5.0,
+        )
+        self.assertEqual(late.status, 409)
+        self.assertEqual((await self.state(one))["effects"], {})
+
+
 class TestWeightStore(StandInCase):
     """Loading takes the time that the store's rate gives."""
 
