--- a/src/wasabiwick/_handlers/coordinator.py
+++ b/src/wasabiwick/_handlers/coordinator.py
@@ -505,7 +505,7 @@
 def _expire_reservations(pool: Pool, at: float, life: float) -> None:
     for attempt_id, one in list(pool.reservations.items()):
         if at - one.renewed_at > life:
-            pool.release(attempt_id, at)
+            pool.release(attempt_id, at, freed=False)
     for owner, when in list(pool.owners.items()):
         if at - when > life:
             del pool.owners[owner]
--- a/src/wasabiwick/_handlers/ledger.py
+++ b/src/wasabiwick/_handlers/ledger.py
@@ -319,14 +319,29 @@
                 engine.transfers -= 1
         one.phase = phase
 
-    def release(self, attempt_id: str, at: float) -> Reservation | None:
-        """Give back all that an attempt holds."""
+    def release(self, attempt_id: str, at: float, *, freed: bool = True) -> Reservation | None:
+        """Give back all that an attempt holds.
+
+        Args:
+            attempt_id: The attempt.
+            at: Monotonic time.
+            freed: Whether the engine frees its memory too. If not, the memory counts as that of an
+                unknown attempt until a report shows it gone.
+
+        Returns:
+            The reservation, or None if there is none.
+        """
         one = self.reservations.pop(attempt_id, None)
         if one is None:
             return None
+        phase = one.phase
         self.advance(one, "decode", at)
+        one.phase = phase
         engine = self.engines.get(one.engine)
         if engine:
             engine.held.discard(attempt_id)
-            engine.released[attempt_id] = at
+            if freed:
+                engine.released[attempt_id] = at
+            elif phase == "decode":
+                engine.foreign += 1
         return one
