Weigh the harm to running batches in the choice of engine and zone

Change: the first 20 outputs at the batch's interval count in both choices, and a stalled request counts 1.5 s for each second, not 0.25 s.

--- a/src/wasabiwick/_handlers/choice.py
+++ b/src/wasabiwick/_handlers/choice.py
@@ -10,11 +10,11 @@
 
 from .._pieces import LADDER, PIECE_TOKENS
 from .._wire import Reserve
-from .ledger import LINK_SHARE, PREFILL_AHEAD, EngineLedger, Pool
+from .ledger import FIRST_OUTPUTS, LINK_SHARE, PREFILL_AHEAD, EngineLedger, Pool
 
 MAX_CANDIDATES = 12  # Engines looked at for one role; larger pools are sampled.
 PREFILL_WEIGHT = 3.0  # A prefill paid twice delays others too, not only its own request.
-STALL_SHARE = 0.25  # Cost of delaying one running request by a second, in seconds.
+STALL_SHARE = 1.5  # Cost of delaying one running request by a second, in seconds.
 
 
 class Placement:
@@ -87,8 +87,8 @@
 
 @scorer("batch")
 def batch(pool: Pool, asked: Reserve, option: Placement, at: float) -> float:
-    """Return the time that the first steps take in the engine's batch."""
-    return 4 * option.decode.interval.at(len(option.decode.held) + 1)
+    """Return the time that the first outputs take in the engine's batch."""
+    return FIRST_OUTPUTS * option.decode.interval.at(len(option.decode.held) + 1)
 
 
 Usable = typing.Callable[[str], bool]
--- a/src/wasabiwick/_handlers/ledger.py
+++ b/src/wasabiwick/_handlers/ledger.py
@@ -19,6 +19,7 @@
 PREFILL_AHEAD = 0.15  # Seconds of prefill work queued at an engine beyond the running one.
 STALL_WINDOW = 3.0  # Seconds over which prefills at a decode engine are averaged.
 MOST_OF_PREFILL = 0.9  # Share of a running prefill that is taken for done at most.
+FIRST_OUTPUTS = 20  # Outputs over which a slower batch counts against an engine.
 LINK_SHARE = 2  # Transfers that may share one engine's link.
 
 
@@ -275,7 +276,15 @@
         """Return the predicted wait of a request that came now, in seconds."""
         ahead = 1 + len(self.queue) - self.free()
         by_slots = max(0.0, ahead * self.hold.value / max(1, self.slots()))
-        return max(by_slots, self._prefill_backlog(at))
+        return max(by_slots, self._prefill_backlog(at)) + self._batch_seconds()
+
+    def _batch_seconds(self) -> float:
+        """Return how long the first outputs take in the pool's mean batch."""
+        engines = [one for one in self.engines.values() if one.batch_limit(self.target)]
+        if not engines:
+            return 0.0
+        batch = sum(len(one.held) for one in engines) / len(engines)
+        return FIRST_OUTPUTS * sum(one.interval.at(batch) for one in engines) / len(engines)
 
     def _prefill_backlog(self, at: float) -> float:
         engines = [one for one in self.engines.values() if one.is_prefill_only()]
