--- /dev/null
+++ b/src/wasabiwick/_bench/cost.py
@@ -0,0 +1,143 @@
+"""Cost of a decision: time of a coordinator's step, and bytes of state, by sizes."""
+
+import time
+import tracemalloc
+
+import msgspec
+
+from .. import _events, _handlers  # noqa: F401 - registers the handlers
+from .._pieces import LADDER
+from .._reducer import reduce
+from .._settings import Platform, Settings
+from .._state import State
+from .._wire import CacheEvent, EngineReport, HostEntry, Owner, Release, Reserve
+
+ZONE = "zone"
+MODEL = "model"
+OWNER = Owner(host="host", incarnation="1")
+ROUTER = Owner(host="router", incarnation="1")
+ROUNDS = 400  # Decisions that are timed.
+
+
+class CostFigures(msgspec.Struct, frozen=True):
+    """Mean microseconds of one reservation with its release, and bytes of the coordinator's state.
+
+    ``in_flight`` reservations are held meanwhile, and each engine has ``prefixes`` entries.
+    """
+
+    engines: int
+    in_flight: int
+    prefixes: int
+    microseconds: float
+    state_bytes: int
+
+
+def measure(*, engines: int, in_flight: int, prefixes: int) -> CostFigures:
+    """Time decisions of a coordinator whose pool has a given size.
+
+    Args:
+        engines: Engines of the pool.
+        in_flight: Reservations held while decisions are timed.
+        prefixes: Prefix entries of each engine.
+
+    Returns:
+        The figures, of this machine.
+    """
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    state = _coordinator(engines, in_flight, prefixes)
+    size = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    _decide(state, "warm", ROUNDS // 4)
+    begin = time.perf_counter()
+    _decide(state, "timed", ROUNDS)
+    seconds = time.perf_counter() - begin
+    return CostFigures(
+        engines=engines,
+        in_flight=in_flight,
+        prefixes=prefixes,
+        microseconds=round(1e6 * seconds / ROUNDS, 1),
+        state_bytes=size,
+    )
+
+
+def _coordinator(engines: int, in_flight: int, prefixes: int) -> State:
+    cfg = Settings(host="host", zone=ZONE, region="r", platform=Platform(log="", hosts=""))
+    state = State(cfg)
+    reduce(state, _events.Booted(at=0.0, owner=OWNER, zone=ZONE, wall=1e9, seed=1))
+    entries = [HostEntry(name="host", kind="entry", zone=ZONE, address="http://host")]
+    names = [f"engine-{number}" for number in range(engines)]
+    entries += [
+        HostEntry(name=name, kind="engine", zone=ZONE, address=f"http://{name}", service=MODEL)
+        for name in names
+    ]
+    reduce(state, _events.HostsListed(at=0.0, entries=tuple(entries)))
+    slots = 24 + in_flight // engines * 2
+    for name in names:
+        report = EngineReport(
+            engine=name,
+            sequence=1,
+            slots=slots,
+            used=0,
+            prefill_rate=1e9,  # So fast that prefill never holds a decision back.
+            decode_interval=0.001,
+            kv_bytes_per_token=1,
+            link_rate=1e12,
+        )
+        for at in (4.0, 4.1, 4.2, 4.3):
+            reduce(state, _events.EngineReported(at=at, report=report))
+        stored = tuple(range(prefixes))
+        change = CacheEvent(sequence=1, stored=stored)
+        reduce(state, _events.CacheChanged(at=4.3, endpoint=name, changes=(change,)))
+    for number in range(in_flight):
+        _reserve(state, f"held-{number}", number)
+    return state
+
+
+def _reserve(state: State, attempt_id: str, number: int) -> None:
+    asked = Reserve(
+        request_id=attempt_id,
+        attempt_id=attempt_id,
+        owner=ROUTER,
+        engine="",
+        config_version=1,
+        deadline=state.wall(60.0),
+        customer=f"customer-{number % 50}",
+        prompt_tokens=1_000,
+        max_tokens=100,
+        pieces=tuple(number + length for length in LADDER),
+        model=MODEL,
+        zone=ZONE,
+        target=state.wall(7.0),
+    )
+    event = _events.PeerMessage(at=5.0, sender=ROUTER, zone=ZONE, message=asked)
+    reduce(state, event)
+
+
+def _decide(state: State, name: str, rounds: int) -> None:
+    for number in range(rounds):
+        attempt_id = f"{name}-{number}"
+        _reserve(state, attempt_id, number)
+        freed = Release(
+            request_id=attempt_id,
+            attempt_id=attempt_id,
+            owner=ROUTER,
+            engine="",
+            model=MODEL,
+            zone=ZONE,
+        )
+        reduce(state, _events.PeerMessage(at=5.0, sender=ROUTER, zone=ZONE, message=freed))
+
+
+def grid() -> list[tuple[int, int, int]]:
+    """Return the sizes that docs/BENCH.md shows: engines, in flight, prefix entries."""
+    return [
+        (10, 0, 0),
+        (100, 0, 0),
+        (1_000, 0, 0),
+        (10, 100, 0),
+        (10, 1_000, 0),
+        (10, 10_000, 0),
+        (10, 0, 1_000),
+        (10, 0, 8_000),
+    ]
--- a/src/wasabiwick/_cli_bench.py
+++ b/src/wasabiwick/_cli_bench.py
@@ -3,7 +3,7 @@
 import click
 import msgspec
 
-from ._bench import limits, plot, policies, run, scenarios, table
+from ._bench import cost, limits, plot, policies, run, scenarios, table
 
 
 @click.command()
@@ -64,3 +64,11 @@
             for seed in range(1, seeds + 1):
                 one = limits.measure(kind=kind, seed=seed, hosts=hosts, dead=dead)
                 click.echo(msgspec.json.encode(one).decode())
+
+
+@click.command("bench-cost")
+def bench_cost() -> None:
+    """Time decisions at several sizes, one JSON object a line."""
+    for engines, in_flight, prefixes in cost.grid():
+        one = cost.measure(engines=engines, in_flight=in_flight, prefixes=prefixes)
+        click.echo(msgspec.json.encode(one).decode())
