--- a/src/wasabiwick/_handlers/choice.py
+++ b/src/wasabiwick/_handlers/choice.py
@@ -116,10 +116,13 @@
     Returns:
         The best placement, or None while no slot, link share or prefill engine is free.
     """
-    decodes = [one for one in _sample(pool, rng) if _may_decode(pool, one, asked, usable)]
+    open_engines = list(pool.totals.open.values())
+    decodes = [one for one in _sample(open_engines, rng) if _may_decode(one, asked, usable)]
     if not decodes:
         return None
-    prefills = [one for one in _sample(pool, rng) if _may_prefill(pool, one, asked, usable, at)]
+    prefills = [
+        one for one in _sample(pool.listed, rng) if _may_prefill(pool, one, asked, usable, at)
+    ]
     chosen = tuple(SCORERS[name] for name in scorers)
     ranked = [(_score_prefill(pool, asked, one, chosen, at), one.name, one) for one in prefills]
     best = min(ranked)[2] if ranked else None
@@ -136,13 +139,12 @@
     return chosen_one
 
 
-def _sample(pool: Pool, rng: random.Random) -> list[EngineLedger]:
-    engines = list(pool.engines.values())
+def _sample(engines: list[EngineLedger], rng: random.Random) -> list[EngineLedger]:
     return engines if len(engines) <= MAX_CANDIDATES else rng.sample(engines, MAX_CANDIDATES)
 
 
-def _may_decode(pool: Pool, one: EngineLedger, asked: Reserve, usable: Usable) -> bool:
-    return one.name not in asked.avoid and one.free(pool.target) > 0 and usable(one.name)
+def _may_decode(one: EngineLedger, asked: Reserve, usable: Usable) -> bool:
+    return one.name not in asked.avoid and usable(one.name)
 
 
 def _may_prefill(pool: Pool, one: EngineLedger, asked: Reserve, usable: Usable, at: float) -> bool:
@@ -174,7 +176,7 @@
         asked: The request.
         known: None for this pool; for another one, whether it served the same prefix before.
     """
-    engines = list(pool.engines.values())[:MAX_CANDIDATES]
+    engines = pool.listed[:MAX_CANDIDATES]
     if not engines:
         return 0.0
     if known is None:
--- a/src/wasabiwick/_handlers/coordinator.py
+++ b/src/wasabiwick/_handlers/coordinator.py
@@ -190,6 +190,7 @@
     engine.take_report(event.report, event.at)
     if event.at - pool.since > state.cfg.timing.reservation:
         engine.margin = 0
+    pool.changed(engine)
     yield from _dispatch(state, pool, event.at)
 
 
@@ -423,6 +424,7 @@
         ledger = pool.engines.get(engine)
         if ledger:
             ledger.margin = max(ledger.margin, FULL_MARGIN)
+            pool.changed(ledger)
         return
     yield from health.failed(state, engine)
 
@@ -487,6 +489,7 @@
     pool.hold_slot(one, ())
     # The latest report may have counted this attempt as memory of nobody known.
     pool.engines[engine].foreign = max(0, pool.engines[engine].foreign - 1)
+    pool.changed(pool.engines[engine])
 
 
 # --- Expiry --------------------------------------------------------------------------------------
--- a/src/wasabiwick/_handlers/ledger.py
+++ b/src/wasabiwick/_handlers/ledger.py
@@ -7,6 +7,7 @@
 from . import predict
 from .prefixes import Directory, PrefixIndex
 from .queueing import WaitQueue
+from .totals import Totals
 
 PRIOR_PREFILL = 8_000.0  # Tokens/s assumed of an engine that has not reported.
 PRIOR_LINK = 2e9  # Bytes/s.
@@ -121,7 +122,11 @@
         """Return the slots that may be granted now."""
         if not self.can("decode"):
             return 0
-        return self.batch_limit(target) - len(self.held) - self.foreign - self.margin
+        return self.batch_limit(target) - self.occupied()
+
+    def occupied(self) -> int:
+        """Return the slots that are held, used by unknown attempts, or kept back."""
+        return len(self.held) + self.foreign + self.margin
 
     def stalled_share(self, at: float, more: float = 0.0) -> float:
         """Return the share of recent time that the engine's batch shared with prefills.
@@ -221,6 +226,8 @@
         "others",
         "directory",
         "idle_at",
+        "totals",
+        "listed",
     )
 
     def __init__(self, *, model: str, zone: str, at: float, target: float) -> None:
@@ -238,6 +245,8 @@
         self.others: dict[str, OtherPool] = {}
         self.directory = Directory()
         self.idle_at = at
+        self.totals = Totals()
+        self.listed: list[EngineLedger] = []
 
     def set_engines(self, names: typing.Iterable[str], *, margin: int) -> None:
         """Take over the pool's engines; a known one keeps its ledger."""
@@ -245,54 +254,53 @@
         self.engines = {
             name: self.engines.get(name) or EngineLedger(name, margin=margin) for name in wanted
         }
+        self.listed = list(self.engines.values())
+        self.totals.rebuild(self.listed, self.target)
+
+    def changed(self, engine: EngineLedger | None) -> None:
+        """Take an engine's change over into the sums; None changes nothing."""
+        if engine:
+            self.totals.change(engine, self.target)
 
     def slots(self) -> int:
         """Return the slots of all engines, as limited by the target interval."""
-        return sum(
-            one.batch_limit(self.target) for one in self.engines.values() if one.can("decode")
-        )
+        return self.totals.sums.slots
 
     def free(self) -> int:
         """Return the slots that may be granted now."""
-        return sum(max(0, one.free(self.target)) for one in self.engines.values())
+        return self.totals.sums.free
 
     def grants_per_second(self) -> float:
         """Return how many requests the pool can serve, by slots and by prefill rate."""
-        by_slots = self.slots() / self.hold.value
-        rate = sum(
-            one.prefill_rate.per_second for one in self.engines.values() if one.can("prefill")
-        )
-        return max(0.01, min(by_slots, rate / max(1.0, self.uncached.value)))
+        sums = self.totals.sums
+        by_prefill = sums.rate / max(1.0, self.uncached.value)
+        return max(0.01, min(sums.slots / self.hold.value, by_prefill))
 
     def service_seconds(self, tokens: int) -> float:
         """Return a typical time from grant to first output, in seconds."""
-        rates = [one.prefill_rate for one in self.engines.values() if one.can("prefill")]
-        if not rates:
+        sums = self.totals.sums
+        if not sums.prefills:
             return 0.0
         share = min(1.0, self.uncached.value / max(1.0, tokens))
-        return min(rate.seconds(tokens * share) for rate in rates) + PREFILL_AHEAD
+        return tokens * share * sums.prefills / sums.rate + PREFILL_AHEAD
 
     def wait(self, at: float) -> float:
         """Return the predicted wait of a request that came now, in seconds."""
         ahead = 1 + len(self.queue) - self.free()
         by_slots = max(0.0, ahead * self.hold.value / max(1, self.slots()))
-        return max(by_slots, self._prefill_backlog(at)) + self._batch_seconds()
+        return max(by_slots, self._prefill_backlog()) + self._batch_seconds()
 
     def _batch_seconds(self) -> float:
         """Return how long the first outputs take in the pool's mean batch."""
-        engines = [one for one in self.engines.values() if one.batch_limit(self.target)]
-        if not engines:
-            return 0.0
-        batch = sum(len(one.held) for one in engines) / len(engines)
-        return FIRST_OUTPUTS * sum(one.interval.at(batch) for one in engines) / len(engines)
+        sums = self.totals.sums
+        return FIRST_OUTPUTS * sums.interval / sums.decodes if sums.decodes else 0.0
 
-    def _prefill_backlog(self, at: float) -> float:
-        engines = [one for one in self.engines.values() if one.is_prefill_only()]
-        if not engines:
+    def _prefill_backlog(self) -> float:
+        sums = self.totals.sums
+        if not sums.only:
             return 0.0
-        rate = sum(one.prefill_rate.per_second for one in engines)
-        granted = sum(one.prefill_wait(at) for one in engines) / len(engines)
-        return granted + len(self.queue) * self.uncached.value / rate
+        queued = len(self.queue) * self.uncached.value * sums.prefills / sums.rate
+        return (sums.granted + queued) / sums.only
 
     def hold_slot(self, one: Reservation, ladder: tuple[int, ...]) -> None:
         """Enter a reservation into the ledgers."""
@@ -313,6 +321,8 @@
                 prefill.note_stall(one.granted_at, seconds)
         if one.prefill_engine != one.engine and one.phase == "prefill":
             self.engines[one.engine].transfers += 1
+        self.changed(self.engines[one.engine])
+        self.changed(prefill)
 
     def advance(self, one: Reservation, phase: str, at: float) -> None:
         """Give back the prefill work, and then the link share, of an attempt that goes on."""
@@ -322,6 +332,7 @@
                 prefill.prefill_tokens -= one.prefill_tokens
                 prefill.prefill_count -= 1
                 prefill.prefill_since = at
+                self.changed(prefill)
         if one.phase != "decode" and phase == "decode":
             engine = self.engines.get(one.engine)
             if engine and one.prefill_engine != one.engine:
@@ -353,4 +364,5 @@
                 engine.released[attempt_id] = at
             elif phase == "decode":
                 engine.foreign += 1
+            self.changed(engine)
         return one
