--- a/src/wasabiwick/_bench/cost.py
+++ b/src/wasabiwick/_bench/cost.py
@@ -22,12 +22,14 @@
 class CostFigures(msgspec.Struct, frozen=True):
     """Mean microseconds of one reservation with its release, and bytes of the coordinator's state.
 
-    ``in_flight`` reservations are held meanwhile, and each engine has ``prefixes`` entries.
+    ``in_flight`` reservations are held meanwhile, of which ``granted`` really are, and each engine
+    has ``prefixes`` entries.
     """
 
     engines: int
     in_flight: int
     prefixes: int
+    granted: int
     microseconds: float
     state_bytes: int
 
@@ -48,6 +50,7 @@
     state = _coordinator(engines, in_flight, prefixes)
     size = tracemalloc.get_traced_memory()[0] - before
     tracemalloc.stop()
+    granted = len(state["coordinator"].pools[(MODEL, ZONE)].reservations)
     _decide(state, "warm", ROUNDS // 4)
     begin = time.perf_counter()
     _decide(state, "timed", ROUNDS)
@@ -56,6 +59,7 @@
         engines=engines,
         in_flight=in_flight,
         prefixes=prefixes,
+        granted=granted,
         microseconds=round(1e6 * seconds / ROUNDS, 1),
         state_bytes=size,
     )
@@ -74,18 +78,9 @@
     reduce(state, _events.HostsListed(at=0.0, entries=tuple(entries)))
     slots = 24 + in_flight // engines * 2
     for name in names:
-        report = EngineReport(
-            engine=name,
-            sequence=1,
-            slots=slots,
-            used=0,
-            prefill_rate=1e9,  # So fast that prefill never holds a decision back.
-            decode_interval=0.001,
-            kv_bytes_per_token=1,
-            link_rate=1e12,
-        )
-        for at in (4.0, 4.1, 4.2, 4.3):
-            reduce(state, _events.EngineReported(at=at, report=report))
+        for used in (1, 100) * 20 + (0,):
+            report = _report(name, slots, used)
+            reduce(state, _events.EngineReported(at=4.3, report=report))
         stored = tuple(range(prefixes))
         change = CacheEvent(sequence=1, stored=stored)
         reduce(state, _events.CacheChanged(at=4.3, endpoint=name, changes=(change,)))
@@ -94,6 +89,20 @@
     return state
 
 
+def _report(name: str, slots: int, used: int) -> EngineReport:
+    """Return a report of an engine so fast that it never holds a decision back."""
+    return EngineReport(
+        engine=name,
+        sequence=1,
+        slots=slots,
+        used=used,
+        prefill_rate=1e9,
+        decode_interval=0.001,
+        kv_bytes_per_token=1,
+        link_rate=1e12,
+    )
+
+
 def _reserve(state: State, attempt_id: str, number: int) -> None:
     asked = Reserve(
         request_id=attempt_id,
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -3,7 +3,7 @@
 import unittest
 
 from wasabiwick import _effects, _events, _handlers, _reducer, _state, _wire
-from wasabiwick._handlers import coordinator, health, predict, prefixes, queueing
+from wasabiwick._handlers import coordinator, health, predict, prefixes, queueing, totals
 
 from . import support
 
@@ -283,3 +283,32 @@
         effects = _reducer.reduce(state, _events.TimerFired(at=1.0, timer="coordinate"))
         fetched = [one.endpoint for one in effects if isinstance(one, _effects.FetchReport)]
         self.assertEqual(fetched, ["engine-0", "engine-1", "engine-2"])
+
+
+class TestSums(unittest.TestCase):
+    """The sums over a pool's engines equal those added up anew, after any changes."""
+
+    def test_changes(self) -> None:
+        state = started(engines=20)
+        for number in range(20):
+            report(state, 4.0, slots=4, engine=number)
+        for number in range(60):
+            at = 4.0 + number / 50
+            tell(state, at, ask(state, f"a{number}", at))
+            if number % 3 == 0:
+                done = _wire.Release(
+                    request_id=f"a{number // 2}",
+                    attempt_id=f"a{number // 2}",
+                    owner=OWNER,
+                    engine="",
+                    model=support.MODEL,
+                    zone=ZONE,
+                )
+                tell(state, at, done)
+        pool = state["coordinator"].pools[(support.MODEL, ZONE)]
+        kept = pool.totals.sums
+        pool.totals.rebuild(pool.listed, pool.target)
+        anew = pool.totals.sums
+        for name in totals.Part.__slots__:
+            self.assertAlmostEqual(getattr(kept, name), getattr(anew, name), places=6)
+        self.assertEqual(pool.free(), 80 - len(pool.reservations))
