--- a/src/wasabiwick/_handlers/lists.py
+++ b/src/wasabiwick/_handlers/lists.py
@@ -17,6 +17,7 @@
 
 STREAM = "configuration"
 BEHIND_GRACE = 5.0  # Seconds in which a host known to be behind still goes on.
+DIGEST_SHOWN = 12  # Hexadecimal digits in log lines.
 ASK_AGAIN = 1.0  # Seconds between two questions to one host.
 
 
@@ -88,9 +89,12 @@
     after = mine.history.version
     if after == before:
         return
-    yield LogLine(
-        event="configuration_in_force", fields={"version": after, "offset": mine.history.offset}
-    )
+    fields = {
+        "version": after,
+        "offset": mine.history.offset,
+        "digest": mine.history.content.digest[:DIGEST_SHOWN],
+    }
+    yield LogLine(event="configuration_in_force", fields=fields)
     if after >= mine.heard:
         yield from _caught_up(state)
     yield ListsChanged(at=event.at, version=after)
--- a/src/wasabiwick/_handlers/members.py
+++ b/src/wasabiwick/_handlers/members.py
@@ -25,6 +25,7 @@
 from .._wire import HostEntry, Owner
 
 LEAVING_PASSED_ON = 10.0  # Seconds after the first sign in which neighbours are told.
+PASS_ON = 0.05  # Seconds until a heartbeat carries a new sign, together with others.
 LEAVING_KEPT = 60.0  # Seconds after which only the host list's word counts.
 READERS = 4  # Hosts of a zone that read the host list within one interval of the settings.
 LONGEST_LIST_DELAY = 10.0  # Seconds.
@@ -269,25 +270,31 @@
 def note_leaving(
     state: State, signs: typing.Iterable[tuple[str, float]], at: float
 ) -> typing.Iterator[Step]:
-    """Take endpoints out of use at the first sign that they are leaving.
+    """Take endpoints out of use at the first sign that they are leaving, and pass it on soon.
 
     Args:
         state: The host's state.
         signs: Endpoints, each with the seconds since the first sign.
         at: Monotonic time, seconds.
     """
-    mine = state["members"]
-    changed = False
-    for name, age in signs:
-        since = at - age
-        if age < LEAVING_KEPT and since < mine.leaving.get(name, float("inf")):
-            changed = changed or name not in mine.leaving
-            mine.leaving[name] = since
-    if changed:
+    if _take_signs(state, signs, at):
         yield Count(metric="endpoint_leaving")
+        yield StartTimer(timer="heartbeat", delay=PASS_ON)
         yield from refresh(state, at)
 
 
+def _take_signs(state: State, signs: typing.Iterable[tuple[str, float]], at: float) -> bool:
+    """Note signs; returns whether one is of an endpoint that was in use."""
+    leaving = state["members"].leaving
+    news = False
+    for name, age in signs:
+        since = at - age
+        if age < LEAVING_KEPT and since < leaving.get(name, float("inf")):
+            news = news or name not in leaving
+            leaving[name] = since
+    return news
+
+
 # --- The host list -------------------------------------------------------------------------------
 
 
@@ -304,9 +311,13 @@
     entries = {entry.name: entry for entry in event.entries}
     for name in [name for name in mine.leaving if _came_back(mine.entries, entries, name)]:
         del mine.leaving[name]
-    for entry in entries.values():
-        if entry.kind != "entry" and entry.leaving:
-            mine.leaving.setdefault(entry.name, event.at)
+    listed = [
+        (entry.name, 0.0)
+        for entry in entries.values()
+        if entry.kind != "entry" and entry.leaving and entry.name not in mine.leaving
+    ]
+    if _take_signs(state, listed, event.at):
+        yield StartTimer(timer="heartbeat", delay=PASS_ON)
     mine.entries = entries
     _follow_hosts(state, event)
     yield StartTimer(timer="host_list", delay=_list_delay(state))
