Make events about an attempt in one way

Change: AttemptEvent.about(effect, at=..., ...), used by performers, bench, capacity run and tests. Conclusion: one place to change if attempts get another field.

--- a/src/wasabiwick/_bench/world.py
+++ b/src/wasabiwick/_bench/world.py
@@ -249,11 +249,9 @@
         silent = self.is_cut(host.zone, engine.zone)
         reason = ENDPOINT_REFUSED if refused else ENDPOINT_SILENT if silent else ENDPOINT_FAILED
         verdict = Verdict.NOT_RUN if refused else Verdict.MAY_HAVE_RUN
-        event = _events.AttemptFailed(
+        event = _events.AttemptFailed.about(
+            effect,
             at=0.0,
-            request_id=effect.request_id,
-            attempt_id=effect.attempt_id,
-            endpoint=effect.endpoint,
             phase=phase,
             failure=Failure(reason=reason, verdict=verdict),
         )
@@ -287,11 +285,9 @@
             self.answers.engine_lost_hooks[engine.name].pop(effect.attempt_id, None)
             self.answers.prefilled(ask, effect.attempt_id, ask.tokens - cached, self.now)
             self._handles[effect.attempt_id] = self.now + engine.traits.expiry
-            event = _events.PrefillDone(
+            event = _events.PrefillDone.about(
+                effect,
                 at=0.0,
-                request_id=effect.request_id,
-                attempt_id=effect.attempt_id,
-                endpoint=effect.endpoint,
                 handle=effect.attempt_id,
                 expires_in=engine.traits.expiry,
                 prompt_tokens=ask.tokens,
@@ -373,11 +369,9 @@
 
     def _progress(self, engine: Engine, effect: _effects.AttemptEffect, count: int) -> None:
         host = self.answers.attached[effect.attempt_id]
-        event = _events.StreamProgress(
+        event = _events.StreamProgress.about(
+            effect,
             at=0.0,
-            request_id=effect.request_id,
-            attempt_id=effect.attempt_id,
-            endpoint=effect.endpoint,
             count=count,
             offset=count,
         )
@@ -386,11 +380,9 @@
     def _ended(self, engine: Engine, effect: _effects.AttemptEffect, offset: int) -> None:
         self.answers.engine_lost_hooks[engine.name].pop(effect.attempt_id, None)
         host = self.answers.attached[effect.attempt_id]
-        event = _events.StreamEnded(
+        event = _events.StreamEnded.about(
+            effect,
             at=0.0,
-            request_id=effect.request_id,
-            attempt_id=effect.attempt_id,
-            endpoint=effect.endpoint,
             offset=offset,
             finish="stop",
         )
@@ -437,11 +429,9 @@
                 return
             engine.cancel(effect.attempt_id)
             self.answers.engine_lost_hooks.get(engine.name, {}).pop(effect.attempt_id, None)
-            event = _events.CancelAnswered(
+            event = _events.CancelAnswered.about(
+                effect,
                 at=0.0,
-                request_id=effect.request_id,
-                attempt_id=effect.attempt_id,
-                endpoint=effect.endpoint,
                 gone=True,
             )
             self.send(host, self.delay(host.zone, engine.zone), event)
--- a/src/wasabiwick/_capacity/work.py
+++ b/src/wasabiwick/_capacity/work.py
@@ -144,11 +144,9 @@
                 self.refused += 1
 
     def _prefilled(self, effect: _effects.StartPrefill) -> Event:
-        return _events.PrefillDone(
+        return _events.PrefillDone.about(
+            effect,
             at=self.now,
-            request_id=effect.request_id,
-            attempt_id=effect.attempt_id,
-            endpoint=effect.endpoint,
             handle="kv",
             expires_in=0.8,
             prompt_tokens=PROMPT_TOKENS,
--- a/src/wasabiwick/_events.py
+++ b/src/wasabiwick/_events.py
@@ -4,6 +4,9 @@
 handler for others and are handled within the same call of the reducer.
 """
 
+import typing
+
+from ._effects import AttemptEffect
 from ._errors import Failure
 from ._record import Record
 from ._wire import CacheEvent, EngineReport, HostEntry, LogRecord, Message, Owner
@@ -171,6 +174,19 @@
         self.attempt_id = attempt_id
         self.endpoint = endpoint
 
+    @classmethod
+    def about(
+        cls, attempt: "AttemptEvent | AttemptEffect", *, at: float, **fields: object
+    ) -> typing.Self:
+        """Make an event that concerns the attempt of an effect, or of another event."""
+        return cls(
+            at=at,
+            request_id=attempt.request_id,
+            attempt_id=attempt.attempt_id,
+            endpoint=attempt.endpoint,
+            **fields,
+        )
+
 
 class PrefillDone(AttemptEvent):
     """A prefill ended; its KV cache can be fetched for ``expires_in`` seconds."""
--- a/src/wasabiwick/_performers/_attempts.py
+++ b/src/wasabiwick/_performers/_attempts.py
@@ -10,11 +10,9 @@
 def fail(runner: Runner, effect: AttemptEffect, phase: str, failure: Failure) -> None:
     """Tell the reducer that a call to an endpoint failed in a phase of its attempt."""
     runner.post(
-        AttemptFailed(
+        AttemptFailed.about(
+            effect,
             at=runner.now(),
-            request_id=effect.request_id,
-            attempt_id=effect.attempt_id,
-            endpoint=effect.endpoint,
             phase=phase,
             failure=failure,
         )
--- a/src/wasabiwick/_performers/engines.py
+++ b/src/wasabiwick/_performers/engines.py
@@ -70,11 +70,9 @@
         fail(runner, effect, "prefill", answer)
         return
     runner.post(
-        PrefillDone(
+        PrefillDone.about(
+            effect,
             at=runner.now(),
-            request_id=effect.request_id,
-            attempt_id=effect.attempt_id,
-            endpoint=effect.endpoint,
             handle=answer.handle,
             expires_in=answer.expires_in,
             prompt_tokens=answer.prompt_tokens,
@@ -197,11 +195,9 @@
         if not self._count:
             return
         now = self._runner.now()
-        event = StreamProgress(
+        event = StreamProgress.about(
+            self._effect,
             at=now,
-            request_id=self._effect.request_id,
-            attempt_id=self._effect.attempt_id,
-            endpoint=self._effect.endpoint,
             count=self._count,
             offset=self._output.offset,
         )
@@ -221,11 +217,9 @@
             fail(self._runner, effect, self._phase, failure)
             return
         self._runner.post(
-            StreamEnded(
+            StreamEnded.about(
+                effect,
                 at=self._runner.now(),
-                request_id=effect.request_id,
-                attempt_id=effect.attempt_id,
-                endpoint=effect.endpoint,
                 offset=self._output.offset,
                 finish=frame.finish,
             )
@@ -260,11 +254,9 @@
         fail(runner, effect, "cancel", answer)
         return
     runner.post(
-        CancelAnswered(
+        CancelAnswered.about(
+            effect,
             at=runner.now(),
-            request_id=effect.request_id,
-            attempt_id=effect.attempt_id,
-            endpoint=effect.endpoint,
             gone=answer.gone,
         )
     )
@@ -316,11 +308,9 @@
         fail(runner, effect, "order", answer)
         return
     runner.post(
-        OrderAnswered(
+        OrderAnswered.about(
+            effect,
             at=runner.now(),
-            request_id=effect.request_id,
-            attempt_id=effect.attempt_id,
-            endpoint=effect.endpoint,
             accepted=answer,
         )
     )
--- a/src/wasabiwick/_performers/services.py
+++ b/src/wasabiwick/_performers/services.py
@@ -53,11 +53,9 @@
         fail(runner, effect, phase, answer)
         return
     runner.post(
-        ServiceAnswered(
+        ServiceAnswered.about(
+            effect,
             at=runner.now(),
-            request_id=effect.request_id,
-            attempt_id=effect.attempt_id,
-            endpoint=effect.endpoint,
             status=answer.status,
             body=answer.body,
             content_type=answer.content_type,
--- a/tests/support.py
+++ b/tests/support.py
@@ -244,11 +244,9 @@
         engine.cancels.append(effect.attempt_id)
         if engine.confirms_cancels:
             engine.held.pop(effect.attempt_id, None)
-        event = _events.CancelAnswered(
+        event = _events.CancelAnswered.about(
+            effect,
             at=0,
-            request_id=effect.request_id,
-            attempt_id=effect.attempt_id,
-            endpoint=effect.endpoint,
             gone=engine.confirms_cancels,
         )
         self.later(LATENCY, name, event)
@@ -256,11 +254,9 @@
 
 def prefill_done(effect: _effects.StartPrefill) -> _events.PrefillDone:
     """Return the event that ends a prefill."""
-    return _events.PrefillDone(
+    return _events.PrefillDone.about(
+        effect,
         at=0,
-        request_id=effect.request_id,
-        attempt_id=effect.attempt_id,
-        endpoint=effect.endpoint,
         handle="kv",
         expires_in=0.8,
         prompt_tokens=100,
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -153,11 +153,9 @@
         accepted = self.engines[effect.endpoint].order(self.now, effect.order)
         self.under_way += 1
         self.most_under_way = max(self.most_under_way, self.under_way)
-        answer = _events.OrderAnswered(
+        answer = _events.OrderAnswered.about(
+            effect,
             at=self.now,
-            request_id=effect.request_id,
-            attempt_id=effect.attempt_id,
-            endpoint=effect.endpoint,
             accepted=accepted,
         )
         self.answers.append((self.now + ORDER_SECONDS, name, answer))
