Ask before ending an answer after a pause, so that no request is answered twice

Cause: test with real processes: a host stopped (SIGSTOP) in the middle of a stream, the caller's retry answered by another host, the first one continued: it found the rest of the output in its socket buffer and answered the older call too. Ruled out: the engine's take-over (the stream had ended before), the reader's check of attempts (the frames were its own). Change: a pulse notices pauses; a host that stood still over 0.7 s asks up to four hosts that may own the key before it ends the answer of a keyed request, and closes it unanswered where another host serves it or one does not reply. Owners keep a record for 60 s after the request, since a retry may have been answered before the older host goes on. GET /status names the live hosts. Conclusion: a pause costs one round trip per keyed answer that ends after it; nothing otherwise.

--- a/src/wasabiwick/_events.py
+++ b/src/wasabiwick/_events.py
@@ -582,3 +582,13 @@
     """The set of live hosts, or of usable endpoints, changed."""
 
     __slots__ = ()
+
+
+class HostPaused(Event):
+    """The process stood still for ``seconds``: other hosts may have taken its work over."""
+
+    __slots__ = ("seconds",)
+
+    def __init__(self, *, at: float, seconds: float) -> None:
+        super().__init__(at=at)
+        self.seconds = seconds
--- a/src/wasabiwick/_handlers/generation.py
+++ b/src/wasabiwick/_handlers/generation.py
@@ -40,7 +40,8 @@
 from .._state import State, state_slice
 from .._verdict import Verdict
 from .._wire import Supersede
-from . import calls, cancels, keys, takeover
+from . import calls, cancels, confirm, keys, takeover
+from .host import was_paused
 
 MAX_ATTEMPTS = 6
 MAX_RESUMES = 3  # Consecutive failures to open a running attempt's stream again.
@@ -53,7 +54,7 @@
     """The progress of one generation request on this host.
 
     ``phase`` is ``slot``, ``prefill``, ``decode`` or ``ended``. ``offset`` counts the output tokens
-    that this host has.
+    that this host has. ``doubtful`` is set where another host may serve the request by now.
     """
 
     __slots__ = (
@@ -67,6 +68,8 @@
         "resumes",
         "avoid",
         "successor",
+        "finish",
+        "doubtful",
     )
 
     def __init__(self, *, phase: str, attempt_id: str) -> None:
@@ -80,6 +83,8 @@
         self.resumes = 0
         self.avoid: tuple[str, ...] = ()
         self.successor: Supersede | None = None
+        self.finish = ""
+        self.doubtful = False
 
 
 @state_slice("generation")
@@ -238,12 +243,20 @@
     gen.offset = event.offset
     yield SlotFreed(at=event.at, request_id=event.request_id, attempt_id=event.attempt_id)
     yield StopTimer(timer="deadline", key=event.request_id)
+    gen.finish = event.finish
+    if req.call.has_key and (gen.doubtful or was_paused(state, event.at)):
+        yield from confirm.ask(state, event.request_id, gen)
+    else:
+        yield from finish(state, event.request_id, gen)
+
+
+def finish(state: State, request_id: str, gen: Generation) -> typing.Iterator[Step]:
+    """End the answer of the present call."""
+    req = calls.request_of(state, request_id)
     if req.caller_present:
-        yield FinishStream(
-            call_id=req.call.call_id, request_id=event.request_id, finish=event.finish
-        )
+        yield FinishStream(call_id=req.call.call_id, request_id=request_id, finish=gen.finish)
     if req.call.has_key:
-        yield from keys.report(state, event.request_id, event.attempt_id, ended=True)
+        yield from keys.report(state, request_id, gen.attempt_id, ended=True)
 
 
 # --- Failure -------------------------------------------------------------------------------------
--- a/src/wasabiwick/_handlers/host.py
+++ b/src/wasabiwick/_handlers/host.py
@@ -1,12 +1,14 @@
-"""Start and graceful shutdown of the host."""
+"""Start, pauses and graceful shutdown of the host."""
 
 import typing
 
 from .._effects import EndProcess, StartTimer
-from .._events import Booted, StopAsked, TimerFired
+from .._events import Booted, HostPaused, StopAsked, TimerFired
 from .._reducer import Step, handles, on_timer
-from .._state import State
+from .._settings import Settings
+from .._state import State, state_slice
 
+PULSE = 0.2  # Seconds between notes that the process runs.
 DRAIN_CHECK = 0.05  # Seconds between looks at what is still in flight.
 
 BusyCheck = typing.Callable[[State], int]
@@ -39,10 +41,39 @@
     return sorted(role for report in _ROLE_REPORTS for role in report(state))
 
 
+@state_slice("host")
+class HostState:
+    """When the process was last known to run, in monotonic seconds."""
+
+    __slots__ = ("pulsed_at",)
+
+    def __init__(self, cfg: Settings) -> None:
+        self.pulsed_at = 0.0
+
+
+def was_paused(state: State, at: float) -> bool:
+    """Tell whether the process stood still for so long that others may have replaced it.
+
+    No host takes work over from another that answers within ``timing.peer``.
+    """
+    return at - state["host"].pulsed_at > PULSE + state.cfg.timing.peer / 2
+
+
 @handles(Booted)
-def boot(state: State, event: Booted) -> None:
+def boot(state: State, event: Booted) -> typing.Iterator[Step]:
     """Take over the identity of the new process."""
     state.boot(at=event.at, owner=event.owner, zone=event.zone, wall=event.wall, seed=event.seed)
+    state["host"].pulsed_at = event.at
+    yield StartTimer(timer="pulse", delay=PULSE)
+
+
+@on_timer("pulse")
+def pulse(state: State, event: TimerFired) -> typing.Iterator[Step]:
+    """Note that the process runs, and notice where it did not for a while."""
+    if was_paused(state, event.at):
+        yield HostPaused(at=event.at, seconds=event.at - state["host"].pulsed_at)
+    state["host"].pulsed_at = event.at
+    yield StartTimer(timer="pulse", delay=PULSE)
 
 
 @handles(StopAsked)
--- a/src/wasabiwick/_handlers/keys.py
+++ b/src/wasabiwick/_handlers/keys.py
@@ -29,12 +29,13 @@
 from . import generation, members, takeover
 
 MAX_ASKS = 30  # Supersede messages sent before a request is run anew.
-SWEEP_INTERVAL = 30.0  # Seconds between looks for records whose serving host is lost.
+SWEEP_INTERVAL = 15.0  # Seconds between looks for records that are over.
 OWNERS = 2  # Hosts that know where a key is served.
 MAX_CLAIMS = 3  # Owners asked before a request is run without an answer.
 UNREACHED_PAUSE = 15.0  # Seconds for which an owner that was not reached is left out.
 UNREACHED_ZONE = 2  # Hosts of another zone not reached, after which the whole zone is left out.
-KEEP_LOST = 60.0  # Seconds for which the stream of a lost host can be adopted.
+CANDIDATES = 4  # Hosts that may have become owners of a key while this host was paused.
+KEEP = 60.0  # Seconds for which a record outlives its request, or its serving host.
 
 
 class Claim:
@@ -56,10 +57,11 @@
 class Served:
     """What an owner of a key knows of its request, as of monotonic time ``at``.
 
-    ``claimed`` tells that the serving host claimed the key here, and did not only report it.
+    ``claimed`` tells that the serving host claimed the key here, and did not only report it. A
+    record is kept for a while after the request ``ended``, for hosts that were paused meanwhile.
     """
 
-    __slots__ = ("serving", "attempt_id", "engine", "at", "claimed")
+    __slots__ = ("serving", "attempt_id", "engine", "at", "claimed", "ended")
 
     def __init__(
         self, *, serving: Owner, attempt_id: str, at: float, engine: str = "", claimed: bool = False
@@ -69,6 +71,7 @@
         self.at = at
         self.engine = engine
         self.claimed = claimed
+        self.ended = False
 
 
 @state_slice("keys")
@@ -134,6 +137,24 @@
     return list(itertools.islice(found, OWNERS)) or [state.owner.host]
 
 
+def candidates(state: State, request_id: str) -> list[str]:
+    """Return the hosts that others may take for a key's owners, whether they are alive or not."""
+    role = f"key/{request_id}"
+    found = (
+        host
+        for zone in _rendezvous.ranked(role, members.zones(state))
+        for host in _rendezvous.ranked(role, members.listed_hosts(state, zone))
+        if host != state.owner.host
+    )
+    return list(itertools.islice(found, CANDIDATES))
+
+
+def serving(state: State, request_id: str) -> Owner | None:
+    """Return the host that serves a key, or served it last, as far as this host knows."""
+    known = state["keys"].served.get(request_id)
+    return known.serving if known else None
+
+
 def _reachable(state: State, zone: str) -> list[str]:
     unreached = state["keys"].unreached
     hosts = members.live_hosts(state, zone)
@@ -150,7 +171,7 @@
     asked = event.message
     served = state["keys"].served
     earlier = served.get(asked.request_id)
-    if earlier and earlier.serving != asked.claimant:
+    if earlier and not earlier.ended and earlier.serving != asked.claimant:
         answer = KeyClaimed(
             request_id=asked.request_id,
             attempt_id=asked.attempt_id,
@@ -178,7 +199,8 @@
     known = served.get(told.request_id)
     if told.ended:
         if known and known.serving == told.serving:
-            del served[told.request_id]
+            known.ended = True
+            known.at = event.at
     elif known is None or known.serving == told.serving or not known.claimed:
         served[told.request_id] = Served(
             serving=told.serving,
@@ -243,18 +265,18 @@
 
 @handles(Booted)
 def begin(state: State, event: Booted) -> typing.Iterator[Step]:
-    """Start to sweep records of lost hosts."""
+    """Start to sweep records."""
     yield StartTimer(timer="keys_sweep", delay=SWEEP_INTERVAL)
 
 
 @on_timer("keys_sweep")
 def sweep(state: State, event: TimerFired) -> typing.Iterator[Step]:
-    """Drop records whose serving host is lost, or that another host owns by now."""
+    """Drop records of requests that are over, and those that another host owns by now."""
     served = state["keys"].served
     for request_id, known in list(served.items()):
-        lost = not members.is_live(state, known.serving)
+        over = known.ended or not members.is_live(state, known.serving)
         moved = state.owner.host not in _owners(state, request_id)
-        if (lost or moved) and event.at - known.at > KEEP_LOST:
+        if (over or moved) and event.at - known.at > KEEP:
             del served[request_id]
     yield StartTimer(timer="keys_sweep", delay=SWEEP_INTERVAL)
 
--- a/src/wasabiwick/_handlers/members.py
+++ b/src/wasabiwick/_handlers/members.py
@@ -109,6 +109,16 @@
     return [name for name in names if name != own or not state.stopping]
 
 
+def listed_hosts(state: State, zone: str) -> list[str]:
+    """Return the names of all of a zone's entry hosts that are known, alive or not."""
+    names = {
+        entry.name
+        for entry in state["members"].entries.values()
+        if entry.kind == "entry" and entry.zone == zone
+    }
+    return sorted(names | set(ring(state)) if zone == state.zone else names)
+
+
 def is_live(state: State, owner: Owner) -> bool:
     """Tell whether this run of a host may still be alive.
 
--- a/src/wasabiwick/_metrics.py
+++ b/src/wasabiwick/_metrics.py
@@ -116,6 +116,8 @@
     _counter("adopted", "Running streams that this host took over from another."),
     _counter("taken_over", "Streams that another host took over while this one was cut off."),
     _counter("resumed", "Streams opened again at the offset that was missing."),
+    _counter("pauses", "Times that this process stood still so long that it may be replaced."),
+    _counter("unconfirmed", "Answers left to another host after a pause."),
     _counter("stalled", "Streams left because they made no progress.", "engine"),
     _counter("attempt_failed", "Attempts that failed at an engine.", "phase"),
     _counter("frames_dropped", "Output that fitted no present attempt, in tokens."),
--- a/src/wasabiwick/_status.py
+++ b/src/wasabiwick/_status.py
@@ -23,7 +23,8 @@
     """Answer of ``GET /status``.
 
     ``release`` is the software's version; ``version`` and ``offset`` are those of the configuration
-    in force. ``roles`` are the soft roles that the host holds.
+    in force. ``roles`` are the soft roles that the host holds, and ``hosts`` the live hosts
+    of its zone, as it sees them.
     """
 
     host: str
@@ -35,6 +36,7 @@
     stopping: bool
     release: str = ""
     roles: tuple[str, ...] = ()
+    hosts: tuple[str, ...] = ()
     endpoints: tuple[EndpointCount, ...] = ()
 
 
@@ -50,6 +52,7 @@
         stopping=state.stopping,
         release=VERSION,
         roles=tuple(roles_held(state)),
+        hosts=tuple(members.live_hosts(state, state.zone)),
         endpoints=tuple(_endpoint_counts(state)),
     )
 
--- a/src/wasabiwick/_wire.py
+++ b/src/wasabiwick/_wire.py
@@ -75,6 +75,22 @@
     answered: bool = False
 
 
+class ConfirmKey(Base):
+    """Asks a host whether another than the sender, which was paused, serves a request by now."""
+
+    request_id: str
+    attempt_id: str
+    serving: Owner
+
+
+class KeyConfirmed(Base):
+    """Answers `ConfirmKey`; ``valid`` is false where another host serves the key by now."""
+
+    request_id: str
+    attempt_id: str
+    valid: bool
+
+
 # --- Between hosts: reservations at an engine's coordinator --------------------------------------
 
 
@@ -427,6 +443,8 @@
     | KeyServed
     | Supersede
     | Superseded
+    | ConfirmKey
+    | KeyConfirmed
     | Reserve
     | Granted
     | Denied
--- a/tests/_processes.py
+++ b/tests/_processes.py
@@ -18,16 +18,34 @@
     def __init__(self, proc: asyncio.subprocess.Process, fields: dict[str, str]) -> None:
         self.proc = proc
         self.fields = fields
+        self.lines: list[str] = []
+        self.reading: asyncio.Task | None = None
         self.address = fields.get("address", fields.get("callers", ""))
 
+    async def read(self) -> None:
+        """Keep the log lines of the process."""
+        async for line in self.proc.stdout:
+            self.lines.append(line.decode().rstrip())
+
     async def stop(self) -> int:
         """Ask the process to end, and return its exit status."""
         if self.proc.returncode is None:
             self.proc.terminate()
-        await asyncio.wait_for(self.proc.communicate(), STOP_TIMEOUT)
+        await asyncio.wait_for(self.proc.wait(), STOP_TIMEOUT)
+        if self.reading:
+            await self.reading
         return self.proc.returncode
 
 
+async def _line_with(proc: asyncio.subprocess.Process, text: str) -> str:
+    while True:
+        line = (await proc.stdout.readline()).decode()
+        if text in line:
+            return line
+        if not line:
+            raise AssertionError(f"the process ended before it printed {text!r}")
+
+
 class Processes:
     """The processes of one test."""
 
@@ -42,9 +60,11 @@
         one = Process(proc, {})
         self.started.append(one)
         async with asyncio.timeout(START_TIMEOUT):
-            line = (await proc.stdout.readline()).decode()
+            line = await _line_with(proc, "event=listening")
         one.fields.update(part.split("=", 1) for part in line.split() if "=" in part)
         one.address = one.fields.get("address", one.fields.get("callers", ""))
+        # A full pipe would stop the process at its next log line.
+        one.reading = asyncio.create_task(one.read())
         return one
 
     async def standin(self, kind: str, *options: str) -> Process:
@@ -53,9 +73,7 @@
 
     async def close(self) -> None:
         """End all processes that still run."""
-        for one in self.started:
-            if one.proc.returncode is None:
-                await one.stop()
+        await asyncio.gather(*(one.stop() for one in self.started))
 
 
 async def post(session: aiohttp.ClientSession, url: str, body: typing.Any) -> typing.Any:
--- a/tests/support.py
+++ b/tests/support.py
@@ -99,6 +99,7 @@
         self.states: dict[str, _state.State] = {}
         self.effects: dict[str, list[_effects.Effect]] = {}
         self.down: set[str] = set()
+        self.frozen: dict[str, list[_events.Event]] = {}
         self.timers: dict[tuple[str, str, str], int] = {}
         self._order = itertools.count()
         self._queue: list[tuple[float, int, str, _events.Event, tuple | None]] = []
@@ -127,6 +128,15 @@
         """End a host's process at once."""
         self.down.add(name)
 
+    def freeze(self, name: str) -> None:
+        """Stop a host's process; its timers wait, and messages to it fail at their senders."""
+        self.frozen[name] = []
+
+    def thaw(self, name: str) -> None:
+        """Continue a stopped process, with all that waits for it."""
+        for event in self.frozen.pop(name):
+            self.feed(name, event)
+
     def list_hosts(self) -> None:
         """Give every host the host list."""
         entries = [
@@ -167,6 +177,9 @@
         """Reduce an event at a host and carry out the effects that the fabric knows."""
         if name in self.down:
             return []
+        if name in self.frozen:
+            self.frozen[name].append(event)
+            return []
         event.at = self.now
         effects = _reducer.reduce(self.states[name], event)
         self.effects[name].extend(effects)
@@ -229,6 +242,12 @@
             )
             self.later(LATENCY, name, event)
             return
+        if effect.host in self.frozen:
+            event = _events.PeerFailed(
+                at=0, host=effect.host, message=effect.message, verdict=Verdict.MAY_HAVE_RUN
+            )
+            self.later(self.states[name].cfg.timing.peer, name, event)
+            return
         event = _events.PeerMessage(
             at=0, sender=self.states[name].owner, zone=self.zone_of(name), message=effect.message
         )
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -32,7 +32,7 @@
         event = _events.StreamEnded(at=0, **_attempt(attempt), offset=50, finish="stop")
         self.fabric.feed(host, event)
 
-    def fail(
+    def attempt_fails(
         self,
         host: str,
         attempt: _effects.AttemptEffect,
@@ -109,7 +109,7 @@
         self.arrive("a", "c1")
         self.fabric.run(0.5)
         first = self.decode_of("a")
-        self.fail("a", first, "decode", verdict=Verdict.NOT_RUN)
+        self.attempt_fails("a", first, "decode", verdict=Verdict.NOT_RUN)
         self.fabric.run(0.5)
         second = self.decode_of("a")
         self.assertNotEqual(second.attempt_id, first.attempt_id)
@@ -118,7 +118,7 @@
     def test_cut_stream_is_resumed_at_the_same_engine(self) -> None:
         self.running()
         decode = self.decode_of("a")
-        self.fail("a", decode, "decode")
+        self.attempt_fails("a", decode, "decode")
         self.fabric.run(0.5)
         resumed = self.fabric.of("a", _effects.ResumeStream)
         self.assertEqual([one.attempt_id for one in resumed], [decode.attempt_id])
@@ -129,7 +129,7 @@
         self.running()
         decode = self.decode_of("a")
         for phase in ("decode", "resume", "resume", "resume"):
-            self.fail("a", decode, phase)
+            self.attempt_fails("a", decode, phase)
             self.fabric.run(0.5)
         self.assertNotEqual(self.decode_of("a").attempt_id, decode.attempt_id)
         self.assertEqual(self.prefills(), 2)
@@ -240,7 +240,7 @@
 
     def test_host_that_was_cut_off_leaves_the_answer_to_its_successor(self) -> None:
         self.running()
-        self.fail("a", self.decode_of("a"), "resume", reason=_errors.SUPERSEDED)
+        self.attempt_fails("a", self.decode_of("a"), "resume", reason=_errors.SUPERSEDED)
         self.assertEqual([one.call_id for one in self.fabric.of("a", _effects.CloseCall)], ["c1"])
         self.fabric.run(2.0)
         self.assertEqual(self.fabric.of("a", _effects.CancelAttempt), [])
@@ -251,6 +251,83 @@
     return members.role_owner(fabric.states["a"], f"key/{request_id}", support.ZONE)
 
 
+class TestPaused(GenerationCase):
+    """A host that was paused ends an answer only if no other host serves the request by now."""
+
+    def setUp(self) -> None:
+        self.fabric = support.Fabric("a", "b", "c")
+
+    def pause(self, host: str, seconds: float) -> None:
+        """Stop a host; the end of its stream has reached its buffers when it goes on."""
+        decode = self.decode_of(host)
+        self.fabric.freeze(host)
+        self.fabric.run(seconds)
+        ended = _events.StreamEnded(at=0, **_attempt(decode), offset=50, finish="stop")
+        self.fabric.frozen[host].insert(0, ended)
+
+    def paused_while_a_retry_moves_it(self, key: str, *, answered: bool) -> None:
+        self.running("a", key=key)
+        decode = self.decode_of("a")
+        self.fabric.freeze("a")
+        self.arrive("b", "c2", key=key)
+        moved = self.moved_to("b")
+        if answered:
+            self.end("b", moved)
+            request_id = f"lonestar:{key}"
+            event = _events.CallAnswered(at=0, call_id="c2", request_id=request_id)
+            self.fabric.feed("b", event)
+            self.fabric.run(0.1)
+        ended = _events.StreamEnded(at=0, **_attempt(decode), offset=50, finish="stop")
+        self.fabric.frozen["a"].insert(0, ended)
+        self.fabric.thaw("a")
+        self.fabric.run(5.0)
+        self.assertEqual(self.fabric.of("a", _effects.FinishStream), [])
+        self.assertEqual([one.call_id for one in self.fabric.of("a", _effects.CloseCall)], ["c1"])
+
+    def moved_to(self, host: str) -> _effects.AttemptEffect:
+        """Let time pass until a host has the stream, resumed or run anew."""
+        for _ in range(50):
+            streams = (_effects.ResumeStream, _effects.StartDecode)
+            found = [one for one in self.fabric.effects[host] if isinstance(one, streams)]
+            if found:
+                return found[0]
+            self.fabric.run(0.1)
+        raise AssertionError("the retry was not served")
+
+    def test_request_was_moved(self) -> None:
+        owners = set()
+        for number in range(16):
+            key = f"p{number}"
+            self.fabric = support.Fabric("a", "b", "c")
+            owners.add(_owner(self.fabric, f"lonestar:{key}"))
+            with self.subTest(key=key):
+                self.paused_while_a_retry_moves_it(key, answered=number % 2 == 0)
+        self.assertEqual(owners, {"a", "b", "c"}, "some kind of owner was not tried")
+
+    def test_request_was_not_moved(self) -> None:
+        self.running("a")
+        self.pause("a", 5.0)
+        self.fabric.thaw("a")
+        self.fabric.run(2.0)
+        self.assertEqual(len(self.fabric.of("a", _effects.FinishStream)), 1)
+
+    def test_owner_does_not_answer(self) -> None:
+        self.running("a")
+        self.pause("a", 5.0)
+        self.fabric.kill("b")
+        self.fabric.kill("c")
+        self.fabric.thaw("a")
+        self.fabric.run(3.0)
+        self.assertEqual(self.fabric.of("a", _effects.FinishStream), [])
+        self.assertEqual([one.call_id for one in self.fabric.of("a", _effects.CloseCall)], ["c1"])
+
+    def test_short_pause_needs_no_confirmation(self) -> None:
+        self.running("a")
+        self.pause("a", self.fabric.states["a"].cfg.timing.peer / 4)
+        self.fabric.thaw("a")
+        self.assertEqual(len(self.fabric.of("a", _effects.FinishStream)), 1)
+
+
 class TestZones(unittest.TestCase):
     """A retry in another availability zone finds the request; a cut-off zone does not stop it."""
 
