Let the service-level report scrape hosts by TLS

Change: the options for the host list and for certificates stand once, for three commands. Conclusion: all commands that talk to hosts work where hosts use TLS.

--- a/src/wasabiwick/_cli_report.py
+++ b/src/wasabiwick/_cli_report.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import re
+import ssl
 import time
 import typing
 
@@ -9,6 +10,7 @@
 import msgspec
 
 from ._operator_http import fetch_all
+from ._operator_options import tls_option
 from ._slo import (
     BETWEEN_OUTPUTS,
     BETWEEN_OUTPUTS_TARGET,
@@ -53,6 +55,7 @@
 @report.command()
 @click.argument("inputs", nargs=-1, type=click.Path(exists=True, path_type=pathlib.Path))
 @click.option("--scrape", "urls", multiple=True, help="Base URL of a host to ask.")
+@tls_option
 @click.option("--for", "span", type=Duration(), default="60s", show_default=True)
 @click.option("--every", type=Duration(), default="5s", show_default=True)
 @click.option("--save", type=click.File("ab"), help="File to append the snapshots to.")
@@ -72,6 +75,7 @@
 def slo(
     inputs: tuple[pathlib.Path, ...],
     urls: tuple[str, ...],
+    tls: ssl.SSLContext | None,
     span: float,
     every: float,
     save: typing.BinaryIO | None,
@@ -95,7 +99,7 @@
     if bool(inputs) == bool(urls):
         raise click.UsageError("give either input files or --scrape")
     if urls:
-        seen = from_snapshots(_scrape(urls, span, every, save), objectives)
+        seen = from_snapshots(_scrape(urls, tls, span, every, save), objectives)
     else:
         seen = _read(inputs, objectives)
     found = burns(seen, objectives, windows or default_windows(seen))
@@ -120,7 +124,11 @@
 
 
 def _scrape(
-    urls: tuple[str, ...], span: float, every: float, save: typing.BinaryIO | None
+    urls: tuple[str, ...],
+    tls: ssl.SSLContext | None,
+    span: float,
+    every: float,
+    save: typing.BinaryIO | None,
 ) -> list[Snapshot]:
     snapshots = []
     rounds = max(2, round(span / every) + 1)
@@ -130,13 +138,16 @@
         for number in bar:
             if number:
                 time.sleep(every)
-            snapshots.extend(_scrape_once(urls, save))
+            snapshots.extend(_scrape_once(urls, tls, save))
     return snapshots
 
 
-def _scrape_once(urls: tuple[str, ...], save: typing.BinaryIO | None) -> list[Snapshot]:
+def _scrape_once(
+    urls: tuple[str, ...], tls: ssl.SSLContext | None, save: typing.BinaryIO | None
+) -> list[Snapshot]:
     snapshots = []
-    for text in fetch_all([url.rstrip("/") + PATH for url in urls], timeout=SCRAPE_TIMEOUT):
+    pages = [url.rstrip("/") + PATH for url in urls]
+    for text in fetch_all(pages, timeout=SCRAPE_TIMEOUT, tls=tls):
         if not isinstance(text, str):
             # A host that doesn't answer once is seen again at the next round.
             continue
--- a/src/wasabiwick/_cli_status.py
+++ b/src/wasabiwick/_cli_status.py
@@ -8,10 +8,9 @@
 import msgspec
 
 from ._operator_http import Answer, fetch_all
-from ._settings_file import load_settings
+from ._operator_options import hosts_option, tls_option
 from ._status import ENTRY, Status
 from ._text_table import text_table
-from ._tls import client_context
 from ._wire import HostEntry
 
 TIMEOUT = 3.0  # Seconds for each request to a host.
@@ -40,29 +39,9 @@
     versions: list[int]
 
 
-def _tls_option(ctx: object, param: object, path: str | None) -> ssl.SSLContext | None:
-    if path is None:
-        return None
-    cfg = load_settings(path)
-    if isinstance(cfg, list):
-        raise click.BadParameter(f"{path}: {cfg[0]}")
-    return client_context(cfg.tls) if cfg.tls else None
-
-
-_hosts = click.option(
-    "--hosts", "hosts_url", required=True, help="Base URL of the platform's host list."
-)
-_tls = click.option(
-    "--settings",
-    "tls",
-    callback=_tls_option,
-    help="Settings file with the certificates to show, where hosts use TLS.",
-)
-
-
 @click.command()
-@_hosts
-@_tls
+@hosts_option
+@tls_option
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 def status(hosts_url: str, tls: ssl.SSLContext | None, as_json: bool) -> None:
     """Show hosts, endpoints, configuration versions, roles and work in flight."""
@@ -72,8 +51,8 @@
 
 @click.command()
 @click.argument("host")
-@_hosts
-@_tls
+@hosts_option
+@tls_option
 @click.option(
     "--wait",
     default=DEFAULT_DRAIN_WAIT,
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -142,6 +142,15 @@
             found = next(one for one in json.loads(done.stdout)["hosts"] if one["name"] == "a")
             self.assertEqual(found["status"] is not None, wanted)
 
+    async def test_scrape(self) -> None:
+        url = self.daemons["a"].callers_url
+        self.daemons["a"].runner.telemetry.observe("first_output", "church", 0.1)
+        args = ["report", "slo", "--scrape", url, "--for", "0.1s", "--every", "0.1s", "--json"]
+        args += ["--settings", str(self.settings)]
+        done = await asyncio.to_thread(click.testing.CliRunner().invoke, _cli.main, args)
+        self.assertEqual(done.exit_code, 0, done.output)
+        self.assertEqual(json.loads(done.stdout)["burns"][0]["customer"], "church")
+
 
 class TestReport(CommandTest):
     """The service-level report reads what running hosts count."""
