Keep a fault at one event or effect from reaching others

Cause: an exception in one performer dropped the remaining effects of its event and left queued events until the next one came; it surfaced in whatever had raised the event. Change: the runner notes the fault (event=fault, wasabiwick_faults_total) and goes on. Effects are carried out by a plain subscriber of the event stream instead of a flat_map. Conclusion: one bad request can't take the host's other requests with it.

--- a/src/wasabiwick/_metrics.py
+++ b/src/wasabiwick/_metrics.py
@@ -176,6 +176,10 @@
     _counter("lease_claim_malformed", "Records among the claims that are none."),
     _counter("lease_overtaken", "Leases given up as an engine had obeyed a later holder."),
 )
+_section(
+    "The program itself",
+    _counter("faults", "Events and effects that raised an exception.", "event or effect"),
+)
 
 
 @gauge("in_flight", "Work that a graceful shutdown would wait for.")
--- a/src/wasabiwick/_runner.py
+++ b/src/wasabiwick/_runner.py
@@ -5,7 +5,6 @@
 import typing
 
 import reactivex
-from reactivex import operators
 
 from . import _handlers  # noqa: F401 - registers the handlers
 from ._effects import Effect
@@ -143,9 +142,7 @@
         self.ended = asyncio.Event()
         self._queue: collections.deque[Event] = collections.deque()
         self._busy = False
-        self.events.pipe(
-            operators.flat_map(lambda step: reactivex.from_iterable(step[1]))
-        ).subscribe(on_next=self._perform)
+        self.events.subscribe(on_next=self._carry_out)
 
     def now(self) -> float:
         """Return the host's monotonic clock in seconds."""
@@ -178,8 +175,7 @@
         self._busy = True
         try:
             while self._queue:
-                one = self._queue.popleft()
-                self.events.on_next((one, reduce(self.state, one)))
+                self._handle(self._queue.popleft())
         finally:
             self._busy = False
 
@@ -217,5 +213,23 @@
         if not task.cancelled() and task.exception():
             log_exception("task_failed", task.exception(), task=task.get_name())
 
-    def _perform(self, effect: Effect) -> None:
-        _PERFORMERS[type(effect)](self, effect)
+    def _handle(self, event: Event) -> None:
+        try:
+            effects = reduce(self.state, event)
+        except Exception as exc:
+            self._note_fault(exc, event)
+            return
+        self.events.on_next((event, effects))
+
+    def _carry_out(self, step: tuple[Event, list[Effect]]) -> None:
+        for effect in step[1]:
+            try:
+                _PERFORMERS[type(effect)](self, effect)
+            except Exception as exc:
+                self._note_fault(exc, effect)
+
+    def _note_fault(self, exc: Exception, cause: Event | Effect) -> None:
+        """Note a fault in the program, which must not keep other requests from being served."""
+        name = type(cause).__name__
+        self.telemetry.count("faults", name, 1)
+        log_exception("fault", exc, cause=name)
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -12,6 +12,7 @@
 SOURCES = pathlib.Path(wasabiwick.__file__).parent
 ROOT = pathlib.Path(__file__).parent.parent
 KINDS = {"Count": "counter", "Observe": "latency"}
+DIRECT = {"self.telemetry.count": "counter", "self.telemetry.observe": "latency"}
 
 
 def metric_effects() -> list[tuple[str, str, bool, str]]:
@@ -19,11 +20,15 @@
     found = []
     for path in SOURCES.rglob("*.py"):
         for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
-            kind = isinstance(node, ast.Call) and KINDS.get(getattr(node.func, "id", ""))
+            if not isinstance(node, ast.Call):
+                continue
+            kind = KINDS.get(getattr(node.func, "id", ""))
             if kind:
                 fields = {one.arg: one.value for one in node.keywords}
                 name = ast.literal_eval(fields["metric"])
                 found.append((name, kind, "label" in fields, path.name))
+            elif ast.unparse(node.func) in DIRECT and isinstance(node.args[0], ast.Constant):
+                found.append((node.args[0].value, DIRECT[ast.unparse(node.func)], True, path.name))
     return found
 
 
