Ship traces of each kind of outcome, and check the links of the pages

Cause: shipped traces waited for the handlers to settle; a page linked to one that did not exist. Conclusion: a change of effects or outcomes shows in the tests, and says how to record again.

--- a/src/wasabiwick/_reference.py
+++ b/src/wasabiwick/_reference.py
@@ -19,7 +19,7 @@
 
 `wasabiwick run --settings host.yaml` reads one YAML file. `wasabiwick check host.yaml` only checks
 it, and lists every fault with its line and path. Nothing else configures a host: what customers may
-do is published in the [two lists](configuration.md). A smallest file:
+do is published in the [two lists](lists.md). A smallest file:
 
 ```yaml
 host: entry-1
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -103,6 +103,28 @@
                 self.assertIn(word.rstrip(".,;:)").partition("=")[0], known)
 
 
+class TestLinks(unittest.TestCase):
+    """Links between the pages lead somewhere."""
+
+    def test_relative_links(self) -> None:
+        for path in pages():
+            for link in re.findall(r"\]\(([^)\s]+)\)", path.read_text("utf-8")):
+                if "://" in link:
+                    continue
+                with self.subTest(page=path.name, link=link):
+                    target, _, anchor = link.partition("#")
+                    found = (path.parent / target).resolve() if target else path
+                    self.assertTrue(found.exists())
+                    if anchor:
+                        self.assertIn(anchor, anchors(found))
+
+
+def anchors(path: pathlib.Path) -> list[str]:
+    """Return the anchors of a page's headings."""
+    titles = re.findall(r"(?m)^#+ (.*)$", path.read_text("utf-8"))
+    return [re.sub(r"[^\w -]", "", title).strip().lower().replace(" ", "-") for title in titles]
+
+
 def pages() -> list[pathlib.Path]:
     """Return the pages for readers."""
     return [ROOT / "README.md", ROOT / "CONTRIBUTING.md", *(ROOT / "docs").rglob("*.md")]
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -54,6 +54,20 @@
             self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
 
 
+class TestShippedTraces(unittest.TestCase):
+    """The reducer still does what the shipped traces tell, metrics and log lines aside."""
+
+    def test_each_trace(self) -> None:
+        paths = sorted(_scripts.FOLDER.glob("*.jsonl"))
+        self.assertEqual({path.stem for path in paths}, set(_scripts.SCRIPTS))
+        for path in paths:
+            with self.subTest(path.name):
+                result = _replay.replay(path, metrics=False)
+                self.assertIsNone(result.difference, "if this is meant: `make traces`")
+                self.assertGreater(result.confirmed, 0)
+                self.assertFalse(result.cut)
+
+
 class TestDifferences(TraceTest):
     """The first difference is named with its line, and the status is 1."""
 
