--- a/src/wasabiwick/_handlers/cancels.py
+++ b/src/wasabiwick/_handlers/cancels.py
@@ -10,15 +10,19 @@
 from . import members
 from .host import busy_check
 
+LONGEST_WAIT = 4  # Doublings of the wait between cancels.
+SENDS_AWAITED = 3  # Sends of a cancel for whose confirmation a graceful shutdown waits.
+
 
 class Cancel:
     """One attempt that an engine has to forget."""
 
-    __slots__ = ("request_id", "endpoint")
+    __slots__ = ("request_id", "endpoint", "sends")
 
     def __init__(self, *, request_id: str, endpoint: str) -> None:
         self.request_id = request_id
         self.endpoint = endpoint
+        self.sends = 0
 
 
 @state_slice("cancels")
@@ -42,16 +46,28 @@
 
 def _send(state: State, attempt_id: str) -> typing.Iterator[Step]:
     one = state["cancels"].pending[attempt_id]
+    # A cancel that is sent again ends the earlier call, so that a slow engine needs longer waits.
+    delay = state.cfg.timing.cancel_retry * 2 ** min(one.sends, LONGEST_WAIT)
+    one.sends += 1
     yield CancelAttempt(request_id=one.request_id, attempt_id=attempt_id, endpoint=one.endpoint)
-    yield StartTimer(timer="cancel", key=attempt_id, delay=state.cfg.timing.cancel_retry)
+    yield StartTimer(timer="cancel", key=attempt_id, delay=delay)
 
 
-@busy_check
-def unconfirmed(state: State) -> int:
+def pending(state: State) -> int:
     """Count cancels that no engine has confirmed."""
     return len(state["cancels"].pending)
 
 
+@busy_check
+def unconfirmed(state: State) -> int:
+    """Count cancels that a graceful shutdown waits for.
+
+    An engine that has not confirmed for long can't be reached; once this host has gone, the pool's
+    coordinator cancels what it left.
+    """
+    return sum(one.sends <= SENDS_AWAITED for one in state["cancels"].pending.values())
+
+
 @handles(CancelAnswered)
 def confirmed(state: State, event: CancelAnswered) -> typing.Iterator[Step]:
     """Stop repeating a cancel once the engine holds nothing."""
--- a/src/wasabiwick/_handlers/host.py
+++ b/src/wasabiwick/_handlers/host.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from .._effects import EndProcess, StartTimer
+from .._effects import EndProcess, LogLine, StartTimer
 from .._events import Booted, HostPaused, StopAsked, TimerFired
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
@@ -43,12 +43,13 @@
 
 @state_slice("host")
 class HostState:
-    """When the process was last known to run, in monotonic seconds."""
+    """When the process was last known to run, and when it must end, in monotonic seconds."""
 
-    __slots__ = ("pulsed_at",)
+    __slots__ = ("pulsed_at", "stop_by")
 
     def __init__(self, cfg: Settings) -> None:
         self.pulsed_at = 0.0
+        self.stop_by = float("inf")
 
 
 def was_paused(state: State, at: float) -> bool:
@@ -79,14 +80,20 @@
 @handles(StopAsked)
 def stop(state: State, event: StopAsked) -> typing.Iterator[Step]:
     """Begin the graceful shutdown: no new work from now on."""
+    if state.stopping:
+        return
     state.stopping = True
+    state["host"].stop_by = event.at + state.cfg.timing.drain
     yield StartTimer(timer="drain", delay=DRAIN_CHECK)
 
 
 @on_timer("drain")
 def check_drained(state: State, event: TimerFired) -> typing.Iterator[Step]:
-    """End the process once nothing is in flight."""
-    if in_flight(state):
+    """End the process once nothing is in flight, or the platform's window has passed."""
+    left = in_flight(state)
+    if left and event.at < state["host"].stop_by:
         yield StartTimer(timer="drain", delay=DRAIN_CHECK)
-    else:
-        yield EndProcess()
+        return
+    if left:
+        yield LogLine(event="stopped_early", fields={"in_flight": left})
+    yield EndProcess()
--- a/tests/_site.py
+++ b/tests/_site.py
@@ -152,12 +152,21 @@
         return status["hosts"] == sorted(self.hosts)
 
     async def call(
-        self, host: Host, method: str, path: str, *, key: str = "", **kwargs: typing.Any
+        self,
+        host: Host,
+        method: str,
+        path: str,
+        *,
+        key: str = "",
+        timeout: float = 0.0,
+        **kwargs: typing.Any,
     ) -> aiohttp.ClientResponse:
         """Send a call as the customer; the answer is closed with the site at the latest."""
         headers = {"Authorization": f"Bearer {API_KEY}"}
         if key:
             headers["Idempotency-Key"] = key
+        if timeout:
+            headers["X-Request-Timeout"] = str(timeout)
         url = f"{host.callers}{path}"
         resp = await self.session.request(method, url, headers=headers, **kwargs)
         self.answers.append(resp)
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -102,6 +102,33 @@
         self.assertEqual(len(self.fabric.of("a", _effects.EndProcess)), 1)
 
 
+class TestStop(GenerationCase):
+    """A graceful shutdown does not wait for what can't end."""
+
+    def ended_within(self, seconds: float) -> bool:
+        self.fabric.run(seconds)
+        return bool(self.fabric.of("a", _effects.EndProcess))
+
+    def test_engine_that_never_confirms_a_cancel(self) -> None:
+        self.running(key="")
+        for engine in self.fabric.engines.values():
+            engine.confirms_cancels = False
+        self.fabric.feed("a", _events.CallerGone(at=0, call_id="c1", request_id="c1"))
+        self.fabric.feed("a", _events.StopAsked(at=0))
+        self.assertFalse(self.ended_within(1.0), "the cancel was not repeated")
+        self.assertTrue(self.ended_within(10.0))
+
+    def test_end_of_the_window(self) -> None:
+        self.running()
+        self.fabric.feed("a", _events.StopAsked(at=0))
+        window = self.fabric.states["a"].cfg.timing.drain
+        for step in range(20):
+            self.fabric.run(window / 20 - 0.1)
+            self.progress("a", self.decode_of("a"), 6 + step)
+        self.assertEqual(self.fabric.of("a", _effects.EndProcess), [])
+        self.assertTrue(self.ended_within(3.0))
+
+
 class TestFailures(GenerationCase):
     """A failed attempt is resumed or tried elsewhere; the caller does not notice."""
 
