Free engine memory whose owner is dead or does not serve it

Cause: a host that died left its streams at the engines for ever. Change: the pool's coordinator compares each engine report with live owners and reservations. A dead owner's attempt is cancelled after reap_grace; a live owner is asked (ServedAsk, Unserved) and must deny it twice.

--- a/src/wasabiwick/_handlers/__init__.py
+++ b/src/wasabiwick/_handlers/__init__.py
@@ -17,6 +17,7 @@
     generation,
     measures,
     cancels,
+    reaping,
     services,
     once_shard,
     once,
@@ -47,5 +48,6 @@
     "orders",
     "pools",
     "services",
+    "reaping",
     "slots",
 ]
--- a/src/wasabiwick/_handlers/cancels.py
+++ b/src/wasabiwick/_handlers/cancels.py
@@ -40,6 +40,11 @@
     yield from _send(state, attempt_id)
 
 
+def is_pending(state: State, attempt_id: str) -> bool:
+    """Tell whether an attempt's cancel awaits the engine's word."""
+    return attempt_id in state["cancels"].pending
+
+
 def _send(state: State, attempt_id: str) -> typing.Iterator[Step]:
     one = state["cancels"].pending[attempt_id]
     yield CancelAttempt(request_id=one.request_id, attempt_id=attempt_id, endpoint=one.endpoint)
--- a/src/wasabiwick/_handlers/coordinator.py
+++ b/src/wasabiwick/_handlers/coordinator.py
@@ -64,6 +64,12 @@
     return entry is not None and (entry.service, entry.zone) in state["coordinator"].pools
 
 
+def is_reserved(state: State, engine: str, attempt_id: str) -> bool:
+    """Tell whether an owner keeps a reservation for an attempt in the engine's pool."""
+    found = _pool_of_engine(state, engine)
+    return found is not None and attempt_id in found[0].reservations
+
+
 def engines_of(state: State, model: str) -> list[str]:
     """Return the engines of this zone's pool of a model, if this host coordinates it."""
     pool = state["coordinator"].pools.get((model, state.zone))
--- a/src/wasabiwick/_wire.py
+++ b/src/wasabiwick/_wire.py
@@ -351,6 +351,25 @@
     entries: tuple[tuple[str, KeyState], ...] = ()
 
 
+# --- Between hosts: memory that nobody serves ----------------------------------------------------
+
+
+class ServedAsk(Base):
+    """Asks the owner of attempts that hold memory at an engine whether it still serves them."""
+
+    engine: str
+    owner: Owner
+    attempts: tuple[str, ...] = ()
+
+
+class Unserved(Base):
+    """Answers `ServedAsk` with the attempts that the asked host does not serve."""
+
+    engine: str
+    owner: Owner
+    attempts: tuple[str, ...] = ()
+
+
 # --- Between hosts: keys of work that may run only once ------------------------------------------
 
 
@@ -440,6 +459,8 @@
     | Heartbeat
     | HostSeen
     | AskConfiguration
+    | ServedAsk
+    | Unserved
     | KeyAsk
     | KeyTold
     | Intent
