Check the effect and slot protocols with the model checker

Cause: tests and fuzz sample the orders of events; they prove nothing. Change: two small specifications.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,9 @@
 	$(BIN)/black --check --quiet src tests
 	$(BIN)/ruff check src tests
 
+model: install
+	$(BIN)/wasabiwick model
+
 clean:
 	rm -rf $(VENV) build
 
--- a/src/wasabiwick/_fold.py
+++ b/src/wasabiwick/_fold.py
@@ -56,7 +56,9 @@
 
 def _wins(known: KeyState, intent: Intent) -> bool:
     if intent.over:
-        return intent.over == known.winner and known.status <= UNKNOWN
+        # An attempt that was replaced does not come back, however often its intent lands.
+        fresh = intent.attempt_id not in known.earlier
+        return fresh and intent.over == known.winner and known.status <= UNKNOWN
     return not known.winner and intent.after == known.epoch
 
 
--- a/src/wasabiwick/_handlers/once.py
+++ b/src/wasabiwick/_handlers/once.py
@@ -282,17 +282,21 @@
     work.resolution = resolution
     yield Count(metric="once_resolutions", label=resolution.name)
     if resolution.takes_over:
-        yield from _take_over(state, work, found)
+        yield from _take_over(state, work, found, at)
     elif resolution.queries:
         yield from _query(state, work, at)
     else:
         yield from _give_answer(state, work, OUTCOME_UNKNOWN, at)
 
 
-def _take_over(state: State, work: Work, found: KeyState) -> typing.Iterator[Step]:
-    if not isinstance(work.record, Intent) or work.record.over != found.winner:
+def _take_over(state: State, work: Work, found: KeyState, at: float) -> typing.Iterator[Step]:
+    """Propose to replace the winner, once; two hosts would replace each other without end."""
+    over = work.record.over if isinstance(work.record, Intent) else ""
+    if not over:
         work.record = _intent(state, work, over=found.winner)
         yield from _ask(state, work)
+    elif over != found.winner:
+        yield from _give_answer(state, work, OUTCOME_UNKNOWN, at)
 
 
 def _may_settle(state: State, found: KeyState, at: float) -> bool:
--- /dev/null
+++ b/src/wasabiwick/_model/_run.py
@@ -0,0 +1,126 @@
+"""Runs the model checker: the properties of the protocols, and the faults that break them."""
+
+import time
+import typing
+
+import minicheck
+
+from . import _effects_spec, _slots_spec
+
+MAX_STATES = 2_000_000
+MUTANT_STATES = 100_000  # A counterexample in a partial search is a counterexample still.
+ATTEMPTS = 3
+
+
+class Result:
+    """What the checker found for one specification.
+
+    Args:
+        name: Name of the specification or mutation.
+        states: States explored.
+        exhaustive: Whether all were.
+        properties: For each property, True, False or None where it is not determined.
+        counterexamples: Shortest traces by property.
+        seconds: Time taken.
+    """
+
+    __slots__ = ("name", "states", "exhaustive", "properties", "counterexamples", "seconds")
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        states: int,
+        exhaustive: bool,
+        properties: dict[str, bool | None],
+        counterexamples: dict[str, list[str]],
+        seconds: float,
+    ) -> None:
+        self.name = name
+        self.states = states
+        self.exhaustive = exhaustive
+        self.properties = properties
+        self.counterexamples = counterexamples
+        self.seconds = seconds
+
+    @property
+    def proved(self) -> bool:
+        """Tell whether every property holds in a complete search."""
+        return self.exhaustive and all(self.properties.values())
+
+    @property
+    def refuted(self) -> bool:
+        """Tell whether a property has a counterexample."""
+        return any(holds is False for holds in self.properties.values())
+
+
+def check(
+    name: str, protocol: minicheck.Protocol, *, lively: bool = True, limit: int = MAX_STATES
+) -> Result:
+    """Check a specification.
+
+    Args:
+        name: What to call it.
+        protocol: The specification.
+        lively: Whether its goal is to stay reachable from every state.
+        limit: Most states explored; a property is not proved if there are more.
+
+    Returns:
+        The properties, each proved, refuted or not determined.
+    """
+    start = time.perf_counter()
+    found = minicheck.check_safety(protocol, max_states=limit)
+    properties = {key: one["holds"] for key, one in found["properties"].items()}
+    traces = {
+        key: _labels(one["counterexample"])
+        for key, one in found["properties"].items()
+        if one["holds"] is False
+    }
+    if lively and found["exhaustive"]:
+        live = minicheck.check_liveness(protocol)
+        properties["goal_stays_reachable"] = live["holds"]
+        if live["holds"] is False:
+            traces["goal_stays_reachable"] = _labels(live.get("counterexample") or ())
+    return Result(
+        name=name,
+        states=found["reachable_states"],
+        exhaustive=found["exhaustive"],
+        properties=properties,
+        counterexamples=traces,
+        seconds=time.perf_counter() - start,
+    )
+
+
+def _labels(trace: typing.Iterable[dict]) -> list[str]:
+    return [one["label"] for one in trace if one["label"]]
+
+
+def protocols() -> typing.Iterator[Result]:
+    """Check the protocols as they are."""
+    plain = _effects_spec.Spec(attempts=2).protocol()
+    yield check("effects, fencing ignored, 2 attempts", plain)
+    more = _effects_spec.Spec(attempts=ATTEMPTS).protocol()
+    yield check("effects, fencing ignored, 3 attempts", more, lively=False)
+    yield check(
+        "effects, fencing honoured, 2 attempts",
+        _effects_spec.Spec(attempts=2, fenced=True).protocol(),
+    )
+    yield check("slots", _slots_spec.Spec().protocol())
+
+
+def runs_again() -> Result:
+    """Look for a run after `NOT_RUN` was said: the claim that there is none must fail."""
+    protocol = _effects_spec.Spec(attempts=2).protocol()
+    protocol.invariants = {
+        "voided_key_never_runs": lambda s: not (s["not_run"] >= 0 and s["effects"])
+    }
+    return check("a voided key can run again", protocol, lively=False)
+
+
+def mutations() -> typing.Iterator[Result]:
+    """Check each deliberate fault."""
+    for name in _effects_spec.MUTATIONS:
+        spec = _effects_spec.Spec(attempts=2, fenced=name == "query_without_fence", mutation=name)
+        yield check(name, spec.protocol(), lively=False, limit=MUTANT_STATES)
+    for name in _slots_spec.MUTATIONS:
+        yield check(name, _slots_spec.Spec(mutation=name).protocol())
--- /dev/null
+++ b/src/wasabiwick/_model/_slots_spec.py
@@ -0,0 +1,113 @@
+"""Specification of engine memory: one attempt, its host, the engine, a coordinator and a retry.
+
+The first host runs the attempt and can crash, restart or forget it. A retry on a second host can
+adopt it. The engine's coordinator reaps by the rules of the handlers.
+"""
+
+import typing
+
+import minicheck
+
+MUTATIONS = {
+    "cancel_once": "a cancel is not repeated until the engine confirms it",
+    "incarnation_reused": "a host that restarts has the incarnation of its earlier run",
+    "no_reaping": "no coordinator looks for memory that nobody serves",
+    "reap_on_silence": "a live host's attempt is cancelled because it was not heard of",
+}
+
+SERVES, FORGOT, CRASHED, RESTARTED, HANDED_OVER = "serves", "forgot", "crashed", "restarted", "away"
+
+
+class State(typing.NamedTuple):
+    """Who serves the attempt, what the engine holds and what is in flight.
+
+    ``engine`` names the owner that the engine knows, or is empty once the memory is free.
+    """
+
+    first: str = SERVES
+    second: str = ""
+    engine: str = "first"
+    pending: bool = False
+    cancel: bool = False
+    resume: bool = False
+    wrong: bool = False
+
+
+class Spec:
+    """The transitions of holding and reaping a slot.
+
+    Args:
+        mutation: Name of a deliberate fault, or empty.
+    """
+
+    def __init__(self, *, mutation: str = "") -> None:
+        self.mutation = mutation
+
+    def protocol(self) -> minicheck.Protocol:
+        """Return the specification for the checker."""
+        return minicheck.Protocol(
+            name="slots",
+            candidate=False,
+            fields=State._fields,
+            initial=tuple(State()),
+            transitions=lambda raw: [(label, tuple(s)) for label, s in self._steps(State(*raw))],
+            invariants={"served_memory_is_kept": lambda s: not s["wrong"]},
+            goal=lambda s: s["engine"] == "",
+        )
+
+    def _steps(self, state: State) -> typing.Iterator[tuple[str, State]]:
+        yield from self._hosts(state)
+        yield from self._coordinator(state)
+        yield from self._engine(state)
+
+    def _hosts(self, state: State) -> typing.Iterator[tuple[str, State]]:
+        if state.first == SERVES:
+            yield "host forgets", state._replace(first=FORGOT)
+            yield "host cancels", state._replace(first=FORGOT, pending=True)
+            yield "host hands over", state._replace(first=HANDED_OVER, second="adopts", resume=True)
+        if state.first not in (CRASHED, RESTARTED):
+            yield "host crashes", state._replace(first=CRASHED)
+        elif state.first == CRASHED:
+            yield "host restarts", state._replace(first=RESTARTED)
+            if not state.second:
+                yield "retry adopts", state._replace(second="adopts", resume=True)
+        if state.second == "adopts" and state.engine == "":
+            yield "adopter learns", state._replace(second="gone", resume=False)
+        if state.second == "adopts" and not state.resume and state.engine == "first":
+            yield "adopter resumes again", state._replace(resume=True)
+        if state.second == "serves":
+            yield "adopter crashes", state._replace(second="gone")
+
+    def _coordinator(self, state: State) -> typing.Iterator[tuple[str, State]]:
+        if state.pending and not state.cancel and self.mutation != "cancel_once":
+            yield "cancel again", state._replace(cancel=True)
+        if self.mutation == "no_reaping" or not state.engine or state.pending:
+            return
+        if self._is_orphan(state):
+            cancelled = state._replace(pending=True, cancel=True)
+            yield "reap", cancelled
+
+    def _is_orphan(self, state: State) -> bool:
+        if self.mutation == "reap_on_silence":
+            return True
+        if state.engine == "second":
+            return state.second == "gone"
+        if state.first == RESTARTED and self.mutation == "incarnation_reused":
+            return False
+        # Dead, an earlier run, or a live owner that denied it twice, with no adoption under way.
+        return state.first != SERVES and state.second != "adopts"
+
+    def _engine(self, state: State) -> typing.Iterator[tuple[str, State]]:
+        if state.cancel:
+            yield "cancel lost", state._replace(cancel=False)
+            yield "cancel lands", self._cancelled(state)
+        if state.resume:
+            yield "resume lost", state._replace(resume=False)
+            if state.engine == "first":
+                yield "resume lands", state._replace(resume=False, engine="second", second="serves")
+            else:
+                yield "resume refused", state._replace(resume=False, second="gone")
+
+    def _cancelled(self, state: State) -> State:
+        served = state.engine == "first" and state.first == SERVES
+        return state._replace(cancel=False, pending=False, engine="", wrong=state.wrong or served)
