--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: changelog docs traces install test demo format check model capacity bench clean
+.PHONY: site changelog docs traces install test demo format check model capacity bench clean
 
 $(STAMP): pyproject.toml requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -30,6 +30,9 @@
 model: install
 	$(BIN)/wasabiwick model
 
+capacity: install
+	$(BIN)/python -m wasabiwick._capacity docs/CAPACITY.md
+
 clean:
 	rm -rf $(VENV) build
 
@@ -41,3 +44,6 @@
 
 changelog: install
 	$(BIN)/python tools/changelog.py
+
+site: install
+	$(BIN)/wasabiwick site
