--- a/src/wasabiwick/_bench/world.py
+++ b/src/wasabiwick/_bench/world.py
@@ -272,7 +272,7 @@
             job = Job(
                 request_id=effect.request_id,
                 attempt_id=effect.attempt_id,
-                owner=host.name,
+                owner=f"{host.name}/{host.incarnation}",
                 segments=ask.segments,
                 priority=effect.priority,
                 then=done,
@@ -345,7 +345,7 @@
         stream = Stream(
             request_id=effect.request_id,
             attempt_id=effect.attempt_id,
-            owner=host.name,
+            owner=f"{host.name}/{host.incarnation}",
             length=ask.output,
             begin=0.0,
             first=lambda: self._first_output(engine, effect),
--- a/src/wasabiwick/_handlers/coordinator.py
+++ b/src/wasabiwick/_handlers/coordinator.py
@@ -70,10 +70,11 @@
     return entry is not None and (entry.service, entry.zone) in state["coordinator"].pools
 
 
-def is_reserved(state: State, engine: str, attempt_id: str) -> bool:
-    """Tell whether an owner keeps a reservation for an attempt in the engine's pool."""
+def is_reserved(state: State, engine: str, attempt_id: str, at: float) -> bool:
+    """Tell whether some host keeps renewing a reservation for an attempt in the engine's pool."""
     found = _pool_of_engine(state, engine)
-    return found is not None and attempt_id in found[0].reservations
+    one = found[0].reservations.get(attempt_id) if found else None
+    return one is not None and at - one.renewed_at <= 2.0 * state.cfg.timing.renew
 
 
 def engines_of(state: State, model: str) -> list[str]:
--- a/src/wasabiwick/_handlers/reaping.py
+++ b/src/wasabiwick/_handlers/reaping.py
@@ -66,7 +66,7 @@
     before = state["reaping"].suspects.get(report.engine, {})
     suspects = {}
     for stream in report.streams:
-        if _is_served(state, report.engine, stream):
+        if _is_served(state, report.engine, stream, at):
             continue
         owner = owner_from(stream.owner)
         known = before.get(stream.attempt_id)
@@ -76,13 +76,13 @@
     return suspects
 
 
-def _is_served(state: State, engine: str, stream: StreamReport) -> bool:
-    owner = owner_from(stream.owner)
-    if owner == state.owner:
-        return is_served_here(state, stream.attempt_id)
-    return members.is_live(state, owner) and coordinator.is_reserved(
-        state, engine, stream.attempt_id
-    )
+def _is_served(state: State, engine: str, stream: StreamReport, at: float) -> bool:
+    # A reservation that is renewed is served by somebody, also where the engine names the host
+    # that the stream was adopted from.
+    if coordinator.is_reserved(state, engine, stream.attempt_id, at):
+        return True
+    mine = owner_from(stream.owner) == state.owner
+    return mine and is_served_here(state, stream.attempt_id)
 
 
 def is_served_here(state: State, attempt_id: str) -> bool:
--- a/src/wasabiwick/_metrics.py
+++ b/src/wasabiwick/_metrics.py
@@ -130,6 +130,7 @@
     "Cancellation",
     _counter("abandoned", "Requests given up because their caller did not come back."),
     _counter("cancels", "Attempts that an engine was asked to forget."),
+    _counter("reaped", "Attempts cancelled because nobody serves them."),
     _counter("cancel_failed", "Cancels that did not reach their engine; they are repeated."),
 )
 _section(
