Serve a call of once-only work once when its admission comes twice

A limit answer for an earlier request of the same key admitted the newer one a second time. Change: the call that was let in last is kept by request id, and a second admission of it is ignored.

--- a/src/wasabiwick/_handlers/once.py
+++ b/src/wasabiwick/_handlers/once.py
@@ -74,6 +74,7 @@
     """Let a newer call of a request wait in place of the older one, which may be answered."""
     work = state["once"].works.get(_key(req))
     if work:
+        state["once"].wanted[req.call.request_id] = req.call.call_id
         yield from _attach(state, work, req, at)
     else:
         yield ServiceWanted(at=at, request_id=req.call.request_id)
@@ -83,9 +84,10 @@
 def begin(state: State, event: ServiceWanted) -> typing.Iterator[Step]:
     """Ask for the key's state, and propose an attempt in the same message."""
     req = calls.request_of(state, event.request_id)
-    if req is None:
-        return
-    state["once"].wanted.add(event.request_id)
+    wanted = state["once"].wanted
+    if req is None or wanted.get(event.request_id) == req.call.call_id:
+        return  # A late admission of an earlier request with this key.
+    wanted[event.request_id] = req.call.call_id
     key = _key(req)
     running = state["once"].works.get(key)
     if running:
@@ -547,7 +549,7 @@
     """Let go of a request that is over; what the log still needs goes on."""
     mine = state["once"]
     mine.bases.pop(event.request_id, None)
-    mine.wanted.discard(event.request_id)
+    mine.wanted.pop(event.request_id, None)
     req = calls.request_of(state, event.request_id)
     work = mine.works.get(_key(req)) if req else None
     if work and work.req is req:
--- a/src/wasabiwick/_handlers/once_work.py
+++ b/src/wasabiwick/_handlers/once_work.py
@@ -97,7 +97,8 @@
     """Work by key, keys by attempt, and what this host knows of the log.
 
     ``positions`` holds, by shard, the highest position that was told; ``bases`` the position that
-    was known when a request arrived, by request id; ``wanted`` the requests that were let in.
+    was known when a request arrived, by request id; ``wanted`` the
+    call that was let in last, by request id.
     """
 
     __slots__ = ("works", "keys", "positions", "bases", "wanted")
@@ -107,7 +108,7 @@
         self.keys: dict[str, str] = {}
         self.positions: dict[int, int] = {}
         self.bases: dict[str, int] = {}
-        self.wanted: set[str] = set()
+        self.wanted: dict[str, str] = {}
 
 
 def work_of_attempt(state: State, attempt_id: str) -> Work | None:
