--- a/src/wasabiwick/_handlers/admission.py
+++ b/src/wasabiwick/_handlers/admission.py
@@ -181,8 +181,8 @@
     for _ in range(min(number, len(account.waiting))):
         request_id = account.waiting.popleft()
         req = calls.request_of(state, request_id)
-        if req is None:
-            continue
+        if req is None or request_id in state["admission"].admitted:
+            continue  # A closed request, or its place beside that of a newer one.
         account.in_flight += 1
         state["admission"].admitted[request_id] = Admitted(
             customer=req.customer.name, tokens=_tokens(req)
@@ -196,7 +196,7 @@
     refused = [account.waiting.popleft() for _ in range(min(number, len(account.waiting)))]
     for place, request_id in enumerate(refused):
         req = calls.request_of(state, request_id)
-        if req is None:
+        if req is None or request_id in state["admission"].admitted:
             continue
         if req.plan.may_wait and event.at < req.call.deadline:
             account.waiting.append(request_id)
--- a/src/wasabiwick/_handlers/calls.py
+++ b/src/wasabiwick/_handlers/calls.py
@@ -210,6 +210,8 @@
     if req is None:
         return
     if req.caller_present:
+        # Another concern may deny the request in the same step; the caller has its answer now.
+        req.caller_present = False
         yield from refuse(req.call.call_id, event.failure)
     yield RequestClosed(at=event.at, request_id=event.request_id)
 
