--- a/src/wasabiwick/_fuzz/_fleet.py
+++ b/src/wasabiwick/_fuzz/_fleet.py
@@ -215,6 +215,12 @@
                 self._fire(host)
         self.now = until
 
+    def tick(self, seconds: float) -> None:
+        """Let a short time pass, and fire the timers that ran out, once each."""
+        self.now += seconds
+        for host in self.running():
+            self._fire(host)
+
     def _fire(self, host: Host) -> None:
         due = sorted(key for key, when in host.timers.items() if when <= self.now)
         for timer, key in due:
--- a/src/wasabiwick/_fuzz/_log.py
+++ b/src/wasabiwick/_fuzz/_log.py
@@ -11,7 +11,7 @@
     def __init__(self) -> None:
         self.streams: dict[str, list[LogRecord]] = {}
         self.up = True
-        self.appends = 0
+        self.appends: dict[str, int] = {}
 
     def append(self, stream: str, records: tuple[Message, ...], time: float) -> int:
         """Append records together and return the offset of the first one."""
@@ -20,7 +20,7 @@
         for record in records:
             data = msgspec.json.encode(record).decode()
             kept.append(LogRecord(offset=len(kept), time=time, data=data))
-        self.appends += 1
+        self.appends[stream] = self.appends.get(stream, 0) + 1
         return first
 
     def read(self, stream: str, offset: int) -> tuple[LogRecord, ...]:
--- a/src/wasabiwick/_fuzz/_network.py
+++ b/src/wasabiwick/_fuzz/_network.py
@@ -41,6 +41,7 @@
     def __init__(self, fleet: Fleet, services: dict[str, FakeService]) -> None:
         self.fleet = fleet
         self.services = services
+        self.bytes_read: dict[tuple[str, str], int] = {}
 
     def settle(self, rounds: int = 10_000) -> None:
         """Deliver everything until nothing is on its way and every tail has read its end."""
@@ -78,6 +79,9 @@
             end = self.fleet.log.end(stream)
             host.tails[stream] = end
             moved = True
+            place = (host.name, stream)
+            size = sum(len(record.data) for record in records)
+            self.bytes_read[place] = self.bytes_read.get(place, 0) + size
             self.fleet.post(
                 host,
                 LogRead(
