--- /dev/null
+++ b/src/wasabiwick/_fuzz/_budget.py
@@ -0,0 +1,190 @@
+"""Measures what work that may run only once costs the log, on the reducer alone."""
+
+import json
+import time
+
+from .._effects import AnswerCall
+from .._events import Call, CallArrived, HostsListed, LogRead, PeerMessage
+from .._handlers.once_shard import STREAM_PREFIX
+from .._lists import ServiceTraits
+from .._wire import Configuration, HostEntry, Intent, KeyAsk, Outcome, Owner
+from ._fleet import WALL, Fleet
+from ._network import Fate, Network
+from ._service import FakeService
+
+SERVICE = "plain"
+KEY_HASH = "hash"
+TICK = 0.005  # Seconds; one message hop, one way.
+WARM_UP = 2.0  # Seconds before the measurement.
+MEASURED = 5.0
+DRAIN = 3.0
+REBUILT = 20_000  # Records that a new coordinator reads.
+
+
+class Cost:
+    """Figures of one run; latencies are in seconds."""
+
+    __slots__ = ("hosts", "effects", "appends", "records", "bytes_read", "median", "p95", "missing")
+
+    def __init__(self, *, hosts: int, effects: float) -> None:
+        self.hosts = hosts
+        self.effects = effects
+        self.appends = 0.0
+        self.records = 0.0
+        self.bytes_read = 0.0
+        self.median = 0.0
+        self.p95 = 0.0
+        self.missing = 0
+
+
+class Run:
+    """Calls at a steady rate on a number of hosts.
+
+    Args:
+        hosts: Number of entry hosts.
+        zones: Number of availability zones.
+        effects: Calls per second, each with a key of its own.
+    """
+
+    def __init__(self, *, hosts: int, zones: int, effects: float) -> None:
+        names = {f"host-{i}": f"zone-{i % zones}" for i in range(hosts)}
+        endpoint = HostEntry(
+            name="plain-1", kind="service", zone="zone-0", address="x", service=SERVICE
+        )
+        self.fleet = Fleet(names, [endpoint])
+        service = FakeService(ServiceTraits(name=SERVICE))
+        self.network = Network(self.fleet, {SERVICE: service})
+        self.effects = effects
+        self.names = sorted(names)
+        self.called: dict[str, float] = {}
+        self.answered: dict[str, float] = {}
+        self.fleet.log.append("configuration", (_configuration(),), WALL)
+        for name in names:
+            self.fleet.boot(name)
+        entries = self.fleet.entries()
+        for host in self.fleet.running():
+            self.fleet.post(host, HostsListed(at=self.fleet.now, entries=entries))
+
+    def measure(self) -> Cost:
+        """Run and return the figures of the measured part."""
+        self._go(WARM_UP)
+        appends, records, read = self._appends(), self._records(), dict(self.network.bytes_read)
+        first = len(self.called)
+        self._go(MEASURED)
+        cost = Cost(hosts=len(self.names), effects=self.effects)
+        cost.appends = (self._appends() - appends) / MEASURED
+        cost.records = (self._records() - records) / MEASURED
+        cost.bytes_read = self._most_read(read) / MEASURED
+        measured = list(self.called)[first:]
+        self._go(DRAIN, calls=False)
+        self._latencies(cost, measured)
+        return cost
+
+    def _go(self, seconds: float, *, calls: bool = True) -> None:
+        owed = 0.0
+        for _ in range(int(seconds / TICK)):
+            owed += self.effects * TICK if calls else 0.0
+            while owed >= 1.0:
+                owed -= 1.0
+                self._call()
+            self._hop()
+
+    def _hop(self) -> None:
+        """Let every message on its way arrive, and what it causes leave."""
+        self.fleet.tick(TICK)
+        for _ in range(len(self.fleet.items)):
+            self.network.meet(0, Fate.DELIVERED)
+        self.network.read_tails()
+        for _, effect in self.fleet.told:
+            if isinstance(effect, AnswerCall):
+                self.answered[effect.call_id] = self.fleet.now
+        self.fleet.told.clear()
+
+    def _call(self) -> None:
+        number = len(self.called)
+        key = f"018f0000-0000-7000-8000-{number:012d}"
+        call = Call(
+            call_id=key,
+            request_id=key,
+            has_key=True,
+            key_hash=KEY_HASH,
+            kind="service",
+            target=SERVICE,
+            path="/sign-up",
+            digest=f"{number:032x}",
+            born=WALL,
+            deadline=self.fleet.now + 30.0,
+        )
+        self.called[key] = self.fleet.now
+        host = self.fleet.hosts[self.names[number % len(self.names)]]
+        self.fleet.post(host, CallArrived(at=self.fleet.now, call=call))
+
+    def _appends(self) -> int:
+        counts = self.fleet.log.appends.items()
+        return sum(count for stream, count in counts if stream.startswith(STREAM_PREFIX))
+
+    def _records(self) -> int:
+        kept = self.fleet.log.streams.items()
+        return sum(len(one) for stream, one in kept if stream.startswith(STREAM_PREFIX))
+
+    def _most_read(self, before: dict[tuple[str, str], int]) -> int:
+        by_host: dict[str, int] = {}
+        for (host, stream), size in self.network.bytes_read.items():
+            if stream.startswith(STREAM_PREFIX):
+                by_host[host] = by_host.get(host, 0) + size - before.get((host, stream), 0)
+        return max(by_host.values(), default=0)
+
+    def _latencies(self, cost: Cost, measured: list[str]) -> None:
+        waits = sorted(
+            self.answered[key] - self.called[key] for key in measured if key in self.answered
+        )
+        cost.missing = len(measured) - len(waits)
+        if waits:
+            cost.median = waits[len(waits) // 2]
+            cost.p95 = waits[int(len(waits) * 0.95)]
+
+
+def rebuild_seconds(records: int = REBUILT) -> float:
+    """Return the processor time in which a new coordinator folds a shard's records."""
+    fleet = Fleet({"host-0": "zone-0"}, [])
+    fleet.boot("host-0")
+    host = fleet.hosts["host-0"]
+    owner = Owner(host="host-1", incarnation="1")
+    for number in range(records // 2):
+        key = f"customer/018f0000-0000-7000-8000-{number:012d}"
+        intent = Intent(
+            key=key, attempt_id=key, owner=owner, after=-1, service=SERVICE, born=fleet.wall
+        )
+        outcome = Outcome(key=key, attempt_id=key, status=200, body='{"done":true}')
+        fleet.log.append(f"{STREAM_PREFIX}0", (intent, outcome), fleet.wall)
+    _coordinate(fleet)
+    read = LogRead(
+        at=fleet.now,
+        stream=f"{STREAM_PREFIX}0",
+        tag="",
+        records=fleet.log.read(f"{STREAM_PREFIX}0", 0),
+        next=records,
+        first=0,
+        end=records,
+    )
+    start = time.process_time()
+    fleet.post(host, read)
+    return time.process_time() - start
+
+
+def _coordinate(fleet: Fleet) -> None:
+    host = fleet.hosts["host-0"]
+    asked = KeyAsk(shard=0, key="x", owner=host.owner)
+    fleet.post(host, PeerMessage(at=fleet.now, sender=host.owner, zone=host.zone, message=asked))
+
+
+def _configuration() -> Configuration:
+    plan = {"services": [SERVICE], "rate": 1e6, "burst": 1e6, "concurrency": 1_000_000}
+    allowances = {"plans": {"basic": plan}, "services": {SERVICE: {}}}
+    return Configuration(
+        version=1,
+        replaces=0,
+        author="test",
+        plans=json.dumps({"customer": {"plan": "basic", "keys": [KEY_HASH]}}),
+        allowances=json.dumps(allowances),
+    )
