Watch streams with one timer each rather than a timeout per read

Cause: a profile of 100 streams showed a timeout made and dropped for each read from an engine and for each wait for output. Change: one watchdog for each engine stream and one pulse for each caller's stream look now and then. Time in which the reader itself is slow still does not count as silence.

--- a/src/wasabiwick/_adapters/_engine.py
+++ b/src/wasabiwick/_adapters/_engine.py
@@ -129,13 +129,56 @@
     async def _batches(self, content: aiohttp.StreamReader) -> typing.AsyncIterator[list[Frame]]:
         """Decode all whole lines of each network read together; one wake-up serves them all."""
         rest = b""
-        while True:
-            # Silence is bounded per read, since heartbeats arrive even while no token does.
-            async with asyncio.timeout(self._timing.stream_silence):
-                chunk = await content.readany()
-            if not chunk:
-                return
-            lines = (rest + chunk).split(b"\n")
-            rest = lines.pop()
-            if lines:
-                yield [self._decoder.decode(line) for line in lines if line]
+        watchdog = Watchdog(content=content, limit=self._timing.stream_silence)
+        try:
+            while chunk := await watchdog.read():
+                lines = (rest + chunk).split(b"\n")
+                rest = lines.pop()
+                if lines:
+                    yield [self._decoder.decode(line) for line in lines if line]
+        finally:
+            watchdog.stop()
+
+
+class Watchdog:
+    """Ends a stream's read that hears nothing for too long.
+
+    Heartbeats arrive even while no token does, so that silence means a lost connection. A timer for
+    each read would cost more than the read does; one for each stream looks now and then.
+
+    Args:
+        content: The stream.
+        limit: Seconds of silence, of which only those spent reading count.
+    """
+
+    __slots__ = ("_content", "_limit", "_loop", "_since", "_handle")
+
+    def __init__(self, *, content: aiohttp.StreamReader, limit: float) -> None:
+        self._content = content
+        self._limit = limit
+        self._loop = asyncio.get_running_loop()
+        self._since: float | None = None
+        self._handle = self._loop.call_later(limit, self._look)
+
+    async def read(self) -> bytes:
+        """Return what has arrived, or empty bytes at the end.
+
+        Raises:
+            TimeoutError: If nothing arrives for the limit.
+        """
+        self._since = self._loop.time()
+        try:
+            return await self._content.readany()
+        finally:
+            self._since = None
+
+    def stop(self) -> None:
+        """Stop looking."""
+        self._handle.cancel()
+
+    def _look(self) -> None:
+        silent = 0.0 if self._since is None else self._loop.time() - self._since
+        if silent >= self._limit:
+            self._content.set_exception(TimeoutError())
+            return
+        self._handle = self._loop.call_later(self._limit - silent, self._look)
--- a/src/wasabiwick/_entry.py
+++ b/src/wasabiwick/_entry.py
@@ -21,6 +21,7 @@
 from ._events import CallAnswered, CallArrived, CallerGone
 from ._handlers import calls, lists, members
 from ._logging import log_event
+from ._output import Output
 from ._runner import Body, Runner
 from ._sink import CallSink, Closed, Whole
 from ._verdict import Verdict
@@ -237,6 +238,13 @@
         return web.Response(body=body, content_type=JSON, headers=self._headers())
 
     async def _stream(self, shape: Shape) -> web.StreamResponse:
+        pulse = Pulse(self._sink.output)
+        try:
+            return await self._relay_output(shape, pulse)
+        finally:
+            pulse.stop()
+
+    async def _relay_output(self, shape: Shape, pulse: "Pulse") -> web.StreamResponse:
         output = self._sink.output
         resp: web.StreamResponse | None = None
         position = 0
@@ -253,19 +261,10 @@
                 await resp.write_eof()
                 self._answered = True
                 return resp
+            elif pulse.beats() and resp is not None:
+                await resp.write(HEARTBEAT)
             else:
-                await self._pause(output, resp)
-
-    async def _pause(self, output: object, resp: web.StreamResponse | None) -> None:
-        """Wait for output; a silent stream gets a comment line now and then."""
-        if resp is None:
-            await output.changed()
-            return
-        try:
-            async with asyncio.timeout(CALLER_HEARTBEAT):
                 await output.changed()
-        except TimeoutError:
-            await resp.write(HEARTBEAT)
 
     async def _open(self) -> web.StreamResponse:
         headers = {"Content-Type": "text/event-stream", "Cache-Control": "no-store"}
@@ -309,6 +308,41 @@
         return {REQUEST_HEADER: self._call.call_id}
 
 
+class Pulse:
+    """Wakes a stream now and then, so that a silent one gets a comment line.
+
+    One timer for each stream costs less than a timeout for each wait.
+
+    Args:
+        output: Output that the stream waits for.
+    """
+
+    __slots__ = ("_output", "_handle", "_due")
+
+    def __init__(self, output: Output) -> None:
+        self._output = output
+        self._due = False
+        self._arm()
+
+    def beats(self) -> bool:
+        """Tell whether a comment line is due, and count it as sent."""
+        due, self._due = self._due, False
+        return due
+
+    def stop(self) -> None:
+        """Stop the timer."""
+        self._handle.cancel()
+
+    def _arm(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._handle = loop.call_later(CALLER_HEARTBEAT, self._beat)
+
+    def _beat(self) -> None:
+        self._due = True
+        self._output.wake()
+        self._arm()
+
+
 def _refusal(req: web.Request, failure: Failure, *, status: int = 0) -> web.Response:
     headers = error_headers(failure)
     headers[REQUEST_HEADER] = req["call_id"]
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,72 @@
+"""Long-lived streams: silence is found, slow reading is not taken for it."""
+
+import asyncio
+import unittest
+import unittest.mock
+
+import aiohttp
+
+from wasabiwick import _entry, _errors, _wire
+from wasabiwick._adapters import HttpEngine
+from wasabiwick._output import Output
+from wasabiwick._settings import Timing
+from wasabiwick._standins._output import expected_output
+
+from ._processes import Processes, control
+
+SILENCE = 0.3  # Seconds.
+TOKENS = 100
+
+
+class TestSilence(unittest.IsolatedAsyncioTestCase):
+    """A stream that hears nothing ends with a failure; one that is read slowly goes on."""
+
+    async def asyncSetUp(self) -> None:
+        self.processes = Processes()
+        self.addAsyncCleanup(self.processes.close)
+        self.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.session.close)
+        self.engine = HttpEngine(session=self.session, timing=Timing(stream_silence=SILENCE))
+        self.one = await self.processes.standin("engine", "--step", "0.02", "--heartbeat", "0.05")
+
+    async def decode(self):
+        about = {"request_id": "r", "attempt_id": "a", "owner": "h/1", "model": "lectio-lm"}
+        ask = _wire.PrefillAsk(**about, prompt="p")
+        done = await self.engine.prefill(self.one.address, ask)
+        return self.engine.decode(
+            self.one.address,
+            _wire.DecodeAsk(
+                **about, source=self.one.address, handle=done.handle, max_tokens=TOKENS
+            ),
+        )
+
+    async def test_silent_connection_fails(self) -> None:
+        stream = await self.decode()
+        await anext(stream)
+        async with aiohttp.ClientSession() as fresh:
+            await control(fresh, self.one, silence_open=True)
+        last = [batch async for batch in stream][-1]
+        self.assertIs(last.reason, _errors.ENDPOINT_SILENT)
+
+    async def test_slow_reader_is_not_silence(self) -> None:
+        text = ""
+        async for batch in await self.decode():
+            if not text:
+                await asyncio.sleep(3 * SILENCE)
+            text += "".join(frame.text for frame in batch)
+        self.assertEqual(text, expected_output("p", TOKENS))
+
+
+class TestPulse(unittest.IsolatedAsyncioTestCase):
+    """A stream without output is woken for a comment line, again and again."""
+
+    async def test_wakes_and_is_counted_once(self) -> None:
+        output = Output(limit=1)
+        with unittest.mock.patch.object(_entry, "CALLER_HEARTBEAT", 0.01):
+            pulse = _entry.Pulse(output)
+            self.addCleanup(pulse.stop)
+            for _ in range(2):
+                self.assertFalse(pulse.beats())
+                await output.changed()
+                output.take(0)
+                self.assertTrue(pulse.beats())
