Refuse broken and slow requests in the one form of errors

Cause: a test of broken input found the HTTP library's own plain answers without a verdict for bad header bytes, long headers and bad lengths, and no limit on slow headers or bodies at all. Change: callers' connections answer parse errors and late requests as JSON with NOT_RUN; the whole body has to arrive within header_timeout. A drain test fills every slot and sends SIGTERM. Result: 14 kinds of broken input refused while another caller's stream ends whole; 20 calls at 16 slots end whole through a drain, exit status 0. Conclusion: the answer to a request that can't be parsed has HTTP version 1.0, as its own is unknown.

--- a/src/wasabiwick/_daemon.py
+++ b/src/wasabiwick/_daemon.py
@@ -12,6 +12,7 @@
     _adapters,
     _performers,  # noqa: F401 - registers the performers
 )
+from ._caller_server import CallerRunner
 from ._entry import Entry
 from ._events import StopAsked
 from ._logging import log_event
@@ -65,8 +66,10 @@
         entry = Entry(runner=self.runner).app()
         peers = PeerServer(runner=self.runner).app()
         listen, tls = self._cfg.listen, self._tls
-        self.callers_url = await self._serve(entry, listen.callers, tls and tls.callers)
-        self.peers_url = await self._serve(peers, listen.peers, tls and tls.peers)
+        callers_server = CallerRunner(entry, limits=self._cfg.limits)
+        peers_server = web.AppRunner(peers, handler_cancellation=True, access_log=None)
+        self.callers_url = await self._serve(callers_server, listen.callers, tls and tls.callers)
+        self.peers_url = await self._serve(peers_server, listen.peers, tls and tls.peers)
         if tls:
             self.runner.spawn("tls", tls.watch())
         self.runner.start()
@@ -107,16 +110,8 @@
         self._sessions.append(session)
         return session
 
-    async def _serve(self, app: web.Application, address: str, tls: ssl.SSLContext | None) -> str:
+    async def _serve(self, server: web.AppRunner, address: str, tls: ssl.SSLContext | None) -> str:
         host, _, port = address.rpartition(":")
-        limits = self._cfg.limits
-        server = web.AppRunner(
-            app,
-            handler_cancellation=True,
-            access_log=None,
-            max_line_size=limits.max_header_bytes,
-            max_field_size=limits.max_header_bytes,
-        )
         await server.setup()
         site = web.TCPSite(server, host.strip("[]"), int(port), ssl_context=tls)
         await site.start()
--- a/src/wasabiwick/_entry.py
+++ b/src/wasabiwick/_entry.py
@@ -17,7 +17,7 @@
     error_body,
     error_headers,
 )
-from ._errors import NOT_FOUND, TOO_LARGE, Failure
+from ._errors import NOT_FOUND, REQUEST_TIMEOUT, TOO_LARGE, Failure
 from ._events import CallAnswered, CallArrived, CallerGone
 from ._handlers import calls, lists, members
 from ._logging import log_event
@@ -108,16 +108,14 @@
     async def _errors(self, req: web.Request, handler: object) -> web.StreamResponse:
         """Give every call an identifier, and every error the one JSON form."""
         req["call_id"] = self._next_call()
+        failure = await self._receive(req)
+        if failure:
+            resp = _refusal(req, failure)
+            resp.force_close()
+            _log_answer(req, resp)
+            return resp
         try:
             resp = await handler(req)
-        except web.HTTPRequestEntityTooLarge:
-            limit = self._runner.cfg.limits.max_body_bytes
-            failure = Failure(
-                reason=TOO_LARGE,
-                verdict=Verdict.NOT_RUN,
-                detail=f"the body is over {limit} bytes",
-            )
-            resp = _refusal(req, failure)
         except (web.HTTPNotFound, web.HTTPMethodNotAllowed) as exc:
             detail = f"{req.method} {req.path} does not exist"
             failure = Failure(reason=NOT_FOUND, verdict=Verdict.NOT_RUN, detail=detail)
@@ -125,6 +123,19 @@
         _log_answer(req, resp)
         return resp
 
+    async def _receive(self, req: web.Request) -> Failure | None:
+        """Read the whole body, which the request keeps for its handler."""
+        limits = self._runner.cfg.limits
+        try:
+            async with asyncio.timeout(limits.header_timeout):
+                await req.read()
+        except TimeoutError:
+            return Failure(reason=REQUEST_TIMEOUT, verdict=Verdict.NOT_RUN)
+        except web.HTTPRequestEntityTooLarge:
+            detail = f"the body is over {limits.max_body_bytes} bytes"
+            return Failure(reason=TOO_LARGE, verdict=Verdict.NOT_RUN, detail=detail)
+        return None
+
     # --- Health and metrics ----------------------------------------------------------------------
 
     async def _models(self, req: web.Request) -> web.Response:
--- a/tests/_processes.py
+++ b/tests/_processes.py
@@ -19,12 +19,14 @@
         self.proc = proc
         self.fields = fields
         self.address = fields.get("address", fields.get("callers", ""))
+        self.drain: asyncio.Task | None = None
 
     async def stop(self) -> int:
         """Ask the process to end, and return its exit status."""
         if self.proc.returncode is None:
             self.proc.terminate()
-        await asyncio.wait_for(self.proc.communicate(), STOP_TIMEOUT)
+        await asyncio.wait_for(self.proc.wait(), STOP_TIMEOUT)
+        await self.drain
         return self.proc.returncode
 
 
@@ -42,15 +44,27 @@
         one = Process(proc, {})
         self.started.append(one)
         async with asyncio.timeout(START_TIMEOUT):
-            line = (await proc.stdout.readline()).decode()
+            line = ""
+            while "event=listening" not in line:
+                line = (await proc.stdout.readline()).decode()
+                assert line, f"{args} ended before it listened"
         one.fields.update(part.split("=", 1) for part in line.split() if "=" in part)
         one.address = one.fields.get("address", one.fields.get("callers", ""))
+        one.drain = asyncio.create_task(proc.stdout.read())  # So that its output never blocks it.
         return one
 
     async def standin(self, kind: str, *options: str) -> Process:
         """Start a stand-in."""
         return await self.start("standin", kind, *options)
 
+    async def finish(self, *args: str) -> None:
+        """Run ``wasabiwick`` with arguments to its end."""
+        proc = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "wasabiwick", *args, stdout=asyncio.subprocess.DEVNULL
+        )
+        status = await asyncio.wait_for(proc.wait(), START_TIMEOUT)
+        assert status == 0, args
+
     async def close(self) -> None:
         """End all processes that still run."""
         for one in self.started:
--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,118 @@
+"""What a host makes of broken input: a clear refusal, and no harm to anybody else."""
+
+import asyncio
+import json
+import random
+import unittest
+import urllib.parse
+
+import aiohttp
+
+from wasabiwick._load._caller import Ask, Caller, Clock
+from wasabiwick._load._measure import Tally
+
+from ._processes import Processes
+from ._small_site import API_KEY, MODEL, SmallSite
+
+MAX_BODY = 10_000  # Bytes.
+HEADER_TIMEOUT = 0.5  # Seconds.
+READ_TIMEOUT = 10.0  # Seconds.
+BODY = json.dumps({"model": MODEL, "prompt": "p", "max_tokens": 3})
+
+
+class TestBadInput(unittest.IsolatedAsyncioTestCase):
+    """Each kind of broken input gets a 4xx that says ``NOT_RUN``, while a stream goes on."""
+
+    async def asyncSetUp(self) -> None:
+        processes = Processes()
+        self.addAsyncCleanup(processes.close)
+        self.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.session.close)
+        self.site = SmallSite(processes=processes, session=self.session)
+        self.addCleanup(self.site.close)
+        limits = {"max_body_bytes": MAX_BODY, "header_timeout": HEADER_TIMEOUT}
+        await self.site.start("--step", "0.05", engines=1, limits=limits)
+
+    def caller(self) -> Caller:
+        return Caller(
+            session=self.session,
+            addresses=[self.site.url],
+            key=API_KEY,
+            tally=Tally(),
+            rng=random.Random(1),
+            until=float("inf"),
+        )
+
+    async def post(self, body: str, **headers: str) -> tuple[int, dict]:
+        headers = {"Authorization": f"Bearer {API_KEY}", **headers}
+        url = f"{self.site.url}/v1/completions"
+        async with self.session.post(url, data=body, headers=headers) as resp:
+            return resp.status, await resp.json()
+
+    async def raw(self, data: bytes, *, eof: bool = False) -> bytes:
+        """Send bytes on a fresh connection, and return all that comes until it is closed."""
+        address = urllib.parse.urlsplit(self.site.url)
+        reader, writer = await asyncio.open_connection(address.hostname, address.port)
+        writer.write(data)
+        if eof:
+            writer.write_eof()
+        try:
+            return await asyncio.wait_for(reader.read(), READ_TIMEOUT)
+        finally:
+            writer.close()
+
+    def request(self, *headers: bytes, body: bytes = b"") -> bytes:
+        lines = [b"POST /v1/completions HTTP/1.1", b"Host: h", *headers, b"", body]
+        return b"\r\n".join(lines)
+
+    def refused(self, answer: tuple[int, dict], status: int) -> None:
+        self.assertEqual(answer[0], status)
+        self.assertEqual(answer[1]["error"]["verdict"], "NOT_RUN")
+
+    def refused_raw(self, answer: bytes, status: int) -> None:
+        head, _, body = answer.partition(b"\r\n\r\n")
+        self.assertRegex(head, rb"^HTTP/1\.[01] %d " % status)
+        self.assertIn(b"X-Verdict: NOT_RUN", head)
+        self.assertEqual(json.loads(body)["error"]["verdict"], "NOT_RUN")
+
+    async def test_each_is_refused_and_a_stream_goes_on(self) -> None:
+        caller = self.caller()
+        ask = Ask(content="other caller", max_tokens=100, model=MODEL)
+        other = asyncio.create_task(caller.attempt(ask, Clock(caller.tally)))
+        with self.subTest("malformed JSON"):
+            self.refused(await self.post('{"model": '), 400)
+        with self.subTest("not UTF-8"):
+            self.refused(await self.post(b'{"model": "\xff"}'), 400)
+        with self.subTest("wrong types"):
+            self.refused(await self.post('{"model": 3, "prompt": []}'), 400)
+        with self.subTest("oversized body"):
+            self.refused(await self.post(json.dumps({"prompt": "x" * MAX_BODY})), 413)
+        with self.subTest("unknown model"):
+            self.refused(await self.post(BODY.replace(MODEL, "nothing")), 404)
+        with self.subTest("wrong key"):
+            self.refused(await self.post(BODY, Authorization="Bearer wrong"), 401)
+        with self.subTest("bad timeout"):
+            self.refused(await self.post(BODY, **{"X-Request-Timeout": "soon"}), 400)
+        with self.subTest("bad header bytes"):
+            answer = await self.raw(self.request(b"X-Bad: \x00\x01", b"Content-Length: 0"))
+            self.refused_raw(answer, 400)
+        with self.subTest("oversized header"):
+            answer = await self.raw(self.request(b"X-Long: " + b"x" * 20_000))
+            self.refused_raw(answer, 400)
+        with self.subTest("bad length"):
+            self.refused_raw(await self.raw(self.request(b"Content-Length: many")), 400)
+        with self.subTest("slow headers"):
+            self.refused_raw(await self.raw(b"POST /v1/completions HTTP/1.1\r\nHost:"), 408)
+        with self.subTest("slow body"):
+            length = b"Content-Length: 100"
+            self.refused_raw(await self.raw(self.request(length, body=b"{")), 408)
+        with self.subTest("half-closed in the headers"):
+            answer = await self.raw(b"POST /v1/completions HTTP/1.1\r\nHost:", eof=True)
+            self.assertNotIn(b"200", answer)
+        with self.subTest("half-closed in the body"):
+            length = b"Content-Length: 100"
+            answer = await self.raw(self.request(length, body=b"{"), eof=True)
+            self.assertNotIn(b"200", answer)
+        reply = await other
+        self.assertEqual(reply.text, ask.expected())
+        self.assertIsNone(self.site.host.proc.returncode)
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,61 @@
+"""A graceful shutdown under full load ends every stream whole."""
+
+import asyncio
+import random
+import signal
+import unittest
+
+import aiohttp
+
+from wasabiwick._load._caller import Ask, Caller, Clock
+from wasabiwick._load._measure import Tally
+
+from ._processes import Processes, until
+from ._small_site import API_KEY, MODEL, SmallSite
+
+SLOTS = 8
+ENGINES = 2
+TOKENS = 150
+
+
+class TestDrain(unittest.IsolatedAsyncioTestCase):
+    """With every slot in use and more calls queued, SIGTERM cuts off nothing and ends with 0."""
+
+    async def asyncSetUp(self) -> None:
+        processes = Processes()
+        self.addAsyncCleanup(processes.close)
+        self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        self.addAsyncCleanup(self.session.close)
+        self.site = SmallSite(processes=processes, session=self.session)
+        self.addCleanup(self.site.close)
+        await self.site.start("--slots", str(SLOTS), "--step", "0.02", engines=ENGINES)
+
+    async def test_every_stream_ends_whole(self) -> None:
+        caller = Caller(
+            session=self.session,
+            addresses=[self.site.url],
+            key=API_KEY,
+            tally=Tally(),
+            rng=random.Random(1),
+            until=float("inf"),
+        )
+        asks = [
+            Ask(content=f"call {number}", max_tokens=TOKENS, model=MODEL, stream=number % 4 > 0)
+            for number in range(SLOTS * ENGINES + 4)
+        ]
+        calls = [asyncio.create_task(caller.attempt(ask, Clock(caller.tally))) for ask in asks]
+
+        async def full() -> bool:
+            return await self.site.used() >= SLOTS * ENGINES
+
+        await until(full)
+        self.site.host.proc.send_signal(signal.SIGTERM)
+        replies = await asyncio.gather(*calls)
+        wrong = [
+            (ask.content, reply.reason())
+            for ask, reply in zip(asks, replies, strict=True)
+            if not reply.whole or reply.text != ask.expected()
+        ]
+        self.assertEqual(wrong, [])
+        self.assertEqual(await asyncio.wait_for(self.site.host.proc.wait(), 10), 0)
+        self.assertEqual(await self.site.used(), 0)
