Fill every slot for certain in the drain test

Cause: on a busy machine the streams ended before all slots were in use, and the test waited in vain. Change: engines begin stalled and go on once the host was told to stop.

--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -10,12 +10,12 @@
 from wasabiwick._load._caller import Ask, Caller, Clock
 from wasabiwick._load._measure import Tally
 
-from ._processes import Processes, until
+from ._processes import Processes, control, until
 from ._small_site import API_KEY, MODEL, SmallSite
 
 SLOTS = 8
 ENGINES = 2
-TOKENS = 150
+TOKENS = 100
 
 
 class TestDrain(unittest.IsolatedAsyncioTestCase):
@@ -28,7 +28,9 @@
         self.addAsyncCleanup(self.session.close)
         self.site = SmallSite(processes=processes, session=self.session)
         self.addCleanup(self.site.close)
-        await self.site.start("--slots", str(SLOTS), "--step", "0.02", engines=ENGINES)
+        # Engines begin stalled, so that all slots are surely in use when the host is told to stop.
+        options = ("--slots", str(SLOTS), "--step", "0.01", "--stall")
+        await self.site.start(*options, engines=ENGINES, timing={"stall": 60.0})
 
     async def test_every_stream_ends_whole(self) -> None:
         caller = Caller(
@@ -50,6 +52,8 @@
 
         await until(full)
         self.site.host.proc.send_signal(signal.SIGTERM)
+        for engine in self.site.engines:
+            await control(self.session, engine, stall=False)
         replies = await asyncio.gather(*calls)
         wrong = [
             (ask.content, reply.reason())
