--- a/tests/_processes.py
+++ b/tests/_processes.py
@@ -71,6 +71,14 @@
         """Start a stand-in."""
         return await self.start("standin", kind, *options)
 
+    async def finish(self, *args: str) -> None:
+        """Run ``wasabiwick`` with arguments to its end."""
+        proc = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "wasabiwick", *args, stdout=asyncio.subprocess.DEVNULL
+        )
+        status = await asyncio.wait_for(proc.wait(), START_TIMEOUT)
+        assert status == 0, args
+
     async def close(self) -> None:
         """End all processes that still run."""
         await asyncio.gather(*(one.stop() for one in self.started))
