--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,9 @@
 	$(BIN)/black --check --quiet src tests
 	$(BIN)/ruff check src tests
 
+model: install
+	$(BIN)/wasabiwick model
+
 capacity: install
 	$(BIN)/python -m wasabiwick._capacity docs/CAPACITY.md
 
