--- a/src/wasabiwick/_bench/engine_calls.py
+++ b/src/wasabiwick/_bench/engine_calls.py
@@ -53,7 +53,7 @@
             job = Job(
                 request_id=effect.request_id,
                 attempt_id=effect.attempt_id,
-                owner=host.name,
+                owner=host.owner_name(),
                 segments=ask.segments,
                 priority=effect.priority,
                 then=done,
@@ -90,7 +90,7 @@
             if engine is None:
                 self.fail(host, effect, "decode")
                 return
-            if not engine.begin_import(effect.attempt_id, host.name):
+            if not engine.begin_import(effect.attempt_id, host.owner_name()):
                 self.fail(host, effect, "decode", refused=True)
                 return
             local = effect.source == effect.endpoint
@@ -124,7 +124,7 @@
         stream = Stream(
             request_id=effect.request_id,
             attempt_id=effect.attempt_id,
-            owner=host.name,
+            owner=host.owner_name(),
             length=ask.output,
             begin=0.0,
             first=lambda: self._first_output(engine, effect),
--- a/src/wasabiwick/_bench/world.py
+++ b/src/wasabiwick/_bench/world.py
@@ -42,6 +42,10 @@
         self.timers: dict[tuple[str, str], int] = {}
         self.incarnation = incarnation
 
+    def owner_name(self) -> str:
+        """Return the name by which engines report whose an attempt is."""
+        return f"{self.name}/{self.incarnation}"
+
 
 class World(EngineCalls):
     """Hosts, engines and network on one virtual clock.
--- a/src/wasabiwick/_handlers/__init__.py
+++ b/src/wasabiwick/_handlers/__init__.py
@@ -20,6 +20,7 @@
     confirm,
     measures,
     cancels,
+    reaping,
     services,
     once_shard,
     once,
@@ -52,6 +53,7 @@
     "pools",
     "reservations",
     "services",
+    "reaping",
     "slots",
     "slots_progress",
 ]
