Let stopping owners pass claims on, and report to owners that others may reach

Change: a stopping owner passes claims on to the next one; reports go also to owners that only the reporting host fails to reach. Conclusion: a claim and a report that cross while owners change can still run a request anew.

--- a/src/wasabiwick/_handlers/keys.py
+++ b/src/wasabiwick/_handlers/keys.py
@@ -120,21 +120,35 @@
         engine=engine,
         ended=ended,
     )
-    owners = _owners(state, request_id)
+    owners = _told_owners(state, request_id)
     state["keys"].told[request_id] = owners
     for owner in owners:
         yield SendPeer(host=owner, message=message)
 
 
+def _told_owners(state: State, request_id: str) -> list[str]:
+    """Return the owners, those included that only this host fails to reach: others ask them."""
+    owners = _owners(state, request_id)
+    if state["keys"].unreached:
+        owners += _ranked_owners(state, request_id, members.live_hosts)
+    return list(dict.fromkeys(owners))
+
+
 def _owners(state: State, request_id: str) -> list[str]:
     """Return the owners of a key, the first one first; this host if it can reach no other."""
+    return _ranked_owners(state, request_id, _reachable) or [state.owner.host]
+
+
+def _ranked_owners(
+    state: State, request_id: str, hosts_of: typing.Callable[[State, str], list[str]]
+) -> list[str]:
     role = f"key/{request_id}"
     found = (
         host
         for zone in _rendezvous.ranked(role, members.zones(state))
-        for host in _rendezvous.ranked(role, _reachable(state, zone))
+        for host in _rendezvous.ranked(role, hosts_of(state, zone))
     )
-    return list(itertools.islice(found, OWNERS)) or [state.owner.host]
+    return list(itertools.islice(found, OWNERS))
 
 
 def candidates(state: State, request_id: str) -> list[str]:
@@ -169,6 +183,10 @@
 def own(state: State, event: PeerMessage) -> typing.Iterator[Step]:
     """Answer a claim with the earlier serving host, and record the new one."""
     asked = event.message
+    if state.stopping and event.sender == asked.claimant:
+        # Other zones learn late that this host stops, and its zone tells new owners already.
+        yield SendPeer(host=_owners(state, asked.request_id)[0], message=asked)
+        return
     served = state["keys"].served
     earlier = served.get(asked.request_id)
     if earlier and not earlier.ended and earlier.serving != asked.claimant:
@@ -259,7 +277,7 @@
     """Tell new owners of the keys that this host serves."""
     mine = state["keys"]
     for request_id, gen in generation.keyed(state):
-        if mine.told.get(request_id) != _owners(state, request_id):
+        if mine.told.get(request_id) != _told_owners(state, request_id):
             yield from report(state, request_id, gen.attempt_id, engine=gen.decode_engine)
 
 
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -369,6 +369,20 @@
         self.fabric.run(0.5)
         self.assertEqual(len(self.fabric.of("c", _effects.ResumeStream)), self.KEYS)
 
+    def test_stopping_owner_passes_claims_on(self) -> None:
+        self.fabric.feed("b", _events.StopAsked(at=0))
+        self.fabric.run(1.0)
+        for number in range(self.KEYS):
+            self.arrive("a", f"old{number}", f"k{number}")
+        self.fabric.run(0.5)
+        for attempt in self.fabric.of("a", _effects.StartDecode):
+            progress = _events.StreamProgress(at=0, **_attempt(attempt), count=5, offset=5)
+            self.fabric.feed("a", progress)
+        for number in range(self.KEYS):
+            self.arrive("c", f"new{number}", f"k{number}")
+        self.fabric.run(0.5)
+        self.assertEqual(len(self.fabric.of("c", _effects.ResumeStream)), self.KEYS)
+
     def test_zone_that_is_cut_off_is_left_out(self) -> None:
         self.fabric.kill("c")
         self.fabric.kill("d")
