Split the effect protocol by job

Change: once_calls sends and records, once_ends asks and ends, once decides. No behaviour changes; the fuzz's mutations name the moved functions.

--- /dev/null
+++ b/src/wasabiwick/_handlers/once_calls.py
@@ -0,0 +1,130 @@
+"""The call itself: sent once, answered at once, and recorded for every later retry."""
+
+import typing
+
+from .._effects import CallService, Count, QueryService, StopTimer
+from .._errors import ENDPOINT_FAILED, NO_ENDPOINT, OUTCOME_UNKNOWN
+from .._events import AttemptFailed, ServiceAnswered
+from .._fold import UNKNOWN
+from .._reducer import Step, handles
+from .._state import State
+from .._verdict import Verdict
+from .._wire import Outcome
+from . import calls, once_ends, services
+from .once_resolution import HONOURED
+from .once_work import Work, traits_of, work_of_attempt
+
+MAX_SENDS = 3  # Sends of a call that provably did not leave the host, or of one the service keys.
+FENCE_REFUSED = 409  # Answer of a service that honours fencing to an old number.
+NOT_FOUND = 404
+PHASES_OF_CALLS = ("service", "query")
+
+
+def dispatch(state: State, work: Work, at: float) -> typing.Iterator[Step]:
+    """Send the call; from now on the attempt is never given up."""
+    endpoint = services.pick_endpoint(state, work.call.target, work.avoid)
+    if not endpoint or work.req is None:
+        detail = f'service "{work.call.target}" has no endpoint'
+        yield from once_ends.give_up(state, work, NO_ENDPOINT, at, detail)
+        return
+    work.phase = "running"
+    work.sends += 1
+    calls.mark_ran(state, work.call.request_id)
+    yield StopTimer(timer="once_ask", key=work.key)
+    yield Count(metric="once_dispatched")
+    yield CallService(
+        request_id=work.call.request_id,
+        attempt_id=work.attempt_id,
+        endpoint=endpoint,
+        service=work.call.target,
+        method=work.call.method,
+        path=work.call.path,
+        fence=work.fence,
+    )
+
+
+def query(state: State, work: Work, at: float) -> typing.Iterator[Step]:
+    endpoint = services.pick_endpoint(state, work.call.target, work.avoid)
+    if not endpoint:
+        yield from once_ends.refuse(state, work, OUTCOME_UNKNOWN, at)
+        return
+    work.phase = "querying"
+    yield StopTimer(timer="once_ask", key=work.key)
+    yield QueryService(
+        request_id=work.call.request_id,
+        attempt_id=work.attempt_id,
+        endpoint=endpoint,
+        service=work.call.target,
+        fence=work.fence,
+    )
+
+
+@handles(ServiceAnswered)
+def answered(state: State, event: ServiceAnswered) -> typing.Iterator[Step]:
+    """Answer the caller at once, and record the outcome for every later retry."""
+    work = work_of_attempt(state, event.attempt_id)
+    if work is None or work.phase not in ("running", "querying"):
+        return
+    if work.phase == "querying" and not 200 <= event.status < 300:
+        yield from _not_found(state, work, event)
+        return
+    traits = traits_of(state, work)
+    if event.status == FENCE_REFUSED and traits and traits.fencing == HONOURED:
+        yield from unknown(state, work, event.at, "a newer attempt took the call over")
+        return
+    yield from once_ends.answer(work, event.status, event.body, event.content_type)
+    # An attempt that only asked settles the call of the winner.
+    ran = work.attempt_id if work.phase == "running" else work.found.winner
+    work.record = Outcome(
+        key=work.key,
+        attempt_id=ran,
+        status=event.status,
+        body=event.body,
+        content_type=event.content_type,
+    )
+    work.phase = "recording"
+    yield from once_ends.ask(state, work)
+
+
+def _not_found(state: State, work: Work, event: ServiceAnswered) -> typing.Iterator[Step]:
+    if event.status == NOT_FOUND and work.resolution.repeats and work.req:
+        yield from dispatch(state, work, event.at)
+    else:
+        yield from unknown(state, work, event.at)
+
+
+@handles(AttemptFailed)
+def failed(state: State, event: AttemptFailed) -> typing.Iterator[Step]:
+    """Send again only what provably never left, or what the service itself runs once."""
+    work = work_of_attempt(state, event.attempt_id)
+    if (
+        work is None
+        or event.phase not in PHASES_OF_CALLS
+        or work.phase not in ("running", "querying")
+    ):
+        return
+    work.avoid = (*work.avoid, event.endpoint)
+    not_run = work.phase == "running" and event.failure.verdict is Verdict.NOT_RUN
+    work.may_have_run = work.may_have_run or not not_run
+    traits = traits_of(state, work)
+    repeatable = not_run or (work.phase == "running" and traits and traits.accepts_key)
+    if repeatable and work.sends < MAX_SENDS and work.waiting:
+        yield Count(metric="service_retries")
+        yield from dispatch(state, work, event.at)
+    elif not_run and not work.may_have_run:
+        yield from once_ends.give_up(state, work, ENDPOINT_FAILED, event.at, event.failure.detail)
+    else:
+        yield from unknown(state, work, event.at, event.failure.detail)
+
+
+def unknown(state: State, work: Work, at: float, detail: str = "") -> typing.Iterator[Step]:
+    """Tell the caller that the outcome is unknown, and record that for every other host."""
+    yield Count(metric="once_unknown")
+    if work.req:
+        yield once_ends.denial(state, work.call.request_id, OUTCOME_UNKNOWN, at, detail)
+    if work.phase != "running" or work.found.winner != work.attempt_id:
+        yield from once_ends.close(state, work)
+        return
+    work.record = Outcome(key=work.key, attempt_id=work.attempt_id, status=UNKNOWN, body="")
+    work.phase = "recording"
+    yield from once_ends.ask(state, work)
--- a/src/wasabiwick/_handlers/once_work.py
+++ b/src/wasabiwick/_handlers/once_work.py
@@ -1,10 +1,11 @@
 """Work that may run only once, as the host that has the caller keeps it."""
 
 from .._errors import Failure
+from .._lists import ServiceTraits
 from .._settings import Settings
 from .._state import State, state_slice
 from .._wire import Intent, KeyState, Outcome, Void
-from . import calls
+from . import calls, lists
 from .host import busy_check
 from .once_resolution import UNRESOLVED, Resolution
 
@@ -122,3 +123,9 @@
 def unsettled(state: State) -> int:
     """Count work whose record is not settled yet."""
     return len(state["once"].works)
+
+
+def traits_of(state: State, work: Work) -> ServiceTraits | None:
+    """Return what operators declare of the service that a work calls, or None."""
+    known = lists.current(state)
+    return known.services.get(work.call.target) if known else None
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -8,7 +8,7 @@
 from wasabiwick._errors import OUTCOME_UNKNOWN
 from wasabiwick._fuzz import _run
 from wasabiwick._fuzz._world import BrokenPromiseError
-from wasabiwick._handlers import once, once_resolution
+from wasabiwick._handlers import once, once_calls, once_ends, once_resolution
 from wasabiwick._verdict import Verdict
 
 SEED = 1
@@ -41,15 +41,15 @@
 
     def test_void_after_dispatch(self) -> None:
         def void(state: typing.Any, work: typing.Any, at: float, detail: str = "") -> typing.Any:
-            return once._give_up(state, work, OUTCOME_UNKNOWN, at, detail)
+            return once_ends.give_up(state, work, OUTCOME_UNKNOWN, at, detail)
 
-        self.assert_found(once, "_unknown", void)
+        self.assert_found(once_calls, "unknown", void)
 
     def test_not_run_without_a_void(self) -> None:
         def claim(state: typing.Any, work: typing.Any, reason: typing.Any, at: float, *_: str):
-            return once._give_answer(state, work, reason, at, verdict=Verdict.NOT_RUN)
+            return once_ends.refuse(state, work, reason, at, verdict=Verdict.NOT_RUN)
 
-        self.assert_found(once, "_give_up", claim)
+        self.assert_found(once_ends, "give_up", claim)
 
     def test_takeover_of_any_service(self) -> None:
         self.assert_found(once, "resolution_of", lambda traits: once_resolution.SEND_AGAIN)
