--- a/tests/_processes.py
+++ b/tests/_processes.py
@@ -31,7 +31,12 @@
         """Ask the process to end, and return its exit status."""
         if self.proc.returncode is None:
             self.proc.terminate()
-        await asyncio.wait_for(self.proc.wait(), STOP_TIMEOUT)
+        try:
+            await asyncio.wait_for(self.proc.wait(), STOP_TIMEOUT)
+        except TimeoutError:
+            # The test fails by this error; the process must not outlive it.
+            self.proc.kill()
+            raise
         if self.reading:
             await self.reading
         return self.proc.returncode
