--- a/src/wasabiwick/_capacity/facts.py
+++ b/src/wasabiwick/_capacity/facts.py
@@ -12,7 +12,7 @@
 from .._reducer import reduce
 from .._wire import HostEntry, LeaseClaim, LogPage, LogRecord, Owner
 from . import fleet, letter
-from .fit import Line, cpu_seconds, kept_bytes
+from .fit import REPEATS, Line, cpu_seconds, kept_bytes
 from .probe import probe
 
 KEY = ed25519.Ed25519PrivateKey.from_private_bytes(bytes(range(32)))
@@ -165,7 +165,7 @@
             return lambda: zone.run(ZONE_SECONDS)
 
         spent = cpu_seconds(prepare)
-        host_seconds = count * ZONE_SECONDS * 3
+        host_seconds = count * ZONE_SECONDS * REPEATS
         sent.append((count, zone.messages / host_seconds))
         sizes.append((count, zone.bytes / host_seconds))
         seconds.append((count, spent / (count * ZONE_SECONDS) * 1e6))
--- a/src/wasabiwick/_capacity/fit.py
+++ b/src/wasabiwick/_capacity/fit.py
@@ -5,7 +5,7 @@
 import tracemalloc
 import typing
 
-REPEATS = 3
+REPEATS = 5
 
 
 class Line:
