--- a/src/wasabiwick/_handlers/once.py
+++ b/src/wasabiwick/_handlers/once.py
@@ -74,6 +74,7 @@
     """Let a newer call of a request wait in place of the older one, which may be answered."""
     work = state["once"].works.get(_key(req))
     if work:
+        state["once"].wanted[req.call.request_id] = req.call.call_id
         yield from _attach(state, work, req, at)
     else:
         yield ServiceWanted(at=at, request_id=req.call.request_id)
@@ -83,9 +84,10 @@
 def begin(state: State, event: ServiceWanted) -> typing.Iterator[Step]:
     """Ask for the key's state, and propose an attempt in the same message."""
     req = calls.request_of(state, event.request_id)
-    if req is None:
-        return
-    state["once"].wanted.add(event.request_id)
+    wanted = state["once"].wanted
+    if req is None or wanted.get(event.request_id) == req.call.call_id:
+        return  # A late admission of an earlier request with this key.
+    wanted[event.request_id] = req.call.call_id
     key = _key(req)
     running = state["once"].works.get(key)
     if running:
@@ -282,17 +284,21 @@
     work.resolution = resolution
     yield Count(metric="once_resolutions", label=resolution.name)
     if resolution.takes_over:
-        yield from _take_over(state, work, found)
+        yield from _take_over(state, work, found, at)
     elif resolution.queries:
         yield from _query(state, work, at)
     else:
         yield from _give_answer(state, work, OUTCOME_UNKNOWN, at)
 
 
-def _take_over(state: State, work: Work, found: KeyState) -> typing.Iterator[Step]:
-    if not isinstance(work.record, Intent) or work.record.over != found.winner:
+def _take_over(state: State, work: Work, found: KeyState, at: float) -> typing.Iterator[Step]:
+    """Propose to replace the winner, once; two hosts would replace each other without end."""
+    over = work.record.over if isinstance(work.record, Intent) else ""
+    if not over:
         work.record = _intent(state, work, over=found.winner)
         yield from _ask(state, work)
+    elif over != found.winner:
+        yield from _give_answer(state, work, OUTCOME_UNKNOWN, at)
 
 
 def _may_settle(state: State, found: KeyState, at: float) -> bool:
@@ -543,7 +549,7 @@
     """Let go of a request that is over; what the log still needs goes on."""
     mine = state["once"]
     mine.bases.pop(event.request_id, None)
-    mine.wanted.discard(event.request_id)
+    mine.wanted.pop(event.request_id, None)
     req = calls.request_of(state, event.request_id)
     work = mine.works.get(_key(req)) if req else None
     if work and work.req is req:
--- a/src/wasabiwick/_metrics.py
+++ b/src/wasabiwick/_metrics.py
@@ -132,6 +132,7 @@
     "Cancellation",
     _counter("abandoned", "Requests given up because their caller did not come back."),
     _counter("cancels", "Attempts that an engine was asked to forget."),
+    _counter("reaped", "Attempts cancelled because nobody serves them."),
     _counter("cancel_failed", "Cancels that did not reach their engine; they are repeated."),
 )
 _section(
@@ -194,7 +195,7 @@
 
 @gauge("cancels_unconfirmed", "Attempts whose engine has not confirmed that it forgot them.")
 def _cancels(state: State) -> GaugeValues:
-    return {"": cancels.unconfirmed(state)}
+    return {"": cancels.pending(state)}
 
 
 @gauge("configuration_version", "Version of the configuration in force; 0 before the first.")
