--- a/src/wasabiwick/_wire.py
+++ b/src/wasabiwick/_wire.py
@@ -22,13 +22,17 @@
 
 
 class ClaimKey(Base):
-    """Asks the owner of a request key whether the request is being served already."""
+    """Asks the owner of a request key whether the request is being served already.
+
+    ``forwarded`` is true where a host that owns the key no longer passed the question on.
+    """
 
     request_id: str
     attempt_id: str
     claimant: Owner
     config_version: int = 0
     deadline: float = 0.0
+    forwarded: bool = False
 
 
 class KeyClaimed(Base):
