--- a/src/wasabiwick/_handlers/__init__.py
+++ b/src/wasabiwick/_handlers/__init__.py
@@ -18,6 +18,7 @@
     confirm,
     measures,
     cancels,
+    reaping,
     services,
     once_shard,
     once,
@@ -49,5 +50,6 @@
     "orders",
     "pools",
     "services",
+    "reaping",
     "slots",
 ]
