--- a/src/wasabiwick/_handlers/keys.py
+++ b/src/wasabiwick/_handlers/keys.py
@@ -10,8 +10,6 @@
 import itertools
 import typing
 
-import msgspec
-
 from .. import _rendezvous
 from .._effects import Count, SendPeer, StartTimer, StopTimer
 from .._events import (
@@ -191,12 +189,6 @@
         return
     served = state["keys"].served
     earlier = served.get(asked.request_id)
-    if earlier is None and not asked.forwarded:
-        successor = _successor(state, asked.request_id)
-        if successor:
-            forwarded = msgspec.structs.replace(asked, forwarded=True)
-            yield SendPeer(host=successor, message=forwarded)
-            return
     if earlier and not earlier.ended and earlier.serving != asked.claimant:
         answer = KeyClaimed(
             request_id=asked.request_id,
@@ -217,18 +209,6 @@
     yield SendPeer(host=asked.claimant.host, message=answer)
 
 
-def _successor(state: State, request_id: str) -> str:
-    """Return the host that owns a key in the place of this one, or an empty string.
-
-    A host that is stopping knows so before hosts of other zones do, which still ask it; hosts of
-    its own zone have told the new owner already.
-    """
-    if not state.stopping:
-        return ""
-    first = _owners(state, request_id)[0]
-    return "" if first == state.owner.host else first
-
-
 @on_message(KeyServed)
 def note(state: State, event: PeerMessage) -> None:
     """Record where the attempt of a key runs; a claim is not undone by an older serving host."""
--- a/src/wasabiwick/_wire.py
+++ b/src/wasabiwick/_wire.py
@@ -22,17 +22,13 @@
 
 
 class ClaimKey(Base):
-    """Asks the owner of a request key whether the request is being served already.
-
-    ``forwarded`` is true where a host that owns the key no longer passed the question on.
-    """
+    """Asks the owner of a request key whether the request is being served already."""
 
     request_id: str
     attempt_id: str
     claimant: Owner
     config_version: int = 0
     deadline: float = 0.0
-    forwarded: bool = False
 
 
 class KeyClaimed(Base):
