--- a/src/wasabiwick/_handlers/choice.py
+++ b/src/wasabiwick/_handlers/choice.py
@@ -10,11 +10,11 @@
 
 from .._pieces import LADDER, PIECE_TOKENS
 from .._wire import Reserve
-from .ledger import LINK_SHARE, PREFILL_AHEAD, EngineLedger, Pool
+from .ledger import FIRST_OUTPUTS, LINK_SHARE, PREFILL_AHEAD, EngineLedger, Pool
 
 MAX_CANDIDATES = 12  # Engines looked at for one role; larger pools are sampled.
 PREFILL_WEIGHT = 3.0  # A prefill paid twice delays others too, not only its own request.
-STALL_SHARE = 0.25  # Cost of delaying one running request by a second, in seconds.
+STALL_SHARE = 1.5  # Cost of delaying one running request by a second, in seconds.
 
 
 class Placement:
@@ -87,8 +87,8 @@
 
 @scorer("batch")
 def batch(pool: Pool, asked: Reserve, option: Placement, at: float) -> float:
-    """Return the time that the first steps take in the engine's batch."""
-    return 4 * option.decode.interval.at(len(option.decode.held) + 1)
+    """Return the time that the first outputs take in the engine's batch."""
+    return FIRST_OUTPUTS * option.decode.interval.at(len(option.decode.held) + 1)
 
 
 Usable = typing.Callable[[str], bool]
@@ -116,10 +116,13 @@
     Returns:
         The best placement, or None while no slot, link share or prefill engine is free.
     """
-    decodes = [one for one in _sample(pool, rng) if _may_decode(pool, one, asked, usable)]
+    open_engines = list(pool.totals.open.values())
+    decodes = [one for one in _sample(open_engines, rng) if _may_decode(one, asked, usable)]
     if not decodes:
         return None
-    prefills = [one for one in _sample(pool, rng) if _may_prefill(pool, one, asked, usable, at)]
+    prefills = [
+        one for one in _sample(pool.listed, rng) if _may_prefill(pool, one, asked, usable, at)
+    ]
     chosen = tuple(SCORERS[name] for name in scorers)
     ranked = [(_score_prefill(pool, asked, one, chosen, at), one.name, one) for one in prefills]
     best = min(ranked)[2] if ranked else None
@@ -136,13 +139,12 @@
     return chosen_one
 
 
-def _sample(pool: Pool, rng: random.Random) -> list[EngineLedger]:
-    engines = list(pool.engines.values())
+def _sample(engines: list[EngineLedger], rng: random.Random) -> list[EngineLedger]:
     return engines if len(engines) <= MAX_CANDIDATES else rng.sample(engines, MAX_CANDIDATES)
 
 
-def _may_decode(pool: Pool, one: EngineLedger, asked: Reserve, usable: Usable) -> bool:
-    return one.name not in asked.avoid and one.free(pool.target) > 0 and usable(one.name)
+def _may_decode(one: EngineLedger, asked: Reserve, usable: Usable) -> bool:
+    return one.name not in asked.avoid and usable(one.name)
 
 
 def _may_prefill(pool: Pool, one: EngineLedger, asked: Reserve, usable: Usable, at: float) -> bool:
@@ -174,7 +176,7 @@
         asked: The request.
         known: None for this pool; for another one, whether it served the same prefix before.
     """
-    engines = list(pool.engines.values())[:MAX_CANDIDATES]
+    engines = pool.listed[:MAX_CANDIDATES]
     if not engines:
         return 0.0
     if known is None:
