--- /dev/null
+++ b/src/wasabiwick/_wire/_records.py
@@ -0,0 +1,119 @@
+"""Records in streams of the log."""
+
+import msgspec
+
+from ._base import Base, Owner
+
+
+class Intent(Base):
+    """Record: an attempt wants to run a request that may run only once.
+
+    ``after`` is the epoch that the attempt knew when its call arrived: the offset of the key's last
+    effective void, or -1. ``over`` names the winner that a takeover replaces, or is empty. ``born``
+    is the Unix time at which the key was made.
+    """
+
+    key: str
+    attempt_id: str
+    owner: Owner
+    after: int
+    service: str
+    digest: str = ""
+    born: float = 0.0
+    over: str = ""
+
+
+class Void(Base):
+    """Record: an attempt gives up; effective unless another attempt has won the epoch."""
+
+    key: str
+    attempt_id: str
+    born: float = 0.0
+
+
+class Outcome(Base):
+    """Record: the answer of the attempt that ran; status 0 says that it is not known."""
+
+    key: str
+    attempt_id: str
+    status: int
+    body: str
+    content_type: str = "application/json"
+
+
+class KeyState(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What the records of one key come to.
+
+    Args:
+        epoch: Offset of the last effective void, or -1.
+        winner: Attempt that won the epoch, or empty.
+        owner: Host and incarnation of the winner.
+        fence: Offset of the winner's intent; its fencing number.
+        since: Time at which the log took the winner's intent, in Unix seconds.
+        earlier: Winners of the epoch that a takeover replaced.
+        voided: Attempts whose own voids were effective, the newest last.
+        status: HTTP status of the recorded answer, 0 for an unknown outcome, or -1 for none.
+        body: Body of the recorded answer.
+        content_type: Media type of the recorded answer.
+        service: Service that the winner calls.
+        digest: Digest of the winner's request.
+        born: Unix time at which the key was made.
+    """
+
+    epoch: int = -1
+    winner: str = ""
+    owner: Owner | None = None
+    fence: int = -1
+    since: float = 0.0
+    earlier: tuple[str, ...] = ()
+    voided: tuple[str, ...] = ()
+    status: int = -1
+    body: str = ""
+    content_type: str = "application/json"
+    service: str = ""
+    digest: str = ""
+    born: float = 0.0
+
+
+class Checkpoint(Base):
+    """Record: the folded state of live keys up to ``upto``, so that older records may expire.
+
+    A checkpoint without entries in the stream of checkpoints points to one: ``upto`` is the offset
+    at which a reader has to begin.
+    """
+
+    upto: int
+    entries: tuple[tuple[str, KeyState], ...] = ()
+
+
+class Configuration(Base):
+    """Record: one version of the operators' two lists, or the difference to the one it replaces.
+
+    ``replaces`` is the offset-independent version number that this record follows. ``plans`` and
+    ``allowances`` hold JSON text. With ``partial``, they hold only changed entries and
+    ``removed`` lists the names of removed ones.
+    """
+
+    version: int
+    replaces: int
+    author: str
+    plans: str
+    allowances: str
+    partial: bool = False
+    removed: tuple[str, ...] = ()
+    digest: str = ""
+    signature: str = ""
+    key_id: str = ""
+
+
+class LeaseClaim(Base):
+    """Record: an owner claims the lease of a zone's model; its offset is the fencing number.
+
+    ``term`` is in seconds, and ``after`` the offset of the last valid claim that the owner read.
+    """
+
+    zone: str
+    model: str
+    owner: Owner
+    term: float
+    after: int
--- /dev/null
+++ b/src/wasabiwick/_wire/_slots.py
@@ -0,0 +1,115 @@
+"""Between hosts: reservations at a pool's coordinator."""
+
+from ._base import Base, Owner
+
+
+class Reserve(Base):
+    """Asks the coordinator of a pool for a decode slot and a share of a transfer link.
+
+    A pool is the engines of one model in one availability zone. ``engine`` is empty where any
+    engine of the pool will do. ``target`` is the Unix time by which the first output is due.
+    ``pieces`` is a `piece_ladder`: the chain's hashes at a few lengths. A ``redirected`` request
+    comes from a full pool and is not sent on.
+    """
+
+    request_id: str
+    attempt_id: str
+    owner: Owner
+    engine: str
+    config_version: int
+    deadline: float
+    priority: int = 0
+    customer: str = ""
+    prompt_tokens: int = 0
+    max_tokens: int = 0
+    pieces: tuple[int, ...] = ()
+    model: str = ""
+    zone: str = ""
+    target: float = 0.0
+    may_wait: bool = False
+    avoid: tuple[str, ...] = ()
+    redirected: bool = False
+
+
+class Granted(Base):
+    """Answers `Reserve`: the slot is held for the attempt until released or not renewed.
+
+    ``free`` slots of the pool are left, and a request that came now would wait ``wait`` seconds.
+    """
+
+    request_id: str
+    attempt_id: str
+    engine: str
+    prefill_engine: str
+    cached_tokens: int = 0
+    free: int = 0
+    wait: float = 0.0
+
+
+class Denied(Base):
+    """Answers `Reserve`: no slot; ``wait`` seconds later one is likely.
+
+    ``unknown`` answers a `Renew` of a queued attempt that the coordinator does not know, as after
+    its restart: the attempt has to be reserved again. ``elsewhere`` names an availability zone
+    whose pool has slots free.
+    """
+
+    request_id: str
+    attempt_id: str
+    engine: str
+    wait: float = 0.0
+    unknown: bool = False
+    elsewhere: str = ""
+
+
+class PoolLoad(Base):
+    """Tells the coordinators of a model's other pools how loaded the sender's pool is.
+
+    ``free`` slots may be granted now; ``wait`` is what a request that came now would wait.
+    """
+
+    model: str
+    zone: str
+    free: int = 0
+    wait: float = 0.0
+
+
+class Advanced(Base):
+    """Tells a coordinator that a reserved attempt has reached its next phase.
+
+    ``phase`` is ``transfer`` once the prefill is done, and ``decode`` at the first output.
+    ``phase`` is ``failed`` or ``refused`` where the phase it was in went wrong instead. ``seconds``
+    is how long the phase before took; of ``tokens`` in the prompt, ``cached`` were not prefilled.
+    """
+
+    attempt_id: str
+    model: str
+    zone: str
+    phase: str
+    seconds: float = 0.0
+    tokens: int = 0
+    cached: int = 0
+
+
+class Release(Base):
+    """Gives a reservation back."""
+
+    request_id: str
+    attempt_id: str
+    owner: Owner
+    engine: str
+    model: str = ""
+    zone: str = ""
+
+
+class Renew(Base):
+    """Renews all reservations that an owner holds at the coordinator of one pool.
+
+    ``attempts`` lists (engine, request id, attempt id, slot is in use). A queued attempt has no
+    engine yet.
+    """
+
+    owner: Owner
+    attempts: tuple[tuple[str, str, str, bool], ...] = ()
+    model: str = ""
+    zone: str = ""
