Tell callers that a key without a time never works; seed the publisher's jitter

Change: reason key_untimed (400); refusals for the key itself carry no Retry-After; the jitter's generator is a parameter, seeded in tests.

--- a/src/wasabiwick/_errors.py
+++ b/src/wasabiwick/_errors.py
@@ -85,6 +85,7 @@
 BAD_REQUEST = Reason("bad_request", 400, "the request is malformed")
 BAD_KEY = Reason("bad_key", 401, "the API key is not known")
 KEY_REQUIRED = Reason("key_required", 400, "the service needs an Idempotency-Key")
+KEY_UNTIMED = Reason("key_untimed", 400, "the Idempotency-Key must be a UUID of version 7")
 KEY_EXPIRED = Reason("key_expired", 409, "the Idempotency-Key is older than the horizon")
 KEY_REUSED = Reason("key_reused", 422, "the Idempotency-Key was used for another request")
 NOT_FOUND = Reason("not_found", 404, "the path does not exist")
--- a/src/wasabiwick/_fuzz/_world.py
+++ b/src/wasabiwick/_fuzz/_world.py
@@ -38,6 +38,7 @@
 
     def __init__(self, key: str, service: str) -> None:
         self.key = key
+        self.born = WALL
         self.service = service
         self.calls = 0
         self.open: dict[str, Host] = {}
@@ -113,7 +114,7 @@
             target=caller.service,
             path="/sign-up",
             digest=caller.key,
-            born=WALL,
+            born=caller.born,
             deadline=self.fleet.now + PATIENCE,
         )
 
--- a/src/wasabiwick/_handlers/once.py
+++ b/src/wasabiwick/_handlers/once.py
@@ -11,6 +11,7 @@
     DEADLINE_PASSED,
     KEY_EXPIRED,
     KEY_REUSED,
+    KEY_UNTIMED,
     OUTCOME_UNKNOWN,
 )
 from .._events import (
@@ -79,8 +80,11 @@
         yield from _attach(state, running, req, event.at)
         return
     born = req.call.born
-    if born <= 0.0 or born > state.wall(event.at) + CLOCK_SKEW:
-        detail = "the Idempotency-Key must be a UUIDv7 whose time is not ahead"
+    if born <= 0.0:
+        yield once_ends.denial(state, event.request_id, KEY_UNTIMED, event.at)
+        return
+    if born > state.wall(event.at) + CLOCK_SKEW:
+        detail = "the time in the Idempotency-Key is ahead of this host's clock"
         yield once_ends.denial(state, event.request_id, KEY_EXPIRED, event.at, detail)
         return
     work = _open(state, key, req)
--- a/src/wasabiwick/_handlers/once_ends.py
+++ b/src/wasabiwick/_handlers/once_ends.py
@@ -17,6 +17,7 @@
 GIVE_UP_SHARE = 0.1  # Of the time left, kept for the proof that an attempt did not run.
 GIVE_UP_LONGEST = 1.0  # Seconds.
 RETRY = 0.5  # Seconds told to callers.
+SERVER_ERRORS = 500  # First HTTP status of faults that are not the caller's.
 
 
 def ask(state: State, work: Work) -> typing.Iterator[Step]:
@@ -91,7 +92,9 @@
     verdict: Verdict = Verdict.MAY_HAVE_RUN,
 ) -> RequestDenied:
     """Return the event that refuses a request."""
-    failure = Failure(reason=reason, verdict=verdict, detail=detail, retry_after=RETRY)
+    # The same call with the same key is refused again, unless the fault is on this side.
+    retry_after = RETRY if reason.status >= SERVER_ERRORS else None
+    failure = Failure(reason=reason, verdict=verdict, detail=detail, retry_after=retry_after)
     return RequestDenied(at=at, request_id=request_id, failure=failure)
 
 
--- a/src/wasabiwick/_publish.py
+++ b/src/wasabiwick/_publish.py
@@ -85,6 +85,7 @@
         signer: Signs the record, or None where hosts take unsigned ones.
         replaces: Version that the record replaces; the one in force if None.
         timeout: Seconds for which the log is tried.
+        rng: Source of the jitter between tries.
     """
 
     __slots__ = (
@@ -96,6 +97,7 @@
         "appends",
         "accepted_at",
         "_timeout",
+        "_rng",
     )
 
     def __init__(
@@ -108,6 +110,7 @@
         signer: Signer | None = None,
         replaces: int | None = None,
         timeout: float = 30.0,
+        rng: random.Random | None = None,
     ) -> None:
         self.log = log
         self.history = history
@@ -118,6 +121,7 @@
         self.appends = 0
         self.accepted_at = 0.0
         self._timeout = timeout
+        self._rng = rng or random.Random()
 
     async def run(self) -> Result:
         """Append the record until the log shows whether it took effect.
@@ -144,7 +148,7 @@
                 maybe = True
                 continue
             maybe = maybe or answer.verdict.value != "NOT_RUN"
-            await asyncio.sleep(delay * random.uniform(0.5, 1.0))
+            await asyncio.sleep(delay * self._rng.uniform(0.5, 1.0))
             delay = min(LONGEST_RETRY, delay * 2)
         outcome = await self._decided()
         return self.result(outcome or (UNKNOWN if maybe else NOT_PUBLISHED))
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -3,6 +3,7 @@
 import unittest
 
 from wasabiwick._effects import AppendLog, CallService
+from wasabiwick._errors import KEY_UNTIMED
 from wasabiwick._fuzz._network import Fate
 from wasabiwick._fuzz._world import World
 from wasabiwick._verdict import Verdict
@@ -68,6 +69,19 @@
         self.assertEqual(len(self.world.effects(self.caller)), 1)
 
 
+class TestKeys(OnceCase):
+    """A key whose age can't be told never runs, and the caller is not told to come back."""
+
+    def test_key_without_a_time(self) -> None:
+        self.caller.born = 0.0
+        self.world.call(self.caller, "host-0")
+        self.step()
+        failure = self.caller.refusals[0].failure
+        self.assertIs(failure.reason, KEY_UNTIMED)
+        self.assertIsNone(failure.retry_after)
+        self.assertEqual(self.world.effects(self.caller), [])
+
+
 class TestFaults(OnceCase):
     """Nothing runs twice, and what is not known is said so by every host."""
 
--- a/tests/test_publish.py
+++ b/tests/test_publish.py
@@ -71,6 +71,7 @@
         content=content(rate=rate),
         author=author,
         signer=SIGNER,
+        rng=log.rng,
         **options,
     )
     return await one.run()
