--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -6,6 +6,8 @@
 import re
 import unittest
 
+import click
+
 import wasabiwick
 from wasabiwick import _cli, _metrics, _reference, _schema, _settings
 
@@ -93,8 +95,8 @@
                     self.check(line.split())
 
     def check(self, words: list[str]) -> None:
-        self.assertIn(words[0], _cli.main.commands)
-        command = _cli.main.commands[words[0]]
+        command = _cli.main.get_command(click.Context(_cli.main), words[0])
+        self.assertIsNotNone(command)
         if hasattr(command, "commands") and len(words) > 1 and words[1] in command.commands:
             command = command.commands[words[1]]
         known = {name for param in command.params for name in (*param.opts, *param.secondary_opts)}
