--- a/src/wasabiwick/_entry.py
+++ b/src/wasabiwick/_entry.py
@@ -249,13 +249,13 @@
         return web.Response(body=body, content_type=JSON, headers=self._headers())
 
     async def _stream(self, shape: Shape) -> web.StreamResponse:
-        pulse = Pulse(self._sink.output)
+        heartbeat = Heartbeat(self._sink.output)
         try:
-            return await self._relay_output(shape, pulse)
+            return await self._relay_output(shape, heartbeat)
         finally:
-            pulse.stop()
+            heartbeat.stop()
 
-    async def _relay_output(self, shape: Shape, pulse: "Pulse") -> web.StreamResponse:
+    async def _relay_output(self, shape: Shape, heartbeat: "Heartbeat") -> web.StreamResponse:
         output = self._sink.output
         resp: web.StreamResponse | None = None
         position = 0
@@ -272,7 +272,7 @@
                 await resp.write_eof()
                 self._answered = True
                 return resp
-            elif pulse.beats() and resp is not None:
+            elif heartbeat.is_due() and resp is not None:
                 await resp.write(HEARTBEAT)
             else:
                 await output.changed()
@@ -319,7 +319,7 @@
         return {REQUEST_HEADER: self._call.call_id}
 
 
-class Pulse:
+class Heartbeat:
     """Wakes a stream now and then, so that a silent one gets a comment line.
 
     One timer for each stream costs less than a timeout for each wait.
@@ -335,7 +335,7 @@
         self._due = False
         self._arm()
 
-    def beats(self) -> bool:
+    def is_due(self) -> bool:
         """Tell whether a comment line is due, and count it as sent."""
         due, self._due = self._due, False
         return due
@@ -346,9 +346,9 @@
 
     def _arm(self) -> None:
         loop = asyncio.get_running_loop()
-        self._handle = loop.call_later(CALLER_HEARTBEAT, self._beat)
+        self._handle = loop.call_later(CALLER_HEARTBEAT, self._fall_due)
 
-    def _beat(self) -> None:
+    def _fall_due(self) -> None:
         self._due = True
         self._output.wake()
         self._arm()
--- a/src/wasabiwick/_handlers/host.py
+++ b/src/wasabiwick/_handlers/host.py
@@ -8,7 +8,7 @@
 from .._settings import Settings
 from .._state import State, state_slice
 
-PULSE = 0.2  # Seconds between notes that the process runs.
+WATCHDOG_INTERVAL = 0.2  # Seconds between checks that the process runs.
 DRAIN_CHECK = 0.05  # Seconds between looks at what is still in flight.
 
 BusyCheck = typing.Callable[[State], int]
@@ -45,10 +45,10 @@
 class HostState:
     """When the process was last known to run, and when it must end, in monotonic seconds."""
 
-    __slots__ = ("pulsed_at", "stop_by")
+    __slots__ = ("watched_at", "stop_by")
 
     def __init__(self, cfg: Settings) -> None:
-        self.pulsed_at = 0.0
+        self.watched_at = 0.0
         self.stop_by = float("inf")
 
 
@@ -57,24 +57,24 @@
 
     No host takes work over from another that answers within ``timing.peer``.
     """
-    return at - state["host"].pulsed_at > PULSE + state.cfg.timing.peer / 2
+    return at - state["host"].watched_at > WATCHDOG_INTERVAL + state.cfg.timing.peer / 2
 
 
 @handles(Booted)
 def boot(state: State, event: Booted) -> typing.Iterator[Step]:
     """Take over the identity of the new process."""
     state.boot(at=event.at, owner=event.owner, zone=event.zone, wall=event.wall, seed=event.seed)
-    state["host"].pulsed_at = event.at
-    yield StartTimer(timer="pulse", delay=PULSE)
+    state["host"].watched_at = event.at
+    yield StartTimer(timer="watchdog", delay=WATCHDOG_INTERVAL)
 
 
-@on_timer("pulse")
-def pulse(state: State, event: TimerFired) -> typing.Iterator[Step]:
+@on_timer("watchdog")
+def watchdog(state: State, event: TimerFired) -> typing.Iterator[Step]:
     """Note that the process runs, and notice where it did not for a while."""
     if was_paused(state, event.at):
-        yield HostPaused(at=event.at, seconds=event.at - state["host"].pulsed_at)
-    state["host"].pulsed_at = event.at
-    yield StartTimer(timer="pulse", delay=PULSE)
+        yield HostPaused(at=event.at, seconds=event.at - state["host"].watched_at)
+    state["host"].watched_at = event.at
+    yield StartTimer(timer="watchdog", delay=WATCHDOG_INTERVAL)
 
 
 @handles(StopAsked)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -57,16 +57,16 @@
         self.assertEqual(text, expected_output("p", TOKENS))
 
 
-class TestPulse(unittest.IsolatedAsyncioTestCase):
+class TestHeartbeat(unittest.IsolatedAsyncioTestCase):
     """A stream without output is woken for a comment line, again and again."""
 
     async def test_wakes_and_is_counted_once(self) -> None:
         output = Output(limit=1)
         with unittest.mock.patch.object(_entry, "CALLER_HEARTBEAT", 0.01):
-            pulse = _entry.Pulse(output)
-            self.addCleanup(pulse.stop)
+            heartbeat = _entry.Heartbeat(output)
+            self.addCleanup(heartbeat.stop)
             for _ in range(2):
-                self.assertFalse(pulse.beats())
+                self.assertFalse(heartbeat.is_due())
                 await output.changed()
                 output.take(0)
-                self.assertTrue(pulse.beats())
+                self.assertTrue(heartbeat.is_due())
