Call the host that keeps a budget its coordinator, as for pools and shards

Cause: 'keeper' and 'quiet' stood for a coordinator and a cooldown. Change: names, the metric limit_coordinator_unreachable, and comments; no behaviour.

--- a/src/wasabiwick/_bench/limits.py
+++ b/src/wasabiwick/_bench/limits.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from .._handlers.limits import keeper_of
+from .._handlers.limits import coordinator_of
 from .callers import Callers
 from .run import START
 from .workload import DEPLOYMENTS, Ask, Deployment, Segment
@@ -72,7 +72,7 @@
         kind: ``rate`` or ``concurrency``.
         seed: Seed of arrivals, balancer and hosts.
         hosts: Number of entry hosts.
-        dead: Whether the keeper of one customer's budget dies; the time until its death is
+        dead: Whether the coordinator of one customer's budget dies; the time until its death is
             detected is not counted.
 
     Returns:
@@ -107,16 +107,16 @@
     world.run(START)
     callers.begin(world)
     if dead:
-        _kill_keeper(world, callers)
+        _kill_coordinator(world, callers)
     samples = _sample_in_flight(world)
     world.run(START + ARRIVALS)
     return _figures(kind, seed, hosts, dead, callers, samples)
 
 
-def _kill_keeper(world: World, callers: Callers) -> None:
+def _kill_coordinator(world: World, callers: Callers) -> None:
     def lose() -> None:
         state = next(iter(world.hosts.values())).state
-        name = keeper_of(state, world.deployment.customers[0])
+        name = coordinator_of(state, world.deployment.customers[0])
         world.lose_host(name)
         callers.host_lost(name)
 
--- a/src/wasabiwick/_capacity/facts.py
+++ b/src/wasabiwick/_capacity/facts.py
@@ -263,16 +263,16 @@
     """Measure the messages that the death of one host of a zone causes, until all know it."""
     caused = []
     for count in ZONE_SIZES:
-        quiet, hurt = Zone(count), Zone(count)
-        for zone in (quiet, hurt):
+        steady, hurt = Zone(count), Zone(count)
+        for zone in (steady, hurt):
             zone.run(2.0)
             zone.messages = 0
         lost = fleet.host(count - 1)
         del hurt.states[lost]
         del hurt.due[lost]
-        for zone in (quiet, hurt):
+        for zone in (steady, hurt):
             zone.run(AFTER_DEATH)
-        usual = quiet.messages * (count - 1) / count
+        usual = steady.messages * (count - 1) / count
         caused.append((count, hurt.messages - usual))
     return [
         Line(name="death of a host", x_unit="hosts of the zone", y_unit="messages", points=caused)
--- a/src/wasabiwick/_handlers/admission.py
+++ b/src/wasabiwick/_handlers/admission.py
@@ -1,7 +1,7 @@
 """Admission: whether a customer's plan lets a request in, on all hosts together.
 
-Requests of one customer that arrive together are asked for together at the keeper of the customer's
-budget. While no keeper can be reached, this host goes by its own share of the plan.
+Requests of one customer that arrive together are asked for together, at the coordinator of the
+customer's budget. While no coordinator can be reached, this host goes by its own share of the plan.
 """
 
 import collections
@@ -34,7 +34,7 @@
 REPORT = 1.0  # Seconds between reports of what is in flight.
 ANSWER_TIME = 1.5  # Seconds after which an unanswered question is asked again.
 ALONE = 1.0  # Seconds for which this host goes by its own share of a plan.
-QUIET = 0.1  # Seconds for which a customer over its limit is refused without asking.
+COOLDOWN = 0.1  # Seconds for which a customer over its limit is refused without asking.
 
 
 class Admitted:
@@ -52,8 +52,8 @@
     """One customer on this host.
 
     ``waiting`` requests have not been let in. ``asked`` of them are in a question whose answer is
-    due. ``share`` is the part of the plan that this host goes by on its own, while its keeper is
-    ``lost``.
+    due. ``share`` is the part of the plan that this host goes by on its own, while the budget's
+    coordinator is ``lost``.
     """
 
     __slots__ = (
@@ -65,7 +65,7 @@
         "alone_until",
         "lost",
         "own",
-        "quiet",
+        "cooldown_until",
     )
 
     def __init__(self) -> None:
@@ -77,7 +77,7 @@
         self.alone_until = 0.0
         self.lost = False
         self.own: Bucket | None = None
-        self.quiet = 0.0
+        self.cooldown_until = 0.0
 
 
 @state_slice("admission")
@@ -104,8 +104,8 @@
     if req is None:
         return
     account = state["admission"].accounts.setdefault(req.customer.name, Account())
-    if event.at < account.quiet and not req.plan.may_wait:
-        wait = account.quiet - event.at + state.rng.random()
+    if event.at < account.cooldown_until and not req.plan.may_wait:
+        wait = account.cooldown_until - event.at + state.rng.random()
         yield from _refuse(state, event, event.request_id, LIMIT_REACHED, wait)
         return
     if len(account.waiting) >= MAX_WAITING:
@@ -135,12 +135,12 @@
         refund=account.refund,
     )
     account.refund = 0
-    yield SendPeer(host=limits.keeper_of(state, customer), message=message)
+    yield SendPeer(host=limits.coordinator_of(state, customer), message=message)
     yield StartTimer(timer="limit_answer", key=customer, delay=ANSWER_TIME)
 
 
 def _probe(state: State, customer: str, account: Account) -> SendPeer:
-    """Return a question for nothing, so that no request waits for a keeper that may be lost."""
+    """Return a question for nothing: no request waits for a coordinator that may be lost."""
     message = LimitAsk(
         customer=customer,
         owner=state.owner,
@@ -148,7 +148,7 @@
         tokens=0,
         in_flight=account.in_flight,
     )
-    return SendPeer(host=limits.keeper_of(state, customer), message=message)
+    return SendPeer(host=limits.coordinator_of(state, customer), message=message)
 
 
 def _tokens(req: "calls.Request") -> int:
@@ -169,7 +169,7 @@
     account.share = told.share
     yield from _let_in(state, account, told.requests, event)
     if told.requests < asked:
-        account.quiet = event.at + min(QUIET, told.wait)
+        account.cooldown_until = event.at + min(COOLDOWN, told.wait)
         left = asked - told.requests
         yield from _refuse_waiting(state, account, left, told.wait, event)
         yield StartTimer(timer="limit_again", key=told.customer, delay=min(told.wait, 1.0))
@@ -203,7 +203,7 @@
             continue
         # The wait is the turn of the last of them; the others have earlier turns.
         turn = wait - (number - 1 - place) / req.plan.rate
-        yield from _refuse(state, event, request_id, LIMIT_REACHED, max(turn, QUIET))
+        yield from _refuse(state, event, request_id, LIMIT_REACHED, max(turn, COOLDOWN))
 
 
 def _refuse(
@@ -227,12 +227,12 @@
         yield from _ask(state, event.key, account, event)
 
 
-# --- Without a keeper ----------------------------------------------------------------------------
+# --- Without a coordinator -----------------------------------------------------------------------
 
 
 @handles(PeerFailed)
-def keeper_lost(state: State, event: PeerFailed) -> typing.Iterator[Step]:
-    """Go by this host's own share while the keeper can't be reached."""
+def coordinator_lost(state: State, event: PeerFailed) -> typing.Iterator[Step]:
+    """Go by this host's own share while the coordinator can't be reached."""
     if isinstance(event.message, LimitAsk):
         account = state["admission"].accounts.get(event.message.customer)
         if account and account.asked:
@@ -251,7 +251,7 @@
     account.asked = 0
     account.lost = True
     account.alone_until = event.at + ALONE
-    yield Count(metric="limit_keeper_unreachable")
+    yield Count(metric="limit_coordinator_unreachable")
     yield from _ask(state, customer, account, event)
 
 
@@ -284,7 +284,7 @@
 
 
 def _own_wait(plan: Plan, share: float, account: Account, left: int) -> float:
-    return max(QUIET, (left - account.own.level) / max(0.01, plan.rate * share))
+    return max(COOLDOWN, (left - account.own.level) / max(0.01, plan.rate * share))
 
 
 # --- End of requests -----------------------------------------------------------------------------
@@ -322,29 +322,29 @@
 
 @on_timer("limit_report")
 def report(state: State, event: TimerFired) -> typing.Iterator[Step]:
-    """Tell the keepers of budgets what this host has in flight."""
+    """Tell the coordinators of budgets what this host has in flight."""
     yield from _report_all(state, event.at)
     yield StartTimer(timer="limit_report", delay=REPORT)
 
 
 @handles(MembersChanged)
-def keepers_changed(state: State, event: MembersChanged) -> typing.Iterator[Step]:
-    """Tell keepers, which may be new, before they let more in."""
+def coordinators_changed(state: State, event: MembersChanged) -> typing.Iterator[Step]:
+    """Tell coordinators, which may be new, before they let more in."""
     yield from _report_all(state, event.at)
 
 
 def _report_all(state: State, at: float) -> typing.Iterator[Step]:
     mine = state["admission"]
-    by_keeper: dict[str, list[tuple[str, int, int]]] = {}
+    by_coordinator: dict[str, list[tuple[str, int, int]]] = {}
     for customer, account in list(mine.accounts.items()):
         if account.asked:
             continue
         if account.in_flight or account.refund:
             line = (customer, account.in_flight, account.refund)
-            by_keeper.setdefault(limits.keeper_of(state, customer), []).append(line)
+            by_coordinator.setdefault(limits.coordinator_of(state, customer), []).append(line)
             account.refund = 0
-        elif not account.waiting and at > max(account.quiet, account.alone_until):
+        elif not account.waiting and at > max(account.cooldown_until, account.alone_until):
             del mine.accounts[customer]
-    for host, lines in by_keeper.items():
+    for host, lines in by_coordinator.items():
         message = LimitReport(owner=state.owner, entries=tuple(lines))
         yield SendPeer(host=host, message=message)
--- a/src/wasabiwick/_handlers/limits.py
+++ b/src/wasabiwick/_handlers/limits.py
@@ -1,7 +1,7 @@
 """Budgets of the customers: one host keeps each, so that a plan's limits hold on all together.
 
-The keeper is a live host of the customer's home zone, by rendezvous hash. A new keeper starts with
-one second's worth of the plan, and learns what is in flight from hosts' reports.
+A budget's coordinator is a live host of the customer's home zone, by rendezvous hash. A new one
+starts with one second's worth of the plan, and learns what is in flight from hosts' reports.
 """
 
 import typing
@@ -18,11 +18,11 @@
 from .predict import Mean
 
 TOKEN_BURST = 10.0  # Seconds' worth of tokens that may be used at once.
-START_SECONDS = 1.0  # Seconds' worth of a plan that a new keeper's budget starts with.
+START_SECONDS = 1.0  # Seconds' worth of a plan that a new coordinator's budget starts with.
 REPORT_LIFE = 3.0  # Seconds after which a host that does not report counts for nothing.
 FULL_WAIT = 0.25  # Seconds until a customer at its concurrency limit may ask again.
 LONGEST_WAIT = 30.0  # Seconds.
-LEARNING = 4.0  # Seconds in which a new keeper waits to hear of every host.
+LEARNING = 4.0  # Seconds in which a new coordinator waits to hear of every host.
 MAX_BUDGETS = 20_000
 
 
@@ -146,7 +146,7 @@
         self.hosts: list[str] = []
 
 
-def keeper_of(state: State, customer: str) -> str:
+def coordinator_of(state: State, customer: str) -> str:
     """Return the host that keeps a customer's budget."""
     role = f"limits/{customer}"
     zone = _rendezvous.owner_of(role, members.zones(state))
@@ -173,7 +173,7 @@
         mine.hosts = live
         mine.since = event.at
     for customer in list(mine.budgets):
-        if keeper_of(state, customer) != state.owner.host:
+        if coordinator_of(state, customer) != state.owner.host:
             del mine.budgets[customer]
 
 
@@ -196,7 +196,7 @@
 
 
 def _unheard(state: State, budget: Budget, asking: Owner, at: float) -> float:
-    """Return the share of hosts that a new keeper has not heard of, for as long as it is new."""
+    """Return the share of hosts that a coordinator has not heard of while it is new."""
     mine = state["limits"]
     if at - mine.since > LEARNING:
         return 0.0
--- a/src/wasabiwick/_handlers/slots.py
+++ b/src/wasabiwick/_handlers/slots.py
@@ -27,7 +27,7 @@
 
 MAX_ASKED = 3  # Pools asked for one attempt.
 LONGEST_CROSSING = 0.05  # Seconds; an answer that took longer was waited for.
-LATE_QUIET = 0.5  # Seconds for which a pool that refused late work is not asked for more.
+LATE_COOLDOWN = 0.5  # Seconds for which a pool that refused late work is not asked for more.
 ASK_AGAIN = 0.05  # Seconds before an attempt that its coordinator lost is reserved again.
 MAX_LOST = 40  # Times that an attempt is reserved again before it is refused.
 OWN_SHARE = 4  # Requests of this host at one engine while its coordinator can't be reached.
@@ -151,8 +151,10 @@
     zones = pools.ranked(state, pending.model, req.call.pieces, req.call.prompt_tokens, at)
     late = target_of(state, req) < state.wall(at)
     for zone in zones:
-        quiet = late and at - pools.view_of(state, pending.model, zone).late_denied_at < LATE_QUIET
-        if quiet or len(pending.asked) >= MAX_ASKED:
+        cooling = (
+            late and at - pools.view_of(state, pending.model, zone).late_denied_at < LATE_COOLDOWN
+        )
+        if cooling or len(pending.asked) >= MAX_ASKED:
             break
         if zone not in pending.asked:
             yield from _ask(state, attempt_id, pending, zone, at)
--- a/src/wasabiwick/_metrics.py
+++ b/src/wasabiwick/_metrics.py
@@ -154,8 +154,10 @@
     _counter("coordinator_unreachable", "Coordinators that did not answer.", "zone"),
     _counter("coordinator_bypassed", "Requests placed without a coordinator's word."),
     _counter("ejected", "Times an endpoint was taken out after failures.", "endpoint"),
-    _counter("limit_reached", "Requests beyond the limits of their plan, at the budget's keeper."),
-    _counter("limit_keeper_unreachable", "Questions about limits that got no answer."),
+    _counter(
+        "limit_reached", "Requests beyond the limits of their plan, at the budget's coordinator."
+    ),
+    _counter("limit_coordinator_unreachable", "Questions about limits that got no answer."),
 )
 _section(
     "Configuration and membership",
--- a/src/wasabiwick/_wire/_limits.py
+++ b/src/wasabiwick/_wire/_limits.py
@@ -36,7 +36,7 @@
 
 
 class LimitReport(Base):
-    """Tells the keeper of budgets what a host has in flight: (customer, requests, refund)."""
+    """Tells the coordinator of budgets what a host has in flight: (customer, requests, refund)."""
 
     owner: Owner
     entries: tuple[tuple[str, int, int], ...] = ()
