Show operators what failed in one plain line

Cause: tried as a new user: after a host was drained, 'wasabiwick status' printed the client library's own representation of the error, 230 characters wide. Change: one short line for a refused connection or a bad URL, in status and drain. Measured: two tests; both failed before on the library's text.

--- a/src/wasabiwick/_cli_status.py
+++ b/src/wasabiwick/_cli_status.py
@@ -7,7 +7,7 @@
 import click
 import msgspec
 
-from ._operator_http import Answer, fetch_all
+from ._operator_http import Answer, error_text, fetch_all
 from ._operator_options import hosts_option, tls_option
 from ._status import ENTRY, Status
 from ._text_table import text_table
@@ -64,7 +64,7 @@
     address = _address_of(_entries(hosts_url), host)
     answer = fetch_all([f"{address}/drain"], timeout=TIMEOUT, method="POST", tls=tls)[0]
     if not isinstance(answer, str):
-        raise click.ClickException(f'host "{host}" does not answer: {answer!r}')
+        raise click.ClickException(f'host "{host}" does not answer: {error_text(answer)}')
     click.echo(f"{host}: draining", err=True)
     if wait:
         _await_end(host, address, tls, time.monotonic() + wait)
@@ -94,7 +94,7 @@
 def _entries(hosts_url: str) -> list[HostEntry]:
     answer = fetch_all([f"{hosts_url.rstrip('/')}/hosts"], timeout=TIMEOUT)[0]
     if not isinstance(answer, str):
-        raise click.ClickException(f"the host list does not answer: {answer!r}")
+        raise click.ClickException(f"the host list does not answer: {error_text(answer)}")
     try:
         entries = msgspec.json.decode(answer, type=list[HostEntry])
     except msgspec.MsgspecError as exc:
@@ -117,7 +117,7 @@
         if isinstance(answer, str):
             found.status = msgspec.json.decode(answer, type=Status)
         else:
-            found.error = repr(answer)
+            found.error = error_text(answer)
     except msgspec.MsgspecError as exc:
         found.error = f"status is not valid: {exc}"
     return found
--- a/src/wasabiwick/_operator_http.py
+++ b/src/wasabiwick/_operator_http.py
@@ -44,3 +44,12 @@
             return await resp.text()
     except (aiohttp.ClientError, TimeoutError, OSError) as exc:
         return exc
+
+
+def error_text(answer: Answer) -> str:
+    """Return one short line for an error that came in place of an answer."""
+    if isinstance(answer, aiohttp.ClientConnectorError):
+        return f"connection to {answer.host}:{answer.port} failed: {answer.os_error.strerror}"
+    if isinstance(answer, aiohttp.InvalidURL):
+        return f'URL "{answer.url}" is not valid'
+    return str(answer) or type(answer).__name__
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -175,6 +175,25 @@
         self.assertEqual(len({row["customer"] for row in rows}), 500)
 
 
+class TestErrors(unittest.TestCase):
+    """Operators read what failed in one plain line."""
+
+    def invoke(self, *args: str) -> str:
+        done = click.testing.CliRunner().invoke(_cli.main, args)
+        self.assertEqual(done.exit_code, 1)
+        return done.output
+
+    def test_host_list_that_does_not_listen(self) -> None:
+        output = self.invoke("status", "--hosts", "http://127.0.0.1:9")
+        self.assertRegex(output, r"connection to 127\.0\.0\.1:9 failed: .*\n$")
+        self.assertNotIn("ConnectionKey", output)
+
+    def test_url_that_is_not_one(self) -> None:
+        self.assertIn(
+            'URL "nonsense/hosts" is not valid', self.invoke("status", "--hosts", "nonsense")
+        )
+
+
 class TestRun(unittest.TestCase):
     """A host that can't start says why in one line, and exits with 1."""
 
