Let the load tool ask an engine directly a second time

Cause: measuring twice against the same engines, the direct half of the second run lost all 400 calls: attempt ids started again at 1, and the engine still knew those of the first run. Change: attempt ids carry an identifier of the run. Measured: the new test fails without it.

--- a/src/wasabiwick/_load/_direct.py
+++ b/src/wasabiwick/_load/_direct.py
@@ -1,6 +1,7 @@
 """Asks an engine directly, without a router, for comparison."""
 
 import itertools
+import secrets
 
 import aiohttp
 import msgspec
@@ -11,6 +12,7 @@
 from ._measure import Tally
 
 OWNER = "load/1"
+RUN_BYTES = 6
 
 
 class Direct:
@@ -22,7 +24,7 @@
         tally: Where counts and latencies go.
     """
 
-    __slots__ = ("_session", "_engines", "_tally", "_number", "_decoder")
+    __slots__ = ("_session", "_engines", "_tally", "_run", "_number", "_decoder")
 
     def __init__(
         self, *, session: aiohttp.ClientSession, engines: tuple[str, ...], tally: Tally
@@ -30,6 +32,8 @@
         self._session = session
         self._engines = itertools.cycle(engines)
         self._tally = tally
+        # An engine knows the attempts of an earlier run for a while.
+        self._run = secrets.token_hex(RUN_BYTES)
         self._number = itertools.count(1)
         self._decoder = msgspec.json.Decoder(Frame)
 
@@ -50,7 +54,7 @@
         tally.wrong += text != expected_output(prompt, ask.max_tokens)
 
     async def _exchange(self, engine: str, prompt: str, ask: Ask, clock: Clock) -> str:
-        attempt = f"load.{next(self._number)}"
+        attempt = f"load.{self._run}.{next(self._number)}"
         prefill = PrefillAsk(
             request_id=attempt, attempt_id=attempt, owner=OWNER, model=ask.model, prompt=prompt
         )
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,26 @@
+"""Tests of the load tool."""
+
+import unittest
+
+import aiohttp
+
+from wasabiwick._load._caller import Ask
+from wasabiwick._load._direct import Direct
+from wasabiwick._load._measure import Tally
+
+from ._processes import Processes
+
+
+class TestDirect(unittest.IsolatedAsyncioTestCase):
+    """An engine is asked directly for comparison, run after run."""
+
+    async def test_second_run_against_the_same_engine(self) -> None:
+        processes = Processes()
+        self.addAsyncCleanup(processes.close)
+        engine = await processes.standin("engine", "--step", "0.001")
+        async with aiohttp.ClientSession() as session:
+            for _ in range(2):
+                tally = Tally()
+                direct = Direct(session=session, engines=(engine.address,), tally=tally)
+                await direct.generate(Ask(content="a b c", max_tokens=3, model="lectio-lm"))
+                self.assertEqual((tally.answered, tally.wrong), (1, 0))
