--- a/src/wasabiwick/_capacity/page.py
+++ b/src/wasabiwick/_capacity/page.py
@@ -211,9 +211,9 @@
         ),
         _row(
             f"{letter.REGIONS} regions with {letter.ZONES_PER_REGION} zones",
-            "membership, pools and leases stay in a zone; a key's owners are in one zone of all, also "
-            "of the other region, since the host list names no regions: that crossing has to go "
-            "before there are two; the configuration crosses",
+            "membership, pools and leases stay in a zone; a key's owners are in one zone of all, "
+            "also of the other region, since the host list names no regions: that crossing has "
+            "to go before there are two; the configuration crosses",
         ),
         _row(
             f"{letter.CHANGES:,} changes a day, in force within {letter.IN_FORCE:.0f} s",
