--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -312,7 +312,7 @@
         zone.run(60)
         before = [len(one.orders) for one in zone.engines.values()]
         zone.publish("2")
-        zone.run(300)
+        zone.run(3600)
         self.assertEqual([len(one.orders) for one in zone.engines.values()], before)
         zone.log_down = False
         zone.run(60)
