--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -368,46 +368,40 @@
         call = support.make_call(call_id, key=key)
         self.fabric.feed(host, _events.CallArrived(at=0, call=call))
 
-    def test_retry_in_another_zone_takes_the_stream_over(self) -> None:
+    def start_streams(self) -> None:
+        """Let every key have a running stream at host a."""
         for number in range(self.KEYS):
             self.arrive("a", f"old{number}", f"k{number}")
         self.fabric.run(0.5)
         for attempt in self.fabric.of("a", _effects.StartDecode):
             progress = _events.StreamProgress(at=0, **_attempt(attempt), count=5, offset=5)
             self.fabric.feed("a", progress)
+
+    def retry_elsewhere(self) -> None:
+        """Ask for every key again at host c, in another zone."""
         for number in range(self.KEYS):
             self.arrive("c", f"new{number}", f"k{number}")
         self.fabric.run(0.5)
+
+    def test_retry_in_another_zone_takes_the_stream_over(self) -> None:
+        self.start_streams()
+        self.retry_elsewhere()
         self.assertEqual(len(self.fabric.of("c", _effects.ResumeStream)), self.KEYS)
         self.assertEqual(len(self.fabric.of("a", _effects.CloseCall)), self.KEYS)
         self.assertEqual(self.fabric.of("c", _effects.StartPrefill), [])
 
     def test_second_owner_answers_once_the_first_is_lost(self) -> None:
-        for number in range(self.KEYS):
-            self.arrive("a", f"old{number}", f"k{number}")
-        self.fabric.run(0.5)
-        for attempt in self.fabric.of("a", _effects.StartDecode):
-            progress = _events.StreamProgress(at=0, **_attempt(attempt), count=5, offset=5)
-            self.fabric.feed("a", progress)
+        self.start_streams()
         self.fabric.kill("b")
         self.fabric.kill("d")
-        for number in range(self.KEYS):
-            self.arrive("c", f"new{number}", f"k{number}")
-        self.fabric.run(0.5)
+        self.retry_elsewhere()
         self.assertEqual(len(self.fabric.of("c", _effects.ResumeStream)), self.KEYS)
 
     def test_stopping_owner_passes_claims_on(self) -> None:
         self.fabric.feed("b", _events.StopAsked(at=0))
         self.fabric.run(1.0)
-        for number in range(self.KEYS):
-            self.arrive("a", f"old{number}", f"k{number}")
-        self.fabric.run(0.5)
-        for attempt in self.fabric.of("a", _effects.StartDecode):
-            progress = _events.StreamProgress(at=0, **_attempt(attempt), count=5, offset=5)
-            self.fabric.feed("a", progress)
-        for number in range(self.KEYS):
-            self.arrive("c", f"new{number}", f"k{number}")
-        self.fabric.run(0.5)
+        self.start_streams()
+        self.retry_elsewhere()
         self.assertEqual(len(self.fabric.of("c", _effects.ResumeStream)), self.KEYS)
 
     def test_zone_that_is_cut_off_is_left_out(self) -> None:
