Gather a host's running attempts once per report, not once per stream

Cause: read again: reaping built the set of all running attempts anew for each stream of an engine's report and for each attempt that a coordinator asked about, work that grows with their product. Change: the set is built once for each report and each question, and passed on. The time saved was not measured. Conclusion: behaviour is the same.

--- a/src/wasabiwick/_handlers/reaping.py
+++ b/src/wasabiwick/_handlers/reaping.py
@@ -65,8 +65,9 @@
 def _suspects_of(state: State, report: EngineReport, at: float) -> dict[str, Suspect]:
     before = state["reaping"].suspects.get(report.engine, {})
     suspects = {}
+    running = generation.running_attempts(state)
     for stream in report.streams:
-        if _is_served(state, report.engine, stream, at):
+        if _is_served(state, report.engine, stream, running, at):
             continue
         owner = owner_from(stream.owner)
         known = before.get(stream.attempt_id)
@@ -76,18 +77,20 @@
     return suspects
 
 
-def _is_served(state: State, engine: str, stream: StreamReport, at: float) -> bool:
+def _is_served(
+    state: State, engine: str, stream: StreamReport, running: frozenset[str], at: float
+) -> bool:
     # A reservation that is renewed is served by somebody, also where the engine names the host
     # that the stream was adopted from.
     if coordinator.is_reserved(state, engine, stream.attempt_id, at):
         return True
     mine = owner_from(stream.owner) == state.owner
-    return mine and is_served_here(state, stream.attempt_id)
+    return mine and _is_served_here(state, stream.attempt_id, running)
 
 
-def is_served_here(state: State, attempt_id: str) -> bool:
+def _is_served_here(state: State, attempt_id: str, running: frozenset[str]) -> bool:
     """Tell whether this host serves an attempt, or is about to cancel it itself."""
-    return attempt_id in generation.running_attempts(state) or cancels.is_pending(state, attempt_id)
+    return attempt_id in running or cancels.is_pending(state, attempt_id)
 
 
 def _judge(
@@ -122,7 +125,8 @@
 def asked(state: State, event: PeerMessage) -> typing.Iterator[Step]:
     """Name the attempts that this host does not serve; a later run serves none of an earlier."""
     ask = event.message
-    missing = tuple(one for one in ask.attempts if not is_served_here(state, one))
+    running = generation.running_attempts(state)
+    missing = tuple(one for one in ask.attempts if not _is_served_here(state, one, running))
     if missing:
         message = Unserved(engine=ask.engine, owner=ask.owner, attempts=missing)
         yield SendPeer(host=event.sender.host, message=message)
