--- a/src/wasabiwick/_adapters/_datagrams.py
+++ b/src/wasabiwick/_adapters/_datagrams.py
@@ -6,14 +6,18 @@
 
 from .._effects_forwarding import TellLoad
 from .._events import LoadTold
-from .._forwarding import EndpointLoad
+from .._forwarding import EndpointLoad, StreamLoad
 from .._logging import log_event
 from .._runner import Runner
 from .._wire import Owner
 
 
 class LoadDatagram(msgspec.Struct, array_like=True):
-    """A host's load; ``loads`` holds running requests, tokens and prompt tokens by endpoint."""
+    """A host's load.
+
+    ``loads`` holds by endpoint the running requests, the prompt tokens under way, and the streams:
+    prompt and expected output in tokens, and milliseconds since the first token, or less than 0.
+    """
 
     host: str
     incarnation: str
@@ -22,7 +26,7 @@
     sequence: int
     waiting: int
     stopping: bool
-    loads: dict[str, tuple[int, int, int]]
+    loads: dict[str, tuple[int, int, list[tuple[int, int, int]]]]
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -58,6 +62,7 @@
         """Send this host's load to others."""
         if self._transport is None:
             return
+        now = self._runner.now()
         data = _ENCODER.encode(
             LoadDatagram(
                 host=owner.host,
@@ -68,7 +73,14 @@
                 waiting=effect.waiting,
                 stopping=effect.stopping,
                 loads={
-                    name: (one.running, one.tokens, one.reading)
+                    name: (
+                        one.running,
+                        one.reading,
+                        [
+                            (part.prompt, part.expected, int((now - part.begins) * 1000))
+                            for part in one.streams
+                        ],
+                    )
                     for name, one in effect.loads.items()
                 },
             )
@@ -84,13 +96,21 @@
         except msgspec.MsgspecError as exc:
             log_event("datagram_unreadable", level="WARNING", sender=addr[0], error=str(exc))
             return
+        now = self._runner.now()
         loads = {
-            name: EndpointLoad(running=one[0], tokens=one[1], reading=one[2])
-            for name, one in told.loads.items()
+            name: EndpointLoad(
+                running=running,
+                reading=reading,
+                streams=tuple(
+                    StreamLoad(prompt=prompt, expected=expected, begins=now - since / 1000)
+                    for prompt, expected, since in streams
+                ),
+            )
+            for name, (running, reading, streams) in told.loads.items()
         }
         self._runner.post(
             LoadTold(
-                at=self._runner.now(),
+                at=now,
                 sender=Owner(host=told.host, incarnation=told.incarnation),
                 zone=told.zone,
                 address=told.address,
--- a/src/wasabiwick/_forwarding.py
+++ b/src/wasabiwick/_forwarding.py
@@ -244,18 +244,37 @@
         self.resumed = resumed
 
 
+class StreamLoad(Record):
+    """What is known of the length of one stream at an engine.
+
+    Args:
+        prompt: Tokens of its prompt.
+        expected: Tokens that it is expected to put out.
+        begins: Monotonic time at which its first token comes, or is expected.
+    """
+
+    __slots__ = ("prompt", "expected", "begins")
+
+    def __init__(self, *, prompt: int, expected: int, begins: float) -> None:
+        self.prompt = prompt
+        self.expected = max(1, expected)
+        self.begins = begins
+
+
 class EndpointLoad(Record):
     """What one host has under way at one endpoint.
 
     Args:
         running: Requests sent to it, or holding a place there.
-        tokens: Memory that these are expected to take at most, in tokens.
         reading: Prompt tokens that it was asked to prefill and has not finished.
+        streams: Streams among the running requests.
     """
 
-    __slots__ = ("running", "tokens", "reading")
+    __slots__ = ("running", "reading", "streams")
 
-    def __init__(self, *, running: int = 0, tokens: int = 0, reading: int = 0) -> None:
+    def __init__(
+        self, *, running: int = 0, reading: int = 0, streams: tuple[StreamLoad, ...] = ()
+    ) -> None:
         self.running = running
-        self.tokens = tokens
         self.reading = reading
+        self.streams = tuple(streams)
--- a/src/wasabiwick/_handlers/forward_plain.py
+++ b/src/wasabiwick/_handlers/forward_plain.py
@@ -36,7 +36,7 @@
     req.phase = forwarding.SENT
     req.sent_at = at
     health.chosen(state, endpoint.name)
-    yield forwarding.occupy(state, req, endpoint, 0, at)
+    yield forwarding.occupy(state, req, endpoint, None, at)
     # The endpoint may have the request as soon as the effect is carried out.
     req.ran = True
     req.runs += 1
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -94,7 +94,7 @@
     req.phase = forwarding.READING
     req.reader, req.reading = reader, tokens
     req.sent_at = at
-    places.add(state, reader.name, reading=tokens)
+    places.add_reading(state, reader.name, tokens)
     yield forwarding.log("prefill_sent", req, state, at, endpoint=reader.name, tokens=tokens)
     yield ReadPrompt(
         call_id=req.ask.call_id,
@@ -196,6 +196,7 @@
         req.reader = None
         req.phase = forwarding.RELAYING
         req.relayed = True
+        places.begin_stream(state, event.endpoint, req.ask.call_id, at)
         health.succeeded(state, event.endpoint)
         yield Observe(metric="stream_started", label=req.route.kind, value=at - req.arrived)
         yield Relay(call_id=req.ask.call_id, number=req.number)
--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -65,7 +65,7 @@
         if req is not None and req.phase == forwarding.WAITING
     ]
     left = []
-    for req in sorted(waiting, key=lambda one: _rank(one, at)):
+    for req in sorted(waiting, key=lambda one: rejecting.rank(one, at)):
         if not (yield from _place(state, req, at)):
             left.append(req)
     kept = []
@@ -84,21 +84,16 @@
         yield StartTimer(timer="forward_waiting", delay=TICK)
 
 
-def _rank(req: Forwarded, at: float) -> tuple[bool, bool, int, float]:
-    late = at > rejecting.due(req)
-    return late, not req.relayed, req.route.priority, req.arrived
-
-
 def _place(state: State, req: Forwarded, at: float) -> typing.Generator[Step, None, bool]:
     """Take a place for a call; returns whether one was found."""
-    counted = places.counted_need(state, req.route.name, req.ask)
-    endpoint = places.choose_decode(state, req.service, counted, at, req.rejected)
+    stream = places.stream_load(state, req.route.name, req.ask, at)
+    endpoint = places.choose_decode(state, req.service, stream, at, req.rejected)
     if endpoint is None:
         return False
     traits = routes.service(state, req.service).engine
-    need = places.memory_need(state, req.route.name, req.ask)
+    held = places.hold_tokens(req.ask)
     req.phase = forwarding.HOLDING
-    yield forwarding.occupy(state, req, endpoint, counted, at)
+    yield forwarding.occupy(state, req, endpoint, stream, at)
     yield forwarding.log(
         "place_chosen",
         req,
@@ -106,14 +101,15 @@
         at,
         endpoint=endpoint.name,
         zone=endpoint.zone,
-        tokens=need,
-        counted=counted,
+        prompt=stream.prompt,
+        expected=stream.expected,
+        held=held,
     )
     yield TakeHold(
         call_id=req.ask.call_id,
         endpoint=endpoint.name,
         address=endpoint.address,
-        tokens=need,
+        tokens=held,
         seconds=min(HOLD_TIME, traits.hold_time or HOLD_TIME),
     )
     return True
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -10,7 +10,7 @@
 from .._effects_forwarding import CutForward, DropHold, DropTry, FreeHandle, RefuseForward
 from .._errors import ENDPOINT_FAILED, Failure, Reason
 from .._events import ForwardAnswered, LoadChanged, PlacesChanged
-from .._forwarding import Ask, Endpoint, Route
+from .._forwarding import Ask, Endpoint, Route, StreamLoad
 from .._reducer import Step, handles
 from .._settings import Settings
 from .._state import State, state_slice
@@ -37,7 +37,7 @@
         runs: Endpoints that may have run it.
         ran: Whether an endpoint may have begun to run it.
         rejected: Endpoints that refused it or failed, which are asked again last.
-        place: Endpoint whose ledger counts it, with the tokens counted.
+        place: Endpoint whose ledger counts it.
         reader: Engine that prefills it, while that is under way or its handle is not fetched.
         hold: Place held at the engine and not used yet.
         handle: KV cache at the reader that is not fetched yet.
@@ -57,10 +57,8 @@
         "ran",
         "rejected",
         "place",
-        "tokens",
         "reader",
         "reading",
-        "reader_address",
         "prefills",
         "hold",
         "handle",
@@ -82,10 +80,8 @@
         self.ran = False
         self.rejected: list[str] = []
         self.place: Endpoint | None = None
-        self.tokens = 0
         self.reader: Endpoint | None = None
         self.reading = 0
-        self.reader_address = ""
         self.prefills = 0
         self.hold = ""
         self.handle = ""
@@ -139,10 +135,12 @@
     yield StartTimer(timer="forward_ends", key=req.ask.call_id, delay=max(0.0, req.ends - at))
 
 
-def occupy(state: State, req: Forwarded, endpoint: Endpoint, tokens: int, at: float) -> Step:
+def occupy(
+    state: State, req: Forwarded, endpoint: Endpoint, stream: StreamLoad | None, at: float
+) -> Step:
     """Count a call at an endpoint's ledger."""
-    req.place, req.tokens = endpoint, tokens
-    places.add(state, endpoint.name, running=1, tokens=tokens)
+    req.place = endpoint
+    places.take(state, endpoint.name, req.ask.call_id, stream)
     return LoadChanged(at=at)
 
 
@@ -159,8 +157,8 @@
             hold=req.hold,
         )
         req.hold = ""
-    places.add(state, req.place.name, running=-1, tokens=-req.tokens)
-    req.place, req.tokens = None, 0
+    places.give_back(state, req.place.name, req.ask.call_id)
+    req.place = None
     yield LoadChanged(at=at)
     yield PlacesChanged(at=at)
 
@@ -168,7 +166,7 @@
 def finish_reading(state: State, req: Forwarded, at: float) -> typing.Iterator[Step]:
     """Take a call's prefill out of the ledger."""
     if req.reader is not None and req.reading:
-        places.add(state, req.reader.name, reading=-req.reading)
+        places.add_reading(state, req.reader.name, -req.reading)
         req.reading = 0
         yield LoadChanged(at=at)
 
--- a/src/wasabiwick/_handlers/memory.py
+++ b/src/wasabiwick/_handlers/memory.py
@@ -8,6 +8,8 @@
 
 import math
 
+from .._forwarding import StreamLoad
+
 HORIZONS = (0.0, 0.3, 0.7, 1.3, 2.0, 3.0)  # Seconds ahead; places turn over in 3 to 4 seconds.
 SPREAD = 0.5  # Standard deviation of the logarithm of length over estimate, as callers' hints show.
 LEAST_CHANCE = 0.01  # Chance to have lived so far below which the estimate says nothing more.
@@ -15,23 +17,6 @@
 READY_TIME = 0.35  # Seconds from a place to the first token: the hold, prefill and transfer.
 
 
-class StreamLoad:
-    """What is known of the length of one stream.
-
-    Args:
-        prompt: Tokens of its prompt.
-        expected: Tokens that it is expected to put out.
-        begins: Monotonic time at which its first token comes, or is expected.
-    """
-
-    __slots__ = ("prompt", "expected", "begins")
-
-    def __init__(self, *, prompt: int, expected: int, begins: float) -> None:
-        self.prompt = prompt
-        self.expected = max(1, expected)
-        self.begins = begins
-
-
 class Projection:
     """Mean and variance of an engine's memory, in tokens, at each horizon.
 
--- a/src/wasabiwick/_handlers/neighbours.py
+++ b/src/wasabiwick/_handlers/neighbours.py
@@ -18,7 +18,7 @@
     StopAsked,
     TimerFired,
 )
-from .._forwarding import EndpointLoad
+from .._forwarding import EndpointLoad, StreamLoad
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
@@ -92,14 +92,15 @@
 
 def load_at(state: State, endpoint: str, at: float) -> EndpointLoad:
     """Return what all other hosts together have under way at an endpoint."""
-    running = tokens = reading = 0
+    running = reading = 0
+    streams: list[StreamLoad] = []
     for one in live(state, at):
         load = one.loads.get(endpoint)
         if load:
             running += load.running
-            tokens += load.tokens
             reading += load.reading
-    return EndpointLoad(running=running, tokens=tokens, reading=reading)
+            streams.extend(load.streams)
+    return EndpointLoad(running=running, reading=reading, streams=tuple(streams))
 
 
 @handles(ForwarderBooted)
--- a/src/wasabiwick/_handlers/places.py
+++ b/src/wasabiwick/_handlers/places.py
@@ -9,54 +9,92 @@
 - Plain requests: the endpoint with the least work for its slots, in the own zone first.
 """
 
-from .._forwarding import DECODE, PREFILL, Ask, Endpoint, EndpointLoad
+from .._forwarding import DECODE, PREFILL, Ask, Endpoint, EndpointLoad, StreamLoad
 from .._settings import Settings
 from .._state import State, state_slice
 from . import directory, health, neighbours, routes
+from .memory import READY_TIME, Projection
 from .predict import Mean, Rate
 
 BLOCK_TOKENS = 16  # Engines give memory out in blocks of this size.
-GROWTH_SHARE = 0.75  # Share of its output that a stream is counted with: few are at their end.
+HOLD_OUTPUT = 64  # Output tokens that a hold takes in: what a stream needs to get under way.
+CAUTION = 1.5  # Standard deviations of projected memory that are kept free.
 PRIOR_OUTPUT_SHARE = 0.4  # Expected output as a share of the longest, before any was seen.
-PRIOR_READ_RATE = 16_000.0  # Prompt tokens per second of a prefill engine; engines differ.
+PRIOR_TOKEN_RATE = 250.0  # Tokens per second of a stream, before any was seen.
+PRIOR_READ_RATE = 16_000.0  # Prompt tokens per second of a prefill engine, before any was seen.
 ZONE_TIME = 0.15  # Seconds of prefill wait that are accepted to keep the KV cache in its zone.
 ZONE_LOAD = 1.0  # Work per slot of the own zone's best endpoint at which other zones are used.
 FULL_TIME = 0.06  # Seconds for which an engine that refused a hold is not asked again.
 
 
+class OwnLoad:
+    """What this host has under way at one endpoint; streams by call id."""
+
+    __slots__ = ("running", "reading", "streams")
+
+    def __init__(self) -> None:
+        self.running = 0
+        self.reading = 0
+        self.streams: dict[str, StreamLoad] = {}
+
+
 @state_slice("places")
 class PlacesState:
     """This host's load at endpoints, engines that were full lately, and learned sizes and rates."""
 
-    __slots__ = ("own", "full_until", "outputs", "read_rate")
+    __slots__ = ("own", "full_until", "outputs", "token_rate", "read_rate")
 
     def __init__(self, cfg: Settings) -> None:
-        self.own: dict[str, EndpointLoad] = {}
+        self.own: dict[str, OwnLoad] = {}
         self.full_until: dict[str, float] = {}
         self.outputs: dict[str, Mean] = {}  # Output as a share of the longest, by route.
+        self.token_rate = Rate(PRIOR_TOKEN_RATE)
         self.read_rate = Rate(PRIOR_READ_RATE)
 
 
-def add(
-    state: State, endpoint: str, *, running: int = 0, tokens: int = 0, reading: int = 0
-) -> None:
-    """Change this host's load at an endpoint."""
-    own = state["places"].own
-    load = own.setdefault(endpoint, EndpointLoad())
-    load.running += running
-    load.tokens += tokens
-    load.reading += reading
-    if not (load.running or load.tokens or load.reading):
-        del own[endpoint]
+def take(state: State, endpoint: str, call_id: str, stream: StreamLoad | None) -> None:
+    """Count a request at an endpoint, with the stream's length if it is one."""
+    own = state["places"].own.setdefault(endpoint, OwnLoad())
+    own.running += 1
+    if stream is not None:
+        own.streams[call_id] = stream
+
+
+def begin_stream(state: State, endpoint: str, call_id: str, at: float) -> None:
+    """Note that a stream's first token has come."""
+    own = state["places"].own.get(endpoint)
+    if own and call_id in own.streams:
+        own.streams[call_id].begins = at
+
+
+def give_back(state: State, endpoint: str, call_id: str) -> None:
+    """Take a request out of an endpoint's ledger."""
+    own = state["places"].own[endpoint]
+    own.running -= 1
+    own.streams.pop(call_id, None)
+    _forget_idle(state, endpoint)
+
+
+def add_reading(state: State, endpoint: str, tokens: int) -> None:
+    """Change the prompt tokens that an engine was asked to prefill."""
+    state["places"].own.setdefault(endpoint, OwnLoad()).reading += tokens
+    _forget_idle(state, endpoint)
+
+
+def _forget_idle(state: State, endpoint: str) -> None:
+    own = state["places"].own[endpoint]
+    if not (own.running or own.reading):
+        del state["places"].own[endpoint]
 
 
 @neighbours.load_source
 def loads(state: State) -> tuple[dict[str, EndpointLoad], int]:
     """Return copies of this host's loads."""
-    own = state["places"].own
     return {
-        name: EndpointLoad(running=one.running, tokens=one.tokens, reading=one.reading)
-        for name, one in own.items()
+        name: EndpointLoad(
+            running=one.running, reading=one.reading, streams=tuple(one.streams.values())
+        )
+        for name, one in state["places"].own.items()
     }, 0
 
 
@@ -66,8 +104,8 @@
     own = state["places"].own.get(endpoint)
     if own:
         total.running += own.running
-        total.tokens += own.tokens
         total.reading += own.reading
+        total.streams += tuple(own.streams.values())
     return total
 
 
@@ -87,15 +125,15 @@
         mean.observe(min(1.0, tokens / ask.max_tokens))
 
 
-def memory_need(state: State, route: str, ask: Ask) -> int:
-    """Return the memory to hold for a generation, in tokens of whole blocks."""
-    tokens = ask.prompt_tokens + expected_output(state, route, ask)
-    return (tokens // BLOCK_TOKENS + 1) * BLOCK_TOKENS
+def stream_load(state: State, route: str, ask: Ask, at: float) -> StreamLoad:
+    """Return what is expected of a stream that gets its place now."""
+    expected = expected_output(state, route, ask)
+    return StreamLoad(prompt=ask.prompt_tokens, expected=expected, begins=at + READY_TIME)
 
 
-def counted_need(state: State, route: str, ask: Ask) -> int:
-    """Return the memory that a generation counts with in the ledger, in tokens."""
-    return ask.prompt_tokens + int(GROWTH_SHARE * expected_output(state, route, ask))
+def hold_tokens(ask: Ask) -> int:
+    """Return the memory to hold for a generation, in tokens of whole blocks."""
+    return ((ask.prompt_tokens + HOLD_OUTPUT) // BLOCK_TOKENS + 1) * BLOCK_TOKENS
 
 
 def mark_full(state: State, endpoint: str, at: float) -> None:
@@ -104,7 +142,7 @@
 
 
 def choose_decode(
-    state: State, service: str, tokens: int, at: float, avoid: list[str]
+    state: State, service: str, stream: StreamLoad, at: float, avoid: list[str]
 ) -> Endpoint | None:
     """Return the engine with the most memory left that has a place, in the own zone first."""
     traits = routes.service(state, service)
@@ -116,8 +154,14 @@
         if state["places"].full_until.get(one.name, 0.0) > at or not health.usable(state, one.name):
             continue
         known = load(state, one.name, at)
-        free = traits.engine.memory_tokens - known.tokens - tokens
-        if known.running >= traits.engine.slots or free < 0:
+        if known.running >= min(one.slots, traits.engine.slots):
+            continue
+        projected = Projection(at=at, rate=state["places"].token_rate.per_second)
+        for other in known.streams:
+            projected.add(other)
+        # An idle engine takes any prompt that fits, however long its output may become.
+        free = traits.engine.memory_tokens - projected.worst(stream, CAUTION)
+        if free < 0.0 and known.running:
             continue
         rank = (one.name not in avoid, one.zone == state.zone, free)
         if best_rank is None or rank > best_rank:
--- a/src/wasabiwick/_handlers/rejecting.py
+++ b/src/wasabiwick/_handlers/rejecting.py
@@ -9,21 +9,50 @@
 from .._state import State
 from .forwarding import Forwarded
 
-FIRST_OUTPUT = 0.45  # Seconds from a place to the first event: prefill, transfer, first step.
-LONGEST_WAIT = 2.2  # Seconds; callers leave streams that bring nothing for four objectives.
-PATIENCE_LEFT = 0.35  # Share of the time left that a wait may take up.
-SOONEST = 1.0  # Seconds.
+FIRST_OUTPUT = 0.45  # Seconds from a place to the first event: hold, prefill, transfer, first step.
+PATIENCE_TARGETS = 4.0  # Callers leave a stream that brings nothing for so many latency targets,
+PATIENCE_GAPS = 8.0  # or so many of its longest pauses,
+PATIENCE_LEAST = 2.0  # or so many seconds, whichever is longest.
+WAIT_SHARE = 0.7  # Share of that patience that a wait for a place may take up.
+RETURNED_SHARE = 0.84  # A caller with less than this share of the route's time has waited before.
+RETURNED_WAIT = 1.5  # Seconds after which a caller that came back goes before new ones.
+SOONEST = 2.0  # Seconds until a refused caller comes back: bursts last a few seconds.
 SPREAD = 2.0  # Seconds over which returning callers are spread.
 
 
+def has_returned(req: Forwarded) -> bool:
+    """Tell whether the caller was refused before, as far as its deadline shows."""
+    return req.ask.deadline - req.arrived < RETURNED_SHARE * req.route.timeout
+
+
 def due(req: Forwarded) -> float:
     """Return the monotonic time until which a place still gives an answer on time."""
     return req.arrived + req.route.target_latency - FIRST_OUTPUT
 
 
+def rank(req: Forwarded, at: float) -> tuple[int, int, float]:
+    """Return the order in which waiting requests get places; the least comes first.
+
+    A stream that broke off comes first, as its caller waits in the middle of an answer. Next come
+    callers that came back and have waited long enough, then those that can be on time, and last
+    the late ones, each by priority and age.
+    """
+    if req.relayed:
+        group = 0
+    elif has_returned(req):
+        group = 1 if at - req.arrived >= RETURNED_WAIT else 3
+    else:
+        group = 2 if at <= due(req) else 3
+    return group, req.route.priority, req.arrived
+
+
 def longest_wait(req: Forwarded) -> float:
     """Return how long a request may wait for a place, in seconds from its arrival."""
-    return min(LONGEST_WAIT, PATIENCE_LEFT * (req.ends - req.arrived))
+    route = req.route
+    patience = max(
+        PATIENCE_LEAST, PATIENCE_TARGETS * route.target_latency, PATIENCE_GAPS * route.target_gap
+    )
+    return min(WAIT_SHARE * patience, (req.ends - req.arrived) / 3)
 
 
 def retry_after(state: State, req: Forwarded, at: float) -> float:
