--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -19,6 +19,7 @@
 from .forwarding import Forwarded
 
 TICK = 0.03  # Seconds between looks at a queue that is not empty.
+MISSES = 3  # Requests in a row without a place after which a look at the queue ends.
 HOLD_TIME = 1.5  # Seconds for which a place is held: the prefill, and its wait.
 
 
@@ -64,15 +65,14 @@
         for req in (forwarding.call(state, name) for name in mine.queues.get(service, ()))
         if req is not None and req.phase == forwarding.WAITING
     ]
-    left = []
-    for req in sorted(waiting, key=lambda one: rejecting.rank(one, at)):
-        if not (yield from _place(state, req, at)):
-            left.append(req)
+    candidates = places.survey(state, service, at) if waiting else []
     kept = []
-    for req in left:
-        if at - req.arrived >= rejecting.longest_wait(req):
-            yield from _turn_away(state, req, at, len(left))
-        else:
+    misses = 0
+    for req in sorted(waiting, key=lambda one: rejecting.rank(state, one, at)):
+        if rejecting.is_over(state, req, at):
+            yield from _turn_away(state, req, at, len(waiting))
+        elif misses >= MISSES or not (yield from _place(state, req, candidates, at)):
+            misses += 1
             kept.append(req)
     if kept:
         kept.sort(key=lambda one: one.arrived)
@@ -84,12 +84,16 @@
         yield StartTimer(timer="forward_waiting", delay=TICK)
 
 
-def _place(state: State, req: Forwarded, at: float) -> typing.Generator[Step, None, bool]:
+def _place(
+    state: State, req: Forwarded, candidates: list[places.Candidate], at: float
+) -> typing.Generator[Step, None, bool]:
     """Take a place for a call; returns whether one was found."""
     stream = places.stream_load(state, req.route.name, req.ask, at)
-    endpoint = places.choose_decode(state, req.service, stream, at, req.rejected)
-    if endpoint is None:
+    chosen = places.choose_decode(state, candidates, stream, req.rejected)
+    if chosen is None:
         return False
+    chosen.add(stream)
+    endpoint = chosen.endpoint
     traits = routes.service(state, req.service).engine
     held = places.hold_tokens(req.ask)
     req.phase = forwarding.HOLDING
--- a/src/wasabiwick/_handlers/places.py
+++ b/src/wasabiwick/_handlers/places.py
@@ -141,29 +141,74 @@
     state["places"].full_until[endpoint] = at + FULL_TIME
 
 
-def choose_decode(
-    state: State, service: str, stream: StreamLoad, at: float, avoid: list[str]
-) -> Endpoint | None:
-    """Return the engine with the most memory left that has a place, in the own zone first."""
+class Candidate:
+    """A decode engine as it is looked at for some requests in a row."""
+
+    __slots__ = ("endpoint", "running", "slots", "memory", "projection")
+
+    def __init__(
+        self, *, endpoint: Endpoint, running: int, slots: int, memory: int, projection: Projection
+    ) -> None:
+        self.endpoint = endpoint
+        self.running = running
+        self.slots = slots
+        self.memory = memory
+        self.projection = projection
+
+    def left(self, stream: StreamLoad) -> float | None:
+        """Return the memory left with a stream added, in tokens; None if it has no place."""
+        if self.running >= self.slots:
+            return None
+        left = self.memory - self.projection.worst(stream, CAUTION)
+        # An idle engine takes any prompt that fits, however long its output may become.
+        return left if left >= 0.0 or not self.running else None
+
+    def add(self, stream: StreamLoad) -> None:
+        """Count a stream that got its place here."""
+        self.running += 1
+        self.projection.add(stream)
+
+
+def survey(state: State, service: str, at: float) -> list[Candidate]:
+    """Return the decode engines of a service that may have places, as they are loaded now."""
     traits = routes.service(state, service)
     if traits is None or traits.engine is None:
-        return None
-    best: Endpoint | None = None
-    best_rank: tuple[bool, bool, float] | None = None
+        return []
+    mine = state["places"]
+    found = []
     for one in directory.usable(state, service, DECODE):
-        if state["places"].full_until.get(one.name, 0.0) > at or not health.usable(state, one.name):
+        if mine.full_until.get(one.name, 0.0) > at or not health.usable(state, one.name):
             continue
         known = load(state, one.name, at)
-        if known.running >= min(one.slots, traits.engine.slots):
+        slots = min(one.slots, traits.engine.slots)
+        if known.running >= slots:
             continue
-        projected = Projection(at=at, rate=state["places"].token_rate.per_second)
-        for other in known.streams:
-            projected.add(other)
-        # An idle engine takes any prompt that fits, however long its output may become.
-        free = traits.engine.memory_tokens - projected.worst(stream, CAUTION)
-        if free < 0.0 and known.running:
+        projection = Projection(at=at, rate=mine.token_rate.per_second)
+        for stream in known.streams:
+            projection.add(stream)
+        found.append(
+            Candidate(
+                endpoint=one,
+                running=known.running,
+                slots=slots,
+                memory=traits.engine.memory_tokens,
+                projection=projection,
+            )
+        )
+    return found
+
+
+def choose_decode(
+    state: State, candidates: list[Candidate], stream: StreamLoad, avoid: list[str]
+) -> Candidate | None:
+    """Return the engine with the most memory left that has a place, in the own zone first."""
+    best: Candidate | None = None
+    best_rank: tuple[bool, bool, float] | None = None
+    for one in candidates:
+        left = one.left(stream)
+        if left is None:
             continue
-        rank = (one.name not in avoid, one.zone == state.zone, free)
+        rank = (one.endpoint.name not in avoid, one.endpoint.zone == state.zone, left)
         if best_rank is None or rank > best_rank:
             best, best_rank = one, rank
     return best
--- a/src/wasabiwick/_handlers/rejecting.py
+++ b/src/wasabiwick/_handlers/rejecting.py
@@ -7,6 +7,7 @@
 """
 
 from .._state import State
+from . import places
 from .forwarding import Forwarded
 
 FIRST_OUTPUT = 0.45  # Seconds from a place to the first event: hold, prefill, transfer, first step.
@@ -16,6 +17,7 @@
 WAIT_SHARE = 0.7  # Share of that patience that a wait for a place may take up.
 RETURNED_SHARE = 0.84  # A caller with less than this share of the route's time has waited before.
 RETURNED_WAIT = 1.5  # Seconds after which a caller that came back goes before new ones.
+LENGTH_MARGIN = 1.2  # Outputs are often longer than expected.
 SOONEST = 2.0  # Seconds until a refused caller comes back: bursts last a few seconds.
 SPREAD = 2.0  # Seconds over which returning callers are spread.
 
@@ -30,12 +32,12 @@
     return req.arrived + req.route.target_latency - FIRST_OUTPUT
 
 
-def rank(req: Forwarded, at: float) -> tuple[int, int, float]:
+def rank(state: State, req: Forwarded, at: float) -> tuple[int, int, float]:
     """Return the order in which waiting requests get places; the least comes first.
 
     A stream that broke off comes first, as its caller waits in the middle of an answer. Next come
     callers that came back and have waited long enough, then those that can be on time, and last
-    the late ones, each by priority and age.
+    the late ones, each by priority; the late ones by the time at which they must begin.
     """
     if req.relayed:
         group = 0
@@ -43,7 +45,22 @@
         group = 1 if at - req.arrived >= RETURNED_WAIT else 3
     else:
         group = 2 if at <= due(req) else 3
-    return group, req.route.priority, req.arrived
+    order = latest_begin(state, req) if group == 3 else req.arrived
+    return group, req.route.priority, order
+
+
+def latest_begin(state: State, req: Forwarded) -> float:
+    """Return the monotonic time at which a place must be had for the answer to come whole."""
+    tokens = places.expected_output(state, req.route.name, req.ask)
+    seconds = FIRST_OUTPUT + LENGTH_MARGIN * tokens / state["places"].token_rate.per_second
+    return req.ends - seconds
+
+
+def is_over(state: State, req: Forwarded, at: float) -> bool:
+    """Tell whether a request has waited enough, or can't be answered whole any more."""
+    if req.relayed:
+        return False
+    return at - req.arrived >= longest_wait(req) or at > latest_begin(state, req)
 
 
 def longest_wait(req: Forwarded) -> float:
