Keep silent streams, notice outages of the store sooner, take SIGHUP, end a stop in time

An endpoint that takes no connection gets no work for a while, where each request had tried it first.

--- a/src/wasabiwick/_cli_run.py
+++ b/src/wasabiwick/_cli_run.py
@@ -55,7 +55,7 @@
     except platform.SettingsError as exc:
         click.echo(str(exc), err=True)
         sys.exit(EXIT_FAULTS)
-    _run(lambda: asyncio.run(platform.run(cfg)))
+    _run(lambda: asyncio.run(platform.run(path, cfg)))
 
 
 def _run(work: typing.Callable[[], None]) -> None:
--- a/src/wasabiwick/_effects_forwarding.py
+++ b/src/wasabiwick/_effects_forwarding.py
@@ -87,7 +87,7 @@
         connections: Most connections that this host may open to the endpoint.
         fresh: Whether no kept connection may be used.
         resume: Whether the stream goes on behind the last event that the caller got.
-        quiet: Seconds without a byte of an answer after which the try has failed, or 0.
+        quiet: Seconds without the head of an answer after which the try has failed, or 0.
     """
 
     __slots__ = (
--- a/src/wasabiwick/_events/_forwarding.py
+++ b/src/wasabiwick/_events/_forwarding.py
@@ -52,6 +52,33 @@
         self.why = why
 
 
+class SettingsRead(Event):
+    """The settings were read again; these of them may change while the host runs.
+
+    ``drain`` and ``stop_notice`` bound a graceful shutdown, in seconds; the others are the budget
+    of repeats.
+    """
+
+    __slots__ = ("drain", "stop_notice", "retry_ratio", "retry_slack", "retry_window")
+
+    def __init__(
+        self,
+        *,
+        at: float,
+        drain: float,
+        stop_notice: float,
+        retry_ratio: float,
+        retry_slack: float,
+        retry_window: float,
+    ) -> None:
+        super().__init__(at=at)
+        self.drain = drain
+        self.stop_notice = stop_notice
+        self.retry_ratio = retry_ratio
+        self.retry_slack = retry_slack
+        self.retry_window = retry_window
+
+
 class HostFound(Event):
     """Another host was found; ``address`` is where it takes datagrams."""
 
--- a/src/wasabiwick/_forward_daemon.py
+++ b/src/wasabiwick/_forward_daemon.py
@@ -12,7 +12,7 @@
 )
 from ._adapters._clock import SystemClock
 from ._adapters._datagrams import UdpDatagrams
-from ._events import ForwarderBooted, StopAsked
+from ._events import ForwarderBooted, SettingsRead, StopAsked
 from ._forward_entry import ForwardEntry
 from ._logging import log_event
 from ._ports import Dialect, Endpoints, HostRegister
@@ -23,6 +23,8 @@
 
 INCARNATION_BYTES = 6
 SEED_BITS = 32
+SETTINGS_INTERVAL = 1.0  # Seconds between looks whether the settings file has changed.
+CLOSE_TIME = 0.1  # Seconds for connections to close once all answers are out.
 
 
 class Surroundings(typing.Protocol):
@@ -35,6 +37,12 @@
     def follow(self, runner: Runner) -> typing.Coroutine:
         """Return what keeps facts about routes and endpoints coming as events."""
 
+    def changed(self) -> bool:
+        """Tell whether the settings may have changed since they were read last."""
+
+    def settings(self) -> Settings:
+        """Read the settings again; raises `ValueError` with one line if they can't be used."""
+
     async def close(self) -> None:
         """Close all connections."""
 
@@ -84,6 +92,31 @@
             await self._serve(entry.metrics_server(), self._metrics)
         self.runner.start(ForwarderBooted)
         self.runner.spawn("follow", around.follow(self.runner))
+        self.runner.spawn("settings", self._watch_settings())
+
+    def reload(self) -> None:
+        """Read the settings again; what can't be used is logged, and the old ones stay."""
+        try:
+            cfg = self._surroundings.settings()
+        except ValueError as exc:
+            log_event("settings_unusable", level="ERROR", error=str(exc))
+            return
+        self.runner.post(
+            SettingsRead(
+                at=self.runner.now(),
+                drain=cfg.timing.drain,
+                stop_notice=cfg.timing.stop_notice,
+                retry_ratio=cfg.forwarding.retry_ratio,
+                retry_slack=cfg.forwarding.retry_slack,
+                retry_window=cfg.forwarding.retry_window,
+            )
+        )
+
+    async def _watch_settings(self) -> None:
+        while True:
+            await asyncio.sleep(SETTINGS_INTERVAL)
+            if self._surroundings.changed():
+                self.reload()
 
     async def stop(self) -> None:
         """Close everything."""
@@ -101,7 +134,7 @@
         host, _, port = address.rpartition(":")
         served = web.ServerRunner(server)
         await served.setup()
-        await web.TCPSite(served, host, int(port), backlog=512, shutdown_timeout=1.0).start()
+        await web.TCPSite(served, host, int(port), backlog=512, shutdown_timeout=CLOSE_TIME).start()
         self._servers.append(served)
 
 
@@ -120,6 +153,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, lambda: runner.post(StopAsked(at=runner.now())))
+        loop.add_signal_handler(signal.SIGHUP, daemon.reload)
         log_event(
             "listening",
             host=cfg.host,
--- a/src/wasabiwick/_handlers/forward_arrivals.py
+++ b/src/wasabiwick/_handlers/forward_arrivals.py
@@ -14,18 +14,16 @@
     Reason,
 )
 from .._events import AnswerCame, ForwardArrived, ForwardLeft, TimerFired, TryFailed
-from .._forwarding import STREAM
+from .._forwarding import STREAM, Ask, Route
 from .._reducer import Step, handles, on_timer
 from .._state import State
 from .._verdict import Verdict
-from . import forward_plain, forward_streams, forwarding, retry_budget, routes
+from . import forward_plain, forward_streams, forwarding, rejecting, retry_budget, routes
 from .forwarding import Forwarded
-from .host import stopping_for
+from .host import stop_by
 
 CONFIGURATION_RETRY = 0.5  # Seconds told to callers of a host that has read no routes yet.
 STOPPING_RETRY = 0.1  # Seconds; another host answers at once.
-LAST_STREAMS = 2.5  # Seconds after a stop was asked for in which new streams are still taken.
-LAST_CALLS = 5.0  # Seconds in which plain calls are.
 
 
 @handles(ForwardArrived)
@@ -39,7 +37,7 @@
     if route is None:
         yield from _turn_down(state, event, NO_ROUTE, None)
         return
-    if stopping_for(state, at) > (LAST_STREAMS if route.kind == STREAM else LAST_CALLS):
+    if state.stopping and not _ends_before_stop(state, route, ask, at):
         yield from _turn_down(state, event, STOPPING, STOPPING_RETRY)
         return
     service = routes.pick_service(state, route)
@@ -49,6 +47,14 @@
     yield from _concern(state, req).start(state, req, at)
 
 
+def _ends_before_stop(state: State, route: Route, ask: Ask, at: float) -> bool:
+    """Tell whether an answer can be expected to come whole before a stopping host ends."""
+    seconds = route.target_latency
+    if route.kind == STREAM:
+        seconds += rejecting.stream_time(state, route.name, ask)
+    return at + seconds < stop_by(state)
+
+
 def _turn_down(
     state: State, event: ForwardArrived, reason: Reason, retry_after: float | None
 ) -> typing.Iterator[Step]:
--- a/src/wasabiwick/_handlers/forward_plain.py
+++ b/src/wasabiwick/_handlers/forward_plain.py
@@ -64,7 +64,6 @@
 
 def came(state: State, req: Forwarded, event: AnswerCame) -> typing.Iterator[Step]:
     """Pass an answer on, or try another endpoint."""
-    peers = [one.name for one in directory.usable(state, req.service)]
     if event.not_run:
         req.runs -= 1
         req.ran = req.runs > 0
@@ -75,7 +74,7 @@
         health.succeeded(state, event.endpoint)
         yield Relay(call_id=req.ask.call_id, number=req.number)
         return
-    yield from health.failed(state, event.endpoint, peers=peers)
+    yield from forwarding.note_failure(state, req, event.endpoint, None)
     if _may_repeat(state, req, event.at):
         yield from _again(state, req, event.at, ENDPOINT_FAILED, status=event.status)
         return
@@ -92,8 +91,7 @@
     if not_run:
         req.runs -= 1
         req.ran = req.runs > 0
-    peers = [one.name for one in directory.usable(state, req.service)]
-    yield from health.failed(state, event.endpoint, peers=peers)
+    yield from forwarding.note_failure(state, req, event.endpoint, event.failure)
     if not_run or _may_repeat(state, req, event.at):
         yield from _again(state, req, event.at, ENDPOINT_FAILED, failure=event.failure)
         return
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -9,7 +9,7 @@
 
 from .._effects import Count, LogLine, Observe
 from .._effects_forwarding import DropTry, Forward, ReadPrompt, Relay
-from .._errors import ENDPOINT_FAILED, ENDPOINT_REFUSED, OVERLOADED
+from .._errors import ENDPOINT_FAILED, ENDPOINT_REFUSED, ENDPOINT_UNREACHABLE, OVERLOADED
 from .._events import (
     AnswerCame,
     HoldAnswered,
@@ -36,7 +36,7 @@
 
 BASE_PRIORITY = 4  # Rank at engines of the most urgent route; 5 is theirs where none is told.
 LOWEST_PRIORITY = 9
-SILENCE = 1.2  # Seconds without an event after which a resumable stream goes on elsewhere.
+SILENCE = 2.5  # Seconds without a head after which a resumable stream is begun elsewhere.
 
 
 def start(state: State, req: Forwarded, at: float) -> typing.Iterator[Step]:
@@ -69,8 +69,8 @@
             },
         )
         yield from forwarding.vacate(state, req, event.at)
-        if event.failure.reason is ENDPOINT_FAILED:
-            yield from health.failed(state, event.endpoint, peers=_peers(state, req))
+        if event.failure.reason is not ENDPOINT_REFUSED:
+            yield from forwarding.note_failure(state, req, event.endpoint, event.failure)
         yield from forward_waiting.enqueue(state, req, event.at)
         return
     yield Count(metric="holds", label="held")
@@ -78,10 +78,6 @@
     yield from _read_prompt(state, req, event.at)
 
 
-def _peers(state: State, req: Forwarded) -> list[str]:
-    return [one.name for one in directory.usable(state, req.service)]
-
-
 def _read_prompt(state: State, req: Forwarded, at: float) -> typing.Iterator[Step]:
     """Prefill at another engine; where that can't be, the decode engine does it itself."""
     tokens = req.ask.prompt_tokens
@@ -127,8 +123,8 @@
             reason=event.failure.reason.code,
             cause=event.failure.detail,
         )
-        if event.failure.reason is ENDPOINT_FAILED:
-            yield from health.failed(state, event.endpoint, peers=_peers(state, req))
+        if event.failure.reason is not ENDPOINT_REFUSED:
+            yield from forwarding.note_failure(state, req, event.endpoint, event.failure)
         req.rejected.append(event.endpoint)
         req.reader = None
         yield from _read_prompt(state, req, event.at)
@@ -210,7 +206,7 @@
         yield from _repeat(state, req, at, event.endpoint, f"status {event.status}", refused=True)
         return
     req.handle = ""
-    yield from health.failed(state, event.endpoint, peers=_peers(state, req))
+    yield from forwarding.note_failure(state, req, event.endpoint, None)
     if _may_run_again(req) and retry_budget.left(state, req.service, at) >= 1.0:
         yield from _repeat(state, req, at, event.endpoint, f"status {event.status}", refused=False)
         return
@@ -232,11 +228,14 @@
     if not_run:
         req.runs -= 1
         req.ran = req.runs > 0
-    yield from health.failed(state, event.endpoint, peers=_peers(state, req))
+    yield from forwarding.note_failure(state, req, event.endpoint, event.failure)
     yield DropTry(call_id=req.ask.call_id, number=req.number)
     if not_run or _may_run_again(req):
         cause = event.failure.detail
-        yield from _repeat(state, req, event.at, event.endpoint, cause, refused=not_run)
+        unsent = event.failure.reason is ENDPOINT_UNREACHABLE
+        yield from _repeat(
+            state, req, event.at, event.endpoint, cause, refused=not_run, unsent=unsent
+        )
         return
     yield from forwarding.refuse(
         state, req, event.at, ENDPOINT_FAILED, endpoint=event.endpoint, cause=event.failure.detail
@@ -244,14 +243,22 @@
 
 
 def _repeat(
-    state: State, req: Forwarded, at: float, endpoint: str, cause: str, *, refused: bool
+    state: State,
+    req: Forwarded,
+    at: float,
+    endpoint: str,
+    cause: str,
+    *,
+    refused: bool,
+    unsent: bool = False,
 ) -> typing.Iterator[Step]:
     """Let the call wait for another place, if the budget of repeats has room."""
     req.rejected.append(endpoint)
     yield forwarding.log(
         "try_failed", req, state, at, endpoint=endpoint, cause=cause, events=req.events
     )
-    if not retry_budget.take(state, req.service, at):
+    # Nothing reached an endpoint that takes no connection, so nothing is repeated.
+    if not unsent and not retry_budget.take(state, req.service, at):
         yield Count(metric="budget_empty", label=req.service)
         yield from forwarding.refuse(
             state,
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -8,14 +8,14 @@
 
 from .._effects import Count, LogLine, Observe, StartTimer, StopTimer
 from .._effects_forwarding import CutForward, DropHold, DropTry, FreeHandle, RefuseForward
-from .._errors import ENDPOINT_FAILED, Failure, Reason
+from .._errors import ENDPOINT_FAILED, ENDPOINT_UNREACHABLE, Failure, Reason
 from .._events import ForwardAnswered, LoadChanged, PlacesChanged
 from .._forwarding import Ask, Endpoint, Route, StreamLoad
 from .._reducer import Step, handles
 from .._settings import Settings
 from .._state import State, state_slice
 from .._verdict import Verdict
-from . import directory, places, routes
+from . import directory, health, places, routes
 from .host import busy_check
 
 PROMISES = (408, 421, 429, 503)  # Statuses that promise that a request has not run and never will.
@@ -186,6 +186,17 @@
     req.reader = None
 
 
+def note_failure(
+    state: State, req: Forwarded, endpoint: str, failure: Failure | None
+) -> typing.Iterator[Step]:
+    """Judge an endpoint by a failure; one that takes no connection gets no work for a while."""
+    if failure is not None and failure.reason is ENDPOINT_UNREACHABLE:
+        yield from health.unreachable(state, endpoint)
+        return
+    peers = [one.name for one in directory.usable(state, req.service)]
+    yield from health.failed(state, endpoint, peers=peers)
+
+
 def close(state: State, req: Forwarded, at: float) -> typing.Iterator[Step]:
     """Forget a call, stop what it has under way, and free what is held for it."""
     if state["forwarding"].calls.pop(req.ask.call_id, None) is None:
--- a/src/wasabiwick/_handlers/host.py
+++ b/src/wasabiwick/_handlers/host.py
@@ -3,7 +3,7 @@
 import typing
 
 from .._effects import EndProcess, LogLine, StartTimer
-from .._events import Booted, ForwarderBooted, HostPaused, StopAsked, TimerFired
+from .._events import Booted, ForwarderBooted, HostPaused, SettingsRead, StopAsked, TimerFired
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
@@ -61,9 +61,9 @@
     return at - state["host"].watched_at > WATCHDOG_INTERVAL + state.cfg.timing.peer / 2
 
 
-def stopping_for(state: State, at: float) -> float:
-    """Return the seconds since a stop was asked for, or 0 where none was."""
-    return at - state["host"].stop_asked if state.stopping else 0.0
+def stop_by(state: State) -> float:
+    """Return the monotonic time at which a stopping host ends in any case."""
+    return state["host"].stop_by
 
 
 @handles(Booted, ForwarderBooted)
@@ -83,6 +83,17 @@
     yield StartTimer(timer="watchdog", delay=WATCHDOG_INTERVAL)
 
 
+@handles(SettingsRead)
+def settings_read(state: State, event: SettingsRead) -> typing.Iterator[Step]:
+    """Put settings in force that may change while the host runs."""
+    timing, forwarding = state.cfg.timing, state.cfg.forwarding
+    timing.drain, timing.stop_notice = event.drain, event.stop_notice
+    forwarding.retry_ratio = event.retry_ratio
+    forwarding.retry_slack = event.retry_slack
+    forwarding.retry_window = event.retry_window
+    yield LogLine(event="settings_in_force", fields={"drain": event.drain})
+
+
 @handles(StopAsked)
 def stop(state: State, event: StopAsked) -> typing.Iterator[Step]:
     """Begin the graceful shutdown: no new work from now on."""
--- a/src/wasabiwick/_handlers/rejecting.py
+++ b/src/wasabiwick/_handlers/rejecting.py
@@ -6,6 +6,7 @@
 the same burst.
 """
 
+from .._forwarding import Ask
 from .._state import State
 from . import places
 from .forwarding import Forwarded
@@ -51,9 +52,13 @@
 
 def latest_begin(state: State, req: Forwarded) -> float:
     """Return the monotonic time at which a place must be had for the answer to come whole."""
-    tokens = places.expected_output(state, req.route.name, req.ask)
-    seconds = FIRST_OUTPUT + LENGTH_MARGIN * tokens / state["places"].token_rate.per_second
-    return req.ends - seconds
+    return req.ends - FIRST_OUTPUT - stream_time(state, req.route.name, req.ask)
+
+
+def stream_time(state: State, route: str, ask: Ask) -> float:
+    """Return the seconds to reckon with from a stream's first event to its end."""
+    tokens = places.expected_output(state, route, ask)
+    return LENGTH_MARGIN * tokens / state["places"].token_rate.per_second
 
 
 def is_over(state: State, req: Forwarded, at: float) -> bool:
--- a/src/wasabiwick/_http1.py
+++ b/src/wasabiwick/_http1.py
@@ -18,6 +18,9 @@
 
 CONNECT_TIMEOUT = 0.4  # Seconds; a handshake between zones takes some 10 ms.
 USER_TIMEOUT_MS = 2_500  # Milliseconds without an acknowledgement after which a link is dead.
+PROBE_IDLE = 1  # Seconds of silence after which a connection is probed.
+PROBE_INTERVAL = 1  # Seconds between probes.
+PROBES = 2  # Probes without an answer after which the endpoint is taken for dead.
 KEEP_DEFAULT = 4.0  # Seconds for which a connection is kept whose endpoint states no time.
 KEEP_MARGIN = 0.75  # Seconds before the stated time at which a kept connection is closed.
 MOST_IDLE = 8  # Kept connections to one endpoint.
@@ -25,6 +28,14 @@
 
 Header = tuple[bytes, bytes]
 
+# An engine may be silent for seconds while it works; a dead one does not answer probes.
+_PROBING = (
+    (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    (socket.TCP_KEEPIDLE, PROBE_IDLE),
+    (socket.TCP_KEEPINTVL, PROBE_INTERVAL),
+    (socket.TCP_KEEPCNT, PROBES),
+)
+
 
 class NotSentError(Exception):
     """No connection came about, so no byte of the request was sent."""
@@ -195,7 +206,9 @@
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+            for option, value in _PROBING:
+                sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of an answer; bytes that nobody asked for end the connection."""
--- a/src/wasabiwick/_performers/forwarding.py
+++ b/src/wasabiwick/_performers/forwarding.py
@@ -246,9 +246,6 @@
             self._fail(
                 Failure(reason=ENDPOINT_FAILED, verdict=Verdict.MAY_HAVE_RUN, detail=str(exc))
             )
-        except TimeoutError:
-            detail = f"silent for {effect.quiet:.3g} s"
-            self._fail(Failure(reason=ENDPOINT_SILENT, verdict=Verdict.MAY_HAVE_RUN, detail=detail))
         finally:
             answer.release()
 
@@ -292,14 +289,13 @@
     async def _stream(self, answer: Answer) -> None:
         if not await self._decided(answer):
             return
-        runner, effect, waiting = self._runner, self._effect, self._waiting
+        runner, waiting = self._runner, self._waiting
         await waiting.begin(answer.status, answer.headers)
         splitter = EventSplitter()
         before = waiting.exchange.events
         told = 0
         while True:
-            async with asyncio.timeout(effect.quiet or None):
-                data = await answer.chunk()
+            data = await answer.chunk()
             if not data:
                 break
             whole = splitter.feed(data)
--- a/src/wasabiwick/platform/__init__.py
+++ b/src/wasabiwick/platform/__init__.py
@@ -17,7 +17,7 @@
     endpoints_read,
     routes_read,
 )
-from ._settings import SettingsError, load, metrics_address
+from ._settings import SettingsError, load, metrics_address, stamp
 from ._store import Store
 
 SETTINGS_VARIABLE = "WASABIWICK_CONFIG"  # Environment variable that holds the settings' path.
@@ -27,12 +27,15 @@
     """The platform's store, endpoints and callers, as a host meets them.
 
     Args:
-        cfg: The host's settings.
+        path: The settings file.
+        cfg: The settings that were read from it.
     """
 
-    __slots__ = ("dialect", "endpoints", "register", "_store")
+    __slots__ = ("dialect", "endpoints", "register", "_store", "_path", "_stamp")
 
-    def __init__(self, cfg: Settings) -> None:
+    def __init__(self, path: str, cfg: Settings) -> None:
+        self._path = path
+        self._stamp = stamp(path)
         self._store = Store(cfg.platform.log)
         self.dialect = Callers()
         self.endpoints = PlatformEndpoints(time.monotonic)
@@ -57,19 +60,29 @@
         )
         await asyncio.gather(routes.run(runner), endpoints.run(runner))
 
+    def changed(self) -> bool:
+        """Tell whether the settings file has changed since it was read last."""
+        return stamp(self._path) != self._stamp
+
+    def settings(self) -> Settings:
+        """Read the settings file again."""
+        self._stamp = stamp(self._path)
+        return load(self._path)
+
     async def close(self) -> None:
         """Close all connections."""
         self.endpoints.close()
         await self._store.close()
 
 
-async def run(cfg: Settings) -> None:
+async def run(path: str, cfg: Settings) -> None:
     """Run a host on the platform until it has shut down gracefully.
 
     Args:
-        cfg: Settings that `load` has read.
+        path: The settings file.
+        cfg: Settings that `load` has read from it.
     """
-    await serve(cfg, PlatformSurroundings(cfg), metrics=metrics_address(cfg))
+    await serve(cfg, PlatformSurroundings(path, cfg), metrics=metrics_address(cfg))
 
 
 __all__ = ["SETTINGS_VARIABLE", "PlatformSurroundings", "SettingsError", "load", "run"]
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -7,7 +7,13 @@
 import msgspec
 
 from .._effects_forwarding import Forward, ReadPrompt
-from .._errors import ENDPOINT_FAILED, ENDPOINT_REFUSED, ENDPOINT_SILENT, Failure
+from .._errors import (
+    ENDPOINT_FAILED,
+    ENDPOINT_REFUSED,
+    ENDPOINT_SILENT,
+    ENDPOINT_UNREACHABLE,
+    Failure,
+)
 from .._forwarding import Ask
 from .._http1 import BrokenError, Connection, Header, NotSentError, Pool, encode_request
 from .._ports import Exchange
@@ -124,7 +130,7 @@
         try:
             conn = await self._pool.acquire(effect.endpoint, effect.address, fresh=effect.fresh)
         except NotSentError as exc:
-            return _failure(ENDPOINT_FAILED, Verdict.NOT_RUN, str(exc))
+            return _failure(ENDPOINT_UNREACHABLE, Verdict.NOT_RUN, str(exc))
         try:
             conn.send(data)
             await conn.head()
@@ -177,7 +183,7 @@
                     _check_id(conn, expected)
                 body = await conn.body()
         except NotSentError as exc:
-            return _failure(ENDPOINT_FAILED, Verdict.NOT_RUN, str(exc))
+            return _failure(ENDPOINT_UNREACHABLE, Verdict.NOT_RUN, str(exc))
         except BrokenError as exc:
             conn.close()
             return _failure(ENDPOINT_FAILED, Verdict.MAY_HAVE_RUN, str(exc))
--- a/src/wasabiwick/platform/_feeds.py
+++ b/src/wasabiwick/platform/_feeds.py
@@ -14,8 +14,8 @@
 from . import _names, _records
 from ._store import HistoryLostError, Page, Record, Store, StoreError, failure
 
-ROUTES_WAIT = 3.0  # Seconds of one long poll; shorter than the bound on a silent connection.
-ENDPOINTS_WAIT = 3.0
+ROUTES_WAIT = 2.0  # Seconds of one long poll: an outage that swallowed it is noticed soon after.
+ENDPOINTS_WAIT = 2.0
 ENDPOINTS_PAUSE = 0.7  # Seconds between reads, as endpoints write more often than they change.
 RETRY_FIRST = 0.1  # Seconds; doubled at each failure, and jittered.
 RETRY_LONGEST = 1.0  # Seconds; short against the time in which a configuration has to apply.
@@ -62,7 +62,8 @@
         while True:
             try:
                 whole = position is None
-                page = await self._next(position)
+                # The first read after a failure does not wait, so as to tell at once what changed.
+                page = await self._next(position, self._wait if self._up else 0.0)
             except HistoryLostError as exc:
                 log_event("history_lost", feed=self._name, error=str(exc))
                 position = None
@@ -80,10 +81,10 @@
                 runner.post(event)
             await asyncio.sleep(self._pause)
 
-    async def _next(self, position: int | None) -> Page:
+    async def _next(self, position: int | None, wait: float) -> Page:
         if position is None:
             return await self._store.newest(self._topic)
-        return await self._store.read(self._topic, position, self._wait)
+        return await self._store.read(self._topic, position, wait)
 
     def _note(self, runner: Runner, up: bool, why: str = "") -> None:
         if up != self._up:
--- a/src/wasabiwick/platform/_settings.py
+++ b/src/wasabiwick/platform/_settings.py
@@ -5,9 +5,10 @@
 
 import msgspec
 
+from .._logging import log_event
 from .._settings import Forwarding, Limits, Listen, Platform, Settings, Timing
 
-STOP_MARGIN = 0.7  # Seconds before the platform's kill at which a graceful shutdown ends.
+STOP_MARGIN = 0.5  # Seconds before the platform's kill at which a graceful shutdown ends.
 STOP_NOTICE = 3.2  # Seconds: the platform takes a host out after two misses, a second apart.
 METRICS_PORT = 9464  # As in deploy/system.toml.
 
@@ -62,6 +63,16 @@
     return _settings(file)
 
 
+def stamp(path: str) -> tuple[int, int]:
+    """Return what changes with the settings file: its time of change and its size."""
+    try:
+        found = pathlib.Path(path).stat()
+    except OSError as exc:
+        log_event("settings_missing", level="WARNING", path=path, error=str(exc))
+        return 0, 0
+    return found.st_mtime_ns, found.st_size
+
+
 def metrics_address(cfg: Settings) -> str:
     """Return where metrics are served, as the deploy file states."""
     host, _, _ = cfg.forwarding.datagrams.rpartition(":")
--- a/src/wasabiwick/platform/_store.py
+++ b/src/wasabiwick/platform/_store.py
@@ -13,7 +13,8 @@
 from .._verdict import Verdict
 from . import _names
 
-CALL_TIMEOUT = 2.0  # Seconds for a call that does not wait at the store; it may be slow.
+CALL_TIMEOUT = 1.0  # Seconds beyond the wait: a slow store answers in a quarter of one.
+CONNECT_TIMEOUT = 0.5  # Seconds; a lost opening packet is sent again only after one.
 KEEP_IDLE = 1  # Seconds of silence after which a connection is probed.
 KEEP_INTERVAL = 1  # Seconds between probes.
 KEEP_PROBES = 2
@@ -158,7 +159,7 @@
         if self._session is None:
             connector = aiohttp.TCPConnector(limit=0, socket_factory=_socket)
             self._session = aiohttp.ClientSession(connector=connector)
-        limit = aiohttp.ClientTimeout(total=timeout)
+        limit = aiohttp.ClientTimeout(total=timeout, sock_connect=CONNECT_TIMEOUT)
         try:
             async with self._session.request(
                 method, self._url + path, params=query, data=body, timeout=limit
