--- a/src/wasabiwick/_adapters/_datagrams.py
+++ b/src/wasabiwick/_adapters/_datagrams.py
@@ -15,6 +15,7 @@
 class LoadDatagram(msgspec.Struct, array_like=True):
     """A host's load.
 
+    ``busy`` holds milliseconds by endpoint for which an order may take.
     ``loads`` holds by endpoint the running requests, the prompt tokens under way, and the streams:
     prompt and expected output in tokens, and milliseconds since the first token, or less than 0.
     """
@@ -26,6 +27,7 @@
     sequence: int
     waiting: int
     stopping: bool
+    busy: dict[str, int]
     loads: dict[str, tuple[int, int, list[tuple[int, int, int]]]]
 
 
@@ -72,6 +74,7 @@
                 sequence=effect.sequence,
                 waiting=effect.waiting,
                 stopping=effect.stopping,
+                busy={name: int(left * 1000) for name, left in effect.busy.items()},
                 loads={
                     name: (
                         one.running,
@@ -118,6 +121,7 @@
                 loads=loads,
                 waiting=told.waiting,
                 stopping=told.stopping,
+                busy={name: left / 1000 for name, left in told.busy.items()},
             )
         )
 
--- a/src/wasabiwick/_effects_forwarding.py
+++ b/src/wasabiwick/_effects_forwarding.py
@@ -170,9 +170,12 @@
 
 
 class TellLoad(Effect):
-    """Tell other hosts what this one has under way at endpoints."""
+    """Tell other hosts what this one has under way at endpoints.
 
-    __slots__ = ("addresses", "sequence", "loads", "waiting", "stopping")
+    ``busy`` holds the endpoints that carry an order out, with the seconds that this may take.
+    """
+
+    __slots__ = ("addresses", "sequence", "loads", "waiting", "stopping", "busy")
 
     def __init__(
         self,
@@ -182,12 +185,43 @@
         loads: dict[str, EndpointLoad],
         waiting: int,
         stopping: bool,
+        busy: dict[str, float],
     ) -> None:
         self.addresses = tuple(addresses)
         self.sequence = sequence
         self.loads = loads
         self.waiting = waiting
         self.stopping = stopping
+        self.busy = busy
+
+
+class ReadClaims(Effect):
+    """Read the last claim to give orders."""
+
+    __slots__ = ()
+
+
+class ClaimOrders(Effect):
+    """Claim the right to give orders, if no claim came since the log ended at ``after``."""
+
+    __slots__ = ("after", "holder")
+
+    def __init__(self, *, after: int, holder: str) -> None:
+        self.after = after
+        self.holder = holder
+
+
+class OrderStage(Effect):
+    """Order an engine to change its stage; ``fence`` is higher than that of any earlier holder."""
+
+    __slots__ = ("endpoint", "address", "stage", "holder", "fence")
+
+    def __init__(self, *, endpoint: str, address: str, stage: str, holder: str, fence: int) -> None:
+        self.endpoint = endpoint
+        self.address = address
+        self.stage = stage
+        self.holder = holder
+        self.fence = fence
 
 
 class AnnounceHost(Effect):
--- a/src/wasabiwick/_events/__init__.py
+++ b/src/wasabiwick/_events/__init__.py
@@ -23,6 +23,8 @@
 )
 from ._forwarding import (
     AnswerCame,
+    ClaimAnswered,
+    ClaimsRead,
     EndpointsRead,
     FeedChanged,
     ForwardAnswered,
@@ -38,6 +40,7 @@
     PromptAnswered,
     RoutesRead,
     SettingsRead,
+    StageAnswered,
     StreamDone,
     StreamMoved,
     TryFailed,
@@ -89,6 +92,8 @@
     "CallArrived",
     "CallerGone",
     "CancelAnswered",
+    "ClaimAnswered",
+    "ClaimsRead",
     "EndpointsRead",
     "EngineReported",
     "EngineSilent",
@@ -129,6 +134,7 @@
     "SlotFreed",
     "SlotHeld",
     "SlotWanted",
+    "StageAnswered",
     "StopAsked",
     "StreamDone",
     "StreamEnded",
--- a/src/wasabiwick/_events/_forwarding.py
+++ b/src/wasabiwick/_events/_forwarding.py
@@ -94,11 +94,11 @@
 class LoadTold(Event):
     """Another host told what it has under way at endpoints.
 
-    ``address`` is where the sender takes datagrams. ``repeats`` holds, by service, the requests
-    that it sent to a second endpoint lately.
+    ``address`` is where the sender takes datagrams. ``busy`` holds the endpoints that carry an
+    order out, with the seconds that this may take.
     """
 
-    __slots__ = ("sender", "zone", "address", "sequence", "loads", "waiting", "stopping")
+    __slots__ = ("sender", "zone", "address", "sequence", "loads", "waiting", "stopping", "busy")
 
     def __init__(
         self,
@@ -111,6 +111,7 @@
         loads: dict[str, EndpointLoad],
         waiting: int,
         stopping: bool = False,
+        busy: dict[str, float] | None = None,
     ) -> None:
         super().__init__(at=at)
         self.sender = sender
@@ -120,6 +121,7 @@
         self.loads = loads
         self.waiting = waiting
         self.stopping = stopping
+        self.busy = busy or {}
 
 
 class ForwardArrived(Event):
@@ -255,6 +257,38 @@
         self.events = events
 
 
+class ClaimsRead(Event):
+    """The last claim to give orders was read; ``holder`` is empty where there was none."""
+
+    __slots__ = ("end", "holder")
+
+    def __init__(self, *, at: float, end: int, holder: str) -> None:
+        super().__init__(at=at)
+        self.end = end
+        self.holder = holder
+
+
+class ClaimAnswered(Event):
+    """A claim to give orders was taken at an offset, or not: then ``offset`` is -1."""
+
+    __slots__ = ("offset",)
+
+    def __init__(self, *, at: float, offset: int) -> None:
+        super().__init__(at=at)
+        self.offset = offset
+
+
+class StageAnswered(Event):
+    """An engine answered an order to change its stage, or did not; ``failure`` says why."""
+
+    __slots__ = ("endpoint", "failure")
+
+    def __init__(self, *, at: float, endpoint: str, failure: Failure | None) -> None:
+        super().__init__(at=at)
+        self.endpoint = endpoint
+        self.failure = failure
+
+
 class LoadChanged(Event):
     """Internal: what this host has under way at endpoints has changed."""
 
--- a/src/wasabiwick/_forwarding.py
+++ b/src/wasabiwick/_forwarding.py
@@ -88,10 +88,11 @@
         memory_tokens: Tokens of KV cache that an engine holds.
         hold_time: Longest time for which a place can be held, in seconds; 0 where none can.
         handle_time: Seconds for which an engine keeps a prefilled prompt for others.
+        switch_time: Seconds for which an engine serves nobody while it changes its stage.
         stride: Most tokens in one event of a stream.
     """
 
-    __slots__ = ("slots", "memory_tokens", "hold_time", "handle_time", "stride")
+    __slots__ = ("slots", "memory_tokens", "hold_time", "handle_time", "switch_time", "stride")
 
     def __init__(
         self,
@@ -100,12 +101,14 @@
         memory_tokens: int,
         hold_time: float,
         handle_time: float,
+        switch_time: float = 0.0,
         stride: int = 1,
     ) -> None:
         self.slots = slots
         self.memory_tokens = memory_tokens
         self.hold_time = hold_time
         self.handle_time = handle_time
+        self.switch_time = switch_time
         self.stride = stride
 
 
--- a/src/wasabiwick/_handlers/__init__.py
+++ b/src/wasabiwick/_handlers/__init__.py
@@ -35,6 +35,7 @@
     forward_waiting,
     forward_streams,
     forward_arrivals,
+    stages,
 )
 
 __all__ = [
@@ -72,4 +73,5 @@
     "forward_waiting",
     "forward_streams",
     "forward_arrivals",
+    "stages",
 ]
--- a/src/wasabiwick/_handlers/directory.py
+++ b/src/wasabiwick/_handlers/directory.py
@@ -22,15 +22,17 @@
     """Endpoints by name, the offset of each name's entry, and when the list was last read.
 
     ``lapsed`` holds endpoints that dropped out of the list around an outage of its source, with
-    the monotonic time until which they are still used.
+    the monotonic time until which they are still used; ``busy`` holds those that carry an order
+    out, with the time until which that may take.
     """
 
-    __slots__ = ("endpoints", "offsets", "lapsed", "read_at", "up_since", "is_up")
+    __slots__ = ("endpoints", "offsets", "lapsed", "busy", "read_at", "up_since", "is_up")
 
     def __init__(self, cfg: Settings) -> None:
         self.endpoints: dict[str, Endpoint] = {}
         self.offsets: dict[str, int] = {}
         self.lapsed: dict[str, float] = {}
+        self.busy: dict[str, float] = {}
         self.read_at = 0.0
         self.up_since = float("-inf")
         self.is_up = True
@@ -47,6 +49,29 @@
     return one is not None and not one.leaving
 
 
+def is_fresh(state: State) -> bool:
+    """Tell whether the list's source answers."""
+    return state["directory"].is_up
+
+
+def is_busy(state: State, name: str, at: float) -> bool:
+    """Tell whether an endpoint may be carrying an order out, and refuse work."""
+    return state["directory"].busy.get(name, 0.0) > at
+
+
+def set_busy(state: State, name: str, until: float) -> None:
+    """Note until when an endpoint carries an order out."""
+    state["directory"].busy[name] = until
+
+
+def busy(state: State, at: float) -> dict[str, float]:
+    """Return the endpoints that carry an order out, with the seconds that this may take."""
+    known = state["directory"].busy
+    for name in [name for name, until in known.items() if until <= at]:
+        del known[name]
+    return {name: until - at for name, until in known.items()}
+
+
 def usable(state: State, service: str, stage: str = "") -> list[Endpoint]:
     """Return the endpoints of a service that may get new work, those of one stage if named."""
     return [
@@ -92,6 +117,8 @@
     if old == new:
         return False
     if old is None or (old.leaving, old.stage, old.born) != (new.leaving, new.stage, new.born):
+        if old is not None and old.stage != new.stage:
+            mine.busy.pop(new.name, None)  # The order has been carried out.
         fields = {
             "endpoint": new.name,
             "service": new.service,
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -41,7 +41,9 @@
 
 def start(state: State, req: Forwarded, at: float) -> typing.Iterator[Step]:
     """Let a generation wait for a place, unless no engine could ever hold it."""
-    traits = routes.service(state, req.service).engine
+    service = routes.service(state, req.service)
+    traits = service.engine
+    places.observe_sizes(state, service, req.route.name, req.ask)
     if req.ask.prompt_tokens + 1 > traits.memory_tokens:
         yield from forwarding.refuse(
             state, req, at, OVERLOADED, detail="the prompt is larger than an engine's memory"
@@ -89,6 +91,7 @@
     req.prefills += 1
     req.phase = forwarding.READING
     req.reader, req.reading = reader, tokens
+    req.read_alone = places.load(state, reader.name, at).reading == 0
     req.sent_at = at
     places.add_reading(state, reader.name, tokens)
     yield forwarding.log("prefill_sent", req, state, at, endpoint=reader.name, tokens=tokens)
@@ -132,6 +135,8 @@
     health.succeeded(state, event.endpoint)
     yield Count(metric="prefills", label="done")
     yield Observe(metric="prefill_time", label="", value=event.at - req.sent_at)
+    if req.read_alone:
+        places.observe_read(state, req.ask.prompt_tokens, event.at - req.sent_at)
     req.handle = event.handle
     yield from _send(state, req, event.at)
 
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -39,6 +39,7 @@
         rejected: Endpoints that refused it or failed, which are asked again last.
         place: Endpoint whose ledger counts it.
         reader: Engine that prefills it, while that is under way or its handle is not fetched.
+        read_alone: Whether that engine had no other prompt to prefill, as far as is known.
         hold: Place held at the engine and not used yet.
         handle: KV cache at the reader that is not fetched yet.
         events: Events that the caller got.
@@ -59,6 +60,7 @@
         "place",
         "reader",
         "reading",
+        "read_alone",
         "prefills",
         "hold",
         "handle",
@@ -82,6 +84,7 @@
         self.place: Endpoint | None = None
         self.reader: Endpoint | None = None
         self.reading = 0
+        self.read_alone = False
         self.prefills = 0
         self.hold = ""
         self.handle = ""
--- a/src/wasabiwick/_handlers/health.py
+++ b/src/wasabiwick/_handlers/health.py
@@ -3,7 +3,7 @@
 import enum
 import typing
 
-from .._effects import Count, StartTimer
+from .._effects import Count, LogLine, StartTimer
 from .._events import (
     AttemptFailed,
     EngineReported,
@@ -22,6 +22,7 @@
 FIRST_EJECTION = 1.0  # Seconds; doubled at each failed probe.
 LONGEST_EJECTION = 30.0  # Seconds.
 JITTER = 0.2  # Share of an ejection that is added at random.
+LONGEST_UNREACHABLE = 3.0  # Seconds; partitions end, and then every endpoint is wanted.
 MAX_EJECTED = 0.5  # Share of a service's endpoints that may be ejected at once.
 PROBE_TIME = 5.0  # Seconds after which a probe without any result is given up.
 SERVER_ERROR = 500
@@ -101,6 +102,19 @@
     yield StartTimer(timer="probe", key=name, delay=delay)
 
 
+def unreachable(state: State, name: str) -> typing.Iterator[Step]:
+    """Eject an endpoint that takes no connection; no floor applies, as nothing could be served."""
+    known = state["health"].endpoints.setdefault(name, Endpoint())
+    if known.phase is Phase.EJECTED:
+        return
+    known.failures = max(EJECT_AFTER, known.failures + 1)
+    known.phase = Phase.EJECTED
+    known.ejection = min(LONGEST_UNREACHABLE, max(FIRST_EJECTION, 2 * known.ejection))
+    yield Count(metric="ejected", label=name)
+    yield LogLine(event="endpoint_unreachable", fields={"endpoint": name, "for": known.ejection})
+    yield StartTimer(timer="probe", key=name, delay=known.ejection)
+
+
 @on_timer("probe")
 def half_open(state: State, event: TimerFired) -> typing.Iterator[Step]:
     """Let one probe through, and another one later if the first gives no result."""
--- a/src/wasabiwick/_handlers/neighbours.py
+++ b/src/wasabiwick/_handlers/neighbours.py
@@ -22,6 +22,7 @@
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
+from . import directory
 
 TELL_INTERVAL = 1.0  # Seconds between datagrams of a host whose load does not change.
 TELL_DELAY = 0.01  # Seconds in which changes are gathered into one datagram.
@@ -140,6 +141,9 @@
     one.heard = event.at
     one.waiting = event.waiting
     one.stopping = event.stopping
+    for endpoint, seconds in event.busy.items():
+        if not directory.is_busy(state, endpoint, event.at):
+            directory.set_busy(state, endpoint, event.at + seconds)
     if one.loads != event.loads:
         one.loads = event.loads
         yield PlacesChanged(at=event.at)
@@ -184,6 +188,11 @@
     yield StartTimer(timer="tell", delay=TELL_INTERVAL)
 
 
+def tell_now(state: State, at: float) -> typing.Iterator[Step]:
+    """Tell the others at once what they have to know before they choose an endpoint."""
+    yield from _tell(state, at)
+
+
 def _tell(state: State, at: float) -> typing.Iterator[Step]:
     mine = state["neighbours"]
     mine.told_at = at
@@ -202,4 +211,5 @@
             loads=loads,
             waiting=waiting,
             stopping=state.stopping,
+            busy=directory.busy(state, at),
         )
--- a/src/wasabiwick/_handlers/places.py
+++ b/src/wasabiwick/_handlers/places.py
@@ -9,19 +9,24 @@
 - Plain requests: the endpoint with the least work for its slots, in the own zone first.
 """
 
-from .._forwarding import DECODE, PREFILL, Ask, Endpoint, EndpointLoad, StreamLoad
+from .._forwarding import DECODE, PREFILL, Ask, Endpoint, EndpointLoad, ServiceTraits, StreamLoad
 from .._settings import Settings
 from .._state import State, state_slice
 from . import directory, health, neighbours, routes
 from .memory import READY_TIME, Projection
-from .predict import Mean, Rate
+from .predict import IntervalLine, Mean, Rate
 
 BLOCK_TOKENS = 16  # Engines give memory out in blocks of this size.
 HOLD_OUTPUT = 64  # Output tokens that a hold takes in: what a stream needs to get under way.
 CAUTION = 1.5  # Standard deviations of projected memory that are kept free.
 PRIOR_OUTPUT_SHARE = 0.4  # Expected output as a share of the longest, before any was seen.
 PRIOR_TOKEN_RATE = 250.0  # Tokens per second of a stream, before any was seen.
-PRIOR_READ_RATE = 16_000.0  # Prompt tokens per second of a prefill engine, before any was seen.
+PRIOR_PROMPT_SHARE = 0.85  # Prompt and output of a stream as shares of an engine's memory
+PRIOR_OUTPUT_OF_PLACE = 0.25  # per slot, before any was seen.
+PRIOR_READ_RATE = 25_000.0  # Prompt tokens per second of a prefill engine, before any was seen,
+PRIOR_READ_BASE = 0.08  # and the seconds that a prefill takes besides.
+READ_SPAN = 2_000  # Tokens over which the rate is taken from the line of times.
+MIN_READ_TIME = 0.01  # Seconds for them; keeps the rate finite on a line that noise made flat.
 ZONE_TIME = 0.15  # Seconds of prefill wait that are accepted to keep the KV cache in its zone.
 ZONE_LOAD = 1.0  # Work per slot of the own zone's best endpoint at which other zones are used.
 FULL_TIME = 0.06  # Seconds for which an engine that refused a hold is not asked again.
@@ -42,14 +47,16 @@
 class PlacesState:
     """This host's load at endpoints, engines that were full lately, and learned sizes and rates."""
 
-    __slots__ = ("own", "full_until", "outputs", "token_rate", "read_rate")
+    __slots__ = ("own", "full_until", "outputs", "prompts", "sizes", "token_rate", "read_line")
 
     def __init__(self, cfg: Settings) -> None:
         self.own: dict[str, OwnLoad] = {}
         self.full_until: dict[str, float] = {}
         self.outputs: dict[str, Mean] = {}  # Output as a share of the longest, by route.
+        self.prompts: dict[str, Mean] = {}  # Tokens, by service.
+        self.sizes: dict[str, Mean] = {}  # Output tokens, by service.
         self.token_rate = Rate(PRIOR_TOKEN_RATE)
-        self.read_rate = Rate(PRIOR_READ_RATE)
+        self.read_line = IntervalLine(base=PRIOR_READ_BASE, slope=1 / PRIOR_READ_RATE)
 
 
 def take(state: State, endpoint: str, call_id: str, stream: StreamLoad | None) -> None:
@@ -118,6 +125,42 @@
     return int(share * ask.max_tokens)
 
 
+def observe_sizes(state: State, service: ServiceTraits, route: str, ask: Ask) -> None:
+    """Learn from a request that came in: those that end first would tell of short ones only."""
+    mine = state["places"]
+    prompt, output = mean_sizes(state, service)
+    expected = expected_output(state, route, ask)
+    if ask.prompt_tokens and expected:
+        mine.prompts.setdefault(service.name, Mean(prompt)).observe(ask.prompt_tokens)
+        mine.sizes.setdefault(service.name, Mean(output)).observe(expected)
+
+
+def observe_read(state: State, tokens: int, seconds: float) -> None:
+    """Learn from a prompt that an engine had for itself; a part of its time is the same for all."""
+    state["places"].read_line.observe(tokens, seconds)
+
+
+def read_rate(state: State) -> float:
+    """Return the prompt tokens per second that a prefill engine gets through."""
+    line = state["places"].read_line
+    return READ_SPAN / max(MIN_READ_TIME, line.at(2 * READ_SPAN) - line.at(READ_SPAN))
+
+
+def mean_sizes(state: State, service: ServiceTraits) -> tuple[float, float]:
+    """Return the mean prompt and output of a service's generations, in tokens.
+
+    Before any was seen, streams are taken to be as large as lets an engine use all of its slots.
+    """
+    mine = state["places"]
+    place = service.engine.memory_tokens / service.engine.slots
+    prompt = mine.prompts.get(service.name)
+    output = mine.sizes.get(service.name)
+    return (
+        prompt.value if prompt else PRIOR_PROMPT_SHARE * place,
+        output.value if output else PRIOR_OUTPUT_OF_PLACE * place,
+    )
+
+
 def observe_output(state: State, route: str, ask: Ask, tokens: int) -> None:
     """Learn from a generation that ended."""
     if ask.max_tokens:
@@ -177,7 +220,7 @@
     mine = state["places"]
     found = []
     for one in directory.usable(state, service, DECODE):
-        if mine.full_until.get(one.name, 0.0) > at or not health.usable(state, one.name):
+        if mine.full_until.get(one.name, 0.0) > at or not _takes_work(state, one, at):
             continue
         known = load(state, one.name, at)
         slots = min(one.slots, traits.engine.slots)
@@ -218,17 +261,21 @@
     state: State, service: str, zone: str, tokens: int, at: float, avoid: list[str]
 ) -> Endpoint | None:
     """Return the prefill engine that is done with a prompt first, or None if there is none."""
-    rate = state["places"].read_rate
+    rate = read_rate(state)
 
     def cost(one: Endpoint) -> tuple[bool, float]:
-        wait = rate.seconds(load(state, one.name, at).reading + tokens)
+        wait = (load(state, one.name, at).reading + tokens) / rate
         return one.name in avoid, wait + (0.0 if one.zone == zone else ZONE_TIME)
 
     able = directory.usable(state, service, PREFILL)
-    usable = [one for one in able if health.usable(state, one.name)]
+    usable = [one for one in able if _takes_work(state, one, at)]
     return min(usable, key=cost, default=None)
 
 
+def _takes_work(state: State, one: Endpoint, at: float) -> bool:
+    return health.usable(state, one.name) and not directory.is_busy(state, one.name, at)
+
+
 def choose_plain(state: State, service: str, at: float, avoid: list[str]) -> Endpoint | None:
     """Return the endpoint of a plain service with the least work for its slots, or None."""
     able = [one for one in directory.usable(state, service) if one.name not in avoid]
--- a/src/wasabiwick/_metrics.py
+++ b/src/wasabiwick/_metrics.py
@@ -196,6 +196,7 @@
     _counter("prefills_in_vain", "KV caches freed because nobody fetched them."),
     _counter("routes_changed", "Versions of the routes put in force."),
     _counter("endpoint_changes", "Changes of the directory of endpoints.", "change"),
+    _counter("stage_orders", "Orders to engines to change their stage.", "stage"),
     _counter("feed_changes", "Losses and returns of sources of facts.", "up or down"),
 )
 _section(
--- a/src/wasabiwick/_performers/forwarding.py
+++ b/src/wasabiwick/_performers/forwarding.py
@@ -4,11 +4,14 @@
 
 from .._effects_forwarding import (
     AnnounceHost,
+    ClaimOrders,
     CutForward,
     DropHold,
     DropTry,
     Forward,
     FreeHandle,
+    OrderStage,
+    ReadClaims,
     ReadPrompt,
     RefuseForward,
     Relay,
@@ -19,9 +22,12 @@
 from .._event_stream import EventSplitter
 from .._events import (
     AnswerCame,
+    ClaimAnswered,
+    ClaimsRead,
     HoldAnswered,
     HostFound,
     PromptAnswered,
+    StageAnswered,
     StreamDone,
     StreamMoved,
     TryFailed,
@@ -187,6 +193,45 @@
     runner.ports.datagrams.tell(runner.owner, runner.state.zone, effect)
 
 
+@performs(ReadClaims)
+def read_claims(runner: Runner, effect: ReadClaims) -> None:
+    """Read the last claim to give orders."""
+    runner.spawn("claims", _read_claims(runner))
+
+
+async def _read_claims(runner: Runner) -> None:
+    found = await runner.ports.register.last_claim()
+    if isinstance(found, Failure):
+        log_event("claims_not_read", level="WARNING", reason=found.detail)
+        return
+    runner.post(ClaimsRead(at=runner.now(), end=found[0], holder=found[1]))
+
+
+@performs(ClaimOrders)
+def claim_orders(runner: Runner, effect: ClaimOrders) -> None:
+    """Claim the right to give orders."""
+    runner.spawn("claim", _claim_orders(runner, effect))
+
+
+async def _claim_orders(runner: Runner, effect: ClaimOrders) -> None:
+    offset = await runner.ports.register.claim(effect.holder, effect.after)
+    if isinstance(offset, Failure):
+        log_event("claim_not_taken", reason=offset.detail)
+        offset = -1
+    runner.post(ClaimAnswered(at=runner.now(), offset=offset))
+
+
+@performs(OrderStage)
+def order_stage(runner: Runner, effect: OrderStage) -> None:
+    """Order an engine to change its stage."""
+    runner.spawn(f"order/{effect.endpoint}", _order_stage(runner, effect))
+
+
+async def _order_stage(runner: Runner, effect: OrderStage) -> None:
+    failure = await runner.ports.endpoints.order_stage(effect)
+    runner.post(StageAnswered(at=runner.now(), endpoint=effect.endpoint, failure=failure))
+
+
 @performs(AnnounceHost)
 def announce(runner: Runner, effect: AnnounceHost) -> None:
     """Enter this host in the list of hosts and read the others, until both have worked."""
--- a/src/wasabiwick/_ports/endpoints.py
+++ b/src/wasabiwick/_ports/endpoints.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from .._effects_forwarding import Forward, ReadPrompt
+from .._effects_forwarding import Forward, OrderStage, ReadPrompt
 from .._errors import Failure
 
 
@@ -62,6 +62,9 @@
     async def drop_hold(self, endpoint: str, address: str, hold: str) -> Failure | None:
         """Give a reserved place back."""
 
+    async def order_stage(self, effect: OrderStage) -> Failure | None:
+        """Order an engine to change its stage."""
+
     async def read_prompt(
         self, exchange: Exchange, effect: ReadPrompt, *, seconds: float
     ) -> str | Failure:
--- a/src/wasabiwick/_ports/neighbours.py
+++ b/src/wasabiwick/_ports/neighbours.py
@@ -17,10 +17,16 @@
 
 
 class HostRegister(typing.Protocol):
-    """The list in which hosts find each other."""
+    """What hosts keep for each other: the list of hosts, and claims to give orders."""
 
     async def announce(self, host: str, address: str, zone: str) -> Failure | None:
         """Enter a host."""
 
+    async def last_claim(self) -> tuple[int, str] | Failure:
+        """Return where the log of claims ends, and the holder of the last one."""
+
+    async def claim(self, holder: str, after: int) -> int | Failure:
+        """Claim the right to give orders, if no claim came since; returns its offset."""
+
     async def hosts(self) -> list[tuple[str, str, str]] | Failure:
         """Return name, address and zone of all hosts that ever entered."""
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from .._effects_forwarding import Forward, ReadPrompt
+from .._effects_forwarding import Forward, OrderStage, ReadPrompt
 from .._errors import (
     ENDPOINT_FAILED,
     ENDPOINT_REFUSED,
@@ -21,6 +21,7 @@
 from . import _names
 
 HOLD_TIMEOUT = 0.5  # Seconds; an engine answers a hold at once, and lets it lapse by itself.
+ORDER_TIMEOUT = 0.8  # Seconds; shorter than the term of the claim under which it is sent.
 DROP_TIMEOUT = 0.5  # Seconds; what is not dropped lapses by itself.
 DEFAULT_DEADLINE = 30.0  # Seconds for a caller that names none.
 EVENT_STREAM = "text/event-stream"
@@ -99,6 +100,24 @@
         """Let an engine drop a KV cache."""
         return await self._drop(endpoint, address, _names.KV_HANDLE + handle)
 
+    async def order_stage(self, effect: OrderStage) -> Failure | None:
+        """Order an engine to change its stage."""
+        order = {
+            "op": "stage",
+            "stage": effect.stage,
+            "holder": effect.holder,
+            "fencing-token": effect.fence,
+        }
+        answer = await self._ask(
+            effect.endpoint,
+            effect.address,
+            "POST",
+            _names.ORDER,
+            body=msgspec.json.encode(order),
+            timeout=ORDER_TIMEOUT,
+        )
+        return answer if isinstance(answer, Failure) else None
+
     async def read_prompt(
         self, exchange: Exchange, effect: ReadPrompt, *, seconds: float
     ) -> str | Failure:
@@ -172,7 +191,7 @@
     async def _ask_raw(
         self, endpoint: str, address: str, data: bytes, *, timeout: float, expected: bytes = b""
     ) -> bytes | Failure:
-        """Send a call that gives the caller nothing, and return the body of a 200."""
+        """Send a call that gives the caller nothing, and return the body of a success."""
         conn = None
         try:
             async with asyncio.timeout(timeout):
@@ -198,7 +217,7 @@
             raise
         status = conn.status
         self._pool.release(endpoint, address, conn)
-        if status != 200:
+        if status not in (200, 202):
             return _failure(ENDPOINT_REFUSED, Verdict.NOT_RUN, f"status {status}")
         return body
 
--- a/src/wasabiwick/platform/_feeds.py
+++ b/src/wasabiwick/platform/_feeds.py
@@ -124,7 +124,7 @@
 
 
 class Register:
-    """The list in which entry hosts find each other.
+    """What entry hosts keep in the store: the list in which they find each other, and claims.
 
     Args:
         store: Client of the store.
@@ -138,7 +138,23 @@
     async def announce(self, host: str, address: str, zone: str) -> Failure | None:
         """Enter a host."""
         value = msgspec.json.encode(_records.HostRecord(address=address, zone=zone))
-        return await self._store.append(_names.HOSTS_TOPIC, host, value)
+        offset = await self._store.append(_names.HOSTS_TOPIC, host, value)
+        return offset if isinstance(offset, Failure) else None
+
+    async def last_claim(self) -> tuple[int, str] | Failure:
+        """Return where the log of claims ends, and the holder of the last one."""
+        try:
+            page = await self._store.newest(_names.CLAIMS_TOPIC)
+            values = [one.value for one in page.records if one.key == _names.CLAIM_KEY]
+            holder = _records.claim(values[-1] or b"").holder if values else ""
+        except (StoreError, HistoryLostError, msgspec.MsgspecError) as exc:
+            return failure(exc)
+        return page.next, holder
+
+    async def claim(self, holder: str, after: int) -> int | Failure:
+        """Claim the right to give orders, if no claim came since; returns its offset."""
+        value = msgspec.json.encode(_records.ClaimRecord(holder=holder))
+        return await self._store.append(_names.CLAIMS_TOPIC, _names.CLAIM_KEY, value, after=after)
 
     async def hosts(self) -> list[tuple[str, str, str]] | Failure:
         """Return name, address and zone of all hosts that ever entered."""
--- a/src/wasabiwick/platform/_names.py
+++ b/src/wasabiwick/platform/_names.py
@@ -52,6 +52,7 @@
 READY_PATH = "/v1/readyz"
 HOLD_TAKE = "/v1/hold-take"
 HOLD_DROP = "/v1/hold-drop/"
+ORDER = "/v1/order"
 KV_HANDLE = "/v1/kv-handle/"
 
 LOG_APPEND = "/v1/log-append"
@@ -60,5 +61,7 @@
 
 OPERATOR_TOPIC = "keyed.op"
 SERVERS_TOPIC = "keyed.servers"
+CLAIMS_TOPIC = "keyed.orders"  # Ours: who may give orders.
+CLAIM_KEY = "claim"
 HOSTS_TOPIC = "keyed.hosts"  # Ours: how entry hosts find each other.
 CONFIG_KEY = "config"
--- a/src/wasabiwick/platform/_records.py
+++ b/src/wasabiwick/platform/_records.py
@@ -41,6 +41,7 @@
     kv_capacity_tokens: int
     kv_hold_s: float = 0.5
     hold_ms: float = 0.0
+    switch_s: float = 0.0
     stride: int = 1
 
 
@@ -67,6 +68,12 @@
     born: int = 0
 
 
+class ClaimRecord(msgspec.Struct):
+    """A host's claim to give orders."""
+
+    holder: str
+
+
 class HostRecord(msgspec.Struct):
     """What an entry host writes of itself; ``address`` takes datagrams."""
 
@@ -76,6 +83,7 @@
 
 _CONFIG = msgspec.json.Decoder(_Config)
 _SERVER = msgspec.json.Decoder(_Server)
+_CLAIM = msgspec.json.Decoder(ClaimRecord)
 _HOST = msgspec.json.Decoder(HostRecord)
 
 
@@ -117,6 +125,7 @@
         memory_tokens=engine.kv_capacity_tokens,
         hold_time=engine.hold_ms / MS,
         handle_time=engine.kv_hold_s,
+        switch_time=engine.switch_s,
         stride=engine.stride,
     )
     return ServiceTraits(name=one.name, max_connections=one.max_connections, engine=traits)
@@ -152,3 +161,12 @@
         msgspec.MsgspecError: If it is no such record.
     """
     return _HOST.decode(value)
+
+
+def claim(value: bytes) -> ClaimRecord:
+    """Decode a claim to give orders.
+
+    Raises:
+        msgspec.MsgspecError: If it is none.
+    """
+    return _CLAIM.decode(value)
--- a/src/wasabiwick/platform/_store.py
+++ b/src/wasabiwick/platform/_store.py
@@ -64,6 +64,10 @@
     more: bool = False
 
 
+class _Appended(msgspec.Struct):
+    offset: int
+
+
 class Store:
     """Client of the store.
 
@@ -130,17 +134,28 @@
                 records.append(record)
         return Page(records=records, next=start + len(contents))
 
-    async def append(self, topic: str, key: str, value: bytes) -> Failure | None:
-        """Append one keyed record; None once the store has acknowledged it."""
+    async def append(
+        self, topic: str, key: str, value: bytes, *, after: int | None = None
+    ) -> int | Failure:
+        """Append one keyed record and return its offset once the store has acknowledged it.
+
+        Args:
+            topic: Name of the topic.
+            key: The record's key.
+            value: Its value.
+            after: Where the topic has to end for the record to be taken, or None.
+        """
         name = key.encode()
         content = bytes([len(name)]) + name + value
         body = _LENGTH.pack(len(content)) + content
         query = {"topic": topic, "part": "0"}
+        if after is not None:
+            query["at"] = str(after)
         try:
-            await self._call("POST", _names.LOG_APPEND, query, body=body)
-        except (StoreError, HistoryLostError) as exc:
+            answer = await self._call("POST", _names.LOG_APPEND, query, body=body)
+            return msgspec.json.decode(answer, type=_Appended).offset
+        except (StoreError, HistoryLostError, msgspec.MsgspecError) as exc:
             return failure(exc)
-        return None
 
     async def close(self) -> None:
         """Close all connections."""
