Count refused prefills as repeats, and leave full or changed engines alone

The first prefill of a request was taken to be free, but only one that an engine accepts is; another engine had been ordered away on a read rate of 60,000 tokens/s, learned from few prompts; and 30 calls went to an engine that had another stage by then. Now: refusals are charged; an engine that refused a prompt gets none for 0.3 s; 421 takes it out for 2 s; no place is taken while prompts queue for 0.8 s; the learned rate stays within 1.5 of the prior; two engines of each stage are left.

--- a/src/wasabiwick/_errors.py
+++ b/src/wasabiwick/_errors.py
@@ -106,6 +106,7 @@
 ENDPOINT_FAILED = Reason("endpoint_failed", 502, "the endpoint failed")
 ENDPOINT_UNREACHABLE = Reason("endpoint_unreachable", 502, "the endpoint takes no connection")
 ENDPOINT_REFUSED = Reason("endpoint_refused", 503, "the endpoint refused the work")
+ENDPOINT_CHANGED = Reason("endpoint_changed", 503, "the endpoint serves something else by now")
 ENDPOINT_LEAVING = Reason("endpoint_leaving", 503, "the endpoint is leaving")
 ENDPOINT_SILENT = Reason("endpoint_silent", 504, "the endpoint stopped answering")
 DEADLINE_PASSED = Reason("deadline_passed", 504, "the deadline passed")
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -9,7 +9,13 @@
 
 from .._effects import Count, LogLine, Observe
 from .._effects_forwarding import DropTry, Forward, ReadPrompt, Relay
-from .._errors import ENDPOINT_FAILED, ENDPOINT_REFUSED, ENDPOINT_UNREACHABLE, OVERLOADED
+from .._errors import (
+    ENDPOINT_CHANGED,
+    ENDPOINT_FAILED,
+    ENDPOINT_REFUSED,
+    ENDPOINT_UNREACHABLE,
+    OVERLOADED,
+)
 from .._events import (
     AnswerCame,
     HoldAnswered,
@@ -36,6 +42,8 @@
 
 BASE_PRIORITY = 4  # Rank at engines of the most urgent route; 5 is theirs where none is told.
 LOWEST_PRIORITY = 9
+CHANGED_TIME = 2.0  # Seconds in which the list should tell what an endpoint has become.
+MISDIRECTED = 421
 SILENCE = 2.5  # Seconds without a head after which a resumable stream is begun elsewhere.
 
 
@@ -84,7 +92,7 @@
     """Prefill at another engine; where that can't be, the decode engine does it itself."""
     tokens = req.ask.prompt_tokens
     reader = places.choose_prefill(state, req.service, req.place.zone, tokens, at, req.rejected)
-    free = req.prefills == 0
+    free = req.prefills == 0 and retry_budget.left(state, req.service, at) >= 1.0
     if reader is None or not (free or retry_budget.take(state, req.service, at)):
         yield from _send(state, req, at)
         return
@@ -116,6 +124,7 @@
         return
     yield from forwarding.finish_reading(state, req, event.at)
     if event.failure is not None:
+        unreached = event.failure.reason is ENDPOINT_UNREACHABLE
         yield Count(metric="prefills", label=event.failure.reason.code)
         yield forwarding.log(
             "prefill_failed",
@@ -126,7 +135,14 @@
             reason=event.failure.reason.code,
             cause=event.failure.detail,
         )
-        if event.failure.reason is not ENDPOINT_REFUSED:
+        if event.failure.verdict is Verdict.NOT_RUN and not unreached:
+            # A prefill that was refused counts as a repeat; the first that is taken does not.
+            retry_budget.charge(state, req.service, event.at)
+            req.prefills -= 1
+            places.mark_full(state, event.endpoint, event.at, places.REFUSED_TIME)
+            if event.failure.reason is ENDPOINT_CHANGED:
+                directory.set_busy(state, event.endpoint, event.at + CHANGED_TIME)
+        else:
             yield from forwarding.note_failure(state, req, event.endpoint, event.failure)
         req.rejected.append(event.endpoint)
         req.reader = None
@@ -134,7 +150,7 @@
         return
     health.succeeded(state, event.endpoint)
     yield Count(metric="prefills", label="done")
-    yield Observe(metric="prefill_time", label="", value=event.at - req.sent_at)
+    yield Observe(metric="prefill_time", value=event.at - req.sent_at)
     if req.read_alone:
         places.observe_read(state, req.ask.prompt_tokens, event.at - req.sent_at)
     req.handle = event.handle
@@ -208,6 +224,8 @@
         req.handle = ""  # A handle can be used once, also by a request that was refused.
         yield Count(metric="endpoint_refusals", label=req.service)
         places.mark_full(state, event.endpoint, at)
+        if event.status == MISDIRECTED:
+            directory.set_busy(state, event.endpoint, at + CHANGED_TIME)
         yield from _repeat(state, req, at, event.endpoint, f"status {event.status}", refused=True)
         return
     req.handle = ""
--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -88,6 +88,8 @@
     state: State, req: Forwarded, candidates: list[places.Candidate], at: float
 ) -> typing.Generator[Step, None, bool]:
     """Take a place for a call; returns whether one was found."""
+    if not places.can_read(state, req.service, at, _pending(state, req.service)):
+        return False
     stream = places.stream_load(state, req.route.name, req.ask, at)
     chosen = places.choose_decode(state, candidates, stream, req.rejected)
     if chosen is None:
@@ -119,6 +121,16 @@
     return True
 
 
+def _pending(state: State, service: str) -> int:
+    """Return the prompt tokens of calls whose holds are under way; their prefills come next."""
+    calls = state["forwarding"].calls.values()
+    return sum(
+        req.ask.prompt_tokens
+        for req in calls
+        if req.phase == forwarding.HOLDING and req.service == service
+    )
+
+
 def _turn_away(state: State, req: Forwarded, at: float, waiting: int) -> typing.Iterator[Step]:
     engines = len(directory.usable(state, req.service, DECODE))
     yield from forwarding.refuse(
--- a/src/wasabiwick/_handlers/places.py
+++ b/src/wasabiwick/_handlers/places.py
@@ -26,7 +26,9 @@
 PRIOR_READ_RATE = 25_000.0  # Prompt tokens per second of a prefill engine, before any was seen,
 PRIOR_READ_BASE = 0.08  # and the seconds that a prefill takes besides.
 READ_SPAN = 2_000  # Tokens over which the rate is taken from the line of times.
-MIN_READ_TIME = 0.01  # Seconds for them; keeps the rate finite on a line that noise made flat.
+READ_RANGE = 1.5  # Factor by which the learned rate may differ: few prompts are read alone.
+MOST_READ_WAIT = 0.8  # Seconds of prefill wait at which no more prompts are sent to an engine.
+REFUSED_TIME = 0.3  # Seconds for which a prefill engine that refused a prompt gets no other.
 ZONE_TIME = 0.15  # Seconds of prefill wait that are accepted to keep the KV cache in its zone.
 ZONE_LOAD = 1.0  # Work per slot of the own zone's best endpoint at which other zones are used.
 FULL_TIME = 0.06  # Seconds for which an engine that refused a hold is not asked again.
@@ -143,7 +145,9 @@
 def read_rate(state: State) -> float:
     """Return the prompt tokens per second that a prefill engine gets through."""
     line = state["places"].read_line
-    return READ_SPAN / max(MIN_READ_TIME, line.at(2 * READ_SPAN) - line.at(READ_SPAN))
+    seconds = line.at(2 * READ_SPAN) - line.at(READ_SPAN)
+    usual = READ_SPAN / PRIOR_READ_RATE
+    return READ_SPAN / min(READ_RANGE * usual, max(usual / READ_RANGE, seconds))
 
 
 def mean_sizes(state: State, service: ServiceTraits) -> tuple[float, float]:
@@ -179,9 +183,9 @@
     return ((ask.prompt_tokens + HOLD_OUTPUT) // BLOCK_TOKENS + 1) * BLOCK_TOKENS
 
 
-def mark_full(state: State, endpoint: str, at: float) -> None:
+def mark_full(state: State, endpoint: str, at: float, seconds: float = FULL_TIME) -> None:
     """Note that an engine refused work for lack of room."""
-    state["places"].full_until[endpoint] = at + FULL_TIME
+    state["places"].full_until[endpoint] = at + seconds
 
 
 class Candidate:
@@ -267,9 +271,33 @@
         wait = (load(state, one.name, at).reading + tokens) / rate
         return one.name in avoid, wait + (0.0 if one.zone == zone else ZONE_TIME)
 
+    return min(_readers(state, service, at), key=cost, default=None)
+
+
+def _readers(state: State, service: str, at: float) -> list[Endpoint]:
+    full = state["places"].full_until
     able = directory.usable(state, service, PREFILL)
-    usable = [one for one in able if _takes_work(state, one, at)]
-    return min(usable, key=cost, default=None)
+    return [one for one in able if full.get(one.name, 0.0) <= at and _takes_work(state, one, at)]
+
+
+def can_read(state: State, service: str, at: float, pending: int) -> bool:
+    """Tell whether a prompt would be prefilled before long.
+
+    Where no prefill engine is left, decode engines read prompts themselves.
+
+    Args:
+        state: The host's state.
+        service: Name of the service.
+        at: Monotonic time.
+        pending: Prompt tokens of calls that are about to be prefilled.
+    """
+    listed = directory.usable(state, service, PREFILL)
+    if not any(health.usable(state, one.name) for one in listed):
+        return True
+    rate = read_rate(state)
+    readers = _readers(state, service, at)
+    reading = pending + sum(load(state, one.name, at).reading for one in readers)
+    return bool(readers) and reading / (rate * len(readers)) < MOST_READ_WAIT
 
 
 def _takes_work(state: State, one: Endpoint, at: float) -> bool:
--- a/src/wasabiwick/_handlers/retry_budget.py
+++ b/src/wasabiwick/_handlers/retry_budget.py
@@ -61,6 +61,11 @@
     return SAFETY * allowed - len(window.repeats)
 
 
+def charge(state: State, service: str, at: float) -> None:
+    """Count a repeat that could not be foreseen, such as a prefill that an engine refused."""
+    _window(state, service, at).repeats.append(at)
+
+
 def take(state: State, service: str, at: float) -> bool:
     """Take one repeat out of the budget; returns whether there was one."""
     if left(state, service, at) < 1.0:
--- a/src/wasabiwick/_handlers/stages.py
+++ b/src/wasabiwick/_handlers/stages.py
@@ -27,6 +27,7 @@
 )
 CLEAR_GAIN = 0.15  # Share by which another split has to be better.
 ORDER_PAUSE = 12.0  # Seconds between orders: a late one is carried out up to 12 s after its send.
+LEAST = 2  # Engines of each stage that are left where there are enough: one may be lost.
 CLAIM_TERM = 2.0  # Seconds after the send of a claim in which its holder may order.
 CLAIM_WAIT = 5.0  # Seconds for which another host's claim is left alone.
 SLACK_TIME = 1.0  # Seconds by which a change may take longer than the engines' own time.
@@ -80,7 +81,10 @@
     if not prefill or not decode or total < 3:
         return None
     present = stream_rate(state, service, len(prefill), len(decode))
-    best = max(range(1, total), key=lambda n: stream_rate(state, service, n, total - n))
+    least = LEAST if total >= 2 * LEAST + 1 else 1
+    best = max(
+        range(least, total - least + 1), key=lambda n: stream_rate(state, service, n, total - n)
+    )
     if stream_rate(state, service, best, total - best) < (1.0 + CLEAR_GAIN) * present:
         return None
     giving, stage = (prefill, DECODE) if best < len(prefill) else (decode, PREFILL)
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -8,6 +8,7 @@
 
 from .._effects_forwarding import Forward, OrderStage, ReadPrompt
 from .._errors import (
+    ENDPOINT_CHANGED,
     ENDPOINT_FAILED,
     ENDPOINT_REFUSED,
     ENDPOINT_SILENT,
@@ -24,6 +25,7 @@
 ORDER_TIMEOUT = 0.8  # Seconds; shorter than the term of the claim under which it is sent.
 DROP_TIMEOUT = 0.5  # Seconds; what is not dropped lapses by itself.
 DEFAULT_DEADLINE = 30.0  # Seconds for a caller that names none.
+MISDIRECTED = 421  # Another endpoint has the address, or the engine has another stage.
 EVENT_STREAM = "text/event-stream"
 
 
@@ -50,7 +52,7 @@
     def __init__(self, *, pool: Pool, endpoint: str, address: str, conn: Connection) -> None:
         self.status = conn.status
         self.headers: list[Header] = conn.headers
-        self.not_run = conn.status == 421 or bool(conn.header(_names.NOT_EXECUTED))
+        self.not_run = conn.status == MISDIRECTED or bool(conn.header(_names.NOT_EXECUTED))
         self.streams = conn.header(b"content-type").startswith(EVENT_STREAM)
         self._conn: Connection | None = conn
         self._give_back = lambda: pool.release(endpoint, address, conn)
@@ -218,7 +220,8 @@
         status = conn.status
         self._pool.release(endpoint, address, conn)
         if status not in (200, 202):
-            return _failure(ENDPOINT_REFUSED, Verdict.NOT_RUN, f"status {status}")
+            reason = ENDPOINT_CHANGED if status == MISDIRECTED else ENDPOINT_REFUSED
+            return _failure(reason, Verdict.NOT_RUN, f"status {status}")
         return body
 
 
--- /dev/null
+++ b/tests/_forward.py
@@ -0,0 +1,312 @@
+"""One forwarding host's reducer on a virtual clock, with the endpoints played by the test."""
+
+import heapq
+import itertools
+
+from wasabiwick import _effects, _events, _handlers, _reducer, _settings, _state, _wire
+from wasabiwick._effects_forwarding import (
+    DropTry,
+    Forward,
+    ReadPrompt,
+    RefuseForward,
+    Relay,
+    TakeHold,
+)
+from wasabiwick._errors import ENDPOINT_FAILED, ENDPOINT_REFUSED, ENDPOINT_UNREACHABLE, Failure
+from wasabiwick._forwarding import (
+    DECODE,
+    PREFILL,
+    SAFE,
+    STREAM,
+    UNSAFE,
+    Ask,
+    Endpoint,
+    EngineTraits,
+    Listing,
+    Route,
+    RouteTable,
+    ServiceTraits,
+)
+from wasabiwick._verdict import Verdict
+
+assert _handlers  # Imported for its registrations.
+
+ZONE = "zone-a"
+MODEL = "writer"
+APP = "sign-up"
+EPOCH = 1_800_000_000.0  # Unix time at virtual time 0.
+REFUSED = Failure(reason=ENDPOINT_REFUSED, verdict=Verdict.NOT_RUN, detail="status 503")
+UNREACHABLE = Failure(reason=ENDPOINT_UNREACHABLE, verdict=Verdict.NOT_RUN, detail="refused")
+BROKEN = Failure(reason=ENDPOINT_FAILED, verdict=Verdict.MAY_HAVE_RUN, detail="reset")
+
+
+def make_settings(host: str = "a", *, slack: float = 50.0) -> _settings.Settings:
+    """Return settings of a forwarding host."""
+    return _settings.Settings(
+        host=host,
+        zone=ZONE,
+        region="region",
+        platform=_settings.Platform(log="http://127.0.0.1:1", hosts="http://127.0.0.1:1"),
+        forwarding=_settings.Forwarding(retry_slack=slack),
+        timing=_settings.Timing(drain=7.5, stop_notice=3.0),
+    )
+
+
+def route(kind: str, service: str, *, name: str = "", **fields: object) -> Route:
+    """Return a route whose path is its name."""
+    name = name or kind
+    defaults = {
+        "timeout": 14.0 if kind == STREAM else 0.8,
+        "target_latency": 1.0 if kind == STREAM else 0.3,
+        "target_gap": 0.3 if kind == STREAM else 0.0,
+        "max_attempts": 2,
+        "resumable": kind == STREAM,
+    }
+    return Route(
+        name=name,
+        host="example",
+        path_prefix=f"/{name}/",
+        kind=kind,
+        services=((service, 1.0),),
+        **{**defaults, **fields},
+    )
+
+
+def table(version: int = 1, *, memory: int = 33_860, slots: int = 12) -> RouteTable:
+    """Return a table with a route of each kind, and a stream that can't be resumed."""
+    engine = EngineTraits(
+        slots=slots,
+        memory_tokens=memory,
+        hold_time=2.0,
+        handle_time=0.5,
+        switch_time=6.0,
+        stride=12,
+    )
+    return RouteTable(
+        version=version,
+        routes=(
+            route(STREAM, MODEL),
+            route(STREAM, MODEL, name="draft", resumable=False, max_attempts=1),
+            route(SAFE, APP),
+            route(UNSAFE, APP, max_attempts=1),
+        ),
+        services=(
+            ServiceTraits(name=MODEL, max_connections=100, engine=engine),
+            ServiceTraits(name=APP, max_connections=100),
+        ),
+    )
+
+
+def engine(name: str, stage: str, *, zone: str = ZONE, **fields: object) -> Endpoint:
+    """Return a model engine."""
+    return Endpoint(
+        name=name,
+        service=MODEL,
+        address=f"{name}:80",
+        zone=zone,
+        slots=12,
+        stage=stage,
+        **fields,
+    )
+
+
+def plain(name: str, *, zone: str = ZONE, **fields: object) -> Endpoint:
+    """Return an endpoint of the plain service."""
+    return Endpoint(name=name, service=APP, address=f"{name}:80", zone=zone, slots=6, **fields)
+
+
+ENDPOINTS = (engine("p0", PREFILL), engine("d0", DECODE), engine("d1", DECODE)) + (
+    plain("s0"),
+    plain("s1"),
+)
+
+
+class Host:
+    """One reducer; timers fire as time passes, all other effects wait for the test.
+
+    Attributes:
+        now: Virtual monotonic time.
+        effects: Effects other than timers, in order.
+    """
+
+    def __init__(self, *, slack: float = 50.0, endpoints: tuple[Endpoint, ...] = ENDPOINTS) -> None:
+        self.now = 100.0
+        self.state = _state.State(make_settings(slack=slack))
+        self.effects: list[_effects.Effect] = []
+        self._timers: dict[tuple[str, str], int] = {}
+        self._queue: list[tuple[float, int, str, str]] = []
+        self._order = itertools.count()
+        self._calls = itertools.count(1)
+        self._offset = 0
+        self.feed(
+            _events.ForwarderBooted,
+            owner=_wire.Owner(host="a", incarnation="1"),
+            zone=ZONE,
+            wall=EPOCH,
+            seed=7,
+        )
+        self.feed(_events.RoutesRead, table=table())
+        self.read_list(*endpoints)
+
+    def feed(self, kind: type, **fields: object) -> list[_effects.Effect]:
+        """Reduce an event and return its effects other than timers."""
+        news = []
+        for effect in _reducer.reduce(self.state, kind(at=self.now, **fields)):
+            if isinstance(effect, _effects.StartTimer):
+                name = (effect.timer, effect.key)
+                self._timers[name] = next(self._order)
+                entry = (self.now + effect.delay, self._timers[name], *name)
+                heapq.heappush(self._queue, entry)
+            elif isinstance(effect, _effects.StopTimer):
+                self._timers.pop((effect.timer, effect.key), None)
+            else:
+                news.append(effect)
+        self.effects += news
+        return news
+
+    def run(self, seconds: float) -> list[_effects.Effect]:
+        """Let time pass and return the effects of what timers brought about."""
+        end = self.now + seconds
+        news = []
+        while self._queue and self._queue[0][0] <= end:
+            at, order, timer, key = heapq.heappop(self._queue)
+            if self._timers.get((timer, key)) == order:
+                del self._timers[(timer, key)]
+                self.now = max(self.now, at)
+                news += self.feed(_events.TimerFired, timer=timer, key=key)
+        self.now = end
+        return news
+
+    def read_list(self, *endpoints: Endpoint, whole: bool = False) -> list[_effects.Effect]:
+        """Let the host read entries of the list of endpoints."""
+        listings = []
+        for one in endpoints:
+            self._offset += 1
+            listings.append(Listing(name=one.name, offset=self._offset, endpoint=one))
+        return self.feed(
+            _events.EndpointsRead, listings=tuple(listings), upto=self._offset + 1, whole=whole
+        )
+
+    def drop(self, name: str) -> list[_effects.Effect]:
+        """Let the host read that an entry was dropped."""
+        self._offset += 1
+        gone = Listing(name=name, offset=self._offset, endpoint=None)
+        return self.feed(_events.EndpointsRead, listings=(gone,), upto=self._offset + 1)
+
+    def ask(self, path: str, **fields: object) -> str:
+        """Let a caller ask, and return the call's id."""
+        call_id = f"c{next(self._calls)}"
+        is_stream = path in ("stream", "draft")
+        seconds = fields.pop("seconds", 14.0 if is_stream else 1.5)
+        sizes = {"prompt_tokens": 3_000, "max_tokens": 2_040, "length_hint": 800}
+        defaults = sizes if is_stream else {}
+        ask = Ask(
+            call_id=call_id,
+            trace_id=f"t-{call_id}",
+            host="example",
+            path=f"/{path}/x",
+            deadline=self.now + seconds,
+            **{**defaults, **fields},
+        )
+        self.feed(_events.ForwardArrived, ask=ask)
+        return call_id
+
+    # --- What endpoints do -----------------------------------------------------------------------
+
+    def hold(self, call_id: str, failure: Failure | None = None) -> list[_effects.Effect]:
+        """Answer the newest hold of a call."""
+        asked = self.last(TakeHold, call_id)
+        return self.feed(
+            _events.HoldAnswered,
+            call_id=call_id,
+            endpoint=asked.endpoint,
+            hold="" if failure else f"h-{call_id}",
+            failure=failure,
+        )
+
+    def prefill(self, call_id: str, failure: Failure | None = None) -> list[_effects.Effect]:
+        """Answer the newest prefill of a call."""
+        asked = self.last(ReadPrompt, call_id)
+        return self.feed(
+            _events.PromptAnswered,
+            call_id=call_id,
+            endpoint=asked.endpoint,
+            handle="" if failure else f"k-{call_id}",
+            failure=failure,
+        )
+
+    def answer(
+        self, call_id: str, status: int = 200, *, not_run: bool = False, streams: bool = False
+    ) -> list[_effects.Effect]:
+        """Answer the newest send of a call."""
+        sent = self.last(Forward, call_id)
+        return self.feed(
+            _events.AnswerCame,
+            call_id=call_id,
+            endpoint=sent.endpoint,
+            number=sent.number,
+            status=status,
+            not_run=not_run,
+            streams=streams,
+        )
+
+    def fail(self, call_id: str, failure: Failure, events: int = 0) -> list[_effects.Effect]:
+        """Let the newest send of a call fail."""
+        sent = self.last(Forward, call_id)
+        return self.feed(
+            _events.TryFailed,
+            call_id=call_id,
+            endpoint=sent.endpoint,
+            number=sent.number,
+            failure=failure,
+            events=events,
+        )
+
+    def start_stream(self, path: str = "stream", **fields: object) -> str:
+        """Bring a stream to its first event."""
+        call_id = self.ask(path, **fields)
+        self.hold(call_id)
+        self.prefill(call_id)
+        self.answer(call_id, streams=True)
+        return call_id
+
+    # --- What the test looks at ------------------------------------------------------------------
+
+    def of(self, kind: type, call_id: str) -> list:
+        """Return all effects of a type for a call."""
+        return [one for one in self.effects if isinstance(one, kind) and one.call_id == call_id]
+
+    def last(self, kind: type, call_id: str) -> object:
+        """Return the newest effect of a type for a call."""
+        return self.of(kind, call_id)[-1]
+
+    def refusal(self, call_id: str) -> Failure | None:
+        """Return the failure that a call was answered with, or None."""
+        found = self.of(RefuseForward, call_id)
+        return found[-1].failure if found else None
+
+    def is_open(self, call_id: str) -> bool:
+        """Tell whether a call is still served."""
+        return call_id in self.state["forwarding"].calls
+
+
+__all__ = [
+    "APP",
+    "BROKEN",
+    "DECODE",
+    "ENDPOINTS",
+    "MODEL",
+    "PREFILL",
+    "REFUSED",
+    "UNREACHABLE",
+    "DropTry",
+    "Forward",
+    "Host",
+    "ReadPrompt",
+    "RefuseForward",
+    "Relay",
+    "TakeHold",
+    "engine",
+    "plain",
+    "table",
+]
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,362 @@
+"""Tests of forwarding by routes: verdicts, repeats, places, and what is freed for a caller."""
+
+import random
+import unittest
+
+from wasabiwick import _events
+from wasabiwick._effects_forwarding import CutForward, DropHold, FreeHandle
+from wasabiwick._errors import ENDPOINT_CHANGED, Failure
+from wasabiwick._verdict import Verdict
+
+from ._forward import (
+    BROKEN,
+    DECODE,
+    ENDPOINTS,
+    PREFILL,
+    REFUSED,
+    UNREACHABLE,
+    DropTry,
+    Forward,
+    Host,
+    ReadPrompt,
+    Relay,
+    TakeHold,
+    engine,
+    plain,
+    table,
+)
+
+PROMISES = (408, 421, 429, 503)
+
+
+class TestArrival(unittest.TestCase):
+    """What a host knows decides what it may say."""
+
+    def test_without_routes_nothing_is_said_not_to_exist(self) -> None:
+        host = Host()
+        host.state["routes"].table = None
+        call = host.ask("nowhere")
+        self.assertEqual(host.refusal(call).reason.status, 503)
+        self.assertEqual(host.refusal(call).verdict, Verdict.NOT_RUN)
+
+    def test_an_unknown_path_is_not_found(self) -> None:
+        host = Host()
+        self.assertEqual(host.refusal(host.ask("nowhere")).reason.status, 404)
+
+    def test_a_service_without_endpoints_refuses_at_once(self) -> None:
+        host = Host(endpoints=())
+        call = host.ask("safe")
+        self.assertEqual(host.refusal(call).reason.code, "no_endpoint")
+        self.assertIsNotNone(host.refusal(call).retry_after)
+
+    def test_a_prompt_larger_than_any_engine_is_refused_at_once(self) -> None:
+        host = Host()
+        call = host.ask("stream", prompt_tokens=40_000)
+        self.assertEqual(host.refusal(call).verdict, Verdict.NOT_RUN)
+        self.assertFalse(host.is_open(call))
+
+
+class TestSafe(unittest.TestCase):
+    """A safe request goes to a second endpoint after any failure, within its attempts."""
+
+    def test_a_failure_of_the_endpoint_is_tried_elsewhere(self) -> None:
+        host = Host()
+        call = host.ask("safe")
+        first = host.last(Forward, call).endpoint
+        host.answer(call, 500)
+        self.assertNotEqual(host.last(Forward, call).endpoint, first)
+        self.assertEqual(host.of(Relay, call), [])
+        host.answer(call, 200)
+        self.assertEqual(host.last(Relay, call).number, 2)
+
+    def test_the_second_failure_is_the_answer(self) -> None:
+        host = Host()
+        call = host.ask("safe")
+        host.answer(call, 500)
+        host.answer(call, 500)
+        self.assertEqual(len(host.of(Forward, call)), 2)
+        self.assertEqual(host.last(Relay, call).number, 2)
+
+    def test_no_second_send_without_budget(self) -> None:
+        host = Host(slack=0.0)
+        call = host.ask("safe")
+        host.answer(call, 500)
+        self.assertEqual(len(host.of(Forward, call)), 1)
+        self.assertEqual(host.last(Relay, call).number, 1)
+
+
+class TestUnsafe(unittest.TestCase):
+    """An unsafe request runs once at most, and what is said of it is true."""
+
+    def test_a_broken_connection_is_never_sent_again(self) -> None:
+        host = Host()
+        call = host.ask("unsafe")
+        host.fail(call, BROKEN)
+        self.assertEqual(len(host.of(Forward, call)), 1)
+        self.assertEqual(host.refusal(call).verdict, Verdict.MAY_HAVE_RUN)
+        self.assertNotIn(host.refusal(call).reason.status, PROMISES)
+
+    def test_a_refusal_that_states_not_run_is_sent_elsewhere(self) -> None:
+        host = Host()
+        call = host.ask("unsafe")
+        host.answer(call, 503, not_run=True)
+        self.assertEqual(len(host.of(Forward, call)), 2)
+
+    def test_an_endpoint_that_takes_no_connection_costs_no_budget(self) -> None:
+        host = Host(slack=0.0)
+        call = host.ask("unsafe")
+        host.fail(call, UNREACHABLE)
+        self.assertEqual(len(host.of(Forward, call)), 2)
+
+    def test_the_endpoints_own_failure_is_the_answer(self) -> None:
+        host = Host()
+        call = host.ask("unsafe")
+        host.answer(call, 500)
+        self.assertEqual(len(host.of(Forward, call)), 1)
+        self.assertEqual(host.last(Relay, call).number, 1)
+
+    def test_time_over_after_a_send_promises_nothing(self) -> None:
+        host = Host()
+        call = host.ask("unsafe")
+        host.run(0.85)
+        self.assertEqual(host.refusal(call).reason.status, 504)
+        self.assertTrue(host.of(DropTry, call))
+
+    def test_any_order_of_events_keeps_the_promises(self) -> None:
+        """Random failures: one run at most, and a promise only where none may have happened."""
+        for seed in range(300):
+            rng = random.Random(seed)
+            host = Host(slack=rng.choice((0.0, 50.0)))
+            call = host.ask("unsafe")
+            may_have_run = 0
+            while host.is_open(call):
+                choice = rng.randrange(5)
+                if choice == 0:
+                    host.answer(call, 503, not_run=True)
+                elif choice == 1:
+                    host.fail(call, UNREACHABLE)
+                elif choice == 2:
+                    may_have_run += 1
+                    host.fail(call, BROKEN)
+                elif choice == 3:
+                    may_have_run += 1
+                    host.answer(call, rng.choice((200, 500)))
+                    host.feed(_events.ForwardAnswered, call_id=call)
+                else:
+                    may_have_run += 1
+                    host.run(1.0)
+            self.assertLessEqual(may_have_run, 1, seed)
+            refusal = host.refusal(call)
+            if refusal is not None and refusal.reason.status in PROMISES:
+                self.assertEqual(may_have_run, 0, seed)
+
+
+class TestStream(unittest.TestCase):
+    """A place is held before the prompt is prefilled, and freed with its call."""
+
+    def test_the_order_of_steps(self) -> None:
+        host = Host()
+        call = host.ask("stream")
+        self.assertEqual(host.of(ReadPrompt, call), [])
+        host.hold(call)
+        self.assertEqual(host.of(Forward, call), [])
+        host.prefill(call)
+        sent = host.last(Forward, call)
+        self.assertEqual(sent.endpoint, host.last(TakeHold, call).endpoint)
+        self.assertEqual((sent.hold, sent.handle, sent.source), (f"h-{call}", f"k-{call}", "p0:80"))
+
+    def test_a_refused_hold_prefills_nothing_and_waits(self) -> None:
+        host = Host()
+        call = host.ask("stream")
+        first = host.last(TakeHold, call).endpoint
+        host.hold(call, REFUSED)
+        self.assertNotEqual(host.last(TakeHold, call).endpoint, first)
+        self.assertEqual(host.of(ReadPrompt, call), [])
+
+    def test_a_caller_that_leaves_frees_hold_and_handle(self) -> None:
+        host = Host()
+        call = host.ask("stream")
+        host.hold(call)
+        host.feed(_events.ForwardLeft, call_id=call)
+        self.assertEqual(host.last(DropHold, call).hold, f"h-{call}")
+        self.assertTrue(host.of(DropTry, call))
+        self.assertEqual(host.state["places"].own, {})
+
+    def test_a_handle_that_nobody_fetches_is_freed(self) -> None:
+        host = Host()
+        call = host.ask("stream")
+        host.hold(call)
+        place = host.last(TakeHold, call).endpoint
+        host.read_list(engine(place, DECODE, leaving=True))
+        host.prefill(call)
+        self.assertEqual(host.last(FreeHandle, call).handle, f"k-{call}")
+
+    def test_a_leaving_engine_gets_nothing_that_had_picked_it(self) -> None:
+        host = Host()
+        call = host.ask("stream")
+        host.hold(call)
+        place = host.last(TakeHold, call).endpoint
+        host.read_list(engine(place, DECODE, leaving=True))
+        host.prefill(call)
+        self.assertEqual(host.of(Forward, call), [])
+        self.assertNotEqual(host.last(TakeHold, call).endpoint, place)
+
+    def test_a_broken_stream_goes_on_elsewhere_behind_its_last_event(self) -> None:
+        host = Host()
+        call = host.start_stream()
+        first = host.last(Forward, call).endpoint
+        host.fail(call, BROKEN, events=7)
+        host.hold(call)
+        host.prefill(call)
+        sent = host.last(Forward, call)
+        self.assertTrue(sent.resume)
+        self.assertNotEqual(sent.endpoint, first)
+
+    def test_a_stream_that_cannot_be_resumed_is_broken_off(self) -> None:
+        host = Host()
+        call = host.start_stream("draft")
+        host.fail(call, BROKEN, events=7)
+        self.assertTrue(host.of(CutForward, call))
+        self.assertEqual(len(host.of(Forward, call)), 1)
+
+    def test_a_broken_stream_that_waits_for_a_place_is_not_given_up_early(self) -> None:
+        """Found by a hunt: a stream of 7 s was cut because it looked like one that waited 7 s."""
+        host = Host()
+        call = host.start_stream()
+        host.run(5.0)
+        host.fail(call, BROKEN, events=7)
+        host.hold(call, REFUSED)
+        host.run(0.02)
+        self.assertTrue(host.is_open(call))
+        self.assertEqual(host.of(CutForward, call), [])
+
+    def test_silence_of_an_engine_ends_no_stream(self) -> None:
+        host = Host()
+        call = host.start_stream()
+        host.run(4.0)
+        self.assertTrue(host.is_open(call))
+
+    def test_late_answers_of_an_earlier_try_change_nothing(self) -> None:
+        host = Host()
+        call = host.start_stream()
+        old = host.last(Forward, call)
+        host.fail(call, BROKEN, events=3)
+        before = len(host.effects)
+        host.feed(
+            _events.TryFailed,
+            call_id=call,
+            endpoint=old.endpoint,
+            number=old.number + 1,
+            failure=BROKEN,
+            events=0,
+        )
+        self.assertEqual(len(host.effects), before)
+
+
+class TestPrefill(unittest.TestCase):
+    """Prefills that are refused count as repeats, and full engines are left alone."""
+
+    def test_a_refused_prefill_is_charged(self) -> None:
+        host = Host()
+        call = host.ask("stream")
+        host.hold(call)
+        host.prefill(call, REFUSED)
+        self.assertEqual(len(host.state["retry_budget"].windows["writer"].repeats), 1)
+
+    def test_an_engine_that_refused_gets_no_other_prompt_for_a_while(self) -> None:
+        """Found by a day drawn for a score: one full engine refused 96 prefills in a row."""
+        host = Host()
+        call = host.ask("stream")
+        host.hold(call)
+        host.prefill(call, REFUSED)
+        # The only prefill engine is full, so the decode engine reads the prompt itself.
+        self.assertEqual(len(host.of(ReadPrompt, call)), 1)
+        self.assertEqual(host.last(Forward, call).handle, "")
+        other = host.ask("stream")
+        self.assertEqual(host.of(TakeHold, other), [])
+        host.run(0.35)
+        self.assertEqual(len(host.of(TakeHold, other)), 1)
+
+    def test_an_engine_of_another_stage_is_not_asked_again(self) -> None:
+        host = Host(endpoints=(*ENDPOINTS, engine("p1", PREFILL)))
+        changed = Failure(reason=ENDPOINT_CHANGED, verdict=Verdict.NOT_RUN, detail="status 421")
+        call = host.ask("stream")
+        host.hold(call)
+        first = host.last(ReadPrompt, call).endpoint
+        host.prefill(call, changed)
+        host.run(0.5)
+        other = host.ask("stream")
+        host.hold(other)
+        self.assertNotEqual(host.last(ReadPrompt, other).endpoint, first)
+
+    def test_no_place_is_taken_while_prompts_queue_up(self) -> None:
+        host = Host(endpoints=(*ENDPOINTS, *(engine(f"d{n}", DECODE) for n in range(2, 6))))
+        calls = [host.ask("stream") for _ in range(20)]
+        for call in calls:
+            if host.of(TakeHold, call):
+                host.hold(call)
+        reading = sum(one.reading for one in host.state["places"].own.values())
+        self.assertLess(reading / 25_000.0, 0.8 + 3_000 / 25_000.0)
+
+
+class TestUnreachable(unittest.TestCase):
+    """An endpoint that takes no connection gets no work for a while."""
+
+    def test_the_next_request_goes_elsewhere_at_once(self) -> None:
+        host = Host()
+        call = host.ask("safe")
+        dead = host.last(Forward, call).endpoint
+        host.fail(call, UNREACHABLE)
+        for _ in range(5):
+            self.assertNotEqual(host.last(Forward, host.ask("safe")).endpoint, dead)
+
+    def test_half_of_the_endpoints_may_be_out_and_all(self) -> None:
+        """No floor applies: in a cut zone most endpoints can't be reached."""
+        host = Host(endpoints=(*ENDPOINTS, plain("s2"), plain("s3")))
+        for _ in range(3):
+            call = host.ask("safe")
+            host.fail(call, UNREACHABLE)
+        out = [name for name in ("s0", "s1", "s2", "s3") if not self._usable(host, name)]
+        self.assertGreaterEqual(len(out), 3)
+
+    def _usable(self, host: Host, name: str) -> bool:
+        known = host.state["health"].endpoints.get(name)
+        return known is None or known.phase.value == "usable"
+
+
+class TestStop(unittest.TestCase):
+    """A planned stop cuts nothing, and begins nothing that it would have to cut."""
+
+    def test_running_work_comes_to_its_end(self) -> None:
+        host = Host()
+        call = host.start_stream()
+        host.feed(_events.StopAsked)
+        host.run(4.0)
+        self.assertTrue(host.is_open(call))
+        self.assertFalse(any(type(one).__name__ == "EndProcess" for one in host.effects))
+        host.feed(_events.ForwardAnswered, call_id=call)
+        host.run(0.2)
+        self.assertTrue(any(type(one).__name__ == "EndProcess" for one in host.effects))
+
+    def test_a_stream_that_would_be_cut_is_told_to_come_back(self) -> None:
+        host = Host()
+        host.feed(_events.StopAsked)
+        call = host.ask("stream", length_hint=2_000)
+        self.assertEqual(host.refusal(call).reason.code, "stopping")
+        self.assertEqual(host.refusal(call).verdict, Verdict.NOT_RUN)
+
+    def test_short_calls_are_served_while_the_balancer_takes_notice(self) -> None:
+        host = Host()
+        host.feed(_events.StopAsked)
+        host.run(2.0)
+        self.assertTrue(host.of(Forward, host.ask("unsafe")))
+
+
+class TestRoutesInForce(unittest.TestCase):
+    """A configuration in force never goes back."""
+
+    def test_an_older_version_changes_nothing(self) -> None:
+        host = Host()
+        host.feed(_events.RoutesRead, table=table(5))
+        host.feed(_events.RoutesRead, table=table(3))
+        self.assertEqual(host.state["routes"].table.version, 5)
--- /dev/null
+++ b/tests/test_memory.py
@@ -0,0 +1,65 @@
+"""Tests of the projection of an engine's memory."""
+
+import unittest
+
+from wasabiwick._forwarding import StreamLoad
+from wasabiwick._handlers.memory import HORIZONS, Projection, survival
+
+RATE = 250.0
+
+
+def stream(*, prompt: int = 3_000, expected: int = 800, age: float = 0.0) -> StreamLoad:
+    """Return a stream whose first token came ``age`` seconds before time 0."""
+    return StreamLoad(prompt=prompt, expected=expected, begins=-age)
+
+
+def projected(*streams: StreamLoad) -> Projection:
+    """Return the projection of some streams at time 0."""
+    projection = Projection(at=0.0, rate=RATE)
+    for one in streams:
+        projection.add(one)
+    return projection
+
+
+class TestSurvival(unittest.TestCase):
+    """Half of all streams are longer than their estimate."""
+
+    def test_at_the_estimate(self) -> None:
+        self.assertAlmostEqual(survival(800, 800), 0.5)
+
+    def test_it_falls_with_length(self) -> None:
+        chances = [survival(tokens, 800) for tokens in (0, 200, 800, 2_000)]
+        self.assertEqual(chances, sorted(chances, reverse=True))
+        self.assertEqual(chances[0], 1.0)
+
+
+class TestProjection(unittest.TestCase):
+    """What an engine will need over the next seconds."""
+
+    def test_now_it_is_what_the_streams_hold(self) -> None:
+        projection = projected(stream(age=1.0), stream(age=2.0))
+        self.assertAlmostEqual(projection.means[0], 2 * 3_000 + 250 + 500)
+        self.assertAlmostEqual(projection.variances[0], 0.0)
+
+    def test_streams_near_their_end_leave_room_sooner(self) -> None:
+        young, old = projected(stream(age=0.1)), projected(stream(age=3.0))
+        self.assertLess(old.means[-1], young.means[-1])
+
+    def test_an_overdue_stream_is_still_counted_now(self) -> None:
+        projection = projected(stream(expected=50, age=10.0))
+        self.assertGreater(projection.means[0], 3_000)
+        self.assertLess(projection.means[-1], projection.means[0])
+
+    def test_more_caution_reckons_with_more(self) -> None:
+        projection = projected(*(stream(age=age / 3) for age in range(8)))
+        self.assertGreater(projection.worst(stream(), 2.0), projection.worst(stream(), 0.5))
+
+    def test_a_steady_load_fits_more_than_full_lengths_would(self) -> None:
+        """Nine streams of all ages fit where their whole outputs together would not."""
+        ages = [0.4 * n for n in range(8)]
+        projection = projected(*(stream(age=age) for age in ages))
+        self.assertLess(projection.worst(stream(), 1.0), 33_860)
+        self.assertGreater(9 * (3_000 + 800), 33_860)
+
+    def test_every_horizon_is_projected(self) -> None:
+        self.assertEqual(len(projected().means), len(HORIZONS))
