--- a/src/wasabiwick/_adapters/_datagrams.py
+++ b/src/wasabiwick/_adapters/_datagrams.py
@@ -54,7 +54,10 @@
         self._runner = runner
         host, _, port = self.address.rpartition(":")
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=(host, int(port)))
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(host, int(port))
+        )
+        self.address = "{}:{}".format(*transport.get_extra_info("sockname"))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
--- a/src/wasabiwick/_adapters/_peer.py
+++ b/src/wasabiwick/_adapters/_peer.py
@@ -1,13 +1,18 @@
 """Other entry hosts over HTTP."""
 
+import typing
+
 import aiohttp
 
 from .._errors import Failure
 from .._settings import Timing
-from .._tls import TlsFiles
 from .._wire import Envelope
 from ._http import ask
 
+if typing.TYPE_CHECKING:
+    # Certificates need a large library, which hosts that speak plain HTTP do without.
+    from .._tls import TlsFiles
+
 MESSAGES_PATH = "/peer/v1/messages"
 
 
@@ -23,7 +28,7 @@
     __slots__ = ("_session", "_timing", "_tls")
 
     def __init__(
-        self, *, session: aiohttp.ClientSession, timing: Timing, tls: TlsFiles | None = None
+        self, *, session: aiohttp.ClientSession, timing: Timing, tls: "TlsFiles | None" = None
     ) -> None:
         self._session = session
         self._timing = timing
--- a/src/wasabiwick/_cli_check.py
+++ b/src/wasabiwick/_cli_check.py
@@ -6,13 +6,12 @@
 import click
 import msgspec
 
+from ._exit_codes import EXIT_FAULTS
 from ._lists_file import Allowances, check_allowances, check_lists, check_plans
 from ._schema import Fault, params_of, top_level_keys
 from ._settings import Settings
 from ._settings_file import load_settings, read_text
 
-EXIT_FAULTS = 2
-
 Checker = typing.Callable[[pathlib.Path], object]
 
 SETTINGS = "settings"
--- a/src/wasabiwick/_cli_publish.py
+++ b/src/wasabiwick/_cli_publish.py
@@ -16,12 +16,12 @@
 from ._adapters import HttpHostList, HttpLogService
 from ._configuration import Content, History
 from ._errors import Failure
+from ._exit_codes import EXIT_FAULTS
 from ._publish import HostVersion, Publication, Result, Signer, Watch
 from ._settings import Settings, Timing, Tls
 from ._settings_file import load_settings
 from ._tls import client_context
 
-EXIT_FAULTS = 2
 EXIT_LOST = 3
 EXIT_BEHIND = 4
 EXIT_UNKNOWN = 5
--- a/src/wasabiwick/_cli_run.py
+++ b/src/wasabiwick/_cli_run.py
@@ -7,11 +7,9 @@
 
 import click
 
-from ._cli_check import EXIT_FAULTS
+from ._exit_codes import EXIT_FAILED, EXIT_FAULTS
 from ._logging import configure, log_event, log_exception
 
-EXIT_FAILED = 1
-
 
 @click.command()
 @click.option("--settings", "path", type=click.Path(exists=True, dir_okay=False))
--- a/src/wasabiwick/_configuration.py
+++ b/src/wasabiwick/_configuration.py
@@ -8,12 +8,13 @@
 import typing
 
 import msgspec
-from cryptography.exceptions import InvalidSignature
-from cryptography.hazmat.primitives.asymmetric import ed25519
 
 from . import _lists
 from ._wire import Configuration, ConfigurationCopy, LogRecord
 
+if typing.TYPE_CHECKING:
+    from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+
 SECTIONS = ("customers", "plans", "services", "models")
 DIGEST_BITS = 256
 
@@ -119,7 +120,7 @@
     )
 
 
-def sign(record: Configuration, key_id: str, key: ed25519.Ed25519PrivateKey) -> Configuration:
+def sign(record: Configuration, key_id: str, key: "Ed25519PrivateKey") -> Configuration:
     """Return the record signed with a publisher's private key."""
     unsigned = msgspec.structs.replace(record, key_id=key_id, signature="")
     return msgspec.structs.replace(unsigned, signature=key.sign(_encoded(unsigned)).hex())
@@ -139,7 +140,11 @@
         return
     if record.key_id not in publishers:
         raise InvalidRecordError(f'publisher key "{record.key_id}" is not known')
-    key = ed25519.Ed25519PublicKey.from_public_bytes(bytes.fromhex(publishers[record.key_id]))
+    # Imported here, as hosts without publishers do without this large library.
+    from cryptography.exceptions import InvalidSignature
+    from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PublicKey
+
+    key = Ed25519PublicKey.from_public_bytes(bytes.fromhex(publishers[record.key_id]))
     unsigned = msgspec.structs.replace(record, signature="")
     try:
         key.verify(bytes.fromhex(record.signature), _encoded(unsigned))
--- a/src/wasabiwick/_forward_daemon.py
+++ b/src/wasabiwick/_forward_daemon.py
@@ -18,9 +18,11 @@
 from ._ports import Dialect, Endpoints, HostRegister
 from ._runner import Ports, Runner
 from ._settings import Settings
-from ._trace import TraceWriter
 from ._wire import Owner
 
+if typing.TYPE_CHECKING:
+    from ._trace import TraceWriter
+
 INCARNATION_BYTES = 6
 SEED_BITS = 32
 SETTINGS_INTERVAL = 1.0  # Seconds between looks whether the settings file has changed.
@@ -54,9 +56,24 @@
         cfg: The host's settings.
         surroundings: The deployment's outside systems.
         metrics: Address for metrics as ``host:port``, or empty.
+
+    Attributes:
+        runner: The host's runner, once started.
+        callers: Address that takes callers.
+        ready: Address that tells whether the host takes callers.
     """
 
-    __slots__ = ("_cfg", "_surroundings", "_metrics", "_servers", "_datagrams", "_trace", "runner")
+    __slots__ = (
+        "_cfg",
+        "_surroundings",
+        "_metrics",
+        "_servers",
+        "_datagrams",
+        "_trace",
+        "runner",
+        "callers",
+        "ready",
+    )
 
     def __init__(self, *, cfg: Settings, surroundings: Surroundings, metrics: str = "") -> None:
         self._cfg = cfg
@@ -66,6 +83,8 @@
         self._datagrams: UdpDatagrams | None = None
         self._trace: TraceWriter | None = None
         self.runner: Runner | None = None
+        self.callers = ""
+        self.ready = ""
 
     async def start(self) -> None:
         """Open the listeners and start the reducer."""
@@ -80,14 +99,16 @@
         owner = Owner(host=cfg.host, incarnation=secrets.token_hex(INCARNATION_BYTES))
         self.runner = Runner(cfg=cfg, ports=ports, owner=owner, seed=secrets.randbits(SEED_BITS))
         if cfg.trace:
+            from ._trace import TraceWriter  # Needs the checks of settings files, and so much more.
+
             self._trace = TraceWriter(cfg.trace, cfg, limit_bytes=cfg.trace_bytes)
             self.runner.events.subscribe(on_next=lambda step: self._trace.record(*step))
         entry = ForwardEntry(
             runner=self.runner, dialect=around.dialect, max_body_bytes=cfg.limits.max_body_bytes
         )
         await self._datagrams.open(self.runner)
-        await self._serve(entry.server(), cfg.listen.callers)
-        await self._serve(entry.ready_server(), cfg.forwarding.ready)
+        self.callers = await self._serve(entry.server(), cfg.listen.callers)
+        self.ready = await self._serve(entry.ready_server(), cfg.forwarding.ready)
         if self._metrics:
             await self._serve(entry.metrics_server(), self._metrics)
         self.runner.start(ForwarderBooted)
@@ -130,12 +151,13 @@
         if self._trace:
             self._trace.close()
 
-    async def _serve(self, server: web.Server, address: str) -> None:
+    async def _serve(self, server: web.Server, address: str) -> str:
         host, _, port = address.rpartition(":")
-        served = web.ServerRunner(server)
+        served = web.ServerRunner(server, shutdown_timeout=CLOSE_TIME)
         await served.setup()
-        await web.TCPSite(served, host, int(port), backlog=512, shutdown_timeout=CLOSE_TIME).start()
+        await web.TCPSite(served, host, int(port), backlog=512).start()
         self._servers.append(served)
+        return "{}:{}".format(*served.addresses[0][:2])
 
 
 async def serve(cfg: Settings, surroundings: Surroundings, *, metrics: str = "") -> None:
@@ -158,7 +180,7 @@
             "listening",
             host=cfg.host,
             incarnation=runner.owner.incarnation,
-            callers=cfg.listen.callers,
+            callers=daemon.callers,
             zone=cfg.zone,
         )
         await runner.ended.wait()
--- a/src/wasabiwick/_forward_entry.py
+++ b/src/wasabiwick/_forward_entry.py
@@ -149,7 +149,7 @@
         runner = self._runner
         self._sequence += 1
         call_id = f"{runner.owner.host}.{runner.owner.incarnation}.f{self._sequence}"
-        target = req.message.path
+        target = req.raw_path
         headers = list(req.raw_headers)
         ask = self._dialect.ask(
             call_id, req.headers.get("Host", ""), target.partition("?")[0], headers, runner.now()
--- a/src/wasabiwick/_http1.py
+++ b/src/wasabiwick/_http1.py
@@ -8,14 +8,11 @@
 
 import asyncio
 import collections
-import contextlib
 import socket
 import typing
 
 import httptools
 
-from ._logging import log_event
-
 CONNECT_TIMEOUT = 0.4  # Seconds; a handshake between zones takes some 10 ms.
 USER_TIMEOUT_MS = 2_500  # Milliseconds without an acknowledgement after which a link is dead.
 PROBE_IDLE = 1  # Seconds of silence after which a connection is probed.
@@ -285,12 +282,11 @@
         clock: Returns monotonic time in seconds.
     """
 
-    __slots__ = ("_clock", "_idle", "_open")
+    __slots__ = ("_clock", "_idle")
 
     def __init__(self, clock: typing.Callable[[], float]) -> None:
         self._clock = clock
         self._idle: dict[tuple[str, str], list[Connection]] = {}
-        self._open: collections.Counter[tuple[str, str]] = collections.Counter()
 
     async def acquire(self, endpoint: str, address: str, *, fresh: bool = False) -> Connection:
         """Return a connection to an endpoint, a kept one unless ``fresh``.
@@ -337,10 +333,8 @@
         """Close all kept connections."""
         for idle in self._idle.values():
             for conn in idle:
-                with contextlib.suppress(RuntimeError):
-                    conn.close()
+                conn.close()
         self._idle.clear()
-        log_event("connections_closed", level="DEBUG")
 
 
 def encode_request(
--- /dev/null
+++ b/tests/_platform.py
@@ -0,0 +1,316 @@
+"""Stand-ins of the platform that wasabiwick is deployed on: its store and its endpoints.
+
+They speak the calls that the adapter makes, with the refusals that each may get, and nothing more.
+"""
+
+import asyncio
+import base64
+import contextlib
+import itertools
+import struct
+import typing
+
+import msgspec
+from aiohttp import web
+from multidict import CIMultiDict
+
+KEYED = "keyed."
+MODEL = "model"
+APP = "app"
+
+
+class Store:
+    """The store: keyed topics of one partition.
+
+    Attributes:
+        trouble: What calls meet: empty, ``busy`` (503), ``many`` (429), ``silent``, ``lost`` (done
+            and not answered) or ``reset``.
+        calls: Path of each call.
+    """
+
+    def __init__(self) -> None:
+        self.topics: dict[str, list[tuple[str, bytes]]] = {}
+        self.kept_from: dict[str, int] = {}
+        self.trouble = ""
+        self.calls: list[str] = []
+        self._changed = asyncio.Condition()
+
+    def app(self) -> web.Application:
+        """Build the web application."""
+        app = web.Application()
+        app.router.add_get("/v1/log-newest", self._newest)
+        app.router.add_get("/v1/log-read", self._read)
+        app.router.add_post("/v1/log-append", self._append)
+        return app
+
+    async def put(self, topic: str, key: str, value: object) -> None:
+        """Write a record; None drops the key, bytes go as they are, the rest as JSON."""
+        data = value if isinstance(value, bytes) else msgspec.json.encode(value)
+        await self._add(topic, key, b"" if value is None else data)
+
+    def forget(self, topic: str) -> None:
+        """Delete the topic's records; the newest of each key can still be read."""
+        self.kept_from[topic] = len(self.topics.get(topic, ()))
+
+    async def _add(self, topic: str, key: str, value: bytes) -> int:
+        records = self.topics.setdefault(topic, [])
+        records.append((key, value))
+        async with self._changed:
+            self._changed.notify_all()
+        return len(records) - 1
+
+    async def _meet_trouble(self, req: web.Request) -> web.Response | None:
+        self.calls.append(req.path)
+        if self.trouble in ("busy", "many"):
+            return web.Response(status=503 if self.trouble == "busy" else 429)
+        if self.trouble == "silent":
+            await asyncio.sleep(3600)
+        if self.trouble == "reset":
+            req.transport.abort()
+        return None
+
+    async def _newest(self, req: web.Request) -> web.Response:
+        refused = await self._meet_trouble(req)
+        if refused:
+            return refused
+        records = self.topics.get(req.query["topic"], [])
+        newest = {key: (offset, value) for offset, (key, value) in enumerate(records)}
+        names = sorted(name for name, (_, value) in newest.items() if value)
+        names = [name for name in names if name > req.query.get("after", "")]
+        page = names[:2]  # Small pages, so that clients have to go on.
+        items = [
+            {
+                "key": name,
+                "value": base64.b64encode(newest[name][1]).decode(),
+                "offset": newest[name][0],
+            }
+            for name in page
+        ]
+        more = len(names) > len(page)
+        return web.json_response({"items": items, "more": more, "end-offset": len(records)})
+
+    async def _read(self, req: web.Request) -> web.Response:
+        refused = await self._meet_trouble(req)
+        if refused:
+            return refused
+        topic, start = req.query["topic"], int(req.query["from"])
+        first = self.kept_from.get(topic, 0)
+        if start < first:
+            return web.json_response({"first": first}, status=410)
+        wait = int(req.query.get("wait-ms", 0)) / 1000
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait), self._changed:
+                await self._changed.wait_for(lambda: len(self.topics.get(topic, ())) > start)
+        records = self.topics.get(topic, [])
+        body = struct.pack(">QQ", len(records), first)
+        for key, value in records[start:]:
+            name = key.encode()
+            content = bytes([len(name)]) + name + value
+            body += struct.pack(">I", len(content)) + content
+        return web.Response(body=body)
+
+    async def _append(self, req: web.Request) -> web.Response:
+        refused = await self._meet_trouble(req)
+        if refused:
+            return refused
+        topic, body = req.query["topic"], await req.read()
+        records = self.topics.setdefault(topic, [])
+        if "at" in req.query and int(req.query["at"]) != len(records):
+            return web.json_response({"end-offset": len(records)}, status=412)
+        (length,) = struct.unpack_from(">I", body)
+        content = body[4 : 4 + length]
+        size = 1 + content[0]
+        offset = await self._add(topic, content[1:size].decode(), content[size:])
+        if self.trouble == "lost":
+            req.transport.abort()
+        return web.json_response({"offset": offset, "end-offset": offset + 1})
+
+
+class Endpoint:
+    """A model engine or an endpoint of the plain service.
+
+    Attributes:
+        seen: Path and headers of each request that was not refused.
+        held: Holds that were given and neither used nor dropped.
+        handles: KV caches that were neither fetched nor freed.
+        refuses: Requests that it refuses, stating that it has not run them.
+        fails: Requests that it answers with its own 500.
+        cuts: Streams that it breaks off in the middle of an event.
+        events: Events of each stream.
+        pause: Seconds between events.
+        working: Streams that it works on.
+        orders: Bodies of its orders.
+    """
+
+    def __init__(self, name: str, stage: str = "") -> None:
+        self.name = name
+        self.stage = stage
+        self.address = ""
+        self.seen: list[tuple[str, CIMultiDict[str]]] = []
+        self.held: set[str] = set()
+        self.handles: set[str] = set()
+        self.refuses = 0
+        self.fails = 0
+        self.cuts = 0
+        self.events = 5
+        self.pause = 0.0
+        self.working = 0
+        self.orders: list[dict] = []
+        self._numbers = itertools.count(1)
+
+    def entry(self, **fields: object) -> dict[str, object]:
+        """Return what it writes of itself to the store."""
+        return {
+            "service": MODEL if self.stage else APP,
+            "address": self.address,
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": 12,
+            "state": "ready",
+            "cold-remaining-ms": 0,
+            "sequence": 1,
+            "born": 1,
+            **({"stage": self.stage} if self.stage else {}),
+            **fields,
+        }
+
+    def app(self) -> web.Application:
+        """Build the web application."""
+        app = web.Application()
+        app.router.add_post("/v1/hold-take", self._hold)
+        app.router.add_delete("/v1/hold-drop/{id}", self._drop_hold)
+        app.router.add_delete("/v1/kv-handle/{id}", self._free)
+        app.router.add_post("/v1/order", self._order)
+        app.router.add_route("*", "/{path:.*}", self._request)
+        return app
+
+    def _misdirected(self, req: web.Request) -> web.Response | None:
+        if req.headers.get("X-Wasabiwick-Expect-Instance", self.name) == self.name:
+            return None
+        return web.Response(status=421, headers={"X-Wasabiwick-Instance-Id": self.name})
+
+    async def _hold(self, req: web.Request) -> web.Response:
+        misdirected = self._misdirected(req)
+        if misdirected:
+            return misdirected
+        body = await req.json()
+        assert body["tokens"] > 0 and body["ttl-ms"] > 0
+        hold = f"hold-{next(self._numbers)}"
+        self.held.add(hold)
+        return web.json_response({"hold": hold})
+
+    async def _drop_hold(self, req: web.Request) -> web.Response:
+        self.held.discard(req.match_info["id"])
+        return web.Response()
+
+    async def _free(self, req: web.Request) -> web.Response:
+        self.handles.discard(req.match_info["id"])
+        return web.Response()
+
+    async def _order(self, req: web.Request) -> web.Response:
+        misdirected = self._misdirected(req)
+        if misdirected:
+            return misdirected
+        self.orders.append(await req.json())
+        return web.Response(status=202)
+
+    async def _request(self, req: web.Request) -> web.StreamResponse:
+        echo = {"X-Wasabiwick-Attempt-Id": req.headers["X-Wasabiwick-Attempt-Id"]}
+        misdirected = self._misdirected(req)
+        if misdirected:
+            return misdirected
+        if self.refuses:
+            self.refuses -= 1
+            return web.Response(status=503, headers={**echo, "X-Wasabiwick-Not-Executed": "1"})
+        body = await req.read()
+        self.seen.append((req.raw_path, req.headers.copy()))
+        if req.headers.get("X-Wasabiwick-Stage") == "prefill":
+            handle = f"handle-{self.name}-{next(self._numbers)}"
+            self.handles.add(handle)
+            answer = {"kv-handle": handle, "tokens": 10, "version": 1}
+            return web.json_response(answer, headers=echo)
+        seal = {**echo, "X-Wasabiwick-Response-Seal": f"seal-{self.name}"}
+        if self.fails:
+            self.fails -= 1
+            return web.Response(status=500, headers=seal, text="own failure")
+        if not self.stage:
+            return web.Response(body=req.raw_path.encode() + b" " + body, headers=seal)
+        self.held.discard(req.headers.get("X-Wasabiwick-Kv-Hold", ""))
+        return await self._stream(req, seal)
+
+    async def _stream(self, req: web.Request, seal: dict[str, str]) -> web.StreamResponse:
+        resp = web.StreamResponse(headers={**seal, "Content-Type": "text/event-stream"})
+        await resp.prepare(req)
+        self.working += 1
+        try:
+            for number in range(int(req.headers.get("Last-Event-Id", 0)) + 1, self.events + 1):
+                if self.cuts and number == 3:
+                    self.cuts -= 1
+                    await resp.write(b"id: 3\ndata: br")
+                    req.transport.abort()
+                    return resp
+                await resp.write(b"id: %d\ndata: part %d\n\n" % (number, number))
+                await asyncio.sleep(self.pause)
+        finally:
+            self.working -= 1
+        return resp
+
+
+def config(version: int = 1, **route: object) -> dict[str, object]:
+    """Return the operator's configuration, with a route of each kind."""
+
+    def one(name: str, kind: str, service: str, **more: object) -> dict[str, object]:
+        is_stream = kind == "stream"
+        return {
+            "name": name,
+            "host": "example",
+            "path-prefix": f"/{name}/",
+            "type": kind,
+            "timeout-ms": 5_000,
+            "target-latency-ms": 1_000,
+            "priority": 1,
+            "service": service,
+            "max-attempts": 2,
+            "sticky": is_stream,
+            "resumable": is_stream,
+            "target-itl-ms": 300 if is_stream else 0,
+            **more,
+        }
+
+    engine = {
+        "slots": 12,
+        "kv-capacity-tokens": 33_860,
+        "kv-bytes": 131_072,
+        "kv-hold-s": 0.5,
+        "hold-ms": 2_000.0,
+        "switch-s": 6.0,
+        "stride": 12,
+        "models": [{"name": "m"}],
+    }
+    return {
+        "version": version,
+        "routes": [
+            one("stream", "stream", MODEL),
+            one("safe", "safe", APP),
+            one("unsafe", "unsafe", APP, **{"max-attempts": 1}),
+            *([route] if route else []),
+        ],
+        "services": [
+            {"name": MODEL, "health-path": "/healthz", "max-connections": 50, "engine": engine},
+            {"name": APP, "health-path": "/healthz", "max-connections": 50},
+        ],
+        "limits": {"max-header-bytes": 16_384, "max-body-bytes": 4_194_304},
+    }
+
+
+@contextlib.asynccontextmanager
+async def serving(app: web.Application) -> typing.AsyncIterator[str]:
+    """Serve an application on a free port and give its address."""
+    runner = web.AppRunner(app, handler_cancellation=True, access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    host, port = runner.addresses[0][:2]
+    try:
+        yield f"{host}:{port}"
+    finally:
+        await runner.cleanup()
--- /dev/null
+++ b/tests/test_boundaries.py
@@ -0,0 +1,89 @@
+"""Tests of what may be known where: the platform's names, and what a daemon imports."""
+
+import ast
+import pathlib
+import re
+import subprocess
+import sys
+import unittest
+
+import wasabiwick
+
+SOURCES = pathlib.Path(wasabiwick.__file__).parent
+FOLDER = SOURCES / "platform"
+MOST_LINES = 1_500  # Of the folder, as the users' letter asks for a small one.
+FOREIGN = re.compile(
+    r"x-wasabiwick|\bkeyed\.|log-append|log-newest|log-read|hold-take|hold-drop|kv-handle|kv-source"
+    r"|kv-hold|v1/readyz|expect.instance|fencing-token|tenant|back end|boot\.toml"
+    r"|WASABIWICK_CONFIG",
+    re.IGNORECASE,
+)
+UNWANTED = ("matplotlib", "numpy", "cryptography", "uvloop", "hdrh")
+UNWANTED_OWN = ("_bench", "_capacity", "_demo", "_fuzz", "_load", "_model", "_standins", "_slo")
+
+
+class TestNames(unittest.TestCase):
+    """Outside its folder nothing knows the platform's names."""
+
+    def test_no_name_stands_outside(self) -> None:
+        found = []
+        for path in sorted(SOURCES.rglob("*.py")):
+            place = path.relative_to(SOURCES).as_posix()
+            if FOLDER in path.parents:
+                continue
+            for number, line in enumerate(path.read_text(encoding="utf-8").splitlines(), 1):
+                if FOREIGN.search(line):
+                    found.append(f"{place}:{number}: {line.strip()}")
+        self.assertEqual(found, [])
+
+    def test_the_folder_is_small(self) -> None:
+        lines = sum(
+            len(path.read_text(encoding="utf-8").splitlines()) for path in FOLDER.glob("*.py")
+        )
+        self.assertLess(lines, MOST_LINES)
+
+    def test_the_folder_decides_nothing(self) -> None:
+        """It imports no handler, no state and no reducer, so it can't take part in a decision."""
+        for path in FOLDER.glob("*.py"):
+            for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+                if isinstance(node, ast.ImportFrom) and node.level == 2:
+                    top = (node.module or "").partition(".")[0]
+                    self.assertNotIn(top, ("_handlers", "_state", "_reducer"), path.name)
+
+    def test_it_does_not_hide_the_library_of_its_name(self) -> None:
+        import platform
+
+        self.assertFalse(str(platform.__file__).startswith(str(SOURCES)))
+
+
+class TestImports(unittest.TestCase):
+    """A daemon imports what it needs: starting and memory are paid for."""
+
+    def test_a_host_on_the_platform(self) -> None:
+        code = "import sys, wasabiwick._cli, wasabiwick._cli_run, wasabiwick.platform"
+        code += "; print(*sys.modules)"
+        run = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
+        self.assertEqual(run.returncode, 0, run.stderr)
+        names = run.stdout.split()
+        tops = {name.partition(".")[0] for name in names}
+        self.assertEqual(tops & set(UNWANTED), set())
+        own = {name.split(".")[1] for name in names if name.startswith("wasabiwick.")}
+        self.assertEqual({name for name in own if name.startswith(UNWANTED_OWN)}, set())
+
+
+class TestHandlers(unittest.TestCase):
+    """Handlers take from each other only what exists; the linter does not see that."""
+
+    def test_attributes_of_modules(self) -> None:
+        import importlib
+
+        for path in sorted((SOURCES / "_handlers").glob("*.py")):
+            module = importlib.import_module(f"wasabiwick._handlers.{path.stem}")
+            for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+                if isinstance(node, ast.Attribute) and isinstance(node.value, ast.Name):
+                    used = getattr(module, node.value.id, None)
+                    if type(used) is type(unittest):
+                        self.assertTrue(
+                            hasattr(used, node.attr),
+                            f"{path.name}:{node.lineno}: {node.value.id}.{node.attr}",
+                        )
