--- a/src/wasabiwick/_cli_run.py
+++ b/src/wasabiwick/_cli_run.py
@@ -8,7 +8,7 @@
 import click
 
 from ._exit_codes import EXIT_FAILED, EXIT_FAULTS
-from ._logging import configure, log_event, log_exception
+from ._logging import bounded_sink, configure, log_event, log_exception
 
 
 @click.command()
@@ -17,7 +17,7 @@
 @click.option("--log-level", default="INFO", show_default=True)
 def run(path: str | None, platform: bool, log_level: str) -> None:
     """Run an entry host until SIGTERM, then shut down gracefully."""
-    configure(log_level)
+    configure(log_level, bounded_sink())
     if platform:
         _run_on_platform(path)
     elif path is None:
--- a/src/wasabiwick/_daemon.py
+++ b/src/wasabiwick/_daemon.py
@@ -15,7 +15,7 @@
 from ._caller_server import CallerRunner
 from ._entry import Entry
 from ._events import StopAsked
-from ._logging import log_event
+from ._logging import keep_flushing, log_event
 from ._peer_server import PeerServer
 from ._runner import Ports, Runner
 from ._settings import Settings
@@ -73,6 +73,7 @@
         if tls:
             self.runner.spawn("tls", tls.watch())
         self.runner.start()
+        self.runner.spawn("logs", keep_flushing())
 
     async def stop(self) -> None:
         """Close everything."""
--- a/src/wasabiwick/_forward_daemon.py
+++ b/src/wasabiwick/_forward_daemon.py
@@ -14,7 +14,7 @@
 from ._adapters._datagrams import UdpDatagrams
 from ._events import ForwarderBooted, SettingsRead, StopAsked
 from ._forward_entry import ForwardEntry
-from ._logging import log_event
+from ._logging import keep_flushing, log_event
 from ._ports import Dialect, Endpoints, HostRegister
 from ._runner import Ports, Runner
 from ._settings import Settings
@@ -114,6 +114,7 @@
         self.runner.start(ForwarderBooted)
         self.runner.spawn("follow", around.follow(self.runner))
         self.runner.spawn("settings", self._watch_settings())
+        self.runner.spawn("logs", keep_flushing())
 
     def reload(self) -> None:
         """Read the settings again; what can't be used is logged, and the old ones stay."""
--- a/src/wasabiwick/_handlers/forward_arrivals.py
+++ b/src/wasabiwick/_handlers/forward_arrivals.py
@@ -6,6 +6,7 @@
 from .._effects_forwarding import RefuseForward
 from .._errors import (
     DEADLINE_PASSED,
+    ENDPOINT_SILENT,
     NO_CONFIGURATION,
     NO_ROUTE,
     OVERLOADED,
@@ -114,6 +115,10 @@
     req = forwarding.call(state, event.key)
     if req is None:
         return
+    if req.phase == forwarding.SENT and req.place is not None:
+        # An endpoint that can't be reached over a kept connection shows by nothing else.
+        silent = Failure(reason=ENDPOINT_SILENT, verdict=Verdict.MAY_HAVE_RUN)
+        yield from forwarding.note_failure(state, req, req.place.name, silent, event.at)
     reason = DEADLINE_PASSED if req.ran else OVERLOADED
     yield from forwarding.refuse(
         state, req, event.at, reason, retry_after=STOPPING_RETRY, phase=req.phase
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -7,7 +7,7 @@
 
 import typing
 
-from .._effects import Count, LogLine, Observe
+from .._effects import Count, Observe
 from .._effects_forwarding import DropTry, Forward, ReadPrompt, Relay
 from .._errors import (
     ENDPOINT_CHANGED,
@@ -69,14 +69,14 @@
     if event.failure is not None:
         places.mark_full(state, event.endpoint, event.at)
         yield Count(metric="holds", label=event.failure.reason.code)
-        yield LogLine(
-            event="hold_refused",
-            fields={
-                "request": req.ask.trace_id,
-                "endpoint": event.endpoint,
-                "reason": event.failure.reason.code,
-                "cause": event.failure.detail,
-            },
+        yield forwarding.log(
+            "hold_refused",
+            req,
+            state,
+            event.at,
+            endpoint=event.endpoint,
+            reason=event.failure.reason.code,
+            cause=event.failure.detail,
         )
         yield from forwarding.vacate(state, req, event.at)
         if event.failure.reason is not ENDPOINT_REFUSED:
--- a/src/wasabiwick/_logging.py
+++ b/src/wasabiwick/_logging.py
@@ -1,5 +1,6 @@
 """Structured logs: each event is one line of ``key=value`` pairs."""
 
+import asyncio
 import json
 import logging
 import re
@@ -9,12 +10,15 @@
 
 from loguru import logger
 
+from ._log_sink import TELL_SECONDS, LogSink
+
 TIME_FORMAT = "YYYY-MM-DDTHH:mm:ss.SSSZZ"
 
 _BARE = re.compile(r"[^\s\"'=\\\x00-\x1f\x7f]+", re.ASCII)
 _KEY = re.compile(r"[^A-Za-z0-9_]")
 _MAX_VALUE = 2_000  # Characters; longer values are cut, so that lines stay readable.
 _MAX_TRACEBACK = 8_000
+_sink: LogSink | None = None  # The process has one standard output.
 
 
 def log_event(event: str, *, level: str = "INFO", **fields: object) -> None:
@@ -39,6 +43,28 @@
     return " ".join(f"{_KEY.sub('_', key)}={_value(value)}" for key, value in fields.items())
 
 
+def bounded_sink() -> LogSink:
+    """Return a sink that writes to standard output within bounds, and never blocks."""
+    global _sink
+    _sink = LogSink(sys.stdout.fileno())
+    return _sink
+
+
+async def keep_flushing() -> None:
+    """Hand waiting lines on, and tell of dropped ones, for as long as the process lives."""
+    while _sink is not None:
+        await asyncio.sleep(TELL_SECONDS)
+        untold = _sink.untold()
+        if untold:
+            log_event("log_lines_dropped", level="WARNING", lines=untold, **_sink.dropped)
+        _sink.flush()
+
+
+def dropped_lines() -> dict[str, float]:
+    """Return the log lines dropped since the start, by class."""
+    return dict(_sink.dropped) if _sink is not None else {}
+
+
 def configure(level: str = "INFO", sink: typing.Any = None) -> None:
     """Send all logs, those of libraries too, to one sink.
 
--- a/src/wasabiwick/_metrics.py
+++ b/src/wasabiwick/_metrics.py
@@ -6,8 +6,9 @@
 
 import typing
 
-from ._handlers import calls, cancels, lists, members
+from ._handlers import calls, cancels, lists, members, neighbours, routes
 from ._handlers.host import in_flight, roles_held
+from ._logging import dropped_lines
 from ._state import State
 
 PREFIX = "wasabiwick"
@@ -244,6 +245,40 @@
     return found
 
 
+@gauge("log_lines_dropped", "Log lines dropped to stay within their bounds.", "class of line")
+def _dropped(state: State) -> GaugeValues:
+    return dropped_lines()
+
+
+@gauge("forwarded_open", "Forwarded calls in progress, by what is under way for them.", "phase")
+def _forwarded_open(state: State) -> GaugeValues:
+    found: GaugeValues = {}
+    for req in state["forwarding"].calls.values():
+        found[req.phase] = found.get(req.phase, 0) + 1
+    return found
+
+
+@gauge("routes_version", "Version of the routes in force; 0 before the first.")
+def _routes_version(state: State) -> GaugeValues:
+    return {"": routes.version(state)}
+
+
+@gauge("endpoints_known", "Endpoints of the directory that may get new work.", "stage")
+def _endpoints_known(state: State) -> GaugeValues:
+    found: GaugeValues = {}
+    for one in state["directory"].endpoints.values():
+        stage = one.stage or "plain"
+        found[stage] = found.get(stage, 0) + (not one.leaving)
+    return found
+
+
+@gauge("hosts_heard", "Other hosts that told their load lately.")
+def _hosts_heard(state: State) -> GaugeValues:
+    hosts = state["neighbours"].hosts.values()
+    newest = max((one.heard for one in hosts), default=0.0)
+    return {"": sum(1 for one in hosts if newest - one.heard < neighbours.SILENT_AFTER)}
+
+
 @gauge("stopping", "1 while the host shuts down gracefully.")
 def _stopping(state: State) -> GaugeValues:
     return {"": int(state.stopping)}
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -343,6 +343,15 @@
         host.run(1.6)
         self.assertEqual(host.last(TakeHold, host.ask("stream")).endpoint, bad)
 
+    def test_an_endpoint_that_stays_silent_is_asked_last(self) -> None:
+        """Found in an incident: requests went to a cut endpoint until their time was over."""
+        host = Host()
+        call = host.ask("unsafe")
+        silent = host.last(Forward, call).endpoint
+        host.run(0.85)
+        for _ in range(5):
+            self.assertNotEqual(host.last(Forward, host.ask("unsafe")).endpoint, silent)
+
     def test_it_is_used_where_no_other_has_room(self) -> None:
         host = Host(endpoints=(engine("p0", PREFILL), engine("d0", DECODE)))
         call = host.start_stream()
--- /dev/null
+++ b/tools/explained.py
@@ -0,0 +1,66 @@
+"""Prints the share of refused and failed requests whose log lines name cause, inputs and their age.
+
+Usage: python tools/explained.py LOG [REPORT]
+
+LOG holds the lines of all hosts of a day; REPORT is the day's report, whose list of unserved requests
+is checked too. Exits with 1 where the share is below 100%.
+"""
+
+import collections
+import json
+import pathlib
+import re
+import sys
+
+from wasabiwick import _explain
+
+REQUEST = re.compile(r"request ([0-9a-f]{16}) ")
+AGES = ("routes_version", "list_age")
+EARLY = ("no_route", "no_configuration", "stopping")  # Refused before an endpoint was looked for.
+
+
+def main() -> int:
+    """Check a log, and a report if one is named."""
+    text = pathlib.Path(sys.argv[1]).read_text(encoding="utf-8", errors="replace")
+    lines = [line for line in map(_explain.parse, text.splitlines()) if line is not None]
+    stories: dict[str, list[_explain.Line]] = collections.defaultdict(list)
+    for line in lines:
+        stories[line.get("request", "")].append(line)
+    stories.pop("", None)
+    wanted = {name for name, story in stories.items() if _failed(story)}
+    reported = _reported(sys.argv[2]) if len(sys.argv) > 2 else set()
+    unseen = {name for name in reported if name not in stories}
+    wanted |= reported - unseen
+    explained = {name for name in wanted if _is_explained(stories[name])}
+    for name in sorted(wanted - explained):
+        print(f"not explained: {name}: {[line.event for line in stories[name]]}")
+    for name in sorted(unseen):
+        print(f"reached no host: {name}")
+    share = len(explained) / len(wanted) if wanted else 1.0
+    print(f"{len(explained)} of {len(wanted)} refused or failed requests explained: {share:.1%}")
+    return 0 if explained == wanted else 1
+
+
+def _failed(story: list[_explain.Line]) -> bool:
+    events = {line.event for line in story}
+    return bool(events & {"refused", "cut", "caller_left", "relayed_failure"})
+
+
+def _is_explained(story: list[_explain.Line]) -> bool:
+    cause = _explain.Story(request="", lines=story, broken=0).cause
+    if cause is None:
+        return False
+    if cause.event in ("refused", "cut") and cause.get("reason") == "?":
+        return False
+    if cause.get("reason") in EARLY:
+        return "routes_version" in cause.fields
+    return all(name in cause.fields for name in AGES)
+
+
+def _reported(path: str) -> set[str]:
+    report = json.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+    return set(REQUEST.findall(json.dumps(report.get("unserved_by", []))))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
