Mend the bounded log sink, which the logging library took for a stream

No test went through the library; one does now. The checking tool said 100% of nothing; it fails on a log without requests.

--- a/src/wasabiwick/_log_sink.py
+++ b/src/wasabiwick/_log_sink.py
@@ -29,6 +29,8 @@
 class LogSink:
     """Writes lines to a file descriptor without waiting for it.
 
+    It has no method ``write``, which would make the logging library take it for a stream.
+
     Args:
         fd: The descriptor, which is set not to block.
         clock: Returns monotonic time in seconds.
@@ -54,9 +56,9 @@
     def __call__(self, message: typing.Any) -> None:
         """Take a line of the logging library."""
         event = message.record["extra"].get("event", "")
-        self.write(str(message).encode(), ROUTINE if event in ROUTINE_EVENTS else IMPORTANT)
+        self.put(str(message).encode(), ROUTINE if event in ROUTINE_EVENTS else IMPORTANT)
 
-    def write(self, line: bytes, kind: str) -> None:
+    def put(self, line: bytes, kind: str) -> None:
         """Write a line, or drop it where it is beyond the bounds.
 
         Args:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -2,11 +2,12 @@
 
 import json
 import os
+import sys
 import unittest
 
 import click.testing
 
-from wasabiwick import _explain
+from wasabiwick import _explain, _logging
 from wasabiwick._cli_explain import explain
 from wasabiwick._log_sink import BUFFER_BYTES, IMPORTANT, LINES_PER_SECOND, ROUTINE, LogSink
 from wasabiwick._logging import pairs
@@ -95,23 +96,31 @@
         for second in range(60):
             self.now = float(second)
             for _ in range(4_000):
-                self.sink.write(b"x" * 399 + b"\n", ROUTINE)
+                self.sink.put(b"x" * 399 + b"\n", ROUTINE)
         self.assertLessEqual(self.sink._size, BUFFER_BYTES)
         self.assertGreater(self.sink.dropped[ROUTINE], 0)
 
     def test_routine_steps_are_dropped_before_what_matters(self) -> None:
         for _ in range(int(LINES_PER_SECOND * 3)):
-            self.sink.write(b"routine\n", ROUTINE)
+            self.sink.put(b"routine\n", ROUTINE)
         dropped = self.sink.dropped[ROUTINE]
         self.assertGreater(dropped, 0)
         for _ in range(int(LINES_PER_SECOND * 0.9)):
-            self.sink.write(b"refused\n", IMPORTANT)
+            self.sink.put(b"refused\n", IMPORTANT)
         self.assertEqual(self.sink.dropped[IMPORTANT], 0)
 
+    def test_lines_of_the_logging_library_arrive(self) -> None:
+        """Found on a bench day: the library took the sink for a stream, and lost every line."""
+        _logging.configure("INFO", self.sink)
+        self.addCleanup(_logging.configure, "INFO", sys.stdout)
+        _logging.log_event("refused", request="r1")
+        found = _explain.parse(os.read(self.reader, 65_536).decode())
+        self.assertEqual((found.event, found.get("request")), ("refused", "r1"))
+
     def test_a_rate_within_the_bound_drops_nothing(self) -> None:
         for step in range(1_000):
             self.now = step / 100
-            self.sink.write(b"line\n", ROUTINE)
+            self.sink.put(b"line\n", ROUTINE)
         self.assertEqual(sum(self.sink.dropped.values()), 0)
 
     def test_lines_come_whole_and_in_order_once_the_reader_reads(self) -> None:
@@ -119,7 +128,7 @@
         got = b""
         for number, text in enumerate(lines):
             self.now = number / 100
-            self.sink.write(text, IMPORTANT)
+            self.sink.put(text, IMPORTANT)
         while len(got) < sum(map(len, lines)):
             got += os.read(self.reader, 65_536)
             self.sink.flush()
@@ -127,7 +136,7 @@
 
     def test_what_was_dropped_is_told_once(self) -> None:
         for _ in range(2_000):
-            self.sink.write(b"routine\n", ROUTINE)
+            self.sink.put(b"routine\n", ROUTINE)
         self.assertEqual(self.sink.untold(), self.sink.dropped[ROUTINE])
         self.assertEqual(self.sink.untold(), 0)
 
@@ -135,6 +144,6 @@
         reader, writer = os.pipe()
         sink = LogSink(writer, clock=lambda: self.now)
         os.close(reader)
-        sink.write(b"line\n", IMPORTANT)
+        sink.put(b"line\n", IMPORTANT)
         self.assertEqual(sink.dropped[IMPORTANT], 1)
         os.close(writer)
--- a/tools/explained.py
+++ b/tools/explained.py
@@ -27,6 +27,9 @@
     for line in lines:
         stories[line.get("request", "")].append(line)
     stories.pop("", None)
+    if not stories:
+        print("the log holds no line that names a request")
+        return 1
     wanted = {name for name, story in stories.items() if _failed(story)}
     reported = _reported(sys.argv[2]) if len(sys.argv) > 2 else set()
     unseen = {name for name in reported if name not in stories}
