--- a/src/wasabiwick/_cli_explain.py
+++ b/src/wasabiwick/_cli_explain.py
@@ -36,13 +36,14 @@
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 def explain(request: str, logs: tuple[typing.TextIO, ...], as_json: bool) -> None:
     """Tell what became of REQUEST, from log files or standard input."""
-    found = _explain.story(request, _lines(logs or (sys.stdin,)))
-    if found.broken:
-        click.echo(f"{found.broken} log lines are cut short or can't be read", err=True)
+    log = _explain.Log(_lines(logs or (sys.stdin,)))
+    found = log.story(request)
+    if log.broken:
+        click.echo(f"{log.broken} log lines are cut short or can't be read", err=True)
     if not found.lines:
         click.echo(f'no line of the logs names request "{request}"', err=True)
         sys.exit(EXIT_FAILED)
-    click.echo(msgspec.json.encode(_explained(found)) if as_json else _as_text(found))
+    click.echo(msgspec.json.encode(_explained(found, log.broken)) if as_json else _as_text(found))
 
 
 def _lines(files: typing.Iterable[typing.TextIO]) -> typing.Iterator[str]:
@@ -50,13 +51,13 @@
         yield from file
 
 
-def _explained(found: _explain.Story) -> Explained:
+def _explained(found: _explain.Story, broken: int) -> Explained:
     cause = found.cause
     return Explained(
         request=found.request,
         cause=_explain.sentence(cause) if cause else "",
         basis=_explain.basis(cause) if cause else "",
-        unreadable_lines=found.broken,
+        unreadable_lines=broken,
         steps=[
             Told(
                 at=line.at,
--- a/src/wasabiwick/_explain.py
+++ b/src/wasabiwick/_explain.py
@@ -13,7 +13,9 @@
 _TELLERS: dict[str, Teller] = {}
 
 # Events that settle a request on a host; the last one is the cause of what the caller got.
-SETTLING = ("served", "refused", "cut", "caller_left")
+SETTLING = ("served", "refused", "cut", "caller_left", "host_ended")
+
+AGES = ("routes_version", "list_age")  # Fields that tell how old the facts of a decision were.
 
 
 class Line:
@@ -48,15 +50,13 @@
     Args:
         request: Its identifier.
         lines: Its lines in order of time.
-        broken: Lines of the input that looked like log lines and can't be read.
     """
 
-    __slots__ = ("request", "lines", "broken")
+    __slots__ = ("request", "lines")
 
-    def __init__(self, *, request: str, lines: list[Line], broken: int) -> None:
+    def __init__(self, *, request: str, lines: list[Line]) -> None:
         self.request = request
         self.lines = lines
-        self.broken = broken
 
     @property
     def settled(self) -> Line | None:
@@ -114,20 +114,60 @@
     return Line(at=at, event=fields.pop("event"), fields=fields)
 
 
-def story(request: str, texts: typing.Iterable[str]) -> Story:
-    """Return the story of a request, by its identifier or its call's."""
-    lines = []
-    broken = 0
-    for text in texts:
-        if "ts=" not in text or "event=" not in text:
-            continue
-        line = parse(text)
+class Log:
+    """All lines of some logs, by request, and when each host's processes started.
+
+    Args:
+        texts: Lines of text; those that are no log lines are passed over.
+
+    Attributes:
+        requests: Lines by request, in order of time.
+        broken: Lines that looked like log lines and can't be read.
+    """
+
+    __slots__ = ("requests", "broken", "_calls", "_starts")
+
+    def __init__(self, texts: typing.Iterable[str]) -> None:
+        self.requests: dict[str, list[Line]] = {}
+        self.broken = 0
+        self._calls: dict[str, str] = {}
+        self._starts: list[Line] = []
+        for text in texts:
+            if "ts=" in text and "event=" in text:
+                self._take(parse(text))
+        self._starts.sort(key=lambda line: line.at)
+        for lines in self.requests.values():
+            lines.sort(key=lambda line: line.at)
+
+    def _take(self, line: Line | None) -> None:
         if line is None:
-            broken += 1
-        elif request in (line.get("request"), line.get("call")):
-            lines.append(line)
-    lines.sort(key=lambda line: line.at)
-    return Story(request=request, lines=lines, broken=broken)
+            self.broken += 1
+        elif line.event == "listening":
+            self._starts.append(line)
+        elif "request" in line.fields:
+            self.requests.setdefault(line.get("request"), []).append(line)
+            self._calls[line.get("call")] = line.get("request")
+
+    def story(self, request: str) -> Story:
+        """Return the story of a request, by its identifier or its call's."""
+        request = self._calls.get(request, request)
+        told = Story(request=request, lines=list(self.requests.get(request, ())))
+        ended = self._host_ended(told)
+        if ended is not None:
+            told.lines.append(ended)
+        return told
+
+    def _host_ended(self, told: Story) -> Line | None:
+        """Return a line for the end of the process that still served a request, if it ended."""
+        if not told.lines or told.settled is not None:
+            return None
+        last = told.lines[-1]
+        for start in self._starts:
+            if start.at > last.at and start.get("host") == last.host:
+                fields = {"call": last.get("call"), "began_anew": f"{start.at - last.at:.3g}"}
+                ages = {name: last.get(name) for name in AGES if name in last.fields}
+                return Line(at=start.at, event="host_ended", fields={**fields, **ages})
+        return None
 
 
 def sentence(line: Line) -> str:
@@ -214,6 +254,14 @@
     )
 
 
+@tells("host_ended")
+def _host_ended(line: Line) -> str:
+    return (
+        f"The process on {line.host} ended without a stop while it served the request; another began"
+        f" {line.get('began_anew')} s after the last line."
+    )
+
+
 @tells("refused")
 def _refused(line: Line) -> str:
     return f"The request was refused: {_why(line)}."
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -64,6 +64,14 @@
         text = "".join(f"  12.5 host-a {one}\n" for one in LOG.splitlines())
         self.assertEqual(self.run_on("r1", text).exit_code, 0)
 
+    def test_the_end_of_the_process_is_a_cause(self) -> None:
+        """Found on a day that ended with a loss of power: nothing else told what became of it."""
+        text = line(1, "sent", request="r3", call="a.1.f1", endpoint="e", routes_version=1)
+        text += line(4, "listening", host="b") + line(5, "listening", host="a")
+        result = self.run_on("r3", text)
+        self.assertIn("The process on a ended without a stop", result.output)
+        self.assertIn("another began 4 s after", result.output)
+
     def test_an_unknown_request_is_an_error(self) -> None:
         result = self.run_on("r9", LOG)
         self.assertEqual(result.exit_code, 1)
--- a/tools/explained.py
+++ b/tools/explained.py
@@ -2,11 +2,10 @@
 
 Usage: python tools/explained.py LOG [REPORT]
 
-LOG holds the lines of all hosts of a day; REPORT is the day's report, whose list of unserved requests
-is checked too. Exits with 1 where the share is below 100%.
+LOG holds the lines of all hosts of a day; REPORT is the day's report, whose list of unserved
+requests is checked too. Exits with 1 where the share is below 100%.
 """
 
-import collections
 import json
 import pathlib
 import re
@@ -15,18 +14,14 @@
 from wasabiwick import _explain
 
 REQUEST = re.compile(r"request ([0-9a-f]{16}) ")
-AGES = ("routes_version", "list_age")
 EARLY = ("no_route", "no_configuration", "stopping")  # Refused before an endpoint was looked for.
 
 
 def main() -> int:
     """Check a log, and a report if one is named."""
     text = pathlib.Path(sys.argv[1]).read_text(encoding="utf-8", errors="replace")
-    lines = [line for line in map(_explain.parse, text.splitlines()) if line is not None]
-    stories: dict[str, list[_explain.Line]] = collections.defaultdict(list)
-    for line in lines:
-        stories[line.get("request", "")].append(line)
-    stories.pop("", None)
+    log = _explain.Log(text.splitlines())
+    stories = {name: log.story(name) for name in log.requests}
     if not stories:
         print("the log holds no line that names a request")
         return 1
@@ -36,7 +31,7 @@
     wanted |= reported - unseen
     explained = {name for name in wanted if _is_explained(stories[name])}
     for name in sorted(wanted - explained):
-        print(f"not explained: {name}: {[line.event for line in stories[name]]}")
+        print(f"not explained: {name}: {[line.event for line in stories[name].lines]}")
     for name in sorted(unseen):
         print(f"reached no host: {name}")
     share = len(explained) / len(wanted) if wanted else 1.0
@@ -44,20 +39,20 @@
     return 0 if explained == wanted else 1
 
 
-def _failed(story: list[_explain.Line]) -> bool:
-    events = {line.event for line in story}
-    return bool(events & {"refused", "cut", "caller_left", "relayed_failure"})
+def _failed(story: _explain.Story) -> bool:
+    events = {line.event for line in story.lines}
+    return bool(events & {"refused", "cut", "caller_left", "relayed_failure", "host_ended"})
 
 
-def _is_explained(story: list[_explain.Line]) -> bool:
-    cause = _explain.Story(request="", lines=story, broken=0).cause
+def _is_explained(story: _explain.Story) -> bool:
+    cause = story.cause
     if cause is None:
         return False
     if cause.event in ("refused", "cut") and cause.get("reason") == "?":
         return False
     if cause.get("reason") in EARLY:
         return "routes_version" in cause.fields
-    return all(name in cause.fields for name in AGES)
+    return all(name in cause.fields for name in _explain.AGES)
 
 
 def _reported(path: str) -> set[str]:
