--- a/src/wasabiwick/_explain.py
+++ b/src/wasabiwick/_explain.py
@@ -257,8 +257,8 @@
 @tells("host_ended")
 def _host_ended(line: Line) -> str:
     return (
-        f"The process on {line.host} ended without a stop while it served the request; another began"
-        f" {line.get('began_anew')} s after the last line."
+        f"The process on {line.host} ended without a stop while it served the request; another"
+        f" began {line.get('began_anew')} s after the last line."
     )
 
 
--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -11,11 +11,10 @@
 from .._effects_forwarding import TakeHold
 from .._errors import NO_ENDPOINT, OVERLOADED
 from .._events import PlacesChanged, TimerFired
-from .._forwarding import DECODE
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
-from . import directory, forwarding, places, rejecting, routes
+from . import forwarding, places, rejecting, routes
 from .forwarding import Forwarded
 
 TICK = 0.03  # Seconds between looks at a queue that is not empty.
@@ -132,13 +131,13 @@
 
 
 def _turn_away(state: State, req: Forwarded, at: float, waiting: int) -> typing.Iterator[Step]:
-    engines = len(directory.usable(state, req.service, DECODE))
+    found = places.summary(state, req.service, at)
     yield from forwarding.refuse(
         state,
         req,
         at,
-        OVERLOADED if engines else NO_ENDPOINT,
+        OVERLOADED if found["engines"] else NO_ENDPOINT,
         retry_after=rejecting.retry_after(state, req, at),
-        engines=engines,
         waiting=waiting,
+        **found,
     )
--- a/src/wasabiwick/_handlers/places.py
+++ b/src/wasabiwick/_handlers/places.py
@@ -200,6 +200,23 @@
     state["places"].full_until[endpoint] = at + seconds
 
 
+def summary(state: State, service: str, at: float) -> dict[str, object]:
+    """Return what a refusal for lack of room rests on, for its log line."""
+    engines = directory.usable(state, service, DECODE)
+    loads_ = [load(state, one.name, at) for one in engines]
+    readers = directory.usable(state, service, PREFILL)
+    return {
+        "engines": len(engines),
+        "running": sum(one.running for one in loads_),
+        "slots": sum(one.slots for one in engines),
+        "unreachable": sum(not health.usable(state, one.name) for one in engines + readers),
+        "changing": sum(directory.is_busy(state, one.name, at) for one in engines + readers),
+        "readers": len(readers),
+        "reading": sum(load(state, one.name, at).reading for one in readers),
+        "hosts_heard": len(neighbours.live(state, at)),
+    }
+
+
 class Candidate:
     """A decode engine as it is looked at for some requests in a row."""
 
--- /dev/null
+++ b/tests/test_neighbours.py
@@ -0,0 +1,156 @@
+"""Tests of what hosts tell each other, and of the budget of repeats that they share."""
+
+import asyncio
+import unittest
+
+from wasabiwick import _events, _wire
+from wasabiwick._adapters._datagrams import UdpDatagrams
+from wasabiwick._effects_forwarding import TellLoad
+from wasabiwick._forwarding import EndpointLoad, StreamLoad
+from wasabiwick._handlers import neighbours, places, retry_budget
+
+from ._forward import Host
+from ._processes import until
+
+
+def told(host: Host, name: str, sequence: int, running: int, *, incarnation: str = "1") -> None:
+    """Let a host hear from another one."""
+    host.feed(
+        _events.LoadTold,
+        sender=_wire.Owner(host=name, incarnation=incarnation),
+        zone="zone-a",
+        address=f"{name}:1",
+        sequence=sequence,
+        loads={"s0": EndpointLoad(running=running)},
+        waiting=0,
+    )
+
+
+class TestLoads(unittest.TestCase):
+    """The newest load of each host counts, for as long as it is heard."""
+
+    def test_loads_add_up(self) -> None:
+        host = Host()
+        told(host, "b", 1, 3)
+        told(host, "c", 1, 4)
+        self.assertEqual(places.load(host.state, "s0", host.now).running, 7)
+
+    def test_a_datagram_that_was_overtaken_changes_nothing(self) -> None:
+        host = Host()
+        told(host, "b", 2, 3)
+        told(host, "b", 1, 9)
+        self.assertEqual(places.load(host.state, "s0", host.now).running, 3)
+
+    def test_a_new_process_counts_from_the_start(self) -> None:
+        host = Host()
+        told(host, "b", 50, 3)
+        told(host, "b", 1, 1, incarnation="2")
+        self.assertEqual(places.load(host.state, "s0", host.now).running, 1)
+
+    def test_a_silent_host_no_longer_counts(self) -> None:
+        host = Host()
+        told(host, "b", 1, 3)
+        host.run(neighbours.SILENT_AFTER + 0.1)
+        self.assertEqual(places.load(host.state, "s0", host.now).running, 0)
+
+    def test_changes_are_gathered_and_told(self) -> None:
+        host = Host()
+        told(host, "b", 1, 0)
+        host.run(0.1)
+        before = len([one for one in host.effects if isinstance(one, TellLoad)])
+        for _ in range(5):
+            host.ask("safe")
+        host.run(0.02)
+        news = [one for one in host.effects if isinstance(one, TellLoad)][before:]
+        self.assertEqual(len(news), 1)
+        self.assertEqual(sum(one.running for one in news[0].loads.values()), 5)
+
+
+class TestBudget(unittest.TestCase):
+    """All hosts together keep to the budget, whomever they hear."""
+
+    def taken(self, host: Host, hosts: int) -> int:
+        """Return how many repeats one of some hosts takes while there are any."""
+        for number in range(1, hosts):
+            told(host, f"h{number}", 1, 0)
+        for _ in range(10):
+            retry_budget.note_request(host.state, "sign-up", host.now)
+        count = 0
+        while retry_budget.take(host.state, "sign-up", host.now):
+            count += 1
+        return count
+
+    def test_the_sum_is_within_the_bound(self) -> None:
+        for hosts in (1, 2, 6, 8):
+            total = hosts * self.taken(Host(), hosts)
+            self.assertLessEqual(total, 0.2 * 10 * hosts + 50, hosts)
+            self.assertGreater(total, 0)
+
+    def test_a_host_that_hears_nobody_for_a_while_takes_no_more_than_before(self) -> None:
+        """Cut off from the others, it must not take their parts too."""
+        host = Host()
+        for number in range(1, 6):
+            told(host, f"h{number}", 1, 0)
+        host.run(neighbours.SILENT_AFTER + 5.0)
+        self.assertEqual(neighbours.count(host.state, host.now), 6)
+
+    def test_repeats_come_back_with_the_window(self) -> None:
+        host = Host()
+        first = self.taken(host, 2)
+        host.run(10.1)
+        told(host, "h1", 2, 0)
+        self.assertGreaterEqual(self.taken(host, 1), first)
+
+
+class FakeRunner:
+    """Takes the events of datagrams."""
+
+    def __init__(self) -> None:
+        self.events: list[_events.LoadTold] = []
+
+    def now(self) -> float:
+        """Return a monotonic time."""
+        return asyncio.get_running_loop().time()
+
+    def post(self, event: _events.LoadTold) -> None:
+        """Keep an event."""
+        self.events.append(event)
+
+
+class TestDatagrams(unittest.IsolatedAsyncioTestCase):
+    """A load arrives as it was told, over real datagrams."""
+
+    async def asyncSetUp(self) -> None:
+        self.runner = FakeRunner()
+        self.one, self.other = UdpDatagrams("127.0.0.1:0"), UdpDatagrams("127.0.0.1:0")
+        await self.one.open(FakeRunner())
+        await self.other.open(self.runner)
+        self.addCleanup(self.one.close)
+        self.addCleanup(self.other.close)
+
+    async def test_round_trip(self) -> None:
+        now = self.runner.now()
+        stream = StreamLoad(prompt=3_000, expected=800, begins=now - 1.0)
+        effect = TellLoad(
+            addresses=(self.other.address,),
+            sequence=4,
+            loads={"d0": EndpointLoad(running=1, reading=7, streams=(stream,))},
+            waiting=2,
+            stopping=True,
+            busy={"p0": 3.5},
+        )
+        self.one.tell(_wire.Owner(host="a", incarnation="i"), "zone-a", effect)
+        await until(self._arrived)
+        event = self.runner.events[0]
+        load = event.loads["d0"]
+        self.assertEqual((event.sequence, event.waiting, event.stopping), (4, 2, True))
+        self.assertEqual((load.running, load.reading), (1, 7))
+        self.assertAlmostEqual(load.streams[0].begins, now - 1.0, delta=0.5)
+        self.assertAlmostEqual(event.busy["p0"], 3.5, delta=0.01)
+
+    async def _arrived(self) -> bool:
+        return bool(self.runner.events)
+
+    async def test_bytes_that_are_no_load_are_dropped(self) -> None:
+        self.other.datagram_received(b"\xc1nonsense", ("127.0.0.1", 1))
+        self.assertEqual(self.runner.events, [])
