--- a/src/wasabiwick/_adapters/_datagrams.py
+++ b/src/wasabiwick/_adapters/_datagrams.py
@@ -25,7 +25,6 @@
     zone: str
     address: str
     sequence: int
-    waiting: int
     stopping: bool
     busy: dict[str, int]
     loads: dict[str, tuple[int, int, list[tuple[int, int, int]]]]
@@ -75,7 +74,6 @@
                 zone=zone,
                 address=self.address,
                 sequence=effect.sequence,
-                waiting=effect.waiting,
                 stopping=effect.stopping,
                 busy={name: int(left * 1000) for name, left in effect.busy.items()},
                 loads={
@@ -122,7 +120,6 @@
                 address=told.address,
                 sequence=told.sequence,
                 loads=loads,
-                waiting=told.waiting,
                 stopping=told.stopping,
                 busy={name: left / 1000 for name, left in told.busy.items()},
             )
--- a/src/wasabiwick/_effects_forwarding.py
+++ b/src/wasabiwick/_effects_forwarding.py
@@ -84,8 +84,7 @@
         source: Address of the engine that keeps the prompt's KV cache, or empty.
         handle: Its name there.
         priority: Rank among the requests of an engine, or None for plain services.
-        connections: Most connections that this host may open to the endpoint.
-        fresh: Whether no kept connection may be used.
+        connections: Most connections to the endpoint that this host may keep.
         resume: Whether the stream goes on behind the last event that the caller got.
         quiet: Seconds without the head of an answer after which the try has failed, or 0.
     """
@@ -98,7 +97,6 @@
         "handle",
         "priority",
         "connections",
-        "fresh",
         "resume",
         "quiet",
     )
@@ -116,7 +114,6 @@
         handle: str = "",
         priority: int | None = None,
         connections: int = 0,
-        fresh: bool = False,
         resume: bool = False,
         quiet: float = 0.0,
     ) -> None:
@@ -128,7 +125,6 @@
         self.handle = handle
         self.priority = priority
         self.connections = connections
-        self.fresh = fresh
         self.resume = resume
         self.quiet = quiet
 
@@ -175,7 +171,7 @@
     ``busy`` holds the endpoints that carry an order out, with the seconds that this may take.
     """
 
-    __slots__ = ("addresses", "sequence", "loads", "waiting", "stopping", "busy")
+    __slots__ = ("addresses", "sequence", "loads", "stopping", "busy")
 
     def __init__(
         self,
@@ -183,14 +179,12 @@
         addresses: tuple[str, ...],
         sequence: int,
         loads: dict[str, EndpointLoad],
-        waiting: int,
         stopping: bool,
         busy: dict[str, float],
     ) -> None:
         self.addresses = tuple(addresses)
         self.sequence = sequence
         self.loads = loads
-        self.waiting = waiting
         self.stopping = stopping
         self.busy = busy
 
--- a/src/wasabiwick/_events/_forwarding.py
+++ b/src/wasabiwick/_events/_forwarding.py
@@ -98,7 +98,7 @@
     order out, with the seconds that this may take.
     """
 
-    __slots__ = ("sender", "zone", "address", "sequence", "loads", "waiting", "stopping", "busy")
+    __slots__ = ("sender", "zone", "address", "sequence", "loads", "stopping", "busy")
 
     def __init__(
         self,
@@ -109,7 +109,6 @@
         address: str,
         sequence: int,
         loads: dict[str, EndpointLoad],
-        waiting: int,
         stopping: bool = False,
         busy: dict[str, float] | None = None,
     ) -> None:
@@ -119,7 +118,6 @@
         self.address = address
         self.sequence = sequence
         self.loads = loads
-        self.waiting = waiting
         self.stopping = stopping
         self.busy = busy or {}
 
--- a/src/wasabiwick/_handlers/forward_plain.py
+++ b/src/wasabiwick/_handlers/forward_plain.py
@@ -14,7 +14,7 @@
 from .._reducer import Step
 from .._state import State
 from .._verdict import Verdict
-from . import directory, forwarding, health, neighbours, places, retry_budget, routes
+from . import directory, forwarding, health, places, retry_budget
 from .forwarding import Forwarded
 
 SERVER_ERROR = 500
@@ -50,18 +50,11 @@
         address=endpoint.address,
         number=req.number,
         deadline=req.ends,
-        connections=connections(state, req.service, at),
+        connections=places.connections(state, req.service, at),
         quiet=QUIET_SHARE * req.route.target_latency if again else 0.0,
     )
 
 
-def connections(state: State, service: str, at: float) -> int:
-    """Return how many connections this host may open to one endpoint of a service."""
-    traits = routes.service(state, service)
-    most = traits.max_connections if traits else 1
-    return max(1, most // neighbours.count(state, at))
-
-
 def came(state: State, req: Forwarded, event: AnswerCame) -> typing.Iterator[Step]:
     """Pass an answer on, or try another endpoint."""
     if event.not_run:
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -29,7 +29,6 @@
 from .._verdict import Verdict
 from . import (
     directory,
-    forward_plain,
     forward_waiting,
     forwarding,
     health,
@@ -189,7 +188,7 @@
         source=req.reader.address if req.handle else "",
         handle=req.handle,
         priority=_priority(req),
-        connections=forward_plain.connections(state, req.service, at),
+        connections=places.connections(state, req.service, at),
         resume=req.events > 0,
         quiet=SILENCE if _may_run_again(req) else 0.0,
     )
--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -36,7 +36,6 @@
 def enqueue(state: State, req: Forwarded, at: float) -> typing.Iterator[Step]:
     """Let a call wait for a place, and give it one at once if there is room."""
     req.phase = forwarding.WAITING
-    req.queued_at = at
     state["forward_waiting"].queues.setdefault(req.service, []).append(req.ask.call_id)
     yield from dispatch(state, req.service, at)
 
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -43,7 +43,6 @@
         hold: Place held at the engine and not used yet.
         handle: KV cache at the reader that is not fetched yet.
         events: Events that the caller got.
-        queued_at: Monotonic time at which it last began to wait.
     """
 
     __slots__ = (
@@ -65,7 +64,6 @@
         "hold",
         "handle",
         "events",
-        "queued_at",
         "sent_at",
         "relayed",
     )
@@ -89,7 +87,6 @@
         self.hold = ""
         self.handle = ""
         self.events = 0
-        self.queued_at = arrived
         self.sent_at = 0.0
         self.relayed = False
 
--- a/src/wasabiwick/_handlers/neighbours.py
+++ b/src/wasabiwick/_handlers/neighbours.py
@@ -41,7 +41,6 @@
         "heard",
         "known",
         "loads",
-        "waiting",
         "stopping",
     )
 
@@ -53,7 +52,6 @@
         self.heard = float("-inf")
         self.known = at
         self.loads: dict[str, EndpointLoad] = {}
-        self.waiting = 0
         self.stopping = False
 
 
@@ -70,12 +68,12 @@
         self.told_at = 0.0
 
 
-LoadSource = typing.Callable[[State], tuple[dict[str, EndpointLoad], int]]
+LoadSource = typing.Callable[[State], dict[str, EndpointLoad]]
 _LOAD_SOURCES: list[LoadSource] = []
 
 
 def load_source(source: LoadSource) -> LoadSource:
-    """Register the function that returns this host's loads and how many requests wait."""
+    """Register a function that returns this host's loads at some endpoints."""
     _LOAD_SOURCES.append(source)
     return source
 
@@ -139,7 +137,6 @@
     one.incarnation = event.sender.incarnation
     one.sequence = event.sequence
     one.heard = event.at
-    one.waiting = event.waiting
     one.stopping = event.stopping
     for endpoint, seconds in event.busy.items():
         if not directory.is_busy(state, endpoint, event.at):
@@ -198,18 +195,14 @@
     mine.told_at = at
     mine.sequence += 1
     loads: dict[str, EndpointLoad] = {}
-    waiting = 0
     for source in _LOAD_SOURCES:
-        more, queued = source(state)
-        loads.update(more)
-        waiting += queued
+        loads.update(source(state))
     addresses = tuple(one.address for one in mine.hosts.values())
     if addresses:
         yield TellLoad(
             addresses=addresses,
             sequence=mine.sequence,
             loads=loads,
-            waiting=waiting,
             stopping=state.stopping,
             busy=directory.busy(state, at),
         )
--- a/src/wasabiwick/_handlers/places.py
+++ b/src/wasabiwick/_handlers/places.py
@@ -109,14 +109,14 @@
 
 
 @neighbours.load_source
-def loads(state: State) -> tuple[dict[str, EndpointLoad], int]:
+def loads(state: State) -> dict[str, EndpointLoad]:
     """Return copies of this host's loads."""
     return {
         name: EndpointLoad(
             running=one.running, reading=one.reading, streams=tuple(one.streams.values())
         )
         for name, one in state["places"].own.items()
-    }, 0
+    }
 
 
 def load(state: State, endpoint: str, at: float) -> EndpointLoad:
@@ -348,9 +348,26 @@
     return health.usable(state, one.name) and not directory.is_busy(state, one.name, at)
 
 
+def connections(state: State, service: str, at: float) -> int:
+    """Return how many connections this host may have to one endpoint of a service."""
+    traits = routes.service(state, service)
+    most = traits.max_connections if traits else 1
+    return max(1, most // neighbours.count(state, at))
+
+
+def _own_running(state: State, endpoint: str) -> int:
+    own = state["places"].own.get(endpoint)
+    return own.running if own else 0
+
+
 def choose_plain(state: State, service: str, at: float, avoid: list[str]) -> Endpoint | None:
     """Return the endpoint of a plain service with the least work for its slots, or None."""
-    able = [one for one in directory.usable(state, service) if one.name not in avoid]
+    most = connections(state, service, at)
+    able = [
+        one
+        for one in directory.usable(state, service)
+        if one.name not in avoid and _own_running(state, one.name) < most
+    ]
     usable = [one for one in able if health.usable(state, one.name)] or able
 
     def cost(one: Endpoint) -> float:
--- a/src/wasabiwick/_http1.py
+++ b/src/wasabiwick/_http1.py
@@ -68,9 +68,11 @@
         "_error",
         "_sized",
         "_lost",
+        "_on_lost",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, on_lost: typing.Callable[[], None]) -> None:
+        self._on_lost = on_lost
         self.transport: asyncio.Transport | None = None
         self.kept_until = 0.0
         self._busy = False
@@ -234,6 +236,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Note that the connection is gone."""
         self._lost = True
+        self._on_lost()
         self._fail(f"reset: {exc}" if exc else "closed")
 
     # --- Callbacks of the parser -----------------------------------------------------------------
@@ -282,25 +285,26 @@
         clock: Returns monotonic time in seconds.
     """
 
-    __slots__ = ("_clock", "_idle")
+    __slots__ = ("_clock", "_idle", "_open")
 
     def __init__(self, clock: typing.Callable[[], float]) -> None:
         self._clock = clock
         self._idle: dict[tuple[str, str], list[Connection]] = {}
+        self._open: collections.Counter[tuple[str, str]] = collections.Counter()
 
-    async def acquire(self, endpoint: str, address: str, *, fresh: bool = False) -> Connection:
-        """Return a connection to an endpoint, a kept one unless ``fresh``.
+    async def acquire(self, endpoint: str, address: str) -> Connection:
+        """Return a connection to an endpoint, a kept one if there is any.
 
         Args:
             endpoint: Name of the endpoint; a kept connection never serves another one.
             address: Its address as ``host:port``.
-            fresh: Whether to open a new connection in any case.
 
         Raises:
             NotSentError: If no connection came about.
         """
-        idle = self._idle.get((endpoint, address), [])
-        while idle and not fresh:
+        key = (endpoint, address)
+        idle = self._idle.get(key, [])
+        while idle:
             conn = idle.pop()
             if conn.is_usable(self._clock()):
                 return conn
@@ -309,15 +313,33 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
-                _, conn = await loop.create_connection(Connection, host, int(port))
+                _, conn = await loop.create_connection(
+                    lambda: Connection(lambda: self._forget(key)), host, int(port)
+                )
         except TimeoutError:
             raise NotSentError("no connection in time") from None
         except (OSError, ValueError) as exc:
             raise NotSentError(f"no connection: {exc}") from exc
+        self._open[key] += 1
         return conn
 
-    def release(self, endpoint: str, address: str, conn: Connection) -> None:
-        """Take a connection back after its answer, to keep or to close it."""
+    def _forget(self, key: tuple[str, str]) -> None:
+        self._open[key] -= 1
+        if not self._open[key]:
+            del self._open[key]
+            self._idle.pop(key, None)
+
+    def release(
+        self, endpoint: str, address: str, conn: Connection, *, most: int = MOST_IDLE
+    ) -> None:
+        """Take a connection back after its answer, to keep or to close it.
+
+        Args:
+            endpoint: Name of the endpoint.
+            address: Its address.
+            conn: The connection.
+            most: Connections to the endpoint that may be kept.
+        """
         now = self._clock()
         if not conn.release(now):
             return
@@ -325,7 +347,7 @@
         for old in [one for one in idle if not one.is_usable(now)]:
             idle.remove(old)
             old.close()
-        if len(idle) >= MOST_IDLE:
+        if len(idle) >= min(MOST_IDLE, most):
             idle.pop(0).close()
         idle.append(conn)
 
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -42,20 +42,21 @@
 
     Args:
         pool: Where the connection goes back to.
-        endpoint: Name of the endpoint.
-        address: Its address.
+        effect: What was sent where.
         conn: The connection.
     """
 
     __slots__ = ("status", "headers", "not_run", "streams", "_conn", "_give_back")
 
-    def __init__(self, *, pool: Pool, endpoint: str, address: str, conn: Connection) -> None:
+    def __init__(self, *, pool: Pool, effect: Forward, conn: Connection) -> None:
         self.status = conn.status
         self.headers: list[Header] = conn.headers
         self.not_run = conn.status == MISDIRECTED or bool(conn.header(_names.NOT_EXECUTED))
         self.streams = conn.header(b"content-type").startswith(EVENT_STREAM)
         self._conn: Connection | None = conn
-        self._give_back = lambda: pool.release(endpoint, address, conn)
+        self._give_back = lambda: pool.release(
+            effect.endpoint, effect.address, conn, most=effect.connections
+        )
 
     async def chunk(self) -> bytes:
         """Return the next bytes, or nothing at the end."""
@@ -149,16 +150,14 @@
             headers.append((_names.LAST_EVENT_ID, exchange.last_event))
         data = encode_request(exchange.method, exchange.target, headers, exchange.body)
         try:
-            conn = await self._pool.acquire(effect.endpoint, effect.address, fresh=effect.fresh)
+            conn = await self._pool.acquire(effect.endpoint, effect.address)
         except NotSentError as exc:
             return _failure(ENDPOINT_UNREACHABLE, Verdict.NOT_RUN, str(exc))
         try:
             conn.send(data)
             await conn.head()
             _check_id(conn, _id_of(exchange))
-            return EngineAnswer(
-                pool=self._pool, endpoint=effect.endpoint, address=effect.address, conn=conn
-            )
+            return EngineAnswer(pool=self._pool, effect=effect, conn=conn)
         except BrokenError as exc:
             conn.close()
             return _failure(ENDPOINT_FAILED, Verdict.MAY_HAVE_RUN, str(exc))
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -22,7 +22,6 @@
         address=f"{name}:1",
         sequence=sequence,
         loads={"s0": EndpointLoad(running=running)},
-        waiting=0,
     )
 
 
@@ -135,7 +134,6 @@
             addresses=(self.other.address,),
             sequence=4,
             loads={"d0": EndpointLoad(running=1, reading=7, streams=(stream,))},
-            waiting=2,
             stopping=True,
             busy={"p0": 3.5},
         )
@@ -143,7 +141,7 @@
         await until(self._arrived)
         event = self.runner.events[0]
         load = event.loads["d0"]
-        self.assertEqual((event.sequence, event.waiting, event.stopping), (4, 2, True))
+        self.assertEqual((event.sequence, event.stopping), (4, True))
         self.assertEqual((load.running, load.reading), (1, 7))
         self.assertAlmostEqual(load.streams[0].begins, now - 1.0, delta=0.5)
         self.assertAlmostEqual(event.busy["p0"], 3.5, delta=0.01)
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -44,7 +44,6 @@
             address="b:1",
             sequence=1,
             loads={},
-            waiting=0,
         )
         (order,) = self.order(host)
         self.assertTrue(directory.is_busy(host.state, order.endpoint, host.now))
@@ -118,7 +117,6 @@
             address="0:1",
             sequence=1,
             loads={},
-            waiting=0,
         )
         self.assertEqual(kinds(host.run(3.4), ReadClaims), [])
 
