--- a/src/wasabiwick/_cli_run.py
+++ b/src/wasabiwick/_cli_run.py
@@ -63,6 +63,6 @@
         # An address in use, or a file that can't be opened; nothing was served.
         log_event("start_failed", level="ERROR", error=str(exc))
         sys.exit(EXIT_FAILED)
-    except Exception as exc:
+    except Exception as exc:  # noqa: BLE001 - logged with its traceback
         log_exception("crashed", exc)
         sys.exit(EXIT_FAILED)
--- a/src/wasabiwick/_performers/forwarding.py
+++ b/src/wasabiwick/_performers/forwarding.py
@@ -155,7 +155,7 @@
 @performs(DropTry)
 def drop_try(runner: Runner, effect: DropTry) -> None:
     """Stop what a call has under way, which closes its connections."""
-    current = asyncio.current_task() if _in_task() else None
+    current = asyncio.current_task()
     for step in STEPS:
         name = _task(step, effect.call_id)
         # A task that reports its own end is not stopped by what follows from it.
@@ -163,14 +163,6 @@
             runner.stop_task(name)
 
 
-def _in_task() -> bool:
-    try:
-        asyncio.get_running_loop()
-    except RuntimeError:
-        return False
-    return True
-
-
 @performs(RefuseForward)
 def refuse(runner: Runner, effect: RefuseForward) -> None:
     """Answer a call with a failure of this host."""
--- a/src/wasabiwick/_runner.py
+++ b/src/wasabiwick/_runner.py
@@ -249,7 +249,7 @@
     def _handle(self, event: Event) -> None:
         try:
             effects = reduce(self.state, event)
-        except Exception as exc:
+        except Exception as exc:  # noqa: BLE001 - logged with its traceback
             self._note_fault(exc, event)
             return
         self.events.on_next((event, effects))
@@ -258,7 +258,7 @@
         for effect in step[1]:
             try:
                 _PERFORMERS[type(effect)](self, effect)
-            except Exception as exc:
+            except Exception as exc:  # noqa: BLE001 - logged with its traceback
                 self._note_fault(exc, effect)
 
     def _note_fault(self, exc: Exception, cause: Event | Effect) -> None:
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -1,7 +1,6 @@
 """Calls to the platform's endpoints, and the way in which its callers speak."""
 
 import asyncio
-import contextlib
 import typing
 
 import msgspec
@@ -17,6 +16,7 @@
 )
 from .._forwarding import Ask
 from .._http1 import BrokenError, Connection, Header, NotSentError, Pool, encode_request
+from .._logging import log_event
 from .._ports import Exchange
 from .._verdict import Verdict
 from . import _names
@@ -302,6 +302,10 @@
 
 
 def _number(text: str) -> float:
-    with contextlib.suppress(ValueError):
+    if not text:
+        return 0.0
+    try:
         return max(0.0, float(text))
-    return 0.0
+    except ValueError:
+        log_event("header_unreadable", level="WARNING", value=text)
+        return 0.0
--- a/src/wasabiwick/platform/_feeds.py
+++ b/src/wasabiwick/platform/_feeds.py
@@ -9,7 +9,7 @@
 from .._errors import Failure
 from .._events import EndpointsRead, Event, FeedChanged, RoutesRead
 from .._forwarding import Listing
-from .._logging import log_event
+from .._logging import log_event, log_exception
 from .._runner import Runner
 from . import _names, _records
 from ._store import HistoryLostError, Page, Record, Store, StoreError, failure
@@ -67,6 +67,7 @@
             except HistoryLostError as exc:
                 log_event("history_lost", feed=self._name, error=str(exc))
                 position = None
+                await asyncio.sleep(RETRY_FIRST)
                 continue
             except StoreError as exc:
                 self._note(runner, False, str(exc))
@@ -76,11 +77,19 @@
             retry = RETRY_FIRST
             position = page.next
             self._note(runner, True)
-            event = self._decode(runner.now(), page, whole)
-            if event is not None:
-                runner.post(event)
+            self._tell(runner, page, whole)
             await asyncio.sleep(self._pause)
 
+    def _tell(self, runner: Runner, page: Page, whole: bool) -> None:
+        try:
+            event = self._decode(runner.now(), page, whole)
+        except Exception as exc:  # noqa: BLE001 - logged with its traceback
+            # A fault in reading one page must not end the feed, which the host can't do without.
+            log_exception("page_unreadable", exc, feed=self._name)
+            return
+        if event is not None:
+            runner.post(event)
+
     async def _next(self, position: int | None, wait: float) -> Page:
         if position is None:
             return await self._store.newest(self._topic)
