--- a/src/wasabiwick/_events/_forwarding.py
+++ b/src/wasabiwick/_events/_forwarding.py
@@ -1,5 +1,7 @@
 """Events of forwarding: facts about routes and endpoints, callers, and what endpoints answered."""
 
+import typing
+
 from .._errors import Failure
 from .._forwarding import Ask, EndpointLoad, Listing, RouteTable
 from .._wire import Owner
@@ -182,77 +184,57 @@
         self.failure = failure
 
 
-class AnswerCame(ForwardEvent):
+class TryEvent(ForwardEvent):
+    """Base of events of one try; ``number`` counts the call's tries from 1."""
+
+    __slots__ = ("endpoint", "number")
+
+    def __init__(self, *, at: float, call_id: str, endpoint: str, number: int) -> None:
+        super().__init__(at=at, call_id=call_id)
+        self.endpoint = endpoint
+        self.number = number
+
+
+class AnswerCame(TryEvent):
     """An endpoint answered one try: with a stream's head, or else with a whole answer.
 
     ``not_run`` tells that the endpoint stated not to have run the request.
     """
 
-    __slots__ = ("endpoint", "number", "status", "not_run", "streams")
+    __slots__ = ("status", "not_run", "streams")
 
-    def __init__(
-        self,
-        *,
-        at: float,
-        call_id: str,
-        endpoint: str,
-        number: int,
-        status: int,
-        not_run: bool,
-        streams: bool,
-    ) -> None:
-        super().__init__(at=at, call_id=call_id)
-        self.endpoint = endpoint
-        self.number = number
+    def __init__(self, *, status: int, not_run: bool, streams: bool, **fields: typing.Any) -> None:
+        super().__init__(**fields)
         self.status = status
         self.not_run = not_run
         self.streams = streams
 
 
-class TryFailed(ForwardEvent):
+class TryFailed(TryEvent):
     """A try brought no whole answer; ``events`` counts what the caller got of a stream."""
 
-    __slots__ = ("endpoint", "number", "failure", "events")
+    __slots__ = ("failure", "events")
 
-    def __init__(
-        self,
-        *,
-        at: float,
-        call_id: str,
-        endpoint: str,
-        number: int,
-        failure: Failure,
-        events: int = 0,
-    ) -> None:
-        super().__init__(at=at, call_id=call_id)
-        self.endpoint = endpoint
-        self.number = number
+    def __init__(self, *, failure: Failure, events: int = 0, **fields: typing.Any) -> None:
+        super().__init__(**fields)
         self.failure = failure
         self.events = events
 
 
-class StreamMoved(ForwardEvent):
+class StreamMoved(TryEvent):
     """A stream has brought this many events so far."""
 
-    __slots__ = ("endpoint", "number", "events")
+    __slots__ = ("events",)
 
-    def __init__(self, *, at: float, call_id: str, endpoint: str, number: int, events: int) -> None:
-        super().__init__(at=at, call_id=call_id)
-        self.endpoint = endpoint
-        self.number = number
+    def __init__(self, *, events: int, **fields: typing.Any) -> None:
+        super().__init__(**fields)
         self.events = events
 
 
-class StreamDone(ForwardEvent):
+class StreamDone(StreamMoved):
     """A stream came to its end, with this many events in all."""
 
-    __slots__ = ("endpoint", "number", "events")
-
-    def __init__(self, *, at: float, call_id: str, endpoint: str, number: int, events: int) -> None:
-        super().__init__(at=at, call_id=call_id)
-        self.endpoint = endpoint
-        self.number = number
-        self.events = events
+    __slots__ = ()
 
 
 class ClaimsRead(Event):
