Write logs to a replaced standard output as before

Cause: test_status (a host that can't start says so in one line) failed in a whole run of the checks: the bounded sink wrote to the process's descriptor, though standard output had been replaced.

--- a/src/wasabiwick/_logging.py
+++ b/src/wasabiwick/_logging.py
@@ -43,9 +43,16 @@
     return " ".join(f"{_KEY.sub('_', key)}={_value(value)}" for key, value in fields.items())
 
 
-def bounded_sink() -> LogSink:
-    """Return a sink that writes to standard output within bounds, and never blocks."""
+def bounded_sink() -> LogSink | None:
+    """Return a sink that writes to standard output within bounds, and never blocks.
+
+    Returns:
+        The sink; None where standard output has been replaced within the process, so that a
+        descriptor would not lead there.
+    """
     global _sink
+    if sys.stdout is not sys.__stdout__:
+        return None
     _sink = LogSink(sys.stdout.fileno())
     return _sink
 
