--- a/src/wasabiwick/_handlers/directory.py
+++ b/src/wasabiwick/_handlers/directory.py
@@ -4,6 +4,7 @@
 newer one. While the list's source is unreachable, hosts go on with what they last read.
 """
 
+import collections
 import typing
 
 from .._effects import Count, LogLine, StartTimer
@@ -14,6 +15,7 @@
 from .._state import State, state_slice
 
 ENDPOINTS = "endpoints"  # Name of the feed.
+MASS_SHARE = 0.6  # Share of a service's endpoints that an outage makes lapse, at the least.
 RETURN_TIME = 2.0  # Seconds after an outage in which lapsed entries of live endpoints come back.
 
 
@@ -92,23 +94,60 @@
     mine = state["directory"]
     mine.read_at = event.at
     changed = False
+    dropped: list[str] = []
     for one in event.listings:
         if one.offset <= mine.offsets.get(one.name, -1):
             continue
         mine.offsets[one.name] = one.offset
         if one.endpoint is None:
-            changed = (yield from _drop(state, one.name, event.at)) or changed
+            dropped.append(one.name)
         else:
             changed = (yield from _enter(state, one.endpoint)) or changed
     if event.whole:
         named = {one.name for one in event.listings}
-        for name in [name for name in mine.endpoints if name not in named]:
-            if mine.offsets.get(name, -1) < event.upto:
-                changed = (yield from _drop(state, name, event.at)) or changed
+        dropped += [
+            name
+            for name in mine.endpoints
+            if name not in named and mine.offsets.get(name, -1) < event.upto
+        ]
+    lapsed = _lapsed(state, dropped, event.at)
+    for name in dropped:
+        if name in lapsed:
+            yield from _keep_lapsed(state, name, event.at)
+        else:
+            changed = (yield from _drop(state, name)) or changed
     if changed:
         yield PlacesChanged(at=event.at)
 
 
+def _lapsed(state: State, dropped: list[str], at: float) -> set[str]:
+    """Return those of the dropped names whose entries lapsed in an outage of the list's source.
+
+    An outage that lasts takes the entries of most endpoints of a service. A single entry that is
+    gone after this host alone was cut off belongs to an endpoint that left.
+    """
+    mine = state["directory"]
+    if at >= mine.up_since + RETURN_TIME:
+        return set()
+    listed = collections.Counter(one.service for one in mine.endpoints.values())
+    gone = {name: mine.endpoints[name] for name in dropped if name in mine.endpoints}
+    missing = collections.Counter(one.service for one in gone.values())
+    return {
+        name
+        for name, one in gone.items()
+        if not one.leaving and missing[one.service] >= MASS_SHARE * listed[one.service]
+    }
+
+
+def _keep_lapsed(state: State, name: str, at: float) -> typing.Iterator[Step]:
+    mine = state["directory"]
+    until = mine.up_since + RETURN_TIME
+    if name not in mine.lapsed:
+        mine.lapsed[name] = until
+        yield LogLine(event="endpoint_lapsed", fields={"endpoint": name, "for": until - at})
+        yield StartTimer(timer="lapsed", delay=until - at)
+
+
 def _enter(state: State, new: Endpoint) -> typing.Generator[Step, None, bool]:
     mine = state["directory"]
     mine.lapsed.pop(new.name, None)
@@ -132,21 +171,12 @@
     return True
 
 
-def _drop(state: State, name: str, at: float) -> typing.Generator[Step, None, bool]:
-    """Take an endpoint out, a little later if an outage may have made its entry lapse."""
+def _drop(state: State, name: str) -> typing.Generator[Step, None, bool]:
+    """Take an endpoint out."""
     mine = state["directory"]
-    one = mine.endpoints.get(name)
-    if one is None:
-        return False
-    until = mine.up_since + RETURN_TIME
-    if not one.leaving and at < until:
-        if name not in mine.lapsed:
-            mine.lapsed[name] = until
-            yield LogLine(event="endpoint_lapsed", fields={"endpoint": name, "for": until - at})
-            yield StartTimer(timer="lapsed", delay=until - at)
-        return False
-    del mine.endpoints[name]
     mine.lapsed.pop(name, None)
+    if mine.endpoints.pop(name, None) is None:
+        return False
     yield Count(metric="endpoint_changes", label="gone")
     yield LogLine(event="endpoint_gone", fields={"endpoint": name, "offset": mine.offsets[name]})
     return True
@@ -158,7 +188,7 @@
     mine = state["directory"]
     changed = False
     for name in [name for name, until in mine.lapsed.items() if until <= event.at]:
-        changed = (yield from _drop(state, name, event.at)) or changed
+        changed = (yield from _drop(state, name)) or changed
     if mine.lapsed:
         yield StartTimer(timer="lapsed", delay=max(0.0, min(mine.lapsed.values()) - event.at))
     if changed:
