Count tries in one place, and drop what nothing uses

Cause: a read of the whole change found the count of a try's begin written twice and its taking back four times, on which the promise of not having run rests; and a name and a field that nothing reads.

--- a/src/wasabiwick/_forward_entry.py
+++ b/src/wasabiwick/_forward_entry.py
@@ -36,7 +36,7 @@
         dialect: Names of headers.
     """
 
-    __slots__ = ("exchange", "decision", "_req", "_ask", "_dialect", "_resp", "_ended", "_stopping")
+    __slots__ = ("exchange", "decision", "_req", "_ask", "_dialect", "_resp", "_ended")
 
     def __init__(
         self, *, req: web.BaseRequest, ask: Ask, exchange: Exchange, dialect: Dialect
@@ -48,7 +48,6 @@
         self._dialect = dialect
         self._resp: web.StreamResponse | None = None
         self._ended: asyncio.Future = asyncio.get_running_loop().create_future()
-        self._stopping = False
 
     def refuse(self, failure: Failure) -> None:
         """Answer with a failure of this host."""
--- a/src/wasabiwick/_handlers/forward_plain.py
+++ b/src/wasabiwick/_handlers/forward_plain.py
@@ -32,14 +32,9 @@
             state, req, at, NO_ENDPOINT, retry_after=RETRY, service=req.service, endpoints=known
         )
         return
-    req.number += 1
-    req.phase = forwarding.SENT
-    req.sent_at = at
+    req.begin_try(at)
     health.chosen(state, endpoint.name)
     yield forwarding.occupy(state, req, endpoint, None, at)
-    # The endpoint may have the request as soon as the effect is carried out.
-    req.ran = True
-    req.runs += 1
     yield forwarding.log(
         "sent", req, state, at, endpoint=endpoint.name, zone=endpoint.zone, tries=req.number
     )
@@ -58,8 +53,7 @@
 def came(state: State, req: Forwarded, event: AnswerCame) -> typing.Iterator[Step]:
     """Pass an answer on, or try another endpoint."""
     if event.not_run:
-        req.runs -= 1
-        req.ran = req.runs > 0
+        req.take_back_try()
         yield Count(metric="endpoint_refusals", label=req.service)
         yield from _again(state, req, event.at, ENDPOINT_REFUSED, status=event.status)
         return
@@ -82,8 +76,7 @@
     """Try another endpoint after a try without an answer, where that is allowed."""
     not_run = event.failure.verdict is Verdict.NOT_RUN
     if not_run:
-        req.runs -= 1
-        req.ran = req.runs > 0
+        req.take_back_try()
     yield from forwarding.note_failure(state, req, event.endpoint, event.failure, event.at)
     if not_run or _may_repeat(state, req, event.at):
         yield from _again(state, req, event.at, ENDPOINT_FAILED, failure=event.failure)
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -163,11 +163,7 @@
         yield forwarding.log("place_leaving", req, state, at, endpoint=endpoint.name)
         yield from _wait_again(state, req, at)
         return
-    req.number += 1
-    req.phase = forwarding.SENT
-    req.sent_at = at
-    req.ran = True
-    req.runs += 1
+    req.begin_try(at)
     yield forwarding.log(
         "sent",
         req,
@@ -218,8 +214,7 @@
         yield Relay(call_id=req.ask.call_id, number=req.number)
         return
     if event.not_run:
-        req.runs -= 1
-        req.ran = req.runs > 0
+        req.take_back_try()
         req.handle = ""  # A handle can be used once, also by a request that was refused.
         yield Count(metric="endpoint_refusals", label=req.service)
         places.mark_full(state, event.endpoint, at)
@@ -248,8 +243,7 @@
     req.events = event.events
     not_run = event.failure.verdict is Verdict.NOT_RUN
     if not_run:
-        req.runs -= 1
-        req.ran = req.runs > 0
+        req.take_back_try()
     yield from forwarding.note_failure(state, req, event.endpoint, event.failure, event.at)
     yield DropTry(call_id=req.ask.call_id, number=req.number)
     if not_run or _may_run_again(req):
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -90,6 +90,19 @@
         self.sent_at = 0.0
         self.relayed = False
 
+    def begin_try(self, at: float) -> None:
+        """Count a send to an endpoint, which may have the request from now on."""
+        self.number += 1
+        self.phase = SENT
+        self.sent_at = at
+        self.ran = True
+        self.runs += 1
+
+    def take_back_try(self) -> None:
+        """Count the newest send as not run: the endpoint says so, or nothing reached it."""
+        self.runs -= 1
+        self.ran = self.runs > 0
+
 
 @state_slice("forwarding")
 class ForwardingState:
