Pass no success on that lacks the endpoint's seal

Found by reading, no run has shown it. The check now stands where answers for callers come in, so prefills are not concerned. Ruled out: asking for it in the reducer, which would have to learn the header's name. Before: the new test of a whole host on stand-ins got 200 for 502.

--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -157,6 +157,7 @@
             conn.send(data)
             await conn.head()
             _check_id(conn, _id_of(exchange))
+            _check_seal(conn)
             return EngineAnswer(pool=self._pool, effect=effect, conn=conn)
         except BrokenError as exc:
             conn.close()
@@ -243,7 +244,7 @@
 
 
 def _check_id(conn: Connection, expected: bytes) -> None:
-    """Make sure that an answer belongs to its request, and that a success is the endpoint's.
+    """Make sure that an answer belongs to its request.
 
     Raises:
         BrokenError: If it does not.
@@ -252,7 +253,15 @@
     success = 200 <= conn.status < 300
     if told != expected and (told or success):
         raise BrokenError("the answer belongs to another request")
-    if success and not conn.header(_names.SEAL) and EVENT_STREAM in conn.header(b"content-type"):
+
+
+def _check_seal(conn: Connection) -> None:
+    """Make sure that a success for a caller is the endpoint's own.
+
+    Raises:
+        BrokenError: If it is not.
+    """
+    if 200 <= conn.status < 300 and not conn.header(_names.SEAL):
         raise BrokenError("a success without a seal")
 
 
--- a/tests/_platform.py
+++ b/tests/_platform.py
@@ -136,6 +136,7 @@
         refuses: Requests that it refuses, stating that it has not run them.
         fails: Requests that it answers with its own 500.
         cuts: Streams that it breaks off in the middle of an event.
+        bare: Requests that it runs and answers without its seal.
         events: Events of each stream.
         pause: Seconds between events.
         working: Streams that it works on.
@@ -152,6 +153,7 @@
         self.refuses = 0
         self.fails = 0
         self.cuts = 0
+        self.bare = 0
         self.events = 5
         self.pause = 0.0
         self.working = 0
@@ -230,6 +232,9 @@
             answer = {"kv-handle": handle, "tokens": 10, "version": 1}
             return web.json_response(answer, headers=echo)
         seal = {**echo, "X-Wasabiwick-Response-Seal": f"seal-{self.name}"}
+        if self.bare:
+            self.bare -= 1
+            seal = echo
         if self.fails:
             self.fails -= 1
             return web.Response(status=500, headers=seal, text="own failure")
--- a/tests/test_on_platform.py
+++ b/tests/test_on_platform.py
@@ -172,6 +172,15 @@
             async with self.site.ask("/safe/x", "GET", b"") as resp:
                 self.assertEqual(resp.status, 200)
 
+    async def test_a_success_without_a_seal_is_no_answer(self) -> None:
+        await self.site.settled()
+        self.site.endpoints["s0"].bare = self.site.endpoints["s1"].bare = 1
+        async with self.site.ask("/unsafe/x") as resp:
+            self.assertEqual(resp.status, 502)
+        async with self.site.ask("/safe/x", "GET", b"") as resp:
+            self.assertEqual(resp.status, 200)
+            self.assertTrue(resp.headers["X-Wasabiwick-Response-Seal"])
+
     async def test_an_address_that_belongs_to_another_runs_nothing(self) -> None:
         await self.site.settled()
         self.site.endpoints["s0"].name = "another"
