Learn how fast engines put tokens out, by service; split placing from the ledger

Cause: the rate of a stream was 250 tokens/s for ever; nothing called observe(). It decides the projection of memory, which streams still come whole, and the wanted split of stages. Now the newest try of each stream that ends is timed. Rates, sizes and the line of prefill times are kept by service, as two services of engines need not be alike. No other behaviour changes. Tests: test_estimates fails on the code before (no observation).

--- a/src/wasabiwick/_handlers/forward_arrivals.py
+++ b/src/wasabiwick/_handlers/forward_arrivals.py
@@ -52,7 +52,7 @@
     """Tell whether an answer can be expected to come whole before a stopping host ends."""
     seconds = route.target_latency
     if route.kind == STREAM:
-        seconds += rejecting.stream_time(state, route.name, ask)
+        seconds += rejecting.stream_time(state, route.services[0][0], route.name, ask)
     return at + seconds < stop_by(state)
 
 
--- a/src/wasabiwick/_handlers/forward_plain.py
+++ b/src/wasabiwick/_handlers/forward_plain.py
@@ -14,7 +14,7 @@
 from .._reducer import Step
 from .._state import State
 from .._verdict import Verdict
-from . import directory, forwarding, health, places, retry_budget
+from . import directory, forwarding, health, placing, retry_budget
 from .forwarding import Forwarded
 
 SERVER_ERROR = 500
@@ -25,7 +25,7 @@
 
 def start(state: State, req: Forwarded, at: float) -> typing.Iterator[Step]:
     """Send a request to the endpoint with the least work."""
-    endpoint = places.choose_plain(state, req.service, at, req.rejected)
+    endpoint = placing.choose_plain(state, req.service, at, req.rejected)
     if endpoint is None:
         known = len(directory.usable(state, req.service))
         yield from forwarding.refuse(
@@ -45,7 +45,7 @@
         address=endpoint.address,
         number=req.number,
         deadline=req.ends,
-        connections=places.connections(state, req.service, at),
+        connections=placing.connections(state, req.service, at),
         quiet=QUIET_SHARE * req.route.target_latency if again else 0.0,
     )
 
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -29,10 +29,12 @@
 from .._verdict import Verdict
 from . import (
     directory,
+    estimates,
     forward_waiting,
     forwarding,
     health,
     places,
+    placing,
     rejecting,
     retry_budget,
     routes,
@@ -50,7 +52,7 @@
     """Let a generation wait for a place, unless no engine could ever hold it."""
     service = routes.service(state, req.service)
     traits = service.engine
-    places.observe_sizes(state, service, req.route.name, req.ask)
+    estimates.observe_sizes(state, service, req.route.name, req.ask)
     if req.ask.prompt_tokens + 1 > traits.memory_tokens:
         yield from forwarding.refuse(
             state, req, at, OVERLOADED, detail="the prompt is larger than an engine's memory"
@@ -90,7 +92,7 @@
 def _read_prompt(state: State, req: Forwarded, at: float) -> typing.Iterator[Step]:
     """Prefill at another engine; where that can't be, the decode engine does it itself."""
     tokens = req.ask.prompt_tokens
-    reader = places.choose_prefill(state, req.service, req.place.zone, tokens, at, req.rejected)
+    reader = placing.choose_prefill(state, req.service, req.place.zone, tokens, at, req.rejected)
     free = req.prefills == 0 and retry_budget.left(state, req.service, at) >= 1.0
     if reader is None or not (free or retry_budget.take(state, req.service, at)):
         yield from _send(state, req, at)
@@ -138,7 +140,7 @@
             # A prefill that was refused counts as a repeat; the first that is taken does not.
             retry_budget.charge(state, req.service, event.at)
             req.prefills -= 1
-            places.mark_full(state, event.endpoint, event.at, places.REFUSED_TIME)
+            places.mark_full(state, event.endpoint, event.at, placing.REFUSED_TIME)
             if event.failure.reason is ENDPOINT_CHANGED:
                 directory.set_busy(state, event.endpoint, event.at + CHANGED_TIME)
         else:
@@ -151,7 +153,7 @@
     yield Count(metric="prefills", label="done")
     yield Observe(metric="prefill_time", value=event.at - req.sent_at)
     if req.read_alone:
-        places.observe_read(state, req.ask.prompt_tokens, event.at - req.sent_at)
+        estimates.observe_read(state, req.service, req.ask.prompt_tokens, event.at - req.sent_at)
     req.handle = event.handle
     yield from _send(state, req, event.at)
 
@@ -184,7 +186,7 @@
         source=req.reader.address if req.handle else "",
         handle=req.handle,
         priority=_priority(req),
-        connections=places.connections(state, req.service, at),
+        connections=placing.connections(state, req.service, at),
         resume=req.events > 0,
         quiet=SILENCE if _may_run_again(req) else 0.0,
     )
@@ -208,6 +210,7 @@
         req.reader = None
         req.phase = forwarding.RELAYING
         req.relayed = True
+        req.begun_at, req.begun_events = at, req.events
         places.begin_stream(state, event.endpoint, req.ask.call_id, at)
         health.succeeded(state, event.endpoint)
         yield Observe(metric="stream_started", label=req.route.kind, value=at - req.arrived)
@@ -301,12 +304,16 @@
 
 @handles(StreamDone)
 def done(state: State, event: StreamDone) -> None:
-    """Learn from a stream that came to its end."""
+    """Learn from a stream that came to its end: how long it was, and how fast."""
     req = forwarding.call(state, event.call_id)
     if req is None or req.number != event.number:
         return
     req.events = event.events
     traits = routes.service(state, req.service)
-    if traits is not None and traits.engine is not None and not req.ask.resumed:
-        tokens = event.events * traits.engine.stride
-        places.observe_output(state, req.route.name, req.ask, tokens)
+    if traits is None or traits.engine is None:
+        return
+    stride = traits.engine.stride
+    tokens = (req.events - req.begun_events) * stride
+    estimates.observe_rate(state, req.service, tokens, event.at - req.begun_at)
+    if not req.ask.resumed:
+        estimates.observe_output(state, req.route.name, req.ask, req.events * stride)
--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -14,7 +14,7 @@
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
-from . import forwarding, places, rejecting, routes
+from . import forwarding, places, placing, rejecting, routes
 from .forwarding import Forwarded
 
 TICK = 0.03  # Seconds between looks at a queue that is not empty.
@@ -63,7 +63,7 @@
         for req in (forwarding.call(state, name) for name in mine.queues.get(service, ()))
         if req is not None and req.phase == forwarding.WAITING
     ]
-    candidates = places.survey(state, service, at) if waiting else []
+    candidates = placing.survey(state, service, at) if waiting else []
     kept = []
     misses = 0
     for req in sorted(waiting, key=lambda one: rejecting.rank(state, one, at)):
@@ -83,19 +83,19 @@
 
 
 def _place(
-    state: State, req: Forwarded, candidates: list[places.Candidate], at: float
+    state: State, req: Forwarded, candidates: list[placing.Candidate], at: float
 ) -> typing.Generator[Step, None, bool]:
     """Take a place for a call; returns whether one was found."""
-    if not places.can_read(state, req.service, at, _pending(state, req.service)):
+    if not placing.can_read(state, req.service, at, _pending(state, req.service)):
         return False
     stream = places.stream_load(state, req.route.name, req.ask, at)
-    chosen = places.choose_decode(state, candidates, stream, at, req.rejected)
+    chosen = placing.choose_decode(state, candidates, stream, at, req.rejected)
     if chosen is None:
         return False
     chosen.add(stream)
     endpoint = chosen.endpoint
     traits = routes.service(state, req.service).engine
-    held = places.hold_tokens(req.ask)
+    held = placing.hold_tokens(req.ask)
     req.phase = forwarding.HOLDING
     yield forwarding.occupy(state, req, endpoint, stream, at)
     yield forwarding.log(
@@ -130,7 +130,7 @@
 
 
 def _turn_away(state: State, req: Forwarded, at: float, waiting: int) -> typing.Iterator[Step]:
-    found = places.summary(state, req.service, at)
+    found = placing.summary(state, req.service, at)
     yield from forwarding.refuse(
         state,
         req,
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -43,6 +43,8 @@
         hold: Place held at the engine and not used yet.
         handle: KV cache at the reader that is not fetched yet.
         events: Events that the caller got.
+        begun_at: Monotonic time at which the newest try's answer began.
+        begun_events: Events that the caller had by then.
     """
 
     __slots__ = (
@@ -64,6 +66,8 @@
         "hold",
         "handle",
         "events",
+        "begun_at",
+        "begun_events",
         "sent_at",
         "relayed",
     )
@@ -87,6 +91,8 @@
         self.hold = ""
         self.handle = ""
         self.events = 0
+        self.begun_at = 0.0
+        self.begun_events = 0
         self.sent_at = 0.0
         self.relayed = False
 
--- a/src/wasabiwick/_handlers/rejecting.py
+++ b/src/wasabiwick/_handlers/rejecting.py
@@ -8,7 +8,7 @@
 
 from .._forwarding import Ask
 from .._state import State
-from . import places
+from . import estimates
 from .forwarding import Forwarded
 
 FIRST_OUTPUT = 0.45  # Seconds from a place to the first event: hold, prefill, transfer, first step.
@@ -52,13 +52,13 @@
 
 def latest_begin(state: State, req: Forwarded) -> float:
     """Return the monotonic time at which a place must be had for the answer to come whole."""
-    return req.ends - FIRST_OUTPUT - stream_time(state, req.route.name, req.ask)
+    return req.ends - FIRST_OUTPUT - stream_time(state, req.service, req.route.name, req.ask)
 
 
-def stream_time(state: State, route: str, ask: Ask) -> float:
+def stream_time(state: State, service: str, route: str, ask: Ask) -> float:
     """Return the seconds to reckon with from a stream's first event to its end."""
-    tokens = places.expected_output(state, route, ask)
-    return LENGTH_MARGIN * tokens / state["places"].token_rate.per_second
+    tokens = estimates.expected_output(state, route, ask)
+    return LENGTH_MARGIN * tokens / estimates.token_rate(state, service)
 
 
 def is_over(state: State, req: Forwarded, at: float) -> bool:
--- a/src/wasabiwick/_handlers/stages.py
+++ b/src/wasabiwick/_handlers/stages.py
@@ -19,7 +19,7 @@
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
-from . import directory, neighbours, places, routes
+from . import directory, estimates, neighbours, places, routes
 
 REVIEW = 1.0  # Seconds between looks at the split.
 SETTLED = (
@@ -64,10 +64,10 @@
 
 def stream_rate(state: State, service: ServiceTraits, prefill: int, decode: int) -> float:
     """Return the streams per second that some engines of each stage can serve."""
-    prompt, output = places.mean_sizes(state, service)
+    prompt, output = estimates.mean_sizes(state, service)
     held = min(service.engine.slots, service.engine.memory_tokens / (prompt + output / 2))
-    decoded = decode * held * state["places"].token_rate.per_second / output
-    return min(decoded, prefill * places.read_rate(state) / prompt)
+    decoded = decode * held * estimates.token_rate(state, service.name) / output
+    return min(decoded, prefill * estimates.read_rate(state, service.name) / prompt)
 
 
 def wanted(state: State, service: ServiceTraits, at: float) -> Wanted | None:
@@ -170,15 +170,15 @@
     service = routes.service(state, found.service)
     until = event.at + service.engine.switch_time + SLACK_TIME
     directory.set_busy(state, found.endpoint.name, until)
-    prompt, output = places.mean_sizes(state, service)
+    prompt, output = estimates.mean_sizes(state, service)
     fields = {
         "endpoint": found.endpoint.name,
         "stage": found.stage,
         "fence": event.offset + 1,
         "prompt": prompt,
         "output": output,
-        "read_rate": places.read_rate(state),
-        "token_rate": state["places"].token_rate.per_second,
+        "read_rate": estimates.read_rate(state, service.name),
+        "token_rate": estimates.token_rate(state, service.name),
     }
     yield Count(metric="stage_orders", label=found.stage)
     yield LogLine(event="stage_ordered", fields=fields)
--- /dev/null
+++ b/tests/test_estimates.py
@@ -0,0 +1,73 @@
+"""Tests of what a host learns of generations."""
+
+import unittest
+
+from wasabiwick import _events
+from wasabiwick._handlers import estimates, rejecting
+
+from ._forward import MODEL, Host
+
+
+def play_stream(host: Host, *, events: int, seconds: float) -> str:
+    """Let a stream with some events come to its end, and return its call."""
+    call = host.start_stream()
+    sent = host.state["forwarding"].calls[call].number
+    host.run(seconds)
+    host.feed(
+        _events.StreamDone,
+        call_id=call,
+        endpoint=host.state["forwarding"].calls[call].place.name,
+        number=sent,
+        events=events,
+    )
+    return call
+
+
+class TestTokenRate(unittest.TestCase):
+    """Engines of another speed than the prior are known after some streams."""
+
+    def test_slow_engines(self) -> None:
+        host = Host()
+        for _ in range(20):
+            host.feed(
+                _events.ForwardAnswered, call_id=play_stream(host, events=60, seconds=6 * 1.2)
+            )
+        # 60 events of 12 tokens in 7.2 s.
+        self.assertAlmostEqual(estimates.token_rate(host.state, MODEL), 100.0, delta=10.0)
+
+    def test_it_decides_what_still_comes_whole(self) -> None:
+        host = Host()
+        ask = host.state["forwarding"].calls[host.ask("stream")].ask
+        before = rejecting.stream_time(host.state, MODEL, "stream", ask)
+        for _ in range(20):
+            host.feed(_events.ForwardAnswered, call_id=play_stream(host, events=60, seconds=7.2))
+        after = rejecting.stream_time(host.state, MODEL, "stream", ask)
+        self.assertGreater(after, 2.0 * before)
+
+    def test_short_streams_say_nothing(self) -> None:
+        host = Host()
+        before = estimates.token_rate(host.state, MODEL)
+        play_stream(host, events=2, seconds=0.001)
+        self.assertEqual(estimates.token_rate(host.state, MODEL), before)
+
+    def test_other_services_keep_theirs(self) -> None:
+        host = Host()
+        before = estimates.token_rate(host.state, "another")
+        play_stream(host, events=60, seconds=7.2)
+        self.assertEqual(estimates.token_rate(host.state, "another"), before)
+
+    def test_only_the_newest_try_is_timed(self) -> None:
+        host = Host()
+        call = host.start_stream()
+        req = host.state["forwarding"].calls[call]
+        req.begun_events = 50  # The caller has them from an engine that broke off.
+        before = estimates.token_rate(host.state, MODEL)
+        host.run(0.5)
+        host.feed(
+            _events.StreamDone,
+            call_id=call,
+            endpoint=req.place.name,
+            number=req.number,
+            events=60,
+        )
+        self.assertAlmostEqual(estimates.token_rate(host.state, MODEL), before, delta=12.0)
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -5,9 +5,9 @@
 from wasabiwick import _events, _wire
 from wasabiwick._effects_forwarding import ClaimOrders, OrderStage, ReadClaims
 from wasabiwick._forwarding import StreamLoad
-from wasabiwick._handlers import directory, places
+from wasabiwick._handlers import directory, estimates
 
-from ._forward import DECODE, PREFILL, Host, engine
+from ._forward import DECODE, MODEL, PREFILL, Host, engine
 
 SPLIT = tuple(engine(f"p{n}", PREFILL) for n in range(4)) + tuple(
     engine(f"d{n}", DECODE) for n in range(5)
@@ -61,7 +61,7 @@
 
     def test_two_engines_of_each_stage_are_left(self) -> None:
         host = Host(endpoints=SPLIT[2:])
-        host.state["places"].read_line.observe(1, 1.0)
+        estimates.observe_read(host.state, MODEL, 1, 1.0)
         for _ in range(3):
             for one in self.order(host):
                 self.assertNotEqual(one.stage, DECODE)
@@ -127,9 +127,9 @@
     def test_an_early_short_stream_changes_little(self) -> None:
         host = Host(endpoints=SPLIT)
         service = host.state["routes"].services["writer"]
-        before = places.mean_sizes(host.state, service)
+        before = estimates.mean_sizes(host.state, service)
         host.ask("stream", length_hint=100)
-        after = places.mean_sizes(host.state, service)
+        after = estimates.mean_sizes(host.state, service)
         self.assertLess(abs(after[1] - before[1]) / before[1], 0.1)
 
     def test_a_stream_load_is_at_least_one_token(self) -> None:
