Go back to the engine that has the prompt when its answer was lost; end silent prefills

An engine that lost two answers within 1.5 s is not gone back to, nor one that broke off in the middle of a stream. - a prefill that was never answered held its call until the caller left: it had no time-out but the caller's deadline. It is now given up after 0.4 s over twice the time that the engine's prompts should take, and asked for once more. Tests: four of the reducer and one of a whole host on stand-ins fail on the code before.

--- a/src/wasabiwick/_effects_forwarding.py
+++ b/src/wasabiwick/_effects_forwarding.py
@@ -49,16 +49,33 @@
 
 
 class ReadPrompt(EndpointEffect):
-    """Prefill the request's prompt at an engine, which keeps the KV cache for another."""
+    """Prefill the request's prompt at an engine, which keeps the KV cache for another.
 
-    __slots__ = ("deadline", "priority")
+    Args:
+        call_id: The call.
+        endpoint: Name of the engine.
+        address: Its address.
+        deadline: Monotonic time until which the engine may work.
+        priority: Rank at the engine.
+        quiet: Seconds without an answer after which it counts as lost.
+    """
+
+    __slots__ = ("deadline", "priority", "quiet")
 
     def __init__(
-        self, *, call_id: str, endpoint: str, address: str, deadline: float, priority: int
+        self,
+        *,
+        call_id: str,
+        endpoint: str,
+        address: str,
+        deadline: float,
+        priority: int,
+        quiet: float,
     ) -> None:
         super().__init__(call_id=call_id, endpoint=endpoint, address=address)
         self.deadline = deadline
         self.priority = priority
+        self.quiet = quiet
 
 
 class FreeHandle(EndpointEffect):
--- a/src/wasabiwick/_handlers/forward_plain.py
+++ b/src/wasabiwick/_handlers/forward_plain.py
@@ -32,9 +32,9 @@
             state, req, at, NO_ENDPOINT, retry_after=RETRY, service=req.service, endpoints=known
         )
         return
-    req.begin_try(at)
     health.chosen(state, endpoint.name)
     yield forwarding.occupy(state, req, endpoint, None, at)
+    req.begin_try(at)
     yield forwarding.log(
         "sent", req, state, at, endpoint=endpoint.name, zone=endpoint.zone, tries=req.number
     )
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -46,6 +46,8 @@
 CHANGED_TIME = 2.0  # Seconds in which the list should tell what an endpoint has become.
 MISDIRECTED = 421
 SILENCE = 2.5  # Seconds without a head after which a resumable stream is begun elsewhere.
+READ_SILENCE = 0.4  # Seconds over the time reckoned with after which a prefill is asked for again:
+READ_SLACK = 2.0  # four times a prefill's own; and a factor for prompts that slow each other.
 
 
 def start(state: State, req: Forwarded, at: float) -> typing.Iterator[Step]:
@@ -91,8 +93,13 @@
 
 def _read_prompt(state: State, req: Forwarded, at: float) -> typing.Iterator[Step]:
     """Prefill at another engine; where that can't be, the decode engine does it itself."""
+    if req.place.name in req.warm:
+        yield from _send(state, req, at)
+        return
     tokens = req.ask.prompt_tokens
-    reader = placing.choose_prefill(state, req.service, req.place.zone, tokens, at, req.rejected)
+    reader = placing.choose_prefill(
+        state, req.service, req.place.zone, tokens, at, req.rejected, req.warm
+    )
     free = req.prefills == 0 and retry_budget.left(state, req.service, at) >= 1.0
     if reader is None or not (free or retry_budget.take(state, req.service, at)):
         yield from _send(state, req, at)
@@ -110,6 +117,7 @@
         address=reader.address,
         deadline=req.ends,
         priority=_priority(req),
+        quiet=READ_SILENCE + READ_SLACK * placing.read_time(state, req.service, reader.name, at),
     )
 
 
@@ -136,6 +144,7 @@
             reason=event.failure.reason.code,
             cause=event.failure.detail,
         )
+        was_shaky = places.is_shaky(state, event.endpoint, event.at)
         if event.failure.verdict is Verdict.NOT_RUN and not unreached:
             # A prefill that was refused counts as a repeat; the first that is taken does not.
             retry_budget.charge(state, req.service, event.at)
@@ -145,7 +154,10 @@
                 directory.set_busy(state, event.endpoint, event.at + CHANGED_TIME)
         else:
             yield from forwarding.note_failure(state, req, event.endpoint, event.failure, event.at)
-        req.rejected.append(event.endpoint)
+        if event.failure.verdict is Verdict.MAY_HAVE_RUN:
+            req.note_lost(event.endpoint, again=was_shaky)
+        else:
+            req.rejected.append(event.endpoint)
         req.reader = None
         yield from _read_prompt(state, req, event.at)
         return
@@ -223,11 +235,13 @@
         places.mark_full(state, event.endpoint, at)
         if event.status == MISDIRECTED:
             directory.set_busy(state, event.endpoint, at + CHANGED_TIME)
+        req.rejected.append(event.endpoint)
         yield from _repeat(state, req, at, event.endpoint, f"status {event.status}", refused=True)
         return
     req.handle = ""
     yield from forwarding.note_failure(state, req, event.endpoint, None, event.at)
     if _may_run_again(req) and retry_budget.left(state, req.service, at) >= 1.0:
+        req.rejected.append(event.endpoint)
         yield from _repeat(state, req, at, event.endpoint, f"status {event.status}", refused=False)
         return
     if req.relayed:
@@ -245,6 +259,7 @@
     """Go on elsewhere after a stream broke off or never came, where that is allowed."""
     req.events = event.events
     not_run = event.failure.verdict is Verdict.NOT_RUN
+    was_shaky = places.is_shaky(state, event.endpoint, event.at)
     if not_run:
         req.take_back_try()
     yield from forwarding.note_failure(state, req, event.endpoint, event.failure, event.at)
@@ -252,6 +267,10 @@
     if not_run or _may_run_again(req):
         cause = event.failure.detail
         unsent = event.failure.reason is ENDPOINT_UNREACHABLE
+        if not not_run and not req.relayed:
+            req.note_lost(event.endpoint, again=was_shaky)
+        else:
+            req.rejected.append(event.endpoint)
         yield from _repeat(
             state, req, event.at, event.endpoint, cause, refused=not_run, unsent=unsent
         )
@@ -272,7 +291,6 @@
     unsent: bool = False,
 ) -> typing.Iterator[Step]:
     """Let the call wait for another place, if the budget of repeats has room."""
-    req.rejected.append(endpoint)
     yield forwarding.log(
         "try_failed", req, state, at, endpoint=endpoint, cause=cause, events=req.events
     )
--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -89,7 +89,7 @@
     if not placing.can_read(state, req.service, at, _pending(state, req.service)):
         return False
     stream = places.stream_load(state, req.route.name, req.ask, at)
-    chosen = placing.choose_decode(state, candidates, stream, at, req.rejected)
+    chosen = placing.choose_decode(state, candidates, stream, at, req.rejected, req.warm)
     if chosen is None:
         return False
     chosen.add(stream)
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -34,11 +34,11 @@
         phase: What is under way for it.
         service: Service that it goes to.
         number: Tries so far; each send to an endpoint is one.
-        runs: Endpoints that may have run it.
-        ran: Whether an endpoint may have begun to run it.
+        ran_at: Endpoint of each send that may have run it.
         rejected: Endpoints that refused it or failed, which are asked again last.
         place: Endpoint whose ledger counts it.
         reader: Engine that prefills it, while that is under way or its handle is not fetched.
+        lost: Engines whose answer was lost before it began; they may have the prompt in memory.
         read_alone: Whether that engine had no other prompt to prefill, as far as is known.
         hold: Place held at the engine and not used yet.
         handle: KV cache at the reader that is not fetched yet.
@@ -55,8 +55,8 @@
         "ends",
         "phase",
         "number",
-        "runs",
-        "ran",
+        "ran_at",
+        "lost",
         "rejected",
         "place",
         "reader",
@@ -80,8 +80,8 @@
         self.ends = min(ask.deadline, arrived + route.timeout)
         self.phase = WAITING
         self.number = 0
-        self.runs = 0
-        self.ran = False
+        self.ran_at: list[str] = []
+        self.lost: list[str] = []
         self.rejected: list[str] = []
         self.place: Endpoint | None = None
         self.reader: Endpoint | None = None
@@ -96,18 +96,41 @@
         self.sent_at = 0.0
         self.relayed = False
 
+    @property
+    def runs(self) -> int:
+        """How many endpoints may have run it."""
+        return len(set(self.ran_at))
+
+    @property
+    def ran(self) -> bool:
+        """Whether an endpoint may have begun to run it."""
+        return bool(self.ran_at)
+
+    @property
+    def warm(self) -> list[str]:
+        """Engines that may have the prompt in memory and have not failed twice."""
+        return [name for name in self.lost if name not in self.rejected]
+
+    def note_lost(self, endpoint: str, *, again: bool) -> None:
+        """Note that an engine's answer was lost before it began.
+
+        Args:
+            endpoint: Name of the engine.
+            again: Whether it lost another answer shortly before.
+        """
+        first = endpoint not in self.lost and not again
+        (self.lost if first else self.rejected).append(endpoint)
+
     def begin_try(self, at: float) -> None:
-        """Count a send to an endpoint, which may have the request from now on."""
+        """Count a send to its place, which may have the request from now on."""
         self.number += 1
         self.phase = SENT
         self.sent_at = at
-        self.ran = True
-        self.runs += 1
+        self.ran_at.append(self.place.name)
 
     def take_back_try(self) -> None:
         """Count the newest send as not run: the endpoint says so, or nothing reached it."""
-        self.runs -= 1
-        self.ran = self.runs > 0
+        self.ran_at.pop()
 
 
 @state_slice("forwarding")
--- a/src/wasabiwick/_handlers/placing.py
+++ b/src/wasabiwick/_handlers/placing.py
@@ -82,35 +82,68 @@
 
 
 def choose_decode(
-    state: State, candidates: list[Candidate], stream: StreamLoad, at: float, avoid: list[str]
+    state: State,
+    candidates: list[Candidate],
+    stream: StreamLoad,
+    at: float,
+    avoid: list[str],
+    warm: list[str],
 ) -> Candidate | None:
     """Return the engine with the most memory left that has a place.
 
-    Engines that broke off a request lately come last, as its prompt would be prefilled in vain, and
-    the own zone's first.
+    One that may have the prompt in its memory comes first. Engines that broke off a request lately
+    come last, as its prompt would be prefilled in vain, and the own zone's first.
+
+    Args:
+        state: The host's state.
+        candidates: Engines that may have places.
+        stream: What the request will need.
+        at: Monotonic time.
+        avoid: Names of engines that are taken only where there is no other.
+        warm: Names of engines that may have the prompt.
     """
     best: Candidate | None = None
-    best_rank: tuple[bool, bool, bool, float] | None = None
+    best_rank: tuple[bool, bool, bool, bool, float] | None = None
     for one in candidates:
         left = one.left(stream)
         if left is None:
             continue
         name, zone = one.endpoint.name, one.endpoint.zone
-        rank = (name not in avoid, not places.is_shaky(state, name, at), zone == state.zone, left)
+        rank = (
+            name in warm,
+            name not in avoid,
+            not places.is_shaky(state, name, at),
+            zone == state.zone,
+            left,
+        )
         if best_rank is None or rank > best_rank:
             best, best_rank = one, rank
     return best
 
 
 def choose_prefill(
-    state: State, service: str, zone: str, tokens: int, at: float, avoid: list[str]
+    state: State, service: str, zone: str, tokens: int, at: float, avoid: list[str], warm: list[str]
 ) -> Endpoint | None:
-    """Return the prefill engine that is done with a prompt first, or None if there is none."""
+    """Return the prefill engine that is done with a prompt first, or None if there is none.
+
+    Args:
+        state: The host's state.
+        service: Name of the service.
+        zone: Availability zone of the decode engine.
+        tokens: Length of the prompt.
+        at: Monotonic time.
+        avoid: Names of engines that are taken only where there is no other.
+        warm: Names of engines that may have the prompt.
+    """
     rate = estimates.read_rate(state, service)
 
-    def cost(one: Endpoint) -> tuple[bool, float]:
+    def cost(one: Endpoint) -> tuple[bool, bool, float]:
         wait = (places.load(state, one.name, at).reading + tokens) / rate
-        return one.name in avoid, wait + (0.0 if one.zone == zone else ZONE_TIME)
+        return (
+            one.name not in warm,
+            one.name in avoid,
+            wait + (0.0 if one.zone == zone else ZONE_TIME),
+        )
 
     return min(_readers(state, service, at), key=cost, default=None)
 
@@ -124,6 +157,12 @@
     ]
 
 
+def read_time(state: State, service: str, endpoint: str, at: float) -> float:
+    """Return the seconds that an engine should take for all prompts that it was sent."""
+    reading = places.load(state, endpoint, at).reading
+    return reading / estimates.read_rate(state, service)
+
+
 def can_read(state: State, service: str, at: float, pending: int) -> bool:
     """Tell whether a prompt would be prefilled before long.
 
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -130,7 +130,11 @@
         headers.append((_names.PRIORITY, b"%d" % effect.priority))
         data = encode_request(exchange.method, exchange.target, headers, exchange.body)
         answer = await self._ask_raw(
-            effect.endpoint, effect.address, data, timeout=seconds, expected=_id_of(exchange)
+            effect.endpoint,
+            effect.address,
+            data,
+            timeout=min(seconds, effect.quiet),
+            expected=_id_of(exchange),
         )
         return answer if isinstance(answer, Failure) else _decoded(answer, _Prompt, "kv_handle")
 
--- a/tests/_platform.py
+++ b/tests/_platform.py
@@ -136,6 +136,7 @@
         refuses: Requests that it refuses, stating that it has not run them.
         fails: Requests that it answers with its own 500.
         cuts: Streams that it breaks off in the middle of an event.
+        mute: Prefills that it does without ever answering.
         bare: Requests that it runs and answers without its seal.
         events: Events of each stream.
         pause: Seconds between events.
@@ -153,6 +154,7 @@
         self.refuses = 0
         self.fails = 0
         self.cuts = 0
+        self.mute = 0
         self.bare = 0
         self.events = 5
         self.pause = 0.0
@@ -229,6 +231,9 @@
         if req.headers.get("X-Wasabiwick-Stage") == "prefill":
             handle = f"handle-{self.name}-{next(self._numbers)}"
             self.handles.add(handle)
+            if self.mute:
+                self.mute -= 1
+                await asyncio.Event().wait()
             answer = {"kv-handle": handle, "tokens": 10, "version": 1}
             return web.json_response(answer, headers=echo)
         seal = {**echo, "X-Wasabiwick-Response-Seal": f"seal-{self.name}"}
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -212,6 +212,37 @@
         self.assertTrue(sent.resume)
         self.assertNotEqual(sent.endpoint, first)
 
+    def test_an_answer_lost_before_it_began_is_asked_for_again_where_the_prompt_is(self) -> None:
+        """Found on trouble-1: a third of the prompts read in vain were read for lost answers."""
+        host = Host()
+        call = host.ask("stream")
+        host.hold(call)
+        host.prefill(call)
+        first = host.last(Forward, call).endpoint
+        host.fail(call, BROKEN)
+        self.assertEqual(host.last(TakeHold, call).endpoint, first)
+        host.hold(call)
+        self.assertEqual(len(host.of(ReadPrompt, call)), 1)
+        self.assertEqual(host.last(Forward, call).endpoint, first)
+        self.assertEqual(host.last(Forward, call).handle, "")
+        self.assertEqual(host.state["forwarding"].calls[call].runs, 1)
+        host.fail(call, BROKEN)
+        host.hold(call)
+        host.prefill(call)
+        self.assertNotEqual(host.last(Forward, call).endpoint, first)
+
+    def test_an_engine_that_lost_several_answers_is_not_gone_back_to(self) -> None:
+        host = Host()
+        calls = [host.ask("stream") for _ in range(4)]
+        for call in calls:
+            host.hold(call)
+            host.prefill(call)
+        one, another = [call for call in calls if host.last(Forward, call).endpoint == "d0"]
+        host.fail(one, BROKEN)
+        host.fail(another, BROKEN)
+        self.assertEqual(host.last(TakeHold, one).endpoint, "d0")
+        self.assertNotEqual(host.last(TakeHold, another).endpoint, "d0")
+
     def test_a_stream_that_cannot_be_resumed_is_broken_off(self) -> None:
         host = Host()
         call = host.start_stream("draft")
@@ -289,6 +320,30 @@
         host.hold(other)
         self.assertNotEqual(host.last(ReadPrompt, other).endpoint, first)
 
+    def test_a_prefill_whose_answer_was_lost_is_asked_for_once_more_at_the_same_engine(
+        self,
+    ) -> None:
+        host = Host(endpoints=(*ENDPOINTS, engine("p1", PREFILL)))
+        call = host.ask("stream")
+        host.hold(call)
+        first = host.last(ReadPrompt, call).endpoint
+        host.prefill(call, BROKEN)
+        self.assertEqual(host.last(ReadPrompt, call).endpoint, first)
+        host.prefill(call, BROKEN)
+        self.assertNotEqual(host.last(ReadPrompt, call).endpoint, first)
+
+    def test_a_prefill_without_an_answer_is_given_up_well_before_the_caller_leaves(self) -> None:
+        """Found by reading: a lost answer held its call until the caller left."""
+        host = Host()
+        call = host.ask("stream")
+        host.hold(call)
+        alone = host.last(ReadPrompt, call).quiet
+        self.assertGreater(alone, 2 * 3_000 / 25_000.0)
+        self.assertLess(alone, 1.0)
+        other = host.ask("stream")
+        host.hold(other)
+        self.assertGreater(host.last(ReadPrompt, other).quiet, alone)
+
     def test_no_place_is_taken_while_prompts_queue_up(self) -> None:
         host = Host(endpoints=(*ENDPOINTS, *(engine(f"d{n}", DECODE) for n in range(2, 6))))
         calls = [host.ask("stream") for _ in range(20)]
--- a/tests/test_on_platform.py
+++ b/tests/test_on_platform.py
@@ -238,6 +238,13 @@
             self.assertEqual(body, b"".join(parts))
         self.assertEqual(self.site.endpoints["d0"].cuts, 0)
 
+    async def test_a_prefill_that_is_never_answered_is_asked_for_again(self) -> None:
+        await self.site.settled()
+        self.site.endpoints["p0"].mute = 1
+        async with self.site.ask("/stream/x") as resp:
+            self.assertEqual((await resp.read()).count(b"data: part"), 5)
+        self.assertEqual(len(self.seen("p0")), 2)
+
     async def test_a_caller_that_leaves_stops_the_engine(self) -> None:
         await self.site.settled()
         for name in ("d0", "d1"):
