--- a/src/wasabiwick/_bench/policies.py
+++ b/src/wasabiwick/_bench/policies.py
@@ -7,7 +7,7 @@
 import typing
 
 from .._events import EngineReported, SlotWanted
-from .._handlers import calls, members, slots
+from .._handlers import members, requests, slots
 from .._reducer import Step, handles
 from .._settings import Settings
 from .._state import State, state_slice
@@ -38,7 +38,7 @@
 
 def _engines(state: State, event: SlotWanted) -> tuple[list[HostEntry], list[HostEntry]]:
     """Return the engines for prefill and for decode that were not tried yet."""
-    req = calls.request_of(state, event.request_id)
+    req = requests.request_of(state, event.request_id)
     usable = sorted(members.usable_endpoints(state, req.call.target), key=lambda one: one.name)
     reports = state["bench_baselines"].reports
     decode = [one for one in usable if one.name not in reports or reports[one.name].slots]
@@ -88,7 +88,7 @@
     """Prefill where the longest known prefix was prefilled before, whatever the load."""
     prefill, decode = _engines(state, event)
     mine = state["bench_baselines"]
-    req = calls.request_of(state, event.request_id)
+    req = requests.request_of(state, event.request_id)
     names = [one.name for one in prefill]
     pieces = [piece for piece in req.call.pieces if piece]
     known = (mine.seen.get(piece) for piece in reversed(pieces))
--- a/src/wasabiwick/_entry.py
+++ b/src/wasabiwick/_entry.py
@@ -19,7 +19,7 @@
 )
 from ._errors import NOT_FOUND, REQUEST_TIMEOUT, TOO_LARGE, Failure
 from ._events import CallAnswered, CallArrived, CallerGone
-from ._handlers import calls, lists, members
+from ._handlers import lists, members, requests
 from ._logging import log_event
 from ._output import Output
 from ._runner import Body, Runner
@@ -215,7 +215,7 @@
             return await answer()
         finally:
             runner.sinks.pop(call.call_id, None)
-            if calls.request_of(runner.state, call.request_id) is None:
+            if requests.request_of(runner.state, call.request_id) is None:
                 runner.bodies.pop(call.request_id, None)
             self._tell()
 
--- a/src/wasabiwick/_handlers/__init__.py
+++ b/src/wasabiwick/_handlers/__init__.py
@@ -8,6 +8,7 @@
     lists_keeping,
     calls,
     keys,
+    claims,
     health,
     limits,
     admission,
@@ -41,6 +42,7 @@
 __all__ = [
     "admission",
     "calls",
+    "claims",
     "cancels",
     "closing",
     "confirm",
--- a/src/wasabiwick/_handlers/admission.py
+++ b/src/wasabiwick/_handlers/admission.py
@@ -27,7 +27,7 @@
 from .._settings import Settings
 from .._state import State, state_slice
 from .._wire import LimitAsk, LimitGiven, LimitReport
-from . import calls, limits
+from . import limits, requests
 from .limits import Bucket
 
 MAX_WAITING = 200  # Requests of one customer that wait for admission on one host.
@@ -100,7 +100,7 @@
 @handles(AdmissionWanted)
 def admit(state: State, event: AdmissionWanted) -> typing.Iterator[Step]:
     """Ask for the request, or refuse it at once where the customer is over its limit."""
-    req = calls.request_of(state, event.request_id)
+    req = requests.request_of(state, event.request_id)
     if req is None:
         return
     account = state["admission"].accounts.setdefault(req.customer.name, Account())
@@ -124,13 +124,13 @@
             yield _probe(state, customer, account)
         yield from _go_alone(state, customer, account, event)
         return
-    requests = [calls.request_of(state, request_id) for request_id in account.waiting]
-    account.asked = len(requests)
+    asking = [requests.request_of(state, request_id) for request_id in account.waiting]
+    account.asked = len(asking)
     message = LimitAsk(
         customer=customer,
         owner=state.owner,
-        requests=len(requests),
-        tokens=sum(_tokens(req) for req in requests if req),
+        requests=len(asking),
+        tokens=sum(_tokens(req) for req in asking if req),
         in_flight=account.in_flight,
         refund=account.refund,
     )
@@ -151,7 +151,7 @@
     return SendPeer(host=limits.coordinator_of(state, customer), message=message)
 
 
-def _tokens(req: "calls.Request") -> int:
+def _tokens(req: "requests.Request") -> int:
     return req.call.prompt_tokens + req.call.max_tokens
 
 
@@ -180,7 +180,7 @@
 def _let_in(state: State, account: Account, number: int, event: Event) -> typing.Iterator[Step]:
     for _ in range(min(number, len(account.waiting))):
         request_id = account.waiting.popleft()
-        req = calls.request_of(state, request_id)
+        req = requests.request_of(state, request_id)
         if req is None or request_id in state["admission"].admitted:
             continue  # A closed request, or its place beside that of a newer one.
         account.in_flight += 1
@@ -195,7 +195,7 @@
 ) -> typing.Iterator[Step]:
     refused = [account.waiting.popleft() for _ in range(min(number, len(account.waiting)))]
     for place, request_id in enumerate(refused):
-        req = calls.request_of(state, request_id)
+        req = requests.request_of(state, request_id)
         if req is None or request_id in state["admission"].admitted:
             continue
         if req.plan.may_wait and event.at < req.call.deadline:
@@ -209,10 +209,10 @@
 def _refuse(
     state: State, event: Event, request_id: str, reason: Reason, wait: float
 ) -> typing.Iterator[Step]:
-    req = calls.request_of(state, request_id)
+    req = requests.request_of(state, request_id)
     failure = Failure(
         reason=reason,
-        verdict=calls.verdict_of(state, req.call),
+        verdict=requests.verdict_of(state, req.call),
         detail=f'customer "{req.customer.name}" is over the limits of plan "{req.plan.name}"',
         retry_after=round(wait, 2),
     )
@@ -277,7 +277,7 @@
 
 def _plan_of_waiting(state: State, account: Account) -> Plan | None:
     for request_id in account.waiting:
-        req = calls.request_of(state, request_id)
+        req = requests.request_of(state, request_id)
         if req:
             return req.plan
     return None
@@ -294,7 +294,7 @@
 def count_output(state: State, event: StreamEnded) -> None:
     """Note the tokens that a request really used."""
     one = state["admission"].admitted.get(event.request_id)
-    req = calls.request_of(state, event.request_id)
+    req = requests.request_of(state, event.request_id)
     if one and req:
         one.used = req.call.prompt_tokens + event.offset
 
@@ -313,7 +313,7 @@
 
 
 def _drop_waiting(state: State, request_id: str) -> None:
-    req = calls.request_of(state, request_id)
+    req = requests.request_of(state, request_id)
     account = state["admission"].accounts.get(req.customer.name) if req else None
     # A request in a question keeps its place, so that the answer finds as many as were asked for.
     if account and not account.asked and request_id in account.waiting:
--- a/src/wasabiwick/_handlers/calls.py
+++ b/src/wasabiwick/_handlers/calls.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from .._effects import CloseCall, Count, RefuseCall
+from .._effects import CloseCall, Count
 from .._errors import (
     BAD_KEY,
     KEY_REUSED,
@@ -23,102 +23,29 @@
     RequestClosed,
     RequestDenied,
 )
-from .._lists import Customer, Lists, Plan
+from .._lists import Lists, Plan
 from .._reducer import Step, handles
-from .._settings import Settings
-from .._state import State, state_slice
+from .._state import State
 from .._verdict import Verdict
-from . import keys, lists, takeover
-from .host import busy_check
+from . import claims, lists, requests, takeover
+from .requests import Request
 
 STOPPING_RETRY = 0.2  # Seconds; another host answers at once.
 CONFIGURATION_RETRY = 1.0
 
 
-class Request:
-    """One request that this host serves, whichever call waits for it.
-
-    Args:
-        call: The newest call of the request.
-        customer: The customer that asked.
-        plan: The customer's plan, as of the version under which the request came in.
-        version: That version.
-        arrived: Monotonic time of the first call on this host.
-    """
-
-    __slots__ = ("call", "customer", "plan", "version", "arrived", "caller_present", "ran")
-
-    def __init__(
-        self, *, call: Call, customer: Customer, plan: Plan, version: int, arrived: float
-    ) -> None:
-        self.call = call
-        self.customer = customer
-        self.plan = plan
-        self.version = version
-        self.arrived = arrived
-        self.caller_present = True
-        self.ran = False
-
-
-@state_slice("calls")
-class CallsState:
-    """Requests that this host serves, by request id."""
-
-    __slots__ = ("requests",)
-
-    def __init__(self, cfg: Settings) -> None:
-        self.requests: dict[str, Request] = {}
-
-
-def request_of(state: State, request_id: str) -> Request | None:
-    """Return a request that this host serves, or None."""
-    return state["calls"].requests.get(request_id)
-
-
-def mark_ran(state: State, request_id: str) -> None:
-    """Note that an endpoint may have begun to run the request."""
-    req = request_of(state, request_id)
-    if req:
-        req.ran = True
-
-
-def verdict_of(state: State, call: Call) -> Verdict:
-    """Return the strongest verdict that this host alone can prove for a refused call.
-
-    An earlier call with the same key may have reached another host, so a call with a key is
-    proved not to have run only by the concern that keeps its records.
-    """
-    req = request_of(state, call.request_id)
-    if call.has_key or (req and req.ran):
-        return Verdict.MAY_HAVE_RUN
-    return Verdict.NOT_RUN
-
-
-def refuse(call_id: str, failure: Failure) -> typing.Iterator[Step]:
-    """Answer a call with a failure and count it by reason and by verdict."""
-    yield RefuseCall(call_id=call_id, failure=failure)
-    yield Count(metric="refused", label=failure.reason.code)
-    yield Count(metric="refused_verdict", label=failure.verdict.value)
-
-
-@busy_check
-def open_requests(state: State) -> int:
-    """Count requests whose callers still wait."""
-    return len(state["calls"].requests)
-
-
 @handles(CallArrived)
 def arrive(state: State, event: CallArrived) -> typing.Iterator[Step]:
     """Check a call, then join it to its running request or open a new one."""
     call = event.call
     yield Count(metric="calls", label=call.kind)
-    running = request_of(state, call.request_id)
+    running = requests.request_of(state, call.request_id)
     if running:
         yield from _join(state, running, event)
         return
     refused = _check(state, call)
     if refused:
-        yield from refuse(call.call_id, refused)
+        yield from requests.refuse(call.call_id, refused)
         return
     yield from _open(state, event)
 
@@ -135,7 +62,7 @@
         arrived=event.at,
     )
     if call.kind == "generate" and call.has_key:
-        yield from keys.claim(state, call, event.at)
+        yield from claims.claim(state, call, event.at)
     else:
         yield AdmissionWanted(at=event.at, request_id=call.request_id)
 
@@ -150,7 +77,7 @@
             verdict=verdict,
             detail="the Idempotency-Key is in use for a request with another body",
         )
-        yield from refuse(call.call_id, failure)
+        yield from requests.refuse(call.call_id, failure)
         return
     # A caller that asks again has given up on its earlier connection.
     if req.caller_present:
@@ -197,7 +124,7 @@
 ) -> Failure:
     return Failure(
         reason=reason,
-        verdict=verdict_of(state, call),
+        verdict=requests.verdict_of(state, call),
         detail=detail,
         retry_after=retry_after,
     )
@@ -206,20 +133,20 @@
 @handles(RequestDenied)
 def deny(state: State, event: RequestDenied) -> typing.Iterator[Step]:
     """Answer the waiting call with the failure and forget the request."""
-    req = request_of(state, event.request_id)
+    req = requests.request_of(state, event.request_id)
     if req is None:
         return
     if req.caller_present:
         # Another concern may deny the request in the same step; the caller has its answer now.
         req.caller_present = False
-        yield from refuse(req.call.call_id, event.failure)
+        yield from requests.refuse(req.call.call_id, event.failure)
     yield RequestClosed(at=event.at, request_id=event.request_id)
 
 
 @handles(CallerGone)
 def leave(state: State, event: CallerGone) -> None:
     """Note that nobody waits for the request now."""
-    req = request_of(state, event.request_id)
+    req = requests.request_of(state, event.request_id)
     if req and req.call.call_id == event.call_id:
         req.caller_present = False
 
@@ -227,7 +154,7 @@
 @handles(CallAnswered)
 def answered(state: State, event: CallAnswered) -> typing.Iterator[Step]:
     """Forget a request whose whole answer was written."""
-    req = request_of(state, event.request_id)
+    req = requests.request_of(state, event.request_id)
     if req and req.call.call_id == event.call_id:
         yield Count(metric="answered", label=req.call.kind)
         yield RequestClosed(at=event.at, request_id=event.request_id)
--- a/src/wasabiwick/_handlers/choice.py
+++ b/src/wasabiwick/_handlers/choice.py
@@ -10,7 +10,8 @@
 
 from .._pieces import LADDER, PIECE_TOKENS
 from .._wire import Reserve
-from .ledger import FIRST_OUTPUTS, LINK_SHARE, PREFILL_AHEAD, EngineLedger, Pool
+from .engine_ledger import EngineLedger
+from .ledger import FIRST_OUTPUTS, LINK_SHARE, PREFILL_AHEAD, Pool
 
 MAX_CANDIDATES = 12  # Engines looked at for one role; larger pools are sampled.
 PREFILL_WEIGHT = 3.0  # A prefill paid twice delays others too, not only its own request.
--- a/src/wasabiwick/_handlers/confirm.py
+++ b/src/wasabiwick/_handlers/confirm.py
@@ -12,7 +12,8 @@
 from .._settings import Settings
 from .._state import State, state_slice
 from .._wire import ConfirmKey, KeyConfirmed
-from . import calls, generation, keys
+from . import attempts, finishing, keys, requests
+from .attempts import Generation
 
 
 @state_slice("confirm")
@@ -29,11 +30,11 @@
 def doubt(state: State, event: HostPaused) -> typing.Iterator[Step]:
     """Mark the requests that a retry may have moved meanwhile."""
     yield Count(metric="pauses")
-    for _, gen in generation.keyed(state):
+    for _, gen in attempts.keyed(state):
         gen.doubtful = True
 
 
-def ask(state: State, request_id: str, gen: "generation.Generation") -> typing.Iterator[Step]:
+def ask(state: State, request_id: str, gen: Generation) -> typing.Iterator[Step]:
     """Ask whether this host still serves a request, before its answer ends.
 
     Several hosts are asked: after a pause this host can't tell which of them the others took for
@@ -41,7 +42,7 @@
     """
     others = keys.candidates(state, request_id)
     if not others:
-        yield from generation.finish(state, request_id, gen)
+        yield from finishing.finish(state, request_id, gen)
         return
     gen.doubtful = True
     state["confirm"].asked[request_id] = set(others)
@@ -77,7 +78,7 @@
     if not asked:
         gen.doubtful = False
         yield from _forget(state, told.request_id)
-        yield from generation.finish(state, told.request_id, gen)
+        yield from finishing.finish(state, told.request_id, gen)
 
 
 @on_timer("confirm")
@@ -95,8 +96,8 @@
         yield from _leave(state, message.request_id, event.at)
 
 
-def _waiting(state: State, request_id: str, attempt_id: str) -> "generation.Generation | None":
-    gen = generation.generation_of(state, request_id)
+def _waiting(state: State, request_id: str, attempt_id: str) -> Generation | None:
+    gen = attempts.generation_of(state, request_id)
     waits = request_id in state["confirm"].asked and gen and gen.attempt_id == attempt_id
     return gen if waits else None
 
@@ -113,7 +114,7 @@
 
 
 def _leave(state: State, request_id: str, at: float) -> typing.Iterator[Step]:
-    req = calls.request_of(state, request_id)
+    req = requests.request_of(state, request_id)
     if req.caller_present:
         yield CloseCall(call_id=req.call.call_id)
     yield Count(metric="unconfirmed")
--- a/src/wasabiwick/_handlers/coordinator.py
+++ b/src/wasabiwick/_handlers/coordinator.py
@@ -22,8 +22,9 @@
 from .._state import State, state_slice
 from .._wire import PoolLoad
 from . import choice, grants, members
+from .engine_ledger import EngineLedger
 from .host import role_report
-from .ledger import RESTART_MARGIN, EngineLedger, OtherPool, Pool
+from .ledger import RESTART_MARGIN, OtherPool, Pool
 
 SWEEP = 0.1  # Seconds between looks for reservations and queued requests that have expired.
 CACHE_POLLS = 2  # Reports fetched for each fetch of cache events.
--- a/src/wasabiwick/_handlers/generation.py
+++ b/src/wasabiwick/_handlers/generation.py
@@ -6,7 +6,6 @@
     AttachCall,
     Count,
     DropStream,
-    FinishStream,
     Observe,
     ResumeStream,
     StartDecode,
@@ -36,11 +35,10 @@
     TimerFired,
 )
 from .._reducer import Step, handles, on_timer
-from .._settings import Settings
-from .._state import State, state_slice
+from .._state import State
 from .._verdict import Verdict
-from .._wire import Supersede
-from . import calls, cancels, confirm, keys, takeover
+from . import attempts, cancels, confirm, finishing, keys, requests, takeover
+from .attempts import Generation
 from .host import was_paused
 
 MAX_ATTEMPTS = 6
@@ -50,108 +48,16 @@
 FAILED_RETRY = 1.0  # Seconds told to callers when every attempt failed.
 
 
-class Generation:
-    """The progress of one generation request on this host.
-
-    ``phase`` is ``slot``, ``prefill``, ``decode`` or ``ended``. ``offset`` counts the output tokens
-    that this host has. ``doubtful`` is set where another host may serve the request by now.
-    """
-
-    __slots__ = (
-        "phase",
-        "attempt_id",
-        "attempts",
-        "prefill_engine",
-        "decode_engine",
-        "offset",
-        "last_output",
-        "resumes",
-        "avoid",
-        "successor",
-        "finish",
-        "doubtful",
-    )
-
-    def __init__(self, *, phase: str, attempt_id: str) -> None:
-        self.phase = phase
-        self.attempt_id = attempt_id
-        self.attempts = 1
-        self.prefill_engine = ""
-        self.decode_engine = ""
-        self.offset = 0
-        self.last_output = 0.0
-        self.resumes = 0
-        self.avoid: tuple[str, ...] = ()
-        self.successor: Supersede | None = None
-        self.finish = ""
-        self.doubtful = False
-
-
-@state_slice("generation")
-class GenerationState:
-    """Generations by request id, and the counter that makes attempt ids unique."""
-
-    __slots__ = ("running", "attempts")
-
-    def __init__(self, cfg: Settings) -> None:
-        self.running: dict[str, Generation] = {}
-        self.attempts = 0
-
-
-def next_attempt(state: State) -> str:
-    """Return an attempt id that no other attempt of any host has."""
-    mine = state["generation"]
-    mine.attempts += 1
-    return f"{state.owner.host}.{state.owner.incarnation}.{mine.attempts}"
-
-
-def running_attempts(state: State) -> frozenset[str]:
-    """Return the attempts that this host knows to be its own."""
-    return frozenset(one.attempt_id for one in state["generation"].running.values())
-
-
-def generation_of(state: State, request_id: str) -> Generation | None:
-    """Return the generation that runs for a request, or None."""
-    return state["generation"].running.get(request_id)
-
-
-def go_on(state: State, request_id: str, attempt_id: str, engine: str, at: float) -> None:
-    """Enter a running attempt that another host started."""
-    gen = Generation(phase="decode", attempt_id=attempt_id)
-    gen.decode_engine = engine
-    gen.last_output = at
-    state["generation"].running[request_id] = gen
-
-
-def keyed(state: State) -> list[tuple[str, Generation]]:
-    """Return the running generations that a retry elsewhere may look for."""
-    return [
-        (request_id, gen)
-        for request_id, gen in state["generation"].running.items()
-        if gen.phase != "ended" and calls.request_of(state, request_id).call.has_key
-    ]
-
-
-def runs(state: State, request_id: str, attempt_id: str) -> bool:
-    """Tell whether an attempt is the one that this host runs for a request."""
-    return _current(state, request_id, attempt_id) is not None
-
-
-def _current(state: State, request_id: str, attempt_id: str) -> Generation | None:
-    gen = state["generation"].running.get(request_id)
-    return gen if gen and gen.attempt_id == attempt_id else None
-
-
 # --- Start ---------------------------------------------------------------------------------------
 
 
 @handles(AdmissionGiven)
 def start(state: State, event: AdmissionGiven) -> typing.Iterator[Step]:
     """Ask for a slot for the first attempt."""
-    req = calls.request_of(state, event.request_id)
+    req = requests.request_of(state, event.request_id)
     if req is None or req.call.kind != "generate":
         return
-    gen = Generation(phase="slot", attempt_id=next_attempt(state))
+    gen = Generation(phase="slot", attempt_id=attempts.next_attempt(state))
     state["generation"].running[event.request_id] = gen
     yield AttachCall(call_id=req.call.call_id, request_id=event.request_id)
     yield StartTimer(
@@ -163,15 +69,15 @@
 @handles(SlotHeld)
 def prefill(state: State, event: SlotHeld) -> typing.Iterator[Step]:
     """Prefill, now that the decode slot is held."""
-    gen = _current(state, event.request_id, event.attempt_id)
-    req = calls.request_of(state, event.request_id)
+    gen = attempts.current(state, event.request_id, event.attempt_id)
+    req = requests.request_of(state, event.request_id)
     if gen is None or req is None:
         yield SlotFreed(at=event.at, request_id=event.request_id, attempt_id=event.attempt_id)
         return
     gen.phase = "prefill"
     gen.prefill_engine = event.prefill_engine
     gen.decode_engine = event.decode_engine
-    calls.mark_ran(state, event.request_id)
+    requests.mark_ran(state, event.request_id)
     yield Observe(metric="slot_wait", value=event.at - req.arrived, label=req.customer.name)
     yield StartPrefill(
         request_id=event.request_id,
@@ -185,11 +91,11 @@
 @handles(PrefillDone)
 def decode(state: State, event: PrefillDone) -> typing.Iterator[Step]:
     """Stream the output from the engine whose slot is held."""
-    gen = _current(state, event.request_id, event.attempt_id)
+    gen = attempts.current(state, event.request_id, event.attempt_id)
     if gen is None or gen.phase != "prefill":
         yield Count(metric="prefill_wasted", amount=event.prompt_tokens - event.cached_tokens)
         return
-    req = calls.request_of(state, event.request_id)
+    req = requests.request_of(state, event.request_id)
     gen.phase = "decode"
     gen.last_output = event.at
     yield StartTimer(timer="stall", key=event.request_id, delay=state.cfg.timing.stall)
@@ -214,11 +120,11 @@
 @handles(StreamProgress)
 def progress(state: State, event: StreamProgress) -> typing.Iterator[Step]:
     """Measure both latencies, and hand over to a successor that waits for the stream."""
-    gen = _current(state, event.request_id, event.attempt_id)
+    gen = attempts.current(state, event.request_id, event.attempt_id)
     if gen is None:
         yield Count(metric="frames_dropped", amount=event.count)
         return
-    req = calls.request_of(state, event.request_id)
+    req = requests.request_of(state, event.request_id)
     if gen.offset == 0:
         yield StopTimer(timer="deadline", key=event.request_id)
         yield Observe(metric="first_output", value=event.at - req.arrived, label=req.customer.name)
@@ -235,10 +141,10 @@
 @handles(StreamEnded)
 def ended(state: State, event: StreamEnded) -> typing.Iterator[Step]:
     """Finish the answer; the engine has freed the slot by itself."""
-    gen = _current(state, event.request_id, event.attempt_id)
+    gen = attempts.current(state, event.request_id, event.attempt_id)
     if gen is None:
         return
-    req = calls.request_of(state, event.request_id)
+    req = requests.request_of(state, event.request_id)
     gen.phase = "ended"
     gen.offset = event.offset
     yield SlotFreed(at=event.at, request_id=event.request_id, attempt_id=event.attempt_id)
@@ -247,16 +153,7 @@
     if req.call.has_key and (gen.doubtful or was_paused(state, event.at)):
         yield from confirm.ask(state, event.request_id, gen)
     else:
-        yield from finish(state, event.request_id, gen)
-
-
-def finish(state: State, request_id: str, gen: Generation) -> typing.Iterator[Step]:
-    """End the answer of the present call."""
-    req = calls.request_of(state, request_id)
-    if req.caller_present:
-        yield FinishStream(call_id=req.call.call_id, request_id=request_id, finish=gen.finish)
-    if req.call.has_key:
-        yield from keys.report(state, request_id, gen.attempt_id, ended=True)
+        yield from finishing.finish(state, event.request_id, gen)
 
 
 # --- Failure -------------------------------------------------------------------------------------
@@ -267,7 +164,7 @@
     """Resume a stream that was cut, or try again elsewhere."""
     if event.phase not in ("prefill", "decode", "resume", "stall"):
         return
-    gen = _current(state, event.request_id, event.attempt_id)
+    gen = attempts.current(state, event.request_id, event.attempt_id)
     if gen is None or gen.phase == "ended":
         return
     if event.failure.reason is SUPERSEDED:
@@ -313,7 +210,7 @@
         yield RequestDenied(at=event.at, request_id=event.request_id, failure=failure)
         return
     gen.attempts += 1
-    gen.attempt_id = next_attempt(state)
+    gen.attempt_id = attempts.next_attempt(state)
     gen.phase = "slot"
     gen.resumes = 0
     gen.avoid = (*gen.avoid, event.endpoint)
@@ -329,12 +226,12 @@
 def expire(state: State, event: TimerFired) -> typing.Iterator[Step]:
     """Refuse a request that has no output when its deadline passes."""
     gen = state["generation"].running.get(event.key)
-    req = calls.request_of(state, event.key)
+    req = requests.request_of(state, event.key)
     if gen is None or req is None or gen.offset:
         return
     failure = Failure(
         reason=DEADLINE_PASSED,
-        verdict=calls.verdict_of(state, req.call),
+        verdict=requests.verdict_of(state, req.call),
         retry_after=FAILED_RETRY,
     )
     yield from _abandon(state, event.key, gen, event.at)
@@ -344,7 +241,7 @@
 @on_timer("stall")
 def check_stall(state: State, event: TimerFired) -> typing.Iterator[Step]:
     """Leave an engine whose stream is open but makes no progress."""
-    gen = generation_of(state, event.key)
+    gen = attempts.generation_of(state, event.key)
     if gen is None or gen.phase != "decode":
         return
     left = gen.last_output + state.cfg.timing.stall - event.at
@@ -373,7 +270,7 @@
 @handles(CallerGone)
 def caller_gone(state: State, event: CallerGone) -> typing.Iterator[Step]:
     """Keep a keyed request for a short grace, in which a retry may take its stream over."""
-    req = calls.request_of(state, event.request_id)
+    req = requests.request_of(state, event.request_id)
     if req is None or req.call.call_id != event.call_id or req.call.kind != "generate":
         return
     grace = state.cfg.timing.caller_grace if req.call.has_key else 0.0
@@ -383,7 +280,7 @@
 @on_timer("caller")
 def abandon(state: State, event: TimerFired) -> typing.Iterator[Step]:
     """Free everything that a request holds whose caller did not come back."""
-    req = calls.request_of(state, event.key)
+    req = requests.request_of(state, event.key)
     if req is None or req.caller_present:
         return
     gen = state["generation"].running.get(event.key)
--- a/src/wasabiwick/_handlers/grants.py
+++ b/src/wasabiwick/_handlers/grants.py
@@ -7,7 +7,8 @@
 from .._state import State
 from .._wire import Denied, Granted, Reserve
 from . import choice, health
-from .ledger import Pool, Reservation
+from .engine_ledger import Reservation
+from .ledger import Pool
 from .queueing import LATE, MAX_RELAXED, RELAXED, URGENT, URGENT_SLACK, Waiting
 
 REDIRECT = "redirect"  # Steps that an ablation leaves out.
--- a/src/wasabiwick/_handlers/ledger.py
+++ b/src/wasabiwick/_handlers/ledger.py
@@ -1,202 +1,22 @@
 """Ledgers of a pool: decode slots, prefill work and transfer links of its engines."""
 
-import math
 import typing
 
-from .._wire import EngineReport, Owner, Reserve
+from .._wire import Owner
 from . import predict
-from .prefixes import Directory, PrefixIndex
+from .engine_ledger import EngineLedger, Reservation
+from .prefixes import Directory
 from .queueing import WaitQueue
 from .totals import Totals
 
-PRIOR_PREFILL = 8_000.0  # Tokens/s assumed of an engine that has not reported.
-PRIOR_LINK = 2e9  # Bytes/s.
 PRIOR_HOLD = 5.0  # Seconds that a slot is held.
 PRIOR_UNCACHED = 1_000.0  # Tokens of a prefill.
-PRIOR_SLOTS = 8  # Slots assumed of an engine that has not reported.
-INTERVAL_MARGIN = 0.97  # Share of the target that a predicted interval may use.
 RESTART_MARGIN = 2  # Slots of each engine kept back while a new coordinator learns its ledger.
-FREED_MEMORY = 1.0  # Seconds for which a lagging report may still show a released attempt.
 PREFILL_AHEAD = 0.15  # Seconds of prefill work queued at an engine beyond the running one.
-STALL_WINDOW = 3.0  # Seconds over which prefills at a decode engine are averaged.
-MOST_OF_PREFILL = 0.9  # Share of a running prefill that is taken for done at most.
 FIRST_OUTPUTS = 20  # Outputs over which a slower batch counts against an engine.
 LINK_SHARE = 2  # Transfers that may share one engine's link.
 
 
-class Reservation:
-    """A decode slot, a link share and prefill work, held for one attempt.
-
-    ``matched`` tokens of the prompt were in the prefill engine's index when the slot was granted.
-    """
-
-    __slots__ = (
-        "asked",
-        "engine",
-        "prefill_engine",
-        "granted_at",
-        "prefill_tokens",
-        "matched",
-        "phase",
-        "renewed_at",
-    )
-
-    def __init__(
-        self,
-        *,
-        asked: Reserve,
-        engine: str,
-        prefill_engine: str,
-        at: float,
-        prefill_tokens: int,
-        matched: int = 0,
-    ) -> None:
-        self.asked = asked
-        self.engine = engine
-        self.prefill_engine = prefill_engine
-        self.granted_at = at
-        self.renewed_at = at
-        self.prefill_tokens = prefill_tokens
-        self.matched = matched
-        self.phase = "prefill"
-
-
-class EngineLedger:
-    """What the coordinator knows of one engine."""
-
-    __slots__ = (
-        "name",
-        "report",
-        "reported_at",
-        "held",
-        "released",
-        "foreign",
-        "margin",
-        "prefill_tokens",
-        "prefill_count",
-        "prefill_since",
-        "transfers",
-        "prefill_rate",
-        "link_rate",
-        "interval",
-        "prefixes",
-        "silent",
-        "_stalled",
-        "_stalled_at",
-    )
-
-    def __init__(self, name: str, *, margin: int) -> None:
-        self.name = name
-        self.report: EngineReport | None = None
-        self.reported_at = 0.0
-        self.held: set[str] = set()
-        self.released: dict[str, float] = {}
-        self.foreign = 0
-        self.margin = margin
-        self.prefill_tokens = 0
-        self.prefill_count = 0
-        self.prefill_since = 0.0
-        self.transfers = 0
-        self.prefill_rate = predict.Rate(PRIOR_PREFILL)
-        self.link_rate = predict.Rate(PRIOR_LINK)
-        self.interval = predict.IntervalLine()
-        self.prefixes = PrefixIndex()
-        self.silent = 0
-        self._stalled = 0.0
-        self._stalled_at = 0.0
-
-    def can(self, role: str) -> bool:
-        """Tell whether the engine has a role; one that has not reported may have any."""
-        return self.report is None or role in self.report.roles
-
-    def is_prefill_only(self) -> bool:
-        """Tell whether the engine takes prefills and no decodes."""
-        return self.report is not None and self.can("prefill") and not self.can("decode")
-
-    def batch_limit(self, target: float) -> int:
-        """Return how many requests the engine may decode at once within a target interval."""
-        slots = self.report.slots if self.report else PRIOR_SLOTS
-        return min(slots, self.interval.largest_batch(target * INTERVAL_MARGIN, slots))
-
-    def free(self, target: float) -> int:
-        """Return the slots that may be granted now."""
-        if not self.can("decode"):
-            return 0
-        return self.batch_limit(target) - self.occupied()
-
-    def occupied(self) -> int:
-        """Return the slots that are held, used by unknown attempts, or kept back."""
-        return len(self.held) + self.foreign + self.margin
-
-    def stalled_share(self, at: float, more: float = 0.0) -> float:
-        """Return the share of recent time that the engine's batch shared with prefills.
-
-        Args:
-            at: Monotonic time.
-            more: Seconds of a further prefill.
-        """
-        left = self._stalled * math.exp((self._stalled_at - at) / STALL_WINDOW)
-        return (left + more) / STALL_WINDOW
-
-    def may_stall(self, at: float, seconds: float, target: float) -> bool:
-        """Tell whether a prefill here leaves the batch's interval within the target."""
-        if not self.held:
-            return True
-        interval = self.interval.at(len(self.held) + 1)
-        return interval * (1.0 + self.stalled_share(at, seconds)) <= target * INTERVAL_MARGIN
-
-    def note_stall(self, at: float, seconds: float) -> None:
-        """Count a prefill that was granted to the engine while it decodes."""
-        self._stalled = self.stalled_share(at, seconds) * STALL_WINDOW
-        self._stalled_at = at
-
-    def prefill_wait(self, at: float) -> float:
-        """Return the predicted time until granted prefill work is done, in seconds."""
-        return self.prefill_rate.seconds(self.prefill_tokens) - self._prefilled_for(at)
-
-    def _prefilled_for(self, at: float) -> float:
-        """Return how long the oldest granted prefill has run, but never all of its time."""
-        if not self.prefill_count:
-            return 0.0
-        mean = self.prefill_rate.seconds(self.prefill_tokens / self.prefill_count)
-        return min(MOST_OF_PREFILL * mean, at - self.prefill_since)
-
-    def kv_bytes(self, tokens: int) -> int:
-        """Return the size of a prompt's KV cache."""
-        return tokens * (self.report.kv_bytes_per_token if self.report else 0)
-
-    def take_report(self, report: EngineReport, at: float) -> None:
-        """Take in a report: roles, rates, and memory held by attempts not in the ledger."""
-        if self.report and report.sequence < self.report.sequence:
-            return
-        first = self.report is None
-        self.report = report
-        self.reported_at = at
-        self.silent = 0
-        self.interval.observe(report.used, report.decode_interval)
-        if first and report.prefill_rate > 0:
-            self.prefill_rate = predict.Rate(report.prefill_rate)
-        if first and report.link_rate > 0:
-            self.link_rate = predict.Rate(report.link_rate)
-        self._count_foreign(report, at)
-
-    def _count_foreign(self, report: EngineReport, at: float) -> None:
-        for attempt_id, when in list(self.released.items()):
-            if at - when > FREED_MEMORY:
-                del self.released[attempt_id]
-        known = self.held
-        if report.streams:
-            self.foreign = sum(
-                1
-                for one in report.streams
-                if one.phase != "prefill"
-                and one.attempt_id not in known
-                and one.attempt_id not in self.released
-            )
-        else:
-            self.foreign = max(0, report.used - len(known) - len(self.released))
-
-
 class OtherPool:
     """What a coordinator was last told of the same model's pool in another zone."""
 
--- a/src/wasabiwick/_handlers/measures.py
+++ b/src/wasabiwick/_handlers/measures.py
@@ -11,7 +11,7 @@
 from .._reducer import Step, handles
 from .._settings import Settings
 from .._state import State, state_slice
-from . import calls, generation
+from . import attempts, requests
 
 
 class Progress:
@@ -38,7 +38,7 @@
 @handles(PrefillDone)
 def prefilled(state: State, event: PrefillDone) -> typing.Iterator[Step]:
     """Note a prefill that awaits its first output; an earlier one of the request was wasted."""
-    if not generation.runs(state, event.request_id, event.attempt_id):
+    if not attempts.runs(state, event.request_id, event.attempt_id):
         return
     yield from _waste(state, event.request_id)
     state["measures"].prefilled[event.request_id] = event.prompt_tokens - event.cached_tokens
@@ -50,7 +50,7 @@
     mine = state["measures"]
     if event.request_id in mine.progress and event.request_id not in mine.prefilled:
         return
-    if generation.runs(state, event.request_id, event.attempt_id):
+    if attempts.runs(state, event.request_id, event.attempt_id):
         mine.prefilled.pop(event.request_id, None)
         first = Progress(first=event.at, count=event.count)
         mine.progress.setdefault(event.request_id, first)
@@ -59,7 +59,7 @@
 @handles(StreamEnded)
 def end(state: State, event: StreamEnded) -> typing.Iterator[Step]:
     """Count the tokens of an answer, and those of one that met both targets once more."""
-    req = calls.request_of(state, event.request_id)
+    req = requests.request_of(state, event.request_id)
     progress = state["measures"].progress.pop(event.request_id, None)
     if req is None or progress is None or not req.caller_present:
         return
@@ -69,7 +69,9 @@
         yield Count(metric="goodput_tokens", label=customer, amount=event.offset)
 
 
-def _met_targets(state: State, req: calls.Request, progress: Progress, event: StreamEnded) -> bool:
+def _met_targets(
+    state: State, req: requests.Request, progress: Progress, event: StreamEnded
+) -> bool:
     targets = state.cfg.targets
     limit = targets.may_wait if req.plan.may_wait else targets.first_output
     later = event.offset - progress.count
--- a/src/wasabiwick/_handlers/once.py
+++ b/src/wasabiwick/_handlers/once.py
@@ -30,7 +30,7 @@
 from .._state import State
 from .._verdict import Verdict
 from .._wire import Intent, KeyAsk, KeyState, KeyTold
-from . import calls, generation, members, once_calls, once_ends, once_shard
+from . import attempts, members, once_calls, once_ends, once_shard, requests
 from .once_resolution import UNRESOLVED, resolution_of
 from .once_work import Work, traits_of
 
@@ -45,7 +45,7 @@
 def arrive(state: State, event: CallArrived) -> typing.Iterator[Step]:
     """Note how far the log was known before the call: no later void may let its attempt run."""
     request_id = event.call.request_id
-    req = calls.request_of(state, request_id)
+    req = requests.request_of(state, request_id)
     if req is None or req.call is not event.call or req.call.kind != "service":
         return
     mine = state["once"]
@@ -56,7 +56,7 @@
         mine.bases.setdefault(request_id, mine.positions.get(shard, 0))
 
 
-def _join(state: State, req: "calls.Request", at: float) -> typing.Iterator[Step]:
+def _join(state: State, req: "requests.Request", at: float) -> typing.Iterator[Step]:
     """Let a newer call of a request wait in place of the older one, which may be answered."""
     work = state["once"].works.get(_key(req))
     if work:
@@ -69,7 +69,7 @@
 @handles(ServiceWanted)
 def begin(state: State, event: ServiceWanted) -> typing.Iterator[Step]:
     """Ask for the key's state, and propose an attempt in the same message."""
-    req = calls.request_of(state, event.request_id)
+    req = requests.request_of(state, event.request_id)
     wanted = state["once"].wanted
     if req is None or wanted.get(event.request_id) == req.call.call_id:
         return  # A late admission of an earlier request with this key.
@@ -94,16 +94,16 @@
     yield from once_ends.arm_deadline(state, work, event.at)
 
 
-def _key(req: "calls.Request") -> str:
+def _key(req: "requests.Request") -> str:
     return f"{req.customer.name}/{req.call.request_id}"
 
 
-def _digest(req: "calls.Request") -> str:
+def _digest(req: "requests.Request") -> str:
     call = req.call
     return f"{call.target} {call.method} {call.path} {call.digest}"
 
 
-def _open(state: State, key: str, req: "calls.Request") -> Work:
+def _open(state: State, key: str, req: "requests.Request") -> Work:
     mine = state["once"]
     shard = once_shard.shard_of(state, key)
     base = mine.bases.get(req.call.request_id, 0)
@@ -111,7 +111,7 @@
     work = Work(
         key=key,
         shard=shard,
-        attempt_id=generation.next_attempt(state),
+        attempt_id=attempts.next_attempt(state),
         req=req,
         base=base,
         epoch=known.epoch if known and known.epoch < base else -1,
@@ -122,7 +122,7 @@
     return work
 
 
-def _attach(state: State, work: Work, req: "calls.Request", at: float) -> typing.Iterator[Step]:
+def _attach(state: State, work: Work, req: "requests.Request", at: float) -> typing.Iterator[Step]:
     """Let a newer request wait for the work that runs already."""
     if work.digest != _digest(req):
         yield once_ends.denial(state, req.call.request_id, KEY_REUSED, at)
@@ -322,7 +322,7 @@
 @handles(CallerGone)
 def caller_gone(state: State, event: CallerGone) -> typing.Iterator[Step]:
     """Give up an attempt that nobody waits for; one that was dispatched goes on."""
-    req = calls.request_of(state, event.request_id)
+    req = requests.request_of(state, event.request_id)
     if req is None or req.call.call_id != event.call_id or req.call.kind != "service":
         return
     work = state["once"].works.get(_key(req))
@@ -336,7 +336,7 @@
     mine = state["once"]
     mine.bases.pop(event.request_id, None)
     mine.wanted.pop(event.request_id, None)
-    req = calls.request_of(state, event.request_id)
+    req = requests.request_of(state, event.request_id)
     work = mine.works.get(_key(req)) if req else None
     if work and work.req is req:
         work.req = None
--- a/src/wasabiwick/_handlers/once_calls.py
+++ b/src/wasabiwick/_handlers/once_calls.py
@@ -10,7 +10,7 @@
 from .._state import State
 from .._verdict import Verdict
 from .._wire import Outcome
-from . import calls, once_ends, services
+from . import once_ends, requests, services
 from .once_resolution import HONOURED
 from .once_work import Work, traits_of, work_of_attempt
 
@@ -29,7 +29,7 @@
         return
     work.phase = "running"
     work.sends += 1
-    calls.mark_ran(state, work.call.request_id)
+    requests.mark_ran(state, work.call.request_id)
     yield StopTimer(timer="once_ask", key=work.key)
     yield Count(metric="once_dispatched")
     yield CallService(
--- a/src/wasabiwick/_handlers/once_work.py
+++ b/src/wasabiwick/_handlers/once_work.py
@@ -5,7 +5,7 @@
 from .._settings import Settings
 from .._state import State, state_slice
 from .._wire import Intent, KeyState, Outcome, Void
-from . import calls, lists
+from . import lists, requests
 from .host import busy_check
 from .once_resolution import UNRESOLVED, Resolution
 
@@ -57,7 +57,7 @@
         key: str,
         shard: int,
         attempt_id: str,
-        req: "calls.Request",
+        req: "requests.Request",
         base: int,
         epoch: int,
         digest: str,
@@ -65,7 +65,7 @@
         self.key = key
         self.shard = shard
         self.attempt_id = attempt_id
-        self.req: calls.Request | None = req
+        self.req: requests.Request | None = req
         self.call = req.call
         self.base = base
         self.epoch = epoch
--- a/src/wasabiwick/_handlers/orders.py
+++ b/src/wasabiwick/_handlers/orders.py
@@ -14,7 +14,7 @@
 from .._settings import Settings
 from .._state import State, state_slice
 from .._wire import EngineReport, OrderAsk
-from . import coordinator, generation, leases, lists, members
+from . import attempts, coordinator, leases, lists, members
 
 FAILED_PAUSE = 30.0  # Seconds after a failed order in which its engine gets none.
 REPORT_LAG = 1.0  # Seconds after an order in which an engine's report may still be from before it.
@@ -178,7 +178,7 @@
 def _send(
     state: State, traits: ModelTraits, wanted: _placement.Wanted, fence: int, at: float
 ) -> typing.Iterator[Step]:
-    attempt_id = generation.next_attempt(state)
+    attempt_id = attempts.next_attempt(state)
     mine = state["orders"]
     mine.pending[wanted.engine] = Pending(
         attempt_id=attempt_id, model=traits.name, until=at + state.cfg.orders.longest
--- a/src/wasabiwick/_handlers/reaping.py
+++ b/src/wasabiwick/_handlers/reaping.py
@@ -13,7 +13,7 @@
 from .._settings import Settings
 from .._state import State, state_slice
 from .._wire import EngineReport, Owner, ServedAsk, StreamReport, Unserved
-from . import cancels, coordinator, generation, members
+from . import attempts, cancels, coordinator, members
 
 DENIALS = 2  # Answers of a live owner, a renewal apart, before its attempt is cancelled.
 
@@ -65,7 +65,7 @@
 def _suspects_of(state: State, report: EngineReport, at: float) -> dict[str, Suspect]:
     before = state["reaping"].suspects.get(report.engine, {})
     suspects = {}
-    running = generation.running_attempts(state)
+    running = attempts.running_attempts(state)
     for stream in report.streams:
         if _is_served(state, report.engine, stream, running, at):
             continue
@@ -116,8 +116,8 @@
         if one.dead_since is None and at - one.asked_at >= state.cfg.timing.renew:
             one.asked_at = at
             asked.setdefault(one.owner, []).append(attempt_id)
-    for owner, attempts in asked.items():
-        message = ServedAsk(engine=engine, owner=owner, attempts=tuple(attempts))
+    for owner, names in asked.items():
+        message = ServedAsk(engine=engine, owner=owner, attempts=tuple(names))
         yield SendPeer(host=owner.host, message=message)
 
 
@@ -125,7 +125,7 @@
 def asked(state: State, event: PeerMessage) -> typing.Iterator[Step]:
     """Name the attempts that this host does not serve; a later run serves none of an earlier."""
     ask = event.message
-    running = generation.running_attempts(state)
+    running = attempts.running_attempts(state)
     missing = tuple(one for one in ask.attempts if not _is_served_here(state, one, running))
     if missing:
         message = Unserved(engine=ask.engine, owner=ask.owner, attempts=missing)
--- /dev/null
+++ b/src/wasabiwick/_handlers/requests.py
@@ -0,0 +1,88 @@
+"""Requests that this host serves: who asked, under which version, and whether they may have run.
+
+The state that the concerns of a request share; it depends on none of them.
+"""
+
+import typing
+
+from .._effects import Count, RefuseCall
+from .._errors import Failure
+from .._events import Call
+from .._lists import Customer, Plan
+from .._reducer import Step
+from .._settings import Settings
+from .._state import State, state_slice
+from .._verdict import Verdict
+from .host import busy_check
+
+
+class Request:
+    """One request that this host serves, whichever call waits for it.
+
+    Args:
+        call: The newest call of the request.
+        customer: The customer that asked.
+        plan: The customer's plan, as of the version under which the request came in.
+        version: That version.
+        arrived: Monotonic time of the first call on this host.
+    """
+
+    __slots__ = ("call", "customer", "plan", "version", "arrived", "caller_present", "ran")
+
+    def __init__(
+        self, *, call: Call, customer: Customer, plan: Plan, version: int, arrived: float
+    ) -> None:
+        self.call = call
+        self.customer = customer
+        self.plan = plan
+        self.version = version
+        self.arrived = arrived
+        self.caller_present = True
+        self.ran = False
+
+
+@state_slice("calls")
+class CallsState:
+    """Requests that this host serves, by request id."""
+
+    __slots__ = ("requests",)
+
+    def __init__(self, cfg: Settings) -> None:
+        self.requests: dict[str, Request] = {}
+
+
+def request_of(state: State, request_id: str) -> Request | None:
+    """Return a request that this host serves, or None."""
+    return state["calls"].requests.get(request_id)
+
+
+def mark_ran(state: State, request_id: str) -> None:
+    """Note that an endpoint may have begun to run the request."""
+    req = request_of(state, request_id)
+    if req:
+        req.ran = True
+
+
+def verdict_of(state: State, call: Call) -> Verdict:
+    """Return the strongest verdict that this host alone can prove for a refused call.
+
+    An earlier call with the same key may have reached another host, so a call with a key is
+    proved not to have run only by the concern that keeps its records.
+    """
+    req = request_of(state, call.request_id)
+    if call.has_key or (req and req.ran):
+        return Verdict.MAY_HAVE_RUN
+    return Verdict.NOT_RUN
+
+
+def refuse(call_id: str, failure: Failure) -> typing.Iterator[Step]:
+    """Answer a call with a failure and count it by reason and by verdict."""
+    yield RefuseCall(call_id=call_id, failure=failure)
+    yield Count(metric="refused", label=failure.reason.code)
+    yield Count(metric="refused_verdict", label=failure.verdict.value)
+
+
+@busy_check
+def open_requests(state: State) -> int:
+    """Count requests whose callers still wait."""
+    return len(state["calls"].requests)
--- a/src/wasabiwick/_handlers/reservations.py
+++ b/src/wasabiwick/_handlers/reservations.py
@@ -9,7 +9,8 @@
 from .._wire import Advanced, Release, Renew, Reserve
 from . import choice, grants, health
 from .coordinator import SWEEP
-from .ledger import Pool, Reservation
+from .engine_ledger import Reservation
+from .ledger import Pool
 from .queueing import RELAXED, URGENT, URGENT_SLACK
 
 FULL_MARGIN = 1  # Slots kept back at an engine that refused a granted decode, until it reports.
--- a/src/wasabiwick/_handlers/services.py
+++ b/src/wasabiwick/_handlers/services.py
@@ -18,7 +18,7 @@
 from .._settings import Settings
 from .._state import State, state_slice
 from .._verdict import Verdict
-from . import calls, generation, health, lists, members
+from . import attempts, health, lists, members, requests
 
 MAX_ATTEMPTS = 3
 RETRY = 0.5  # Seconds told to callers.
@@ -64,7 +64,7 @@
 @handles(AdmissionGiven)
 def start(state: State, event: AdmissionGiven) -> typing.Iterator[Step]:
     """Send an idempotent call; any other needs the effect protocol."""
-    req = calls.request_of(state, event.request_id)
+    req = requests.request_of(state, event.request_id)
     if req is None or req.call.kind != "service":
         return
     call = req.call
@@ -75,7 +75,7 @@
             return
         yield ServiceWanted(at=event.at, request_id=event.request_id)
         return
-    running = ServiceCall(attempt_id=generation.next_attempt(state))
+    running = ServiceCall(attempt_id=attempts.next_attempt(state))
     state["services"].running[event.request_id] = running
     yield from _send(state, event.request_id, running, event.at)
 
@@ -88,18 +88,18 @@
 
 
 def _send(state: State, request_id: str, running: ServiceCall, at: float) -> typing.Iterator[Step]:
-    call = calls.request_of(state, request_id).call
+    call = requests.request_of(state, request_id).call
     endpoint = pick_endpoint(state, call.target, running.avoid)
     if not endpoint:
         failure = Failure(
             reason=NO_ENDPOINT,
-            verdict=calls.verdict_of(state, call),
+            verdict=requests.verdict_of(state, call),
             detail=f'service "{call.target}" has no endpoint',
             retry_after=RETRY,
         )
         yield RequestDenied(at=at, request_id=request_id, failure=failure)
         return
-    calls.mark_ran(state, request_id)
+    requests.mark_ran(state, request_id)
     yield CallService(
         request_id=request_id,
         attempt_id=running.attempt_id,
@@ -114,7 +114,7 @@
 def answered(state: State, event: ServiceAnswered) -> typing.Iterator[Step]:
     """Pass an idempotent call's answer on."""
     running = state["services"].running.get(event.request_id)
-    req = calls.request_of(state, event.request_id)
+    req = requests.request_of(state, event.request_id)
     if running is None or running.attempt_id != event.attempt_id or not req.caller_present:
         return
     running.answered = True
@@ -130,10 +130,10 @@
 def join(state: State, event: CallArrived) -> typing.Iterator[Step]:
     """Send again for a newer call, where the older one took the answer."""
     running = state["services"].running.get(event.call.request_id)
-    req = calls.request_of(state, event.call.request_id)
+    req = requests.request_of(state, event.call.request_id)
     if running and running.answered and req.call is event.call:
         running.answered = False
-        running.attempt_id = generation.next_attempt(state)
+        running.attempt_id = attempts.next_attempt(state)
         yield from _send(state, event.call.request_id, running, event.at)
 
 
@@ -153,7 +153,7 @@
         yield RequestDenied(at=event.at, request_id=event.request_id, failure=failure)
         return
     running.attempts += 1
-    running.attempt_id = generation.next_attempt(state)
+    running.attempt_id = attempts.next_attempt(state)
     running.avoid = (*running.avoid, event.endpoint)
     yield Count(metric="service_retries")
     yield from _send(state, event.request_id, running, event.at)
@@ -162,7 +162,7 @@
 @handles(CallerGone)
 def caller_gone(state: State, event: CallerGone) -> typing.Iterator[Step]:
     """Drop a service call that nobody waits for; the effect protocol ends its own work."""
-    req = calls.request_of(state, event.request_id)
+    req = requests.request_of(state, event.request_id)
     if req and req.call.call_id == event.call_id and req.call.kind == "service":
         yield RequestClosed(at=event.at, request_id=event.request_id)
 
--- a/src/wasabiwick/_handlers/slots.py
+++ b/src/wasabiwick/_handlers/slots.py
@@ -23,7 +23,7 @@
 from .._settings import Settings
 from .._state import State, state_slice
 from .._wire import Denied, Granted, Release, Renew, Reserve
-from . import calls, coordinator, members, pools, retries
+from . import coordinator, members, pools, requests, retries
 
 MAX_ASKED = 3  # Pools asked for one attempt.
 LONGEST_CROSSING = 0.05  # Seconds; an answer that took longer was waited for.
@@ -101,14 +101,14 @@
 @handles(SlotWanted)
 def choose(state: State, event: SlotWanted) -> typing.Iterator[Step]:
     """Let the policy in force find a slot."""
-    if calls.request_of(state, event.request_id):
+    if requests.request_of(state, event.request_id):
         yield from POLICIES[state["slots"].policy](state, event)
 
 
 @policy("reserve")
 def reserve(state: State, event: SlotWanted) -> typing.Iterator[Step]:
     """Ask the coordinator of the pool that promises the first output soonest."""
-    req = calls.request_of(state, event.request_id)
+    req = requests.request_of(state, event.request_id)
     pending = Pending(request_id=event.request_id, model=req.call.target, avoid=tuple(event.avoid))
     state["slots"].waiting[event.attempt_id] = pending
     yield from _ask_next(state, event.attempt_id, pending, event.at)
@@ -117,7 +117,7 @@
 def hold(state: State, event: SlotWanted, *, prefill: str, decode: str) -> typing.Iterator[Step]:
     """Go ahead with two engines without any coordinator's word."""
     entry = members.entry_of(state, decode)
-    req = calls.request_of(state, event.request_id)
+    req = requests.request_of(state, event.request_id)
     state["slots"].held[event.attempt_id] = Held(
         request_id=event.request_id,
         model=req.call.target,
@@ -138,7 +138,7 @@
 # --- Asking --------------------------------------------------------------------------------------
 
 
-def target_of(state: State, req: "calls.Request") -> float:
+def target_of(state: State, req: "requests.Request") -> float:
     """Return the Unix time by which a request's first output is due."""
     arrived = state.wall(req.arrived)
     born = min(req.call.born, arrived) if req.call.born else arrived
@@ -147,7 +147,7 @@
 
 
 def _ask_next(state: State, attempt_id: str, pending: Pending, at: float) -> typing.Iterator[Step]:
-    req = calls.request_of(state, pending.request_id)
+    req = requests.request_of(state, pending.request_id)
     zones = pools.ranked(state, pending.model, req.call.pieces, req.call.prompt_tokens, at)
     late = target_of(state, req) < state.wall(at)
     for zone in zones:
@@ -179,7 +179,7 @@
 
 
 def _reserve(state: State, attempt_id: str, pending: Pending) -> Reserve:
-    req = calls.request_of(state, pending.request_id)
+    req = requests.request_of(state, pending.request_id)
     return Reserve(
         request_id=pending.request_id,
         attempt_id=attempt_id,
@@ -205,10 +205,10 @@
     state: State, attempt_id: str, pending: Pending, has_engines: bool, at: float
 ) -> typing.Iterator[Step]:
     state["slots"].waiting.pop(attempt_id, None)
-    req = calls.request_of(state, pending.request_id)
+    req = requests.request_of(state, pending.request_id)
     failure = Failure(
         reason=OVERLOADED if has_engines else NO_ENDPOINT,
-        verdict=calls.verdict_of(state, req.call),
+        verdict=requests.verdict_of(state, req.call),
         detail="" if has_engines else f'model "{pending.model}" has no engine',
         retry_after=retries.next_retry(state, at),
     )
@@ -272,7 +272,7 @@
 
 
 def _note_affinity(state: State, pending: Pending, told: Granted) -> None:
-    req = calls.request_of(state, pending.request_id)
+    req = requests.request_of(state, pending.request_id)
     affinity = pools.affinity_of(state, pending.model)
     home = pools.home_zone(state, pending.model, req.call.pieces)
     share = told.cached_tokens / max(1, req.call.prompt_tokens)
@@ -297,7 +297,7 @@
         yield Count(metric="reserve_redirected")
         yield from _ask(state, told.attempt_id, pending, told.elsewhere, event.at)
         return
-    req = calls.request_of(state, pending.request_id)
+    req = requests.request_of(state, pending.request_id)
     if target_of(state, req) <= state.wall(event.at):
         view.late_denied_at = event.at
     # The coordinator has weighed the other pools: none would serve the request in time.
--- a/src/wasabiwick/_handlers/takeover.py
+++ b/src/wasabiwick/_handlers/takeover.py
@@ -17,19 +17,21 @@
 from .._reducer import Step
 from .._state import State
 from .._wire import Owner, Supersede, Superseded
-from . import calls, cancels, generation, keys
+from . import attempts, cancels, keys, requests
+from .attempts import Generation
+from .requests import Request
 
 
 def adopt(
     state: State, request_id: str, attempt_id: str, engine: str, at: float
 ) -> typing.Iterator[Step]:
     """Go on with an attempt that another host started, from the first token on."""
-    req = calls.request_of(state, request_id)
+    req = requests.request_of(state, request_id)
     if req is None:
         yield from cancels.cancel(state, request_id, attempt_id, engine)
         return
-    generation.go_on(state, request_id, attempt_id, engine, at)
-    calls.mark_ran(state, request_id)
+    attempts.go_on(state, request_id, attempt_id, engine, at)
+    requests.mark_ran(state, request_id)
     yield AttachCall(call_id=req.call.call_id, request_id=request_id)
     yield StartTimer(timer="stall", key=request_id, delay=state.cfg.timing.stall)
     yield SlotAdopted(at=at, request_id=request_id, attempt_id=attempt_id, decode_engine=engine)
@@ -39,8 +41,8 @@
 
 def hand_over(state: State, asked: Supersede, at: float) -> typing.Iterator[Step]:
     """Close the older call unanswered and let the asking host go on with the stream."""
-    gen = generation.generation_of(state, asked.request_id)
-    req = calls.request_of(state, asked.request_id)
+    gen = attempts.generation_of(state, asked.request_id)
+    req = requests.request_of(state, asked.request_id)
     if req is None or asked.by == state.owner:
         yield from _tell(asked, asked.by)
         return
@@ -60,7 +62,7 @@
 
 
 def let_go(
-    state: State, request_id: str, gen: "generation.Generation", asked: Supersede, at: float
+    state: State, request_id: str, gen: Generation, asked: Supersede, at: float
 ) -> typing.Iterator[Step]:
     engine = gen.decode_engine if gen.phase == "decode" else ""
     yield DropStream(request_id=request_id, attempt_id=gen.attempt_id, endpoint=engine)
@@ -84,7 +86,7 @@
 
 def taken_over(state: State, event: AttemptFailed) -> typing.Iterator[Step]:
     """Another host adopted the stream while this one was cut off: leave the answer to it."""
-    req = calls.request_of(state, event.request_id)
+    req = requests.request_of(state, event.request_id)
     if req.caller_present:
         yield CloseCall(call_id=req.call.call_id)
     yield Count(metric="taken_over")
@@ -97,10 +99,10 @@
     yield RequestClosed(at=event.at, request_id=event.request_id)
 
 
-def rejoin(state: State, req: "calls.Request", at: float) -> typing.Iterator[Step]:
+def rejoin(state: State, req: Request, at: float) -> typing.Iterator[Step]:
     """Relay the running stream to a newer call on this host, from the first token on."""
     request_id = req.call.request_id
-    gen = generation.generation_of(state, request_id)
+    gen = attempts.generation_of(state, request_id)
     yield StopTimer(timer="caller", key=request_id)
     if gen is None:
         return
--- a/src/wasabiwick/_handlers/totals.py
+++ b/src/wasabiwick/_handlers/totals.py
@@ -2,8 +2,7 @@
 
 import typing
 
-if typing.TYPE_CHECKING:
-    from .ledger import EngineLedger
+from .engine_ledger import EngineLedger
 
 
 class Part:
@@ -11,7 +10,7 @@
 
     __slots__ = ("free", "slots", "rate", "prefills", "interval", "decodes", "only", "granted")
 
-    def __init__(self, engine: "EngineLedger | None" = None, target: float = 0.0) -> None:
+    def __init__(self, engine: EngineLedger | None = None, target: float = 0.0) -> None:
         self.free = self.slots = self.prefills = self.decodes = self.only = 0
         self.rate = self.interval = self.granted = 0.0
         if engine is None:
@@ -40,7 +39,7 @@
         self.open: dict[str, EngineLedger] = {}
         self._parts: dict[str, Part] = {}
 
-    def rebuild(self, engines: typing.Iterable["EngineLedger"], target: float) -> None:
+    def rebuild(self, engines: typing.Iterable[EngineLedger], target: float) -> None:
         """Add up all engines anew."""
         self.sums = Part()
         self.open = {}
@@ -48,7 +47,7 @@
         for engine in engines:
             self.change(engine, target)
 
-    def change(self, engine: "EngineLedger", target: float) -> None:
+    def change(self, engine: EngineLedger, target: float) -> None:
         """Take over what one engine's ledger says now."""
         old = self._parts.get(engine.name) or Part()
         new = Part(engine, target)
--- a/src/wasabiwick/_metrics.py
+++ b/src/wasabiwick/_metrics.py
@@ -6,7 +6,7 @@
 
 import typing
 
-from ._handlers import calls, cancels, lists, members, neighbours, routes
+from ._handlers import cancels, lists, members, neighbours, requests, routes
 from ._handlers.host import in_flight, roles_held
 from ._logging import dropped_lines
 from ._state import State
@@ -213,7 +213,7 @@
 
 @gauge("open_requests", "Requests that this host serves.")
 def _open_requests(state: State) -> GaugeValues:
-    return {"": calls.open_requests(state)}
+    return {"": requests.open_requests(state)}
 
 
 @gauge("cancels_unconfirmed", "Attempts whose engine has not confirmed that it forgot them.")
--- a/tests/test_reaping.py
+++ b/tests/test_reaping.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from wasabiwick._handlers import coordinator, generation
+from wasabiwick._handlers import attempts, coordinator
 
 from . import support
 
@@ -56,7 +56,7 @@
         self.fabric.run(0.6)
         self.hold(f"{self.other}/1")
         served = self.fabric.states[self.other]["generation"].running
-        served["r"] = generation.Generation(phase="decode", attempt_id="x1")
+        served["r"] = attempts.Generation(phase="decode", attempt_id="x1")
         self.fabric.run(10.0)
         self.assertEqual(self.engine.cancels, [])
 
@@ -67,7 +67,7 @@
     def test_owner_that_serves_keeps_its_memory(self) -> None:
         self.hold(f"{self.other}/1")
         served = self.fabric.states[self.other]["generation"].running
-        served["r"] = generation.Generation(phase="decode", attempt_id="x1")
+        served["r"] = attempts.Generation(phase="decode", attempt_id="x1")
         self.fabric.run(10.0)
         self.assertEqual(self.engine.cancels, [])
 
