Tell the age of other hosts' loads in each line; a whole host against a reader that stopped

The lines of a request told how old its routes and its list of endpoints were, not how old the loads that decided its place: loads_age does. The bound of the log sink was shown at the sink only; now a host in a process of its own serves 2,000 requests while nobody reads its lines, with all answers and no more than 8 MiB of growth.

--- a/src/wasabiwick/_explain.py
+++ b/src/wasabiwick/_explain.py
@@ -15,7 +15,11 @@
 # Events that settle a request on a host; the last one is the cause of what the caller got.
 SETTLING = ("served", "refused", "cut", "caller_left", "host_ended")
 
-AGES = ("routes_version", "list_age")  # Fields that tell how old the facts of a decision were.
+AGES = (
+    "routes_version",
+    "list_age",
+    "loads_age",
+)  # Fields that tell how old the facts of a decision were.
 
 
 class Line:
@@ -186,6 +190,8 @@
         parts.append(f"routes of version {line.get('routes_version')}")
     if "list_age" in line.fields:
         parts.append(f"endpoints as read {line.get('list_age')} s before")
+    if line.get("loads_age", "-") != "-":
+        parts.append(f"other hosts' loads up to {line.get('loads_age')} s old")
     return " and ".join(parts)
 
 
@@ -277,7 +283,7 @@
     inputs = ", ".join(
         f"{name} {value}"
         for name, value in line.fields.items()
-        if name not in (*known, "list_age") and value != "-"
+        if name not in (*known, *AGES) and value != "-"
     )
     back = line.get("retry_after", "-")
     return f"{line.get('reason')}, {line.get('verdict')} ({inputs})" + (
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -15,7 +15,7 @@
 from .._settings import Settings
 from .._state import State, state_slice
 from .._verdict import Verdict
-from . import directory, health, places, routes
+from . import directory, health, neighbours, places, routes
 from .host import busy_check
 
 PROMISES = (408, 421, 429, 503)  # Statuses that promise that a request has not run and never will.
@@ -166,6 +166,7 @@
             **fields,
             "routes_version": routes.version(state),
             "list_age": directory.age(state, at),
+            "loads_age": neighbours.age(state, at) or "-",
         },
     )
 
--- a/src/wasabiwick/_handlers/neighbours.py
+++ b/src/wasabiwick/_handlers/neighbours.py
@@ -83,6 +83,11 @@
     return [one for one in state["neighbours"].hosts.values() if at - one.heard < SILENT_AFTER]
 
 
+def age(state: State, at: float) -> float | None:
+    """Return the age of the oldest load that still counts, in seconds; None where none does."""
+    return max((at - one.heard for one in live(state, at)), default=None)
+
+
 def count(state: State, at: float) -> int:
     """Return how many hosts may be at work, this one included; silent ones count for a while."""
     hosts = state["neighbours"].hosts.values()
--- /dev/null
+++ b/tests/test_stopped_reader.py
@@ -0,0 +1,91 @@
+"""Tests of a whole host whose log lines nobody reads."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import re
+import sys
+import tempfile
+import unittest
+
+import aiohttp
+
+from ._platform import KEYED, Endpoint, Store, config, serving
+from ._processes import until
+from .test_on_platform import SETTINGS
+
+WARM_UP = 300  # Requests after which the process has what it keeps for good.
+BURST = 2_000  # Requests; at two lines of 300 bytes or more they fill pipe and buffer many times.
+AT_ONCE = 40
+GROWTH = 8 * 1024  # KiB; the lines of the burst alone are larger than what may wait.
+
+
+class TestStoppedReader(unittest.IsolatedAsyncioTestCase):
+    """A reader that has stopped neither stalls the host nor grows its memory."""
+
+    async def asyncSetUp(self) -> None:
+        store = Store()
+        endpoints = [Endpoint("s0"), Endpoint("s1")]
+        address = await self.enterAsyncContext(serving(store.app()))
+        for one in endpoints:
+            one.address = await self.enterAsyncContext(serving(one.app()))
+            await store.put(KEYED + "servers", one.name, one.entry())
+        await store.put(KEYED + "op", "config", config())
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        path = pathlib.Path(folder) / "boot.toml"
+        path.write_text(SETTINGS.format(name="host-a", store=address), encoding="utf-8")
+        self.proc = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "wasabiwick", "run", "--platform"),
+            env={**os.environ, "WASABIWICK_CONFIG": str(path)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        while not (found := re.search(rb"callers=(\S+)", await self.proc.stdout.readline())):
+            pass
+        self.callers = found[1].decode()
+        self.proc.stdout._transport.pause_reading()  # Nobody reads from now on.
+        self.session = await self.enterAsyncContext(aiohttp.ClientSession())
+        await until(self._serves)
+
+    async def asyncTearDown(self) -> None:
+        self.proc.kill()
+        self.proc.stdout._transport.resume_reading()
+        await self.proc.wait()
+
+    async def _serves(self) -> bool:
+        with contextlib.suppress(aiohttp.ClientError):
+            return await self._ask(0) == 200
+        return False
+
+    async def _ask(self, number: int) -> int:
+        headers = {
+            "Host": "example",
+            "X-Wasabiwick-Attempt-Id": f"id{number}",
+            "X-Wasabiwick-Deadline-Ms": "5000",
+        }
+        url = f"http://{self.callers}/safe/x"
+        async with self.session.get(url, headers=headers) as resp:
+            await resp.read()
+            return resp.status
+
+    async def _burst(self, count: int) -> list[int]:
+        limit = asyncio.Semaphore(AT_ONCE)
+
+        async def one(number: int) -> int:
+            async with limit:
+                return await self._ask(number)
+
+        return await asyncio.gather(*(one(number) for number in range(count)))
+
+    def _memory(self) -> int:
+        """Return the memory that the process occupies, in KiB."""
+        status = pathlib.Path(f"/proc/{self.proc.pid}/status").read_text(encoding="ascii")
+        line = next(line for line in status.splitlines() if line.startswith("VmRSS"))
+        return int(line.split()[1])
+
+    async def test_a_burst_is_served_within_the_bound(self) -> None:
+        await self._burst(WARM_UP)
+        before = self._memory()
+        statuses = await self._burst(BURST)
+        self.assertEqual(set(statuses), {200})
+        self.assertLess(self._memory() - before, GROWTH)
