Ask an engine that refuses its own place whether it is busy; leave lost answers time

Only the hosts' memory said that the engine was busy, and it was gone. Now an engine that refuses a request for which it held a place is asked for its report, twice a second at most; one that is busy gets no work for the time of a change, and the other hosts are told. - Calls whose answer was lost without a sign were refused as soon as that was noticed, after 2.5 s: they had waited 2.8 s, the longest time for a place. They may now wait up to 0.85 of the caller's patience, and silence is noticed after 1.2 s. Ruled out: writing orders to the log of claims with their time, which hosts with a jumping time of day could not use; asking all engines at each start, which grows with hosts times engines. Tests without the bench fail when the engine's word is ignored.

--- a/src/wasabiwick/_effects_forwarding.py
+++ b/src/wasabiwick/_effects_forwarding.py
@@ -206,6 +206,16 @@
         self.busy = busy
 
 
+class AskWhetherBusy(Effect):
+    """Ask an engine whether it carries an order out."""
+
+    __slots__ = ("endpoint", "address")
+
+    def __init__(self, *, endpoint: str, address: str) -> None:
+        self.endpoint = endpoint
+        self.address = address
+
+
 class ReadClaims(Effect):
     """Read the last claim to give orders."""
 
--- a/src/wasabiwick/_events/_forwarding.py
+++ b/src/wasabiwick/_events/_forwarding.py
@@ -269,6 +269,20 @@
         self.failure = failure
 
 
+class EngineSaidBusy(Event):
+    """An engine told whether it carries an order out; ``failure`` says why it did not tell."""
+
+    __slots__ = ("endpoint", "is_busy", "failure")
+
+    def __init__(
+        self, *, at: float, endpoint: str, is_busy: bool, failure: Failure | None = None
+    ) -> None:
+        super().__init__(at=at)
+        self.endpoint = endpoint
+        self.is_busy = is_busy
+        self.failure = failure
+
+
 class LoadChanged(Event):
     """Internal: what this host has under way at endpoints has changed."""
 
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -28,6 +28,7 @@
 from .._state import State
 from .._verdict import Verdict
 from . import (
+    busy_engines,
     directory,
     estimates,
     forward_waiting,
@@ -45,7 +46,8 @@
 LOWEST_PRIORITY = 9
 CHANGED_TIME = 2.0  # Seconds in which the list should tell what an endpoint has become.
 MISDIRECTED = 421
-SILENCE = 2.5  # Seconds without a head after which a resumable stream is begun elsewhere.
+SILENCE = 1.2  # Seconds without a head after which a resumable stream is begun once more; longer
+# than an engine takes that reads a whole prompt between the tokens of a full batch.
 READ_SILENCE = 0.4  # Seconds over the time reckoned with after which a prefill is asked for again:
 READ_SLACK = 2.0  # four times a prefill's own; and a factor for prompts that slow each other.
 
@@ -235,6 +237,8 @@
         places.mark_full(state, event.endpoint, at)
         if event.status == MISDIRECTED:
             directory.set_busy(state, event.endpoint, at + CHANGED_TIME)
+        else:
+            yield from busy_engines.place_refused(state, req.place, at)
         req.rejected.append(event.endpoint)
         yield from _repeat(state, req, at, event.endpoint, f"status {event.status}", refused=True)
         return
--- a/src/wasabiwick/_handlers/rejecting.py
+++ b/src/wasabiwick/_handlers/rejecting.py
@@ -15,7 +15,8 @@
 PATIENCE_TARGETS = 4.0  # Callers leave a stream that brings nothing for so many latency targets,
 PATIENCE_GAPS = 8.0  # or so many of its longest pauses,
 PATIENCE_LEAST = 2.0  # or so many seconds, whichever is longest.
-WAIT_SHARE = 0.7  # Share of that patience that a wait for a place may take up.
+WAIT_SHARE = 0.7  # Share of that patience that a wait for a place may take up,
+REPEAT_SHARE = 0.85  # and the wait of a request whose first place came to nothing.
 RETURNED_SHARE = 0.84  # A caller with less than this share of the route's time has waited before.
 RETURNED_WAIT = 1.5  # Seconds after which a caller that came back goes before new ones.
 LENGTH_MARGIN = 1.2  # Outputs are often longer than expected.
@@ -74,7 +75,8 @@
     patience = max(
         PATIENCE_LEAST, PATIENCE_TARGETS * route.target_latency, PATIENCE_GAPS * route.target_gap
     )
-    return min(WAIT_SHARE * patience, (req.ends - req.arrived) / 3)
+    share = REPEAT_SHARE if req.number else WAIT_SHARE
+    return min(share * patience, (req.ends - req.arrived) / 3)
 
 
 def retry_after(state: State, req: Forwarded, at: float) -> float:
--- a/src/wasabiwick/_performers/forwarding.py
+++ b/src/wasabiwick/_performers/forwarding.py
@@ -4,6 +4,7 @@
 
 from .._effects_forwarding import (
     AnnounceHost,
+    AskWhetherBusy,
     ClaimOrders,
     CutForward,
     DropHold,
@@ -24,6 +25,7 @@
     AnswerCame,
     ClaimAnswered,
     ClaimsRead,
+    EngineSaidBusy,
     HoldAnswered,
     HostFound,
     PromptAnswered,
@@ -224,6 +226,25 @@
     runner.post(StageAnswered(at=runner.now(), endpoint=effect.endpoint, failure=failure))
 
 
+@performs(AskWhetherBusy)
+def ask_whether_busy(runner: Runner, effect: AskWhetherBusy) -> None:
+    """Ask an engine whether it carries an order out."""
+    runner.spawn(f"busy/{effect.endpoint}", _ask_whether_busy(runner, effect))
+
+
+async def _ask_whether_busy(runner: Runner, effect: AskWhetherBusy) -> None:
+    answer = await runner.ports.endpoints.is_busy(effect.endpoint, effect.address)
+    failed = isinstance(answer, Failure)
+    runner.post(
+        EngineSaidBusy(
+            at=runner.now(),
+            endpoint=effect.endpoint,
+            is_busy=False if failed else answer,
+            failure=answer if failed else None,
+        )
+    )
+
+
 @performs(AnnounceHost)
 def announce(runner: Runner, effect: AnnounceHost) -> None:
     """Enter this host in the list of hosts and read the others, until both have worked."""
--- a/src/wasabiwick/_ports/endpoints.py
+++ b/src/wasabiwick/_ports/endpoints.py
@@ -65,6 +65,9 @@
     async def order_stage(self, effect: OrderStage) -> Failure | None:
         """Order an engine to change its stage."""
 
+    async def is_busy(self, endpoint: str, address: str) -> bool | Failure:
+        """Return whether an engine carries an order out."""
+
     async def read_prompt(
         self, exchange: Exchange, effect: ReadPrompt, *, seconds: float
     ) -> str | Failure:
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -23,6 +23,7 @@
 
 HOLD_TIMEOUT = 0.5  # Seconds; an engine answers a hold at once, and lets it lapse by itself.
 ORDER_TIMEOUT = 0.8  # Seconds; shorter than the term of the claim under which it is sent.
+REPORT_TIMEOUT = 0.5  # Seconds; an engine answers at once, without a slot.
 DROP_TIMEOUT = 0.5  # Seconds; what is not dropped lapses by itself.
 DEFAULT_DEADLINE = 30.0  # Seconds for a caller that names none.
 MISDIRECTED = 421  # Another endpoint has the address, or the engine has another stage.
@@ -33,6 +34,10 @@
     hold: str
 
 
+class _Report(msgspec.Struct):
+    busy: bool
+
+
 class _Prompt(msgspec.Struct, rename="kebab"):
     kv_handle: str
 
@@ -121,6 +126,11 @@
         )
         return answer if isinstance(answer, Failure) else None
 
+    async def is_busy(self, endpoint: str, address: str) -> bool | Failure:
+        """Return whether an engine carries an order out."""
+        answer = await self._ask(endpoint, address, "GET", _names.REPORT, timeout=REPORT_TIMEOUT)
+        return answer if isinstance(answer, Failure) else _decoded(answer, _Report, "busy")
+
     async def read_prompt(
         self, exchange: Exchange, effect: ReadPrompt, *, seconds: float
     ) -> str | Failure:
@@ -229,7 +239,8 @@
         return body
 
 
-def _decoded(body: bytes, form: type, field: str) -> str | Failure:
+def _decoded(body: bytes, form: type, field: str) -> typing.Any:
+    """Return a field of an answer, or a failure where it can't be read."""
     try:
         return getattr(msgspec.json.decode(body, type=form), field)
     except msgspec.MsgspecError as exc:
--- a/src/wasabiwick/platform/_names.py
+++ b/src/wasabiwick/platform/_names.py
@@ -52,6 +52,7 @@
 HOLD_TAKE = "/v1/hold-take"
 HOLD_DROP = "/v1/hold-drop/"
 ORDER = "/v1/order"
+REPORT = "/v1/report"
 KV_HANDLE = "/v1/kv-handle/"
 
 LOG_APPEND = "/v1/log-append"
--- a/tests/_platform.py
+++ b/tests/_platform.py
@@ -142,6 +142,7 @@
         pause: Seconds between events.
         working: Streams that it works on.
         orders: Bodies of its orders.
+        changing: Whether it carries an order out: it grants holds and refuses requests.
     """
 
     def __init__(self, name: str, stage: str = "") -> None:
@@ -160,6 +161,7 @@
         self.pause = 0.0
         self.working = 0
         self.orders: list[dict] = []
+        self.changing = False
         self._numbers = itertools.count(1)
 
     def entry(self, **fields: object) -> dict[str, object]:
@@ -185,6 +187,7 @@
         app.router.add_delete("/v1/hold-drop/{id}", self._drop_hold)
         app.router.add_delete("/v1/kv-handle/{id}", self._free)
         app.router.add_post("/v1/order", self._order)
+        app.router.add_get("/v1/report", self._report)
         app.router.add_route("*", "/{path:.*}", self._request)
         return app
 
@@ -218,13 +221,17 @@
         self.orders.append(await req.json())
         return web.Response(status=202)
 
+    async def _report(self, req: web.Request) -> web.Response:
+        report = {"stage": self.stage, "busy": self.changing, "sequence": len(self.orders)}
+        return self._misdirected(req) or web.json_response(report)
+
     async def _request(self, req: web.Request) -> web.StreamResponse:
         echo = {"X-Wasabiwick-Attempt-Id": req.headers["X-Wasabiwick-Attempt-Id"]}
         misdirected = self._misdirected(req)
         if misdirected:
             return misdirected
-        if self.refuses:
-            self.refuses -= 1
+        if self.refuses or self.changing:
+            self.refuses = max(0, self.refuses - 1)
             return web.Response(status=503, headers={**echo, "X-Wasabiwick-Not-Executed": "1"})
         body = await req.read()
         self.seen.append((req.raw_path, req.headers.copy()))
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -4,7 +4,7 @@
 import unittest
 
 from wasabiwick import _events
-from wasabiwick._effects_forwarding import CutForward, DropHold, FreeHandle
+from wasabiwick._effects_forwarding import AskWhetherBusy, CutForward, DropHold, FreeHandle
 from wasabiwick._errors import ENDPOINT_CHANGED, Failure
 from wasabiwick._verdict import Verdict
 
@@ -243,6 +243,32 @@
         self.assertEqual(host.last(TakeHold, one).endpoint, "d0")
         self.assertNotEqual(host.last(TakeHold, another).endpoint, "d0")
 
+    def test_a_lost_answer_leaves_time_for_another_place(self) -> None:
+        """Found on trouble-2: calls whose answer was lost were refused where they had waited."""
+        host = Host()
+        call = host.ask("stream")
+        host.hold(call)
+        host.prefill(call)
+        self.assertLess(host.last(Forward, call).quiet, 2.0)
+        host.run(2.9)
+        host.fail(call, BROKEN)
+        self.assertTrue(host.is_open(call))
+        self.assertEqual(len(host.of(TakeHold, call)), 2)
+
+    def test_an_engine_that_refuses_a_place_it_held_is_asked_once_in_a_while(self) -> None:
+        host = Host()
+        calls = [host.ask("stream") for _ in range(4)]
+        for call in calls:
+            host.hold(call)
+            host.prefill(call)
+            host.answer(call, 503, not_run=True)
+        asked = [one.endpoint for one in host.effects if isinstance(one, AskWhetherBusy)]
+        self.assertEqual(sorted(asked), ["d0", "d1"])
+        host.feed(_events.EngineSaidBusy, endpoint="d0", is_busy=True)
+        host.run(0.3)
+        for call in (host.ask("stream") for _ in range(3)):
+            self.assertEqual(host.last(TakeHold, call).endpoint, "d1")
+
     def test_a_stream_that_cannot_be_resumed_is_broken_off(self) -> None:
         host = Host()
         call = host.start_stream("draft")
--- a/tests/test_on_platform.py
+++ b/tests/test_on_platform.py
@@ -268,6 +268,25 @@
                 await resp.read()
         await until(self._places_free)
 
+    async def test_an_engine_that_changes_its_stage_is_left_alone_by_a_host_that_was_not_told(
+        self,
+    ) -> None:
+        """Found on trouble-2: hosts that lost power forgot an order that was being carried out."""
+        await self.site.settled()
+        self.site.endpoints["d0"].changing = True
+        for _ in range(4):
+            async with self.site.ask("/stream/x") as resp:
+                self.assertEqual(resp.status, 200)
+                await resp.read()
+            if directory.is_busy(self.site.state, "d0", self.site.daemon.runner.now()):
+                break
+        before = len(self.seen("p0"))
+        for _ in range(4):
+            async with self.site.ask("/stream/x") as resp:
+                await resp.read()
+        self.assertEqual(len(self.seen("p0")) - before, 4)  # None was prefilled for nothing.
+        self.assertEqual(len(self.seen("d0")), 0)
+
     async def _places_free(self) -> bool:
         return self.site.state["places"].own == {}
 
