Untie the stand-in of an engine and the bench; a test against circles

The parts of the engine's stand-in imported the engine for its type, and the engine its parts; they need the base of all stand-ins and, for prefills, the cache. The bench's hosts stand in a module of their own. The test takes modules away whose imports are gone; what is left is in a circle or needs one.

--- a/src/wasabiwick/_bench/engine_calls.py
+++ b/src/wasabiwick/_bench/engine_calls.py
@@ -1,17 +1,13 @@
 """Calls of hosts to engines on the virtual clock, and the events that come back."""
 
-import typing
-
 from .. import _effects, _events
 from .._errors import ENDPOINT_FAILED, ENDPOINT_REFUSED, ENDPOINT_SILENT, Failure
 from .._events import Event
 from .._verdict import Verdict
 from .engine_model import Engine, Job, Stream
+from .host import Host
 from .workload import Ask
 
-if typing.TYPE_CHECKING:
-    from .world import Host
-
 PROGRESS = 1.0  # Seconds between batches of a stream's outputs, but for the first.
 CACHE_LAG = 0.3  # Seconds by which cache events are late.
 CACHE_GAP = 0.1  # Share of cache events that are lost.
@@ -20,12 +16,12 @@
 class EngineCalls:
     """The part of the world that carries out effects on engines."""
 
-    def _engine(self, host: "Host", name: str) -> Engine | None:
+    def _engine(self, host: Host, name: str) -> Engine | None:
         engine = self.engines[name]
         return engine if engine.alive and not self.is_cut(host.zone, engine.zone) else None
 
     def fail(
-        self, host: "Host", effect: _effects.AttemptEffect, phase: str, *, refused: bool = False
+        self, host: Host, effect: _effects.AttemptEffect, phase: str, *, refused: bool = False
     ) -> None:
         """Tell a host that its call to an engine failed."""
         engine = self.engines[effect.endpoint]
@@ -41,7 +37,7 @@
         wait = host.state.cfg.timing.connect if silent else self.delay(host.zone, engine.zone)
         self.send(host, wait, event)
 
-    def start_prefill(self, host: "Host", effect: _effects.StartPrefill) -> None:
+    def start_prefill(self, host: Host, effect: _effects.StartPrefill) -> None:
         """Send a prefill to an engine."""
         ask = self.asks[effect.request_id]
 
@@ -81,7 +77,7 @@
 
         self.after(self.delay(host.zone, self.engines[effect.endpoint].zone), arrive)
 
-    def start_decode(self, host: "Host", effect: _effects.StartDecode) -> None:
+    def start_decode(self, host: Host, effect: _effects.StartDecode) -> None:
         """Send a decode to an engine, which fetches the KV cache first."""
         ask = self.asks[effect.request_id]
 
@@ -119,7 +115,7 @@
         self.after(self.delay(host.zone, self.engines[effect.endpoint].zone), arrive)
 
     def _begin_stream(
-        self, host: "Host", effect: _effects.StartDecode, engine: Engine, ask: Ask
+        self, host: Host, effect: _effects.StartDecode, engine: Engine, ask: Ask
     ) -> None:
         stream = Stream(
             request_id=effect.request_id,
@@ -172,7 +168,7 @@
         self._relay(engine, host, effect, event)
 
     def _relay(
-        self, engine: Engine, host: "Host", effect: _effects.AttemptEffect, event: Event
+        self, engine: Engine, host: Host, effect: _effects.AttemptEffect, event: Event
     ) -> None:
         if (host.name, effect.attempt_id) in self._dropped or self.is_cut(host.zone, engine.zone):
             return
@@ -184,7 +180,7 @@
 
         self.after(self.delay(host.zone, engine.zone), arrive)
 
-    def resume_stream(self, host: "Host", effect: _effects.ResumeStream) -> None:
+    def resume_stream(self, host: Host, effect: _effects.ResumeStream) -> None:
         """Open a running attempt's stream again from this host."""
         self._dropped.discard((host.name, effect.attempt_id))
 
@@ -198,11 +194,11 @@
 
         self.after(self.delay(host.zone, self.engines[effect.endpoint].zone), arrive)
 
-    def drop_stream(self, host: "Host", effect: _effects.DropStream) -> None:
+    def drop_stream(self, host: Host, effect: _effects.DropStream) -> None:
         """Stop relaying an attempt's stream to a host."""
         self._dropped.add((host.name, effect.attempt_id))
 
-    def cancel_attempt(self, host: "Host", effect: _effects.CancelAttempt) -> None:
+    def cancel_attempt(self, host: Host, effect: _effects.CancelAttempt) -> None:
         """Make an engine forget an attempt."""
 
         def arrive() -> None:
@@ -221,7 +217,7 @@
 
         self.after(self.delay(host.zone, self.engines[effect.endpoint].zone), arrive)
 
-    def fetch_report(self, host: "Host", effect: _effects.FetchReport) -> None:
+    def fetch_report(self, host: Host, effect: _effects.FetchReport) -> None:
         """Fetch an engine's lagging report."""
         engine = self._engine(host, effect.endpoint)
         if engine is None:
@@ -231,7 +227,7 @@
         event = _events.EngineReported(at=0.0, report=engine.report())
         self.send(host, self.report_lag, event)
 
-    def fetch_cache_events(self, host: "Host", effect: _effects.FetchCacheEvents) -> None:
+    def fetch_cache_events(self, host: Host, effect: _effects.FetchCacheEvents) -> None:
         """Fetch an engine's late and gappy cache events."""
         engine = self._engine(host, effect.endpoint)
         if engine is None:
--- a/src/wasabiwick/_bench/world.py
+++ b/src/wasabiwick/_bench/world.py
@@ -17,6 +17,7 @@
 from .._wire import Configuration, HostEntry, LogRecord, Owner
 from .engine_calls import EngineCalls
 from .engine_model import Engine
+from .host import Host
 from .workload import Ask, Deployment
 
 SAME_ZONE = 0.0003  # Seconds one way.
@@ -29,24 +30,6 @@
 REFUSED_CONNECTION = 0.001  # Seconds until a call to a dead process fails.
 
 
-class Host:
-    """One run of an entry host: the reducer's state and its timers."""
-
-    __slots__ = ("name", "zone", "state", "alive", "timers", "incarnation")
-
-    def __init__(self, *, name: str, zone: str, state: State, incarnation: int) -> None:
-        self.name = name
-        self.zone = zone
-        self.state = state
-        self.alive = True
-        self.timers: dict[tuple[str, str], int] = {}
-        self.incarnation = incarnation
-
-    def owner_name(self) -> str:
-        """Return the name by which engines report whose an attempt is."""
-        return f"{self.name}/{self.incarnation}"
-
-
 class World(EngineCalls):
     """Hosts, engines and network on one virtual clock.
 
--- a/src/wasabiwick/_standins/_cache.py
+++ b/src/wasabiwick/_standins/_cache.py
@@ -7,9 +7,7 @@
 
 from .._pieces import PIECE_TOKENS
 from .._wire import CacheEvent
-
-if typing.TYPE_CHECKING:
-    from .engine import Engine
+from ._serve import StandIn
 
 KEPT_EVENTS = 10_000
 LOSS_SEED = 7
@@ -20,7 +18,7 @@
 
     __slots__ = ("_engine", "_pieces", "_events", "_sequence", "_rng")
 
-    def __init__(self, engine: "Engine") -> None:
+    def __init__(self, engine: StandIn) -> None:
         self._engine = engine
         self._pieces: collections.OrderedDict[int, None] = collections.OrderedDict()
         self._events: collections.deque[tuple[float, CacheEvent]] = collections.deque(
--- a/src/wasabiwick/_standins/_decode.py
+++ b/src/wasabiwick/_standins/_decode.py
@@ -9,9 +9,7 @@
 from .._wire import DecodeAsk, Frame, StreamReport
 from ._output import output, output_seed
 from ._prefill import KvEntry
-
-if typing.TYPE_CHECKING:
-    from .engine import Engine
+from ._serve import StandIn
 
 
 class Stream:
@@ -46,7 +44,7 @@
 
     __slots__ = ("streams", "peak", "outputs", "_engine", "_filled")
 
-    def __init__(self, engine: "Engine") -> None:
+    def __init__(self, engine: StandIn) -> None:
         self.streams: dict[str, Stream] = {}
         self.peak = 0
         self.outputs = 0
@@ -139,7 +137,7 @@
 
 
 async def relay(
-    engine: "Engine", request: web.Request, stream: Stream, offset: int
+    engine: StandIn, request: web.Request, stream: Stream, offset: int
 ) -> web.StreamResponse:
     """Write a stream to its newest reader; an older one is told that it is superseded."""
     resp = web.StreamResponse(headers={"Content-Type": "application/x-ndjson"})
--- a/src/wasabiwick/_standins/_prefill.py
+++ b/src/wasabiwick/_standins/_prefill.py
@@ -11,9 +11,8 @@
 
 from .._pieces import piece_chain, tokens_of
 from .._wire import PrefillAsk, StreamReport
-
-if typing.TYPE_CHECKING:
-    from .engine import Engine
+from ._cache import PrefixCache
+from ._serve import StandIn
 
 
 class AttemptCancelledError(Exception):
@@ -63,13 +62,15 @@
         "_kept",
         "_handles",
         "_link",
+        "_cache",
     )
 
-    def __init__(self, engine: "Engine") -> None:
+    def __init__(self, engine: StandIn, cache: PrefixCache) -> None:
         self.tokens = 0
         self.cached = 0
         self.wasted = 0
         self._engine = engine
+        self._cache = cache
         self._queue: list[tuple[int, int, Job]] = []
         self._order = itertools.count()
         self._handles = itertools.count(1)
@@ -101,7 +102,7 @@
                 await self._work(job)
 
     async def _work(self, job: Job) -> None:
-        cached = min(self._engine.cache.match(job.chain), job.tokens)
+        cached = min(self._cache.match(job.chain), job.tokens)
         began = time.monotonic()
         cost = (job.tokens - cached) / self._engine.knobs.prefill_rate
         with contextlib.suppress(TimeoutError):
@@ -113,7 +114,7 @@
             return
         self.tokens += done
         self.cached += cached
-        self._engine.cache.store(job.chain)
+        self._cache.store(job.chain)
         self._jobs.pop(job.ask.attempt_id, None)
         job.done.set_result(self._keep(job.ask, job.tokens, cached, seconds))
 
--- a/src/wasabiwick/_standins/engine.py
+++ b/src/wasabiwick/_standins/engine.py
@@ -74,7 +74,7 @@
         self.orders: list[Order] = []
         self.refused = 0
         self.cache = PrefixCache(self)
-        self.prefills = Prefill(self)
+        self.prefills = Prefill(self, self.cache)
         self.batch = Batch(self)
         self._report: EngineReport | None = None
         self._sequence = 0
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -71,6 +71,39 @@
         self.assertEqual({name for name in own if name.startswith(UNWANTED_OWN)}, set())
 
 
+def imports() -> dict[str, set[str]]:
+    """Return, for each module of the package, the modules of it that it imports."""
+    names = {}
+    for path in SOURCES.rglob("*.py"):
+        parts = path.relative_to(SOURCES).with_suffix("").parts
+        names[parts[:-1] if parts[-1] == "__init__" else parts] = path
+    found: dict[str, set[str]] = {}
+    for name, path in names.items():
+        package = name if path.name == "__init__.py" else name[:-1]
+        targets = set()
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            if not isinstance(node, ast.ImportFrom) or not node.level:
+                continue
+            base = package[: len(package) - node.level + 1]
+            base += tuple(node.module.split(".")) if node.module else ()
+            for one in node.names:
+                targets.add((*base, one.name) if (*base, one.name) in names else base)
+        found[".".join(name)] = {".".join(one) for one in targets if one in names and one != name}
+    return found
+
+
+class TestCircles(unittest.TestCase):
+    """No modules import one another in a circle, for types neither."""
+
+    def test_none(self) -> None:
+        left = imports()
+        self.assertGreater(len(left), 100)
+        while free := [name for name, needed in left.items() if not needed & left.keys()]:
+            for name in free:
+                del left[name]
+        self.assertEqual(sorted(left), [])
+
+
 class TestHandlers(unittest.TestCase):
     """Handlers take from each other only what exists; the linter does not see that."""
 
