--- a/src/wasabiwick/_handlers/forward_plain.py
+++ b/src/wasabiwick/_handlers/forward_plain.py
@@ -9,7 +9,15 @@
 
 from .._effects import Count
 from .._effects_forwarding import Forward, Relay
-from .._errors import ENDPOINT_FAILED, ENDPOINT_REFUSED, ENDPOINT_SILENT, NO_ENDPOINT, Failure
+from .._errors import (
+    ENDPOINT_FAILED,
+    ENDPOINT_REFUSED,
+    ENDPOINT_SILENT,
+    NO_ENDPOINT,
+    OVERLOADED,
+    Failure,
+    Reason,
+)
 from .._events import AnswerCame, TryFailed
 from .._reducer import Step
 from .._state import State
@@ -27,9 +35,16 @@
     """Send a request to the endpoint with the least work."""
     endpoint = placing.choose_plain(state, req.service, at, req.rejected)
     if endpoint is None:
-        known = len(directory.usable(state, req.service))
+        known = [one.name for one in directory.usable(state, req.service)]
         yield from forwarding.refuse(
-            state, req, at, NO_ENDPOINT, retry_after=RETRY, service=req.service, endpoints=known
+            state,
+            req,
+            at,
+            _why_none(known, req.rejected),
+            retry_after=RETRY,
+            service=req.service,
+            endpoints=len(known),
+            connections=placing.connections(state, req.service, at),
         )
         return
     health.chosen(state, endpoint.name)
@@ -50,6 +65,13 @@
     )
 
 
+def _why_none(known: list[str], rejected: list[str]) -> Reason:
+    """Return why no endpoint can be chosen: none, all asked already, or no connection left."""
+    if not known:
+        return NO_ENDPOINT
+    return ENDPOINT_REFUSED if set(known) <= set(rejected) else OVERLOADED
+
+
 def came(state: State, req: Forwarded, event: AnswerCame) -> typing.Iterator[Step]:
     """Pass an answer on, or try another endpoint."""
     if event.not_run:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -5,7 +5,7 @@
 
 from wasabiwick import _events
 from wasabiwick._effects_forwarding import AskWhetherBusy, CutForward, DropHold, FreeHandle
-from wasabiwick._errors import ENDPOINT_CHANGED, Failure
+from wasabiwick._errors import ENDPOINT_CHANGED, ENDPOINT_REFUSED, OVERLOADED, Failure
 from wasabiwick._verdict import Verdict
 
 from ._forward import (
@@ -85,6 +85,25 @@
         self.assertEqual(host.last(Relay, call).number, 1)
 
 
+class TestNoEndpoint(unittest.TestCase):
+    """A refusal says whether there was no endpoint, none left to ask, or no connection free."""
+
+    def test_all_have_refused(self) -> None:
+        host = Host()
+        call = host.ask("unsafe")
+        host.answer(call, 503, not_run=True)
+        host.answer(call, 503, not_run=True)
+        self.assertEqual(host.refusal(call).reason, ENDPOINT_REFUSED)
+        self.assertIs(host.refusal(call).verdict, Verdict.NOT_RUN)
+
+    def test_connections_are_in_use(self) -> None:
+        host = Host()
+        calls = [host.ask("unsafe") for _ in range(201)]  # Two endpoints of 100 connections.
+        self.assertIsNone(host.refusal(calls[199]))
+        self.assertEqual(host.refusal(calls[200]).reason, OVERLOADED)
+        self.assertGreater(host.refusal(calls[200]).retry_after, 0.0)
+
+
 class TestUnsafe(unittest.TestCase):
     """An unsafe request runs once at most, and what is said of it is true."""
 
