Go on counting a run whose connection ended, until it should have ended

Cause: an engine whose answer is lost works on, and its memory fills up with a stream that no host counts any more; with the call sent again to the same engine it holds both. Now such a run keeps its place in the ledger, which other hosts are told, for its expected time. Ruled out: reports of engines (runs), which would have to be asked for again and again. Test: test_a_lost_run_counts_at_its_engine_until_it_should_have_ended.

--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -7,7 +7,7 @@
 
 import typing
 
-from .._effects import Count, Observe
+from .._effects import Count, Observe, StartTimer
 from .._effects_forwarding import DropTry, Forward, ReadPrompt, Relay
 from .._errors import (
     ENDPOINT_CHANGED,
@@ -19,12 +19,15 @@
 from .._events import (
     AnswerCame,
     HoldAnswered,
+    LoadChanged,
+    PlacesChanged,
     PromptAnswered,
     StreamDone,
     StreamMoved,
+    TimerFired,
     TryFailed,
 )
-from .._reducer import Step, handles
+from .._reducer import Step, handles, on_timer
 from .._state import State
 from .._verdict import Verdict
 from . import (
@@ -268,6 +271,8 @@
         req.take_back_try()
     yield from forwarding.note_failure(state, req, event.endpoint, event.failure, event.at)
     yield DropTry(call_id=req.ask.call_id, number=req.number)
+    if event.failure.reason is ENDPOINT_FAILED:
+        yield from _count_lost(state, req, event)
     if not_run or _may_run_again(req):
         cause = event.failure.detail
         unsent = event.failure.reason is ENDPOINT_UNREACHABLE
@@ -284,6 +289,25 @@
     )
 
 
+def _count_lost(state: State, req: Forwarded, event: TryFailed) -> typing.Iterator[Step]:
+    """Go on counting a run whose connection ended: many engines work on to its end."""
+    stream = places.keep_lost(state, event.endpoint, req.ask.call_id, req.number)
+    if stream is not None:
+        key = places.lost_key(req.ask.call_id, req.number)
+        ends = stream.begins + stream.expected / estimates.token_rate(state, req.service)
+        delay = max(0.0, ends - event.at)
+        yield StartTimer(timer="lost_run", key=f"{event.endpoint} {key}", delay=delay)
+
+
+@on_timer("lost_run")
+def lost_run_ended(state: State, event: TimerFired) -> typing.Iterator[Step]:
+    """Give the place of a lost run back."""
+    endpoint, _, key = event.key.partition(" ")
+    places.give_back(state, endpoint, key)
+    yield LoadChanged(at=event.at)
+    yield PlacesChanged(at=event.at)
+
+
 def _repeat(
     state: State,
     req: Forwarded,
--- a/src/wasabiwick/_handlers/places.py
+++ b/src/wasabiwick/_handlers/places.py
@@ -59,6 +59,30 @@
     _forget_idle(state, endpoint)
 
 
+def keep_lost(state: State, endpoint: str, call_id: str, number: int) -> StreamLoad | None:
+    """Go on counting a stream that an engine may work on though its answer was lost.
+
+    Args:
+        state: The host's state.
+        endpoint: Name of the engine.
+        call_id: The call, whose own place is about to be given back.
+        number: Number of the try.
+
+    Returns:
+        The stream, which stays counted under its `lost_key`; None where none was counted.
+    """
+    own = state["places"].own.get(endpoint)
+    stream = own.streams.get(call_id) if own else None
+    if stream is not None:
+        take(state, endpoint, lost_key(call_id, number), stream)
+    return stream
+
+
+def lost_key(call_id: str, number: int) -> str:
+    """Return the key under which a lost try of a call is counted."""
+    return f"{call_id}/{number}"
+
+
 def add_reading(state: State, endpoint: str, tokens: int) -> None:
     """Change the prompt tokens that an engine was asked to prefill."""
     state["places"].own.setdefault(endpoint, OwnLoad()).reading += tokens
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -6,6 +6,7 @@
 from wasabiwick import _events
 from wasabiwick._effects_forwarding import AskWhetherBusy, CutForward, DropHold, FreeHandle
 from wasabiwick._errors import ENDPOINT_CHANGED, ENDPOINT_REFUSED, OVERLOADED, Failure
+from wasabiwick._handlers import places
 from wasabiwick._verdict import Verdict
 
 from ._forward import (
@@ -250,6 +251,19 @@
         host.prefill(call)
         self.assertNotEqual(host.last(Forward, call).endpoint, first)
 
+    def test_a_lost_run_counts_at_its_engine_until_it_should_have_ended(self) -> None:
+        """An engine whose answer was lost works on; its memory filled up unseen on trouble-2."""
+        host = Host()
+        call = host.ask("draft")  # Can't be repeated.
+        host.hold(call)
+        host.prefill(call)
+        engine_ = host.last(Forward, call).endpoint
+        host.fail(call, BROKEN)
+        self.assertFalse(host.is_open(call))
+        self.assertEqual(places.load(host.state, engine_, host.now).running, 1)
+        host.run(5.0)
+        self.assertEqual(host.state["places"].own, {})
+
     def test_an_engine_that_lost_several_answers_is_not_gone_back_to(self) -> None:
         host = Host()
         calls = [host.ask("stream") for _ in range(4)]
