Keep what hosts tell each other within a rate in large fleets

Cause: each host told all others of each change, of short requests too. Now, beyond 12 hosts, only changes of generations are told soon; those of short requests come with the next datagram, within a second, when most of them are over. And a host's pace is such that all others hear 600 datagrams a second at most, however many hosts there are. Small fleets go on as before. Ruled out: one host a zone that gathers for the others (ten times fewer, but a role that may be cut off or frozen); incremental datagrams, as their number costs, not their size. Tests: 80 hosts on a virtual clock; the first and the last fail on the code before.

--- a/src/wasabiwick/_events/_forwarding.py
+++ b/src/wasabiwick/_events/_forwarding.py
@@ -284,9 +284,18 @@
 
 
 class LoadChanged(Event):
-    """Internal: what this host has under way at endpoints has changed."""
+    """Internal: what this host has under way at endpoints has changed.
 
-    __slots__ = ()
+    Args:
+        at: Monotonic time.
+        of_stream: Whether a generation's place or prefill changed, and no short request's.
+    """
+
+    __slots__ = ("of_stream",)
+
+    def __init__(self, *, at: float, of_stream: bool) -> None:
+        super().__init__(at=at)
+        self.of_stream = of_stream
 
 
 class PlacesChanged(Event):
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -304,7 +304,7 @@
     """Give the place of a lost run back."""
     endpoint, _, key = event.key.partition(" ")
     places.give_back(state, endpoint, key)
-    yield LoadChanged(at=event.at)
+    yield LoadChanged(at=event.at, of_stream=True)
     yield PlacesChanged(at=event.at)
 
 
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -184,7 +184,7 @@
     """Count a call at an endpoint's ledger."""
     req.place = endpoint
     places.take(state, endpoint.name, req.ask.call_id, stream)
-    return LoadChanged(at=at)
+    return LoadChanged(at=at, of_stream=stream is not None)
 
 
 def vacate(state: State, req: Forwarded, at: float) -> typing.Iterator[Step]:
@@ -200,9 +200,9 @@
             hold=req.hold,
         )
         req.hold = ""
-    places.give_back(state, req.place.name, req.ask.call_id)
+    was_stream = places.give_back(state, req.place.name, req.ask.call_id)
     req.place = None
-    yield LoadChanged(at=at)
+    yield LoadChanged(at=at, of_stream=was_stream)
     yield PlacesChanged(at=at)
 
 
@@ -211,7 +211,7 @@
     if req.reader is not None and req.reading:
         places.add_reading(state, req.reader.name, -req.reading)
         req.reading = 0
-        yield LoadChanged(at=at)
+        yield LoadChanged(at=at, of_stream=True)
 
 
 def release_reader(state: State, req: Forwarded, at: float) -> typing.Iterator[Step]:
--- a/src/wasabiwick/_handlers/neighbours.py
+++ b/src/wasabiwick/_handlers/neighbours.py
@@ -3,6 +3,11 @@
 Every host tells the others its whole load, in one datagram, soon after it changed and otherwise
 once in a while. A lost datagram is made good by the next one, and nothing has to be agreed on: an
 engine's own refusal settles where two hosts chose the same place.
+
+Load pattern answered: in a large fleet each host serves few requests, but hears of those of all
+others. There only changes of generations, which hold memory for seconds, are told soon; short
+requests have mostly ended before they are heard of. Each host's pace keeps what all receive within
+a rate, however many they are.
 """
 
 import typing
@@ -26,6 +31,8 @@
 
 TELL_INTERVAL = 1.0  # Seconds between datagrams of a host whose load does not change.
 TELL_DELAY = 0.01  # Seconds in which changes are gathered into one datagram.
+LARGE_FLEET = 12  # Hosts beyond which changes of short requests wait for the next datagram.
+HEARD_RATE = 600.0  # Datagrams per second that a host receives at most: some 4% of a core.
 SILENT_AFTER = 3.5  # Seconds without a datagram after which a load no longer counts.
 FORGET_AFTER = 30.0  # Seconds without a datagram after which a host is not told any more.
 
@@ -123,7 +130,7 @@
     known = hosts.get(event.host)
     if known is None or (known.address != event.address and event.at - known.heard > SILENT_AFTER):
         hosts[event.host] = Neighbour(address=event.address, zone=event.zone, at=event.at)
-        yield from _tell_soon(state)
+        yield from _tell_soon(state, event.at)
 
 
 @handles(LoadTold)
@@ -135,7 +142,7 @@
     if one is None:
         one = hosts[name] = Neighbour(address=event.address, zone=event.zone, at=event.at)
         yield LogLine(event="host_found", fields={"host": name, "zone": event.zone})
-        yield from _tell_soon(state)
+        yield from _tell_soon(state, event.at)
     if one.incarnation == event.sender.incarnation and event.sequence <= one.sequence:
         return
     one.address = event.address
@@ -153,21 +160,23 @@
 
 @handles(LoadChanged)
 def changed(state: State, event: LoadChanged) -> typing.Iterator[Step]:
-    """Tell the others soon."""
-    yield from _tell_soon(state)
+    """Tell the others soon, unless the change is over before it helps them."""
+    if event.of_stream or len(state["neighbours"].hosts) < LARGE_FLEET:
+        yield from _tell_soon(state, event.at)
 
 
 @handles(StopAsked)
 def stopping(state: State, event: StopAsked) -> typing.Iterator[Step]:
     """Tell the others that this host is stopping."""
-    yield from _tell_soon(state)
+    yield from _tell_soon(state, event.at)
 
 
-def _tell_soon(state: State) -> typing.Iterator[Step]:
+def _tell_soon(state: State, at: float) -> typing.Iterator[Step]:
     mine = state["neighbours"]
     if not mine.armed:
         mine.armed = True
-        yield StartTimer(timer="tell_soon", delay=TELL_DELAY)
+        paced = mine.told_at + len(mine.hosts) / HEARD_RATE - at
+        yield StartTimer(timer="tell_soon", delay=max(TELL_DELAY, paced))
 
 
 @on_timer("tell_soon")
--- a/src/wasabiwick/_handlers/places.py
+++ b/src/wasabiwick/_handlers/places.py
@@ -51,12 +51,13 @@
         own.streams[call_id].begins = at
 
 
-def give_back(state: State, endpoint: str, call_id: str) -> None:
-    """Take a request out of an endpoint's ledger."""
+def give_back(state: State, endpoint: str, call_id: str) -> bool:
+    """Take a request out of an endpoint's ledger; returns whether it was a stream."""
     own = state["places"].own[endpoint]
     own.running -= 1
-    own.streams.pop(call_id, None)
+    stream = own.streams.pop(call_id, None)
     _forget_idle(state, endpoint)
+    return stream is not None
 
 
 def keep_lost(state: State, endpoint: str, call_id: str, number: int) -> StreamLoad | None:
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -9,7 +9,7 @@
 from wasabiwick._forwarding import EndpointLoad, StreamLoad
 from wasabiwick._handlers import neighbours, places, retry_budget
 
-from ._forward import Host
+from ._forward import DECODE, PREFILL, Host, engine, plain
 from ._processes import until
 
 
@@ -65,6 +65,46 @@
         self.assertEqual(sum(one.running for one in news[0].loads.values()), 5)
 
 
+class TestLargeFleet(unittest.TestCase):
+    """What each host hears stays within a rate, however many hosts there are."""
+
+    HOSTS = 80
+
+    def setUp(self) -> None:
+        self.host = Host(endpoints=(engine("p0", PREFILL), engine("d0", DECODE), plain("s0")))
+        for number in range(self.HOSTS):
+            told(self.host, f"h{number}", 1, 0)
+        self.host.run(3.0)
+
+    def datagrams(self) -> int:
+        """Return how often this host has told the others."""
+        return len([one for one in self.host.effects if isinstance(one, TellLoad)])
+
+    def test_short_requests_wait_for_the_next_datagram(self) -> None:
+        before = self.datagrams()
+        for _ in range(20):
+            self.host.ask("safe")
+            self.host.run(0.04)
+        self.assertLessEqual(self.datagrams() - before, 1)
+
+    def test_a_place_is_told_soon(self) -> None:
+        self.host.run(0.6)
+        before = self.datagrams()
+        self.host.ask("stream")
+        self.host.run(0.05)
+        self.assertEqual(self.datagrams() - before, 1)
+
+    def test_a_burst_keeps_to_the_rate(self) -> None:
+        before = self.datagrams()
+        for _ in range(100):
+            call = self.host.ask("stream")
+            self.host.feed(_events.ForwardLeft, call_id=call)
+            self.host.run(0.05)
+        # All hosts alike, in five seconds.
+        heard = (self.datagrams() - before) * self.HOSTS / 5.0
+        self.assertLess(heard, 1.2 * neighbours.HEARD_RATE)
+
+
 class TestBudget(unittest.TestCase):
     """All hosts together keep to the budget, whomever they hear."""
 
