Let one generation at a time try an engine that took no connection

Once an ejected engine was due for a probe, every call took it for usable: only plain requests told health that they were the probe. Now a place and a prefill tell it as well, and a granted place ends the probe. Tests: TestProbe, which fail on the code before.

--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -91,6 +91,7 @@
             yield from forwarding.note_failure(state, req, event.endpoint, event.failure, event.at)
         yield from forward_waiting.enqueue(state, req, event.at)
         return
+    health.reached(state, event.endpoint)
     yield Count(metric="holds", label="held")
     req.hold = event.hold
     yield from _read_prompt(state, req, event.at)
@@ -115,6 +116,7 @@
     req.read_alone = places.load(state, reader.name, at).reading == 0
     req.sent_at = at
     places.add_reading(state, reader.name, tokens)
+    health.chosen(state, reader.name)
     yield forwarding.log("prefill_sent", req, state, at, endpoint=reader.name, tokens=tokens)
     yield ReadPrompt(
         call_id=req.ask.call_id,
--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -14,7 +14,7 @@
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
-from . import forwarding, places, placing, rejecting, routes
+from . import forwarding, health, places, placing, rejecting, routes
 from .forwarding import Forwarded
 
 TICK = 0.03  # Seconds between looks at a queue that is not empty.
@@ -97,6 +97,7 @@
     traits = routes.service(state, req.service).engine
     held = placing.hold_tokens(req.ask)
     req.phase = forwarding.HOLDING
+    health.chosen(state, endpoint.name)
     yield forwarding.occupy(state, req, endpoint, stream, at)
     yield forwarding.log(
         "place_chosen",
--- a/src/wasabiwick/_handlers/health.py
+++ b/src/wasabiwick/_handlers/health.py
@@ -72,6 +72,13 @@
         known.phase = Phase.PROBED
 
 
+def reached(state: State, name: str) -> None:
+    """Note that an endpoint answered at all, which ends a probe of one that took no connection."""
+    known = state["health"].endpoints.get(name)
+    if known and known.phase is Phase.PROBED:
+        del state["health"].endpoints[name]
+
+
 def succeeded(state: State, name: str) -> None:
     """Note that an endpoint did its work."""
     known = state["health"].endpoints.get(name)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -438,6 +438,47 @@
         return known is None or known.phase.value == "usable"
 
 
+class TestProbe(unittest.TestCase):
+    """One generation, and no more, tries whether an engine takes connections again.
+
+    Found in an incident: behind a cut, each look at an engine cost several calls 0.4 s.
+    """
+
+    def unreachable(self, host: Host) -> str:
+        """Let an engine be ejected, and wait until it is due for a probe."""
+        call = host.ask("stream")
+        engine_ = host.last(TakeHold, call).endpoint
+        host.hold(call, UNREACHABLE)
+        host.feed(_events.ForwardLeft, call_id=call)
+        host.run(1.01)
+        return engine_
+
+    def test_one_call_at_a_time(self) -> None:
+        host = Host()
+        engine_ = self.unreachable(host)
+        calls = [host.ask("stream") for _ in range(4)]
+        tried = [call for call in calls if host.last(TakeHold, call).endpoint == engine_]
+        self.assertEqual(len(tried), 1)
+        host.hold(tried[0])
+        host.prefill(tried[0])
+        later = host.ask("stream")
+        self.assertEqual(host.last(TakeHold, later).endpoint, engine_)
+
+    def test_a_prefill_engine_too(self) -> None:
+        host = Host(endpoints=(*ENDPOINTS, engine("p1", PREFILL)))
+        call = host.ask("stream")
+        host.hold(call)
+        reader = host.last(ReadPrompt, call).endpoint
+        host.prefill(call, UNREACHABLE)
+        host.feed(_events.ForwardLeft, call_id=call)
+        host.run(1.01)
+        calls = [host.ask("stream") for _ in range(6)]
+        for one in calls:
+            host.hold(one)
+        tried = [host.last(ReadPrompt, one).endpoint for one in calls].count(reader)
+        self.assertEqual(tried, 1)
+
+
 class TestShaky(unittest.TestCase):
     """An engine that breaks streams off gets new ones last.
 
