Let decode engines read prompts themselves where prefill engines are lost or full

Decode engines read prompts themselves only where no prefill engine was left at all, and then without bound. Now a call that has waited 0.2 s for a prefill engine may go to a decode engine that reads no other prompt; the ledger counts the prompt there, so that other hosts see it. One at a time: two would hold an engine's other streams up for over 0.3 s (512 tokens in each step, at half the speed). Ruled out: an earlier order to change a stage, which waits 2.5 s for the list to settle and takes 6 s. Tests: TestOwnReading.

--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -99,7 +99,7 @@
 
 def _read_prompt(state: State, req: Forwarded, at: float) -> typing.Iterator[Step]:
     """Prefill at another engine; where that can't be, the decode engine does it itself."""
-    if req.place.name in req.warm:
+    if req.place.name in req.warm or req.reader is not None:
         yield from _send(state, req, at)
         return
     tokens = req.ask.prompt_tokens
@@ -112,10 +112,9 @@
         return
     req.prefills += 1
     req.phase = forwarding.READING
-    req.reader, req.reading = reader, tokens
     req.read_alone = places.load(state, reader.name, at).reading == 0
     req.sent_at = at
-    places.add_reading(state, reader.name, tokens)
+    forwarding.begin_reading(state, req, reader)
     health.chosen(state, reader.name)
     yield forwarding.log("prefill_sent", req, state, at, endpoint=reader.name, tokens=tokens)
     yield ReadPrompt(
@@ -225,6 +224,7 @@
     """Relay a stream; after a refusal or a failure, look for another place."""
     at = event.at
     if event.streams and event.status == 200:
+        yield from forwarding.finish_reading(state, req, at)
         req.handle = ""  # The engine has fetched it.
         req.reader = None
         req.phase = forwarding.RELAYING
--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -86,8 +86,11 @@
     state: State, req: Forwarded, candidates: list[placing.Candidate], at: float
 ) -> typing.Generator[Step, None, bool]:
     """Take a place for a call; returns whether one was found."""
-    if not placing.can_read(state, req.service, at, _pending(state, req.service)):
-        return False
+    reads_itself = not placing.can_read(state, req.service, at, _pending(state, req.service))
+    if reads_itself:
+        if not placing.may_read_itself(state, req.service, at - req.arrived):
+            return False
+        candidates = [one for one in candidates if not one.reading]
     stream = places.stream_load(state, req.route.name, req.ask, at)
     chosen = placing.choose_decode(state, candidates, stream, at, req.rejected, req.warm)
     if chosen is None:
@@ -98,6 +101,9 @@
     held = placing.hold_tokens(req.ask)
     req.phase = forwarding.HOLDING
     health.chosen(state, endpoint.name)
+    if reads_itself:
+        chosen.reading += stream.prompt
+        forwarding.begin_reading(state, req, endpoint)
     yield forwarding.occupy(state, req, endpoint, stream, at)
     yield forwarding.log(
         "place_chosen",
@@ -109,6 +115,7 @@
         prompt=stream.prompt,
         expected=stream.expected,
         held=held,
+        reads_itself=reads_itself,
     )
     yield TakeHold(
         call_id=req.ask.call_id,
@@ -126,7 +133,7 @@
     return sum(
         req.ask.prompt_tokens
         for req in calls
-        if req.phase == forwarding.HOLDING and req.service == service
+        if req.phase == forwarding.HOLDING and req.service == service and req.reader is None
     )
 
 
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -37,7 +37,8 @@
         ran_at: Endpoint of each send that may have run it.
         rejected: Endpoints that refused it or failed, which are asked again last.
         place: Endpoint whose ledger counts it.
-        reader: Engine that prefills it, while that is under way or its handle is not fetched.
+        reader: Engine that prefills it, while that is under way or its handle is not fetched; its
+            place where that reads the prompt itself.
         lost: Engines whose answer was lost before it began; they may have the prompt in memory.
         read_alone: Whether that engine had no other prompt to prefill, as far as is known.
         hold: Place held at the engine and not used yet.
@@ -206,6 +207,12 @@
     yield PlacesChanged(at=at)
 
 
+def begin_reading(state: State, req: Forwarded, reader: Endpoint) -> None:
+    """Count a call's prompt at the engine that is to read it."""
+    req.reader, req.reading = reader, req.ask.prompt_tokens
+    places.add_reading(state, reader.name, req.reading)
+
+
 def finish_reading(state: State, req: Forwarded, at: float) -> typing.Iterator[Step]:
     """Take a call's prefill out of the ledger."""
     if req.reader is not None and req.reading:
--- a/src/wasabiwick/_handlers/placing.py
+++ b/src/wasabiwick/_handlers/placing.py
@@ -4,6 +4,8 @@
 
 - Bursts of generations, where the KV cache of decode engines fills before anything else: an engine
   is chosen by the memory that its streams will need, not by asking engines one after another.
+- Prefill engines that are lost or full while decode engines have places: those read prompts
+  themselves, one at a time each, as two would hold up the streams of all others for too long.
 - Prompts that arrive together: each goes to the prefill engine that is done with it first, in the
   decode engine's zone where that costs little time.
 - Plain requests: the endpoint with the least work for its slots, in the own zone first.
@@ -18,6 +20,7 @@
 HOLD_OUTPUT = 64  # Output tokens that a hold takes in: what a stream needs to get under way.
 CAUTION = 1.5  # Standard deviations of projected memory that are kept free.
 MOST_READ_WAIT = 0.8  # Seconds of prefill wait at which no more prompts are sent to an engine.
+OWN_READ_WAIT = 0.2  # Seconds, a prefill's own time, after which decode engines read prompts too.
 REFUSED_TIME = 0.3  # Seconds for which a prefill engine that refused a prompt gets no other.
 ZONE_TIME = 0.15  # Seconds of prefill wait that are accepted to keep the KV cache in its zone.
 ZONE_LOAD = 1.0  # Work per slot of the own zone's best endpoint at which other zones are used.
@@ -25,15 +28,26 @@
 
 
 class Candidate:
-    """A decode engine as it is looked at for some requests in a row."""
+    """A decode engine as it is looked at for some requests in a row.
 
-    __slots__ = ("endpoint", "running", "slots", "memory", "projection")
+    ``reading`` counts the prompt tokens that it reads itself.
+    """
+
+    __slots__ = ("endpoint", "running", "reading", "slots", "memory", "projection")
 
     def __init__(
-        self, *, endpoint: Endpoint, running: int, slots: int, memory: int, projection: Projection
+        self,
+        *,
+        endpoint: Endpoint,
+        running: int,
+        reading: int,
+        slots: int,
+        memory: int,
+        projection: Projection,
     ) -> None:
         self.endpoint = endpoint
         self.running = running
+        self.reading = reading
         self.slots = slots
         self.memory = memory
         self.projection = projection
@@ -73,6 +87,7 @@
             Candidate(
                 endpoint=one,
                 running=known.running,
+                reading=known.reading,
                 slots=slots,
                 memory=traits.engine.memory_tokens,
                 projection=projection,
@@ -166,23 +181,33 @@
 def can_read(state: State, service: str, at: float, pending: int) -> bool:
     """Tell whether a prompt would be prefilled before long.
 
-    Where no prefill engine is left, decode engines read prompts themselves.
-
     Args:
         state: The host's state.
         service: Name of the service.
         at: Monotonic time.
         pending: Prompt tokens of calls that are about to be prefilled.
     """
-    listed = directory.usable(state, service, PREFILL)
-    if not any(health.usable(state, one.name) for one in listed):
-        return True
     rate = estimates.read_rate(state, service)
     readers = _readers(state, service, at)
     reading = pending + sum(places.load(state, one.name, at).reading for one in readers)
     return bool(readers) and reading / (rate * len(readers)) < MOST_READ_WAIT
 
 
+def may_read_itself(state: State, service: str, waited: float) -> bool:
+    """Tell whether a decode engine may read a prompt itself, between the tokens of its streams.
+
+    That takes twice as long and slows the engine's streams, so a request waits for a prefill engine
+    first, if there is one.
+
+    Args:
+        state: The host's state.
+        service: Name of the service.
+        waited: Seconds for which the request has waited.
+    """
+    listed = directory.usable(state, service, PREFILL)
+    return waited >= OWN_READ_WAIT or not any(health.usable(state, one.name) for one in listed)
+
+
 def _takes_work(state: State, one: Endpoint, at: float) -> bool:
     return health.usable(state, one.name) and not directory.is_busy(state, one.name, at)
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -438,6 +438,44 @@
         return known is None or known.phase.value == "usable"
 
 
+class TestOwnReading(unittest.TestCase):
+    """Decode engines read prompts themselves where prefill engines are lost or full.
+
+    Found in incident inc-8a34: for 13 s one prefill engine was left of three, prompts queued up
+    there, and calls were refused while decode engines stood half empty.
+    """
+
+    def test_a_call_that_waits_for_a_prefill_engine_goes_to_an_idle_decode_engine(self) -> None:
+        host = Host()
+        calls = [host.ask("stream") for _ in range(12)]
+        for call in calls:
+            if host.of(TakeHold, call):
+                host.hold(call)
+        queued = [call for call in calls if not host.of(TakeHold, call)]
+        self.assertTrue(queued)
+        host.run(0.3)
+        places_ = [host.last(TakeHold, call).endpoint for call in queued if host.of(TakeHold, call)]
+        self.assertEqual(sorted(places_), ["d0", "d1"])  # One at a time each.
+        call = next(call for call in queued if host.of(TakeHold, call))
+        host.hold(call)
+        self.assertEqual(host.of(ReadPrompt, call), [])
+        self.assertEqual(host.last(Forward, call).handle, "")
+        host.answer(call, streams=True)
+        host.run(0.04)
+        self.assertEqual(sum(bool(host.of(TakeHold, call)) for call in queued), 3)
+
+    def test_without_any_prefill_engine_nobody_waits_for_one(self) -> None:
+        host = Host(endpoints=(engine("d0", DECODE), engine("d1", DECODE)))
+        calls = [host.ask("stream") for _ in range(3)]
+        self.assertEqual([len(host.of(TakeHold, call)) for call in calls], [1, 1, 0])
+
+    def test_a_caller_that_leaves_lets_another_prompt_be_read(self) -> None:
+        host = Host(endpoints=(engine("d0", DECODE),))
+        first, second = host.ask("stream"), host.ask("stream")
+        host.feed(_events.ForwardLeft, call_id=first)
+        self.assertEqual(len(host.of(TakeHold, second)), 1)
+
+
 class TestProbe(unittest.TestCase):
     """One generation, and no more, tries whether an engine takes connections again.
 
