--- a/src/wasabiwick/_handlers/neighbours.py
+++ b/src/wasabiwick/_handlers/neighbours.py
@@ -155,7 +155,8 @@
             directory.set_busy(state, endpoint, event.at + seconds)
     if one.loads != event.loads:
         one.loads = event.loads
-        yield PlacesChanged(at=event.at)
+        if len(hosts) < LARGE_FLEET:
+            yield PlacesChanged(at=event.at)  # Otherwise calls that wait look at their next tick.
 
 
 @handles(LoadChanged)
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -189,6 +189,13 @@
         self.assertEqual(host.refusal(call).reason.code, "overloaded")
         self.assertEqual(host.of(TakeHold, call), [])
 
+    def test_one_that_may_come_whole_is_not_refused_while_there_is_room(self) -> None:
+        """Found in incident inc-8a34: 19 callers that had come back were refused at once."""
+        host = site()
+        call = host.ask("stream", seconds=3.5, length_hint=900)  # 3.6 s at the usual rate.
+        self.assertIsNone(host.refusal(call))
+        self.assertEqual(len(host.of(TakeHold, call)), 1)
+
 
 class TestPriority(unittest.TestCase):
     """A more urgent route goes first among those that wait alike."""
