--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -88,9 +88,7 @@
     """Take a place for a call; returns whether one was found."""
     reads_itself = not placing.can_read(state, req.service, at, _pending(state, req.service))
     if reads_itself:
-        if not placing.may_read_itself(state, req.service, at - req.arrived):
-            return False
-        candidates = [one for one in candidates if not one.reading]
+        candidates = placing.own_readers(state, req.service, candidates, at - req.arrived)
     stream = places.stream_load(state, req.route.name, req.ask, at)
     chosen = placing.choose_decode(state, candidates, stream, at, req.rejected, req.warm)
     if chosen is None:
--- a/src/wasabiwick/_handlers/placing.py
+++ b/src/wasabiwick/_handlers/placing.py
@@ -21,6 +21,7 @@
 CAUTION = 1.5  # Standard deviations of projected memory that are kept free.
 MOST_READ_WAIT = 0.8  # Seconds of prefill wait at which no more prompts are sent to an engine.
 OWN_READ_WAIT = 0.2  # Seconds, a prefill's own time, after which decode engines read prompts too.
+OWN_READ_LOAD = 0.5  # Share of its slots up to which such an engine may be in use.
 REFUSED_TIME = 0.3  # Seconds for which a prefill engine that refused a prompt gets no other.
 ZONE_TIME = 0.15  # Seconds of prefill wait that are accepted to keep the KV cache in its zone.
 ZONE_LOAD = 1.0  # Work per slot of the own zone's best endpoint at which other zones are used.
@@ -193,19 +194,27 @@
     return bool(readers) and reading / (rate * len(readers)) < MOST_READ_WAIT
 
 
-def may_read_itself(state: State, service: str, waited: float) -> bool:
-    """Tell whether a decode engine may read a prompt itself, between the tokens of its streams.
+def own_readers(
+    state: State, service: str, candidates: list[Candidate], waited: float
+) -> list[Candidate]:
+    """Return the decode engines that may read a prompt themselves, between their streams' tokens.
 
-    That takes twice as long and slows the engine's streams, so a request waits for a prefill engine
-    first, if there is one.
+    That takes twice as long and slows those streams. So where a prefill engine is left, a request
+    waits for it first, and then only engines with half of their slots free read prompts.
 
     Args:
         state: The host's state.
         service: Name of the service.
+        candidates: Decode engines that may have places.
         waited: Seconds for which the request has waited.
     """
+    idle = [one for one in candidates if not one.reading]
     listed = directory.usable(state, service, PREFILL)
-    return waited >= OWN_READ_WAIT or not any(health.usable(state, one.name) for one in listed)
+    if not any(health.usable(state, one.name) for one in listed):
+        return idle
+    if waited < OWN_READ_WAIT:
+        return []
+    return [one for one in idle if one.running <= OWN_READ_LOAD * one.slots]
 
 
 def _takes_work(state: State, one: Endpoint, at: float) -> bool:
