Try a call that may come too late only while an engine has room

Such calls have to be expected to end at their deadline often. Now this holds only while nobody else waits and an engine has half of its slots free.

--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -64,10 +64,11 @@
         if req is not None and req.phase == forwarding.WAITING
     ]
     candidates = placing.survey(state, service, at) if waiting else []
+    has_room = len(waiting) == 1 and placing.has_room(candidates)
     kept = []
     misses = 0
     for req in sorted(waiting, key=lambda one: rejecting.rank(state, one, at)):
-        if rejecting.is_over(state, req, at):
+        if rejecting.is_over(state, req, at, has_room=has_room):
             yield from _turn_away(state, req, at, len(waiting))
         elif misses >= MISSES or not (yield from _place(state, req, candidates, at)):
             misses += 1
--- a/src/wasabiwick/_handlers/placing.py
+++ b/src/wasabiwick/_handlers/placing.py
@@ -21,7 +21,7 @@
 CAUTION = 1.5  # Standard deviations of projected memory that are kept free.
 MOST_READ_WAIT = 0.8  # Seconds of prefill wait at which no more prompts are sent to an engine.
 OWN_READ_WAIT = 0.2  # Seconds, a prefill's own time, after which decode engines read prompts too.
-OWN_READ_LOAD = 0.5  # Share of its slots up to which such an engine may be in use.
+IDLE_LOAD = 0.5  # Share of its slots up to which an engine has room for what slows others.
 REFUSED_TIME = 0.3  # Seconds for which a prefill engine that refused a prompt gets no other.
 ZONE_TIME = 0.15  # Seconds of prefill wait that are accepted to keep the KV cache in its zone.
 ZONE_LOAD = 1.0  # Work per slot of the own zone's best endpoint at which other zones are used.
@@ -194,6 +194,11 @@
     return bool(readers) and reading / (rate * len(readers)) < MOST_READ_WAIT
 
 
+def has_room(candidates: list[Candidate]) -> bool:
+    """Tell whether a decode engine has half of its slots free."""
+    return any(one.running <= IDLE_LOAD * one.slots for one in candidates)
+
+
 def own_readers(
     state: State, service: str, candidates: list[Candidate], waited: float
 ) -> list[Candidate]:
@@ -214,7 +219,7 @@
         return idle
     if waited < OWN_READ_WAIT:
         return []
-    return [one for one in idle if one.running <= OWN_READ_LOAD * one.slots]
+    return [one for one in idle if one.running <= IDLE_LOAD * one.slots]
 
 
 def _takes_work(state: State, one: Endpoint, at: float) -> bool:
--- a/src/wasabiwick/_handlers/rejecting.py
+++ b/src/wasabiwick/_handlers/rejecting.py
@@ -20,7 +20,7 @@
 RETURNED_SHARE = 0.84  # A caller with less than this share of the route's time has waited before.
 RETURNED_WAIT = 1.5  # Seconds after which a caller that came back goes before new ones.
 LENGTH_MARGIN = 1.2  # Outputs are often longer than expected,
-SHORT_MARGIN = 0.8  # and a third of them is shorter than this share of it.
+SHORT_MARGIN = 0.8  # and three in ten are shorter than this share of it.
 SOONEST = 2.0  # Seconds until a refused caller comes back: bursts last a few seconds.
 SPREAD = 2.0  # Seconds over which returning callers are spread.
 
@@ -57,26 +57,31 @@
     return req.ends - FIRST_OUTPUT - stream_time(state, req.service, req.route.name, req.ask)
 
 
-def is_hopeless(state: State, req: Forwarded, at: float) -> bool:
-    """Tell whether not even a stream much shorter than expected would come whole any more.
-
-    The length is an estimate: a call that may come whole is not refused for it while there is room.
-    """
-    whole = stream_time(state, req.service, req.route.name, req.ask)
-    return at + FIRST_OUTPUT + whole * SHORT_MARGIN / LENGTH_MARGIN > req.ends
-
-
 def stream_time(state: State, service: str, route: str, ask: Ask) -> float:
     """Return the seconds to reckon with from a stream's first event to its end."""
     tokens = estimates.expected_output(state, route, ask)
     return LENGTH_MARGIN * tokens / estimates.token_rate(state, service)
 
 
-def is_over(state: State, req: Forwarded, at: float) -> bool:
-    """Tell whether a request has waited enough, or can't be answered whole any more."""
+def is_over(state: State, req: Forwarded, at: float, *, has_room: bool) -> bool:
+    """Tell whether a request has waited enough, or can't be answered whole any more.
+
+    How long its output will be is an estimate. While engines have room, a request is tried that
+    comes whole if it is somewhat shorter; in a burst its memory serves others better.
+
+    Args:
+        state: The host's state.
+        req: The request.
+        at: Monotonic time.
+        has_room: Whether it could have a place that nobody else waits for.
+    """
     if req.relayed:
         return False
-    return at - req.arrived >= longest_wait(req) or is_hopeless(state, req, at)
+    time_left = latest_begin(state, req) - at
+    if has_room:
+        whole = stream_time(state, req.service, req.route.name, req.ask)
+        time_left += (1.0 - SHORT_MARGIN / LENGTH_MARGIN) * whole
+    return at - req.arrived >= longest_wait(req) or time_left < 0.0
 
 
 def longest_wait(req: Forwarded) -> float:
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -196,6 +196,12 @@
         self.assertIsNone(host.refusal(call))
         self.assertEqual(len(host.of(TakeHold, call)), 1)
 
+    def test_in_a_burst_it_leaves_the_memory_to_others(self) -> None:
+        engines = Engines(site(decode=1))
+        burst(engines, rate=14.0, seconds=2.0)
+        call = engines.host.ask("stream", seconds=3.5, length_hint=900)
+        self.assertEqual(engines.host.refusal(call).reason.code, "overloaded")
+
 
 class TestPriority(unittest.TestCase):
     """A more urgent route goes first among those that wait alike."""
