Serve engines that hold no places, or have no stages

Without holds the ledger alone stands for a place; an engine without a stage reads and decodes. Tests: TestSimpleEngines, which fail on the code before.

--- a/src/wasabiwick/_handlers/directory.py
+++ b/src/wasabiwick/_handlers/directory.py
@@ -9,7 +9,7 @@
 
 from .._effects import Count, LogLine, StartTimer
 from .._events import EndpointsRead, FeedChanged, PlacesChanged, TimerFired
-from .._forwarding import Endpoint
+from .._forwarding import DECODE, Endpoint
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
@@ -75,11 +75,15 @@
 
 
 def usable(state: State, service: str, stage: str = "") -> list[Endpoint]:
-    """Return the endpoints of a service that may get new work, those of one stage if named."""
+    """Return the endpoints of a service that may get new work, those of one stage if named.
+
+    An engine without a stage prefills and decodes, so it counts as one that decodes.
+    """
+    stages = (stage, "") if stage == DECODE else (stage,)
     return [
         one
         for one in state["directory"].endpoints.values()
-        if one.service == service and not one.leaving and (not stage or one.stage == stage)
+        if one.service == service and not one.leaving and (not stage or one.stage in stages)
     ]
 
 
--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -10,7 +10,7 @@
 from .._effects import StartTimer
 from .._effects_forwarding import TakeHold
 from .._errors import NO_ENDPOINT, OVERLOADED
-from .._events import PlacesChanged, TimerFired
+from .._events import HoldAnswered, PlacesChanged, TimerFired
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
@@ -116,12 +116,18 @@
         held=held,
         reads_itself=reads_itself,
     )
+    if not traits.hold_time:
+        # These engines hold no places: the ledger alone stands for one.
+        yield HoldAnswered(
+            at=at, call_id=req.ask.call_id, endpoint=endpoint.name, hold="", failure=None
+        )
+        return True
     yield TakeHold(
         call_id=req.ask.call_id,
         endpoint=endpoint.name,
         address=endpoint.address,
         tokens=held,
-        seconds=min(HOLD_TIME, traits.hold_time or HOLD_TIME),
+        seconds=min(HOLD_TIME, traits.hold_time),
     )
     return True
 
--- a/tests/_forward.py
+++ b/tests/_forward.py
@@ -72,12 +72,14 @@
     )
 
 
-def table(version: int = 1, *, memory: int = 33_860, slots: int = 12) -> RouteTable:
+def table(
+    version: int = 1, *, memory: int = 33_860, slots: int = 12, hold_time: float = 2.0
+) -> RouteTable:
     """Return a table with a route of each kind, and a stream that can't be resumed."""
     engine = EngineTraits(
         slots=slots,
         memory_tokens=memory,
-        hold_time=2.0,
+        hold_time=hold_time,
         handle_time=0.5,
         switch_time=6.0,
         stride=12,
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -476,6 +476,27 @@
         self.assertEqual(len(host.of(TakeHold, second)), 1)
 
 
+class TestSimpleEngines(unittest.TestCase):
+    """Engines of other deployments: some hold no places, some have no stages."""
+
+    def test_without_holds_the_ledger_stands_for_the_place(self) -> None:
+        host = Host()
+        host.feed(_events.RoutesRead, table=table(2, hold_time=0.0))
+        call = host.ask("stream")
+        self.assertEqual(host.of(TakeHold, call), [])
+        host.prefill(call)
+        self.assertEqual(host.last(Forward, call).hold, "")
+        host.answer(call, streams=True)
+        self.assertEqual(sum(one.running for one in host.state["places"].own.values()), 1)
+
+    def test_without_stages_an_engine_does_both(self) -> None:
+        host = Host(endpoints=(engine("e0", ""), engine("e1", "")))
+        call = host.ask("stream")
+        host.hold(call)
+        self.assertEqual(host.of(ReadPrompt, call), [])
+        self.assertIn(host.last(Forward, call).endpoint, ("e0", "e1"))
+
+
 class TestProbe(unittest.TestCase):
     """One generation, and no more, tries whether an engine takes connections again.
 
