--- a/src/wasabiwick/_reducer.py
+++ b/src/wasabiwick/_reducer.py
@@ -52,6 +52,11 @@
     return register
 
 
+def handlers_of(event: type[Event]) -> tuple[Handler, ...]:
+    """Return the handlers of a type of event, in the order in which they see it."""
+    return tuple(_BY_EVENT.get(event, ()))
+
+
 def reduce(state: State, event: Event) -> list[Effect]:
     """Apply one event to the state.
 
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -8,6 +8,9 @@
 import unittest
 
 import wasabiwick
+from wasabiwick import _events, _handlers, _reducer
+
+assert _handlers  # Imported for its registrations.
 
 SOURCES = pathlib.Path(wasabiwick.__file__).parent
 FOLDER = SOURCES / "platform"
@@ -104,6 +107,28 @@
         self.assertEqual(sorted(left), [])
 
 
+class TestOrderOfHandlers(unittest.TestCase):
+    """A generation sees an event before the ledgers and measures do, which read what it changed.
+
+    Found by the bench: when generations came after the ledgers, 1.6% of the goodput was lost.
+    """
+
+    def order(self, event: type) -> list[str]:
+        """Return the modules whose handlers see an event, in their order."""
+        return [one.__module__.rpartition(".")[2] for one in _reducer.handlers_of(event)]
+
+    def test_generations_come_first(self) -> None:
+        self.assertEqual(
+            self.order(_events.StreamProgress), ["generation", "slots_progress", "measures"]
+        )
+        self.assertEqual(self.order(_events.StreamEnded), ["generation", "admission", "measures"])
+        self.assertEqual(
+            self.order(_events.PrefillDone), ["generation", "slots_progress", "measures"]
+        )
+        self.assertEqual(self.order(_events.CallerGone)[:2], ["generation", "calls"])
+        self.assertEqual(self.order(_events.AttemptFailed)[1:3], ["cancels", "generation"])
+
+
 class TestHandlers(unittest.TestCase):
     """Handlers take from each other only what exists; the linter does not see that."""
 
