Log how answers are framed, and streams that end inside an event

Cause of this change: the hosts log such a call as `served`, and no line tells whether the endpoint's answer had a length or chunks, or whether an event was left open at its end. So three hypotheses (an unframed answer closed inside an event; one closed between events; a noticed break that the host itself ends as complete) can't be told apart. Change: `AnswerCame` carries `has_length`, which the line `served` shows; `stream_ended_inside_event` names engine and left-over bytes. No decision changes.

--- a/src/wasabiwick/_events/_forwarding.py
+++ b/src/wasabiwick/_events/_forwarding.py
@@ -199,16 +199,26 @@
 class AnswerCame(TryEvent):
     """An endpoint answered a try, with the head of a stream or a whole answer.
 
-    ``not_run`` is true if the endpoint said that it has not run the request.
+    ``not_run`` is true if the endpoint said that it has not run the request. ``has_length`` is
+    false if the answer ends with its connection.
     """
 
-    __slots__ = ("status", "not_run", "streams")
+    __slots__ = ("status", "not_run", "streams", "has_length")
 
-    def __init__(self, *, status: int, not_run: bool, streams: bool, **fields: typing.Any) -> None:
+    def __init__(
+        self,
+        *,
+        status: int,
+        not_run: bool,
+        streams: bool,
+        has_length: bool = True,
+        **fields: typing.Any,
+    ) -> None:
         super().__init__(**fields)
         self.status = status
         self.not_run = not_run
         self.streams = streams
+        self.has_length = has_length
 
 
 class TryFailed(TryEvent):
--- a/src/wasabiwick/_handlers/forward_arrivals.py
+++ b/src/wasabiwick/_handlers/forward_arrivals.py
@@ -89,6 +89,7 @@
     """Pass an answer to the call's newest try on to the module that serves the call."""
     req = forwarding.call(state, event.call_id)
     if req is not None and req.number == event.number:
+        req.has_length = event.has_length
         yield from _handler_module(state, req).on_answer(state, req, event)
 
 
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -61,6 +61,7 @@
         begun_events: Number of events that the caller had at `begun_at`.
         sent_at: Monotonic time at which the newest prefill or try was sent.
         relay_begun: Whether this host has begun to relay a stream to the caller.
+        has_length: Whether the newest answer states its length or comes in chunks.
     """
 
     __slots__ = (
@@ -86,6 +87,7 @@
         "begun_events",
         "sent_at",
         "relay_begun",
+        "has_length",
     )
 
     def __init__(self, *, ask: Ask, route: Route, service: str, arrived_at: float) -> None:
@@ -111,6 +113,7 @@
         self.begun_events = 0
         self.sent_at = 0.0
         self.relay_begun = False
+        self.has_length = True
 
     @property
     def possible_runs(self) -> int:
@@ -345,5 +348,6 @@
         endpoint=req.place.name if req.place else "-",
         tries=req.number,
         events=req.events,
+        has_length=req.has_length,
     )
     yield from close_call(state, req, event.at)
--- a/src/wasabiwick/_http1.py
+++ b/src/wasabiwick/_http1.py
@@ -54,6 +54,8 @@
         status: Status of the answer, once its head has arrived.
         headers: Headers of the answer, names in lower case.
         ended: Whether the answer is complete.
+        has_length: Whether the answer states its length or comes in chunks; otherwise it ends with
+            the connection.
         kept_until: Monotonic time until which the connection may be used again.
     """
 
@@ -62,6 +64,7 @@
         "status",
         "headers",
         "ended",
+        "has_length",
         "kept_until",
         "_parser",
         "_chunks",
@@ -71,7 +74,6 @@
         "_is_busy",
         "_has_head",
         "_error",
-        "_has_length",
         "_is_lost",
         "_on_lost",
     )
@@ -89,13 +91,13 @@
         self.status = 0
         self.headers: list[Header] = []
         self.ended = False
+        self.has_length = False
         self._parser = httptools.HttpResponseParser(self)
         self._chunks: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
         self._is_paused = False
         self._has_head = False
         self._error = ""
-        self._has_length = False
 
     # --- Public interface ------------------------------------------------------------------------
 
@@ -174,7 +176,7 @@
         return ""
 
     def _may_be_kept(self) -> bool:
-        return self._has_length and "close" not in self.header(b"connection").lower()
+        return self.has_length and "close" not in self.header(b"connection").lower()
 
     def _keep_time(self) -> float:
         for part in self.header(b"keep-alive").split(","):
@@ -234,7 +236,7 @@
 
     def eof_received(self) -> None:
         """Treat the end of input as the end of an answer that has no length."""
-        if self._is_busy and self._has_head and not self.ended and not self._has_length:
+        if self._is_busy and self._has_head and not self.ended and not self.has_length:
             self.ended = True
         self._fail("closed by the endpoint")
 
@@ -268,7 +270,7 @@
         self.status = status
         names = {name for name, _ in self.headers}
         chunked = "chunked" in self.header(b"transfer-encoding").lower()
-        self._has_length = chunked or b"content-length" in names or status in (204, 304)
+        self.has_length = chunked or b"content-length" in names or status in (204, 304)
         self._has_head = True
 
     def on_body(self, body: bytes) -> None:
--- a/src/wasabiwick/_performers/forwarding.py
+++ b/src/wasabiwick/_performers/forwarding.py
@@ -334,6 +334,7 @@
                 status=answer.status,
                 not_run=answer.not_run,
                 streams=answer.streams,
+                has_length=answer.has_length,
             )
         )
         return await decision == effect.number
@@ -365,6 +366,14 @@
                 reported = splitter.events
                 runner.post(self._progress_event(StreamMoved))
         if splitter.rest:
+            log_event(
+                "stream_ended_inside_event",
+                level="WARNING",
+                call=self._effect.call_id,
+                endpoint=self._effect.endpoint,
+                bytes=len(splitter.rest),
+                has_length=answer.has_length,
+            )
             await call.write(splitter.rest)
         runner.post(self._progress_event(StreamDone))
         call.end_stream()
--- a/src/wasabiwick/_ports/endpoints.py
+++ b/src/wasabiwick/_ports/endpoints.py
@@ -34,12 +34,16 @@
 
 
 class Answer(typing.Protocol):
-    """An answer of an endpoint, available once its status and headers have arrived."""
+    """An answer of an endpoint, available once its status and headers have arrived.
+
+    ``has_length`` is false if only the end of its connection shows where the answer ends.
+    """
 
     status: int
     headers: list[tuple[bytes, bytes]]
     not_run: bool
     streams: bool
+    has_length: bool
 
     async def chunk(self) -> bytes:
         """Return the next bytes of the body, empty at its end; raises `BrokenAnswerError`."""
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -65,13 +65,22 @@
         conn: The connection.
     """
 
-    __slots__ = ("status", "headers", "not_run", "streams", "_conn", "_return_connection")
+    __slots__ = (
+        "status",
+        "headers",
+        "not_run",
+        "streams",
+        "has_length",
+        "_conn",
+        "_return_connection",
+    )
 
     def __init__(self, *, pool: ConnectionPool, effect: Forward, conn: Connection) -> None:
         self.status = conn.status
         self.headers: list[Header] = conn.headers
         self.not_run = conn.status == MISDIRECTED or bool(conn.header(_names.NOT_EXECUTED))
         self.streams = conn.header(b"content-type").startswith(EVENT_STREAM)
+        self.has_length = conn.has_length
         self._conn: Connection | None = conn
         self._return_connection = lambda: pool.release(
             effect.endpoint, effect.address, conn, max_idle=effect.connections
