Add failing tests: unframed streams closed inside an event

An engine that sends no length and no chunks and closes its connection inside an event does the same to a caller here.

--- a/tests/_platform.py
+++ b/tests/_platform.py
@@ -138,6 +138,8 @@
         refusals_left: How many of the next requests it refuses as not executed.
         failures_left: How many of the next requests it answers with its own 500.
         cuts_left: How many of the next streams it cuts off in the middle of an event.
+        states_length: Whether its streams come in chunks; otherwise they end with the connection,
+            which is closed and not reset where a stream is cut off.
         unanswered_left: How many of the next prefills it runs without ever answering.
         unsealed_left: How many of the next requests it runs and answers without the seal, which
             marks an answer as the endpoint's own.
@@ -158,6 +160,7 @@
         self.refusals_left = 0
         self.failures_left = 0
         self.cuts_left = 0
+        self.states_length = True
         self.unanswered_left = 0
         self.unsealed_left = 0
         self.events = 5
@@ -259,23 +262,44 @@
         return await self._stream(req, seal)
 
     async def _stream(self, req: web.Request, seal: dict[str, str]) -> web.StreamResponse:
-        resp = web.StreamResponse(headers={**seal, "Content-Type": "text/event-stream"})
-        await resp.prepare(req)
+        headers = {**seal, "Content-Type": "text/event-stream"}
+        resp = web.StreamResponse(headers=headers)
+        if self.states_length:
+            await resp.prepare(req)
+            write = resp.write
+        else:
+            head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+            req.transport.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode())
+            write = _writer_to(req.transport)
         self.running_streams += 1
         try:
             for number in range(int(req.headers.get("Last-Event-Id", 0)) + 1, self.events + 1):
                 if self.cuts_left and number == 3:
                     self.cuts_left -= 1
-                    await resp.write(b"id: 3\ndata: br")
-                    req.transport.abort()
+                    await write(b"id: 3\ndata: br")
+                    if self.states_length:
+                        req.transport.abort()
                     return resp
-                await resp.write(b"id: %d\ndata: part %d\n\n" % (number, number))
+                await write(b"id: %d\ndata: part %d\n\n" % (number, number))
                 await asyncio.sleep(self.event_interval)
         finally:
             self.running_streams -= 1
+            if not self.states_length:
+                req.transport.close()
         return resp
 
 
+def _writer_to(
+    transport: asyncio.Transport,
+) -> typing.Callable[[bytes], typing.Coroutine[None, None, None]]:
+    """Return a function that writes raw bytes to a connection."""
+
+    async def write(data: bytes) -> None:
+        transport.write(data)
+
+    return write
+
+
 def config(version: int = 1, **route: object) -> dict[str, object]:
     """Return the operator's configuration, with a route of each kind, and ``route`` if given."""
 
--- a/tests/test_on_platform.py
+++ b/tests/test_on_platform.py
@@ -34,6 +34,7 @@
 retry-budget-ratio = 0.2
 budget-slack = 52
 """
+EVENTS = b"".join(b"id: %d\ndata: part %d\n\n" % (number, number) for number in range(1, 6))
 TOKEN_HEADERS = {"X-Wasabiwick-Token-Count": "100,60", "X-Wasabiwick-Model": "m"}
 
 
@@ -236,10 +237,30 @@
             async with self.site.request("/stream/x") as resp:
                 bodies.append(await resp.read())
         for body in bodies:
-            parts = [b"id: %d\ndata: part %d\n\n" % (n, n) for n in range(1, 6)]
-            self.assertEqual(body, b"".join(parts))
+            self.assertEqual(body, EVENTS)
         self.assertEqual(self.site.endpoints["d0"].cuts_left, 0)
 
+    async def test_stream_closed_inside_an_event_is_resumed(self) -> None:
+        """A stream without a length or chunks was taken for complete when its connection closed."""
+        await self.site.wait_for_feeds()
+        for name in ("d0", "d1"):
+            self.site.endpoints[name].states_length = False
+        self.site.endpoints["d0"].cuts_left = 1
+        for _ in range(3):
+            async with self.site.request("/stream/x") as resp:
+                self.assertEqual(await resp.read(), EVENTS)
+        self.assertEqual(self.site.endpoints["d0"].cuts_left, 0)
+
+    async def test_stream_closed_inside_an_event_never_looks_complete(self) -> None:
+        """A stream without a length or chunks was taken for complete when its connection closed."""
+        await self.site.wait_for_feeds()
+        for name in ("d0", "d1"):
+            self.site.endpoints[name].states_length = False
+            self.site.endpoints[name].cuts_left = 1
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            async with self.site.request("/stream/x") as resp:
+                await resp.read()
+
     async def test_unanswered_prefill_is_repeated(self) -> None:
         await self.site.wait_for_feeds()
         self.site.endpoints["p0"].unanswered_left = 1
