Treat a stream that ends inside an event as broken off

Cause: a stream with neither length nor chunks ends with its connection. _http1 takes the close for the end of the answer, as it has to; the relay then wrote the rest of the open event and ended its own chunked answer as complete. The class of fault: the end of a connection is taken for the end of an answer, where the content shows that more was due. Change: `EventSplitter.is_inside_event` tells whether an event is open at the end; then the try has failed, as after a reset: resumed after the last whole event where the route allows it, cut off otherwise. Blank lines and comments are no event. Why it works: nothing of an open event is ever written, and the only way to `end_stream` is past this check. A stream that is closed between two events can't be told from a whole one; it stays so.

--- a/src/wasabiwick/_event_stream.py
+++ b/src/wasabiwick/_event_stream.py
@@ -3,6 +3,7 @@
 import re
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+_FIELD_LINE = re.compile(rb"^[^:\r\n]", re.MULTILINE)
 _ID_FIELD = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
 
 
@@ -22,6 +23,11 @@
         self.last_id = b""
         self.rest = b""
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun and is not complete; blank lines and comments are no event."""
+        return _FIELD_LINE.search(self.rest) is not None
+
     def feed(self, data: bytes) -> bytes:
         """Add bytes, and return the bytes of all events that are complete now."""
         data = self.rest + data
--- a/src/wasabiwick/_performers/forwarding.py
+++ b/src/wasabiwick/_performers/forwarding.py
@@ -365,15 +365,9 @@
             if splitter.events - reported >= PROGRESS_EVENTS:
                 reported = splitter.events
                 runner.post(self._progress_event(StreamMoved))
+        if splitter.is_inside_event:
+            raise BrokenAnswerError(f"ended inside an event, {len(splitter.rest)} bytes into it")
         if splitter.rest:
-            log_event(
-                "stream_ended_inside_event",
-                level="WARNING",
-                call=self._effect.call_id,
-                endpoint=self._effect.endpoint,
-                bytes=len(splitter.rest),
-                has_length=answer.has_length,
-            )
             await call.write(splitter.rest)
         runner.post(self._progress_event(StreamDone))
         call.end_stream()
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -226,6 +226,19 @@
         self.assertEqual((splitter.events, splitter.last_id), (1, b"1"))
         self.assertEqual(splitter.rest, b"id: 2\nda")
 
+    def test_inside_an_event_until_its_blank_line(self) -> None:
+        for size in range(len(self.EVENTS) + 1):
+            splitter = EventSplitter()
+            splitter.feed(self.EVENTS[:size])
+            at_end = size == 0 or self.EVENTS[:size].endswith(b"\n\n")
+            self.assertEqual(splitter.is_inside_event, not at_end, self.EVENTS[:size])
+
+    def test_blank_lines_and_comments_are_no_event(self) -> None:
+        for rest in (b"\n", b"\r\n", b": still here\n", b": still"):
+            splitter = EventSplitter()
+            splitter.feed(self.EVENTS + rest)
+            self.assertFalse(splitter.is_inside_event, rest)
+
     def test_id_within_data_is_ignored(self) -> None:
         splitter = EventSplitter()
         splitter.feed(b"id: 1\ndata: id: 9\n\n")
--- a/tests/test_on_platform.py
+++ b/tests/test_on_platform.py
@@ -261,6 +261,14 @@
             async with self.site.request("/stream/x") as resp:
                 await resp.read()
 
+    async def test_stream_closed_between_events_is_complete(self) -> None:
+        await self.site.wait_for_feeds()
+        for name in ("d0", "d1"):
+            self.site.endpoints[name].states_length = False
+        async with self.site.request("/stream/x") as resp:
+            self.assertEqual(await resp.read(), EVENTS)
+        self.assertEqual(len(self.requests_to("d0") + self.requests_to("d1")), 1)
+
     async def test_unanswered_prefill_is_repeated(self) -> None:
         await self.site.wait_for_feeds()
         self.site.endpoints["p0"].unanswered_left = 1
