Resume or cut off broken streams of plain services

What callers would see: a stream route whose service has no model engines broke off midway, and the caller got the stream from its first event again, or a second answer's head and an error body inside its stream, ended as complete. Cause: forward_plain did not know that a stream had begun: it sent the request again without the last event's id, and refused or relayed a failure as if nothing had been written. Evidence: found while looking for the same cause elsewhere; the four new tests of TestStreamOfPlainService fail on the code before. Change: relaying a stream is recorded; then a retry resumes after the last event, and any other end of the call cuts the stream off.

--- a/src/wasabiwick/_handlers/forward_plain.py
+++ b/src/wasabiwick/_handlers/forward_plain.py
@@ -3,7 +3,8 @@
 Load pattern handled: some endpoints fail a part of their requests. A safe request that failed is
 retried at another endpoint, within the route's ``max_attempts`` and the retry budget. An unsafe
 request is sent again only if the endpoint says that it has not run the request, or accepted no
-connection.
+connection. A stream that broke off continues at another endpoint after the last event that its
+caller got, where the route is resumable; otherwise it is cut off.
 """
 
 import typing
@@ -65,6 +66,7 @@
         number=req.number,
         deadline=req.ends_at,
         connections=placing.connection_limit(state, req.service, at),
+        resume=req.events > 0,
         quiet=TRY_TIMEOUT_SHARE * req.route.target_latency if may_retry else 0.0,
     )
 
@@ -81,25 +83,39 @@
     if event.not_run:
         req.mark_not_run()
         yield Count(metric="endpoint_refusals", label=req.service)
-        yield from _retry(state, req, event.at, ENDPOINT_REFUSED, status=event.status)
+        yield from _retry(state, req, event.at, ENDPOINT_REFUSED, answer=event)
         return
     if event.status < SERVER_ERROR:
         health.record_success(state, event.endpoint)
-        yield Relay(call_id=req.ask.call_id, number=req.number)
+        yield from _relay(state, req, event)
         return
     yield from forwarding.note_failure(state, req, event.endpoint, None, event.at)
     if _may_retry(state, req, event.at):
-        yield from _retry(state, req, event.at, ENDPOINT_FAILED, status=event.status)
+        yield from _retry(state, req, event.at, ENDPOINT_FAILED, answer=event)
         return
     # The request is not retried, so the caller gets the endpoint's own error.
     yield forwarding.log(
         "relayed_failure", req, state, event.at, endpoint=event.endpoint, status=event.status
     )
+    yield from _relay(state, req, event)
+
+
+def _relay(state: State, req: ForwardedCall, event: AnswerCame) -> typing.Iterator[Step]:
+    """Relay an answer; a stream that has begun takes only the rest of that stream."""
+    if event.streams and event.status == 200:
+        req.phase = forwarding.RELAYING
+        req.relay_begun = True
+    elif req.relay_begun:
+        yield from forwarding.refuse_call(
+            state, req, event.at, ENDPOINT_FAILED, endpoint=event.endpoint, status=event.status
+        )
+        return
     yield Relay(call_id=req.ask.call_id, number=req.number)
 
 
 def on_failure(state: State, req: ForwardedCall, event: TryFailed) -> typing.Iterator[Step]:
-    """Retry at another endpoint after a try without an answer, where that is allowed."""
+    """Retry at another endpoint after a try without a whole answer, where that is allowed."""
+    req.events = event.events
     not_run = event.failure.verdict is Verdict.NOT_RUN
     if not_run:
         req.mark_not_run()
@@ -128,7 +144,7 @@
     at: float,
     reason: object,
     *,
-    status: int = 0,
+    answer: AnswerCame | None = None,
     failure: Failure | None = None,
 ) -> typing.Iterator[Step]:
     """Send the request to another endpoint, if the retry budget allows it.
@@ -145,11 +161,11 @@
         yield Count(metric="forward_repeats", label=req.service)
         yield from start(state, req, at)
         return
-    if status and not req.may_have_run:
+    if answer is not None and not req.may_have_run:
         reason = ENDPOINT_REFUSED
     yield Count(metric="budget_empty", label=req.service)
-    if status and req.may_have_run:
-        yield Relay(call_id=req.ask.call_id, number=req.number)
+    if answer is not None and req.may_have_run:
+        yield from _relay(state, req, answer)
         return
     yield from forwarding.refuse_call(
         state,
@@ -159,5 +175,5 @@
         retry_after=RETRY_AFTER,
         endpoint=endpoint,
         budget=0,
-        status=status or "-",
+        status=answer.status if answer is not None else "-",
     )
--- a/tests/_forward.py
+++ b/tests/_forward.py
@@ -75,7 +75,7 @@
 def table(
     version: int = 1, *, memory: int = 33_860, slots: int = 12, hold_time: float = 2.0
 ) -> RouteTable:
-    """Return a table with a route of each kind, and one of streams that can't be resumed."""
+    """Return a table with a route of each kind, and streams of both services to resume or not."""
     engine = EngineTraits(
         slots=slots,
         memory_tokens=memory,
@@ -90,6 +90,8 @@
             route(STREAM, MODEL),
             route(STREAM, MODEL, name="draft", resumable=False, max_attempts=1),
             route(SAFE, APP),
+            route(STREAM, APP, name="feed"),
+            route(STREAM, APP, name="news", resumable=False, max_attempts=1),
             route(UNSAFE, APP, max_attempts=1),
         ),
         services=(
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -175,6 +175,47 @@
                 self.assertEqual(may_have_run, 0, seed)
 
 
+class TestStreamOfPlainService(unittest.TestCase):
+    """A stream of a plain service that broke off is resumed or cut off, never begun again."""
+
+    def stream(self, path: str) -> tuple[Host, str]:
+        host = Host()
+        call = host.ask(path)
+        host.answer(call, streams=True)
+        return host, call
+
+    def test_a_broken_stream_resumes_after_its_last_event(self) -> None:
+        host, call = self.stream("feed")
+        host.fail(call, BROKEN, events=3)
+        first, second = host.effects_of(Forward, call)
+        self.assertNotEqual(first.endpoint, second.endpoint)
+        self.assertEqual((first.resume, second.resume), (False, True))
+
+    def test_a_broken_stream_that_cannot_be_resumed_is_cut_off(self) -> None:
+        host, call = self.stream("news")
+        host.fail(call, BROKEN, events=3)
+        self.assertEqual(len(host.effects_of(Forward, call)), 1)
+        self.assertTrue(host.effects_of(CutForward, call))
+        self.assertIsNone(host.refusal(call))
+
+    def test_no_failure_is_relayed_into_a_stream(self) -> None:
+        for not_run in (True, False):
+            host, call = self.stream("feed")
+            host.fail(call, BROKEN, events=3)
+            host.answer(call, 503 if not_run else 500, not_run=not_run)
+            self.assertEqual(len(host.effects_of(Relay, call)), 1)
+            self.assertTrue(host.effects_of(CutForward, call))
+
+    def test_no_failure_is_relayed_into_a_stream_without_budget(self) -> None:
+        host = Host(slack=1.0)
+        call = host.ask("feed")
+        host.answer(call, streams=True)
+        host.fail(call, BROKEN, events=3)
+        host.answer(call, 503, not_run=True)
+        self.assertEqual(len(host.effects_of(Relay, call)), 1)
+        self.assertTrue(host.effects_of(CutForward, call))
+
+
 class TestStream(unittest.TestCase):
     """A place at a decode engine is reserved before the prefill, and freed when its call ends."""
 
