Take a reset within an unframed service answer for a failure

What callers would see: on our own interface, a service's answer without a length or chunks that was reset on the way came as the service's whole answer, and was recorded as the outcome of a call that may run once. Cause: the client library feeds the end of the connection, a reset too, to such a body as its end; _http1 tells the two apart, the service adapter did not. Change: read_body looks how the connection ended where an answer states no length; the failure says MAY_HAVE_RUN.

--- a/src/wasabiwick/_adapters/_http.py
+++ b/src/wasabiwick/_adapters/_http.py
@@ -60,6 +60,28 @@
     )
 
 
+async def read_body(resp: aiohttp.ClientResponse) -> bytes:
+    """Return the whole body of an answer.
+
+    The client library takes any end of the connection for the end of an answer that has neither a
+    length nor chunks. Such an answer is complete only if the connection was closed, not reset.
+
+    Raises:
+        aiohttp.ClientError: If the body is incomplete.
+    """
+    protocol = None if resp.connection is None else resp.connection.protocol
+    body = await resp.read()
+    if _has_length(resp) or protocol is None:
+        return body
+    if isinstance(protocol.exception(), OSError):
+        raise aiohttp.ClientPayloadError("reset within an answer without a length")
+    return body
+
+
+def _has_length(resp: aiohttp.ClientResponse) -> bool:
+    return "Content-Length" in resp.headers or "Transfer-Encoding" in resp.headers
+
+
 async def request_json(
     session: aiohttp.ClientSession,
     method: str,
@@ -94,7 +116,7 @@
         ):
             if resp.status >= 400:
                 return failure_from_status(resp.status, address)
-            raw = await resp.read()
+            raw = await read_body(resp)
     except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as exc:
         return failure_from_error(exc, address)
     if answer is None:
--- a/src/wasabiwick/_adapters/_service.py
+++ b/src/wasabiwick/_adapters/_service.py
@@ -7,7 +7,7 @@
 from .._errors import Failure
 from .._ports import ServiceAnswer
 from .._settings import Timing
-from ._http import failure_from_error
+from ._http import failure_from_error, read_body
 
 
 class HttpService:
@@ -68,6 +68,7 @@
                     method, url, data=body or None, headers=headers, allow_redirects=False
                 ) as resp,
             ):
+                await read_body(resp)
                 text = await resp.text()
                 return ServiceAnswer(status=resp.status, body=text, content_type=resp.content_type)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as exc:
