Reset the connection of an HTTP/1.0 caller whose answer is cut off

What callers would see: to an HTTP/1.0 caller an answer has no chunks and ends with its connection, so a stream that the host cut off came as complete. Cause: aborting a transport closes it without a reset if nothing is unread; only HTTP/1.1 shows the missing last chunk. Evidence: the new test reads a clean end of input on the code before. Change: abort_answer, for both interfaces, asks for a reset where the request is older than HTTP/1.1. Nothing changes for HTTP/1.1, whose last events a reset could discard.

--- a/src/wasabiwick/_entry.py
+++ b/src/wasabiwick/_entry.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from . import _asks
+from ._abort import abort_answer
 from ._answers import (
     DONE,
     HEARTBEAT,
@@ -303,8 +304,7 @@
             await resp.write_eof()
             self._answered = True
             return resp
-        # The missing final chunk shows the client that the answer is incomplete.
-        self._abort_connection()
+        abort_answer(self._req)
         return resp
 
     def _answer_with(self, end: Failure | CompleteAnswer | Closed | None) -> web.StreamResponse:
@@ -318,13 +318,9 @@
                 body=end.body.encode(),
                 headers={"Content-Type": end.content_type, **self._headers()},
             )
-        self._abort_connection()
+        abort_answer(self._req)
         return web.Response(status=499)
 
-    def _abort_connection(self) -> None:
-        if self._req.transport:
-            self._req.transport.abort()
-
     def _headers(self) -> dict[str, str]:
         return {REQUEST_HEADER: self._call.call_id}
 
--- a/src/wasabiwick/_forward_entry.py
+++ b/src/wasabiwick/_forward_entry.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from ._abort import abort_answer
 from ._answers import error_body
 from ._errors import Failure
 from ._events import ForwardAnswered, ForwardArrived, ForwardLeft
@@ -79,9 +80,8 @@
         self._end(self._resp)
 
     def abort(self) -> None:
-        """Abort the connection; the missing last chunk shows that the answer is incomplete."""
-        if self._req.transport is not None:
-            self._req.transport.abort()
+        """Abort the connection, so that the answer looks incomplete."""
+        abort_answer(self._req)
         self._end(None)
 
     def _end(self, resp: web.StreamResponse | None) -> None:
--- a/tests/test_on_platform.py
+++ b/tests/test_on_platform.py
@@ -269,6 +269,21 @@
             self.assertEqual(await resp.read(), EVENTS)
         self.assertEqual(len(self.requests_to("d0") + self.requests_to("d1")), 1)
 
+    async def test_cut_stream_never_looks_complete_to_http_1_0(self) -> None:
+        """An HTTP/1.0 answer has no chunks, so a plain close ends it as complete."""
+        await self.site.wait_for_feeds()
+        for name in ("d0", "d1"):
+            self.site.endpoints[name].cuts_left = 1
+        host, _, port = self.site.daemon.callers.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b"POST /stream/x HTTP/1.0\r\nHost: example\r\nX-Wasabiwick-Attempt-Id: old\r\n"
+            b"X-Wasabiwick-Token-Count: 100,60\r\nX-Wasabiwick-Deadline-Ms: 5000\r\n\r\n"
+        )
+        with self.assertRaises(ConnectionResetError):
+            await reader.read()
+        writer.close()
+
     async def test_unanswered_prefill_is_repeated(self) -> None:
         await self.site.wait_for_feeds()
         self.site.endpoints["p0"].unanswered_left = 1
