Log the build of engines, and what a resumed call resumes

Cause of this change: the entry's `version`, the version of an engine's software, was not read, and no line told which attempt a caller resumes. So three hypotheses (the host's own resumption within one answer, a caller's later try, an engine restarted under its id with another build) can't be told apart in the logs. Change: `Endpoint.build`, shown by `endpoint_listed` and `sent`; `sent` of a stream also shows `resumes` and `events`.

--- a/src/wasabiwick/_forwarding.py
+++ b/src/wasabiwick/_forwarding.py
@@ -153,9 +153,21 @@
         slots: Largest number of requests that it processes at once.
         stage: ``prefill`` or ``decode`` for a model engine, otherwise empty.
         cold: Seconds after its start for which it is still slow.
+        build: Version of its software, or empty if unknown.
     """
 
-    __slots__ = ("name", "born", "service", "address", "zone", "leaving", "slots", "stage", "cold")
+    __slots__ = (
+        "name",
+        "born",
+        "service",
+        "address",
+        "zone",
+        "leaving",
+        "slots",
+        "stage",
+        "cold",
+        "build",
+    )
 
     def __init__(
         self,
@@ -169,6 +181,7 @@
         leaving: bool = False,
         stage: str = "",
         cold: float = 0.0,
+        build: str = "",
     ) -> None:
         self.name = name
         self.born = born
@@ -179,6 +192,7 @@
         self.slots = slots
         self.stage = stage
         self.cold = cold
+        self.build = build
 
 
 class Listing(Record):
@@ -212,6 +226,7 @@
         max_tokens: Limit of the output, in tokens.
         length_hint: The caller's estimate of the output's length in tokens; 0 if it gave none.
         resumed: Whether the caller resumes a stream.
+        resumes: Trace id of the call that brought the first event of a resumed stream, or empty.
     """
 
     __slots__ = (
@@ -224,6 +239,7 @@
         "max_tokens",
         "length_hint",
         "resumed",
+        "resumes",
     )
 
     def __init__(
@@ -238,6 +254,7 @@
         max_tokens: int = 0,
         length_hint: int = 0,
         resumed: bool = False,
+        resumes: str = "",
     ) -> None:
         self.call_id = call_id
         self.trace_id = trace_id
@@ -248,6 +265,7 @@
         self.max_tokens = max_tokens
         self.length_hint = length_hint
         self.resumed = resumed
+        self.resumes = resumes
 
 
 class StreamLoad(Record):
--- a/src/wasabiwick/_handlers/directory.py
+++ b/src/wasabiwick/_handlers/directory.py
@@ -173,10 +173,12 @@
         previous_endpoint.leaving,
         previous_endpoint.stage,
         previous_endpoint.born,
+        previous_endpoint.build,
     ) != (
         endpoint.leaving,
         endpoint.stage,
         endpoint.born,
+        endpoint.build,
     ):
         if previous_endpoint is not None and previous_endpoint.stage != endpoint.stage:
             # The new stage shows that the order was carried out.
@@ -186,6 +188,7 @@
             "service": endpoint.service,
             "zone": endpoint.zone,
             "stage": endpoint.stage or "-",
+            "build": endpoint.build or "-",
             "leaving": endpoint.leaving,
             "offset": directory_state.offsets[endpoint.name],
         }
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -210,6 +210,9 @@
         endpoint=endpoint.name,
         zone=endpoint.zone,
         tries=req.number,
+        build=endpoint.build or "-",
+        resumes=req.ask.resumes or "-",
+        events=req.events,
         source=req.prefill_engine.name if req.handle else "-",
     )
     yield Forward(
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -341,6 +341,7 @@
             max_tokens=int(_header_number(max_output)),
             length_hint=int(_header_number(values.get(_names.LENGTH_HINT, ""))),
             resumed=_names.LAST_EVENT_ID in values,
+            resumes=values.get(_names.RESUMES, ""),
         )
 
     def failure_headers(self, ask: Ask, failure: Failure) -> dict[str, str]:
--- a/src/wasabiwick/platform/_names.py
+++ b/src/wasabiwick/platform/_names.py
@@ -13,6 +13,7 @@
 STAGE = PREFIX + b"stage"
 TOKEN_COUNT = PREFIX + b"token-count"
 LAST_EVENT_ID = b"last-event-id"
+RESUMES = b"resumes"
 
 # Headers that only this system may set; if a caller sends them, they are removed.
 SYSTEM_HEADERS = frozenset(
--- a/src/wasabiwick/platform/_records.py
+++ b/src/wasabiwick/platform/_records.py
@@ -66,6 +66,7 @@
     cold_remaining_ms: float = 0.0
     stage: str = ""
     born: int = 0
+    version: str = ""
 
 
 class ClaimRecord(msgspec.Struct):
@@ -151,6 +152,7 @@
         slots=server.slots,
         stage=server.stage,
         cold=round(server.cold_remaining_ms / MS_PER_S),
+        build=server.version,
     )
 
 
