Resume a broken stream only at the build that began it

Cause: the host resumes a stream at the engine that placement likes best, by load, zone and recent failures. The class: work that depends on where it began is placed as if it were new. Evidence: two tests of TestWithinOneAnswer failed before this commit. Change: the events that a caller has bind its call to the build of the engine that made them; decode engines and plain endpoints are chosen within it. While none of them is left the call is cut off at once, as waiting would not help. A call that waits for its build does not keep calls behind it from other engines. An engine that came back with another build after its place was chosen is not sent the request. The stream that has no event yet may begin anywhere.

--- a/src/wasabiwick/_handlers/directory.py
+++ b/src/wasabiwick/_handlers/directory.py
@@ -56,6 +56,11 @@
     return one is not None and not one.leaving
 
 
+def decodes_build(state: State, service: str, build: str) -> bool:
+    """Return whether an engine of a build takes new streams; an empty build stands for any."""
+    return any(build in ("", one.build) for one in usable_endpoints(state, service, DECODE))
+
+
 def is_source_up(state: State) -> bool:
     """Return whether the list's source answers."""
     return state["directory"].is_up
--- a/src/wasabiwick/_handlers/forward_plain.py
+++ b/src/wasabiwick/_handlers/forward_plain.py
@@ -4,7 +4,8 @@
 retried at another endpoint, within the route's ``max_attempts`` and the retry budget. An unsafe
 request is sent again only if the endpoint says that it has not run the request, or accepted no
 connection. A stream that broke off continues at another endpoint after the last event that its
-caller got, where the route is resumable; otherwise it is cut off.
+caller got, where the route is resumable, and only at one of the same build; otherwise it is cut
+off.
 """
 
 import typing
@@ -38,7 +39,7 @@
 
 def start(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
     """Send a request to the endpoint with the least work; refuse it if no endpoint is free."""
-    endpoint = placing.choose_plain(state, req.service, at, req.avoid)
+    endpoint = placing.choose_plain(state, req.service, at, req.avoid, req.build)
     if endpoint is None:
         listed_names = [one.name for one in directory.usable_endpoints(state, req.service)]
         yield from forwarding.refuse_call(
@@ -115,7 +116,7 @@
 
 def on_failure(state: State, req: ForwardedCall, event: TryFailed) -> typing.Iterator[Step]:
     """Retry at another endpoint after a try without a whole answer, where that is allowed."""
-    req.events = event.events
+    req.note_broken_off(event.events)
     not_run = event.failure.verdict is Verdict.NOT_RUN
     if not_run:
         req.mark_not_run()
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -2,8 +2,8 @@
 
 Load pattern handled: decode memory is nearly full. If a prompt were prefilled before its place is
 reserved, there might be no place for it, and the prefill would be wasted. Where the route is
-resumable, a stream that breaks off continues at another engine after the last event that its caller
-got.
+resumable, a stream that breaks off continues after the last event that its caller got, at another
+engine of the same build: engines don't check it, but what two builds write does not fit together.
 """
 
 import typing
@@ -197,7 +197,8 @@
 def _send(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
     """Send the request to its decode engine, or requeue it if the engine takes no new work."""
     endpoint = req.place
-    if not directory.is_usable(state, endpoint.name):
+    listed = directory.endpoint(state, endpoint.name)
+    if listed is None or listed.leaving or listed.build != endpoint.build:
         yield forwarding.log("place_leaving", req, state, at, endpoint=endpoint.name)
         yield from _requeue(state, req, at)
         return
@@ -287,7 +288,7 @@
 
 def on_failure(state: State, req: ForwardedCall, event: TryFailed) -> typing.Iterator[Step]:
     """Retry after a stream broke off or never began, where that is allowed; otherwise refuse."""
-    req.events = event.events
+    req.note_broken_off(event.events)
     not_run = event.failure.verdict is Verdict.NOT_RUN
     was_unstable = places.is_unstable(state, event.endpoint, event.at)
     if not_run:
--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -3,7 +3,8 @@
 Load pattern handled: more generations than the decode engines have room for. Requests that can
 still meet their route's latency target go before late ones, more urgent routes before others, and
 then the request that has waited longest. A request that can no longer be served is refused at once,
-and its caller is told when to retry.
+and its caller is told when to retry. So is one whose stream was begun by a build of which no decode
+engine is left.
 """
 
 import typing
@@ -15,7 +16,7 @@
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
-from . import forwarding, health, places, placing, rejecting, routes
+from . import directory, forwarding, health, places, placing, rejecting, routes
 from .forwarding import ForwardedCall
 
 QUEUE_CHECK_INTERVAL = 0.03  # Seconds between checks of queues that are not empty.
@@ -73,10 +74,11 @@
     still_waiting_calls = []
     misses = 0
     for req in sorted(waiting_calls, key=lambda one: rejecting.rank(state, one, at)):
-        if rejecting.should_refuse(state, req, at, has_room=has_room):
+        if rejecting.should_refuse(state, req, at, has_room=has_room) or not _has_build(state, req):
             yield from _refuse_waiting(state, req, at, len(waiting_calls))
         elif misses >= MAX_MISSES or not (yield from _assign_place(state, req, candidates, at)):
-            misses += 1
+            # Other engines may have room for calls that any build can serve.
+            misses += not req.build
             still_waiting_calls.append(req)
     if still_waiting_calls:
         still_waiting_calls.sort(key=lambda one: one.arrived_at)
@@ -88,6 +90,11 @@
         yield StartTimer(timer="forward_waiting", delay=QUEUE_CHECK_INTERVAL)
 
 
+def _has_build(state: State, req: ForwardedCall) -> bool:
+    """Return whether any engine may serve a call, now or once it has room."""
+    return not req.build or directory.decodes_build(state, req.service, req.build)
+
+
 def _assign_place(
     state: State, req: ForwardedCall, candidates: list[placing.Candidate], at: float
 ) -> typing.Generator[Step, None, bool]:
@@ -99,6 +106,8 @@
         candidates = placing.self_prefill_candidates(
             state, req.service, candidates, at - req.arrived_at
         )
+    if req.build:
+        candidates = [one for one in candidates if one.endpoint.build == req.build]
     stream = places.stream_load(state, req.route.name, req.ask, at)
     candidate = placing.choose_decode(state, candidates, stream, at, req.avoid, req.warm_engines)
     if candidate is None:
@@ -159,8 +168,9 @@
         state,
         req,
         at,
-        OVERLOADED if load_summary["engines"] else NO_ENDPOINT,
+        OVERLOADED if load_summary["engines"] and _has_build(state, req) else NO_ENDPOINT,
         retry_after=rejecting.retry_after(state, req, at),
         waiting=waiting_count,
+        build=req.build or "-",
         **load_summary,
     )
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -62,6 +62,8 @@
         sent_at: Monotonic time at which the newest prefill or try was sent.
         relay_begun: Whether this host has begun to relay a stream to the caller.
         has_length: Whether the newest answer states its length or comes in chunks.
+        build: Build that began the caller's stream, at which alone it may go on; empty if the
+            stream has not begun, or engines state no build.
     """
 
     __slots__ = (
@@ -88,6 +90,7 @@
         "sent_at",
         "relay_begun",
         "has_length",
+        "build",
     )
 
     def __init__(self, *, ask: Ask, route: Route, service: str, arrived_at: float) -> None:
@@ -114,6 +117,7 @@
         self.sent_at = 0.0
         self.relay_begun = False
         self.has_length = True
+        self.build = ""
 
     @property
     def possible_runs(self) -> int:
@@ -143,6 +147,12 @@
         is_first = endpoint not in self.lost and not repeated
         (self.lost if is_first else self.avoid).append(endpoint)
 
+    def note_broken_off(self, events: int) -> None:
+        """Record how many events the caller has; once it has any, they bind it to their build."""
+        self.events = events
+        if events and not self.build:
+            self.build = self.place.build
+
     def begin_try(self, at: float) -> None:
         """Count a try at the call's place; from now on the endpoint there may run the request."""
         self.number += 1
--- a/src/wasabiwick/_handlers/placing.py
+++ b/src/wasabiwick/_handlers/placing.py
@@ -266,16 +266,21 @@
     return own_load.running if own_load else 0
 
 
-def choose_plain(state: State, service: str, at: float, avoid: list[str]) -> Endpoint | None:
+def choose_plain(
+    state: State, service: str, at: float, avoid: list[str], build: str = ""
+) -> Endpoint | None:
     """Return the endpoint of a plain service with the least work per slot, or None.
 
-    Endpoints of other zones and endpoints that failed recently count as having more work.
+    Endpoints of other zones and endpoints that failed recently count as having more work. If a
+    build is given, only endpoints of that build are chosen.
     """
     max_connections = connection_limit(state, service, at)
     connectable_endpoints = [
         one
         for one in directory.usable_endpoints(state, service)
-        if one.name not in avoid and _own_running(state, one.name) < max_connections
+        if one.name not in avoid
+        and build in ("", one.build)
+        and _own_running(state, one.name) < max_connections
     ]
     usable_endpoints = [
         one for one in connectable_endpoints if health.is_usable(state, one.name)
--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -6,7 +6,7 @@
 from wasabiwick._effects_forwarding import CutForward, Forward, TakeHold
 from wasabiwick._verdict import Verdict
 
-from ._forward import BROKEN, DECODE, PREFILL, Host, engine
+from ._forward import BROKEN, DECODE, PREFILL, Host, engine, plain
 
 OLD, NEW = "v1", "v1.1"
 MIXED = (
@@ -74,6 +74,29 @@
         self.assertNotEqual(build_of(host, call), first)
 
 
+class TestPlainService(unittest.TestCase):
+    """Streams of plain services are bound to their build too."""
+
+    def test_stream_never_goes_on_at_another_build(self) -> None:
+        host = Host(endpoints=(plain("s0", build=OLD), plain("s1", build=OLD)))
+        call = host.ask("feed")
+        host.answer(call, streams=True)
+        host.read_list(plain("s2", build=NEW), plain("s3", build=NEW))
+        for _ in range(6):
+            host.ask("safe")
+        host.fail(call, BROKEN, events=3)
+        first, second = host.effects_of(Forward, call)
+        self.assertEqual({first.endpoint, second.endpoint}, {"s0", "s1"})
+
+    def test_stream_without_a_build_left_is_cut_off(self) -> None:
+        host = Host(endpoints=(plain("s0", build=OLD), plain("s1", build=NEW)))
+        call = host.ask("feed")
+        host.answer(call, streams=True)
+        host.fail(call, BROKEN, events=3)
+        self.assertEqual(len(host.effects_of(Forward, call)), 1)
+        self.assertTrue(host.effects_of(CutForward, call))
+
+
 class TestResumedCall(unittest.TestCase):
     """A caller's later try goes on at the build that began the stream, or is refused."""
 
