Resume a caller's stream only at the build that began it

Cause: a resumed call names in Resumes the attempt that brought its first event, but only the host that served that attempt knew at which build, and it did not keep that. Any host placed the call as a new one. Change: a new slice, builds, keeps which build began each stream for twice the longest time-out of a stream route. Hosts tell each other their streams along with their loads, twice, and all of them to a host that starts. A resumed call is bound to that build, ranks with streams that the host itself resumes, and is refused at once if no engine of the build is left. A stream that no host has told is resumed only while one build alone was seen for as long as a stream lasts, which hosts tell each other too; otherwise it is refused as not run.

--- a/src/wasabiwick/_adapters/_datagrams.py
+++ b/src/wasabiwick/_adapters/_datagrams.py
@@ -1,4 +1,4 @@
-"""Sends and receives UDP datagrams between hosts; each carries all of its sender's load."""
+"""Sends and receives UDP datagrams between hosts: all of the sender's load, and new streams."""
 
 import asyncio
 
@@ -6,19 +6,21 @@
 
 from .._effects_forwarding import TellLoad
 from .._events import LoadTold
-from .._forwarding import EndpointLoad, StreamLoad
+from .._forwarding import BegunStream, EndpointLoad, StreamLoad
 from .._logging import log_event
 from .._runner import Runner
 from .._wire import Owner
 
 
 class LoadDatagram(msgspec.Struct, array_like=True):
-    """A host's load at endpoints.
+    """A host's load at endpoints, and streams that began at it.
 
     ``busy`` maps each engine that is changing its stage to the milliseconds that this may take.
     ``loads`` maps each endpoint to its number of running requests, its prompt tokens still to
     prefill, and its streams. A stream is given by its prompt and its expected output, in tokens,
     and the milliseconds since its first token; these are negative while that is still expected.
+    ``begun`` holds streams that began at the host: name, service, build and the milliseconds since.
+    ``builds`` maps each service with several builds to the milliseconds since each was listed.
     """
 
     host: str
@@ -29,6 +31,8 @@
     stopping: bool
     busy: dict[str, int]
     loads: dict[str, tuple[int, int, list[tuple[int, int, int]]]]
+    begun: list[tuple[str, str, str, int]] = []
+    builds: dict[str, dict[str, int]] = {}
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -88,6 +92,14 @@
                     )
                     for name, load in effect.loads.items()
                 },
+                begun=[
+                    (one.name, one.service, one.build, int((now - one.began) * 1000))
+                    for one in effect.begun
+                ],
+                builds={
+                    service: {build: int(age * 1000) for build, age in builds.items()}
+                    for service, builds in effect.builds.items()
+                },
             )
         )
         for address in effect.addresses:
@@ -123,6 +135,14 @@
                 loads=loads,
                 stopping=datagram.stopping,
                 busy={name: left / 1000 for name, left in datagram.busy.items()},
+                begun=tuple(
+                    BegunStream(name=name, service=service, build=build, began=now - since / 1000)
+                    for name, service, build, since in datagram.begun
+                ),
+                builds={
+                    service: {build: age / 1000 for build, age in builds.items()}
+                    for service, builds in datagram.builds.items()
+                },
             )
         )
 
--- a/src/wasabiwick/_effects_forwarding.py
+++ b/src/wasabiwick/_effects_forwarding.py
@@ -2,7 +2,7 @@
 
 from ._effects import Effect
 from ._errors import Failure
-from ._forwarding import EndpointLoad
+from ._forwarding import BegunStream, EndpointLoad
 
 
 class ForwardEffect(Effect):
@@ -183,13 +183,14 @@
 
 
 class TellLoad(Effect):
-    """Report this host's load at endpoints to other hosts.
+    """Report this host's load at endpoints, and streams that began here, to other hosts.
 
     ``busy`` holds the engines that are changing between prefill and decode, with the seconds that
-    the change may still take.
+    the change may still take. ``builds`` holds the services with several builds: each build, with
+    the seconds since it was listed.
     """
 
-    __slots__ = ("addresses", "sequence", "loads", "stopping", "busy")
+    __slots__ = ("addresses", "sequence", "loads", "stopping", "busy", "begun", "builds")
 
     def __init__(
         self,
@@ -199,12 +200,16 @@
         loads: dict[str, EndpointLoad],
         stopping: bool,
         busy: dict[str, float],
+        begun: tuple[BegunStream, ...] = (),
+        builds: dict[str, dict[str, float]] | None = None,
     ) -> None:
         self.addresses = tuple(addresses)
         self.sequence = sequence
         self.loads = loads
         self.stopping = stopping
         self.busy = busy
+        self.begun = tuple(begun)
+        self.builds = builds or {}
 
 
 class AskWhetherBusy(Effect):
--- a/src/wasabiwick/_events/_forwarding.py
+++ b/src/wasabiwick/_events/_forwarding.py
@@ -3,7 +3,7 @@
 import typing
 
 from .._errors import Failure
-from .._forwarding import Ask, EndpointLoad, Listing, RouteTable
+from .._forwarding import Ask, BegunStream, EndpointLoad, Listing, RouteTable
 from .._wire import Owner
 from ._base import Event
 from ._host import Booted
@@ -98,10 +98,22 @@
     """Another host reported its load at endpoints.
 
     ``address`` is where the sender receives datagrams. ``busy`` holds the engines that are changing
-    between prefill and decode, with the seconds that the change may still take.
+    between prefill and decode, with the seconds that the change may still take. ``begun`` holds
+    streams that began there, and ``builds`` the services with several builds: each build, with the
+    seconds since it was listed.
     """
 
-    __slots__ = ("sender", "zone", "address", "sequence", "loads", "stopping", "busy")
+    __slots__ = (
+        "sender",
+        "zone",
+        "address",
+        "sequence",
+        "loads",
+        "stopping",
+        "busy",
+        "begun",
+        "builds",
+    )
 
     def __init__(
         self,
@@ -114,6 +126,8 @@
         loads: dict[str, EndpointLoad],
         stopping: bool = False,
         busy: dict[str, float] | None = None,
+        begun: tuple[BegunStream, ...] = (),
+        builds: dict[str, dict[str, float]] | None = None,
     ) -> None:
         super().__init__(at=at)
         self.sender = sender
@@ -123,6 +137,8 @@
         self.loads = loads
         self.stopping = stopping
         self.busy = busy or {}
+        self.begun = tuple(begun)
+        self.builds = builds or {}
 
 
 class ForwardArrived(Event):
--- a/src/wasabiwick/_forwarding.py
+++ b/src/wasabiwick/_forwarding.py
@@ -285,6 +285,25 @@
         self.begins = begins
 
 
+class BegunStream(Record):
+    """A stream that has begun at an endpoint.
+
+    Args:
+        name: Trace id of the call that brought its first event.
+        service: Name of the service.
+        build: Build of the endpoint, at which alone the stream may go on.
+        began: Monotonic time at which it began, or went on last.
+    """
+
+    __slots__ = ("name", "service", "build", "began")
+
+    def __init__(self, *, name: str, service: str, build: str, began: float) -> None:
+        self.name = name
+        self.service = service
+        self.build = build
+        self.began = began
+
+
 class EndpointLoad(Record):
     """Load of one endpoint, caused by one host or by several together.
 
--- /dev/null
+++ b/src/wasabiwick/_handlers/builds.py
@@ -0,0 +1,133 @@
+"""Builds: remembers which build began each stream, so that its caller can resume it there.
+
+What engines of two builds write does not fit together, and engines don't check it. A caller whose
+stream broke off resumes it at any host. So each host tells the others which streams began at it.
+A stream that no host has told of is resumed only if one build alone has served for as long as a
+stream can last; otherwise its caller is refused.
+
+Load pattern handled: a release during which engines of two or more builds serve, while hosts and
+engines are lost and callers return within a second. Streams are told along with the load, soon
+after they begin, and each one `TELLS` times, as datagrams get lost. A host that starts is told all.
+"""
+
+from .._events import EndpointsRead, LoadTold
+from .._forwarding import BegunStream
+from .._reducer import handles
+from .._settings import Settings
+from .._state import State, state_slice
+from . import directory, routes
+
+TELLS = 2  # Datagrams in which a stream is told to the other hosts.
+MAX_TOLD = 40  # Most streams in one datagram, so that it fits into one packet.
+# A stream is remembered for this multiple of its route's time-out, since a caller resumes it within
+# the time that it waits in all.
+KEEP_TIMEOUTS = 2.0
+MIN_KEEP_TIME_S = 30.0
+
+
+@state_slice("builds")
+class BuildsState:
+    """Streams that began at any host, by the trace id of the call that brought the first event.
+
+    ``tells_left`` holds for this host's own streams how often they are still to be told. ``seen``
+    holds for each service the builds of its listed endpoints, with the monotonic time at which one
+    was last listed.
+    """
+
+    __slots__ = ("streams", "own", "tells_left", "seen")
+
+    def __init__(self, cfg: Settings) -> None:
+        self.streams: dict[str, BegunStream] = {}
+        self.own: set[str] = set()
+        self.tells_left: dict[str, int] = {}
+        self.seen: dict[str, dict[str, float]] = {}
+
+
+def keep_time(state: State) -> float:
+    """Return for how many seconds a stream is remembered."""
+    return max(MIN_KEEP_TIME_S, KEEP_TIMEOUTS * routes.longest_stream_timeout(state))
+
+
+def begin_stream(state: State, stream: BegunStream) -> None:
+    """Remember a stream that began at this host, and tell the other hosts of it."""
+    builds_state = state["builds"]
+    builds_state.streams[stream.name] = stream
+    builds_state.own.add(stream.name)
+    builds_state.tells_left[stream.name] = TELLS
+
+
+def begun_stream(state: State, name: str) -> BegunStream | None:
+    """Return the stream whose first event a call brought, or None if this host doesn't know it."""
+    return state["builds"].streams.get(name)
+
+
+def sole_build(state: State, service: str, at: float) -> str | None:
+    """Return the only build that served while a stream can last; None if there were several."""
+    builds = _recent_builds(state, service, at)
+    return next(iter(builds), "") if len(builds) <= 1 else None
+
+
+def _recent_builds(state: State, service: str, at: float) -> dict[str, float]:
+    """Return the builds seen while a stream can last, with the seconds since then."""
+    keep = keep_time(state)
+    seen = state["builds"].seen.get(service, {})
+    return {build: at - when for build, when in seen.items() if at - when <= keep}
+
+
+def mixed_services(state: State, at: float) -> dict[str, dict[str, float]]:
+    """Return the services with several recent builds: each build, and the seconds since it."""
+    recent_builds = {name: _recent_builds(state, name, at) for name in state["builds"].seen}
+    return {name: builds for name, builds in recent_builds.items() if len(builds) > 1}
+
+
+def take_untold(state: State) -> tuple[BegunStream, ...]:
+    """Return the streams that the next datagram tells, and count them as told once more."""
+    builds_state = state["builds"]
+    names = list(builds_state.tells_left)[-MAX_TOLD:]
+    for name in names:
+        builds_state.tells_left[name] -= 1
+        if not builds_state.tells_left[name]:
+            del builds_state.tells_left[name]
+    return tuple(builds_state.streams[name] for name in names)
+
+
+def has_untold(state: State) -> bool:
+    """Return whether more streams wait to be told than fit into one datagram."""
+    return len(state["builds"].tells_left) > MAX_TOLD
+
+
+def tell_all(state: State) -> None:
+    """Tell all own streams once more, as a host has started that knows none of them."""
+    builds_state = state["builds"]
+    for name in builds_state.own:
+        builds_state.tells_left.setdefault(name, 1)
+
+
+@handles(EndpointsRead)
+def note_builds(state: State, event: EndpointsRead) -> None:
+    """Record which builds are listed, and forget streams that can't be resumed any more."""
+    for one in directory.all_endpoints(state):
+        _see(state, one.service, one.build, event.at)
+    builds_state = state["builds"]
+    oldest = event.at - keep_time(state)
+    for name in [name for name, one in builds_state.streams.items() if one.began < oldest]:
+        del builds_state.streams[name]
+        builds_state.own.discard(name)
+        builds_state.tells_left.pop(name, None)
+
+
+def _see(state: State, service: str, build: str, at: float) -> None:
+    seen = state["builds"].seen.setdefault(service, {})
+    seen[build] = max(at, seen.get(build, at))
+
+
+@handles(LoadTold)
+def streams_told(state: State, event: LoadTold) -> None:
+    """Remember the streams and builds that another host tells."""
+    for stream in event.begun:
+        known = begun_stream(state, stream.name)
+        if known is None or known.began < stream.began:
+            state["builds"].streams[stream.name] = stream
+    for service, builds in event.builds.items():
+        for build, age in builds.items():
+            _see(state, service, build, event.at - age)
--- a/src/wasabiwick/_handlers/directory.py
+++ b/src/wasabiwick/_handlers/directory.py
@@ -61,6 +61,11 @@
     return any(build in ("", one.build) for one in usable_endpoints(state, service, DECODE))
 
 
+def all_endpoints(state: State) -> list[Endpoint]:
+    """Return all listed endpoints, also those that are leaving."""
+    return list(state["directory"].endpoints.values())
+
+
 def is_source_up(state: State) -> bool:
     """Return whether the list's source answers."""
     return state["directory"].is_up
--- a/src/wasabiwick/_handlers/forward_arrivals.py
+++ b/src/wasabiwick/_handlers/forward_arrivals.py
@@ -5,6 +5,7 @@
 from .._effects import Count, LogLine
 from .._effects_forwarding import RefuseForward
 from .._errors import (
+    BUILD_UNKNOWN,
     DEADLINE_PASSED,
     ENDPOINT_SILENT,
     NO_CONFIGURATION,
@@ -19,7 +20,7 @@
 from .._reducer import Step, handles, on_timer
 from .._state import State
 from .._verdict import Verdict
-from . import forward_plain, forward_streams, forwarding, rejecting, retry_budget, routes
+from . import builds, forward_plain, forward_streams, forwarding, rejecting, retry_budget, routes
 from .forwarding import ForwardedCall
 from .host import stop_by
 
@@ -27,6 +28,9 @@
 NO_ROUTES_RETRY_AFTER = 0.5
 # Seconds after which callers are told to retry where another host can answer at once.
 OTHER_HOST_RETRY_AFTER = 0.1
+# Seconds after which callers are told to retry whose stream this host does not know; by then other
+# hosts should have told it.
+BUILD_RETRY_AFTER = 0.5
 
 
 @handles(ForwardArrived)
@@ -45,11 +49,30 @@
         return
     service = routes.pick_service(state, route)
     req = ForwardedCall(ask=ask, route=route, service=service, arrived_at=at)
+    is_bound = not (ask.resumed and route.kind == STREAM) or _bind_build(state, req, at)
     yield from forwarding.open_call(state, req, at)
-    retry_budget.count_request(state, service, at)
+    retry_budget.count_request(state, req.service, at)
+    if not is_bound:
+        yield from forwarding.refuse_call(
+            state, req, at, BUILD_UNKNOWN, retry_after=BUILD_RETRY_AFTER, resumes=ask.resumes or "-"
+        )
+        return
     yield from _handler_module(state, req).start(state, req, at)
 
 
+def _bind_build(state: State, req: ForwardedCall, at: float) -> bool:
+    """Bind a resumed call to the service and build of its stream; returns whether it is known."""
+    stream = builds.begun_stream(state, req.ask.resumes)
+    if stream is not None:
+        if any(name == stream.service for name, _ in req.route.services):
+            req.service = stream.service
+        req.build = stream.build
+        return True
+    sole_build = builds.sole_build(state, req.service, at)
+    req.build = sole_build or ""
+    return sole_build is not None
+
+
 def _can_finish_before_stop(state: State, route: Route, ask: Ask, at: float) -> bool:
     """Return whether the whole answer can be expected before the stopping host ends."""
     seconds = route.target_latency
--- a/src/wasabiwick/_handlers/forward_plain.py
+++ b/src/wasabiwick/_handlers/forward_plain.py
@@ -104,8 +104,7 @@
 def _relay(state: State, req: ForwardedCall, event: AnswerCame) -> typing.Iterator[Step]:
     """Relay an answer; a stream that has begun takes only the rest of that stream."""
     if event.streams and event.status == 200:
-        req.phase = forwarding.RELAYING
-        req.relay_begun = True
+        yield forwarding.begin_relay(state, req, event.at)
     elif req.relay_begun:
         yield from forwarding.refuse_call(
             state, req, event.at, ENDPOINT_FAILED, endpoint=event.endpoint, status=event.status
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -249,8 +249,7 @@
         yield from forwarding.finish_prefill(state, req, at)
         req.handle = ""  # The decode engine has fetched the KV cache.
         req.prefill_engine = None
-        req.phase = forwarding.RELAYING
-        req.relay_begun = True
+        yield forwarding.begin_relay(state, req, at)
         req.begun_at, req.begun_events = at, req.events
         places.begin_stream(state, event.endpoint, req.ask.call_id, at)
         health.record_success(state, event.endpoint)
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -10,12 +10,12 @@
 from .._effects_forwarding import CutForward, DropHold, DropTry, FreeHandle, RefuseForward
 from .._errors import ENDPOINT_FAILED, ENDPOINT_UNREACHABLE, Failure, Reason
 from .._events import ForwardAnswered, LoadChanged, PlacesChanged
-from .._forwarding import Ask, Endpoint, Route, StreamLoad
+from .._forwarding import Ask, BegunStream, Endpoint, Route, StreamLoad
 from .._reducer import Step, handles
 from .._settings import Settings
 from .._state import State, state_slice
 from .._verdict import Verdict
-from . import directory, health, neighbours, places, routes
+from . import builds, directory, health, neighbours, places, routes
 from .host import busy_check
 
 # HTTP statuses by which a caller knows that its request has not run and never will.
@@ -219,6 +219,20 @@
     return LoadChanged(at=at, of_stream=stream is not None)
 
 
+def begin_relay(state: State, req: ForwardedCall, at: float) -> Step:
+    """Record that a stream has begun at the call's place and is relayed to the caller."""
+    req.phase = RELAYING
+    req.relay_begun = True
+    stream = BegunStream(
+        name=req.ask.resumes or req.ask.trace_id,
+        service=req.service,
+        build=req.place.build,
+        began=at,
+    )
+    builds.begin_stream(state, stream)
+    return LoadChanged(at=at, of_stream=True)
+
+
 def release_place(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
     """Release a call's place and prefill engine, and cancel a hold that was not used."""
     yield from release_prefill_engine(state, req, at)
--- a/src/wasabiwick/_handlers/neighbours.py
+++ b/src/wasabiwick/_handlers/neighbours.py
@@ -28,7 +28,7 @@
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
-from . import directory
+from . import builds, directory
 
 SEND_INTERVAL = 1.0  # Seconds between datagrams of a host whose load does not change.
 BATCH_DELAY = 0.01  # Seconds for which changes are collected into one datagram.
@@ -155,9 +155,11 @@
     if neighbour is None:
         neighbour = hosts[name] = Neighbour(address=event.address, zone=event.zone, at=event.at)
         yield LogLine(event="host_found", fields={"host": name, "zone": event.zone})
-        yield from _schedule_send(state, event.at)
     if neighbour.incarnation == event.sender.incarnation and event.sequence <= neighbour.sequence:
         return
+    if neighbour.incarnation != event.sender.incarnation:
+        builds.tell_all(state)
+        yield from _schedule_send(state, event.at)
     neighbour.address = event.address
     neighbour.incarnation = event.sender.incarnation
     neighbour.sequence = event.sequence
@@ -234,4 +236,8 @@
             loads=loads,
             stopping=state.stopping,
             busy=directory.busy_endpoints(state, at),
+            begun=builds.take_untold(state),
+            builds=builds.mixed_services(state, at),
         )
+        if builds.has_untold(state):
+            yield from _schedule_send(state, at)
--- a/src/wasabiwick/_handlers/rejecting.py
+++ b/src/wasabiwick/_handlers/rejecting.py
@@ -49,12 +49,13 @@
 def rank(state: State, req: ForwardedCall, at: float) -> tuple[int, int, float]:
     """Return the sort key by which waiting requests get places; the lowest comes first.
 
-    Streams that broke off come first, as their callers wait in the middle of an answer. Next come
+    Streams that broke off come first, whether this host or their caller resumes them, as their
+    callers wait in the middle of an answer. Next come
     callers that were refused before and have now waited for `RETURNED_MIN_WAIT`, then requests
     that can meet their latency target, and last all others. Within a group, requests are sorted by
     the route's priority and then by arrival, or in the last group by `latest_start`.
     """
-    if req.relay_begun:
+    if req.relay_begun or req.ask.resumed:
         group = 0
     elif has_returned(req):
         group = 1 if at - req.arrived_at >= RETURNED_MIN_WAIT else 3
--- a/src/wasabiwick/_handlers/routes.py
+++ b/src/wasabiwick/_handlers/routes.py
@@ -2,7 +2,7 @@
 
 from .._effects import Count, LogLine
 from .._events import PlacesChanged, RoutesRead
-from .._forwarding import Route, RouteTable, ServiceTraits
+from .._forwarding import STREAM, Route, RouteTable, ServiceTraits
 from .._reducer import Step, handles
 from .._settings import Settings
 from .._state import State, state_slice
@@ -10,15 +10,19 @@
 
 @state_slice("routes")
 class RoutesState:
-    """The table in force, its routes by host with the longest prefix first, and its services."""
+    """The table in force, its routes by host with the longest prefix first, and its services.
 
-    __slots__ = ("table", "read_at", "by_host", "services")
+    ``stream_timeout`` is the longest time-out of its stream routes, in seconds.
+    """
+
+    __slots__ = ("table", "read_at", "by_host", "services", "stream_timeout")
 
     def __init__(self, cfg: Settings) -> None:
         self.table: RouteTable | None = None
         self.read_at = 0.0
         self.by_host: dict[str, list[Route]] = {}
         self.services: dict[str, ServiceTraits] = {}
+        self.stream_timeout = 0.0
 
 
 def version(state: State) -> int:
@@ -45,6 +49,11 @@
     return state["routes"].services.get(name)
 
 
+def longest_stream_timeout(state: State) -> float:
+    """Return the longest time-out of the stream routes in force, in seconds."""
+    return state["routes"].stream_timeout
+
+
 def pick_service(state: State, route: Route) -> str:
     """Return one of a route's services, at random by weight."""
     if len(route.services) == 1:
@@ -66,6 +75,9 @@
     for route in sorted(table.routes, key=lambda one: -len(one.path_prefix)):
         by_host.setdefault(route.host, []).append(route)
     routes_state.by_host = by_host
+    routes_state.stream_timeout = max(
+        (one.timeout for one in table.routes if one.kind == STREAM), default=0.0
+    )
     routes_state.services = {one.name: one for one in table.services}
     fields = {"version": table.version, "routes": len(table.routes)}
     return [
--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -2,8 +2,10 @@
 
 import unittest
 
-from wasabiwick import _events
-from wasabiwick._effects_forwarding import CutForward, Forward, TakeHold
+from wasabiwick import _events, _wire
+from wasabiwick._effects_forwarding import CutForward, Forward, TakeHold, TellLoad
+from wasabiwick._handlers import builds, rejecting
+from wasabiwick._handlers.forwarding import call as open_call
 from wasabiwick._verdict import Verdict
 
 from ._forward import BROKEN, DECODE, PREFILL, Host, engine, plain
@@ -118,3 +120,160 @@
         host = Host(endpoints=MIXED[:3])
         call = host.ask("stream", resumed=True, resumes="t-elsewhere")
         self.assertEqual(serve(host, call), OLD)
+
+    def test_unknown_stream_is_refused_while_a_build_that_left_may_have_begun_it(self) -> None:
+        host = Host(endpoints=MIXED)
+        for name in ("d2", "d3"):
+            host.drop(name)
+        host.run(10.0)
+        call = host.ask("stream", resumed=True, resumes="t-elsewhere")
+        self.assertIsNotNone(host.refusal(call))
+        host.run(builds.MIN_KEEP_TIME_S)
+        host.read_list(*MIXED[:3])
+        call = host.ask("stream", resumed=True, resumes="t-elsewhere")
+        self.assertEqual(serve(host, call), OLD)
+
+    def test_stream_of_a_build_that_left_is_refused_at_once(self) -> None:
+        host, call = begin_before_release()
+        host.feed(_events.ForwardLeft, call_id=call)
+        for name in ("p0", "d0", "d1"):
+            host.drop(name)
+        again = host.ask("stream", resumed=True, resumes=f"t-{call}")
+        self.assertIs(host.refusal(again).verdict, Verdict.NOT_RUN)
+        self.assertGreater(host.refusal(again).retry_after, 0)
+
+    def test_resumed_call_precedes_new_ones(self) -> None:
+        host, call = begin_before_release()
+        new = host.ask("stream")
+        again = host.ask("stream", resumed=True, resumes=f"t-{call}", seconds=5.0)
+        ranks = [
+            rejecting.rank(host.state, open_call(host.state, one), host.now) for one in (again, new)
+        ]
+        self.assertLess(ranks[0], ranks[1])
+
+    def test_resumed_plain_stream_goes_on_at_its_build(self) -> None:
+        host = Host(endpoints=(plain("s0", build=OLD),))
+        call = host.ask("feed")
+        host.answer(call, streams=True)
+        host.feed(_events.ForwardLeft, call_id=call)
+        host.read_list(plain("s1", build=NEW), plain("s2", build=NEW))
+        host.ask("safe")
+        again = host.ask("feed", resumed=True, resumes=f"t-{call}")
+        self.assertEqual(host.last_effect(Forward, again).endpoint, "s0")
+
+
+def deliver(sender: Host, receiver: Host, told: TellLoad, *, name: str = "b") -> None:
+    """Deliver a datagram of one host to another one."""
+    receiver.feed(
+        _events.LoadTold,
+        sender=_wire.Owner(host=name, incarnation="1"),
+        zone="zone-a",
+        address=f"{name}:1",
+        sequence=told.sequence,
+        loads=told.loads,
+        begun=told.begun,
+        builds=told.builds,
+    )
+
+
+def told_by(host: Host) -> list[TellLoad]:
+    """Return the datagrams that a host has sent."""
+    return [one for one in host.effects if isinstance(one, TellLoad)]
+
+
+def hear(host: Host, incarnation: str = "1") -> None:
+    """Let a host hear of another one."""
+    host.feed(
+        _events.LoadTold,
+        sender=_wire.Owner(host="c", incarnation=incarnation),
+        zone="zone-a",
+        address="c:1",
+        sequence=1,
+        loads={},
+    )
+
+
+class TestOtherHosts(unittest.TestCase):
+    """A caller whose host was lost resumes its stream at another one."""
+
+    def setUp(self) -> None:
+        self.sender, self.receiver = Host(endpoints=MIXED), Host(endpoints=MIXED)
+        hear(self.sender)
+
+    def resume(self, call: str) -> str:
+        """Resume a stream of the sending host at the receiving one; return its build there."""
+        again = self.receiver.ask("stream", resumed=True, resumes=f"t-{call}")
+        return serve(self.receiver, again)
+
+    def test_stream_goes_on_at_its_build_at_another_host(self) -> None:
+        first = {}
+        for _ in range(6):
+            call = self.sender.ask("stream")
+            first[call] = serve(self.sender, call)
+        self.sender.run(0.05)
+        for told in told_by(self.sender):
+            deliver(self.sender, self.receiver, told)
+        self.assertEqual(len(set(first.values())), 2)
+        self.assertEqual({call: self.resume(call) for call in first}, first)
+
+    def test_stream_is_told_again_after_a_lost_datagram(self) -> None:
+        call = self.sender.ask("stream")
+        first = serve(self.sender, call)
+        self.sender.run(2.0)
+        naming = [one for one in told_by(self.sender) if one.begun]
+        self.assertEqual(len(naming), builds.TELLS)
+        deliver(self.sender, self.receiver, naming[-1])
+        self.assertEqual(self.resume(call), first)
+
+    def test_host_that_starts_is_told_all_streams(self) -> None:
+        calls = [self.sender.ask("stream") for _ in range(6)]
+        first = {call: serve(self.sender, call) for call in calls}
+        self.sender.run(5.0)
+        self.sender.effects = [one for one in self.sender.effects if not isinstance(one, TellLoad)]
+        hear(self.sender, incarnation="2")
+        self.sender.run(0.05)
+        for told in told_by(self.sender):
+            deliver(self.sender, self.receiver, told)
+        self.assertEqual({call: self.resume(call) for call in calls}, first)
+
+    def test_datagram_stays_small_and_the_rest_follows(self) -> None:
+        names = set()
+        for number in range(3 * builds.MAX_TOLD):
+            stream = builds.BegunStream(name=f"t-{number}", service="m", build=OLD, began=100.0)
+            builds.begin_stream(self.sender.state, stream)
+        self.sender.run(3.0)
+        for told in told_by(self.sender):
+            self.assertLessEqual(len(told.begun), builds.MAX_TOLD)
+            names |= {one.name for one in told.begun}
+        self.assertEqual(len(names), 3 * builds.MAX_TOLD)
+
+    def test_host_without_others_keeps_quiet(self) -> None:
+        host = Host(endpoints=MIXED)
+        for number in range(3 * builds.MAX_TOLD):
+            stream = builds.BegunStream(name=f"t-{number}", service="m", build=OLD, began=100.0)
+            builds.begin_stream(host.state, stream)
+        host.run(3.0)
+        self.assertEqual(told_by(host), [])
+
+    def test_host_that_starts_learns_of_a_build_that_left(self) -> None:
+        for name in ("d2", "d3"):
+            self.sender.drop(name)
+        self.sender.run(3.0)
+        started = Host(endpoints=MIXED[:3])
+        deliver(self.sender, started, told_by(self.sender)[-1])
+        call = started.ask("stream", resumed=True, resumes="t-elsewhere")
+        self.assertIsNotNone(started.refusal(call))
+
+    def test_news_of_a_build_grow_old_among_hosts(self) -> None:
+        for name in ("d2", "d3"):
+            self.sender.drop(name)
+        started = Host(endpoints=MIXED[:3])
+        hear(started)
+        hosts = (self.sender, started)
+        for _ in range(50):
+            for one, other in (hosts, hosts[::-1]):
+                one.run(1.0)
+                deliver(one, other, told_by(one)[-1])
+        for host in hosts:
+            host.read_list(*MIXED[:3])
+            self.assertEqual(builds.sole_build(host.state, "writer", host.now), OLD)
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -3,10 +3,12 @@
 import asyncio
 import unittest
 
+import msgspec
+
 from wasabiwick import _events, _wire
 from wasabiwick._adapters._datagrams import UdpDatagrams
 from wasabiwick._effects_forwarding import TellLoad
-from wasabiwick._forwarding import EndpointLoad, StreamLoad
+from wasabiwick._forwarding import BegunStream, EndpointLoad, StreamLoad
 from wasabiwick._handlers import neighbours, places, retry_budget
 
 from ._forward import DECODE, PREFILL, Host, engine, plain
@@ -182,6 +184,8 @@
             loads={"d0": EndpointLoad(running=1, reading=7, streams=(stream,))},
             stopping=True,
             busy={"p0": 3.5},
+            begun=(BegunStream(name="t-1", service="writer", build="v1", began=now - 2.0),),
+            builds={"writer": {"v1": 0.0, "v1.1": 5.0}},
         )
         self.one.send_load(_wire.Owner(host="a", incarnation="i"), "zone-a", effect)
         await until(self._arrived)
@@ -191,6 +195,16 @@
         self.assertEqual((load.running, load.reading), (1, 7))
         self.assertAlmostEqual(load.streams[0].begins, now - 1.0, delta=0.5)
         self.assertAlmostEqual(event.busy["p0"], 3.5, delta=0.01)
+        (begun,) = event.begun
+        self.assertEqual((begun.name, begun.service, begun.build), ("t-1", "writer", "v1"))
+        self.assertAlmostEqual(begun.began, now - 2.0, delta=0.5)
+        self.assertEqual(event.builds, {"writer": {"v1": 0.0, "v1.1": 5.0}})
+
+    async def test_datagram_without_streams_is_read(self) -> None:
+        """Hosts of an older version, which tell none, run beside this one during a release."""
+        fields = ["b", "i", "zone-a", "b:1", 1, False, {}, {}]
+        self.other.datagram_received(msgspec.msgpack.encode(fields), ("127.0.0.1", 1))
+        self.assertEqual((self.runner.events[0].begun, self.runner.events[0].builds), ((), {}))
 
     async def _arrived(self) -> bool:
         return bool(self.runner.events)
--- a/tests/test_on_platform.py
+++ b/tests/test_on_platform.py
@@ -284,6 +284,34 @@
             await reader.read()
         writer.close()
 
+    async def test_stream_resumed_by_its_caller_stays_at_its_build(self) -> None:
+        await self.site.wait_for_feeds()
+        newer = self.site.endpoints["d1"].entry(version="v1.1")
+        await self.site.store.put(TOPIC_PREFIX + "servers", "d1", newer)
+        await until(self._d1_is_newer)
+        seals = set()
+        for number in range(1, 9):
+            async with self.site.request("/stream/x", X_Wasabiwick_Attempt_Id=f"a{number}") as resp:
+                await resp.read()
+                seal = resp.headers["X-Wasabiwick-Response-Seal"]
+            resumption = {"Resumes": f"a{number}", "Last_Event_Id": "2"}
+            async with self.site.request("/stream/x", **resumption) as resp:
+                self.assertEqual(await resp.read(), EVENTS[EVENTS.index(b"id: 3") :])
+                self.assertEqual(resp.headers["X-Wasabiwick-Response-Seal"], seal)
+            seals.add(seal)
+            # The next stream begins at the other engine.
+            self.site.state["places"].unstable_until = {
+                seal.removeprefix("seal-"): self.site.daemon.runner.now() + 60.0
+            }
+        self.assertEqual(len(seals), 2)
+        resumption = {"Resumes": "unknown", "Last_Event_Id": "2"}
+        async with self.site.request("/stream/x", **resumption) as resp:
+            self.assertEqual(resp.status, 503)
+            self.assertGreater(float(resp.headers["Retry-After"]), 0)
+
+    async def _d1_is_newer(self) -> bool:
+        return directory.endpoint(self.site.state, "d1").build == "v1.1"
+
     async def test_unanswered_prefill_is_repeated(self) -> None:
         await self.site.wait_for_feeds()
         self.site.endpoints["p0"].unanswered_left = 1
