Keep the last decode engine of a build at decode

Cause: the balance of stages counted engines of all builds as one pool. Evidence: the new test fails on the code before: of six decode engines the only one of v1 is ordered to prefill. Change: such an engine is no donor; without another donor no order is given. Measured: tests.test_stages passes (14).

--- a/src/wasabiwick/_handlers/stages.py
+++ b/src/wasabiwick/_handlers/stages.py
@@ -10,6 +10,7 @@
 wait until the claim has long expired. The claim's offset plus one is the order's fencing number.
 """
 
+import collections
 import typing
 
 from .._effects import Count, LogLine, StartTimer
@@ -99,7 +100,12 @@
         < (1.0 + MIN_GAIN) * current_rate
     ):
         return None
-    donors, stage = (prefill, DECODE) if best_prefill_count < len(prefill) else (decode, PREFILL)
+    if best_prefill_count < len(prefill):
+        donors, stage = prefill, DECODE
+    else:
+        donors, stage = _spare_decode_engines(decode), PREFILL
+    if not donors:
+        return None
     donors_in_zone = {one.zone: sum(other.zone == one.zone for other in donors) for one in donors}
     donor = min(
         donors,
@@ -113,6 +119,12 @@
     return StageChange(endpoint=donor, stage=stage, service=service.name)
 
 
+def _spare_decode_engines(engines: list[Endpoint]) -> list[Endpoint]:
+    """Return the decode engines without which each build still has one to resume its streams."""
+    counts = collections.Counter(one.build for one in engines)
+    return [one for one in engines if counts[one.build] > 1]
+
+
 def _next_order(state: State, at: float) -> StageChange | None:
     for service in state["routes"].services.values():
         if service.engine is not None and _is_settled(state, service.name, at):
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -78,6 +78,21 @@
                 self.assertNotEqual(one.stage, DECODE)
             host.run(15.0)
 
+    def test_last_decode_engine_of_a_build_keeps_its_stage(self) -> None:
+        """Streams of its build could go on nowhere else."""
+        olds = [engine("d0", DECODE, build="v1"), engine("d1", DECODE, build="v1")]
+        news = [engine(f"d{n}", DECODE, build="v1.1") for n in range(2, 7)]
+        prefill = [engine(f"p{n}", PREFILL, build="v1") for n in range(2)]
+        ordered = []
+        for decode in (olds + news, olds[:1] + news):
+            host = Host(endpoints=(*prefill, *decode))
+            for _ in range(50):
+                estimates.observe_prefill(host.state, MODEL, 3_000, 1.0)
+            ordered += [one.endpoint for one in self.order(host)]
+        self.assertEqual(len(ordered), 2)
+        self.assertEqual(ordered[0], "d0")
+        self.assertNotEqual(ordered[1], "d0")
+
     def test_no_claim_while_engines_are_still_being_listed(self) -> None:
         host = Host(endpoints=())
         for number, one in enumerate(SPLIT):
