Save which build began each stream while several builds serve

Cause: hosts told each other, and forgot together; a host that started then took the only build still listed for the only one there had been. Change: while several builds serve, a host saves its streams and the builds it has seen, one record a host, every half second if they changed. A host that starts reads all of them, and until then takes no unknown stream. Nothing is saved at other times.

--- a/src/wasabiwick/_adapters/_datagrams.py
+++ b/src/wasabiwick/_adapters/_datagrams.py
@@ -4,9 +4,10 @@
 
 import msgspec
 
+from .._begun_codec import StreamRow, decode_ages, decode_streams, encode_ages, encode_streams
 from .._effects_forwarding import TellLoad
 from .._events import LoadTold
-from .._forwarding import BegunStream, EndpointLoad, StreamLoad
+from .._forwarding import EndpointLoad, StreamLoad
 from .._logging import log_event
 from .._runner import Runner
 from .._wire import Owner
@@ -31,7 +32,7 @@
     stopping: bool
     busy: dict[str, int]
     loads: dict[str, tuple[int, int, list[tuple[int, int, int]]]]
-    begun: list[tuple[str, str, str, int]] = []
+    begun: list[StreamRow] = []
     builds: dict[str, dict[str, int]] = {}
 
 
@@ -92,14 +93,8 @@
                     )
                     for name, load in effect.loads.items()
                 },
-                begun=[
-                    (one.name, one.service, one.build, int((now - one.began) * 1000))
-                    for one in effect.begun
-                ],
-                builds={
-                    service: {build: int(age * 1000) for build, age in builds.items()}
-                    for service, builds in effect.builds.items()
-                },
+                begun=encode_streams(effect.begun, now),
+                builds=encode_ages(effect.builds),
             )
         )
         for address in effect.addresses:
@@ -135,14 +130,8 @@
                 loads=loads,
                 stopping=datagram.stopping,
                 busy={name: left / 1000 for name, left in datagram.busy.items()},
-                begun=tuple(
-                    BegunStream(name=name, service=service, build=build, began=now - since / 1000)
-                    for name, service, build, since in datagram.begun
-                ),
-                builds={
-                    service: {build: age / 1000 for build, age in builds.items()}
-                    for service, builds in datagram.builds.items()
-                },
+                begun=decode_streams(datagram.begun, now),
+                builds=decode_ages(datagram.builds),
             )
         )
 
--- a/src/wasabiwick/_effects_forwarding.py
+++ b/src/wasabiwick/_effects_forwarding.py
@@ -212,6 +212,28 @@
         self.builds = builds or {}
 
 
+class SaveStreams(Effect):
+    """Save the streams that began at this host, in place of those saved before.
+
+    ``builds`` holds the services with several builds: each build, with the seconds since it was
+    listed.
+    """
+
+    __slots__ = ("begun", "builds")
+
+    def __init__(
+        self, *, begun: tuple[BegunStream, ...], builds: dict[str, dict[str, float]]
+    ) -> None:
+        self.begun = tuple(begun)
+        self.builds = builds
+
+
+class ReadSavedStreams(Effect):
+    """Read the streams that all hosts saved; retried until it succeeds."""
+
+    __slots__ = ()
+
+
 class AskWhetherBusy(Effect):
     """Ask an engine whether it is changing its stage."""
 
--- a/src/wasabiwick/_events/__init__.py
+++ b/src/wasabiwick/_events/__init__.py
@@ -40,10 +40,12 @@
     PlacesChanged,
     PromptAnswered,
     RoutesRead,
+    SavedStreamsRead,
     SettingsRead,
     StageAnswered,
     StreamDone,
     StreamMoved,
+    StreamsSaved,
     TryFailed,
 )
 from ._host import (
@@ -128,6 +130,7 @@
     "RequestDenied",
     "RequestEvent",
     "RoutesRead",
+    "SavedStreamsRead",
     "ServiceAnswered",
     "ServiceWanted",
     "SettingsRead",
@@ -141,6 +144,7 @@
     "StreamDone",
     "StreamEnded",
     "StreamMoved",
+    "StreamsSaved",
     "StreamProgress",
     "TimerFired",
     "TryFailed",
--- a/src/wasabiwick/_events/_forwarding.py
+++ b/src/wasabiwick/_events/_forwarding.py
@@ -264,6 +264,40 @@
     __slots__ = ()
 
 
+class SavedStreamsRead(Event):
+    """The streams were read that all hosts had saved.
+
+    ``own`` holds the names of those that this host had saved before it started. An entry of
+    ``builds`` holds the services with several builds: each build, with the seconds since it was
+    listed.
+    """
+
+    __slots__ = ("begun", "builds", "own")
+
+    def __init__(
+        self,
+        *,
+        at: float,
+        begun: tuple[BegunStream, ...],
+        builds: tuple[dict[str, dict[str, float]], ...],
+        own: frozenset[str],
+    ) -> None:
+        super().__init__(at=at)
+        self.begun = tuple(begun)
+        self.builds = tuple(builds)
+        self.own = frozenset(own)
+
+
+class StreamsSaved(Event):
+    """This host's streams were saved, unless there was a failure."""
+
+    __slots__ = ("failure",)
+
+    def __init__(self, *, at: float, failure: Failure | None) -> None:
+        super().__init__(at=at)
+        self.failure = failure
+
+
 class ClaimsRead(Event):
     """The last claim to the right to order stage changes was read.
 
--- a/src/wasabiwick/_handlers/builds.py
+++ b/src/wasabiwick/_handlers/builds.py
@@ -31,16 +31,17 @@
 
     ``tells_left`` holds for this host's own streams how often they are still to be told. ``seen``
     holds for each service the builds of its listed endpoints, with the monotonic time at which one
-    was last listed.
+    was last listed. ``is_restored`` says whether the streams were read that hosts had saved.
     """
 
-    __slots__ = ("streams", "own", "tells_left", "seen")
+    __slots__ = ("streams", "own", "tells_left", "seen", "is_restored")
 
     def __init__(self, cfg: Settings) -> None:
         self.streams: dict[str, BegunStream] = {}
         self.own: set[str] = set()
         self.tells_left: dict[str, int] = {}
         self.seen: dict[str, dict[str, float]] = {}
+        self.is_restored = False
 
 
 def keep_time(state: State) -> float:
@@ -51,6 +52,7 @@
 def begin_stream(state: State, stream: BegunStream) -> None:
     """Remember a stream that began at this host, and tell the other hosts of it."""
     builds_state = state["builds"]
+    builds_state.streams.pop(stream.name, None)
     builds_state.streams[stream.name] = stream
     builds_state.own.add(stream.name)
     builds_state.tells_left[stream.name] = TELLS
@@ -61,8 +63,24 @@
     return state["builds"].streams.get(name)
 
 
+def is_restored(state: State) -> bool:
+    """Return whether this host has read the streams that hosts had saved."""
+    return state["builds"].is_restored
+
+
+def own_streams(state: State) -> tuple[BegunStream, ...]:
+    """Return the streams that began at this host, in order of their beginning."""
+    builds_state = state["builds"]
+    return tuple(one for name, one in builds_state.streams.items() if name in builds_state.own)
+
+
 def sole_build(state: State, service: str, at: float) -> str | None:
-    """Return the only build that served while a stream can last; None if there were several."""
+    """Return the only build that served while a stream can last.
+
+    Returns None if there were several, or if this host can't know that yet.
+    """
+    if not is_restored(state):
+        return None
     builds = _recent_builds(state, service, at)
     return next(iter(builds), "") if len(builds) <= 1 else None
 
@@ -124,10 +142,27 @@
 @handles(LoadTold)
 def streams_told(state: State, event: LoadTold) -> None:
     """Remember the streams and builds that another host tells."""
-    for stream in event.begun:
+    learn(state, event.begun, event.builds, event.at)
+
+
+def learn(
+    state: State,
+    streams: tuple[BegunStream, ...],
+    builds: dict[str, dict[str, float]],
+    at: float,
+) -> None:
+    """Remember streams, and builds with the seconds since each was listed, that hosts had seen."""
+    for stream in streams:
         known = begun_stream(state, stream.name)
         if known is None or known.began < stream.began:
             state["builds"].streams[stream.name] = stream
-    for service, builds in event.builds.items():
-        for build, age in builds.items():
-            _see(state, service, build, event.at - age)
+    for service, ages in builds.items():
+        for build, age in ages.items():
+            _see(state, service, build, at - age)
+
+
+def restore(state: State, own: frozenset[str]) -> None:
+    """Record that what hosts had saved is known, and which of those streams are this host's."""
+    builds_state = state["builds"]
+    builds_state.own |= own & builds_state.streams.keys()
+    builds_state.is_restored = True
--- a/src/wasabiwick/_performers/forwarding.py
+++ b/src/wasabiwick/_performers/forwarding.py
@@ -14,8 +14,10 @@
     OrderStage,
     ReadClaims,
     ReadPrompt,
+    ReadSavedStreams,
     RefuseForward,
     Relay,
+    SaveStreams,
     TakeHold,
     TellLoad,
 )
@@ -29,9 +31,11 @@
     HoldAnswered,
     HostFound,
     PromptAnswered,
+    SavedStreamsRead,
     StageAnswered,
     StreamDone,
     StreamMoved,
+    StreamsSaved,
     TryFailed,
 )
 from .._http1 import BrokenAnswerError
@@ -41,6 +45,7 @@
 from .._verdict import Verdict
 
 PROGRESS_EVENTS = 8  # Events of a stream between two reports of its progress to the reducer.
+SAVED_STREAMS_RETRY_S = 0.5  # Delay before the streams that hosts saved are read again.
 REGISTER_RETRY_S = 2.0  # Delay before this host tries again to register, or to list other hosts.
 CALL_TASKS = ("hold", "prompt", "send")  # Kinds of tasks that may run for one forwarded call.
 
@@ -187,6 +192,36 @@
     runner.ports.datagrams.send_load(runner.owner, runner.state.zone, effect)
 
 
+@performs(SaveStreams)
+def save_streams(runner: Runner, effect: SaveStreams) -> None:
+    """Save this host's streams."""
+    runner.spawn("save_streams", _save_streams(runner, effect))
+
+
+async def _save_streams(runner: Runner, effect: SaveStreams) -> None:
+    failure = await runner.ports.register.save_streams(runner.owner.host, effect, runner.now())
+    if failure:
+        log_event("streams_not_saved", reason=failure.detail, streams=len(effect.begun))
+    runner.post(StreamsSaved(at=runner.now(), failure=failure))
+
+
+@performs(ReadSavedStreams)
+def read_saved_streams(runner: Runner, effect: ReadSavedStreams) -> None:
+    """Read the streams that all hosts saved; retried until it succeeds."""
+    runner.spawn("saved_streams", _read_saved_streams(runner))
+
+
+async def _read_saved_streams(runner: Runner) -> None:
+    register = runner.ports.register
+    while isinstance(saved := await register.saved_streams(runner.now()), Failure):
+        log_event("streams_not_read", level="WARNING", reason=saved.detail)
+        await asyncio.sleep(SAVED_STREAMS_RETRY_S)
+    own = frozenset(one.name for one in saved.streams.get(runner.owner.host, ()))
+    begun = tuple(one for streams in saved.streams.values() for one in streams)
+    log_event("streams_read", streams=len(begun), own=len(own))
+    runner.post(SavedStreamsRead(at=runner.now(), begun=begun, builds=tuple(saved.builds), own=own))
+
+
 @performs(ReadClaims)
 def read_claims(runner: Runner, effect: ReadClaims) -> None:
     """Read the last claim to the right to order stage changes."""
--- a/src/wasabiwick/_ports/__init__.py
+++ b/src/wasabiwick/_ports/__init__.py
@@ -6,7 +6,7 @@
 from .engine import Engine
 from .host_list import HostList
 from .log_service import LogService
-from .neighbours import Datagrams, HostRegister
+from .neighbours import Datagrams, HostRegister, SavedStreams
 from .peer import Peer
 from .service import Service, ServiceAnswer
 from .weight_store import WeightStore
@@ -23,6 +23,7 @@
     "HostRegister",
     "LogService",
     "Peer",
+    "SavedStreams",
     "Service",
     "ServiceAnswer",
     "WeightStore",
--- a/src/wasabiwick/_ports/neighbours.py
+++ b/src/wasabiwick/_ports/neighbours.py
@@ -2,8 +2,9 @@
 
 import typing
 
-from .._effects_forwarding import TellLoad
+from .._effects_forwarding import SaveStreams, TellLoad
 from .._errors import Failure
+from .._forwarding import BegunStream
 from .._wire import Owner
 
 
@@ -16,8 +17,27 @@
         """Send this host's load to other hosts; a datagram may be lost."""
 
 
+class SavedStreams:
+    """Streams that hosts saved, by the host, and what each host had seen of builds.
+
+    An entry of ``builds`` holds the services with several builds: each build, with the seconds
+    since it was listed.
+    """
+
+    __slots__ = ("streams", "builds")
+
+    def __init__(
+        self,
+        *,
+        streams: dict[str, tuple[BegunStream, ...]],
+        builds: list[dict[str, dict[str, float]]],
+    ) -> None:
+        self.streams = streams
+        self.builds = builds
+
+
 class HostRegister(typing.Protocol):
-    """Register that the hosts share: the list of hosts, and claims to order stage changes."""
+    """Register that the hosts share: hosts, their streams, and claims to order stage changes."""
 
     async def announce(self, host: str, address: str, zone: str) -> Failure | None:
         """Register a host."""
@@ -33,3 +53,9 @@
 
     async def hosts(self) -> list[tuple[str, str, str]] | Failure:
         """Return name, address and zone of all hosts that ever registered."""
+
+    async def save_streams(self, host: str, effect: SaveStreams, now: float) -> Failure | None:
+        """Save a host's streams in place of those that it saved before."""
+
+    async def saved_streams(self, now: float) -> SavedStreams | Failure:
+        """Return the streams that each host saved last."""
--- a/src/wasabiwick/platform/_feeds.py
+++ b/src/wasabiwick/platform/_feeds.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import random
+import time
 import typing
 
 import msgspec
 
+from .._begun_codec import decode_ages, decode_streams, encode_ages, encode_streams
+from .._effects_forwarding import SaveStreams
 from .._errors import Failure
 from .._events import EndpointsRead, Event, FeedChanged, RoutesRead
 from .._forwarding import Listing
 from .._logging import log_event, log_exception
+from .._ports import SavedStreams
 from .._runner import Runner
 from . import _names, _records
 from ._store import HistoryLostError, Page, Record, Store, StoreError, store_failure
@@ -192,3 +196,31 @@
                 continue
             found.append((record.key, host.address, host.zone))
         return found
+
+    async def save_streams(self, host: str, effect: SaveStreams, now: float) -> Failure | None:
+        """Save a host's streams in place of those that it saved before."""
+        record = _records.StreamsRecord(
+            saved_ms=int(time.time() * 1000),
+            streams=encode_streams(effect.begun, now),
+            builds=encode_ages(effect.builds),
+        )
+        offset = await self._store.append(_names.STREAMS_TOPIC, host, msgspec.json.encode(record))
+        return offset if isinstance(offset, Failure) else None
+
+    async def saved_streams(self, now: float) -> SavedStreams | Failure:
+        """Return the streams that each host saved last."""
+        try:
+            page = await self._store.newest(_names.STREAMS_TOPIC)
+        except (StoreError, HistoryLostError) as exc:
+            return store_failure(exc)
+        saved = SavedStreams(streams={}, builds=[])
+        for one in page.records:
+            try:
+                record = _records.decode_streams_record(one.value or b"")
+            except msgspec.MsgspecError as exc:
+                log_event("streams_unreadable", level="WARNING", host=one.key, error=str(exc))
+                continue
+            passed = max(0.0, time.time() - record.saved_ms / 1000)
+            saved.streams[one.key] = decode_streams(record.streams, now - passed)
+            saved.builds.append(decode_ages(record.builds, passed))
+        return saved
--- a/src/wasabiwick/platform/_names.py
+++ b/src/wasabiwick/platform/_names.py
@@ -67,4 +67,6 @@
 CLAIM_KEY = "claim"
 # Addresses of entry hosts, through which they find each other; written by entry hosts only.
 HOSTS_TOPIC = "keyed.hosts"
+# Streams of each entry host, with the build that began them; written by entry hosts only.
+STREAMS_TOPIC = "keyed.streams"
 CONFIG_KEY = "config"
--- a/src/wasabiwick/platform/_records.py
+++ b/src/wasabiwick/platform/_records.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from .._begun_codec import StreamRow
 from .._forwarding import (
     KINDS,
     Endpoint,
@@ -82,10 +83,19 @@
     zone: str
 
 
+class StreamsRecord(msgspec.Struct):
+    """The streams that began at an entry host; ``saved_ms`` is Unix time."""
+
+    saved_ms: int
+    streams: list[StreamRow]
+    builds: dict[str, dict[str, int]]
+
+
 _CONFIG = msgspec.json.Decoder(_Config)
 _SERVER = msgspec.json.Decoder(_Server)
 _CLAIM = msgspec.json.Decoder(ClaimRecord)
 _HOST = msgspec.json.Decoder(HostRecord)
+_STREAMS = msgspec.json.Decoder(StreamsRecord)
 
 
 def decode_route_table(value: bytes) -> RouteTable:
@@ -165,6 +175,15 @@
     return _HOST.decode(value)
 
 
+def decode_streams_record(value: bytes) -> StreamsRecord:
+    """Decode the streams that an entry host saved.
+
+    Raises:
+        msgspec.MsgspecError: If the value is not a valid record.
+    """
+    return _STREAMS.decode(value)
+
+
 def decode_claim(value: bytes) -> ClaimRecord:
     """Decode a claim to the right to order stage changes.
 
--- a/tests/_forward.py
+++ b/tests/_forward.py
@@ -133,8 +133,14 @@
         effects: Effects other than timers, in order.
     """
 
-    def __init__(self, *, slack: float = 50.0, endpoints: tuple[Endpoint, ...] = ENDPOINTS) -> None:
-        self.now = 100.0
+    def __init__(
+        self,
+        *,
+        slack: float = 50.0,
+        endpoints: tuple[Endpoint, ...] = ENDPOINTS,
+        at: float = 100.0,
+    ) -> None:
+        self.now = at
         self.state = _state.State(make_settings(slack=slack))
         self.effects: list[_effects.Effect] = []
         self._timers: dict[tuple[str, str], int] = {}
@@ -149,6 +155,7 @@
             wall=EPOCH,
             seed=7,
         )
+        self.feed(_events.SavedStreamsRead, begun=(), builds=(), own=frozenset())
         self.feed(_events.RoutesRead, table=table())
         self.read_list(*endpoints)
 
--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -3,8 +3,10 @@
 import unittest
 
 from wasabiwick import _events, _wire
-from wasabiwick._effects_forwarding import CutForward, Forward, TakeHold, TellLoad
-from wasabiwick._handlers import builds, rejecting
+from wasabiwick._effects_forwarding import CutForward, Forward, SaveStreams, TakeHold, TellLoad
+from wasabiwick._errors import LOG_UNAVAILABLE, Failure
+from wasabiwick._forwarding import Endpoint
+from wasabiwick._handlers import builds, builds_saving, rejecting
 from wasabiwick._handlers.forwarding import call as open_call
 from wasabiwick._verdict import Verdict
 
@@ -277,3 +279,74 @@
         for host in hosts:
             host.read_list(*MIXED[:3])
             self.assertEqual(builds.sole_build(host.state, "writer", host.now), OLD)
+
+
+class TestSaved(unittest.TestCase):
+    """What hosts saved is known after all of them were lost at once."""
+
+    def saves(self, host: Host) -> list[SaveStreams]:
+        """Return the saves of a host."""
+        return [one for one in host.effects if isinstance(one, SaveStreams)]
+
+    def restored(self, saved: SaveStreams, *endpoints: Endpoint) -> Host:
+        """Return a host that starts after another one, which has saved its streams, was lost."""
+        host = Host(endpoints=endpoints)
+        own = frozenset(one.name for one in saved.begun)
+        host.feed(_events.SavedStreamsRead, begun=saved.begun, builds=(saved.builds,), own=own)
+        return host
+
+    def test_nothing_is_saved_while_one_build_serves(self) -> None:
+        host = Host(endpoints=MIXED[:3])
+        for _ in range(4):
+            serve(host, host.ask("stream"))
+            host.run(1.0)
+        self.assertEqual(self.saves(host), [])
+
+    def test_streams_go_on_after_all_hosts_were_lost(self) -> None:
+        host, call = begin_before_release()
+        host.run(1.0)
+        started = self.restored(self.saves(host)[-1], *MIXED)
+        again = started.ask("stream", resumed=True, resumes=f"t-{call}")
+        self.assertEqual(serve(started, again), OLD)
+
+    def test_build_that_left_meanwhile_is_remembered(self) -> None:
+        host, _ = begin_before_release()
+        host.run(1.0)
+        started = self.restored(self.saves(host)[-1], MIXED[0], *MIXED[3:])
+        call = started.ask("stream", resumed=True, resumes="t-not-saved")
+        self.assertIsNotNone(started.refusal(call))
+
+    def test_restored_streams_are_saved_again(self) -> None:
+        host, call = begin_before_release()
+        host.run(1.0)
+        started = self.restored(self.saves(host)[-1], *MIXED)
+        started.run(1.0)
+        self.assertIn(f"t-{call}", [one.name for one in self.saves(started)[-1].begun])
+
+    def test_unknown_stream_waits_for_what_was_saved(self) -> None:
+        host = Host(endpoints=MIXED[:3])
+        host.state["builds"].is_restored = False
+        call = host.ask("stream", resumed=True, resumes="t-elsewhere")
+        self.assertIsNotNone(host.refusal(call))
+
+    def test_one_save_at_a_time_and_only_after_changes(self) -> None:
+        host, _ = begin_before_release()
+        host.run(3.0)
+        self.assertEqual(len(self.saves(host)), 1)
+        host.feed(_events.StreamsSaved, failure=None)
+        host.run(3.0)
+        self.assertEqual(len(self.saves(host)), 1)
+        serve(host, host.ask("stream"))
+        host.run(1.0)
+        self.assertEqual(len(self.saves(host)), 2)
+        host.feed(_events.StreamsSaved, failure=None)
+        host.run(builds_saving.REFRESH_INTERVAL_S)
+        self.assertEqual(len(self.saves(host)), 3)
+
+    def test_failed_save_is_repeated(self) -> None:
+        host, _ = begin_before_release()
+        host.run(1.0)
+        failure = Failure(reason=LOG_UNAVAILABLE, verdict=Verdict.MAY_HAVE_RUN)
+        host.feed(_events.StreamsSaved, failure=failure)
+        host.run(1.0)
+        self.assertEqual(len(self.saves(host)), 2)
--- a/tests/test_builds_random.py
+++ b/tests/test_builds_random.py
@@ -4,7 +4,7 @@
 import unittest
 
 from wasabiwick import _events, _wire
-from wasabiwick._effects_forwarding import Forward, ReadPrompt, TakeHold, TellLoad
+from wasabiwick._effects_forwarding import Forward, ReadPrompt, SaveStreams, TakeHold, TellLoad
 from wasabiwick._forwarding import Endpoint
 
 from ._forward import BROKEN, DECODE, PREFILL, Host, engine
@@ -33,6 +33,7 @@
         self.hosts: dict[str, Host] = {}
         self.incarnations = dict.fromkeys(HOSTS, 0)
         self.told = dict.fromkeys(HOSTS, 0)
+        self.saved: dict[str, SaveStreams] = {}
         self.calls: list[tuple[str, str, Caller]] = []
         self.broken: list[Caller] = []
         self.resumed = 0
@@ -76,15 +77,41 @@
         self.broken += [caller for where, _, caller in self.calls if where == name]
         self.calls = [one for one in self.calls if one[0] != name]
         self.incarnations[name] += 1
-        self.hosts[name] = Host(endpoints=tuple(self.listed()))
-        self.hosts[name].now = self.now
+        self.hosts[name] = Host(at=self.now, endpoints=tuple(self.listed()))
         self.told[name] = 0
+        self.read_saved(name)
         for other in HOSTS:
             if other != name and other in self.hosts:
                 self.hear(name, other)
                 self.hear(other, name)
         self.deliver(loss=0.0)
 
+    def lose_all_hosts(self) -> None:
+        """Lose all hosts at once, and start them again."""
+        self.broken += [caller for _, _, caller in self.calls]
+        self.calls = []
+        self.hosts.clear()
+        for name in HOSTS:
+            self.start_host(name)
+
+    def read_saved(self, name: str) -> None:
+        """Let a host that starts read what hosts have saved."""
+        own = self.saved[name].begun if name in self.saved else ()
+        self.hosts[name].feed(
+            _events.SavedStreamsRead,
+            begun=tuple(one for saved in self.saved.values() for one in saved.begun),
+            builds=tuple(saved.builds for saved in self.saved.values()),
+            own=frozenset(one.name for one in own),
+        )
+
+    def save(self) -> None:
+        """Carry out the hosts' saves."""
+        for name, host in self.hosts.items():
+            saves = [one for one in host.effects if isinstance(one, SaveStreams)]
+            if saves and saves[-1] is not self.saved.get(name):
+                self.saved[name] = saves[-1]
+                host.feed(_events.StreamsSaved, failure=None)
+
     def hear(self, host: str, other: str) -> None:
         """Let a host hear of another one."""
         self.tell(
@@ -116,6 +143,7 @@
                     if receiver != sender and self.rng.random() >= loss:
                         self.tell(receiver, sender, told)
             self.told[sender] = len(sent)
+        self.save()
 
     def begin(self) -> None:
         """Let a new caller ask for a stream."""
@@ -181,7 +209,7 @@
             + [self.resume] * 5
             + [self.break_off] * 4
             + [self.release, self.remove_engine, self.add_engine]
-            + [lambda: self.start_host(self.rng.choice(HOSTS))]
+            + [lambda: self.start_host(self.rng.choice(HOSTS)), self.lose_all_hosts]
         )
         for _ in range(STEPS):
             self.rng.choice(steps)()
--- a/tests/test_on_platform.py
+++ b/tests/test_on_platform.py
@@ -10,10 +10,13 @@
 import aiohttp
 
 from wasabiwick import platform
+from wasabiwick._effects_forwarding import SaveStreams
+from wasabiwick._errors import Failure
 from wasabiwick._forward_daemon import ForwardDaemon
-from wasabiwick._handlers import directory, routes
+from wasabiwick._forwarding import BegunStream
+from wasabiwick._handlers import builds, directory, routes
 
-from ._platform import APP, TOPIC_PREFIX, Endpoint, Store, config, serving
+from ._platform import APP, MODEL, TOPIC_PREFIX, Endpoint, Store, config, serving
 from ._processes import until
 
 SETTINGS = """
@@ -470,6 +473,39 @@
         self.assertNotIsInstance(await register.claim("a", 0), int)
 
 
+class TestSavedStreams(SiteTest):
+    """Streams that hosts saved in the store are read again by hosts that start."""
+
+    async def test_saved_streams_are_read_again(self) -> None:
+        register, now = self.site.daemon.runner.ports.register, self.site.daemon.runner.now()
+        streams = [
+            BegunStream(name=f"t-{n}", service=MODEL, build="v1", began=now - n) for n in range(3)
+        ]
+        for host, begun in (("a", streams[:1]), ("b", streams[:2]), ("a", streams[2:])):
+            effect = SaveStreams(begun=begun, builds={MODEL: {"v1": 0.0, "v2": 3.0}})
+            self.assertIsNone(await register.save_streams(host, effect, now))
+        await self.site.store.put(TOPIC_PREFIX + "streams", "c", b"unreadable")
+        saved = await register.saved_streams(now)
+        names = {host: [one.name for one in found] for host, found in saved.streams.items()}
+        self.assertEqual(names, {"a": ["t-2"], "b": ["t-0", "t-1"]})
+        self.assertAlmostEqual(saved.streams["a"][0].began, now - 2.0, delta=1.0)
+        self.assertAlmostEqual(saved.builds[0][MODEL]["v2"], 3.0, delta=1.0)
+
+    async def test_save_without_an_answer_fails(self) -> None:
+        register = self.site.daemon.runner.ports.register
+        self.site.store.fault = "reset"
+        effect = SaveStreams(begun=(), builds={})
+        self.assertIsInstance(await register.save_streams("a", effect, 0.0), Failure)
+        self.assertIsInstance(await register.saved_streams(0.0), Failure)
+
+    async def test_host_that_starts_reads_what_was_saved(self) -> None:
+        await self.site.wait_for_feeds()
+        await until(self._is_restored)
+
+    async def _is_restored(self) -> bool:
+        return builds.is_restored(self.site.state)
+
+
 class TestReadiness(SiteTest):
     """The readiness check tells whether the host accepts callers."""
 
