Answer a call that may have run as unknown when no endpoint is left

Cause: dispatch gave the call up, with a void record as proof, without looking whether it had been sent before; only the other way to give up after a failure looked. Evidence: the new test (a keyed service, a cut connection, then no endpoint) raises InvariantError on the code before: the key ran although NOT_RUN was reported. Change: one function decides by what was sent: never sent, or never run, is given up; anything else is unknown, and recorded so for other hosts. Looked for elsewhere: forward_plain and forward_streams refuse through one function that asks req.may_have_run; generation goes by requests.verdict_of; the other calls of once_ends.give_up come before the first send.

--- a/src/wasabiwick/_handlers/once_calls.py
+++ b/src/wasabiwick/_handlers/once_calls.py
@@ -3,7 +3,7 @@
 import typing
 
 from .._effects import CallService, Count, QueryService, StopTimer
-from .._errors import ENDPOINT_FAILED, NO_ENDPOINT, OUTCOME_UNKNOWN
+from .._errors import ENDPOINT_FAILED, NO_ENDPOINT, OUTCOME_UNKNOWN, Reason
 from .._events import AttemptFailed, ServiceAnswered
 from .._fold import UNKNOWN
 from .._reducer import Step, handles
@@ -23,11 +23,11 @@
 
 
 def dispatch(state: State, work: Work, at: float) -> typing.Iterator[Step]:
-    """Call the service; from now on, giving up needs proof that the call did not run."""
+    """Call the service, if an endpoint is left; from now on the call may have run."""
     endpoint = services.pick_endpoint(state, work.call.target, work.avoid)
     if not endpoint or work.req is None:
         detail = f'service "{work.call.target}" has no endpoint'
-        yield from once_ends.give_up(state, work, NO_ENDPOINT, at, detail)
+        yield from _give_up(state, work, NO_ENDPOINT, at, detail)
         return
     work.phase = "running"
     work.sends += 1
@@ -110,12 +110,22 @@
     if may_repeat and work.sends < MAX_SENDS and work.waiting:
         yield Count(metric="service_retries")
         yield from dispatch(state, work, event.at)
-    elif has_not_run and not work.may_have_run:
-        yield from once_ends.give_up(state, work, ENDPOINT_FAILED, event.at, event.failure.detail)
+    elif has_not_run:
+        yield from _give_up(state, work, ENDPOINT_FAILED, event.at, event.failure.detail)
     else:
         yield from unknown(state, work, event.at, event.failure.detail)
 
 
+def _give_up(
+    state: State, work: Work, reason: Reason, at: float, detail: str
+) -> typing.Iterator[Step]:
+    """End a call that can't be sent; only one that was never sent, or never ran, is given up."""
+    if work.may_have_run:
+        yield from unknown(state, work, at, detail)
+    else:
+        yield from once_ends.give_up(state, work, reason, at, detail)
+
+
 def unknown(state: State, work: Work, at: float, detail: str = "") -> typing.Iterator[Step]:
     """Tell the caller that the outcome is unknown, and record that for other hosts."""
     yield Count(metric="once_unknown")
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -1,11 +1,13 @@
 """Tests of at-most-once calls on several hosts, whose reducers a fake network connects."""
 
 import unittest
+from unittest import mock
 
 from wasabiwick._effects import AppendLog, CallService
 from wasabiwick._errors import KEY_UNTIMED
 from wasabiwick._fuzz._network import Fate
 from wasabiwick._fuzz._world import World
+from wasabiwick._handlers import services
 from wasabiwick._verdict import Verdict
 
 ZONES = ["a", "a", "b"]  # Of the hosts host-0, host-1 and host-2.
@@ -172,6 +174,17 @@
 
     service = "keyed"
 
+    def test_call_that_ran_is_not_told_as_not_run_once_no_endpoint_is_left(self) -> None:
+        self.world.call(self.caller, "host-0")
+        sent = self.until_sent(CallService)
+        with mock.patch.object(services, "pick_endpoint", return_value=""):
+            self.world.network.complete_effect(sent, Fate.CUT)
+            self.step()
+        self.assertEqual(len(self.world.effects(self.caller)), 1)
+        self.assertEqual(self.verdicts(), [Verdict.MAY_HAVE_RUN])
+        self.world.heal()
+        self.assertEqual(self.caller.answer.status, 200)
+
     def test_cut_call_is_sent_again(self) -> None:
         self.world.call(self.caller, "host-0")
         self.world.network.complete_effect(self.until_sent(CallService), Fate.CUT)
