Use no endpoint whose entry lacks the version of its software

Cause: the version was read with an empty default, though an entry with a field missing names no engine to use. Evidence: test_unreadable_entries_do_not_affect_others, with an entry without it, fails on the code before. Change: the field is required. Measured: that test passes.

--- a/src/wasabiwick/platform/_records.py
+++ b/src/wasabiwick/platform/_records.py
@@ -62,12 +62,12 @@
     service: str
     address: str
     zone: str
+    version: str
     slots: int
     state: typing.Literal["ready", "draining"]
     cold_remaining_ms: float = 0.0
     stage: str = ""
     born: int = 0
-    version: str = ""
 
 
 class ClaimRecord(msgspec.Struct):
--- a/tests/test_on_platform.py
+++ b/tests/test_on_platform.py
@@ -415,6 +415,8 @@
         await self.site.wait_for_feeds()
         entry = self.site.endpoints["s0"].entry
         bad = [b"\xff\x00", b"[]", {"service": 5}, entry(state="odd"), entry(address="no port")]
+        without_version = {key: value for key, value in entry().items() if key != "version"}
+        bad += [entry(version=5), without_version]
         for number, value in enumerate(bad):
             await self.site.store.put(TOPIC_PREFIX + "servers", f"bad{number}", value)
         await self.site.store.put(TOPIC_PREFIX + "servers", "s9", entry())
