Treat an unframed stream without any event as broken off

Cause: the close ended the answer, and no event was open. Evidence: the new test fails on the code before, with an empty answer in place of five events. Change: such a try has failed, unless the caller has events already: a stream resumed behind its last event has none to come. Measured: tests.test_on_platform passes.

--- a/src/wasabiwick/_forward_entry.py
+++ b/src/wasabiwick/_forward_entry.py
@@ -51,6 +51,11 @@
         self._resp: web.StreamResponse | None = None
         self._ended: asyncio.Future = asyncio.get_running_loop().create_future()
 
+    @property
+    def has_events(self) -> bool:
+        """Whether the caller has events of its stream, from this call or the one it resumes."""
+        return self._ask.resumed or self.exchange.events > 0
+
     def refuse(self, failure: Failure) -> None:
         """Answer with a failure that this host reports itself."""
         resp = web.Response(
--- a/src/wasabiwick/_performers/forwarding.py
+++ b/src/wasabiwick/_performers/forwarding.py
@@ -402,6 +402,8 @@
                 runner.post(self._progress_event(StreamMoved))
         if splitter.is_inside_event:
             raise BrokenAnswerError(f"ended inside an event, {len(splitter.rest)} bytes into it")
+        if not answer.has_length and not call.has_events:
+            raise BrokenAnswerError("closed before the first event")
         if splitter.rest:
             await call.write(splitter.rest)
         runner.post(self._progress_event(StreamDone))
--- a/tests/_platform.py
+++ b/tests/_platform.py
@@ -138,6 +138,7 @@
         refusals_left: How many of the next requests it refuses as not executed.
         failures_left: How many of the next requests it answers with its own 500.
         cuts_left: How many of the next streams it cuts off in the middle of an event.
+        cut_before: Number of that event; 0 to cut off right behind the head of the answer.
         states_length: Whether its streams come in chunks; otherwise they end with the connection,
             which is closed and not reset where a stream is cut off.
         unanswered_left: How many of the next prefills it runs without ever answering.
@@ -160,6 +161,7 @@
         self.refusals_left = 0
         self.failures_left = 0
         self.cuts_left = 0
+        self.cut_before = 3
         self.states_length = True
         self.unanswered_left = 0
         self.unsealed_left = 0
@@ -273,10 +275,13 @@
             write = _writer_to(req.transport)
         self.running_streams += 1
         try:
+            if self.cuts_left and not self.cut_before:
+                self.cuts_left -= 1
+                return resp
             for number in range(int(req.headers.get("Last-Event-Id", 0)) + 1, self.events + 1):
-                if self.cuts_left and number == 3:
+                if self.cuts_left and number == self.cut_before:
                     self.cuts_left -= 1
-                    await write(b"id: 3\ndata: br")
+                    await write(b"id: %d\ndata: br" % number)
                     if self.states_length:
                         req.transport.abort()
                     return resp
--- a/tests/test_on_platform.py
+++ b/tests/test_on_platform.py
@@ -264,6 +264,24 @@
             async with self.site.request("/stream/x") as resp:
                 await resp.read()
 
+    async def test_stream_closed_before_its_first_event_is_repeated(self) -> None:
+        await self.site.wait_for_feeds()
+        for name in ("d0", "d1"):
+            self.site.endpoints[name].states_length = False
+            self.site.endpoints[name].cut_before = 0
+        self.site.endpoints["d0"].cuts_left = 1
+        for _ in range(3):
+            async with self.site.request("/stream/x") as resp:
+                self.assertEqual(await resp.read(), EVENTS)
+        self.assertEqual(self.site.endpoints["d0"].cuts_left, 0)
+
+    async def test_resumed_stream_without_further_events_is_complete(self) -> None:
+        await self.site.wait_for_feeds()
+        for name in ("d0", "d1"):
+            self.site.endpoints[name].states_length = False
+        async with self.site.request("/stream/x", Last_Event_Id="5") as resp:
+            self.assertEqual(await resp.read(), b"")
+
     async def test_stream_closed_between_events_is_complete(self) -> None:
         await self.site.wait_for_feeds()
         for name in ("d0", "d1"):
