Count listed builds as serving while the list can't be read

Cause: builds were noted, and old streams forgotten, only when the list was read. Evidence: both new tests fail on the code before; found by reading the change again. Change: whether one build alone serves is asked of the list in use; the half-second timer notes builds and forgets streams. A service without any listed build has no only one. A host's own streams are kept in order, so that a recorded run replays to the same datagrams.

--- a/src/wasabiwick/_handlers/builds.py
+++ b/src/wasabiwick/_handlers/builds.py
@@ -18,7 +18,7 @@
 from . import directory, routes
 
 TELLS = 2  # Datagrams in which a stream is told to the other hosts.
-MAX_TOLD = 40  # Most streams in one datagram, so that it fits into one packet.
+MAX_TOLD = 40  # Most streams in one datagram, which has to stay small.
 # A stream is remembered for this multiple of its route's time-out, since a caller resumes it within
 # the time that it waits in all.
 KEEP_TIMEOUTS = 2.0
@@ -38,7 +38,7 @@
 
     def __init__(self, cfg: Settings) -> None:
         self.streams: dict[str, BegunStream] = {}
-        self.own: set[str] = set()
+        self.own: dict[str, None] = {}  # In order, so that a recorded run can be replayed.
         self.tells_left: dict[str, int] = {}
         self.seen: dict[str, dict[str, float]] = {}
         self.is_restored = False
@@ -54,7 +54,7 @@
     builds_state = state["builds"]
     builds_state.streams.pop(stream.name, None)
     builds_state.streams[stream.name] = stream
-    builds_state.own.add(stream.name)
+    builds_state.own[stream.name] = None
     builds_state.tells_left[stream.name] = TELLS
 
 
@@ -81,8 +81,9 @@
     """
     if not is_restored(state):
         return None
+    note_listed(state, at)
     builds = _recent_builds(state, service, at)
-    return next(iter(builds), "") if len(builds) <= 1 else None
+    return next(iter(builds)) if len(builds) == 1 else None
 
 
 def _recent_builds(state: State, service: str, at: float) -> dict[str, float]:
@@ -122,15 +123,24 @@
 
 
 @handles(EndpointsRead)
-def note_builds(state: State, event: EndpointsRead) -> None:
-    """Record which builds are listed, and forget streams that can't be resumed any more."""
+def endpoints_read(state: State, event: EndpointsRead) -> None:
+    """Record which builds are listed."""
+    note_listed(state, event.at)
+
+
+def note_listed(state: State, at: float) -> None:
+    """Record which builds are listed; the list is used on while its source is down."""
     for one in directory.all_endpoints(state):
-        _see(state, one.service, one.build, event.at)
+        _see(state, one.service, one.build, at)
+
+
+def forget_old(state: State, at: float) -> None:
+    """Forget the streams that can't be resumed any more."""
     builds_state = state["builds"]
-    oldest = event.at - keep_time(state)
+    oldest = at - keep_time(state)
     for name in [name for name, one in builds_state.streams.items() if one.began < oldest]:
         del builds_state.streams[name]
-        builds_state.own.discard(name)
+        builds_state.own.pop(name, None)
         builds_state.tells_left.pop(name, None)
 
 
@@ -164,5 +174,5 @@
 def restore(state: State, own: frozenset[str]) -> None:
     """Record that what hosts had saved is known, and which of those streams are this host's."""
     builds_state = state["builds"]
-    builds_state.own |= own & builds_state.streams.keys()
+    builds_state.own |= dict.fromkeys(name for name in builds_state.streams if name in own)
     builds_state.is_restored = True
--- a/src/wasabiwick/_handlers/builds_saving.py
+++ b/src/wasabiwick/_handlers/builds_saving.py
@@ -53,6 +53,8 @@
 @on_timer("save_streams")
 def save_streams(state: State, event: TimerFired) -> typing.Iterator[Step]:
     """Save this host's streams if several builds serve and the streams have changed."""
+    builds.note_listed(state, event.at)
+    builds.forget_old(state, event.at)
     interval = max(SAVE_INTERVAL_S, neighbours.host_count(state, event.at) / MAX_SAVES_PER_S)
     yield StartTimer(timer="save_streams", delay=interval)
     saving_state = state["builds_saving"]
--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -118,6 +118,20 @@
         self.assertEqual(host.refusal(call).reason.status, 503)
         self.assertGreater(host.refusal(call).retry_after, 0)
 
+    def test_unknown_stream_is_refused_in_a_long_outage_of_the_list(self) -> None:
+        """Builds that are still listed counted as gone once the list had not been read for long."""
+        host = Host(endpoints=MIXED)
+        host.run(3 * builds.MIN_KEEP_TIME_S)
+        call = host.ask("stream", resumed=True, resumes="t-elsewhere")
+        self.assertIsNotNone(host.refusal(call))
+
+    def test_streams_are_forgotten_in_a_long_outage_of_the_list(self) -> None:
+        host = Host(endpoints=MIXED)
+        for _ in range(5):
+            serve(host, host.ask("stream"))
+        host.run(builds.MIN_KEEP_TIME_S + 1.0)
+        self.assertEqual(host.state["builds"].streams, {})
+
     def test_unknown_stream_goes_on_while_one_build_serves(self) -> None:
         host = Host(endpoints=MIXED[:3])
         call = host.ask("stream", resumed=True, resumes="t-elsewhere")
