--- a/tests/_forward.py
+++ b/tests/_forward.py
@@ -11,6 +11,7 @@
     RefuseForward,
     Relay,
     TakeHold,
+    TellLoad,
 )
 from wasabiwick._errors import ENDPOINT_FAILED, ENDPOINT_REFUSED, ENDPOINT_UNREACHABLE, Failure
 from wasabiwick._forwarding import (
@@ -204,6 +205,20 @@
         gone = Listing(name=name, offset=self._offset, endpoint=None)
         return self.feed(_events.EndpointsRead, listings=(gone,), upto=self._offset + 1)
 
+    def hear(self, name: str, told: TellLoad | None = None, *, incarnation: str = "1") -> None:
+        """Let the host get another host's datagram; an empty one if ``told`` is None."""
+        told = told or TellLoad(addresses=(), sequence=1, loads={}, stopping=False, busy={})
+        self.feed(
+            _events.LoadTold,
+            sender=_wire.Owner(host=name, incarnation=incarnation),
+            zone=ZONE,
+            address=f"{name}:1",
+            sequence=told.sequence,
+            loads=told.loads,
+            begun=told.begun,
+            builds=told.builds,
+        )
+
     def ask(self, path: str, **fields: object) -> str:
         """Let a caller send a request, and return the call's id."""
         call_id = f"c{next(self._calls)}"
--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from wasabiwick import _events, _wire
+from wasabiwick import _events
 from wasabiwick._effects_forwarding import CutForward, Forward, SaveStreams, TakeHold, TellLoad
 from wasabiwick._errors import LOG_UNAVAILABLE, Failure
 from wasabiwick._forwarding import Endpoint
@@ -178,43 +178,17 @@
         self.assertEqual(host.last_effect(Forward, again).endpoint, "s0")
 
 
-def deliver(sender: Host, receiver: Host, told: TellLoad, *, name: str = "b") -> None:
-    """Deliver a datagram of one host to another one."""
-    receiver.feed(
-        _events.LoadTold,
-        sender=_wire.Owner(host=name, incarnation="1"),
-        zone="zone-a",
-        address=f"{name}:1",
-        sequence=told.sequence,
-        loads=told.loads,
-        begun=told.begun,
-        builds=told.builds,
-    )
-
-
 def told_by(host: Host) -> list[TellLoad]:
     """Return the datagrams that a host has sent."""
     return [one for one in host.effects if isinstance(one, TellLoad)]
 
 
-def hear(host: Host, incarnation: str = "1") -> None:
-    """Let a host hear of another one."""
-    host.feed(
-        _events.LoadTold,
-        sender=_wire.Owner(host="c", incarnation=incarnation),
-        zone="zone-a",
-        address="c:1",
-        sequence=1,
-        loads={},
-    )
-
-
 class TestOtherHosts(unittest.TestCase):
     """A caller whose host was lost resumes its stream at another one."""
 
     def setUp(self) -> None:
         self.sender, self.receiver = Host(endpoints=MIXED), Host(endpoints=MIXED)
-        hear(self.sender)
+        self.sender.hear("c")
 
     def resume(self, call: str) -> str:
         """Resume a stream of the sending host at the receiving one; return its build there."""
@@ -228,7 +202,7 @@
             first[call] = serve(self.sender, call)
         self.sender.run(0.05)
         for told in told_by(self.sender):
-            deliver(self.sender, self.receiver, told)
+            self.receiver.hear("b", told)
         self.assertEqual(len(set(first.values())), 2)
         self.assertEqual({call: self.resume(call) for call in first}, first)
 
@@ -238,7 +212,7 @@
         self.sender.run(2.0)
         naming = [one for one in told_by(self.sender) if one.begun]
         self.assertEqual(len(naming), builds.TELLS)
-        deliver(self.sender, self.receiver, naming[-1])
+        self.receiver.hear("b", naming[-1])
         self.assertEqual(self.resume(call), first)
 
     def test_host_that_starts_is_told_all_streams(self) -> None:
@@ -246,10 +220,10 @@
         first = {call: serve(self.sender, call) for call in calls}
         self.sender.run(5.0)
         self.sender.effects = [one for one in self.sender.effects if not isinstance(one, TellLoad)]
-        hear(self.sender, incarnation="2")
+        self.sender.hear("c", incarnation="2")
         self.sender.run(0.05)
         for told in told_by(self.sender):
-            deliver(self.sender, self.receiver, told)
+            self.receiver.hear("b", told)
         self.assertEqual({call: self.resume(call) for call in calls}, first)
 
     def test_datagram_stays_small_and_the_rest_follows(self) -> None:
@@ -276,7 +250,7 @@
             self.sender.drop(name)
         self.sender.run(3.0)
         started = Host(endpoints=MIXED[:3])
-        deliver(self.sender, started, told_by(self.sender)[-1])
+        started.hear("b", told_by(self.sender)[-1])
         call = started.ask("stream", resumed=True, resumes="t-elsewhere")
         self.assertIsNotNone(started.refusal(call))
 
@@ -284,12 +258,12 @@
         for name in ("d2", "d3"):
             self.sender.drop(name)
         started = Host(endpoints=MIXED[:3])
-        hear(started)
+        started.hear("c")
         hosts = (self.sender, started)
         for _ in range(50):
             for one, other in (hosts, hosts[::-1]):
                 one.run(1.0)
-                deliver(one, other, told_by(one)[-1])
+                other.hear("b", told_by(one)[-1])
         for host in hosts:
             host.read_list(*MIXED[:3])
             self.assertEqual(builds.sole_build(host.state, "writer", host.now), OLD)
--- a/tests/test_builds_random.py
+++ b/tests/test_builds_random.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from wasabiwick import _events, _wire
+from wasabiwick import _events
 from wasabiwick._effects_forwarding import Forward, ReadPrompt, SaveStreams, TakeHold, TellLoad
 from wasabiwick._forwarding import Endpoint
 
@@ -82,8 +82,8 @@
         self.read_saved(name)
         for other in HOSTS:
             if other != name and other in self.hosts:
-                self.hear(name, other)
-                self.hear(other, name)
+                self.tell(name, other)
+                self.tell(other, name)
         self.deliver(loss=0.0)
 
     def lose_all_hosts(self) -> None:
@@ -112,24 +112,10 @@
                 self.saved[name] = saves[-1]
                 host.feed(_events.StreamsSaved, failure=None)
 
-    def hear(self, host: str, other: str) -> None:
-        """Let a host hear of another one."""
-        self.tell(
-            host, other, TellLoad(addresses=(), sequence=0, loads={}, stopping=False, busy={})
-        )
-
-    def tell(self, receiver: str, sender: str, told: TellLoad) -> None:
+    def tell(self, receiver: str, sender: str, told: TellLoad | None = None) -> None:
         """Deliver a datagram."""
-        self.hosts[receiver].feed(
-            _events.LoadTold,
-            sender=_wire.Owner(host=sender, incarnation=str(self.incarnations[sender])),
-            zone="zone-a",
-            address=f"{sender}:1",
-            sequence=told.sequence,
-            loads=told.loads,
-            begun=told.begun,
-            builds=told.builds,
-        )
+        incarnation = str(self.incarnations[sender])
+        self.hosts[receiver].hear(sender, told, incarnation=incarnation)
 
     def deliver(self, loss: float = LOSS) -> None:
         """Let a little time pass, and deliver most of the datagrams."""
