Test that a second host resumes a stream at its build

Two hosts in one process, with real datagrams: streams of either build begin at one and go on at the other.

--- a/tests/test_on_platform.py
+++ b/tests/test_on_platform.py
@@ -75,14 +75,26 @@
             folder = stack.enter_context(tempfile.TemporaryDirectory())
             self.path = f"{folder}/boot.toml"
             self.rewrite_settings(lambda text: SETTINGS.format(name="host-a", store=address))
-            cfg = platform.load(self.path)
-            deployment = platform.PlatformDeployment(self.path, cfg)
-            self.daemon = ForwardDaemon(cfg=cfg, deployment=deployment)
+            self.daemon = await self.start_daemon("host-a")
             stack.push_async_callback(self.daemon.stop)
-            await self.daemon.start()
             self.session = await stack.enter_async_context(aiohttp.ClientSession())
             yield self
 
+    async def start_daemon(self, name: str) -> ForwardDaemon:
+        """Start a host of this name, with a settings file of its own."""
+        path = self.path if name == "host-a" else self._copy_settings(name)
+        cfg = platform.load(path)
+        daemon = ForwardDaemon(cfg=cfg, deployment=platform.PlatformDeployment(path, cfg))
+        await daemon.start()
+        return daemon
+
+    def _copy_settings(self, name: str) -> str:
+        path = pathlib.Path(self.path)
+        copy = path.with_name(f"{name}.toml")
+        text = path.read_text(encoding="utf-8")
+        copy.write_text(text.replace("host-a", name), encoding="utf-8")
+        return str(copy)
+
     @property
     def state(self) -> typing.Any:
         """The host's state."""
@@ -493,6 +505,42 @@
         self.assertNotIsInstance(await register.claim("a", 0), int)
 
 
+class TestTwoHosts(SiteTest):
+    """A caller that resumes at another host gets its stream from the build that began it."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.site.wait_for_feeds()
+        self.first = self.site.daemon
+        newer = self.site.endpoints["d1"].entry(version="v1.1")
+        await self.site.store.put(TOPIC_PREFIX + "servers", "d1", newer)
+        self.other = await self.site.start_daemon("host-b")
+        self.addAsyncCleanup(self.other.stop)
+        await until(self._are_ready)
+
+    async def _are_ready(self) -> bool:
+        hears = self.first.runner.state["neighbours"].hosts.get("host-b")
+        states = [one.runner.state for one in (self.first, self.other)]
+        listed = [directory.endpoint(one, "d1") for one in states]
+        return hears is not None and all(one and one.build == "v1.1" for one in listed)
+
+    async def test_stream_goes_on_at_its_build(self) -> None:
+        for number in range(1, 5):
+            self.site.daemon = self.first
+            async with self.site.request("/stream/x", X_Wasabiwick_Attempt_Id=f"a{number}") as resp:
+                await resp.read()
+                seal = resp.headers["X-Wasabiwick-Response-Seal"]
+            await until(lambda name=f"a{number}": self._is_told(name))
+            self.site.daemon = self.other
+            resumption = {"Resumes": f"a{number}", "Last_Event_Id": "2"}
+            async with self.site.request("/stream/x", **resumption) as resp:
+                self.assertEqual(await resp.read(), EVENTS[EVENTS.index(b"id: 3") :])
+                self.assertEqual(resp.headers["X-Wasabiwick-Response-Seal"], seal)
+
+    async def _is_told(self, name: str) -> bool:
+        return builds.begun_stream(self.other.runner.state, name) is not None
+
+
 class TestSavedStreams(SiteTest):
     """Streams that hosts saved in the store are read again by hosts that start."""
 
