Cut off a broken stream of a safe route

Evidence: the new test fails on the code before: a second send. Change: once the caller has events, only a resumable route is tried again. Measured: tests.test_forwarding and test_builds pass.

--- a/src/wasabiwick/_handlers/forward_plain.py
+++ b/src/wasabiwick/_handlers/forward_plain.py
@@ -134,6 +134,8 @@
 
 
 def _may_retry(state: State, req: ForwardedCall, at: float) -> bool:
+    if req.events and not req.route.resumable:
+        return False
     has_attempt_left = req.route.repeatable and req.possible_runs < req.route.max_attempts
     return has_attempt_left and at + MIN_RETRY_TIME < req.ends_at
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -198,6 +198,13 @@
         self.assertTrue(host.effects_of(CutForward, call))
         self.assertIsNone(host.refusal(call))
 
+    def test_a_broken_stream_of_a_safe_route_is_cut_off(self) -> None:
+        """A safe request may be repeated as a whole, but a route says if a stream may be resumed."""
+        host, call = self.stream("safe")
+        host.fail(call, BROKEN, events=3)
+        self.assertEqual(len(host.effects_of(Forward, call)), 1)
+        self.assertTrue(host.effects_of(CutForward, call))
+
     def test_no_failure_is_relayed_into_a_stream(self) -> None:
         for not_run in (True, False):
             host, call = self.stream("feed")
