--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -199,7 +199,7 @@
         self.assertIsNone(host.refusal(call))
 
     def test_a_broken_stream_of_a_safe_route_is_cut_off(self) -> None:
-        """A safe request may be repeated as a whole, but a route says if a stream may be resumed."""
+        """A safe request may be repeated as a whole; only some routes let a stream go on."""
         host, call = self.stream("safe")
         host.fail(call, BROKEN, events=3)
         self.assertEqual(len(host.effects_of(Forward, call)), 1)
