Log what binds a resumed call to a build

An operator could see where a resumed call was sent, not why. One line a resumed call, stream_bound: the attempt it resumes, the build, the age of what was told, and the builds seen; explain words it. Measured: tests.test_builds (with one for the line), test_forwarding, test_explain, test_logging pass.

--- a/src/wasabiwick/_explain.py
+++ b/src/wasabiwick/_explain.py
@@ -212,6 +212,20 @@
     )
 
 
+@describes("stream_bound")
+def _stream_bound(line: Line) -> str:
+    if line.get("build", "-") == "-":
+        return (
+            f"The call resumes the stream of {line.get('resumes')}, whose build is not known;"
+            f" builds seen: {line.get('builds')}."
+        )
+    known = "told" if line.get("began_ago", "-") != "-" else "the only one seen"
+    return (
+        f"The call resumes the stream of {line.get('resumes')}, which may go on only at build"
+        f" {line.get('build')} ({known})."
+    )
+
+
 @describes("hold_refused")
 def _hold_refused(line: Line) -> str:
     return f"Engine {line.get('endpoint')} refused the reservation ({line.get('cause')})."
--- a/src/wasabiwick/_handlers/builds.py
+++ b/src/wasabiwick/_handlers/builds.py
@@ -82,11 +82,11 @@
     if not is_restored(state):
         return None
     note_listed(state, at)
-    builds = _recent_builds(state, service, at)
+    builds = recent_builds(state, service, at)
     return next(iter(builds)) if len(builds) == 1 else None
 
 
-def _recent_builds(state: State, service: str, at: float) -> dict[str, float]:
+def recent_builds(state: State, service: str, at: float) -> dict[str, float]:
     """Return the builds seen while a stream can last, with the seconds since then."""
     keep = keep_time(state)
     seen = state["builds"].seen.get(service, {})
@@ -95,8 +95,8 @@
 
 def mixed_services(state: State, at: float) -> dict[str, dict[str, float]]:
     """Return the services with several recent builds: each build, and the seconds since it."""
-    recent_builds = {name: _recent_builds(state, name, at) for name in state["builds"].seen}
-    return {name: builds for name, builds in recent_builds.items() if len(builds) > 1}
+    by_service = {name: recent_builds(state, name, at) for name in state["builds"].seen}
+    return {name: ages for name, ages in by_service.items() if len(ages) > 1}
 
 
 def take_untold(state: State) -> tuple[BegunStream, ...]:
--- a/src/wasabiwick/_handlers/forward_arrivals.py
+++ b/src/wasabiwick/_handlers/forward_arrivals.py
@@ -49,9 +49,12 @@
         return
     service = routes.pick_service(state, route)
     req = ForwardedCall(ask=ask, route=route, service=service, arrived_at=at)
-    is_bound = not (ask.resumed and route.kind == STREAM) or _bind_build(state, req, at)
+    is_resumed = ask.resumed and route.kind == STREAM
+    is_bound = not is_resumed or _bind_build(state, req, at)
     yield from forwarding.open_call(state, req, at)
     retry_budget.count_request(state, req.service, at)
+    if is_resumed:
+        yield _binding_line(state, req, at)
     if not is_bound:
         yield from forwarding.refuse_call(
             state, req, at, BUILD_UNKNOWN, retry_after=BUILD_RETRY_AFTER, resumes=ask.resumes or "-"
@@ -73,6 +76,20 @@
     return sole_build is not None
 
 
+def _binding_line(state: State, req: ForwardedCall, at: float) -> LogLine:
+    stream = builds.begun_stream(state, req.ask.resumes)
+    return forwarding.log(
+        "stream_bound",
+        req,
+        state,
+        at,
+        resumes=req.ask.resumes or "-",
+        build=req.build or "-",
+        began_ago=at - stream.began if stream is not None else "-",
+        builds=",".join(builds.recent_builds(state, req.service, at)) or "-",
+    )
+
+
 def _can_finish_before_stop(state: State, route: Route, ask: Ask, at: float) -> bool:
     """Return whether the whole answer can be expected before the stopping host ends."""
     seconds = route.target_latency
--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -110,6 +110,16 @@
         again = host.ask("stream", resumed=True, resumes=f"t-{call}")
         self.assertEqual(serve(host, again), OLD)
 
+    def test_log_tells_what_bound_a_resumed_call(self) -> None:
+        host, call = begin_before_release()
+        host.run(2.0)
+        host.ask("stream", resumed=True, resumes=f"t-{call}")
+        host.ask("stream", resumed=True, resumes="t-elsewhere")
+        lines = [one.fields for one in host.effects if getattr(one, "event", "") == "stream_bound"]
+        self.assertEqual([one["build"] for one in lines], [OLD, "-"])
+        self.assertEqual([one["builds"] for one in lines], [f"{OLD},{NEW}"] * 2)
+        self.assertGreaterEqual(lines[0]["began_ago"], 2.0)
+
     def test_unknown_stream_is_refused_while_several_builds_serve(self) -> None:
         host = Host(endpoints=MIXED)
         call = host.ask("stream", resumed=True, resumes="t-elsewhere")
