Log the shared parts of prompts whose streams broke off

Callers' requests with one part ended engine after engine. The logs could not tell such requests from others: they showed no parts, nor how long a stream had been written when it broke off.

--- a/src/wasabiwick/_forwarding.py
+++ b/src/wasabiwick/_forwarding.py
@@ -227,6 +227,7 @@
         length_hint: The caller's estimate of the output's length in tokens; 0 if it gave none.
         resumed: Whether the caller resumes a stream.
         resumes: Trace id of the call that brought the first event of a resumed stream, or empty.
+        parts: Identifiers of the parts of the prompt that other requests may share, in order.
     """
 
     __slots__ = (
@@ -240,6 +241,7 @@
         "length_hint",
         "resumed",
         "resumes",
+        "parts",
     )
 
     def __init__(
@@ -255,6 +257,7 @@
         length_hint: int = 0,
         resumed: bool = False,
         resumes: str = "",
+        parts: tuple[str, ...] = (),
     ) -> None:
         self.call_id = call_id
         self.trace_id = trace_id
@@ -266,6 +269,7 @@
         self.length_hint = length_hint
         self.resumed = resumed
         self.resumes = resumes
+        self.parts = tuple(parts)
 
 
 class StreamLoad(Record):
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -308,7 +308,14 @@
         )
         return
     yield from forwarding.refuse_call(
-        state, req, event.at, ENDPOINT_FAILED, endpoint=event.endpoint, cause=event.failure.detail
+        state,
+        req,
+        event.at,
+        ENDPOINT_FAILED,
+        endpoint=event.endpoint,
+        cause=event.failure.detail,
+        begun_ago=event.at - req.begun_at if req.phase == forwarding.RELAYING else "-",
+        parts=",".join(req.ask.parts) or "-",
     )
 
 
@@ -343,7 +350,15 @@
 ) -> typing.Iterator[Step]:
     """Queue the call for a place again; refuse it if the retry budget is used up."""
     yield forwarding.log(
-        "try_failed", req, state, at, endpoint=endpoint, cause=cause, events=req.events
+        "try_failed",
+        req,
+        state,
+        at,
+        endpoint=endpoint,
+        cause=cause,
+        events=req.events,
+        begun_ago=at - req.begun_at if req.phase == forwarding.RELAYING else "-",
+        parts=",".join(req.ask.parts) or "-",
     )
     # Without a connection nothing reached the endpoint, so the retry budget is not charged.
     if not nothing_sent and not retry_budget.try_spend_retry(state, req.service, at):
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -42,6 +42,7 @@
 # HTTP status: the address belongs to another endpoint now, or the engine has another stage.
 MISDIRECTED = 421
 EVENT_STREAM = "text/event-stream"
+MAX_PARTS = 16  # Most parts of a prompt that are read; prompts have a few.
 
 
 class _Hold(msgspec.Struct):
@@ -342,6 +343,7 @@
             length_hint=int(_header_number(values.get(_names.LENGTH_HINT, ""))),
             resumed=_names.LAST_EVENT_ID in values,
             resumes=values.get(_names.RESUMES, ""),
+            parts=_shared_parts(values.get(_names.PREFIX_HASH, "")),
         )
 
     def failure_headers(self, ask: Ask, failure: Failure) -> dict[str, str]:
@@ -352,6 +354,12 @@
         return headers
 
 
+def _shared_parts(text: str) -> tuple[str, ...]:
+    """Return the identifiers of a prompt's parts, except the last, which no other request has."""
+    entries = [entry.partition(":")[0].strip() for entry in text.split(",")]
+    return tuple(entries[:-1][:MAX_PARTS])
+
+
 def _header_number(text: str) -> float:
     if not text:
         return 0.0
