--- a/tests/_platform.py
+++ b/tests/_platform.py
@@ -149,6 +149,9 @@
         running_streams: Number of streams that it is sending.
         orders: Bodies of the orders that it received.
         is_changing_stage: Whether it is changing its stage: it grants holds but refuses requests.
+        crashing_part: Part of a prompt that ends the engine once it begins to write an answer.
+        has_ended: Whether it has ended.
+        end: Closes its listener and its connections.
     """
 
     def __init__(self, name: str, stage: str = "") -> None:
@@ -170,6 +173,9 @@
         self.running_streams = 0
         self.orders: list[dict] = []
         self.is_changing_stage = False
+        self.crashing_part = ""
+        self.has_ended = False
+        self.end: typing.Callable[[], typing.Awaitable[None]] | None = None
         self._counter = itertools.count(1)
 
     def entry(self, **fields: object) -> dict[str, object]:
@@ -274,6 +280,11 @@
             req.transport.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode())
             write = _writer_to(req.transport)
         self.running_streams += 1
+        parts = req.headers.get("X-Wasabiwick-Prefix-Hash", "")
+        if self.crashing_part and f"{self.crashing_part}:" in parts:
+            self.has_ended = True
+            await self.end()
+            return resp
         try:
             if self.cuts_left and not self.cut_before:
                 self.cuts_left -= 1
@@ -353,12 +364,23 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(app: web.Application) -> typing.AsyncIterator[str]:
-    """Serve an application on a free port, and yield its address."""
+async def serving(
+    app: web.Application, endpoint: Endpoint | None = None
+) -> typing.AsyncIterator[str]:
+    """Serve an application on a free port, and yield its address; ``endpoint`` may end early."""
     runner = web.AppRunner(app, handler_cancellation=True, access_log=None, shutdown_timeout=0.1)
     await runner.setup()
-    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
     host, port = runner.addresses[0][:2]
+
+    async def end() -> None:
+        await site.stop()
+        for conn in runner.server.connections:
+            conn.transport.abort()
+
+    if endpoint is not None:
+        endpoint.end = end
     try:
         yield f"{host}:{port}"
     finally:
--- a/tests/test_on_platform.py
+++ b/tests/test_on_platform.py
@@ -69,7 +69,9 @@
         async with contextlib.AsyncExitStack() as stack:
             address = await stack.enter_async_context(serving(self.store.app()))
             for endpoint in self.endpoints.values():
-                endpoint.address = await stack.enter_async_context(serving(endpoint.app()))
+                endpoint.address = await stack.enter_async_context(
+                    serving(endpoint.app(), endpoint)
+                )
                 await self.store.put(TOPIC_PREFIX + "servers", endpoint.name, endpoint.entry())
             await self.store.put(TOPIC_PREFIX + "op", "config", config())
             folder = stack.enter_context(tempfile.TemporaryDirectory())
