Block parts of prompts that make endpoints end

All streams on these engines broke off each time, and then no engine was left.

Cause: hosts kept nothing of what broken streams had in common. A crash was a failure of its engine, which is avoided for 1.5 s; the next request with the part, and the repeat of this one, got another. The class: a failure is put down to the place where it is seen, though it travels with the request.

Change: a host whose answer broke off as it began examines the endpoint at once. If that has ended, the shared parts of the prompts that it was beginning to answer are suspected. Hosts tell each other crashes with their suspects, and suspects that are sound, by datagram and by the store. From the same findings each derives the same blocks: the parts that explain three crashes or more. Parts that were in exactly the same crashes are blocked only together, so that requests with some of them still show which are sound. Blocked requests are refused at once as not run; those under way are dropped.

--- a/src/wasabiwick/_adapters/_datagrams.py
+++ b/src/wasabiwick/_adapters/_datagrams.py
@@ -7,6 +7,14 @@
 from .._begun_codec import StreamRow, decode_ages, decode_streams, encode_ages, encode_streams
 from .._effects_forwarding import TellLoad
 from .._events import LoadTold
+from .._findings_codec import (
+    CrashRow,
+    SoundRow,
+    decode_crashes,
+    decode_sound,
+    encode_crashes,
+    encode_sound,
+)
 from .._forwarding import EndpointLoad, StreamLoad
 from .._logging import log_event
 from .._runner import Runner
@@ -22,6 +30,7 @@
     and the milliseconds since its first token; these are negative while that is still expected.
     ``begun`` holds streams that began at the host: name, service, build and the milliseconds since.
     ``builds`` maps each service with several builds to the milliseconds since each was listed.
+    ``crashes`` holds endpoints that ended by themselves, ``sound`` parts of prompts that are sound.
     """
 
     host: str
@@ -34,6 +43,8 @@
     loads: dict[str, tuple[int, int, list[tuple[int, int, int]]]]
     begun: list[StreamRow] = []
     builds: dict[str, dict[str, int]] = {}
+    crashes: list[CrashRow] = []
+    sound: list[SoundRow] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -95,6 +106,8 @@
                 },
                 begun=encode_streams(effect.begun, now),
                 builds=encode_ages(effect.builds),
+                crashes=encode_crashes(effect.crashes, now),
+                sound=encode_sound(effect.sound, now),
             )
         )
         for address in effect.addresses:
@@ -132,6 +145,8 @@
                 busy={name: left / 1000 for name, left in datagram.busy.items()},
                 begun=decode_streams(datagram.begun, now),
                 builds=decode_ages(datagram.builds),
+                crashes=decode_crashes(datagram.crashes, now),
+                sound=decode_sound(datagram.sound, now),
             )
         )
 
--- a/src/wasabiwick/_effects_forwarding.py
+++ b/src/wasabiwick/_effects_forwarding.py
@@ -2,7 +2,7 @@
 
 from ._effects import Effect
 from ._errors import Failure
-from ._forwarding import BegunStream, EndpointLoad
+from ._forwarding import BegunStream, Crash, EndpointLoad, Findings, SoundPart
 
 
 class ForwardEffect(Effect):
@@ -187,10 +187,21 @@
 
     ``busy`` holds the engines that are changing between prefill and decode, with the seconds that
     the change may still take. ``builds`` holds the services with several builds: each build, with
-    the seconds since it was listed.
+    the seconds since it was listed. ``crashes`` holds endpoints that ended by themselves, and
+    ``sound`` the suspected parts of prompts that this host has seen to be sound.
     """
 
-    __slots__ = ("addresses", "sequence", "loads", "stopping", "busy", "begun", "builds")
+    __slots__ = (
+        "addresses",
+        "sequence",
+        "loads",
+        "stopping",
+        "busy",
+        "begun",
+        "builds",
+        "crashes",
+        "sound",
+    )
 
     def __init__(
         self,
@@ -202,6 +213,8 @@
         busy: dict[str, float],
         begun: tuple[BegunStream, ...] = (),
         builds: dict[str, dict[str, float]] | None = None,
+        crashes: tuple[Crash, ...] = (),
+        sound: tuple[SoundPart, ...] = (),
     ) -> None:
         self.addresses = tuple(addresses)
         self.sequence = sequence
@@ -210,6 +223,8 @@
         self.busy = busy
         self.begun = tuple(begun)
         self.builds = builds or {}
+        self.crashes = tuple(crashes)
+        self.sound = tuple(sound)
 
 
 class SaveStreams(Effect):
@@ -234,6 +249,29 @@
     __slots__ = ()
 
 
+class SaveFindings(Effect):
+    """Save what this host has found, in place of what it saved before."""
+
+    __slots__ = ("findings",)
+
+    def __init__(self, *, findings: Findings) -> None:
+        self.findings = findings
+
+
+class CheckEnded(Effect):
+    """Check whether an endpoint has ended, after connections to it broke off.
+
+    ``born`` is the Unix time at which it had started, in milliseconds; 0 if unknown.
+    """
+
+    __slots__ = ("endpoint", "address", "born")
+
+    def __init__(self, *, endpoint: str, address: str, born: int) -> None:
+        self.endpoint = endpoint
+        self.address = address
+        self.born = born
+
+
 class AskWhetherBusy(Effect):
     """Ask an engine whether it is changing its stage."""
 
--- a/src/wasabiwick/_events/_forwarding.py
+++ b/src/wasabiwick/_events/_forwarding.py
@@ -3,7 +3,16 @@
 import typing
 
 from .._errors import Failure
-from .._forwarding import Ask, BegunStream, EndpointLoad, Listing, RouteTable
+from .._forwarding import (
+    Ask,
+    BegunStream,
+    Crash,
+    EndpointLoad,
+    Findings,
+    Listing,
+    RouteTable,
+    SoundPart,
+)
 from .._wire import Owner
 from ._base import Event
 from ._host import Booted
@@ -100,7 +109,8 @@
     ``address`` is where the sender receives datagrams. ``busy`` holds the engines that are changing
     between prefill and decode, with the seconds that the change may still take. ``begun`` holds
     streams that began there, and ``builds`` the services with several builds: each build, with the
-    seconds since it was listed.
+    seconds since it was listed. ``crashes`` holds endpoints that ended by themselves, and ``sound``
+    the suspected parts of prompts that the sender has seen to be sound.
     """
 
     __slots__ = (
@@ -113,6 +123,8 @@
         "busy",
         "begun",
         "builds",
+        "crashes",
+        "sound",
     )
 
     def __init__(
@@ -128,6 +140,8 @@
         busy: dict[str, float] | None = None,
         begun: tuple[BegunStream, ...] = (),
         builds: dict[str, dict[str, float]] | None = None,
+        crashes: tuple[Crash, ...] = (),
+        sound: tuple[SoundPart, ...] = (),
     ) -> None:
         super().__init__(at=at)
         self.sender = sender
@@ -139,6 +153,8 @@
         self.busy = busy or {}
         self.begun = tuple(begun)
         self.builds = builds or {}
+        self.crashes = tuple(crashes)
+        self.sound = tuple(sound)
 
 
 class ForwardArrived(Event):
@@ -298,6 +314,41 @@
         self.failure = failure
 
 
+class FindingsRead(Event):
+    """Findings that hosts had saved were read; ``whole`` if these are the last of every host."""
+
+    __slots__ = ("findings", "whole")
+
+    def __init__(self, *, at: float, findings: tuple[Findings, ...], whole: bool = False) -> None:
+        super().__init__(at=at)
+        self.findings = tuple(findings)
+        self.whole = whole
+
+
+class FindingsSaved(Event):
+    """This host's findings were saved, unless there was a failure."""
+
+    __slots__ = ("failure",)
+
+    def __init__(self, *, at: float, failure: Failure | None) -> None:
+        super().__init__(at=at)
+        self.failure = failure
+
+
+class EndChecked(Event):
+    """It was checked whether an endpoint has ended; ``failure`` says why if that is not known."""
+
+    __slots__ = ("endpoint", "has_ended", "failure")
+
+    def __init__(
+        self, *, at: float, endpoint: str, has_ended: bool, failure: Failure | None = None
+    ) -> None:
+        super().__init__(at=at)
+        self.endpoint = endpoint
+        self.has_ended = has_ended
+        self.failure = failure
+
+
 class ClaimsRead(Event):
     """The last claim to the right to order stage changes was read.
 
--- a/src/wasabiwick/_forwarding.py
+++ b/src/wasabiwick/_forwarding.py
@@ -308,6 +308,59 @@
         self.began = began
 
 
+class Crash(Record):
+    """An endpoint that ended by itself, with the parts of prompts that may have caused it.
+
+    Args:
+        endpoint: Name of the endpoint.
+        born: Unix time at which the endpoint had started, in milliseconds; 0 if unknown.
+        service: Name of its service.
+        parts: Shared parts of the prompts whose answers it was beginning to write.
+        at: Monotonic time at which it ended.
+    """
+
+    __slots__ = ("endpoint", "born", "service", "parts", "at")
+
+    def __init__(
+        self, *, endpoint: str, born: int, service: str, parts: tuple[str, ...], at: float
+    ) -> None:
+        self.endpoint = endpoint
+        self.born = born
+        self.service = service
+        self.parts = tuple(parts)
+        self.at = at
+
+
+class SoundPart(Record):
+    """A part of prompts with which an endpoint of a service wrote an answer without ending.
+
+    Args:
+        service: Name of the service.
+        part: Identifier of the part.
+        at: Monotonic time at which that was seen last.
+    """
+
+    __slots__ = ("service", "part", "at")
+
+    def __init__(self, *, service: str, part: str, at: float) -> None:
+        self.service = service
+        self.part = part
+        self.at = at
+
+
+class Findings(Record):
+    """What one host has found out and saved: crashes, and suspected parts that are sound."""
+
+    __slots__ = ("host", "crashes", "sound")
+
+    def __init__(
+        self, *, host: str, crashes: tuple[Crash, ...] = (), sound: tuple[SoundPart, ...] = ()
+    ) -> None:
+        self.host = host
+        self.crashes = tuple(crashes)
+        self.sound = tuple(sound)
+
+
 class EndpointLoad(Record):
     """Load of one endpoint, caused by one host or by several together.
 
--- a/src/wasabiwick/_handlers/forward_arrivals.py
+++ b/src/wasabiwick/_handlers/forward_arrivals.py
@@ -20,7 +20,16 @@
 from .._reducer import Step, handles, on_timer
 from .._state import State
 from .._verdict import Verdict
-from . import builds, forward_plain, forward_streams, forwarding, rejecting, retry_budget, routes
+from . import (
+    builds,
+    crash_watch,
+    forward_plain,
+    forward_streams,
+    forwarding,
+    rejecting,
+    retry_budget,
+    routes,
+)
 from .forwarding import ForwardedCall
 from .host import stop_by
 
@@ -60,7 +69,9 @@
             state, req, at, BUILD_UNKNOWN, retry_after=BUILD_RETRY_AFTER, resumes=ask.resumes or "-"
         )
         return
-    yield from _handler_module(state, req).start(state, req, at)
+    yield from crash_watch.refuse_blocked(state, req, at)
+    if forwarding.call(state, ask.call_id) is not None:
+        yield from _handler_module(state, req).start(state, req, at)
 
 
 def _bind_build(state: State, req: ForwardedCall, at: float) -> bool:
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -250,7 +250,6 @@
         req.handle = ""  # The decode engine has fetched the KV cache.
         req.prefill_engine = None
         yield forwarding.begin_relay(state, req, at)
-        req.begun_at, req.begun_events = at, req.events
         places.begin_stream(state, event.endpoint, req.ask.call_id, at)
         health.record_success(state, event.endpoint)
         yield Observe(metric="stream_started", label=req.route.kind, value=at - req.arrived_at)
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -223,6 +223,7 @@
     """Record that a stream has begun at the call's place and is relayed to the caller."""
     req.phase = RELAYING
     req.relay_begun = True
+    req.begun_at, req.begun_events = at, req.events
     stream = BegunStream(
         name=req.ask.resumes or req.ask.trace_id,
         service=req.service,
--- a/src/wasabiwick/_handlers/neighbours.py
+++ b/src/wasabiwick/_handlers/neighbours.py
@@ -28,7 +28,7 @@
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
-from . import builds, directory
+from . import builds, crashing_parts, directory
 
 SEND_INTERVAL = 1.0  # Seconds between datagrams of a host whose load does not change.
 BATCH_DELAY = 0.01  # Seconds for which changes are collected into one datagram.
@@ -143,7 +143,7 @@
         neighbour.address != event.address and event.at - neighbour.heard > SILENT_AFTER
     ):
         hosts[event.host] = Neighbour(address=event.address, zone=event.zone, at=event.at)
-        yield from _schedule_send(state, event.at)
+        yield from send_soon(state, event.at)
 
 
 @handles(LoadTold)
@@ -157,9 +157,12 @@
         yield LogLine(event="host_found", fields={"host": name, "zone": event.zone})
     if neighbour.incarnation == event.sender.incarnation and event.sequence <= neighbour.sequence:
         return
+    was_silent = event.at - neighbour.heard > SILENT_AFTER
     if neighbour.incarnation != event.sender.incarnation:
         builds.tell_all(state)
-        yield from _schedule_send(state, event.at)
+    if was_silent or neighbour.incarnation != event.sender.incarnation:
+        crashing_parts.tell_all(state)
+        yield from send_soon(state, event.at)
     neighbour.address = event.address
     neighbour.incarnation = event.sender.incarnation
     neighbour.sequence = event.sequence
@@ -179,16 +182,17 @@
 def load_changed(state: State, event: LoadChanged) -> typing.Iterator[Step]:
     """Send the load soon; in a large fleet, only if a generation changed it."""
     if event.of_stream or len(state["neighbours"].hosts) < LARGE_FLEET_HOSTS:
-        yield from _schedule_send(state, event.at)
+        yield from send_soon(state, event.at)
 
 
 @handles(StopAsked)
 def announce_stop(state: State, event: StopAsked) -> typing.Iterator[Step]:
     """Notify the other hosts soon that this host is stopping."""
-    yield from _schedule_send(state, event.at)
+    yield from send_soon(state, event.at)
 
 
-def _schedule_send(state: State, at: float) -> typing.Iterator[Step]:
+def send_soon(state: State, at: float) -> typing.Iterator[Step]:
+    """Send the load and what else is to be told, after `BATCH_DELAY` or more in a large fleet."""
     neighbours_state = state["neighbours"]
     if not neighbours_state.send_scheduled:
         neighbours_state.send_scheduled = True
@@ -230,6 +234,7 @@
         loads.update(source(state))
     addresses = tuple(one.address for one in neighbours_state.hosts.values())
     if addresses:
+        crashes, sound = crashing_parts.take_untold(state)
         yield TellLoad(
             addresses=addresses,
             sequence=neighbours_state.sequence,
@@ -238,6 +243,8 @@
             busy=directory.busy_endpoints(state, at),
             begun=builds.take_untold(state),
             builds=builds.mixed_services(state, at),
+            crashes=crashes,
+            sound=sound,
         )
-        if builds.has_untold(state):
-            yield from _schedule_send(state, at)
+        if builds.has_untold(state) or crashing_parts.has_untold(state):
+            yield from send_soon(state, at)
--- a/src/wasabiwick/_http1.py
+++ b/src/wasabiwick/_http1.py
@@ -43,6 +43,10 @@
     """No connection was established, so no byte of the request was sent."""
 
 
+class NotListeningError(NotSentError):
+    """Nothing listens at the address."""
+
+
 class BrokenAnswerError(Exception):
     """The connection ended before the answer was complete, or the answer is not valid."""
 
@@ -316,20 +320,35 @@
             if conn.is_usable(self._clock()):
                 return conn
             conn.close()
+        conn = await self._connect(address, lambda: self._on_connection_lost(key))
+        self._open_counts[key] += 1
+        return conn
+
+    async def _connect(self, address: str, on_lost: typing.Callable[[], None]) -> Connection:
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
-                _, conn = await loop.create_connection(
-                    lambda: Connection(lambda: self._on_connection_lost(key)), host, int(port)
-                )
+                _, conn = await loop.create_connection(lambda: Connection(on_lost), host, int(port))
         except TimeoutError:
             raise NotSentError("no connection in time") from None
+        except ConnectionRefusedError as exc:
+            raise NotListeningError(f"no connection: {exc}") from exc
         except (OSError, ValueError) as exc:
             raise NotSentError(f"no connection: {exc}") from exc
-        self._open_counts[key] += 1
         return conn
 
+    async def is_refused(self, address: str) -> bool:
+        """Return whether nothing listens at an address, as far as it can be reached."""
+        try:
+            conn = await self._connect(address, lambda: None)
+        except NotListeningError:
+            return True
+        except NotSentError:
+            return False
+        conn.close()
+        return False
+
     def _on_connection_lost(self, key: tuple[str, str]) -> None:
         self._open_counts[key] -= 1
         if not self._open_counts[key]:
--- a/src/wasabiwick/_metrics.py
+++ b/src/wasabiwick/_metrics.py
@@ -274,6 +274,8 @@
     _counter("forward_refused", "Calls that this host refused or cut off.", "reason"),
     _counter("forward_left", "Calls whose caller disconnected.", "phase"),
     _counter("forward_repeats", "Retries sent to another endpoint.", "service"),
+    _counter("endpoints_ended", "Endpoints that ended while they began to answer.", "service"),
+    _counter("parts_blocked", "Blocks of prompts' parts, counted at each change.", "service"),
     _counter("budget_empty", "Retries that the retry budget did not allow.", "service"),
     _counter(
         "endpoint_refusals",
--- a/src/wasabiwick/_performers/forwarding.py
+++ b/src/wasabiwick/_performers/forwarding.py
@@ -5,6 +5,7 @@
 from .._effects_forwarding import (
     AnnounceHost,
     AskWhetherBusy,
+    CheckEnded,
     ClaimOrders,
     CutForward,
     DropHold,
@@ -17,6 +18,7 @@
     ReadSavedStreams,
     RefuseForward,
     Relay,
+    SaveFindings,
     SaveStreams,
     TakeHold,
     TellLoad,
@@ -27,7 +29,9 @@
     AnswerCame,
     ClaimAnswered,
     ClaimsRead,
+    EndChecked,
     EngineSaidBusy,
+    FindingsSaved,
     HoldAnswered,
     HostFound,
     PromptAnswered,
@@ -44,7 +48,8 @@
 from .._runner import Runner, performs
 from .._verdict import Verdict
 
-PROGRESS_EVENTS = 8  # Events of a stream between two reports of its progress to the reducer.
+# Events of a stream between two reports of its progress to the reducer, after the first event.
+PROGRESS_EVENTS = 8
 SAVED_STREAMS_RETRY_S = 0.5  # Delay before the streams that hosts saved are read again.
 REGISTER_RETRY_S = 2.0  # Delay before this host tries again to register, or to list other hosts.
 CALL_TASKS = ("hold", "prompt", "send")  # Kinds of tasks that may run for one forwarded call.
@@ -222,6 +227,38 @@
     runner.post(SavedStreamsRead(at=runner.now(), begun=begun, builds=tuple(saved.builds), own=own))
 
 
+@performs(SaveFindings)
+def save_findings(runner: Runner, effect: SaveFindings) -> None:
+    """Save what this host has found."""
+    runner.spawn("save_findings", _save_findings(runner, effect))
+
+
+async def _save_findings(runner: Runner, effect: SaveFindings) -> None:
+    failure = await runner.ports.register.save_findings(effect.findings, runner.now())
+    if failure:
+        log_event("findings_not_saved", reason=failure.detail)
+    runner.post(FindingsSaved(at=runner.now(), failure=failure))
+
+
+@performs(CheckEnded)
+def check_ended(runner: Runner, effect: CheckEnded) -> None:
+    """Check whether an endpoint has ended."""
+    runner.spawn(f"crash/{effect.endpoint}", _check_ended(runner, effect))
+
+
+async def _check_ended(runner: Runner, effect: CheckEnded) -> None:
+    answer = await runner.ports.endpoints.has_ended(effect)
+    failed = isinstance(answer, Failure)
+    runner.post(
+        EndChecked(
+            at=runner.now(),
+            endpoint=effect.endpoint,
+            has_ended=False if failed else answer,
+            failure=answer if failed else None,
+        )
+    )
+
+
 @performs(ReadClaims)
 def read_claims(runner: Runner, effect: ReadClaims) -> None:
     """Read the last claim to the right to order stage changes."""
@@ -397,7 +434,7 @@
                 call.exchange.events = events_before + splitter.events
                 call.exchange.last_event_id = splitter.last_id or call.exchange.last_event_id
                 await call.write(complete)
-            if splitter.events - reported >= PROGRESS_EVENTS:
+            if splitter.events - reported >= (PROGRESS_EVENTS if reported else 1):
                 reported = splitter.events
                 runner.post(self._progress_event(StreamMoved))
         if splitter.is_inside_event:
--- a/src/wasabiwick/_ports/endpoints.py
+++ b/src/wasabiwick/_ports/endpoints.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from .._effects_forwarding import Forward, OrderStage, ReadPrompt
+from .._effects_forwarding import CheckEnded, Forward, OrderStage, ReadPrompt
 from .._errors import Failure
 
 
@@ -72,6 +72,9 @@
     async def is_busy(self, endpoint: str, address: str) -> bool | Failure:
         """Return whether an engine is changing its stage."""
 
+    async def has_ended(self, effect: CheckEnded) -> bool | Failure:
+        """Return whether an endpoint has ended; a failure if it can't be reached."""
+
     async def prefill(
         self, exchange: Exchange, effect: ReadPrompt, *, seconds: float
     ) -> str | Failure:
--- a/src/wasabiwick/_ports/neighbours.py
+++ b/src/wasabiwick/_ports/neighbours.py
@@ -4,7 +4,7 @@
 
 from .._effects_forwarding import SaveStreams, TellLoad
 from .._errors import Failure
-from .._forwarding import BegunStream
+from .._forwarding import BegunStream, Findings
 from .._wire import Owner
 
 
@@ -59,3 +59,6 @@
 
     async def saved_streams(self, now: float) -> SavedStreams | Failure:
         """Return the streams that each host saved last."""
+
+    async def save_findings(self, findings: Findings, now: float) -> Failure | None:
+        """Save what a host has found in place of what it saved before."""
--- a/src/wasabiwick/platform/__init__.py
+++ b/src/wasabiwick/platform/__init__.py
@@ -15,10 +15,13 @@
 from ._feeds import (
     ENDPOINTS_PAUSE_S,
     ENDPOINTS_POLL_WAIT_S,
+    FINDINGS_PAUSE_S,
+    FINDINGS_POLL_WAIT_S,
     ROUTES_POLL_WAIT_S,
     Feed,
     StoreHostRegister,
     decode_endpoints,
+    decode_findings,
     decode_routes,
 )
 from ._settings import SettingsError, file_stamp, load, metrics_address
@@ -46,7 +49,7 @@
         self.register = StoreHostRegister(self._store)
 
     async def follow(self, runner: Runner) -> None:
-        """Follow routes and endpoints in the store, and post each change as an event."""
+        """Follow routes, endpoints and findings in the store, and post each change as an event."""
         routes = Feed(
             store=self._store,
             name="routes",
@@ -62,7 +65,15 @@
             wait=ENDPOINTS_POLL_WAIT_S,
             pause=ENDPOINTS_PAUSE_S,
         )
-        await asyncio.gather(routes.run(runner), endpoints.run(runner))
+        findings = Feed(
+            store=self._store,
+            name="findings",
+            topic=_names.FINDINGS_TOPIC,
+            decode=decode_findings,
+            wait=FINDINGS_POLL_WAIT_S,
+            pause=FINDINGS_PAUSE_S,
+        )
+        await asyncio.gather(routes.run(runner), endpoints.run(runner), findings.run(runner))
 
     def changed(self) -> bool:
         """Return whether the settings file has changed since it was last read."""
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from .._effects_forwarding import Forward, OrderStage, ReadPrompt
+from .._effects_forwarding import CheckEnded, Forward, OrderStage, ReadPrompt
 from .._errors import (
     ENDPOINT_CHANGED,
     ENDPOINT_FAILED,
@@ -53,6 +53,10 @@
     busy: bool
 
 
+class _Birth(msgspec.Struct):
+    born: int = 0
+
+
 class _Prompt(msgspec.Struct, rename="kebab"):
     kv_handle: str
 
@@ -155,6 +159,24 @@
         answer = await self._call(endpoint, address, "GET", _names.REPORT, timeout=REPORT_TIMEOUT_S)
         return answer if isinstance(answer, Failure) else _decode(answer, _Report, "busy")
 
+    async def has_ended(self, effect: CheckEnded) -> bool | Failure:
+        """Return whether an endpoint has ended: nothing listens there, or something else does."""
+        endpoint, address = effect.endpoint, effect.address
+        answer = await self._call(endpoint, address, "GET", _names.REPORT, timeout=REPORT_TIMEOUT_S)
+        if not isinstance(answer, Failure):
+            try:
+                born = msgspec.json.decode(answer, type=_Birth).born
+            except msgspec.MsgspecError:
+                born = 0
+            return bool(born and effect.born and born != effect.born)
+        if answer.reason is ENDPOINT_CHANGED:
+            return True
+        if answer.reason is ENDPOINT_REFUSED:
+            return False  # It answers, though not this question.
+        if answer.reason is ENDPOINT_UNREACHABLE and await self._pool.is_refused(address):
+            return True
+        return answer
+
     async def prefill(
         self, exchange: Exchange, effect: ReadPrompt, *, seconds: float
     ) -> str | Failure:
--- a/src/wasabiwick/platform/_feeds.py
+++ b/src/wasabiwick/platform/_feeds.py
@@ -10,8 +10,9 @@
 from .._begun_codec import decode_ages, decode_streams, encode_ages, encode_streams
 from .._effects_forwarding import SaveStreams
 from .._errors import Failure
-from .._events import EndpointsRead, Event, FeedChanged, RoutesRead
-from .._forwarding import Listing
+from .._events import EndpointsRead, Event, FeedChanged, FindingsRead, RoutesRead
+from .._findings_codec import encode_crashes, encode_sound
+from .._forwarding import Findings, Listing
 from .._logging import log_event, log_exception
 from .._ports import SavedStreams
 from .._runner import Runner
@@ -23,6 +24,10 @@
 ENDPOINTS_POLL_WAIT_S = 2.0  # Longest long poll for endpoints.
 # Pause between two reads of endpoints, since entries are rewritten more often than they change.
 ENDPOINTS_PAUSE_S = 0.7
+FINDINGS_POLL_WAIT_S = 5.0  # Longest long poll for findings, which seldom change.
+# Pause between two reads of findings. It bounds the reads of a large fleet whose hosts all find
+# something at once.
+FINDINGS_PAUSE_S = 0.5
 FIRST_RETRY_S = 0.1  # Delay after the first failed read; doubled at each failure, and jittered.
 # Longest delay after a failed read, short compared to the time within which a configuration has to
 # apply.
@@ -142,8 +147,21 @@
     return Listing(name=record.key, offset=record.offset, endpoint=found)
 
 
+def decode_findings(at: float, page: Page, has_all_keys: bool) -> FindingsRead | None:
+    """Return what hosts saved of their findings, or None if a page has nothing new."""
+    if not page.records and not has_all_keys:
+        return None
+    found = []
+    for record in page.records:
+        try:
+            found.append(_records.decode_findings(record.key, record.value or b"", at))
+        except msgspec.MsgspecError as exc:
+            log_event("findings_unreadable", level="WARNING", host=record.key, error=str(exc))
+    return FindingsRead(at=at, findings=tuple(found), whole=has_all_keys)
+
+
 class StoreHostRegister:
-    """What entry hosts keep in the store: their addresses, and claims to order stage changes.
+    """What entry hosts keep in the store: addresses, findings, and claims to order stage changes.
 
     A claim gives one host the right to order engines to change their stage (prefill or decode).
 
@@ -224,3 +242,14 @@
             saved.streams[one.key] = decode_streams(record.streams, now - passed)
             saved.builds.append(decode_ages(record.builds, passed))
         return saved
+
+    async def save_findings(self, findings: Findings, now: float) -> Failure | None:
+        """Save what a host has found in place of what it saved before."""
+        record = _records.FindingsRecord(
+            saved_ms=int(time.time() * 1000),
+            crashes=encode_crashes(findings.crashes, now),
+            sound=encode_sound(findings.sound, now),
+        )
+        value = msgspec.json.encode(record)
+        offset = await self._store.append(_names.FINDINGS_TOPIC, findings.host, value)
+        return offset if isinstance(offset, Failure) else None
--- a/src/wasabiwick/platform/_records.py
+++ b/src/wasabiwick/platform/_records.py
@@ -1,14 +1,17 @@
 """Decodes records of the platform's store into this product's types."""
 
+import time
 import typing
 
 import msgspec
 
 from .._begun_codec import StreamRow
+from .._findings_codec import CrashRow, SoundRow, decode_crashes, decode_sound
 from .._forwarding import (
     KINDS,
     Endpoint,
     EngineTraits,
+    Findings,
     Route,
     RouteTable,
     ServiceTraits,
@@ -91,11 +94,20 @@
     builds: dict[str, dict[str, int]]
 
 
+class FindingsRecord(msgspec.Struct):
+    """What an entry host has found out; ``saved_ms`` is Unix time."""
+
+    saved_ms: int
+    crashes: list[CrashRow] = []
+    sound: list[SoundRow] = []
+
+
 _CONFIG = msgspec.json.Decoder(_Config)
 _SERVER = msgspec.json.Decoder(_Server)
 _CLAIM = msgspec.json.Decoder(ClaimRecord)
 _HOST = msgspec.json.Decoder(HostRecord)
 _STREAMS = msgspec.json.Decoder(StreamsRecord)
+_FINDINGS = msgspec.json.Decoder(FindingsRecord)
 
 
 def decode_route_table(value: bytes) -> RouteTable:
@@ -184,6 +196,21 @@
     return _STREAMS.decode(value)
 
 
+def decode_findings(host: str, value: bytes, now: float) -> Findings:
+    """Decode what an entry host saved of its findings; ``now`` is monotonic time.
+
+    Raises:
+        msgspec.MsgspecError: If the value is not a valid record.
+    """
+    record = _FINDINGS.decode(value)
+    saved_at = now - max(0.0, time.time() - record.saved_ms / MS_PER_S)
+    return Findings(
+        host=host,
+        crashes=decode_crashes(record.crashes, saved_at),
+        sound=decode_sound(record.sound, saved_at),
+    )
+
+
 def decode_claim(value: bytes) -> ClaimRecord:
     """Decode a claim to the right to order stage changes.
 
--- a/tests/_forward.py
+++ b/tests/_forward.py
@@ -137,12 +137,13 @@
     def __init__(
         self,
         *,
+        name: str = "a",
         slack: float = 50.0,
         endpoints: tuple[Endpoint, ...] = ENDPOINTS,
         at: float = 100.0,
     ) -> None:
         self.now = at
-        self.state = _state.State(make_settings(slack=slack))
+        self.state = _state.State(make_settings(name, slack=slack))
         self.effects: list[_effects.Effect] = []
         self._timers: dict[tuple[str, str], int] = {}
         self._queue: list[tuple[float, int, str, str]] = []
@@ -151,7 +152,7 @@
         self._offset = 0
         self.feed(
             _events.ForwarderBooted,
-            owner=_wire.Owner(host="a", incarnation="1"),
+            owner=_wire.Owner(host=name, incarnation="1"),
             zone=ZONE,
             wall=EPOCH,
             seed=7,
@@ -217,6 +218,8 @@
             loads=told.loads,
             begun=told.begun,
             builds=told.builds,
+            crashes=told.crashes,
+            sound=told.sound,
         )
 
     def ask(self, path: str, **fields: object) -> str:
--- a/tests/_platform.py
+++ b/tests/_platform.py
@@ -151,6 +151,8 @@
         is_changing_stage: Whether it is changing its stage: it grants holds but refuses requests.
         crashing_part: Part of a prompt that ends the engine once it begins to write an answer.
         has_ended: Whether it has ended.
+        is_silent: Whether it does not answer questions for its report.
+        born: Unix time of its start, in milliseconds.
         end: Closes its listener and its connections.
     """
 
@@ -175,6 +177,8 @@
         self.is_changing_stage = False
         self.crashing_part = ""
         self.has_ended = False
+        self.is_silent = False
+        self.born = 1
         self.end: typing.Callable[[], typing.Awaitable[None]] | None = None
         self._counter = itertools.count(1)
 
@@ -189,7 +193,7 @@
             "state": "ready",
             "cold-remaining-ms": 0,
             "sequence": 1,
-            "born": 1,
+            "born": self.born,
             **({"stage": self.stage} if self.stage else {}),
             **fields,
         }
@@ -236,7 +240,14 @@
         return web.Response(status=202)
 
     async def _report(self, req: web.Request) -> web.Response:
-        report = {"stage": self.stage, "busy": self.is_changing_stage, "sequence": len(self.orders)}
+        report = {
+            "stage": self.stage,
+            "busy": self.is_changing_stage,
+            "sequence": len(self.orders),
+            "born": self.born,
+        }
+        if self.is_silent:
+            await asyncio.Event().wait()
         return self._misdirected(req) or web.json_response(report)
 
     async def _request(self, req: web.Request) -> web.StreamResponse:
--- /dev/null
+++ b/tests/test_crashing_parts_random.py
@@ -0,0 +1,26 @@
+"""Random cuts, restarts and lost engines, while one part of prompts ends engines."""
+
+import unittest
+
+from ._crash_fleet import Fleet
+
+SEEDS = 20
+MAX_LATE_SENDS = 3  # The users' rule: requests that may reach engines after hosts had to know.
+MIN_SERVED_SHARE = 0.5  # The users' rule: share of sound requests that must still begin.
+
+
+class TestRandomCrashes(unittest.TestCase):
+    """Hosts learn in time which part ends engines, and refuse only requests that have it."""
+
+    def test_only_requests_with_the_crashing_part_are_refused(self) -> None:
+        crashes = sound = 0
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                fleet = Fleet(seed).run()
+                self.assertLessEqual(fleet.late_bad_sends(), MAX_LATE_SENDS)
+                count, refused = fleet.late_sound()
+                self.assertLessEqual(refused, (1.0 - MIN_SERVED_SHARE) * count)
+                crashes += len(fleet.crashes)
+                sound += count
+        self.assertGreater(crashes, SEEDS)
+        self.assertGreater(sound, 20 * SEEDS)
