Read the limit that an endpoint names, and log it

Engines got more requests than the limit that they had named. Nothing in the logs mentioned a limit, so the hypotheses could not be told apart. Each answer's limit is read now, whatever the answer is to, and a change is logged. Nothing follows from it yet.

--- a/src/wasabiwick/_events/_forwarding.py
+++ b/src/wasabiwick/_events/_forwarding.py
@@ -335,6 +335,20 @@
         self.failure = failure
 
 
+class LimitNamed(Event):
+    """An endpoint named the requests a second that it takes from all hosts together.
+
+    ``rate`` is None if it names no limit any more.
+    """
+
+    __slots__ = ("endpoint", "rate")
+
+    def __init__(self, *, at: float, endpoint: str, rate: float | None) -> None:
+        super().__init__(at=at)
+        self.endpoint = endpoint
+        self.rate = rate
+
+
 class EndChecked(Event):
     """It was checked whether an endpoint has ended; ``failure`` says why if that is not known."""
 
--- a/src/wasabiwick/_ports/endpoints.py
+++ b/src/wasabiwick/_ports/endpoints.py
@@ -58,6 +58,13 @@
 class Endpoints(typing.Protocol):
     """Calls to endpoints; without an answer, a failure says whether the request may have run."""
 
+    def report_limits(self, report: typing.Callable[[str, float | None], None]) -> None:
+        """Call a function at each answer that names a limit, and once a limit has ended.
+
+        It gets the endpoint's name, and the requests a second that the endpoint takes from all
+        hosts together, or None once the endpoint names no limit any more.
+        """
+
     async def take_hold(
         self, endpoint: str, address: str, *, tokens: int, seconds: float
     ) -> str | Failure:
--- a/src/wasabiwick/platform/__init__.py
+++ b/src/wasabiwick/platform/__init__.py
@@ -7,6 +7,7 @@
 import asyncio
 import time
 
+from .._events import LimitNamed
 from .._forward_daemon import serve
 from .._runner import Runner
 from .._settings import Settings
@@ -50,6 +51,11 @@
 
     async def follow(self, runner: Runner) -> None:
         """Follow routes, endpoints and findings in the store, and post each change as an event."""
+        self.endpoints.report_limits(
+            lambda endpoint, rate: runner.post(
+                LimitNamed(at=runner.now(), endpoint=endpoint, rate=rate)
+            )
+        )
         routes = Feed(
             store=self._store,
             name="routes",
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -1,6 +1,7 @@
 """Calls the platform's endpoints over HTTP/1.1, and decodes the headers of its callers."""
 
 import asyncio
+import math
 import typing
 
 import msgspec
@@ -42,9 +43,15 @@
 # HTTP status: the address belongs to another endpoint now, or the engine has another stage.
 MISDIRECTED = 421
 EVENT_STREAM = "text/event-stream"
+MAX_LOGGED_VALUE = 40  # Most characters of a header that are logged.
 MAX_PARTS = 16  # Most parts of a prompt that are read; prompts have a few.
 
 
+# Gets an endpoint's name, and the requests a second that it takes from all hosts together; None
+# once it has no limit any more.
+LimitReport = typing.Callable[[str, float | None], None]
+
+
 class _Hold(msgspec.Struct):
     hold: str
 
@@ -113,10 +120,33 @@
         clock: Returns monotonic time in seconds.
     """
 
-    __slots__ = ("_pool",)
+    __slots__ = ("_pool", "_clock", "_report_limit", "_limited")
 
     def __init__(self, clock: typing.Callable[[], float]) -> None:
         self._pool = ConnectionPool(clock)
+        self._clock = clock
+        self._report_limit: LimitReport | None = None
+        # Monotonic times at which each endpoint last named a limit.
+        self._limited: dict[str, float] = {}
+
+    def report_limits(self, report: LimitReport) -> None:
+        """Call a function at each answer with a limit, and at the first one without it again."""
+        self._report_limit = report
+
+    def _note_limit(self, endpoint: str, conn: Connection, sent_at: float) -> None:
+        """Report the limit that an answer names, if any; ``sent_at`` is when it was asked for."""
+        if self._report_limit is None:
+            return
+        text = conn.header(_names.SERVER_LIMIT)
+        if text:
+            rate = _limit(text)
+            if rate is not None:
+                self._limited[endpoint] = self._clock()
+                self._report_limit(endpoint, rate)
+        # An answer to an older request may have been written before the limit was named.
+        elif sent_at > self._limited.get(endpoint, math.inf):
+            del self._limited[endpoint]
+            self._report_limit(endpoint, None)
 
     async def take_hold(
         self, endpoint: str, address: str, *, tokens: int, seconds: float
@@ -214,8 +244,10 @@
         except NotSentError as exc:
             return _failure(ENDPOINT_UNREACHABLE, Verdict.NOT_RUN, str(exc))
         try:
+            sent_at = self._clock()
             conn.send(data)
             await conn.head()
+            self._note_limit(effect.endpoint, conn, sent_at)
             _check_attempt_id(conn, _attempt_id(exchange))
             _check_seal(conn)
             return EndpointAnswer(pool=self._pool, effect=effect, conn=conn)
@@ -258,8 +290,10 @@
         try:
             async with asyncio.timeout(timeout):
                 conn = await self._pool.acquire(endpoint, address)
+                sent_at = self._clock()
                 conn.send(data)
                 await conn.head()
+                self._note_limit(endpoint, conn, sent_at)
                 if expected:
                     _check_attempt_id(conn, expected)
                 body = await conn.body()
@@ -293,6 +327,18 @@
         return _failure(ENDPOINT_FAILED, Verdict.MAY_HAVE_RUN, f"unreadable answer: {exc}")
 
 
+def _limit(text: str) -> float | None:
+    """Return the limit that an answer names, or None if it is no usable number."""
+    try:
+        rate = float(text)
+    except ValueError:
+        rate = math.nan
+    if math.isfinite(rate) and rate >= 0.0:
+        return rate
+    log_event("header_unreadable", level="WARNING", value=text[:MAX_LOGGED_VALUE])
+    return None
+
+
 def _failure(reason: object, verdict: Verdict, detail: str) -> Failure:
     return Failure(reason=reason, verdict=verdict, detail=detail)
 
--- a/tests/_platform.py
+++ b/tests/_platform.py
@@ -8,6 +8,7 @@
 import contextlib
 import itertools
 import struct
+import time
 import typing
 
 import msgspec
@@ -153,6 +154,8 @@
         has_ended: Whether it has ended.
         is_silent: Whether it does not answer questions for its report.
         born: Unix time of its start, in milliseconds.
+        limit: Requests a second that its answers name as its limit; None for no limit.
+        arrivals: Monotonic time of each request.
         end: Closes its listener and its connections.
     """
 
@@ -179,6 +182,8 @@
         self.has_ended = False
         self.is_silent = False
         self.born = 1
+        self.limit: float | None = None
+        self.arrivals: list[float] = []
         self.end: typing.Callable[[], typing.Awaitable[None]] | None = None
         self._counter = itertools.count(1)
 
@@ -201,6 +206,7 @@
     def app(self) -> web.Application:
         """Build the web application."""
         app = web.Application()
+        app.on_response_prepare.append(self._name_limit)
         app.router.add_post("/v1/hold-take", self._hold)
         app.router.add_delete("/v1/hold-drop/{id}", self._drop_hold)
         app.router.add_delete("/v1/kv-handle/{id}", self._free)
@@ -209,6 +215,10 @@
         app.router.add_route("*", "/{path:.*}", self._request)
         return app
 
+    async def _name_limit(self, req: web.Request, resp: web.StreamResponse) -> None:
+        if self.limit is not None:
+            resp.headers["Server-Limit"] = str(self.limit)
+
     def _misdirected(self, req: web.Request) -> web.Response | None:
         if req.headers.get("X-Wasabiwick-Expect-Instance", self.name) == self.name:
             return None
@@ -260,6 +270,7 @@
             return web.Response(status=503, headers={**echo, "X-Wasabiwick-Not-Executed": "1"})
         body = await req.read()
         self.requests.append((req.raw_path, req.headers.copy()))
+        self.arrivals.append(time.monotonic())
         if req.headers.get("X-Wasabiwick-Stage") == "prefill":
             handle = f"handle-{self.name}-{next(self._counter)}"
             self.kv_handles.add(handle)
