--- a/tests/test_limits_live.py
+++ b/tests/test_limits_live.py
@@ -88,3 +88,24 @@
             status, _ = await self.send(self.hosts[0])
             self.assertEqual(status, 200)
         self.assertEqual(self.limits(), {})
+
+
+class TestSummedLimit(LimitTest):
+    """All hosts together keep to the limit that an endpoint names."""
+
+    async def test_all_hosts_together_keep_to_the_limit(self) -> None:
+        endpoints = [self.site.endpoints[name] for name in ("s0", "s1")]
+        for endpoint in endpoints:
+            endpoint.limit = LIMIT
+        for host in self.hosts:
+            await self.send(host)
+        for endpoint in endpoints:
+            endpoint.arrivals.clear()
+        answers = await self.send_all()
+        for endpoint in endpoints:
+            for at in endpoint.arrivals:
+                count = sum(at <= one < at + WINDOW for one in endpoint.arrivals)
+                self.assertLessEqual(count, allowed(LIMIT, WINDOW))
+            self.assertTrue(endpoint.arrivals)
+        refusals = [retry_after for status, retry_after in answers if status == 503]
+        self.assertTrue(refusals and all(refusals))
