Keep all hosts together to the limit that an endpoint names

Cause: nothing followed from the limit. The class: a bound on all hosts together is taken for one that each host can keep alone.

Change: of the hosts heard, the first in an endpoint's rendezvous order owns it and gives permits from a token bucket. The others ask it by datagram before each send and each prefill; a host that was told to wait asks no more until then, and requests without room are refused at once with when to come back. An owner that leaves two questions unanswered is passed over. While hosts don't hear each other, an owner gives only the share of the hosts that it serves. Hosts tell each other what endpoints named to them.

Breaks made on purpose are found: an owner for each host, full shares in cuts, a single question, equal shares.

--- a/src/wasabiwick/_adapters/_datagrams.py
+++ b/src/wasabiwick/_adapters/_datagrams.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from .._begun_codec import StreamRow, decode_ages, decode_streams, encode_ages, encode_streams
-from .._effects_forwarding import TellLoad
-from .._events import LoadTold
+from .._effects_forwarding import AnswerPermit, AskPermit, TellLoad
+from .._events import LoadTold, PermitAnswered, PermitAsked
 from .._findings_codec import (
     CrashRow,
     SoundRow,
@@ -16,6 +16,13 @@
     encode_sound,
 )
 from .._forwarding import EndpointLoad, StreamLoad
+from .._limits_codec import (
+    LimitRow,
+    decode_limit,
+    decode_limits,
+    encode_limit,
+    encode_limits,
+)
 from .._logging import log_event
 from .._runner import Runner
 from .._wire import Owner
@@ -31,6 +38,7 @@
     ``begun`` holds streams that began at the host: name, service, build and the milliseconds since.
     ``builds`` maps each service with several builds to the milliseconds since each was listed.
     ``crashes`` holds endpoints that ended by themselves, ``sound`` parts of prompts that are sound.
+    ``limits`` holds what endpoints named as their limits.
     """
 
     host: str
@@ -45,10 +53,32 @@
     builds: dict[str, dict[str, int]] = {}
     crashes: list[CrashRow] = []
     sound: list[SoundRow] = []
+    limits: list[LimitRow] = []
+
+
+class PermitQuestion(msgspec.Struct, tag="ask"):
+    """A host's question whether it may send a request to an endpoint that has a limit."""
+
+    host: str
+    address: str
+    call: str
+    number: int
+    limit: LimitRow
+
+
+class PermitReply(msgspec.Struct, tag="reply"):
+    """The answer to a question: seconds to wait, or 0 if the request may be sent."""
+
+    call: str
+    number: int
+    wait: float
 
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(LoadDatagram)
+_PERMIT_DECODER = msgspec.msgpack.Decoder(PermitQuestion | PermitReply)
+# A load is sent as an array, and all else as a small map, which its first byte shows.
+MAP_MASK, SMALL_MAP = 0xF0, 0x80
 
 
 class UdpDatagrams(asyncio.DatagramProtocol):
@@ -108,19 +138,60 @@
                 builds=encode_ages(effect.builds),
                 crashes=encode_crashes(effect.crashes, now),
                 sound=encode_sound(effect.sound, now),
+                limits=encode_limits(effect.limits, now),
             )
         )
         for address in effect.addresses:
-            host, _, port = address.rpartition(":")
-            self._transport.sendto(data, (host, int(port)))
+            self._send(address, data)
+
+    def ask_permit(self, owner: Owner, effect: AskPermit) -> None:
+        """Ask another host whether an endpoint's limit has room."""
+        question = PermitQuestion(
+            host=owner.host,
+            address=self.address,
+            call=effect.call_id,
+            number=effect.number,
+            limit=encode_limit(effect.limit, self._runner.now()),
+        )
+        self._send(effect.address, _ENCODER.encode(question))
+
+    def answer_permit(self, effect: AnswerPermit) -> None:
+        """Answer another host's question."""
+        reply = PermitReply(call=effect.call_id, number=effect.number, wait=effect.wait)
+        self._send(effect.address, _ENCODER.encode(reply))
+
+    def _send(self, address: str, data: bytes) -> None:
+        host, _, port = address.rpartition(":")
+        self._transport.sendto(data, (host, int(port)))
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Post a datagram as an event; one that can't be decoded is logged and dropped."""
         try:
-            datagram = _DECODER.decode(data)
+            if data and data[0] & MAP_MASK == SMALL_MAP:
+                self._post_permit(_PERMIT_DECODER.decode(data))
+            else:
+                self._post_load(_DECODER.decode(data))
         except msgspec.MsgspecError as exc:
             log_event("datagram_unreadable", level="WARNING", sender=addr[0], error=str(exc))
-            return
+
+    def _post_permit(self, datagram: PermitQuestion | PermitReply) -> None:
+        now = self._runner.now()
+        if isinstance(datagram, PermitReply):
+            event = PermitAnswered(
+                at=now, call_id=datagram.call, number=datagram.number, wait=datagram.wait
+            )
+        else:
+            event = PermitAsked(
+                at=now,
+                host=datagram.host,
+                address=datagram.address,
+                call_id=datagram.call,
+                number=datagram.number,
+                limit=decode_limit(datagram.limit, now),
+            )
+        self._runner.post(event)
+
+    def _post_load(self, datagram: LoadDatagram) -> None:
         now = self._runner.now()
         loads = {
             name: EndpointLoad(
@@ -147,6 +218,7 @@
                 builds=decode_ages(datagram.builds),
                 crashes=decode_crashes(datagram.crashes, now),
                 sound=decode_sound(datagram.sound, now),
+                limits=decode_limits(datagram.limits, now),
             )
         )
 
--- a/src/wasabiwick/_effects_forwarding.py
+++ b/src/wasabiwick/_effects_forwarding.py
@@ -2,7 +2,7 @@
 
 from ._effects import Effect
 from ._errors import Failure
-from ._forwarding import BegunStream, Crash, EndpointLoad, Findings, SoundPart
+from ._forwarding import BegunStream, Crash, EndpointLimit, EndpointLoad, Findings, SoundPart
 
 
 class ForwardEffect(Effect):
@@ -188,7 +188,8 @@
     ``busy`` holds the engines that are changing between prefill and decode, with the seconds that
     the change may still take. ``builds`` holds the services with several builds: each build, with
     the seconds since it was listed. ``crashes`` holds endpoints that ended by themselves, and
-    ``sound`` the suspected parts of prompts that this host has seen to be sound.
+    ``sound`` the suspected parts of prompts that this host has seen to be sound. ``limits`` holds
+    what endpoints named as their limits.
     """
 
     __slots__ = (
@@ -201,6 +202,7 @@
         "builds",
         "crashes",
         "sound",
+        "limits",
     )
 
     def __init__(
@@ -215,6 +217,7 @@
         builds: dict[str, dict[str, float]] | None = None,
         crashes: tuple[Crash, ...] = (),
         sound: tuple[SoundPart, ...] = (),
+        limits: tuple[EndpointLimit, ...] = (),
     ) -> None:
         self.addresses = tuple(addresses)
         self.sequence = sequence
@@ -225,6 +228,35 @@
         self.builds = builds or {}
         self.crashes = tuple(crashes)
         self.sound = tuple(sound)
+        self.limits = tuple(limits)
+
+
+class AskPermit(ForwardEffect):
+    """Ask another host whether a call may be sent to an endpoint that has a limit.
+
+    ``address`` is where that host receives datagrams, and ``number`` tells this question from
+    others of the call.
+    """
+
+    __slots__ = ("address", "number", "limit")
+
+    def __init__(self, *, address: str, call_id: str, number: int, limit: EndpointLimit) -> None:
+        super().__init__(call_id=call_id)
+        self.address = address
+        self.number = number
+        self.limit = limit
+
+
+class AnswerPermit(ForwardEffect):
+    """Answer another host's question: its call may be sent, or only after ``wait`` seconds."""
+
+    __slots__ = ("address", "number", "wait")
+
+    def __init__(self, *, address: str, call_id: str, number: int, wait: float) -> None:
+        super().__init__(call_id=call_id)
+        self.address = address
+        self.number = number
+        self.wait = wait
 
 
 class SaveStreams(Effect):
--- a/src/wasabiwick/_events/_forwarding.py
+++ b/src/wasabiwick/_events/_forwarding.py
@@ -7,6 +7,7 @@
     Ask,
     BegunStream,
     Crash,
+    EndpointLimit,
     EndpointLoad,
     Findings,
     Listing,
@@ -110,7 +111,8 @@
     between prefill and decode, with the seconds that the change may still take. ``begun`` holds
     streams that began there, and ``builds`` the services with several builds: each build, with the
     seconds since it was listed. ``crashes`` holds endpoints that ended by themselves, and ``sound``
-    the suspected parts of prompts that the sender has seen to be sound.
+    the suspected parts of prompts that the sender has seen to be sound. ``limits`` holds what
+    endpoints named as their limits.
     """
 
     __slots__ = (
@@ -125,6 +127,7 @@
         "builds",
         "crashes",
         "sound",
+        "limits",
     )
 
     def __init__(
@@ -142,6 +145,7 @@
         builds: dict[str, dict[str, float]] | None = None,
         crashes: tuple[Crash, ...] = (),
         sound: tuple[SoundPart, ...] = (),
+        limits: tuple[EndpointLimit, ...] = (),
     ) -> None:
         super().__init__(at=at)
         self.sender = sender
@@ -155,6 +159,7 @@
         self.builds = builds or {}
         self.crashes = tuple(crashes)
         self.sound = tuple(sound)
+        self.limits = tuple(limits)
 
 
 class ForwardArrived(Event):
@@ -349,6 +354,54 @@
         self.rate = rate
 
 
+class PermitAsked(Event):
+    """Another host asked whether it may send a request to an endpoint that has a limit.
+
+    ``address`` is where the host receives datagrams. ``call_id`` and ``number`` name the question.
+    """
+
+    __slots__ = ("host", "address", "call_id", "number", "limit")
+
+    def __init__(
+        self,
+        *,
+        at: float,
+        host: str,
+        address: str,
+        call_id: str,
+        number: int,
+        limit: EndpointLimit,
+    ) -> None:
+        super().__init__(at=at)
+        self.host = host
+        self.address = address
+        self.call_id = call_id
+        self.number = number
+        self.limit = limit
+
+
+class PermitAnswered(ForwardEvent):
+    """An endpoint's owner let a request through, or told how many seconds to wait (``wait``)."""
+
+    __slots__ = ("number", "wait")
+
+    def __init__(self, *, at: float, call_id: str, number: int, wait: float) -> None:
+        super().__init__(at=at, call_id=call_id)
+        self.number = number
+        self.wait = wait
+
+
+class PermitSettled(ForwardEvent):
+    """Internal: it is known whether a call may be sent to an endpoint that has a limit."""
+
+    __slots__ = ("endpoint", "is_granted")
+
+    def __init__(self, *, at: float, call_id: str, endpoint: str, is_granted: bool) -> None:
+        super().__init__(at=at, call_id=call_id)
+        self.endpoint = endpoint
+        self.is_granted = is_granted
+
+
 class EndChecked(Event):
     """It was checked whether an endpoint has ended; ``failure`` says why if that is not known."""
 
--- a/src/wasabiwick/_forwarding.py
+++ b/src/wasabiwick/_forwarding.py
@@ -348,6 +348,23 @@
         self.at = at
 
 
+class EndpointLimit(Record):
+    """The requests a second that an endpoint takes from all hosts together.
+
+    Args:
+        endpoint: Name of the endpoint.
+        rate: Requests a second; None once the endpoint names no limit any more.
+        named_at: Monotonic time of the answer that showed this.
+    """
+
+    __slots__ = ("endpoint", "rate", "named_at")
+
+    def __init__(self, *, endpoint: str, rate: float | None, named_at: float) -> None:
+        self.endpoint = endpoint
+        self.rate = rate
+        self.named_at = named_at
+
+
 class Findings(Record):
     """What one host has found out and saved: crashes, and suspected parts that are sound."""
 
--- a/src/wasabiwick/_handlers/forward_arrivals.py
+++ b/src/wasabiwick/_handlers/forward_arrivals.py
@@ -130,9 +130,8 @@
 
 def _handler_module(state: State, req: ForwardedCall) -> typing.Any:
     """Return the module that serves a call: `forward_streams` or `forward_plain`."""
-    traits = routes.service(state, req.service)
-    is_engine = traits is not None and traits.engine is not None
-    return forward_streams if is_engine and req.route.kind == STREAM else forward_plain
+    is_generation = routes.is_generation(state, req.route, req.service)
+    return forward_streams if is_generation else forward_plain
 
 
 @handles(AnswerCame)
--- a/src/wasabiwick/_handlers/forward_plain.py
+++ b/src/wasabiwick/_handlers/forward_plain.py
@@ -21,17 +21,21 @@
     Failure,
     Reason,
 )
-from .._events import AnswerCame, TryFailed
-from .._reducer import Step
+from .._events import AnswerCame, PermitSettled, TryFailed
+from .._forwarding import Endpoint
+from .._reducer import Step, handles
 from .._state import State
 from .._verdict import Verdict
-from . import directory, forwarding, health, placing, retry_budget
+from . import directory, forwarding, health, permits, placing, retry_budget, routes
 from .forwarding import ForwardedCall
 
 SERVER_ERROR = 500  # Lowest HTTP status of an endpoint's own failures.
 # Seconds after which refused callers are told to retry. By then other endpoints or hosts may be
 # able to answer.
 RETRY_AFTER = 0.5
+# Largest random addition to the time until a limit has room, as a share of it: callers that were
+# refused together should not come back together.
+LIMIT_SPREAD = 1.0
 # Time-out of a try that may be retried, as a share of the route's latency target.
 TRY_TIMEOUT_SHARE = 1.0
 MIN_RETRY_TIME = 0.02  # Seconds that must be left before a call's end for a retry.
@@ -39,20 +43,48 @@
 
 def start(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
     """Send a request to the endpoint with the least work; refuse it if no endpoint is free."""
-    endpoint = placing.choose_plain(state, req.service, at, req.avoid, req.build)
-    if endpoint is None:
-        listed_names = [one.name for one in directory.usable_endpoints(state, req.service)]
-        yield from forwarding.refuse_call(
-            state,
-            req,
-            at,
-            _no_endpoint_reason(listed_names, req.avoid),
-            retry_after=RETRY_AFTER,
-            service=req.service,
-            endpoints=len(listed_names),
-            connections=placing.connection_limit(state, req.service, at),
-        )
+    while endpoint := placing.choose_plain(state, req.service, at, req.avoid, req.build):
+        answer = yield from permits.acquire(state, req.ask.call_id, endpoint.name, at)
+        if answer is permits.Answer.GRANTED:
+            yield from _send(state, req, endpoint, at)
+            return
+        if answer is permits.Answer.PENDING:
+            req.begin_asking(endpoint)
+            return
+    yield from _refuse_unplaced(state, req, at)
+
+
+@handles(PermitSettled)
+def permit_settled(state: State, event: PermitSettled) -> typing.Iterator[Step]:
+    """Send a request once its endpoint's limit has room; otherwise choose another endpoint."""
+    req = forwarding.asking_call(state, event)
+    if req is None or routes.is_generation(state, req.route, req.service):
         return
+    endpoint = req.end_asking()
+    if event.is_granted and directory.is_usable(state, endpoint.name):
+        yield from _send(state, req, endpoint, event.at)
+    else:
+        yield from start(state, req, event.at)
+
+
+def _refuse_unplaced(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
+    listed_names = [one.name for one in directory.usable_endpoints(state, req.service)]
+    limit_wait = permits.shortest_wait(state, listed_names, at)
+    yield from forwarding.refuse_call(
+        state,
+        req,
+        at,
+        _no_endpoint_reason(listed_names, req.avoid),
+        retry_after=max(RETRY_AFTER, limit_wait * (1.0 + LIMIT_SPREAD * state.rng.random())),
+        service=req.service,
+        endpoints=len(listed_names),
+        connections=placing.connection_limit(state, req.service, at),
+        limited=sum(permits.has_limit(state, name) for name in listed_names),
+        limit_wait=limit_wait,
+    )
+
+
+def _send(state: State, req: ForwardedCall, endpoint: Endpoint, at: float) -> typing.Iterator[Step]:
     health.record_chosen(state, endpoint.name)
     yield forwarding.take_place(state, req, endpoint, None, at)
     req.begin_try(at)
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -21,6 +21,7 @@
     AnswerCame,
     HoldAnswered,
     LoadChanged,
+    PermitSettled,
     PlacesChanged,
     PromptAnswered,
     StreamDone,
@@ -28,6 +29,7 @@
     TimerFired,
     TryFailed,
 )
+from .._forwarding import Endpoint
 from .._reducer import Step, handles, on_timer
 from .._state import State
 from .._verdict import Verdict
@@ -38,6 +40,7 @@
     forward_waiting,
     forwarding,
     health,
+    permits,
     places,
     placing,
     rejecting,
@@ -112,14 +115,47 @@
     if req.place.name in req.warm_engines or req.prefill_engine is not None:
         yield from _send(state, req, at)
         return
+    while engine := placing.choose_prefill(
+        state,
+        req.service,
+        req.place.zone,
+        req.ask.prompt_tokens,
+        at,
+        req.avoid,
+        req.warm_engines,
+    ):
+        answer = yield from permits.acquire(state, req.ask.call_id, engine.name, at)
+        if answer is permits.Answer.GRANTED:
+            yield from _prefill_at(state, req, engine, at)
+            return
+        if answer is permits.Answer.PENDING:
+            req.begin_asking(engine)
+            return
+    yield from _send(state, req, at)
+
+
+@handles(PermitSettled)
+def permit_settled(state: State, event: PermitSettled) -> typing.Iterator[Step]:
+    """Have a prompt prefilled once its engine's limit has room; otherwise choose another engine."""
+    req = forwarding.asking_call(state, event)
+    if req is None or req.place is None or req.asked is req.place:
+        return
+    engine = req.end_asking()
+    if event.is_granted and directory.is_usable(state, engine.name):
+        yield from _prefill_at(state, req, engine, event.at)
+    else:
+        yield from _prefill(state, req, event.at)
+
+
+def _prefill_at(
+    state: State, req: ForwardedCall, engine: Endpoint, at: float
+) -> typing.Iterator[Step]:
+    """Have an engine prefill the prompt, if the retry budget has room."""
     tokens = req.ask.prompt_tokens
-    engine = placing.choose_prefill(
-        state, req.service, req.place.zone, tokens, at, req.avoid, req.warm_engines
-    )
     is_uncharged = (
         req.prefills == 0 and retry_budget.remaining_retries(state, req.service, at) >= 1.0
     )
-    if engine is None or not (is_uncharged or retry_budget.try_spend_retry(state, req.service, at)):
+    if not (is_uncharged or retry_budget.try_spend_retry(state, req.service, at)):
         yield from _send(state, req, at)
         return
     req.prefills += 1
--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -12,11 +12,11 @@
 from .._effects import StartTimer
 from .._effects_forwarding import TakeHold
 from .._errors import NO_ENDPOINT, OVERLOADED
-from .._events import HoldAnswered, PlacesChanged, TimerFired
+from .._events import HoldAnswered, PermitSettled, PlacesChanged, TimerFired
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
-from . import directory, forwarding, health, places, placing, rejecting, routes
+from . import directory, forwarding, health, permits, places, placing, rejecting, routes
 from .forwarding import ForwardedCall
 
 QUEUE_CHECK_INTERVAL = 0.03  # Seconds between checks of queues that are not empty.
@@ -109,15 +109,17 @@
     if req.build:
         candidates = [one for one in candidates if one.endpoint.build == req.build]
     stream = places.stream_load(state, req.route.name, req.ask, at)
-    candidate = placing.choose_decode(state, candidates, stream, at, req.avoid, req.warm_engines)
-    if candidate is None:
+    while candidate := placing.choose_decode(
+        state, candidates, stream, at, req.avoid, req.warm_engines
+    ):
+        endpoint = candidate.endpoint
+        answer = yield from permits.acquire(state, req.ask.call_id, endpoint.name, at)
+        if answer is not permits.Answer.DENIED:
+            break
+        candidates = [one for one in candidates if one is not candidate]
+    else:
         return False
     candidate.add(stream)
-    endpoint = candidate.endpoint
-    traits = routes.service(state, req.service).engine
-    held_tokens = placing.hold_tokens(req.ask)
-    req.phase = forwarding.HOLDING
-    health.record_chosen(state, endpoint.name)
     if prefills_itself:
         candidate.reading += stream.prompt
         forwarding.begin_prefill(state, req, endpoint)
@@ -131,23 +133,48 @@
         zone=endpoint.zone,
         prompt=stream.prompt,
         expected=stream.expected,
-        held=held_tokens,
+        held=placing.hold_tokens(req.ask),
         reads_itself=prefills_itself,
     )
+    if answer is permits.Answer.PENDING:
+        req.begin_asking(endpoint)
+    else:
+        yield _reserve(state, req, at)
+    return True
+
+
+def _reserve(state: State, req: ForwardedCall, at: float) -> Step:
+    """Reserve the place that was chosen for a call."""
+    endpoint = req.place
+    req.phase = forwarding.HOLDING
+    health.record_chosen(state, endpoint.name)
+    traits = routes.service(state, req.service).engine
     if not traits.hold_time:
         # These engines can't reserve places, so the call is only counted in the engine's load.
-        yield HoldAnswered(
+        return HoldAnswered(
             at=at, call_id=req.ask.call_id, endpoint=endpoint.name, hold="", failure=None
         )
-        return True
-    yield TakeHold(
+    return TakeHold(
         call_id=req.ask.call_id,
         endpoint=endpoint.name,
         address=endpoint.address,
-        tokens=held_tokens,
+        tokens=placing.hold_tokens(req.ask),
         seconds=min(HOLD_TIME, traits.hold_time),
     )
-    return True
+
+
+@handles(PermitSettled)
+def permit_settled(state: State, event: PermitSettled) -> typing.Iterator[Step]:
+    """Reserve a place once its engine's limit has room; otherwise wait for another place."""
+    req = forwarding.asking_call(state, event)
+    if req is None or req.place is None or req.asked is not req.place:
+        return
+    req.end_asking()
+    if event.is_granted:
+        yield _reserve(state, req, event.at)
+    else:
+        yield from forwarding.release_place(state, req, event.at)
+        yield from enqueue(state, req, event.at)
 
 
 def _pending_prompt_tokens(state: State, service: str) -> int:
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -9,7 +9,7 @@
 from .._effects import Count, LogLine, Observe, StartTimer, StopTimer
 from .._effects_forwarding import CutForward, DropHold, DropTry, FreeHandle, RefuseForward
 from .._errors import ENDPOINT_FAILED, ENDPOINT_UNREACHABLE, Failure, Reason
-from .._events import ForwardAnswered, LoadChanged, PlacesChanged
+from .._events import ForwardAnswered, LoadChanged, PermitSettled, PlacesChanged
 from .._forwarding import Ask, BegunStream, Endpoint, Route, StreamLoad
 from .._reducer import Step, handles
 from .._settings import Settings
@@ -21,10 +21,11 @@
 # HTTP statuses by which a caller knows that its request has not run and never will.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
-# Phases of a call: waiting for a place at an endpoint, reserving the place, having the prompt
-# prefilled, sent to the endpoint, and relaying the answer. The values are written to logs and
-# metrics.
+# Phases of a call: waiting for a place at an endpoint, asking whether an endpoint's limit has room,
+# reserving the place, having the prompt prefilled, sent to the endpoint, and relaying the answer.
+# The values are written to logs and metrics.
 WAITING = "waiting"
+ASKING = "asking"
 HOLDING = "holding"
 PREFILLING = "reading"
 SENT = "sent"
@@ -46,6 +47,7 @@
             may have the prompt in memory.
         avoid: Names of endpoints that refused the request or failed. A plain request is not sent
             to them again, a generation only if no other endpoint has room.
+        asked: Endpoint whose limit has to have room, while the phase is `ASKING`; otherwise None.
         place: Endpoint whose load counts the request, or None.
         prefill_engine: Engine that prefills the prompt; None before that, and again once the decode
             engine has fetched the KV cache. It is the decode engine if that prefills the prompt
@@ -77,6 +79,7 @@
         "may_have_run_at",
         "lost",
         "avoid",
+        "asked",
         "place",
         "prefill_engine",
         "reading",
@@ -104,6 +107,7 @@
         self.may_have_run_at: list[str] = []
         self.lost: list[str] = []
         self.avoid: list[str] = []
+        self.asked: Endpoint | None = None
         self.place: Endpoint | None = None
         self.prefill_engine: Endpoint | None = None
         self.reading = 0
@@ -134,6 +138,16 @@
         """Names of engines that may have the prompt in memory and are not in `avoid`."""
         return [name for name in self.lost if name not in self.avoid]
 
+    def begin_asking(self, endpoint: Endpoint) -> None:
+        """Record that another host was asked whether an endpoint's limit has room."""
+        self.phase = ASKING
+        self.asked = endpoint
+
+    def end_asking(self) -> Endpoint:
+        """Return the endpoint that was asked for, now that the answer is known."""
+        endpoint, self.asked = self.asked, None
+        return endpoint
+
     def note_lost_answer(self, endpoint: str, *, repeated: bool) -> None:
         """Record that an engine did not begin to answer although it may have got the request.
 
@@ -180,6 +194,14 @@
     return state["forwarding"].calls.get(call_id)
 
 
+def asking_call(state: State, event: PermitSettled) -> ForwardedCall | None:
+    """Return the call that waits for the room in an endpoint's limit that an event tells of."""
+    req = call(state, event.call_id)
+    if req is None or req.phase != ASKING or req.asked.name != event.endpoint:
+        return None
+    return req
+
+
 @busy_check
 def open_calls(state: State) -> int:
     """Count the calls in progress."""
--- a/src/wasabiwick/_handlers/neighbours.py
+++ b/src/wasabiwick/_handlers/neighbours.py
@@ -28,7 +28,7 @@
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
-from . import builds, crashing_parts, directory
+from . import builds, crashing_parts, directory, endpoint_limits
 
 SEND_INTERVAL = 1.0  # Seconds between datagrams of a host whose load does not change.
 BATCH_DELAY = 0.01  # Seconds for which changes are collected into one datagram.
@@ -98,6 +98,19 @@
     return [one for one in state["neighbours"].hosts.values() if at - one.heard < SILENT_AFTER]
 
 
+def live_names(state: State, at: float) -> list[str]:
+    """Return the names of the other hosts that are heard and are not stopping."""
+    hosts = state["neighbours"].hosts
+    return [
+        name for name, one in hosts.items() if at - one.heard < SILENT_AFTER and not one.stopping
+    ]
+
+
+def address_of(state: State, name: str) -> str:
+    """Return the address at which another host receives datagrams."""
+    return state["neighbours"].hosts[name].address
+
+
 def load_age(state: State, at: float) -> float | None:
     """Return the age of the oldest load that still counts, in seconds; None if no load does."""
     return max((at - one.heard for one in live_hosts(state, at)), default=None)
@@ -245,6 +258,7 @@
             builds=builds.mixed_services(state, at),
             crashes=crashes,
             sound=sound,
+            limits=endpoint_limits.told_limits(state, at),
         )
         if builds.has_untold(state) or crashing_parts.has_untold(state):
             yield from send_soon(state, at)
--- a/src/wasabiwick/_handlers/placing.py
+++ b/src/wasabiwick/_handlers/placing.py
@@ -16,7 +16,7 @@
 
 from .._forwarding import DECODE, PREFILL, Ask, Endpoint, StreamLoad
 from .._state import State
-from . import directory, estimates, health, neighbours, places, routes
+from . import directory, estimates, health, neighbours, permits, places, routes
 from .memory import Projection
 
 BLOCK_TOKENS = 16  # Engines allocate KV cache in blocks of this many tokens.
@@ -248,7 +248,11 @@
 
 
 def _takes_work(state: State, one: Endpoint, at: float) -> bool:
-    return health.is_usable(state, one.name) and not directory.is_busy(state, one.name, at)
+    return (
+        health.is_usable(state, one.name)
+        and not directory.is_busy(state, one.name, at)
+        and not permits.is_denied(state, one.name, at)
+    )
 
 
 def connection_limit(state: State, service: str, at: float) -> int:
@@ -280,6 +284,7 @@
         for one in directory.usable_endpoints(state, service)
         if one.name not in avoid
         and build in ("", one.build)
+        and not permits.is_denied(state, one.name, at)
         and _own_running(state, one.name) < max_connections
     ]
     usable_endpoints = [
--- a/src/wasabiwick/_handlers/routes.py
+++ b/src/wasabiwick/_handlers/routes.py
@@ -49,6 +49,12 @@
     return state["routes"].services.get(name)
 
 
+def is_generation(state: State, route: Route, name: str) -> bool:
+    """Return whether a route's requests to a service are generations by model engines."""
+    traits = service(state, name)
+    return route.kind == STREAM and traits is not None and traits.engine is not None
+
+
 def longest_stream_timeout(state: State) -> float:
     """Return the longest time-out of the stream routes in force, in seconds."""
     return state["routes"].stream_timeout
--- a/src/wasabiwick/_performers/forwarding.py
+++ b/src/wasabiwick/_performers/forwarding.py
@@ -4,6 +4,8 @@
 
 from .._effects_forwarding import (
     AnnounceHost,
+    AnswerPermit,
+    AskPermit,
     AskWhetherBusy,
     CheckEnded,
     ClaimOrders,
@@ -197,6 +199,18 @@
     runner.ports.datagrams.send_load(runner.owner, runner.state.zone, effect)
 
 
+@performs(AskPermit)
+def ask_permit(runner: Runner, effect: AskPermit) -> None:
+    """Ask another host whether an endpoint's limit has room."""
+    runner.ports.datagrams.ask_permit(runner.owner, effect)
+
+
+@performs(AnswerPermit)
+def answer_permit(runner: Runner, effect: AnswerPermit) -> None:
+    """Answer another host's question."""
+    runner.ports.datagrams.answer_permit(effect)
+
+
 @performs(SaveStreams)
 def save_streams(runner: Runner, effect: SaveStreams) -> None:
     """Save this host's streams."""
--- a/src/wasabiwick/_ports/neighbours.py
+++ b/src/wasabiwick/_ports/neighbours.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from .._effects_forwarding import SaveStreams, TellLoad
+from .._effects_forwarding import AnswerPermit, AskPermit, SaveStreams, TellLoad
 from .._errors import Failure
 from .._forwarding import BegunStream, Findings
 from .._wire import Owner
@@ -16,6 +16,12 @@
     def send_load(self, owner: Owner, zone: str, effect: TellLoad) -> None:
         """Send this host's load to other hosts; a datagram may be lost."""
 
+    def ask_permit(self, owner: Owner, effect: AskPermit) -> None:
+        """Ask another host whether an endpoint's limit has room."""
+
+    def answer_permit(self, effect: AnswerPermit) -> None:
+        """Answer another host's question."""
+
 
 class SavedStreams:
     """Streams that hosts saved, by the host, and what each host had seen of builds.
--- a/tests/_forward.py
+++ b/tests/_forward.py
@@ -220,6 +220,7 @@
             builds=told.builds,
             crashes=told.crashes,
             sound=told.sound,
+            limits=told.limits,
         )
 
     def ask(self, path: str, **fields: object) -> str:
