Break off answers whose bytes do not end

Cause: a connection kept headers, bodies and unfinished events without a bound; only the deadline ended that, and a host has 150 MB. In a test against a server that repeats the same bytes, four of five heads (one line, many lines, interim answers, a status line) and six of seven bodies (chunks, the size or the extension of a chunk, trailers, no length, a huge length) were still read after a second.

Change: what comes before the end of a head, and what frames a body, is bounded by 64 KiB beside a multiple of the body's own bytes; a body that is kept as a whole by 4 MiB, as much as a caller may send; one event by 1 MiB. Beyond that the answer is broken off and the connection closed, as a request that may have run. Adapters of our own interface bound bodies and lines alike; their client library keeps nothing of a chunk's head (38 MB at the peak while 564 MB came), and the call's time-out ends it.

--- a/src/wasabiwick/_adapters/_engine.py
+++ b/src/wasabiwick/_adapters/_engine.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from .._errors import Failure
+from .._http1 import MAX_BODY_BYTES
 from .._settings import Timing
 from .._wire import (
     CacheEvent,
@@ -134,6 +135,8 @@
             while chunk := await watchdog.read():
                 lines = (rest + chunk).split(b"\n")
                 rest = lines.pop()
+                if len(rest) > MAX_BODY_BYTES:
+                    raise aiohttp.ClientPayloadError("a line of the stream does not end")
                 if lines:
                     yield [self._decoder.decode(line) for line in lines if line]
         finally:
--- a/src/wasabiwick/_adapters/_http.py
+++ b/src/wasabiwick/_adapters/_http.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from .._errors import ENDPOINT_FAILED, ENDPOINT_REFUSED, ENDPOINT_SILENT, SUPERSEDED, Failure
+from .._http1 import MAX_BODY_BYTES
 from .._verdict import Verdict
 
 T = typing.TypeVar("T")
@@ -67,15 +68,19 @@
     length nor chunks. Such an answer is complete only if the connection was closed, not reset.
 
     Raises:
-        aiohttp.ClientError: If the body is incomplete.
+        aiohttp.ClientError: If the body is incomplete, or has more than `MAX_BODY_BYTES`.
     """
     protocol = None if resp.connection is None else resp.connection.protocol
-    body = await resp.read()
+    body = bytearray()
+    while part := await resp.content.readany():
+        body += part
+        if len(body) > MAX_BODY_BYTES:
+            raise aiohttp.ClientPayloadError(f"the body has more than {MAX_BODY_BYTES} bytes")
     if _has_length(resp) or protocol is None:
-        return body
+        return bytes(body)
     if isinstance(protocol.exception(), OSError):
         raise aiohttp.ClientPayloadError("reset within an answer without a length")
-    return body
+    return bytes(body)
 
 
 def _has_length(resp: aiohttp.ClientResponse) -> bool:
--- a/src/wasabiwick/_adapters/_service.py
+++ b/src/wasabiwick/_adapters/_service.py
@@ -68,10 +68,9 @@
                     method, url, data=body or None, headers=headers, allow_redirects=False
                 ) as resp,
             ):
-                await read_body(resp)
-                text = await resp.text()
+                text = (await read_body(resp)).decode(resp.charset or "utf-8")
                 return ServiceAnswer(status=resp.status, body=text, content_type=resp.content_type)
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as exc:
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, LookupError) as exc:
             return failure_from_error(exc, address)
 
 
--- a/src/wasabiwick/_event_stream.py
+++ b/src/wasabiwick/_event_stream.py
@@ -2,9 +2,12 @@
 
 import re
 
+from ._http1 import BrokenAnswerError
+
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _FIELD_LINE = re.compile(rb"^[^:\r\n]", re.MULTILINE)
 _ID_FIELD = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
+MAX_EVENT_BYTES = 1024 * 1024  # Most bytes of one event; engines send some hundred.
 
 
 class EventSplitter:
@@ -29,7 +32,11 @@
         return _FIELD_LINE.search(self.rest) is not None
 
     def feed(self, data: bytes) -> bytes:
-        """Add bytes, and return the bytes of all events that are complete now."""
+        """Add bytes, and return the bytes of all events that are complete now.
+
+        Raises:
+            BrokenAnswerError: If an event has more than `MAX_EVENT_BYTES`.
+        """
         data = self.rest + data
         end = 0
         for found in _EVENT_END.finditer(data):
@@ -39,4 +46,6 @@
         complete = data[:end]
         for found in _ID_FIELD.finditer(complete):
             self.last_id = found.group(1)
+        if len(self.rest) > MAX_EVENT_BYTES:
+            raise BrokenAnswerError(f"an event has more than {MAX_EVENT_BYTES} bytes")
         return complete
--- a/src/wasabiwick/_http1.py
+++ b/src/wasabiwick/_http1.py
@@ -26,6 +26,12 @@
 MAX_IDLE_CONNECTIONS = 8  # Most idle connections that are kept to one endpoint.
 # Reading from an endpoint pauses while more bytes than this of its answer wait for the caller.
 MAX_BUFFERED_BYTES = 256 * 1024
+MAX_HEAD_BYTES = 64 * 1024  # Most bytes before the end of an answer's head; callers send 16 KiB.
+# Most bytes of a body that is kept as a whole, as many as a caller may send by default.
+MAX_BODY_BYTES = 4 * 1024 * 1024
+# Bytes that frame a body, such as the sizes of its chunks, may be this multiple of the body itself,
+# beside `MAX_HEAD_BYTES`. A chunk of one byte needs five to frame it.
+MAX_FRAMING_RATIO = 8
 
 Header = tuple[bytes, bytes]
 
@@ -73,6 +79,8 @@
         "_parser",
         "_chunks",
         "_buffered_bytes",
+        "_received_bytes",
+        "_body_bytes",
         "_is_paused",
         "_waiter",
         "_is_busy",
@@ -99,6 +107,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._chunks: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
+        self._received_bytes = 0
+        self._body_bytes = 0
         self._is_paused = False
         self._has_head = False
         self._error = ""
@@ -149,10 +159,14 @@
         """Return the whole body.
 
         Raises:
-            BrokenAnswerError: If the body is incomplete.
+            BrokenAnswerError: If the body is incomplete, or has more than `MAX_BODY_BYTES`.
         """
         parts = []
+        size = 0
         while data := await self.chunk():
+            size += len(data)
+            if size > MAX_BODY_BYTES:
+                raise BrokenAnswerError(f"the body has more than {MAX_BODY_BYTES} bytes")
             parts.append(data)
         return b"".join(parts)
 
@@ -204,6 +218,10 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
+    def _most_bytes(self) -> int:
+        """Return how many bytes of an answer may have come, by what is known of its body."""
+        return MAX_HEAD_BYTES + (1 + MAX_FRAMING_RATIO) * self._body_bytes
+
     def _fail(self, error: str) -> None:
         self._error = self._error or error
         self._wake()
@@ -226,6 +244,7 @@
             self._fail("bytes came unasked")
             self.close()
             return
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
@@ -233,6 +252,9 @@
                 self._fail(f"not an answer: {exc!r}")
             self._error = self._error or "bytes behind the answer"
             self.close()
+        if not self.ended and self._received_bytes > self._most_bytes():
+            self._fail("the head or the framing of the answer does not end")
+            self.close()
         if self._buffered_bytes > MAX_BUFFERED_BYTES and not self._is_paused and not self._is_lost:
             self._is_paused = True
             self.transport.pause_reading()
@@ -282,6 +304,7 @@
         if not self.ended:
             self._chunks.append(body)
             self._buffered_bytes += len(body)
+            self._body_bytes += len(body)
 
     def on_message_complete(self) -> None:
         """Record the end of the answer."""
