Ask no engine for a place that began to leave while a permit was awaited

A generation whose engine had a limit reserved its place there though the engine had begun to leave in the round trip to the owner. Found by reading; the plain calls and prefills looked at the list again, and this one did not. Its test failed before.

--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -169,8 +169,8 @@
     req = forwarding.asking_call(state, event)
     if req is None or req.place is None or req.asked is not req.place:
         return
-    req.end_asking()
-    if event.is_granted:
+    endpoint = req.end_asking()
+    if event.is_granted and directory.is_usable(state, endpoint.name):
         yield _reserve(state, req, event.at)
     else:
         yield from forwarding.release_place(state, req, event.at)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -191,6 +191,13 @@
         self.host.run(1.0)
         self.assertEqual(len(questions(self.host)), 1)
 
+    def test_owner_is_not_passed_over_because_a_caller_left(self) -> None:
+        call = self.host.ask("safe")
+        self.host.feed(_events.ForwardLeft, call_id=call)
+        self.host.run(permits.ASK_TIMEOUT_S + 0.01)
+        self.host.ask("safe")
+        self.assertEqual(len(questions(self.host)), 2)
+
     def test_endpoint_that_leaves_meanwhile_gets_no_request(self) -> None:
         call = self.host.ask("safe")
         self.host.read_list(plain(OTHER, leaving=True), plain("free"))
@@ -273,6 +280,13 @@
         self.assertEqual(self.host.effects_of(ReadPrompt, call), [])
         self.assertEqual(self.host.last_effect(Forward, call).endpoint, self.decode)
 
+    def test_engine_that_leaves_meanwhile_is_not_asked_for_a_place(self) -> None:
+        limit(self.host, self.decode)
+        call = self.host.ask("stream")
+        self.host.read_list(engine(self.decode, DECODE, leaving=True), engine("free", DECODE))
+        answer(self.host)
+        self.assertEqual(self.host.last_effect(TakeHold, call).endpoint, "free")
+
     def test_caller_that_left_meanwhile_holds_no_place(self) -> None:
         limit(self.host, self.decode)
         call = self.host.ask("stream")
