Pass no owner over because a caller has left

The question of a call whose caller left within 50 ms counted as unanswered, so that its owner was passed over for two seconds and a second owner gave permits meanwhile. Such a question is dropped now.

--- a/src/wasabiwick/_handlers/permits.py
+++ b/src/wasabiwick/_handlers/permits.py
@@ -234,7 +234,11 @@
     question = permits_state.questions.get(event.key)
     if question is None:
         return
-    if question.asks_left and forwarding.call(state, event.key) is not None:
+    if forwarding.call(state, event.key) is None:
+        # The caller has left, so nobody waits for the answer.
+        del permits_state.questions[event.key]
+        return
+    if question.asks_left:
         yield from _send(question)
         return
     del permits_state.questions[event.key]
