Give no new work to an endpoint that says in an answer that it leaves

Hosts read only the list, which may say "ready" for seconds more: while the store is down or cut off, or where the endpoint never lists that it leaves. Requests reached it until its entry changed.

Change: the header of any answer, also to a hold, a prefill, an order or a report, takes the endpoint out of choice at once. Its word goes before the list for its incarnation: an older entry that says ready, or one that vanished and came back, changes nothing. Waiting requests, held places, prefills and repeats go elsewhere; answers under way are relayed to their end.

--- a/src/wasabiwick/_adapters/_datagrams.py
+++ b/src/wasabiwick/_adapters/_datagrams.py
@@ -38,7 +38,8 @@
     ``begun`` holds streams that began at the host: name, service, build and the milliseconds since.
     ``builds`` maps each service with several builds to the milliseconds since each was listed.
     ``crashes`` holds endpoints that ended by themselves, ``sound`` parts of prompts that are sound.
-    ``limits`` holds what endpoints named as their limits.
+    ``limits`` holds what endpoints named as their limits, ``leaving`` the endpoints that said that
+    they leave, with the Unix milliseconds of their start.
     """
 
     host: str
@@ -54,6 +55,7 @@
     crashes: list[CrashRow] = []
     sound: list[SoundRow] = []
     limits: list[LimitRow] = []
+    leaving: list[tuple[str, int]] = []
 
 
 class PermitQuestion(msgspec.Struct, tag="ask"):
@@ -139,6 +141,7 @@
                 crashes=encode_crashes(effect.crashes, now),
                 sound=encode_sound(effect.sound, now),
                 limits=encode_limits(effect.limits, now),
+                leaving=list(effect.leaving),
             )
         )
         for address in effect.addresses:
@@ -219,6 +222,7 @@
                 crashes=decode_crashes(datagram.crashes, now),
                 sound=decode_sound(datagram.sound, now),
                 limits=decode_limits(datagram.limits, now),
+                leaving=tuple(datagram.leaving),
             )
         )
 
--- a/src/wasabiwick/_effects_forwarding.py
+++ b/src/wasabiwick/_effects_forwarding.py
@@ -189,7 +189,8 @@
     the change may still take. ``builds`` holds the services with several builds: each build, with
     the seconds since it was listed. ``crashes`` holds endpoints that ended by themselves, and
     ``sound`` the suspected parts of prompts that this host has seen to be sound. ``limits`` holds
-    what endpoints named as their limits.
+    what endpoints named as their limits, and ``leaving`` the endpoints that said that they leave,
+    with the Unix milliseconds of their start.
     """
 
     __slots__ = (
@@ -203,6 +204,7 @@
         "crashes",
         "sound",
         "limits",
+        "leaving",
     )
 
     def __init__(
@@ -218,6 +220,7 @@
         crashes: tuple[Crash, ...] = (),
         sound: tuple[SoundPart, ...] = (),
         limits: tuple[EndpointLimit, ...] = (),
+        leaving: tuple[tuple[str, int], ...] = (),
     ) -> None:
         self.addresses = tuple(addresses)
         self.sequence = sequence
@@ -229,6 +232,7 @@
         self.crashes = tuple(crashes)
         self.sound = tuple(sound)
         self.limits = tuple(limits)
+        self.leaving = tuple(leaving)
 
 
 class AskPermit(ForwardEffect):
--- a/src/wasabiwick/_events/_forwarding.py
+++ b/src/wasabiwick/_events/_forwarding.py
@@ -112,7 +112,8 @@
     streams that began there, and ``builds`` the services with several builds: each build, with the
     seconds since it was listed. ``crashes`` holds endpoints that ended by themselves, and ``sound``
     the suspected parts of prompts that the sender has seen to be sound. ``limits`` holds what
-    endpoints named as their limits.
+    endpoints named as their limits, and ``leaving`` the endpoints that said that they leave, with
+    the Unix milliseconds of their start.
     """
 
     __slots__ = (
@@ -128,6 +129,7 @@
         "crashes",
         "sound",
         "limits",
+        "leaving",
     )
 
     def __init__(
@@ -146,6 +148,7 @@
         crashes: tuple[Crash, ...] = (),
         sound: tuple[SoundPart, ...] = (),
         limits: tuple[EndpointLimit, ...] = (),
+        leaving: tuple[tuple[str, int], ...] = (),
     ) -> None:
         super().__init__(at=at)
         self.sender = sender
@@ -160,6 +163,7 @@
         self.crashes = tuple(crashes)
         self.sound = tuple(sound)
         self.limits = tuple(limits)
+        self.leaving = tuple(leaving)
 
 
 class ForwardArrived(Event):
@@ -340,6 +344,16 @@
         self.failure = failure
 
 
+class EndpointLeaving(Event):
+    """An endpoint said in an answer that it takes no new work."""
+
+    __slots__ = ("endpoint",)
+
+    def __init__(self, *, at: float, endpoint: str) -> None:
+        super().__init__(at=at)
+        self.endpoint = endpoint
+
+
 class LimitNamed(Event):
     """An endpoint named the requests a second that it takes from all hosts together.
 
--- a/src/wasabiwick/_forwarding.py
+++ b/src/wasabiwick/_forwarding.py
@@ -194,6 +194,11 @@
         self.cold = cold
         self.build = build
 
+    def as_leaving(self) -> "Endpoint":
+        """Return a copy that takes no new work."""
+        fields = {name: getattr(self, name) for name in self._fields}
+        return Endpoint(**{**fields, "leaving": True})
+
 
 class Listing(Record):
     """One entry of the list of endpoints: what a name stands for from an offset on.
--- a/src/wasabiwick/_handlers/neighbours.py
+++ b/src/wasabiwick/_handlers/neighbours.py
@@ -16,6 +16,7 @@
 from .._effects import LogLine, StartTimer
 from .._effects_forwarding import AnnounceHost, TellLoad
 from .._events import (
+    EndpointLeaving,
     ForwarderBooted,
     HostFound,
     LoadChanged,
@@ -198,6 +199,13 @@
         yield from send_soon(state, event.at)
 
 
+@handles(EndpointLeaving)
+def endpoint_leaving(state: State, event: EndpointLeaving) -> typing.Iterator[Step]:
+    """Tell the other hosts soon which endpoint leaves; `directory` has noted it."""
+    if directory.is_news(state, event.endpoint, event.at):
+        yield from send_soon(state, event.at)
+
+
 @handles(StopAsked)
 def announce_stop(state: State, event: StopAsked) -> typing.Iterator[Step]:
     """Notify the other hosts soon that this host is stopping."""
@@ -259,6 +267,7 @@
             crashes=crashes,
             sound=sound,
             limits=endpoint_limits.told_limits(state, at),
+            leaving=directory.told_leaving(state, at),
         )
         if builds.has_untold(state) or crashing_parts.has_untold(state):
             yield from send_soon(state, at)
--- a/src/wasabiwick/_ports/__init__.py
+++ b/src/wasabiwick/_ports/__init__.py
@@ -2,7 +2,7 @@
 
 from .clock import Clock
 from .dialect import Dialect
-from .endpoints import Answer, Endpoints, Exchange
+from .endpoints import Answer, EndpointListener, Endpoints, Exchange
 from .engine import Engine
 from .host_list import HostList
 from .log_service import LogService
@@ -16,6 +16,7 @@
     "Clock",
     "Datagrams",
     "Dialect",
+    "EndpointListener",
     "Endpoints",
     "Engine",
     "Exchange",
--- a/src/wasabiwick/_ports/endpoints.py
+++ b/src/wasabiwick/_ports/endpoints.py
@@ -55,16 +55,25 @@
         """Return the connection to its pool, or close it if the answer is incomplete."""
 
 
-class Endpoints(typing.Protocol):
-    """Calls to endpoints; without an answer, a failure says whether the request may have run."""
+class EndpointListener(typing.Protocol):
+    """What is told of endpoints' answers, whatever they answer."""
 
-    def report_limits(self, report: typing.Callable[[str, float | None], None]) -> None:
-        """Call a function at each answer that names a limit, and once a limit has ended.
+    def leaving(self, endpoint: str) -> None:
+        """Note that an endpoint takes no new work."""
 
-        It gets the endpoint's name, and the requests a second that the endpoint takes from all
-        hosts together, or None once the endpoint names no limit any more.
+    def limit_named(self, endpoint: str, rate: float | None) -> None:
+        """Note the requests a second that an endpoint takes from all hosts together.
+
+        That is None once the endpoint names no limit any more.
         """
 
+
+class Endpoints(typing.Protocol):
+    """Calls to endpoints; without an answer, a failure says whether the request may have run."""
+
+    def listen(self, listener: EndpointListener) -> None:
+        """Tell a listener what endpoints say of themselves in any of their answers."""
+
     async def take_hold(
         self, endpoint: str, address: str, *, tokens: int, seconds: float
     ) -> str | Failure:
--- a/src/wasabiwick/platform/__init__.py
+++ b/src/wasabiwick/platform/__init__.py
@@ -7,7 +7,7 @@
 import asyncio
 import time
 
-from .._events import LimitNamed
+from .._events import EndpointLeaving, LimitNamed
 from .._forward_daemon import serve
 from .._runner import Runner
 from .._settings import Settings
@@ -51,11 +51,7 @@
 
     async def follow(self, runner: Runner) -> None:
         """Follow routes, endpoints and findings in the store, and post each change as an event."""
-        self.endpoints.report_limits(
-            lambda endpoint, rate: runner.post(
-                LimitNamed(at=runner.now(), endpoint=endpoint, rate=rate)
-            )
-        )
+        self.endpoints.listen(_EndpointEvents(runner))
         routes = Feed(
             store=self._store,
             name="routes",
@@ -96,6 +92,23 @@
         await self._store.close()
 
 
+class _EndpointEvents:
+    """Posts what endpoints say of themselves as events."""
+
+    __slots__ = ("_runner",)
+
+    def __init__(self, runner: Runner) -> None:
+        self._runner = runner
+
+    def leaving(self, endpoint: str) -> None:
+        """Post that an endpoint takes no new work."""
+        self._runner.post(EndpointLeaving(at=self._runner.now(), endpoint=endpoint))
+
+    def limit_named(self, endpoint: str, rate: float | None) -> None:
+        """Post the limit that an endpoint named."""
+        self._runner.post(LimitNamed(at=self._runner.now(), endpoint=endpoint, rate=rate))
+
+
 async def run(path: str, cfg: Settings) -> None:
     """Run a host on the platform until it has shut down gracefully.
 
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -25,7 +25,7 @@
     encode_request,
 )
 from .._logging import log_event
-from .._ports import Exchange
+from .._ports import EndpointListener, Exchange
 from .._verdict import Verdict
 from . import _names
 
@@ -47,11 +47,6 @@
 MAX_PARTS = 16  # Most parts of a prompt that are read; prompts have a few.
 
 
-# Gets an endpoint's name, and the requests a second that it takes from all hosts together; None
-# once it has no limit any more.
-LimitReport = typing.Callable[[str, float | None], None]
-
-
 class _Hold(msgspec.Struct):
     hold: str
 
@@ -120,33 +115,37 @@
         clock: Returns monotonic time in seconds.
     """
 
-    __slots__ = ("_pool", "_clock", "_report_limit", "_limited")
+    __slots__ = ("_pool", "_clock", "_listener", "_limited")
 
     def __init__(self, clock: typing.Callable[[], float]) -> None:
         self._pool = ConnectionPool(clock)
         self._clock = clock
-        self._report_limit: LimitReport | None = None
+        self._listener: EndpointListener | None = None
         # Monotonic times at which each endpoint last named a limit.
         self._limited: dict[str, float] = {}
 
-    def report_limits(self, report: LimitReport) -> None:
-        """Call a function at each answer with a limit, and at the first one without it again."""
-        self._report_limit = report
+    def listen(self, listener: EndpointListener) -> None:
+        """Tell a listener what endpoints say of themselves in any of their answers."""
+        self._listener = listener
 
-    def _note_limit(self, endpoint: str, conn: Connection, sent_at: float) -> None:
-        """Report the limit that an answer names, if any; ``sent_at`` is when it was asked for."""
-        if self._report_limit is None:
+    def _note_signs(self, endpoint: str, conn: Connection, sent_at: float) -> None:
+        """Tell what an answer says of its endpoint; ``sent_at`` is when it was asked for."""
+        if self._listener is None:
             return
-        text = conn.header(_names.SERVER_LIMIT)
+        if conn.header(_names.SERVER_LEAVING).strip() == _names.IS_LEAVING:
+            self._listener.leaving(endpoint)
+        self._note_limit(endpoint, conn.header(_names.SERVER_LIMIT), sent_at)
+
+    def _note_limit(self, endpoint: str, text: str, sent_at: float) -> None:
         if text:
             rate = _limit(text)
             if rate is not None:
                 self._limited[endpoint] = self._clock()
-                self._report_limit(endpoint, rate)
+                self._listener.limit_named(endpoint, rate)
         # An answer to an older request may have been written before the limit was named.
         elif sent_at > self._limited.get(endpoint, math.inf):
             del self._limited[endpoint]
-            self._report_limit(endpoint, None)
+            self._listener.limit_named(endpoint, None)
 
     async def take_hold(
         self, endpoint: str, address: str, *, tokens: int, seconds: float
@@ -247,7 +246,7 @@
             sent_at = self._clock()
             conn.send(data)
             await conn.head()
-            self._note_limit(effect.endpoint, conn, sent_at)
+            self._note_signs(effect.endpoint, conn, sent_at)
             _check_attempt_id(conn, _attempt_id(exchange))
             _check_seal(conn)
             return EndpointAnswer(pool=self._pool, effect=effect, conn=conn)
@@ -293,7 +292,7 @@
                 sent_at = self._clock()
                 conn.send(data)
                 await conn.head()
-                self._note_limit(endpoint, conn, sent_at)
+                self._note_signs(endpoint, conn, sent_at)
                 if expected:
                     _check_attempt_id(conn, expected)
                 body = await conn.body()
--- a/src/wasabiwick/platform/_names.py
+++ b/src/wasabiwick/platform/_names.py
@@ -11,6 +11,7 @@
 PREFIX_HASH = PREFIX + b"prefix-hash"
 PRIORITY = PREFIX + b"request-priority"
 SEAL = PREFIX + b"response-seal"
+SERVER_LEAVING = b"server-leaving"
 SERVER_LIMIT = b"server-limit"
 STAGE = PREFIX + b"stage"
 TOKEN_COUNT = PREFIX + b"token-count"
@@ -51,6 +52,8 @@
     )
 )
 
+IS_LEAVING = "1"  # Value of the header by which an endpoint says that it leaves.
+
 READY_PATH = "/v1/readyz"
 HOLD_TAKE = "/v1/hold-take"
 HOLD_DROP = "/v1/hold-drop/"
--- a/tests/_forward.py
+++ b/tests/_forward.py
@@ -221,6 +221,7 @@
             crashes=told.crashes,
             sound=told.sound,
             limits=told.limits,
+            leaving=told.leaving,
         )
 
     def ask(self, path: str, **fields: object) -> str:
--- a/tests/_platform.py
+++ b/tests/_platform.py
@@ -154,6 +154,7 @@
         has_ended: Whether it has ended.
         is_silent: Whether it does not answer questions for its report.
         born: Unix time of its start, in milliseconds.
+        says_leaving: Whether its answers say that it leaves.
         limit: Requests a second that its answers name as its limit; None for no limit.
         arrivals: Monotonic time of each request.
         end: Closes its listener and its connections.
@@ -182,6 +183,7 @@
         self.has_ended = False
         self.is_silent = False
         self.born = 1
+        self.says_leaving = False
         self.limit: float | None = None
         self.arrivals: list[float] = []
         self.end: typing.Callable[[], typing.Awaitable[None]] | None = None
@@ -206,7 +208,7 @@
     def app(self) -> web.Application:
         """Build the web application."""
         app = web.Application()
-        app.on_response_prepare.append(self._name_limit)
+        app.on_response_prepare.append(self._add_signs)
         app.router.add_post("/v1/hold-take", self._hold)
         app.router.add_delete("/v1/hold-drop/{id}", self._drop_hold)
         app.router.add_delete("/v1/kv-handle/{id}", self._free)
@@ -215,7 +217,9 @@
         app.router.add_route("*", "/{path:.*}", self._request)
         return app
 
-    async def _name_limit(self, req: web.Request, resp: web.StreamResponse) -> None:
+    async def _add_signs(self, req: web.Request, resp: web.StreamResponse) -> None:
+        if self.says_leaving:
+            resp.headers["Server-Leaving"] = "1"
         if self.limit is not None:
             resp.headers["Server-Limit"] = str(self.limit)
 
