Send an endpoint nothing for as long as its Retry-After says

Change: the header of any 503, also to a hold or a prefill, pauses its endpoint for this host: no requests, places, prefills, orders or questions. One place in the choice of endpoints, `placing.wait_of`, serves pauses and limits alike. Where all endpoints of a service want nothing, plain requests are refused at once, and generations unless the pause ends within the time that they may wait, with when to come back from the earliest of these times.

--- a/src/wasabiwick/_events/_forwarding.py
+++ b/src/wasabiwick/_events/_forwarding.py
@@ -354,6 +354,17 @@
         self.endpoint = endpoint
 
 
+class EndpointPaused(Event):
+    """An endpoint turned a request away and wants nothing from this host for some seconds."""
+
+    __slots__ = ("endpoint", "seconds")
+
+    def __init__(self, *, at: float, endpoint: str, seconds: float) -> None:
+        super().__init__(at=at)
+        self.endpoint = endpoint
+        self.seconds = seconds
+
+
 class LimitNamed(Event):
     """An endpoint named the requests a second that it takes from all hosts together.
 
--- a/src/wasabiwick/_handlers/busy_engines.py
+++ b/src/wasabiwick/_handlers/busy_engines.py
@@ -15,7 +15,7 @@
 from .._reducer import Step, handles
 from .._settings import Settings
 from .._state import State, state_slice
-from . import directory, routes
+from . import directory, pauses, routes
 
 # Least time between two questions to an engine, and so the greatest age of an answer that this host
 # relies on instead of asking.
@@ -34,7 +34,12 @@
 
 
 def ask_if_busy(state: State, engine: Endpoint, at: float) -> typing.Iterator[Step]:
-    """Ask an engine that refused a request with a hold whether it is carrying out an order."""
+    """Ask an engine that refused a request with a hold whether it is carrying out an order.
+
+    An engine that said for how long it wants nothing has said why it refused.
+    """
+    if pauses.is_paused(state, engine.name, at):
+        return
     asked_at = state["busy_engines"].asked_at
     if at - asked_at.get(engine.name, float("-inf")) >= ASK_INTERVAL_S:
         asked_at[engine.name] = at
--- a/src/wasabiwick/_handlers/forward_plain.py
+++ b/src/wasabiwick/_handlers/forward_plain.py
@@ -26,16 +26,23 @@
 from .._reducer import Step, handles
 from .._state import State
 from .._verdict import Verdict
-from . import directory, forwarding, health, permits, placing, retry_budget, routes
+from . import (
+    directory,
+    forwarding,
+    health,
+    pauses,
+    permits,
+    placing,
+    rejecting,
+    retry_budget,
+    routes,
+)
 from .forwarding import ForwardedCall
 
 SERVER_ERROR = 500  # Lowest HTTP status of an endpoint's own failures.
 # Seconds after which refused callers are told to retry. By then other endpoints or hosts may be
 # able to answer.
 RETRY_AFTER = 0.5
-# Largest random addition to the time until a limit has room, as a share of it: callers that were
-# refused together should not come back together.
-LIMIT_SPREAD = 1.0
 # Time-out of a try that may be retried, as a share of the route's latency target.
 TRY_TIMEOUT_SHARE = 1.0
 MIN_RETRY_TIME = 0.02  # Seconds that must be left before a call's end for a retry.
@@ -69,18 +76,19 @@
 
 def _refuse_unplaced(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
     listed_names = [one.name for one in directory.usable_endpoints(state, req.service)]
-    limit_wait = permits.shortest_wait(state, listed_names, at)
+    wait = placing.shortest_wait(state, listed_names, at)
     yield from forwarding.refuse_call(
         state,
         req,
         at,
         _no_endpoint_reason(listed_names, req.avoid),
-        retry_after=max(RETRY_AFTER, limit_wait * (1.0 + LIMIT_SPREAD * state.rng.random())),
+        retry_after=max(RETRY_AFTER, rejecting.spread_wait(state, wait)),
         service=req.service,
         endpoints=len(listed_names),
         connections=placing.connection_limit(state, req.service, at),
         limited=sum(permits.has_limit(state, name) for name in listed_names),
-        limit_wait=limit_wait,
+        paused=sum(pauses.is_paused(state, name, at) for name in listed_names),
+        wait=wait,
     )
 
 
--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -13,6 +13,7 @@
 from .._effects_forwarding import TakeHold
 from .._errors import NO_ENDPOINT, OVERLOADED
 from .._events import HoldAnswered, PermitSettled, PlacesChanged, TimerFired
+from .._forwarding import DECODE
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
@@ -71,11 +72,17 @@
     ]
     candidates = placing.decode_candidates(state, service, at) if waiting_calls else []
     has_room = len(waiting_calls) == 1 and placing.has_idle_engine(candidates)
+    decoding = directory.usable_endpoints(state, service, DECODE) if waiting_calls else []
+    wait = placing.shortest_wait(state, (one.name for one in decoding), at)
     still_waiting_calls = []
     misses = 0
     for req in sorted(waiting_calls, key=lambda one: rejecting.rank(state, one, at)):
-        if rejecting.should_refuse(state, req, at, has_room=has_room) or not _has_build(state, req):
-            yield from _refuse_waiting(state, req, at, len(waiting_calls))
+        if (
+            rejecting.should_refuse(state, req, at, has_room=has_room)
+            or not _has_build(state, req)
+            or not rejecting.can_wait(req, at, wait)
+        ):
+            yield from _refuse_waiting(state, req, at, len(waiting_calls), wait)
         elif misses >= MAX_MISSES or not (yield from _assign_place(state, req, candidates, at)):
             # Other engines may have room for calls that any build can serve.
             misses += not req.build
@@ -188,7 +195,7 @@
 
 
 def _refuse_waiting(
-    state: State, req: ForwardedCall, at: float, waiting_count: int
+    state: State, req: ForwardedCall, at: float, waiting_count: int, wait: float
 ) -> typing.Iterator[Step]:
     load_summary = placing.load_summary(state, req.service, at)
     yield from forwarding.refuse_call(
@@ -196,8 +203,9 @@
         req,
         at,
         OVERLOADED if load_summary["engines"] and _has_build(state, req) else NO_ENDPOINT,
-        retry_after=rejecting.retry_after(state, req, at),
+        retry_after=max(rejecting.retry_after(state, req, at), rejecting.spread_wait(state, wait)),
         waiting=waiting_count,
+        wait=wait,
         build=req.build or "-",
         **load_summary,
     )
--- a/src/wasabiwick/_handlers/permits.py
+++ b/src/wasabiwick/_handlers/permits.py
@@ -109,11 +109,11 @@
     return endpoint_limits.limit_of(state, endpoint) is not None
 
 
-def shortest_wait(state: State, endpoints: typing.Iterable[str], at: float) -> float:
-    """Return the seconds until this host may ask for a permit at any of some endpoints."""
-    denied_until = state["permits"].denied_until
-    waits = [denied_until[name] - at for name in endpoints if is_denied(state, name, at)]
-    return min(waits, default=0.0)
+def wait_of(state: State, endpoint: str, at: float) -> float:
+    """Return the seconds until this host may ask for a permit again; 0 if it may now."""
+    if not is_denied(state, endpoint, at):
+        return 0.0
+    return state["permits"].denied_until[endpoint] - at
 
 
 def acquire(
--- a/src/wasabiwick/_handlers/placing.py
+++ b/src/wasabiwick/_handlers/placing.py
@@ -14,9 +14,11 @@
 - Plain requests: the endpoint with the least work per slot, in the local zone first.
 """
 
+import typing
+
 from .._forwarding import DECODE, PREFILL, Ask, Endpoint, StreamLoad
 from .._state import State
-from . import directory, estimates, health, neighbours, permits, places, routes
+from . import directory, estimates, health, neighbours, pauses, permits, places, routes
 from .memory import Projection
 
 BLOCK_TOKENS = 16  # Engines allocate KV cache in blocks of this many tokens.
@@ -251,10 +253,20 @@
     return (
         health.is_usable(state, one.name)
         and not directory.is_busy(state, one.name, at)
-        and not permits.is_denied(state, one.name, at)
+        and wait_of(state, one.name, at) == 0.0
     )
 
 
+def wait_of(state: State, endpoint: str, at: float) -> float:
+    """Return the seconds for which an endpoint takes nothing, by its limit or by its own word."""
+    return max(permits.wait_of(state, endpoint, at), pauses.wait_of(state, endpoint, at))
+
+
+def shortest_wait(state: State, endpoints: typing.Iterable[str], at: float) -> float:
+    """Return the seconds until one of some endpoints takes requests; 0 if there are none."""
+    return min((wait_of(state, name, at) for name in endpoints), default=0.0)
+
+
 def connection_limit(state: State, service: str, at: float) -> int:
     """Return how many connections this host may have to one endpoint of a service.
 
@@ -284,7 +296,7 @@
         for one in directory.usable_endpoints(state, service)
         if one.name not in avoid
         and build in ("", one.build)
-        and not permits.is_denied(state, one.name, at)
+        and wait_of(state, one.name, at) == 0.0
         and _own_running(state, one.name) < max_connections
     ]
     usable_endpoints = [
--- a/src/wasabiwick/_handlers/rejecting.py
+++ b/src/wasabiwick/_handlers/rejecting.py
@@ -33,6 +33,8 @@
 SHORT_OUTPUT_FACTOR = 0.8
 # Shortest delay told to refused callers, in seconds; bursts last a few seconds.
 MIN_RETRY_AFTER = 2.0
+# Largest random addition to the time until an endpoint takes requests again, as a share of it.
+WAIT_SPREAD = 1.0
 RETRY_AFTER_SPREAD = 2.0  # Largest random addition to `MIN_RETRY_AFTER`, in seconds.
 
 
@@ -114,6 +116,16 @@
     return min(share * patience, (req.ends_at - req.arrived_at) / 3)
 
 
+def spread_wait(state: State, wait: float) -> float:
+    """Return when to come back after a wait, so that callers do not come back together."""
+    return round(wait * (1.0 + WAIT_SPREAD * state.rng.random()), 2)
+
+
+def can_wait(req: ForwardedCall, at: float, seconds: float) -> bool:
+    """Return whether a request may wait for some seconds more; a stream that broke off always."""
+    return req.relay_begun or at + seconds - req.arrived_at < max_wait(req)
+
+
 def retry_after(state: State, req: ForwardedCall, at: float) -> float:
     """Return after how many seconds a refused caller should retry."""
     time_left = max(0.0, req.ends_at - at)
--- a/src/wasabiwick/_handlers/stages.py
+++ b/src/wasabiwick/_handlers/stages.py
@@ -20,7 +20,7 @@
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
-from . import directory, estimates, neighbours, places, routes
+from . import directory, estimates, neighbours, pauses, places, routes
 
 REVIEW_INTERVAL_S = 1.0  # Time between reviews of how many engines each stage has.
 # No engine of a service changes its stage until the service's list of engines has been unchanged
@@ -104,6 +104,7 @@
         donors, stage = prefill, DECODE
     else:
         donors, stage = _spare_decode_engines(decode), PREFILL
+    donors = [one for one in donors if not pauses.is_paused(state, one.name, at)]
     if not donors:
         return None
     donors_in_zone = {one.zone: sum(other.zone == one.zone for other in donors) for one in donors}
--- a/src/wasabiwick/_metrics.py
+++ b/src/wasabiwick/_metrics.py
@@ -275,6 +275,7 @@
     _counter("forward_left", "Calls whose caller disconnected.", "phase"),
     _counter("forward_repeats", "Retries sent to another endpoint.", "service"),
     _counter("endpoints_ended", "Endpoints that ended while they began to answer.", "service"),
+    _counter("endpoint_pauses", "Times that endpoints wanted nothing from this host for a while."),
     _counter("permits", "Questions whether an endpoint's limit has room, by answer.", "answer"),
     _counter("parts_blocked", "Blocks of prompts' parts, counted at each change.", "service"),
     _counter("budget_empty", "Retries that the retry budget did not allow.", "service"),
--- a/src/wasabiwick/_ports/endpoints.py
+++ b/src/wasabiwick/_ports/endpoints.py
@@ -61,6 +61,9 @@
     def leaving(self, endpoint: str) -> None:
         """Note that an endpoint takes no new work."""
 
+    def paused(self, endpoint: str, seconds: float) -> None:
+        """Note that an endpoint turned a request away and wants nothing for some seconds."""
+
     def limit_named(self, endpoint: str, rate: float | None) -> None:
         """Note the requests a second that an endpoint takes from all hosts together.
 
--- a/src/wasabiwick/platform/__init__.py
+++ b/src/wasabiwick/platform/__init__.py
@@ -7,7 +7,7 @@
 import asyncio
 import time
 
-from .._events import EndpointLeaving, LimitNamed
+from .._events import EndpointLeaving, EndpointPaused, LimitNamed
 from .._forward_daemon import serve
 from .._runner import Runner
 from .._settings import Settings
@@ -104,6 +104,11 @@
         """Post that an endpoint takes no new work."""
         self._runner.post(EndpointLeaving(at=self._runner.now(), endpoint=endpoint))
 
+    def paused(self, endpoint: str, seconds: float) -> None:
+        """Post for how long an endpoint wants nothing."""
+        event = EndpointPaused(at=self._runner.now(), endpoint=endpoint, seconds=seconds)
+        self._runner.post(event)
+
     def limit_named(self, endpoint: str, rate: float | None) -> None:
         """Post the limit that an endpoint named."""
         self._runner.post(LimitNamed(at=self._runner.now(), endpoint=endpoint, rate=rate))
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -42,6 +42,7 @@
 DEFAULT_DEADLINE_S = 30.0  # Time for a request whose caller states no deadline.
 # HTTP status: the address belongs to another endpoint now, or the engine has another stage.
 MISDIRECTED = 421
+UNAVAILABLE = 503  # HTTP status with which an endpoint turns a request away for now.
 EVENT_STREAM = "text/event-stream"
 MAX_LOGGED_VALUE = 40  # Most characters of a header that are logged.
 MAX_PARTS = 16  # Most parts of a prompt that are read; prompts have a few.
@@ -134,11 +135,15 @@
             return
         if conn.header(_names.SERVER_LEAVING).strip() == _names.IS_LEAVING:
             self._listener.leaving(endpoint)
+        pause = conn.header(_names.RETRY_AFTER) if conn.status == UNAVAILABLE else ""
+        seconds = _number(pause) if pause else None
+        if seconds:
+            self._listener.paused(endpoint, seconds)
         self._note_limit(endpoint, conn.header(_names.SERVER_LIMIT), sent_at)
 
     def _note_limit(self, endpoint: str, text: str, sent_at: float) -> None:
         if text:
-            rate = _limit(text)
+            rate = _number(text)
             if rate is not None:
                 self._limited[endpoint] = self._clock()
                 self._listener.limit_named(endpoint, rate)
@@ -326,14 +331,14 @@
         return _failure(ENDPOINT_FAILED, Verdict.MAY_HAVE_RUN, f"unreadable answer: {exc}")
 
 
-def _limit(text: str) -> float | None:
-    """Return the limit that an answer names, or None if it is no usable number."""
+def _number(text: str) -> float | None:
+    """Return the number in an answer's header, or None if it is negative or no number."""
     try:
-        rate = float(text)
+        number = float(text)
     except ValueError:
-        rate = math.nan
-    if math.isfinite(rate) and rate >= 0.0:
-        return rate
+        number = math.nan
+    if math.isfinite(number) and number >= 0.0:
+        return number
     log_event("header_unreadable", level="WARNING", value=text[:MAX_LOGGED_VALUE])
     return None
 
--- a/tests/_platform.py
+++ b/tests/_platform.py
@@ -154,6 +154,7 @@
         has_ended: Whether it has ended.
         is_silent: Whether it does not answer questions for its report.
         born: Unix time of its start, in milliseconds.
+        retry_after: What it says in refusals: for how long it wants nothing; empty for nothing.
         says_leaving: Whether its answers say that it leaves.
         limit: Requests a second that its answers name as its limit; None for no limit.
         arrivals: Monotonic time of each request.
@@ -183,6 +184,7 @@
         self.has_ended = False
         self.is_silent = False
         self.born = 1
+        self.retry_after = ""
         self.says_leaving = False
         self.limit: float | None = None
         self.arrivals: list[float] = []
@@ -218,6 +220,8 @@
         return app
 
     async def _add_signs(self, req: web.Request, resp: web.StreamResponse) -> None:
+        if self.retry_after and resp.status == 503:
+            resp.headers["Retry-After"] = self.retry_after
         if self.says_leaving:
             resp.headers["Server-Leaving"] = "1"
         if self.limit is not None:
