Choose among permitted endpoints in one place, and split two large modules by their jobs

Plain calls and prefills walked through the same answers of an owner, each in a loop of its own. Events and performers about what hosts find out of endpoints have modules of their own, and so has the base of tests with two hosts. Behaviour stays as it is.

--- a/src/wasabiwick/_handlers/forward_plain.py
+++ b/src/wasabiwick/_handlers/forward_plain.py
@@ -50,15 +50,15 @@
 
 def start(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
     """Send a request to the endpoint with the least work; refuse it if no endpoint is free."""
-    while endpoint := placing.choose_plain(state, req.service, at, req.avoid, req.build):
-        answer = yield from permits.acquire(state, req.ask.call_id, endpoint.name, at)
-        if answer is permits.Answer.GRANTED:
-            yield from _send(state, req, endpoint, at)
-            return
-        if answer is permits.Answer.PENDING:
-            req.begin_asking(endpoint)
-            return
-    yield from _refuse_unplaced(state, req, at)
+
+    def choose() -> Endpoint | None:
+        return placing.choose_plain(state, req.service, at, req.avoid, req.build)
+
+    endpoint = yield from permits.first_permitted(state, req, choose, at)
+    if endpoint is not None:
+        yield from _send(state, req, endpoint, at)
+    elif req.phase != forwarding.ASKING:
+        yield from _refuse_unplaced(state, req, at)
 
 
 @handles(PermitSettled)
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -115,23 +115,23 @@
     if req.place.name in req.warm_engines or req.prefill_engine is not None:
         yield from _send(state, req, at)
         return
-    while engine := placing.choose_prefill(
-        state,
-        req.service,
-        req.place.zone,
-        req.ask.prompt_tokens,
-        at,
-        req.avoid,
-        req.warm_engines,
-    ):
-        answer = yield from permits.acquire(state, req.ask.call_id, engine.name, at)
-        if answer is permits.Answer.GRANTED:
-            yield from _prefill_at(state, req, engine, at)
-            return
-        if answer is permits.Answer.PENDING:
-            req.begin_asking(engine)
-            return
-    yield from _send(state, req, at)
+
+    def choose() -> Endpoint | None:
+        return placing.choose_prefill(
+            state,
+            req.service,
+            req.place.zone,
+            req.ask.prompt_tokens,
+            at,
+            req.avoid,
+            req.warm_engines,
+        )
+
+    engine = yield from permits.first_permitted(state, req, choose, at)
+    if engine is not None:
+        yield from _prefill_at(state, req, engine, at)
+    elif req.phase != forwarding.ASKING:
+        yield from _send(state, req, at)
 
 
 @handles(PermitSettled)
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -146,6 +146,7 @@
     def end_asking(self) -> Endpoint:
         """Return the endpoint that was asked for, now that the answer is known."""
         endpoint, self.asked = self.asked, None
+        self.phase = WAITING
         return endpoint
 
     def note_lost_answer(self, endpoint: str, *, repeated: bool) -> None:
--- a/src/wasabiwick/_handlers/permits.py
+++ b/src/wasabiwick/_handlers/permits.py
@@ -20,12 +20,13 @@
 from .._effects import Count, LogLine, StartTimer, StopTimer
 from .._effects_forwarding import AnswerPermit, AskPermit
 from .._events import LimitNamed, LoadTold, PermitAnswered, PermitAsked, PermitSettled, TimerFired
-from .._forwarding import EndpointLimit
+from .._forwarding import Endpoint, EndpointLimit
 from .._reducer import Step, handles, on_timer
 from .._rendezvous import ranked
 from .._settings import Settings
 from .._state import State, state_slice
 from . import endpoint_limits, forwarding, neighbours
+from .forwarding import ForwardedCall
 
 # Seconds after which a question that was not answered is sent again; a round trip takes 10 ms.
 ASK_TIMEOUT_S = 0.05
@@ -144,6 +145,32 @@
     return Answer.PENDING
 
 
+def first_permitted(
+    state: State,
+    req: ForwardedCall,
+    choose: typing.Callable[[], Endpoint | None],
+    at: float,
+) -> typing.Generator[Step, None, Endpoint | None]:
+    """Return the first endpoint chosen that a call may be sent to, or None if there is none.
+
+    Returns None as well while that is pending; the call's phase is `forwarding.ASKING` then.
+
+    Args:
+        state: The host's state.
+        req: The call.
+        choose: Chooses an endpoint that takes requests, as far as this host knows.
+        at: Monotonic time.
+    """
+    while endpoint := choose():
+        answer = yield from acquire(state, req.ask.call_id, endpoint.name, at)
+        if answer is Answer.GRANTED:
+            return endpoint
+        if answer is Answer.PENDING:
+            req.begin_asking(endpoint)
+            return None
+    return None
+
+
 def _send(question: Question) -> typing.Iterator[Step]:
     question.asks_left -= 1
     yield question.ask
--- a/src/wasabiwick/_performers/forwarding.py
+++ b/src/wasabiwick/_performers/forwarding.py
@@ -4,10 +4,7 @@
 
 from .._effects_forwarding import (
     AnnounceHost,
-    AnswerPermit,
-    AskPermit,
     AskWhetherBusy,
-    CheckEnded,
     ClaimOrders,
     CutForward,
     DropHold,
@@ -20,7 +17,6 @@
     ReadSavedStreams,
     RefuseForward,
     Relay,
-    SaveFindings,
     SaveStreams,
     TakeHold,
     TellLoad,
@@ -31,9 +27,7 @@
     AnswerCame,
     ClaimAnswered,
     ClaimsRead,
-    EndChecked,
     EngineSaidBusy,
-    FindingsSaved,
     HoldAnswered,
     HostFound,
     PromptAnswered,
@@ -199,18 +193,6 @@
     runner.ports.datagrams.send_load(runner.owner, runner.state.zone, effect)
 
 
-@performs(AskPermit)
-def ask_permit(runner: Runner, effect: AskPermit) -> None:
-    """Ask another host whether an endpoint's limit has room."""
-    runner.ports.datagrams.ask_permit(runner.owner, effect)
-
-
-@performs(AnswerPermit)
-def answer_permit(runner: Runner, effect: AnswerPermit) -> None:
-    """Answer another host's question."""
-    runner.ports.datagrams.answer_permit(effect)
-
-
 @performs(SaveStreams)
 def save_streams(runner: Runner, effect: SaveStreams) -> None:
     """Save this host's streams."""
@@ -241,38 +223,6 @@
     runner.post(SavedStreamsRead(at=runner.now(), begun=begun, builds=tuple(saved.builds), own=own))
 
 
-@performs(SaveFindings)
-def save_findings(runner: Runner, effect: SaveFindings) -> None:
-    """Save what this host has found."""
-    runner.spawn("save_findings", _save_findings(runner, effect))
-
-
-async def _save_findings(runner: Runner, effect: SaveFindings) -> None:
-    failure = await runner.ports.register.save_findings(effect.findings, runner.now())
-    if failure:
-        log_event("findings_not_saved", reason=failure.detail)
-    runner.post(FindingsSaved(at=runner.now(), failure=failure))
-
-
-@performs(CheckEnded)
-def check_ended(runner: Runner, effect: CheckEnded) -> None:
-    """Check whether an endpoint has ended."""
-    runner.spawn(f"crash/{effect.endpoint}", _check_ended(runner, effect))
-
-
-async def _check_ended(runner: Runner, effect: CheckEnded) -> None:
-    answer = await runner.ports.endpoints.has_ended(effect)
-    failed = isinstance(answer, Failure)
-    runner.post(
-        EndChecked(
-            at=runner.now(),
-            endpoint=effect.endpoint,
-            has_ended=False if failed else answer,
-            failure=answer if failed else None,
-        )
-    )
-
-
 @performs(ReadClaims)
 def read_claims(runner: Runner, effect: ReadClaims) -> None:
     """Read the last claim to the right to order stage changes."""
--- a/tests/test_crashing_parts_live.py
+++ b/tests/test_crashing_parts_live.py
@@ -15,6 +15,7 @@
 
 from ._platform import Endpoint, Store, serving
 from ._processes import until
+from ._two_hosts import TwoHostsTest
 from .test_on_platform import TOKEN_HEADERS, Site
 
 CRASHING_PART = "bad"
@@ -25,27 +26,15 @@
 MAX_MORE = 3  # The users' rule: requests that may still reach engines then.
 
 
-class TestCrashingPart(unittest.IsolatedAsyncioTestCase):
+class TestCrashingPart(TwoHostsTest):
     """Hosts together learn which part ends engines, and send no more requests with it."""
 
-    async def asyncSetUp(self) -> None:
-        self.site = Site()
+    def prepare(self, site: Site) -> None:
+        """Add engines, which all end over one part."""
         for number in range(2, DECODE_ENGINES):
-            self.site.endpoints[f"d{number}"] = Endpoint(f"d{number}", "decode")
-        for endpoint in self.site.endpoints.values():
+            site.endpoints[f"d{number}"] = Endpoint(f"d{number}", "decode")
+        for endpoint in site.endpoints.values():
             endpoint.crashing_part = CRASHING_PART
-        await self.enterAsyncContext(self.site.run())
-        self.hosts = [self.site.daemon, await self.site.start_daemon("host-b")]
-        self.addAsyncCleanup(self.hosts[1].stop)
-        await until(self._has_started)
-        self.sent = 0
-
-    async def _has_started(self) -> bool:
-        return all(
-            len(host.runner.state["directory"].endpoints) == len(self.site.endpoints)
-            and host.runner.state["neighbours"].hosts
-            for host in self.hosts
-        )
 
     async def send(self, host: ForwardDaemon, *parts: str) -> int:
         """Send a request whose prompt has these parts, and return the status of its answer."""
--- a/tests/test_limits_live.py
+++ b/tests/test_limits_live.py
@@ -1,12 +1,11 @@
 """Tests of two hosts whose endpoints name limits for all hosts together."""
 
 import asyncio
-import unittest
 
 from wasabiwick._forward_daemon import ForwardDaemon
 
 from ._processes import until
-from .test_on_platform import Site
+from ._two_hosts import TwoHostsTest
 
 LIMIT = 2.0  # Requests a second.
 REQUESTS = 120
@@ -19,24 +18,9 @@
     return 1.5 * limit * seconds + 5
 
 
-class LimitTest(unittest.IsolatedAsyncioTestCase):
+class LimitTest(TwoHostsTest):
     """Base of tests that each have a site with two hosts."""
 
-    async def asyncSetUp(self) -> None:
-        self.site = Site()
-        await self.enterAsyncContext(self.site.run())
-        self.hosts = [self.site.daemon, await self.site.start_daemon("host-b")]
-        self.addAsyncCleanup(self.hosts[1].stop)
-        await until(self._has_started)
-        self.sent = 0
-
-    async def _has_started(self) -> bool:
-        return all(
-            len(host.runner.state["directory"].endpoints) == len(self.site.endpoints)
-            and host.runner.state["neighbours"].hosts
-            for host in self.hosts
-        )
-
     async def send(self, host: ForwardDaemon) -> tuple[int, str]:
         """Send a request, and return the status of its answer and when to come back."""
         self.sent += 1
