Take numbers in callers' headers that are not finite for missing

The numbers in headers of callers and of endpoints are read by one function now, which takes only finite ones that are not negative. The test failed before for inf and 1e999.

--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -332,7 +332,7 @@
 
 
 def _number(text: str) -> float | None:
-    """Return the number in an answer's header, or None if it is negative or no number."""
+    """Return the number in a header, or None if it is negative, not finite or no number."""
     try:
         number = float(text)
     except ValueError:
@@ -433,10 +433,4 @@
 
 
 def _header_number(text: str) -> float:
-    if not text:
-        return 0.0
-    try:
-        return max(0.0, float(text))
-    except ValueError:
-        log_event("header_unreadable", level="WARNING", value=text)
-        return 0.0
+    return (_number(text) or 0.0) if text else 0.0
--- a/tests/test_on_platform.py
+++ b/tests/test_on_platform.py
@@ -163,6 +163,18 @@
         self.assertLessEqual(int(headers["X-Wasabiwick-Deadline-Ms"]), 5_000)
         self.assertIn(headers["X-Wasabiwick-Expect-Instance"], ("s0", "s1"))
 
+    async def test_numbers_in_headers_that_are_no_numbers_count_as_missing(self) -> None:
+        await self.site.wait_for_feeds()
+        for text in ("inf", "-inf", "nan", "1e999", "-5", "many"):
+            with self.subTest(text=text):
+                headers = {
+                    "X_Wasabiwick_Deadline_Ms": text,
+                    "X_Wasabiwick_Token_Count": f"{text},{text}",
+                    "X_Wasabiwick_Length_Hint": text,
+                }
+                async with self.site.request("/safe/x", "GET", b"", **headers) as resp:
+                    self.assertEqual(resp.status, 200)
+
     async def test_system_headers_from_callers_are_removed(self) -> None:
         await self.site.wait_for_feeds()
         forged = {
