Keep no connection where none may be kept

A limit that had shrunk also kept one connection too many for each release. The oldest are closed until the limit holds. The test failed before; no caller of today sets the limit to 0.

--- a/src/wasabiwick/_http1.py
+++ b/src/wasabiwick/_http1.py
@@ -396,9 +396,9 @@
         for old in [one for one in idle if not one.is_usable(now)]:
             idle.remove(old)
             old.close()
-        if len(idle) >= min(MAX_IDLE_CONNECTIONS, max_idle):
-            idle.pop(0).close()
         idle.append(conn)
+        while len(idle) > min(MAX_IDLE_CONNECTIONS, max_idle):
+            idle.pop(0).close()
 
     def close(self) -> None:
         """Close all kept connections."""
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -107,6 +107,15 @@
 class TestKeptConnections(ConnectionTest):
     """A connection is reused only after a clean answer, and only for the same endpoint."""
 
+    async def test_no_connection_is_kept_where_none_may_be(self) -> None:
+        async with Endpoint(COMPLETE) as endpoint:
+            conn = await self.pool.acquire("e", endpoint.address)
+            conn.send(REQUEST)
+            await conn.head()
+            await conn.body()
+            self.pool.release("e", endpoint.address, conn, max_idle=0)
+            self.assertTrue(conn.transport.is_closing())
+
     async def test_connection_is_reused_after_a_clean_answer(self) -> None:
         async with Endpoint(COMPLETE) as endpoint:
             await self.send_request(endpoint)
