Let one request with a blocked part pass, to show whether it is sound

Change: two seconds after the last crash of a block of one part, one request with it passes, unless an endpoint has ended over the part since the block stood. It is answered by one engine, which prefills it itself, and is not repeated. Served, it ends the block at all hosts; an engine that ends over it confirms the block. Hosts do so in turn, in an order that depends on the part.

--- a/src/wasabiwick/_handlers/crash_watch.py
+++ b/src/wasabiwick/_handlers/crash_watch.py
@@ -13,9 +13,11 @@
 from .._events import AnswerCame, EndChecked, LoadTold, StreamDone, TimerFired, TryFailed
 from .._forwarding import Crash, Findings
 from .._reducer import Step, handles, on_timer
+from .._rendezvous import ranked
 from .._settings import Settings
 from .._state import State, state_slice
 from . import crashing_parts, forwarding, neighbours
+from .crashing_parts import Block
 from .forwarding import ForwardedCall
 
 # Seconds for which an endpoint has to write an answer until the prompt's parts are sound. Endpoints
@@ -26,6 +28,7 @@
 # Seconds after which refused callers are told to retry. The request is refused again unless an
 # endpoint has been seen to serve another one with the same parts.
 BLOCKED_RETRY_AFTER_S = 30.0
+TRIAL_PAUSE_S = 20.0  # Time until a trial is repeated that showed nothing.
 SERVER_ERROR = 500  # Lowest HTTP status of an endpoint's own failures.
 
 
@@ -45,12 +48,16 @@
 
 @state_slice("crash_watch")
 class CrashWatchState:
-    """Endpoints that are being examined, by name."""
+    """Endpoints that are being examined, by name.
 
-    __slots__ = ("suspicions",)
+    ``trials`` holds the monotonic time of this host's last trial of each service and part.
+    """
+
+    __slots__ = ("suspicions", "trials")
 
     def __init__(self, cfg: Settings) -> None:
         self.suspicions: dict[str, Suspicion] = {}
+        self.trials: dict[tuple[str, str], float] = {}
 
 
 @handles(TryFailed)
@@ -213,9 +220,17 @@
 
 
 def refuse_blocked(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
-    """Refuse a call if its prompt is blocked."""
-    block = crashing_parts.block_of(state, req.service, req.ask.parts)
-    if block is not None:
+    """Refuse a call if its prompt is blocked, unless it is a block's trial."""
+    blocks = crashing_parts.blocks_of(state, req.service, req.ask.parts)
+    if not blocks or req.is_trial:
+        return
+    block = blocks[0]
+    if len(blocks) == 1 and _is_trial_due(state, block, at):
+        state["crash_watch"].trials[block.service, *block.parts] = at
+        req.is_trial = True
+        yield Count(metric="part_trials", label=block.service)
+        yield forwarding.log("part_trial", req, state, at, parts=",".join(sorted(block.parts)))
+    else:
         yield from forwarding.refuse_call(
             state,
             req,
@@ -225,3 +240,18 @@
             parts=",".join(sorted(block.parts)),
             crashes=len(block.endpoints),
         )
+
+
+def _is_trial_due(state: State, block: Block, at: float) -> bool:
+    """Return whether this host may let a request pass to show whether a block is right.
+
+    Hosts may do so one after the other, in an order that depends on the part, so that seldom two
+    do it at a time. A trial that shows nothing is repeated after `TRIAL_PAUSE_S`.
+    """
+    if len(block.parts) > 1 or block.is_confirmed:
+        return False
+    (part,) = block.parts
+    hosts = ranked(part, [*neighbours.live_names(state, at), state.owner.host])
+    turn = crashing_parts.TRIAL_AFTER_S * (1 + hosts.index(state.owner.host))
+    tried_at = state["crash_watch"].trials.get((block.service, part), float("-inf"))
+    return at - block.times[-1] >= turn and at - tried_at >= TRIAL_PAUSE_S
--- a/src/wasabiwick/_handlers/crashing_parts.py
+++ b/src/wasabiwick/_handlers/crashing_parts.py
@@ -11,7 +11,9 @@
 
 Parts that were in exactly the same crashes can't be told apart. They are blocked together: only a
 request that has all of them is refused. So requests that share some of them still show which are
-sound.
+sound. A part that is blocked alone may be sound too, if it was new when endpoints were lost for
+other reasons as well. So one request with it passes as a trial, once no endpoint has ended over it
+for a while: it shows that the part is sound, or confirms the block.
 
 Load pattern handled: requests with one part come at all hosts, no two alike, among many sound ones
 with the same first part, while other endpoints end for other reasons.
@@ -27,6 +29,8 @@
 # Crashes after which a part is blocked. Two may coincide when several endpoints are lost at once;
 # the users allow five.
 MIN_CRASHES = 3
+# Seconds without a crash after which a block is put to a trial: one request passes.
+TRIAL_AFTER_S = 2.0
 # Seconds for which a crash counts, and so for which a part is blocked after its last crash.
 CRASH_KEEP_S = 3600.0
 # A part that was sound counts as sound in crashes up to this many seconds later. Endpoints whose
@@ -44,14 +48,30 @@
 
 
 class Block:
-    """Parts that are blocked together for one service, with the endpoints that ended."""
+    """Parts that are blocked together for one service, with the endpoints that ended.
 
-    __slots__ = ("service", "parts", "endpoints")
+    ``times`` are the monotonic times at which these ended, in order.
+    """
+
+    __slots__ = ("service", "parts", "endpoints", "times")
 
-    def __init__(self, *, service: str, parts: frozenset[str], endpoints: tuple[str, ...]) -> None:
+    def __init__(
+        self,
+        *,
+        service: str,
+        parts: frozenset[str],
+        endpoints: tuple[str, ...],
+        times: tuple[float, ...],
+    ) -> None:
         self.service = service
         self.parts = parts
         self.endpoints = endpoints
+        self.times = times
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether an endpoint ended after the block stood, over a trial or a late request."""
+        return self.times[-1] - self.times[MIN_CRASHES - 1] >= TRIAL_AFTER_S / 2
 
 
 class Seen:
@@ -105,12 +125,13 @@
     return state["crashing_parts"].blocks
 
 
-def block_of(state: State, service: str, parts: typing.Collection[str]) -> Block | None:
-    """Return the block that refuses a prompt with these parts, or None."""
-    for block in state["crashing_parts"].blocks:
-        if block.service == service and block.parts <= set(parts):
-            return block
-    return None
+def blocks_of(state: State, service: str, parts: typing.Collection[str]) -> list[Block]:
+    """Return all blocks that refuse a prompt with these parts."""
+    return [
+        block
+        for block in state["crashing_parts"].blocks
+        if block.service == service and block.parts <= set(parts)
+    ]
 
 
 def version(state: State) -> int:
@@ -261,7 +282,9 @@
         for part in parts
     }
     parts_state.blocks = [
-        block for service, by_crash in suspects.items() for block in _explain(service, by_crash)
+        block
+        for service, by_crash in suspects.items()
+        for block in _explain(state, service, by_crash)
     ]
     _limit_crashes(state, suspects)
     return before != {(one.service, one.parts) for one in parts_state.blocks}
@@ -277,8 +300,11 @@
     return suspects
 
 
-def _explain(service: str, suspects: dict[CrashKey, set[str]]) -> typing.Iterator[Block]:
+def _explain(
+    state: State, service: str, suspects: dict[CrashKey, set[str]]
+) -> typing.Iterator[Block]:
     """Find the parts that explain the crashes of a service, those with most crashes first."""
+    known_crashes = state["crashing_parts"].crashes
     unexplained = dict(suspects)
     while True:
         crashes_by_part: dict[str, list[CrashKey]] = {}
@@ -293,8 +319,13 @@
             if len(keys) == most:
                 parts_by_crashes.setdefault(tuple(keys), set()).add(part)
         for keys, parts in parts_by_crashes.items():
-            endpoints = tuple(endpoint for endpoint, _ in keys)
-            yield Block(service=service, parts=frozenset(parts), endpoints=endpoints)
+            crashes = sorted((known_crashes[key] for key in keys), key=lambda one: one.at)
+            yield Block(
+                service=service,
+                parts=frozenset(parts),
+                endpoints=tuple(one.endpoint for one in crashes),
+                times=tuple(one.at for one in crashes),
+            )
             for key in keys:
                 unexplained.pop(key, None)
 
--- a/src/wasabiwick/_handlers/forward_plain.py
+++ b/src/wasabiwick/_handlers/forward_plain.py
@@ -99,7 +99,7 @@
     yield forwarding.log(
         "sent", req, state, at, endpoint=endpoint.name, zone=endpoint.zone, tries=req.number
     )
-    may_retry = req.route.repeatable and req.possible_runs < req.route.max_attempts
+    may_retry = _has_attempt_left(req)
     yield Forward(
         call_id=req.ask.call_id,
         endpoint=endpoint.name,
@@ -176,8 +176,12 @@
 def _may_retry(state: State, req: ForwardedCall, at: float) -> bool:
     if req.events and not req.route.resumable:
         return False
+    return _has_attempt_left(req) and at + MIN_RETRY_TIME < req.ends_at
+
+
+def _has_attempt_left(req: ForwardedCall) -> bool:
     has_attempt_left = req.route.repeatable and req.possible_runs < req.route.max_attempts
-    return has_attempt_left and at + MIN_RETRY_TIME < req.ends_at
+    return has_attempt_left and not req.is_trial
 
 
 def _retry(
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -112,7 +112,7 @@
     The first prefill of a call does not count as a retry, but is sent only while the retry budget
     has room.
     """
-    if req.place.name in req.warm_engines or req.prefill_engine is not None:
+    if req.place.name in req.warm_engines or req.prefill_engine is not None or req.is_trial:
         yield from _send(state, req, at)
         return
 
@@ -270,7 +270,8 @@
 
 
 def _may_retry(req: ForwardedCall) -> bool:
-    return req.route.repeatable and req.possible_runs < req.route.max_attempts
+    has_attempt_left = req.route.repeatable and req.possible_runs < req.route.max_attempts
+    return has_attempt_left and not req.is_trial
 
 
 def _requeue(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -64,6 +64,7 @@
         sent_at: Monotonic time at which the newest prefill or try was sent.
         relay_begun: Whether this host has begun to relay a stream to the caller.
         has_length: Whether the newest answer states its length or comes in chunks.
+        is_trial: Whether the call shows if a blocked part is sound; it is sent once only.
         build: Build that began the caller's stream, at which alone it may go on; empty if the
             stream has not begun, or engines state no build.
     """
@@ -93,6 +94,7 @@
         "sent_at",
         "relay_begun",
         "has_length",
+        "is_trial",
         "build",
     )
 
@@ -121,6 +123,7 @@
         self.sent_at = 0.0
         self.relay_begun = False
         self.has_length = True
+        self.is_trial = False
         self.build = ""
 
     @property
--- a/src/wasabiwick/_metrics.py
+++ b/src/wasabiwick/_metrics.py
@@ -277,6 +277,7 @@
     _counter("endpoints_ended", "Endpoints that ended while they began to answer.", "service"),
     _counter("endpoint_pauses", "Times that endpoints wanted nothing from this host for a while."),
     _counter("permits", "Questions whether an endpoint's limit has room, by answer.", "answer"),
+    _counter("part_trials", "Requests that passed to show whether a part is sound.", "service"),
     _counter("parts_blocked", "Blocks of prompts' parts, counted at each change.", "service"),
     _counter("budget_empty", "Retries that the retry budget did not allow.", "service"),
     _counter(
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -8,6 +8,7 @@
 from wasabiwick._errors import ENDPOINT_SILENT, PART_BLOCKED, Failure
 from wasabiwick._forwarding import Crash, Findings, SoundPart
 from wasabiwick._handlers import crash_watch, crashing_parts, findings_saving
+from wasabiwick._rendezvous import ranked
 from wasabiwick._verdict import Verdict
 
 from ._forward import (
@@ -18,6 +19,7 @@
     REFUSED,
     Forward,
     Host,
+    ReadPrompt,
     TakeHold,
     engine,
     plain,
@@ -179,6 +181,69 @@
         self.assertTrue(self.host.is_open(call))
 
 
+class TestTrial(unittest.TestCase):
+    """One request with a blocked part passes later, and shows whether the block is right.
+
+    A first part that is new when engines are lost for other reasons was blocked for an hour.
+    """
+
+    def setUp(self) -> None:
+        self.host = Host(endpoints=ENGINES)
+        tell(self.host, *(crash(f"x{number}", "new") for number in range(3)))
+
+    def pass_trial(self) -> str:
+        """Let time pass until a trial is due, and send it up to its decode engine."""
+        self.host.run(crashing_parts.TRIAL_AFTER_S + 0.1)
+        call = self.host.ask("stream", parts=("new",))
+        self.host.answer_hold(call)
+        return call
+
+    def test_one_request_passes_after_a_while(self) -> None:
+        self.assertTrue(is_refused(self.host, "new"))
+        call = self.pass_trial()
+        self.assertEqual(len(self.host.effects_of(Forward, call)), 1)
+        self.assertTrue(is_refused(self.host, "new"))
+
+    def test_trial_that_is_served_ends_the_block(self) -> None:
+        call = self.pass_trial()
+        self.host.answer(call, streams=True)
+        self.host.run(crash_watch.SOUND_AFTER_S)
+        self.host.fail(call, BROKEN, events=4)
+        self.assertFalse(is_refused(self.host, "new"))
+
+    def test_trial_over_which_an_engine_ends_confirms_the_block(self) -> None:
+        call = self.pass_trial()
+        self.host.answer(call, streams=True)
+        endpoint = self.host.last_effect(Forward, call).endpoint
+        self.host.fail(call, BROKEN)
+        self.host.feed(_events.EndChecked, endpoint=endpoint, has_ended=True)
+        self.assertFalse(self.host.is_open(call))
+        self.assertEqual(len(self.host.effects_of(Forward, call)), 1)
+        self.host.run(10 * crash_watch.TRIAL_PAUSE_S)
+        self.assertTrue(is_refused(self.host, "new"))
+
+    def test_trial_reaches_one_engine_only(self) -> None:
+        call = self.pass_trial()
+        self.assertEqual(self.host.effects_of(ReadPrompt, call), [])
+        self.host.fail(call, BROKEN)
+        self.assertFalse(self.host.is_open(call))
+
+    def test_request_that_another_block_refuses_is_no_trial(self) -> None:
+        tell(self.host, *(crash(f"y{number}", "bad") for number in range(3)))
+        self.host.run(crashing_parts.TRIAL_AFTER_S + 0.1)
+        self.assertTrue(is_refused(self.host, "new", "bad"))
+
+    def test_hosts_take_turns(self) -> None:
+        first, second = ranked("new", ["a", "b"])
+        passed = {}
+        for name, other in ((first, second), (second, first)):
+            host = Host(name=name, endpoints=ENGINES)
+            tell(host, *(crash(f"x{number}", "new") for number in range(3)), sender=other)
+            host.run(crashing_parts.TRIAL_AFTER_S + 0.1)
+            passed[name] = not is_refused(host, "new")
+        self.assertEqual(passed, {first: True, second: False})
+
+
 class TestWhatCountsAsCrash(unittest.TestCase):
     """A broken answer counts only if its endpoint has ended, and had just begun to answer."""
 
--- a/tests/test_crashing_parts_random.py
+++ b/tests/test_crashing_parts_random.py
@@ -12,6 +12,12 @@
 class TestRandomCrashes(unittest.TestCase):
     """Hosts learn in time which part ends engines, and refuse only requests that have it."""
 
+    def test_new_first_part_is_not_blocked_for_long(self) -> None:
+        """Seed 128: two engines were lost for other reasons while the first part was new."""
+        count, refused = Fleet(128).run().late_sound()
+        self.assertGreater(count, 100)
+        self.assertEqual(refused, 0)
+
     def test_only_requests_with_the_crashing_part_are_refused(self) -> None:
         crashes = sound = 0
         for seed in range(SEEDS):
