Wait at least a millisecond where an endpoint's limit has no room

Found by reading, while another test was looked into: a token bucket that lacked less of a token than the clock can show gave a wait that changed no time. The endpoint was chosen and denied again without end, which would have stopped the host.

--- a/src/wasabiwick/_handlers/permits.py
+++ b/src/wasabiwick/_handlers/permits.py
@@ -39,6 +39,9 @@
 # Share of what belongs to the hosts that ask an owner while it hears one of higher rank, which may
 # not have noticed yet that it serves fewer.
 SECOND_OWNER_SHARE = 0.5
+# Least wait. Added to a monotonic time, a shorter one may leave it as it is, so that the same
+# endpoint would be chosen and denied again and again.
+MIN_WAIT_S = 0.001
 # Least limit that is reckoned with, in requests a second. Without any request, no answer could show
 # that a limit has ended.
 MIN_RATE = 0.2
@@ -218,7 +221,7 @@
 def _note_wait(state: State, endpoint: str, wait: float, at: float) -> None:
     denied_until = state["permits"].denied_until
     if wait:
-        denied_until[endpoint] = at + wait
+        denied_until[endpoint] = at + max(MIN_WAIT_S, wait)
     else:
         denied_until.pop(endpoint, None)
     if len(denied_until) > MAX_BUCKETS:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -117,6 +117,14 @@
         old = EndpointLimit(endpoint=OWN, rate=RATE, named_at=self.host.now - 3.0)
         self.assertFalse(endpoint_limits.learn(self.host.state, old))
 
+    def test_wait_too_short_for_the_clock_is_still_a_wait(self) -> None:
+        limit(self.host, OWN)
+        ask(self.host, OWN)
+        bucket = self.host.state["permits"].buckets[OWN]
+        bucket.tokens, bucket.at = 1.0 - 2**-53, self.host.now
+        call = self.host.ask("safe")
+        self.assertIsNotNone(self.host.refusal(call))
+
     def test_limit_of_zero_still_lets_a_request_through_at_times(self) -> None:
         limit(self.host, OWN, 0.0)
         self.host.state["neighbours"].hosts.clear()
