--- a/src/wasabiwick/_handlers/stages.py
+++ b/src/wasabiwick/_handlers/stages.py
@@ -151,10 +151,7 @@
 
     Only such a host claims, so that few hosts compete for a claim.
     """
-    hosts = state["neighbours"].hosts.items()
-    other_hosts = [
-        name for name, one in hosts if at - one.heard < neighbours.SILENT_AFTER and not one.stopping
-    ]
+    other_hosts = neighbours.live_names(state, at)
     return not state.stopping and state.owner.host <= min(other_hosts, default=state.owner.host)
 
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -157,12 +157,6 @@
         await self.enterAsyncContext(self.site.run())
         await self.site.wait_for_feeds()
 
-    async def send(self, path: str) -> int:
-        """Send a request, and return the status of its answer."""
-        async with self.site.request(path) as resp:
-            await resp.read()
-            return resp.status
-
     async def is_usable(self, name: str) -> bool:
         """Return whether an endpoint gets new work."""
         return directory.is_usable(self.site.state, name)
@@ -172,7 +166,7 @@
         leaving = self.site.endpoints["s0"]
         leaving.says_leaving = True
         for _ in range(20):
-            self.assertEqual(await self.send("/safe/x"), 200)
+            self.assertEqual(await self.site.status_of("/safe/x"), 200)
         self.assertLessEqual(len(leaving.requests), 1)
 
     async def test_rejection_and_answers_to_the_host_count_too(self) -> None:
@@ -181,10 +175,10 @@
         self.site.endpoints["d0"].refusals_left = 1
 
         async def both_are_out() -> bool:
-            await self.send("/stream/x")
+            await self.site.status_of("/stream/x")
             return not (await self.is_usable("d0") or await self.is_usable("p0"))
 
         await until(both_are_out)
         received = len(self.site.endpoints["d0"].requests)
-        self.assertEqual(await self.send("/stream/x"), 200)
+        self.assertEqual(await self.site.status_of("/stream/x"), 200)
         self.assertEqual(len(self.site.endpoints["d0"].requests), received)
--- a/tests/test_on_platform.py
+++ b/tests/test_on_platform.py
@@ -130,6 +130,12 @@
         url = aiohttp.client.URL(f"http://{self.daemon.callers}{path}", encoded=True)
         return self.session.request(method, url, data=body, headers=sent)
 
+    async def status_of(self, path: str) -> int:
+        """Send a request, read its whole answer, and return the status."""
+        async with self.request(path) as resp:
+            await resp.read()
+            return resp.status
+
     async def readiness(self) -> int:
         """Return the status of the host's readiness check."""
         async with self.session.get(f"http://{self.daemon.ready}/v1/readyz") as resp:
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -173,12 +173,6 @@
         await self.enterAsyncContext(self.site.run())
         await self.site.wait_for_feeds()
 
-    async def send(self, path: str) -> int:
-        """Send a request, and return the status of its answer."""
-        async with self.site.request(path) as resp:
-            await resp.read()
-            return resp.status
-
     def paused(self) -> set[str]:
         """Return the names of paused endpoints."""
         return set(self.site.state["pauses"].until)
@@ -187,7 +181,7 @@
         refusing = self.site.endpoints["s0"]
         refusing.refusals_left, refusing.retry_after = 1_000, "20"
         for _ in range(20):
-            self.assertEqual(await self.send("/safe/x"), 200)
+            self.assertEqual(await self.site.status_of("/safe/x"), 200)
         self.assertEqual(self.paused(), {"s0"})
         self.assertGreaterEqual(refusing.refusals_left, 999)
 
@@ -196,7 +190,7 @@
         prefilling.refusals_left, prefilling.retry_after = 1, "20"
 
         async def is_paused() -> bool:
-            await self.send("/stream/x")
+            await self.site.status_of("/stream/x")
             return "p0" in self.paused()
 
         await until(is_paused)
@@ -206,12 +200,12 @@
             refusing = self.site.endpoints["s0"], self.site.endpoints["s1"]
             for one in refusing:
                 one.refusals_left, one.retry_after = 1, text
-            self.assertEqual(await self.send("/safe/x"), 503)
+            self.assertEqual(await self.site.status_of("/safe/x"), 503)
         self.assertEqual(self.paused(), set())
 
     async def test_other_statuses_pause_nothing(self) -> None:
         failing = self.site.endpoints["s0"], self.site.endpoints["s1"]
         for one in failing:
             one.failures_left, one.retry_after = 1, "20"
-        await self.send("/unsafe/x")
+        await self.site.status_of("/unsafe/x")
         self.assertEqual(self.paused(), set())
