Keep what an endpoint said of its leaving for the start that said it

Three of the new tests of test_leaving failed before this change.

Change: departures remembers the starts that were listed last, apart from the list. An answer belongs to the start that was listed when its request was sent; while the list is away, also to any start before that. The latest start that said so counts. The tests' hosts now reckon wall time from when they start: it began anew with each restart.

--- a/src/wasabiwick/_events/_findings.py
+++ b/src/wasabiwick/_events/_findings.py
@@ -7,13 +7,17 @@
 
 
 class EndpointLeaving(Event):
-    """An endpoint said in an answer that it takes no new work."""
+    """An endpoint said in an answer that it takes no new work.
 
-    __slots__ = ("endpoint",)
+    ``sent_at`` is the monotonic time at which the request was sent that it answered.
+    """
+
+    __slots__ = ("endpoint", "sent_at")
 
-    def __init__(self, *, at: float, endpoint: str) -> None:
+    def __init__(self, *, at: float, endpoint: str, sent_at: float) -> None:
         super().__init__(at=at)
         self.endpoint = endpoint
+        self.sent_at = sent_at
 
 
 class EndpointPaused(Event):
--- a/src/wasabiwick/_handlers/directory.py
+++ b/src/wasabiwick/_handlers/directory.py
@@ -21,11 +21,9 @@
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
+from . import departures
 
 ENDPOINTS = "endpoints"  # Name of the feed that brings the list of endpoints.
-LEAVING_TELL_TIME_S = 5.0  # Time for which other hosts are told that an endpoint leaves.
-MAX_LEFT = 512  # Most endpoints that are remembered to have said that they leave.
-MAX_TOLD = 16  # Most of these in one datagram, which has to stay small; the newest are told.
 # If at least this share of a service's entries is missing after an outage of the list's source, the
 # outage is taken as the cause.
 MIN_LAPSED_SHARE = 0.6
@@ -39,31 +37,17 @@
 
     ``lapsed`` holds endpoints that dropped out of the list around an outage of its source, with
     the monotonic time until which they are still used. ``busy`` holds endpoints that may be
-    carrying out an order, with the monotonic time by which they will have finished. ``left`` holds
-    the endpoints that said themselves that they leave, with the Unix milliseconds of their start,
-    and ``left_at`` when they said so to this host, as monotonic time. ``is_up`` says whether the
-    list's source answers, and ``up_since`` when it last recovered.
+    carrying out an order, with the monotonic time by which they will have finished. ``is_up``
+    says whether the list's source answers, and ``up_since`` when it last recovered.
     """
 
-    __slots__ = (
-        "endpoints",
-        "offsets",
-        "lapsed",
-        "busy",
-        "left",
-        "left_at",
-        "read_at",
-        "up_since",
-        "is_up",
-    )
+    __slots__ = ("endpoints", "offsets", "lapsed", "busy", "read_at", "up_since", "is_up")
 
     def __init__(self, cfg: Settings) -> None:
         self.endpoints: dict[str, Endpoint] = {}
         self.offsets: dict[str, int] = {}
         self.lapsed: dict[str, float] = {}
         self.busy: dict[str, float] = {}
-        self.left: dict[str, int] = {}
-        self.left_at: dict[str, float] = {}
         self.read_at = 0.0
         self.up_since = float("-inf")
         self.is_up = True
@@ -131,58 +115,38 @@
     return at - state["directory"].read_at
 
 
-def told_leaving(state: State, at: float) -> tuple[tuple[str, int], ...]:
-    """Return the endpoints that said to this host lately that they leave, with their start."""
-    directory_state = state["directory"]
-    names = [
-        name for name, said in directory_state.left_at.items() if at - said < LEAVING_TELL_TIME_S
-    ]
-    return tuple((name, directory_state.left[name]) for name in names[-MAX_TOLD:])
-
-
-def is_news(state: State, name: str, at: float) -> bool:
-    """Return whether an endpoint has said right now, for the first time, that it leaves."""
-    return state["directory"].left_at.get(name) == at
-
-
 @handles(EndpointLeaving)
 def endpoint_said_leaving(state: State, event: EndpointLeaving) -> typing.Iterator[Step]:
     """Give no new work to an endpoint that says that it leaves, whatever the list says of it."""
-    one = endpoint(state, event.endpoint)
-    if one is not None and state["directory"].left.get(one.name) != one.born:
-        state["directory"].left_at[one.name] = event.at
-        yield from _note_leaving(state, one.name, one.born, "-", event.at)
+    directory_state = state["directory"]
+    is_list_old = not directory_state.is_up or event.sent_at < directory_state.up_since
+    born = departures.start_at(state, event.endpoint, event.sent_at, is_list_old=is_list_old)
+    if born is not None and departures.record_own(state, event.endpoint, born, event.at):
+        yield from _stop_using(state, event.endpoint, born, "-", event.at)
 
 
 @handles(LoadTold)
 def leaving_told(state: State, event: LoadTold) -> typing.Iterator[Step]:
     """Give no new work to endpoints that said to another host that they leave."""
     for name, born in event.leaving:
-        if state["directory"].left.get(name) != born:
-            yield from _note_leaving(state, name, born, event.sender.host, event.at)
+        if departures.record(state, name, born):
+            yield from _stop_using(state, name, born, event.sender.host, event.at)
 
 
-def _note_leaving(
+def _stop_using(
     state: State, name: str, born: int, told_by: str, at: float
 ) -> typing.Iterator[Step]:
-    directory_state = state["directory"]
-    directory_state.left[name] = born
-    if len(directory_state.left) > MAX_LEFT:
-        oldest = next(iter(directory_state.left))
-        del directory_state.left[oldest]
-        directory_state.left_at.pop(oldest, None)
-    yield LogLine(
-        event="endpoint_said_leaving",
-        fields={
-            "endpoint": name,
-            "born": born,
-            "told_by": told_by,
-            "list_age": list_age(state, at),
-        },
-    )
     one = endpoint(state, name)
-    if one is not None and one.born == born and not one.leaving:
-        yield from _add_endpoint(state, one)
+    fields = {
+        "endpoint": name,
+        "born": born,
+        "told_by": told_by,
+        "listed": one.born if one is not None else "-",
+        "list_age": list_age(state, at),
+    }
+    yield LogLine(event="endpoint_said_leaving", fields=fields)
+    if one is not None and departures.has_said(state, one) and not one.leaving:
+        yield from _add_endpoint(state, one, at)
         yield PlacesChanged(at=at)
 
 
@@ -200,7 +164,7 @@
         if one.endpoint is None:
             dropped_names.append(one.name)
         else:
-            has_changed = (yield from _add_endpoint(state, one.endpoint)) or has_changed
+            has_changed = (yield from _add_endpoint(state, one.endpoint, event.at)) or has_changed
     if event.whole:
         listed_names = {one.name for one in event.listings}
         dropped_names += [
@@ -251,10 +215,13 @@
         yield StartTimer(timer="lapsed", delay=until - at)
 
 
-def _add_endpoint(state: State, endpoint: Endpoint) -> typing.Generator[Step, None, bool]:
+def _add_endpoint(
+    state: State, endpoint: Endpoint, at: float
+) -> typing.Generator[Step, None, bool]:
     directory_state = state["directory"]
     directory_state.lapsed.pop(endpoint.name, None)
-    if directory_state.left.get(endpoint.name) == endpoint.born:
+    departures.note_start(state, endpoint, at)
+    if departures.has_said(state, endpoint):
         # What an endpoint says itself holds until it starts again; its entry may be older.
         endpoint = endpoint.as_leaving()
     previous_endpoint = directory_state.endpoints.get(endpoint.name)
--- a/src/wasabiwick/_handlers/neighbours.py
+++ b/src/wasabiwick/_handlers/neighbours.py
@@ -29,7 +29,7 @@
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
-from . import builds, crashing_parts, directory, endpoint_limits
+from . import builds, crashing_parts, departures, directory, endpoint_limits
 
 SEND_INTERVAL = 1.0  # Seconds between datagrams of a host whose load does not change.
 BATCH_DELAY = 0.01  # Seconds for which changes are collected into one datagram.
@@ -201,8 +201,8 @@
 
 @handles(EndpointLeaving)
 def endpoint_leaving(state: State, event: EndpointLeaving) -> typing.Iterator[Step]:
-    """Tell the other hosts soon which endpoint leaves; `directory` has noted it."""
-    if directory.is_news(state, event.endpoint, event.at):
+    """Tell the other hosts soon which endpoint leaves; `directory` has recorded it."""
+    if departures.is_news(state, event.endpoint, event.at):
         yield from send_soon(state, event.at)
 
 
@@ -267,7 +267,7 @@
             crashes=crashes,
             sound=sound,
             limits=endpoint_limits.told_limits(state, at),
-            leaving=directory.told_leaving(state, at),
+            leaving=departures.told(state, at),
         )
         if builds.has_untold(state) or crashing_parts.has_untold(state):
             yield from send_soon(state, at)
--- a/src/wasabiwick/_ports/endpoints.py
+++ b/src/wasabiwick/_ports/endpoints.py
@@ -58,8 +58,8 @@
 class EndpointListener(typing.Protocol):
     """What is told of endpoints' answers, whatever they answer."""
 
-    def leaving(self, endpoint: str) -> None:
-        """Note that an endpoint takes no new work."""
+    def leaving(self, endpoint: str, sent_at: float) -> None:
+        """Note that an endpoint takes no new work; ``sent_at`` is when the request was sent."""
 
     def paused(self, endpoint: str, seconds: float) -> None:
         """Note that an endpoint turned a request away and wants nothing for some seconds."""
--- a/src/wasabiwick/platform/__init__.py
+++ b/src/wasabiwick/platform/__init__.py
@@ -100,9 +100,10 @@
     def __init__(self, runner: Runner) -> None:
         self._runner = runner
 
-    def leaving(self, endpoint: str) -> None:
+    def leaving(self, endpoint: str, sent_at: float) -> None:
         """Post that an endpoint takes no new work."""
-        self._runner.post(EndpointLeaving(at=self._runner.now(), endpoint=endpoint))
+        event = EndpointLeaving(at=self._runner.now(), endpoint=endpoint, sent_at=sent_at)
+        self._runner.post(event)
 
     def paused(self, endpoint: str, seconds: float) -> None:
         """Post for how long an endpoint wants nothing."""
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -134,7 +134,7 @@
         if self._listener is None:
             return
         if conn.header(_names.SERVER_LEAVING).strip() == _names.IS_LEAVING:
-            self._listener.leaving(endpoint)
+            self._listener.leaving(endpoint, sent_at)
         pause = conn.header(_names.RETRY_AFTER) if conn.status == UNAVAILABLE else ""
         seconds = _number(pause) if pause else None
         if seconds:
--- a/tests/_forward.py
+++ b/tests/_forward.py
@@ -154,7 +154,7 @@
             _events.ForwarderBooted,
             owner=_wire.Owner(host=name, incarnation="1"),
             zone=ZONE,
-            wall=EPOCH,
+            wall=EPOCH + at,
             seed=7,
         )
         self.feed(_events.SavedStreamsRead, begun=(), builds=(), own=frozenset())
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -4,7 +4,7 @@
 
 from wasabiwick import _events
 from wasabiwick._effects_forwarding import TellLoad
-from wasabiwick._handlers import directory
+from wasabiwick._handlers import departures, directory
 
 from ._forward import BROKEN, DECODE, PREFILL, Forward, Host, ReadPrompt, TakeHold, engine, plain
 from ._processes import until
@@ -12,8 +12,13 @@
 
 
 def say_leaving(host: Host, endpoint: str) -> None:
-    """Let an endpoint say to a host that it leaves."""
-    host.feed(_events.EndpointLeaving, endpoint=endpoint)
+    """Let an endpoint say to a host that it leaves, in answer to a request sent just now."""
+    host.feed(_events.EndpointLeaving, endpoint=endpoint, sent_at=host.now)
+
+
+def leaving(*endpoints: tuple[str, int]) -> TellLoad:
+    """Return a datagram that tells which endpoints leave, each with its start."""
+    return TellLoad(addresses=(), sequence=1, loads={}, stopping=False, busy={}, leaving=endpoints)
 
 
 class TestOwnWord(unittest.TestCase):
@@ -59,6 +64,43 @@
         say_leaving(self.host, "unknown")
         self.assertEqual(self.usable(), ["s0", "s1"])
 
+    def test_endpoint_that_was_not_listed_when_it_said_so_gets_no_work_once_it_is(self) -> None:
+        self.host.drop("s0")
+        say_leaving(self.host, "s0")
+        self.host.read_list(plain("s0", born=1))
+        self.assertEqual(self.usable(), ["s1"])
+
+    def test_older_start_told_by_another_host_frees_no_newer_one(self) -> None:
+        self.host.read_list(plain("s0", born=2))
+        say_leaving(self.host, "s0")
+        self.host.hear("b", leaving(("s0", 1)))
+        self.host.read_list(plain("s0", born=2, cold=1.0))
+        self.assertEqual(self.usable(), ["s1"])
+
+    def test_answer_to_a_request_from_before_the_restart_takes_out_no_new_start(self) -> None:
+        sent_at = self.host.now
+        self.host.run(1.0)
+        self.host.read_list(plain("s0", born=2))
+        self.host.feed(_events.EndpointLeaving, endpoint="s0", sent_at=sent_at)
+        self.assertEqual(self.usable(), ["s0", "s1"])
+
+    def test_start_that_was_not_seen_while_the_list_was_away_gets_no_work(self) -> None:
+        self.host.feed(_events.FeedChanged, feed=directory.ENDPOINTS, up=False, why="cut")
+        self.host.run(5.0)
+        say_leaving(self.host, "s0")
+        self.host.feed(_events.FeedChanged, feed=directory.ENDPOINTS, up=True, why="")
+        restarted_at = int(self.host.state.wall(self.host.now - 2.0) * 1000)
+        self.host.read_list(plain("s0", born=restarted_at))
+        self.assertEqual(self.usable(), ["s1"])
+        self.host.run(3.0)
+        self.host.read_list(plain("s0", born=int(self.host.state.wall(self.host.now) * 1000)))
+        self.assertEqual(self.usable(), ["s0", "s1"])
+
+    def test_entry_without_a_start_frees_no_leaving_endpoint(self) -> None:
+        say_leaving(self.host, "s0")
+        self.host.read_list(plain("s0"))
+        self.assertEqual(self.usable(), ["s1"])
+
     def test_answer_under_way_is_still_relayed(self) -> None:
         call = self.host.ask("safe")
         say_leaving(self.host, self.host.last_effect(Forward, call).endpoint)
@@ -66,12 +108,14 @@
         self.assertTrue(self.host.is_open(call))
 
     def test_memory_stays_bounded(self) -> None:
-        for number in range(directory.MAX_LEFT + 10):
+        for number in range(departures.MAX_STARTS + 10):
             self.host.read_list(plain(f"x{number}", born=1))
             say_leaving(self.host, f"x{number}")
-        state = self.host.state["directory"]
-        self.assertEqual(len(state.left), directory.MAX_LEFT)
-        self.assertLessEqual(len(state.left_at), directory.MAX_LEFT)
+            self.host.drop(f"x{number}")
+        state = self.host.state["departures"]
+        self.assertEqual(len(state.said), departures.MAX_SAID)
+        self.assertLessEqual(len(state.said_at), departures.MAX_SAID)
+        self.assertEqual(len(state.starts), departures.MAX_STARTS)
 
 
 class TestGenerations(unittest.TestCase):
@@ -130,7 +174,7 @@
         self.host.run(0.05)
         self.assertEqual(self.told()[before].leaving, (("s0", 7),))
         say_leaving(self.host, "s0")
-        self.host.run(directory.LEAVING_TELL_TIME_S + 1.1)
+        self.host.run(departures.TELL_TIME_S + 1.1)
         self.assertEqual(self.told()[-1].leaving, ())
 
     def test_told_endpoint_gets_no_new_work(self) -> None:
