Remove a lapsed endpoint in time although it has said that it leaves

What it did: an endpoint whose entry had lapsed in an outage of the list's source, and which then said in an answer that it leaves, stayed in the directory for good, as leaving. It got no work, but its build counted as serving, so that streams that no host knew were refused although one build was left.

Cause: applying the endpoint's own word went through the function for listed entries, which ends the lapse. Evidence: test_a_lapsed_endpoint_that_says_it_leaves_is_removed_in_time failed before. Change: the word replaces the endpoint and leaves its lapse alone.

--- a/src/wasabiwick/_handlers/directory.py
+++ b/src/wasabiwick/_handlers/directory.py
@@ -146,7 +146,7 @@
     }
     yield LogLine(event="endpoint_said_leaving", fields=fields)
     if one is not None and departures.has_said(state, one) and not one.leaving:
-        yield from _add_endpoint(state, one, at)
+        yield from _replace_endpoint(state, one.as_leaving())
         yield PlacesChanged(at=at)
 
 
@@ -218,12 +218,18 @@
 def _add_endpoint(
     state: State, endpoint: Endpoint, at: float
 ) -> typing.Generator[Step, None, bool]:
-    directory_state = state["directory"]
-    directory_state.lapsed.pop(endpoint.name, None)
+    """Add an endpoint that is listed; returns whether it was not or differs."""
+    state["directory"].lapsed.pop(endpoint.name, None)
     departures.note_start(state, endpoint, at)
     if departures.has_said(state, endpoint):
         # What an endpoint says itself holds until it starts again; its entry may be older.
         endpoint = endpoint.as_leaving()
+    return (yield from _replace_endpoint(state, endpoint))
+
+
+def _replace_endpoint(state: State, endpoint: Endpoint) -> typing.Generator[Step, None, bool]:
+    """Put an endpoint in the place of what was known of it; returns whether that was different."""
+    directory_state = state["directory"]
     previous_endpoint = directory_state.endpoints.get(endpoint.name)
     directory_state.endpoints[endpoint.name] = endpoint
     if previous_endpoint == endpoint:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -77,6 +77,13 @@
         self.assertTrue(directory.is_usable(self.host.state, "s0"))
         self.assertFalse(directory.is_usable(self.host.state, "s1"))
 
+    def test_a_lapsed_endpoint_that_says_it_leaves_is_removed_in_time(self) -> None:
+        self.lapse_plain_endpoints()
+        fields = {"endpoint": "s0", "sent_at": self.host.now}
+        self.host.feed(_events.EndpointLeaving, **fields)
+        self.host.run(2.1)
+        self.assertIsNone(directory.endpoint(self.host.state, "s0"))
+
     def test_a_leaving_endpoint_is_removed_at_once(self) -> None:
         self.host.read_list(plain("s0", leaving=True))
         self.host.drop("s0")
