Keep an endpoint's pause while the list misses it for a moment

What it could do: an endpoint that had turned a request away, and whose entry then dropped off the list and came back (unreadable or expired, store restored), got requests again before its Retry-After had passed.

Cause: pauses of endpoints that are not listed were forgotten; the same class as the signs of leaving.

--- a/src/wasabiwick/_handlers/pauses.py
+++ b/src/wasabiwick/_handlers/pauses.py
@@ -15,7 +15,6 @@
 from .._reducer import Step, handles
 from .._settings import Settings
 from .._state import State, state_slice
-from . import directory
 
 MAX_PAUSE_S = 30.0  # Longest pause that is believed; callers wait half of that at most.
 # Largest random addition to a pause, as a share of it, so that hosts do not return together.
@@ -57,8 +56,7 @@
 
 @handles(EndpointsRead)
 def forget_past(state: State, event: EndpointsRead) -> None:
-    """Forget pauses that have ended, and those of endpoints that are no longer listed."""
+    """Forget pauses that have ended; an endpoint may be listed again before that."""
     until = state["pauses"].until
-    for name in list(until):
-        if until[name] <= event.at or directory.endpoint(state, name) is None:
-            del until[name]
+    for name in [name for name, ends_at in until.items() if ends_at <= event.at]:
+        del until[name]
