Show that a request which ends endpoints is sent on, in failing tests

Hypotheses: (1) hosts keep nothing of a request beyond one call, so each repeat and each return gets another endpoint; (2) crashes are known by parts of prompts only, and plain calls have none: no endpoint_checked line was written; (3) the engines end by themselves, from overload.

--- a/tests/_platform.py
+++ b/tests/_platform.py
@@ -151,6 +151,7 @@
         orders: Bodies of the orders that it received.
         is_changing_stage: Whether it is changing its stage: it grants holds but refuses requests.
         crashing_part: Part of a prompt that ends the engine once it begins to write an answer.
+        crashing_body: Body of a request that ends the endpoint once it begins to run it.
         has_ended: Whether it has ended.
         is_silent: Whether it does not answer questions for its report.
         born: Unix time of its start, in milliseconds.
@@ -181,6 +182,7 @@
         self.orders: list[dict] = []
         self.is_changing_stage = False
         self.crashing_part = ""
+        self.crashing_body: bytes | None = None
         self.has_ended = False
         self.is_silent = False
         self.born = 1
@@ -287,6 +289,10 @@
                 await asyncio.Event().wait()
             answer = {"kv-handle": handle, "tokens": 10, "version": 1}
             return web.json_response(answer, headers=echo)
+        if body == self.crashing_body:
+            self.has_ended = True
+            await self.end()
+            return web.Response(status=500, headers=echo)
         seal = {**echo, "X-Wasabiwick-Response-Seal": f"seal-{self.name}"}
         if self.unsealed_left:
             self.unsealed_left -= 1
--- a/tests/_two_hosts.py
+++ b/tests/_two_hosts.py
@@ -33,3 +33,20 @@
             and host.runner.state["neighbours"].hosts
             for host in self.hosts
         )
+
+    async def settle(self) -> None:
+        """Wait until the hosts have examined engines, and have heard each other again."""
+
+        async def has_examined() -> bool:
+            names = [name for host in self.hosts for name in host.runner.tasks]
+            return not any(name.startswith("crash/") for name in names)
+
+        await until(has_examined)
+        first, second = (host.runner.state["neighbours"] for host in self.hosts)
+        goals = first.sequence + 1, second.sequence + 1
+
+        async def have_heard() -> bool:
+            heard = second.hosts["host-a"].sequence, first.hosts["host-b"].sequence
+            return heard[0] >= goals[0] and heard[1] >= goals[1]
+
+        await until(have_heard)
--- a/tests/test_crashing_parts_live.py
+++ b/tests/test_crashing_parts_live.py
@@ -14,7 +14,6 @@
 from wasabiwick.platform._endpoints import PlatformEndpoints
 
 from ._platform import Endpoint, Store, serving
-from ._processes import until
 from ._two_hosts import TwoHostsTest
 from .test_on_platform import TOKEN_HEADERS, Site
 
@@ -54,23 +53,6 @@
         except aiohttp.ClientError:
             return 0
 
-    async def settle(self) -> None:
-        """Wait until the hosts have examined engines, and have heard each other again."""
-
-        async def has_examined() -> bool:
-            names = [name for host in self.hosts for name in host.runner.tasks]
-            return not any(name.startswith("crash/") for name in names)
-
-        await until(has_examined)
-        first, second = (host.runner.state["neighbours"] for host in self.hosts)
-        goals = first.sequence + 1, second.sequence + 1
-
-        async def have_heard() -> bool:
-            heard = second.hosts["host-a"].sequence, first.hosts["host-b"].sequence
-            return heard[0] >= goals[0] and heard[1] >= goals[1]
-
-        await until(have_heard)
-
     def ended(self) -> int:
         """Return how many engines have ended."""
         return sum(one.has_ended for one in self.site.endpoints.values())
