Refuse a request that made endpoint after endpoint end

Sound requests beside it lost their answers with each endpoint.

Cause: hosts found crashes by shared parts of prompts only. A plain call has none, so the end of its endpoint was not even examined; the last part of a prompt, and the request itself, were left out.

Change: a request's fingerprint (method, host, path, caller, body; and one with the query) counts as one more part of it in the findings that hosts tell each other already. Fingerprints are blocked each by itself, and before shared parts unless these were in two more crashes. Sound ones are kept only while suspected. No new message, record or timer.

test_crashing_parts_live sent all its requests with one body, though no two of such requests are alike; now each has its own.

--- a/src/wasabiwick/_forward_entry.py
+++ b/src/wasabiwick/_forward_entry.py
@@ -154,12 +154,10 @@
         runner = self._runner
         self._sequence += 1
         call_id = f"{runner.owner.host}.{runner.owner.incarnation}.f{self._sequence}"
-        target = req.raw_path
-        headers = list(req.raw_headers)
-        ask = self._dialect.ask(
-            call_id, req.headers.get("Host", ""), target.partition("?")[0], headers, runner.now()
+        exchange = Exchange(
+            method=req.method, target=req.raw_path, headers=list(req.raw_headers), body=body
         )
-        exchange = Exchange(method=req.method, target=target, headers=headers, body=body)
+        ask = self._dialect.ask(call_id, req.headers.get("Host", ""), exchange, runner.now())
         call = ForwardCall(req=req, ask=ask, exchange=exchange, dialect=self._dialect)
         return await self._answer(req, ask, call)
 
--- a/src/wasabiwick/_forwarding.py
+++ b/src/wasabiwick/_forwarding.py
@@ -233,6 +233,8 @@
         resumed: Whether the caller resumes a stream.
         resumes: Trace id of the call that brought the first event of a resumed stream, or empty.
         parts: Identifiers of the parts of the prompt that other requests may share, in order.
+        fingerprints: Identifiers of the whole request, the same if it comes again; the widest one
+            first.
     """
 
     __slots__ = (
@@ -247,6 +249,7 @@
         "resumed",
         "resumes",
         "parts",
+        "fingerprints",
     )
 
     def __init__(
@@ -263,6 +266,7 @@
         resumed: bool = False,
         resumes: str = "",
         parts: tuple[str, ...] = (),
+        fingerprints: tuple[str, ...] = (),
     ) -> None:
         self.call_id = call_id
         self.trace_id = trace_id
@@ -275,6 +279,12 @@
         self.resumed = resumed
         self.resumes = resumes
         self.parts = tuple(parts)
+        self.fingerprints = tuple(fingerprints)
+
+    @property
+    def blockable(self) -> tuple[str, ...]:
+        """Identifiers of what may make an endpoint end: shared parts, and the whole request."""
+        return self.parts + self.fingerprints
 
 
 class StreamLoad(Record):
@@ -314,13 +324,13 @@
 
 
 class Crash(Record):
-    """An endpoint that ended by itself, with the parts of prompts that may have caused it.
+    """An endpoint that ended by itself, with what may have caused it.
 
     Args:
         endpoint: Name of the endpoint.
         born: Unix time at which the endpoint had started, in milliseconds; 0 if unknown.
         service: Name of its service.
-        parts: Shared parts of the prompts whose answers it was beginning to write.
+        parts: Shared parts and fingerprints of the requests that it was beginning to answer.
         at: Monotonic time at which it ended.
     """
 
@@ -337,11 +347,11 @@
 
 
 class SoundPart(Record):
-    """A part of prompts with which an endpoint of a service wrote an answer without ending.
+    """A part of prompts, or a request, with which an endpoint wrote an answer without ending.
 
     Args:
         service: Name of the service.
-        part: Identifier of the part.
+        part: Identifier of the part, or fingerprint of the request.
         at: Monotonic time at which that was seen last.
     """
 
--- a/src/wasabiwick/_handlers/crash_watch.py
+++ b/src/wasabiwick/_handlers/crash_watch.py
@@ -2,14 +2,14 @@
 
 A connection that breaks off does not show whether its endpoint has ended. So the endpoint is
 examined at once: it has ended if nothing listens at its address, or something else does. Which
-parts of prompts may have caused it is decided in `crashing_parts`.
+requests, or parts of their prompts, may have caused it is decided in `crashing_parts`.
 """
 
 import typing
 
 from .._effects import Count, LogLine, StartTimer
 from .._effects_forwarding import CheckEnded
-from .._errors import ENDPOINT_FAILED, PART_BLOCKED
+from .._errors import ENDPOINT_FAILED, PART_BLOCKED, REQUEST_BLOCKED
 from .._events import AnswerCame, EndChecked, LoadTold, StreamDone, TimerFired, TryFailed
 from .._forwarding import Crash, Findings
 from .._reducer import Step, handles, on_timer
@@ -33,7 +33,7 @@
 
 
 class Suspicion:
-    """An endpoint that may have ended, with the parts of the prompts that it began to answer.
+    """An endpoint that may have ended, with what it began to answer.
 
     ``at`` is the monotonic time at which the first connection broke off.
     """
@@ -97,9 +97,9 @@
 
 
 def _current_try(state: State, event: TryFailed | AnswerCame | StreamDone) -> ForwardedCall | None:
-    """Return the call of a try if it is the newest one and the prompt has shared parts."""
+    """Return the call of a try if it is the newest one and could be recognized again."""
     req = forwarding.call(state, event.call_id)
-    if req is None or req.number != event.number or not req.ask.parts or req.place is None:
+    if req is None or req.number != event.number or not req.ask.blockable or req.place is None:
         return None
     return req
 
@@ -111,7 +111,7 @@
 
 
 def _note_sound(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
-    if crashing_parts.add_sound(state, req.service, req.ask.parts, at):
+    if crashing_parts.add_sound(state, req.service, req.ask.blockable, at):
         yield from apply_blocks(state, at)
     if crashing_parts.has_untold(state):
         yield from neighbours.send_soon(state, at)
@@ -128,7 +128,7 @@
         )
         suspicion = suspicions[endpoint.name] = Suspicion(crash=crash, address=endpoint.address)
         yield _check(suspicion)
-    parts = dict.fromkeys((*suspicion.crash.parts, *req.ask.parts))
+    parts = dict.fromkeys((*suspicion.crash.parts, *req.ask.blockable))
     suspicion.crash.parts = tuple(parts)
 
 
@@ -190,8 +190,8 @@
     """Note which suspected parts are sound by the streams that are being written, and tell that."""
     has_changed = False
     for req in state["forwarding"].calls.values():
-        if req.ask.parts and _has_written_on(req, at, req.events):
-            has_changed |= crashing_parts.add_sound(state, req.service, req.ask.parts, at)
+        if req.ask.blockable and _has_written_on(req, at, req.events):
+            has_changed |= crashing_parts.add_sound(state, req.service, req.ask.blockable, at)
     if has_changed:
         yield from apply_blocks(state, at)
     if crashing_parts.has_untold(state):
@@ -220,8 +220,8 @@
 
 
 def refuse_blocked(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
-    """Refuse a call if its prompt is blocked, unless it is a block's trial."""
-    blocks = crashing_parts.blocks_of(state, req.service, req.ask.parts)
+    """Refuse a call if it or its prompt is blocked, unless it is a block's trial."""
+    blocks = crashing_parts.blocks_of(state, req.service, req.ask.blockable)
     if not blocks or req.is_trial:
         return
     block = blocks[0]
@@ -235,7 +235,7 @@
             state,
             req,
             at,
-            PART_BLOCKED,
+            REQUEST_BLOCKED if block.is_whole_request else PART_BLOCKED,
             retry_after=BLOCKED_RETRY_AFTER_S,
             parts=",".join(sorted(block.parts)),
             crashes=len(block.endpoints),
--- a/src/wasabiwick/_handlers/crashing_parts.py
+++ b/src/wasabiwick/_handlers/crashing_parts.py
@@ -1,4 +1,4 @@
-"""Crashing parts: finds the parts of prompts that make endpoints end, and blocks them.
+"""Crashing parts: finds what in requests makes endpoints end, and blocks it.
 
 A request may make every endpoint end that begins to answer it. All streams of that endpoint break
 off then, so one crash leaves many suspects. What tells the cause from the others is kept over the
@@ -9,19 +9,26 @@
 - The parts that occur in most crashes explain them. The other parts of these crashes are suspected
   only of what is left.
 
-Parts that were in exactly the same crashes can't be told apart. They are blocked together: only a
-request that has all of them is refused. So requests that share some of them still show which are
-sound. A part that is blocked alone may be sound too, if it was new when endpoints were lost for
-other reasons as well. So one request with it passes as a trial, once no endpoint has ended over it
-for a while: it shows that the part is sound, or confirms the block.
+A whole request may be the cause as well, and come again. Its fingerprint counts as one more part,
+which no other request has. It goes before the shared parts of its prompt, unless these were in
+several more crashes: other requests may need those parts.
 
-Load pattern handled: requests with one part come at all hosts, no two alike, among many sound ones
-with the same first part, while other endpoints end for other reasons.
+Parts that were in exactly the same crashes can't be told apart. Shared parts are blocked together:
+only a request that has all of them is refused. So requests that share some of them still show which
+are sound. Fingerprints are blocked each by itself. A part that is blocked alone may be sound too,
+if it was new when endpoints were lost for other reasons as well. So one request with it passes as a
+trial, once no endpoint has ended over it for a while: it shows that the part is sound, or confirms
+the block.
+
+Load pattern handled: requests with one part come at all hosts, no two alike, or one request comes
+again and again, among many sound ones with the same first part or of the same caller, while other
+endpoints end for other reasons.
 """
 
 import collections
 import typing
 
+from .._fingerprints import is_fingerprint, narrowest
 from .._forwarding import Crash, Findings, SoundPart
 from .._settings import Settings
 from .._state import State, state_slice
@@ -37,14 +44,18 @@
 # software changed meanwhile may end with it, so it is not sound forever.
 SOUND_TIME_S = 60.0
 MAX_CRASHES = 128  # Most crashes that are kept.
-MAX_PARTS = 32  # Most parts that are kept for a crash; an endpoint serves about a dozen requests.
+# Most parts that are kept for a crash; an endpoint serves and queues some 30 requests.
+MAX_PARTS = 64
+# A shared part is blocked instead of a whole request if it was in this many more crashes. One more
+# may be an endpoint that was lost for another reason.
+SHARED_LEAD = 2
 MAX_SOUND = 4096  # Most sound parts that are remembered; the last ones seen are kept.
 MAX_SAVED = 32  # Most crashes, and most sound parts, in one save.
 TELLS = 3  # Datagrams in which a crash or a sound part is told, as datagrams get lost.
 MAX_TOLD = 4  # Most crashes, and most sound parts, in one datagram, which has to stay small.
 
 CrashKey = tuple[str, int]  # Name of the endpoint, and Unix milliseconds of its start.
-PartKey = tuple[str, str]  # Service, and identifier of the part.
+PartKey = tuple[str, str]  # Service, and identifier of the part or fingerprint.
 
 
 class Block:
@@ -68,6 +79,11 @@
         self.endpoints = endpoints
         self.times = times
 
+    @property
+    def is_whole_request(self) -> bool:
+        """Whether one request is blocked, not parts that requests share."""
+        return any(map(is_fingerprint, self.parts))
+
     @property
     def is_confirmed(self) -> bool:
         """Whether an endpoint ended after the block stood, over a trial or a late request."""
@@ -158,14 +174,17 @@
 def add_sound(state: State, service: str, parts: typing.Iterable[str], at: float) -> bool:
     """Record that an endpoint wrote on with these parts; returns whether the blocks have changed.
 
-    Only a suspected part is told to other hosts.
+    Only a suspected part is told to other hosts. Fingerprints are remembered only if suspected, as
+    each request has another one.
     """
     parts_state = state["crashing_parts"]
     is_news = False
     for part in parts:
         key = (service, part)
-        _see(state, key, at).own_at = at
-        if key in parts_state.suspected:
+        is_suspected = key in parts_state.suspected
+        if is_suspected or not is_fingerprint(part):
+            _see(state, key, at).own_at = at
+        if is_suspected:
             _tell_sound(state, key)
             is_news = True
     return is_news and _update_blocks(state)
@@ -311,18 +330,14 @@
         for key, parts in unexplained.items():
             for part in parts:
                 crashes_by_part.setdefault(part, []).append(key)
-        most = max(map(len, crashes_by_part.values()), default=0)
-        if most < MIN_CRASHES:
+        leading = _leading_parts(crashes_by_part)
+        if not leading:
             return
-        parts_by_crashes: dict[tuple[CrashKey, ...], set[str]] = {}
-        for part, keys in crashes_by_part.items():
-            if len(keys) == most:
-                parts_by_crashes.setdefault(tuple(keys), set()).add(part)
-        for keys, parts in parts_by_crashes.items():
+        for parts, keys in leading:
             crashes = sorted((known_crashes[key] for key in keys), key=lambda one: one.at)
             yield Block(
                 service=service,
-                parts=frozenset(parts),
+                parts=parts,
                 endpoints=tuple(one.endpoint for one in crashes),
                 times=tuple(one.at for one in crashes),
             )
@@ -330,6 +345,35 @@
                 unexplained.pop(key, None)
 
 
+def _leading_parts(
+    crashes_by_part: dict[str, list[CrashKey]],
+) -> list[tuple[frozenset[str], list[CrashKey]]]:
+    """Return what explains most crashes, in groups that are blocked together, with their crashes.
+
+    Returns nothing if nothing is in enough crashes.
+    """
+    by_kind: dict[bool, dict[str, list[CrashKey]]] = {True: {}, False: {}}
+    for part, keys in crashes_by_part.items():
+        by_kind[is_fingerprint(part)][part] = keys
+    requests, shared = _most_frequent(by_kind[True]), _most_frequent(by_kind[False])
+    most_by_request = max(map(len, requests.values()), default=0)
+    most_by_shared = max(map(len, shared.values()), default=0)
+    if most_by_request >= MIN_CRASHES and most_by_shared < most_by_request + SHARED_LEAD:
+        return [(frozenset((one,)), requests[one]) for one in narrowest(list(requests))]
+    if most_by_shared < MIN_CRASHES:
+        return []
+    parts_by_crashes: dict[tuple[CrashKey, ...], set[str]] = {}
+    for part, keys in shared.items():
+        parts_by_crashes.setdefault(tuple(keys), set()).add(part)
+    return [(frozenset(parts), list(keys)) for keys, parts in parts_by_crashes.items()]
+
+
+def _most_frequent(crashes_by_part: dict[str, list[CrashKey]]) -> dict[str, list[CrashKey]]:
+    """Return the parts that are in most crashes, with these."""
+    most = max(map(len, crashes_by_part.values()), default=0)
+    return {part: keys for part, keys in crashes_by_part.items() if len(keys) == most}
+
+
 def _limit_crashes(state: State, suspects: dict[str, dict[CrashKey, set[str]]]) -> None:
     """Forget crashes beyond `MAX_CRASHES`: those that explain nothing, then the oldest."""
     parts_state = state["crashing_parts"]
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -351,7 +351,7 @@
         endpoint=event.endpoint,
         cause=event.failure.detail,
         begun_ago=event.at - req.begun_at if req.phase == forwarding.RELAYING else "-",
-        parts=",".join(req.ask.parts) or "-",
+        parts=",".join(req.ask.blockable) or "-",
     )
 
 
@@ -394,7 +394,7 @@
         cause=cause,
         events=req.events,
         begun_ago=at - req.begun_at if req.phase == forwarding.RELAYING else "-",
-        parts=",".join(req.ask.parts) or "-",
+        parts=",".join(req.ask.blockable) or "-",
     )
     # Without a connection nothing reached the endpoint, so the retry budget is not charged.
     if not nothing_sent and not retry_budget.try_spend_retry(state, req.service, at):
--- a/src/wasabiwick/_ports/dialect.py
+++ b/src/wasabiwick/_ports/dialect.py
@@ -4,8 +4,7 @@
 
 from .._errors import Failure
 from .._forwarding import Ask
-
-Header = tuple[bytes, bytes]
+from .endpoints import Exchange
 
 
 class Dialect(typing.Protocol):
@@ -17,8 +16,8 @@
 
     ready_path: str
 
-    def ask(self, call_id: str, host: str, path: str, headers: list[Header], now: float) -> Ask:
-        """Parse a request's path and headers into what its caller asks for."""
+    def ask(self, call_id: str, host: str, exchange: Exchange, now: float) -> Ask:
+        """Parse a request into what its caller asks for."""
 
     def failure_headers(self, ask: Ask, failure: Failure) -> dict[str, str]:
         """Return the headers that describe a failure that this host reports itself."""
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -15,6 +15,7 @@
     ENDPOINT_UNREACHABLE,
     Failure,
 )
+from .._fingerprints import fingerprints
 from .._forwarding import Ask
 from .._http1 import (
     BrokenAnswerError,
@@ -399,16 +400,17 @@
 
     ready_path = _names.READY_PATH
 
-    def ask(self, call_id: str, host: str, path: str, headers: list[Header], now: float) -> Ask:
-        """Decode a request's headers; a number that can't be parsed counts as missing."""
-        values = {name.lower(): value.decode("latin-1") for name, value in headers}
+    def ask(self, call_id: str, host: str, exchange: Exchange, now: float) -> Ask:
+        """Decode a request; a number in its headers that can't be parsed counts as missing."""
+        values = {name.lower(): value.decode("latin-1") for name, value in exchange.headers}
+        host = host.partition(":")[0].lower()
         prompt, _, max_output = values.get(_names.TOKEN_COUNT, "").partition(",")
         seconds = _header_number(values.get(_names.DEADLINE_MS, "")) / 1000 or DEFAULT_DEADLINE_S
         return Ask(
             call_id=call_id,
             trace_id=values.get(_names.ATTEMPT_ID, ""),
-            host=host.partition(":")[0].lower(),
-            path=path,
+            host=host,
+            path=exchange.target.partition("?")[0],
             deadline=now + seconds,
             prompt_tokens=int(_header_number(prompt)),
             max_tokens=int(_header_number(max_output)),
@@ -416,6 +418,13 @@
             resumed=_names.LAST_EVENT_ID in values,
             resumes=values.get(_names.RESUMES, ""),
             parts=_shared_parts(values.get(_names.PREFIX_HASH, "")),
+            fingerprints=fingerprints(
+                method=exchange.method,
+                host=host,
+                target=exchange.target,
+                caller=[value for name, value in exchange.headers if _names_caller(name)],
+                body=exchange.body,
+            ),
         )
 
     def failure_headers(self, ask: Ask, failure: Failure) -> dict[str, str]:
@@ -426,6 +435,10 @@
         return headers
 
 
+def _names_caller(name: bytes) -> bool:
+    return name.lower() in _names.CALLER_HEADERS
+
+
 def _shared_parts(text: str) -> tuple[str, ...]:
     """Return the identifiers of a prompt's parts, except the last, which no other request has."""
     entries = [entry.partition(":")[0].strip() for entry in text.split(",")]
--- a/src/wasabiwick/platform/_names.py
+++ b/src/wasabiwick/platform/_names.py
@@ -53,6 +53,9 @@
     )
 )
 
+# Headers that say who sends a request.
+CALLER_HEADERS = frozenset((b"authorization", PREFIX + b"tenant"))
+
 IS_LEAVING = "1"  # Value of the header by which an endpoint says that it leaves.
 
 READY_PATH = "/v1/readyz"
--- a/tests/_crash_fleet.py
+++ b/tests/_crash_fleet.py
@@ -1,4 +1,4 @@
-"""Several hosts on a virtual clock, with engines that end over one part of a prompt.
+"""Several hosts on a virtual clock, with engines that end over part of a prompt, or over a request.
 
 Hosts are cut off from each other and from the store, start again, and lose datagrams; engines end
 for other reasons too.
@@ -17,16 +17,18 @@
     TakeHold,
     TellLoad,
 )
-from wasabiwick._errors import PART_BLOCKED
+from wasabiwick._errors import PART_BLOCKED, REQUEST_BLOCKED
+from wasabiwick._fingerprints import PREFIX
 from wasabiwick._forwarding import Endpoint, Findings
 
-from ._forward import BROKEN, DECODE, MODEL, PREFILL, UNREACHABLE, Host, engine
+from ._forward import BROKEN, DECODE, MODEL, PREFILL, UNREACHABLE, Host, engine, plain
 
 STEP = 0.05  # Seconds between two moments at which anything happens.
 SECONDS = 40.0  # Length of a run.
 CONTACT_TIME = 3.0  # The users' bound: hosts that ran and had a path for this long are in touch.
 FIRST_PARTS = ("a1", "a2")  # First parts of prompts, of sound requests as of others.
 CRASHING_PART = "bad"
+SIZES = {"prompt_tokens": 300, "max_tokens": 100, "length_hint": 60}
 RESTART_TIME = 2.0  # Seconds until an engine is back after it ended.
 DELIST_TIME = 3.6  # Seconds until the entry of an engine that ended is removed.
 LOSS = 0.1  # Share of the datagrams that are lost.
@@ -48,13 +50,18 @@
     """Hosts and engines, and what the users' rules count.
 
     Attributes:
-        crashes: Times at which an engine ended over the crashing part.
-        bad_sends: Time and host of each request with that part that reached an engine.
+        crashes: Times at which an engine ended over the crashing part or request.
+        bad_sends: Time and host of each such request that reached an engine.
         sound: Time and host of each sound request, and whether it was refused as blocked.
     """
 
+    durations = (0.5, 3.0)  # Shortest and longest time for which a sound request runs, in seconds.
+    kind = "stream"  # Kind of the requests, which is also the path.
+    decoding = 8  # Number of engines, or of plain endpoints, that requests are sent to.
+
     def __init__(self, seed: int, hosts: int = 0) -> None:
         self.rng = random.Random(seed)
+        self.request_count = 0
         self.now = 100.0
         self.names = [f"h{number}" for number in range(hosts or self.rng.choice((2, 3, 6)))]
         self.engines: dict[str, Endpoint] = {}
@@ -79,18 +86,23 @@
         self.has_new_first_parts = self.rng.random() < 0.5
         for _ in range(3):
             self.add_engine(PREFILL)
-        for _ in range(8):
-            self.add_engine(DECODE)
+        for _ in range(self.decoding):
+            self.add_engine(self.stage)
         for name in self.names:
             self.start_host(name)
         self.started_at = dict.fromkeys(self.names, self.now - CONTACT_TIME)
 
     # --- Engines ---------------------------------------------------------------------------------
 
+    @property
+    def stage(self) -> str:
+        """Stage of the endpoints that requests are sent to; empty for plain ones."""
+        return DECODE if self.kind == "stream" else ""
+
     def add_engine(self, stage: str) -> None:
-        """Start an engine, and list it."""
-        name = f"e{len(self.runs)}"
-        self.engines[name] = engine(name, stage, born=int(self.now * 1000))
+        """Start an engine or a plain endpoint, and list it."""
+        name, born = f"e{len(self.runs)}", int(self.now * 1000)
+        self.engines[name] = engine(name, stage, born=born) if stage else plain(name, born=born)
         self.runs[name] = []
         for host in self.hosts.values():
             host.read_list(self.engines[name])
@@ -127,10 +139,15 @@
                     self.finish(host, name, run.call)
                 elif self.now >= run.begins and not run.has_begun:
                     run.has_begun = True
-                    host.answer(run.call, streams=True)
+                    if self.stage:
+                        host.answer(run.call, streams=True)
 
     def finish(self, host: Host, endpoint: str, call: str) -> None:
         """Finish an answer."""
+        if not self.stage:
+            host.answer(call)
+            host.feed(_events.ForwardAnswered, call_id=call)
+            return
         number = host.last_effect(Forward, call).number
         fields = {"call_id": call, "endpoint": endpoint, "number": number, "events": 6}
         host.feed(_events.StreamDone, **fields)
@@ -237,7 +254,7 @@
         self.count_send(name, effect)
         crashes = self.calls[name, effect.call_id]
         begins = self.now + self.rng.uniform(0.0, 0.3)
-        lasts = STEP if crashes else self.rng.uniform(0.5, 3.0)
+        lasts = STEP if crashes else self.rng.uniform(*self.durations)
         self.runs[effect.endpoint].append(
             Run(
                 host=name,
@@ -257,15 +274,23 @@
         first = FIRST_PARTS[0] if self.has_one_first_part else self.rng.choice(FIRST_PARTS)
         if self.has_new_first_parts and self.now < self.bad_from:
             first = f"old-{first}"
-        parts = (first, CRASHING_PART) if is_bad else (first,)
         # The call's identifier is known once its effects are carried out.
-        call = host.ask("stream", parts=parts, prompt_tokens=300, max_tokens=100, length_hint=60)
+        call = host.ask(self.kind, **self.describe(first, is_bad=is_bad))
         self.calls[name, call] = is_bad
         refusal = host.refusal(call)
-        is_blocked = refusal is not None and refusal.reason is PART_BLOCKED
+        is_blocked = refusal is not None and refusal.reason in (PART_BLOCKED, REQUEST_BLOCKED)
         if not is_bad and self.is_in_touch(name):
             self.sound.append((self.now, name, is_blocked))
 
+    def describe(self, first: str, *, is_bad: bool) -> dict[str, object]:
+        """Return what a request asks for, whose prompt begins with a part."""
+        self.request_count += 1
+        return {
+            "parts": (first, CRASHING_PART) if is_bad else (first,),
+            "fingerprints": (f"{PREFIX}{self.request_count}",),
+            **SIZES,
+        }
+
     def trouble(self) -> None:
         """Cut hosts off, start one again, or end an engine for no reason of the prompt's."""
         kind = self.rng.choice(("pair", "mesh", "store", "restart", "engine", "engine"))
@@ -284,7 +309,7 @@
         elif kind == "restart":
             self.start_host(name)
         else:
-            decoding = [one.name for one in self.engines.values() if one.stage == DECODE]
+            decoding = [one.name for one in self.engines.values() if one.stage == self.stage]
             for ending in self.rng.sample(decoding, min(len(decoding), self.rng.choice((1, 1, 2)))):
                 self.end_engine(ending)
 
@@ -311,11 +336,14 @@
 
     # --- What the rules count --------------------------------------------------------------------
 
+    free_crashes = 5  # Crashes after which the users' rule counts requests.
+
     def late_bad_sends(self) -> int:
-        """Count requests with the crashing part sent too late after the fifth crash."""
-        if len(self.crashes) < 5:
+        """Count requests with the crashing part sent too late after the free crashes."""
+        if len(self.crashes) < self.free_crashes:
             return 0
-        return sum(at > self.crashes[4] + CONTACT_TIME for at, _ in self.bad_sends)
+        known_at = self.crashes[self.free_crashes - 1] + CONTACT_TIME
+        return sum(at > known_at for at, _ in self.bad_sends)
 
     def late_sound(self) -> tuple[int, int]:
         """Count late sound requests, and those of them that were refused as blocked."""
@@ -326,4 +354,30 @@
         return len(late), sum(late)
 
 
-__all__ = ["CONTACT_TIME", "MODEL", "Fleet"]
+class RequestFleet(Fleet):
+    """Hosts and engines that end over one request, which comes again and again.
+
+    Sound requests share its first part, and some of them come twice.
+    """
+
+    free_crashes = 3
+
+    def __init__(self, seed: int, hosts: int = 0) -> None:
+        self.kind = ("stream", "safe")[seed % 2]
+        if not self.stage:
+            self.decoding, self.durations = 4, (0.05, 0.5)
+        super().__init__(seed, hosts)
+        self.repeat_share = self.rng.uniform(0.0, 0.5)
+
+    def describe(self, first: str, *, is_bad: bool) -> dict[str, object]:
+        """Return what a request asks for; the crashing one is the same each time."""
+        if not is_bad and self.rng.random() >= self.repeat_share:
+            self.request_count += 1
+        name = "bad" if is_bad else self.request_count
+        fingerprints = (f"{PREFIX}{name}",)
+        if not self.stage:
+            return {"fingerprints": fingerprints}
+        return {"parts": (first,), "fingerprints": fingerprints, **SIZES}
+
+
+__all__ = ["CONTACT_TIME", "MODEL", "Fleet", "RequestFleet"]
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -5,7 +5,8 @@
 from wasabiwick import _events
 from wasabiwick._adapters._datagrams import UdpDatagrams
 from wasabiwick._effects_forwarding import CheckEnded, SaveFindings, TellLoad
-from wasabiwick._errors import ENDPOINT_SILENT, PART_BLOCKED, Failure
+from wasabiwick._errors import ENDPOINT_SILENT, PART_BLOCKED, REQUEST_BLOCKED, Failure
+from wasabiwick._fingerprints import PREFIX
 from wasabiwick._forwarding import Crash, Findings, SoundPart
 from wasabiwick._handlers import crash_watch, crashing_parts, findings_saving
 from wasabiwick._rendezvous import ranked
@@ -27,6 +28,7 @@
 from ._processes import until
 
 ENGINES = (engine("p0", PREFILL),) + tuple(engine(f"d{n}", DECODE) for n in range(8))
+BAD, OTHER = f"{PREFIX}bad", f"{PREFIX}other"  # Fingerprints.
 UNKNOWN = Failure(reason=ENDPOINT_SILENT, verdict=Verdict.MAY_HAVE_RUN, detail="no answer")
 
 
@@ -56,6 +58,72 @@
     return refusal is not None and refusal.reason is PART_BLOCKED
 
 
+def is_request_refused(host: Host, *fingerprints: str, parts: tuple[str, ...] = ()) -> bool:
+    """Return whether a request with these fingerprints is refused as blocked."""
+    refusal = host.refusal(host.ask("stream", parts=parts, fingerprints=fingerprints))
+    return refusal is not None and refusal.reason is REQUEST_BLOCKED
+
+
+class TestWhichRequestIsBlocked(unittest.TestCase):
+    """A request is blocked that comes again and ends endpoints, and none that was beside it."""
+
+    def setUp(self) -> None:
+        self.host = Host(endpoints=ENGINES)
+
+    def test_request_that_ended_enough_endpoints_is_blocked(self) -> None:
+        for number in range(3):
+            self.assertFalse(is_request_refused(self.host, BAD))
+            tell(self.host, crash(f"x{number}", BAD))
+        self.assertTrue(is_request_refused(self.host, BAD))
+        self.assertFalse(is_request_refused(self.host, OTHER))
+
+    def test_requests_that_were_in_the_same_crashes_are_each_blocked(self) -> None:
+        tell(self.host, *(crash(f"x{number}", BAD, OTHER) for number in range(3)))
+        self.assertTrue(is_request_refused(self.host, BAD))
+        self.assertTrue(is_request_refused(self.host, OTHER))
+
+    def test_request_beside_the_one_that_ended_endpoints_is_not_blocked(self) -> None:
+        tell(self.host, *(crash(f"x{number}", BAD, OTHER) for number in range(3)))
+        tell(self.host, crash("x3", BAD))
+        self.assertTrue(is_request_refused(self.host, BAD))
+        self.assertFalse(is_request_refused(self.host, OTHER))
+
+    def test_shared_parts_of_a_blocked_request_are_not_blocked(self) -> None:
+        tell(self.host, *(crash(f"x{number}", "a1", BAD) for number in range(4)))
+        tell(self.host, crash("x4", "a1", OTHER))
+        self.assertTrue(is_request_refused(self.host, BAD, parts=("a1",)))
+        self.assertFalse(is_refused(self.host, "a1"))
+
+    def test_part_of_different_requests_is_blocked_although_one_came_again(self) -> None:
+        tell(self.host, *(crash(f"x{number}", "a1", BAD) for number in range(4)))
+        tell(self.host, *(crash(f"y{number}", "a1", f"{PREFIX}{number}") for number in range(2)))
+        self.assertTrue(is_refused(self.host, "a1"))
+
+    def test_other_queries_to_the_path_are_served(self) -> None:
+        tell(self.host, *(crash(f"x{number}", BAD, f"{BAD}:1") for number in range(3)))
+        self.assertTrue(is_request_refused(self.host, BAD, f"{BAD}:1"))
+        self.assertFalse(is_request_refused(self.host, BAD, f"{BAD}:2"))
+
+    def test_request_that_comes_with_another_query_each_time_is_blocked(self) -> None:
+        tell(self.host, *(crash(f"x{number}", BAD, f"{BAD}:{number}") for number in range(3)))
+        self.assertTrue(is_request_refused(self.host, BAD, f"{BAD}:9"))
+
+    def test_request_that_was_answered_after_all_is_served(self) -> None:
+        tell(self.host, *(crash(f"x{number}", BAD) for number in range(2)))
+        call = self.host.start_stream(fingerprints=(BAD,))
+        number = self.host.last_effect(Forward, call).number
+        done = {"endpoint": "d0", "number": number, "events": 5}
+        self.host.feed(_events.StreamDone, call_id=call, **done)
+        tell(self.host, crash("x2", BAD))
+        self.assertFalse(is_request_refused(self.host, BAD))
+
+    def test_fingerprints_of_sound_requests_are_not_remembered(self) -> None:
+        call = self.host.start_stream(fingerprints=(OTHER,))
+        done = {"endpoint": "d0", "number": 1, "events": 5}
+        self.host.feed(_events.StreamDone, call_id=call, **done)
+        self.assertEqual(len(self.host.state["crashing_parts"].sound), 0)
+
+
 class TestWhichPartIsBlocked(unittest.TestCase):
     """A part is blocked that explains several crashes, unless it was seen to be sound."""
 
--- a/tests/test_crashing_parts_live.py
+++ b/tests/test_crashing_parts_live.py
@@ -36,7 +36,7 @@
             endpoint.crashing_part = CRASHING_PART
 
     async def send(self, host: ForwardDaemon, *parts: str) -> int:
-        """Send a request whose prompt has these parts, and return the status of its answer."""
+        """Send a request like no other whose prompt has these parts; return the answer's status."""
         self.sent += 1
         headers = {
             **TOKEN_HEADERS,
@@ -47,7 +47,9 @@
         }
         url = f"http://{host.callers}/stream/x"
         try:
-            async with self.site.session.post(url, data=b"body", headers=headers) as resp:
+            async with self.site.session.post(
+                url, data=f"body {self.sent}", headers=headers
+            ) as resp:
                 await resp.read()
                 return resp.status
         except aiohttp.ClientError:
