Log the fingerprint of requests that are sent, and failed tries of plain calls

Change: sent shows the fingerprint, and forward_plain writes the line try_failed that forward_streams writes. A test reads both lines.

--- a/src/wasabiwick/_forwarding.py
+++ b/src/wasabiwick/_forwarding.py
@@ -281,6 +281,11 @@
         self.parts = tuple(parts)
         self.fingerprints = tuple(fingerprints)
 
+    @property
+    def fingerprint(self) -> str:
+        """The narrowest fingerprint, or an empty string if there is none."""
+        return self.fingerprints[-1] if self.fingerprints else ""
+
     @property
     def blockable(self) -> tuple[str, ...]:
         """Identifiers of what may make an endpoint end: shared parts, and the whole request."""
--- a/src/wasabiwick/_handlers/forward_plain.py
+++ b/src/wasabiwick/_handlers/forward_plain.py
@@ -97,7 +97,14 @@
     yield forwarding.take_place(state, req, endpoint, None, at)
     req.begin_try(at)
     yield forwarding.log(
-        "sent", req, state, at, endpoint=endpoint.name, zone=endpoint.zone, tries=req.number
+        "sent",
+        req,
+        state,
+        at,
+        endpoint=endpoint.name,
+        zone=endpoint.zone,
+        tries=req.number,
+        fingerprint=req.ask.fingerprint or "-",
     )
     may_retry = _has_attempt_left(req)
     yield Forward(
@@ -199,6 +206,8 @@
     may have run. Without such an answer, refuses the call.
     """
     endpoint = req.place.name if req.place else "-"
+    cause = failure.detail if failure is not None else f"status {answer.status}"
+    yield forwarding.failed_try_line(state, req, endpoint, cause, at)
     req.avoid.append(endpoint)
     yield from forwarding.release_place(state, req, at)
     # Without a connection nothing reached the endpoint, so the retry budget is not charged.
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -249,6 +249,7 @@
         tries=req.number,
         build=endpoint.build or "-",
         resumes=req.ask.resumes or "-",
+        fingerprint=req.ask.fingerprint or "-",
         events=req.events,
         source=req.prefill_engine.name if req.handle else "-",
     )
@@ -385,17 +386,7 @@
     nothing_sent: bool = False,
 ) -> typing.Iterator[Step]:
     """Queue the call for a place again; refuse it if the retry budget is used up."""
-    yield forwarding.log(
-        "try_failed",
-        req,
-        state,
-        at,
-        endpoint=endpoint,
-        cause=cause,
-        events=req.events,
-        begun_ago=at - req.begun_at if req.phase == forwarding.RELAYING else "-",
-        parts=",".join(req.ask.blockable) or "-",
-    )
+    yield forwarding.failed_try_line(state, req, endpoint, cause, at)
     # Without a connection nothing reached the endpoint, so the retry budget is not charged.
     if not nothing_sent and not retry_budget.try_spend_retry(state, req.service, at):
         yield Count(metric="budget_empty", label=req.service)
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -229,6 +229,23 @@
     )
 
 
+def failed_try_line(
+    state: State, req: ForwardedCall, endpoint: str, cause: str, at: float
+) -> LogLine:
+    """Return a log line about a try that failed, before another one is looked for."""
+    return log(
+        "try_failed",
+        req,
+        state,
+        at,
+        endpoint=endpoint,
+        cause=cause,
+        events=req.events,
+        begun_ago=at - req.begun_at if req.phase == RELAYING else "-",
+        parts=",".join(req.ask.blockable) or "-",
+    )
+
+
 def open_call(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
     """Register a new call, and start the timer that ends it."""
     state["forwarding"].calls[req.ask.call_id] = req
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -4,6 +4,7 @@
 
 from wasabiwick import _events
 from wasabiwick._adapters._datagrams import UdpDatagrams
+from wasabiwick._effects import LogLine
 from wasabiwick._effects_forwarding import CheckEnded, SaveFindings, TellLoad
 from wasabiwick._errors import ENDPOINT_SILENT, PART_BLOCKED, REQUEST_BLOCKED, Failure
 from wasabiwick._fingerprints import PREFIX
@@ -124,6 +125,18 @@
         self.assertEqual(len(self.host.state["crashing_parts"].sound), 0)
 
 
+class TestLogOfRequests(unittest.TestCase):
+    """Log lines show at which endpoints a request was that came again."""
+
+    def test_sent_and_failed_tries_of_plain_calls_name_the_fingerprint(self) -> None:
+        host = Host(endpoints=(plain("s0"), plain("s1")))
+        host.fail(host.ask("safe", fingerprints=(BAD, f"{BAD}:1")), BROKEN)
+        lines = {one.event: one.fields for one in host.effects if isinstance(one, LogLine)}
+        self.assertEqual(lines["sent"]["fingerprint"], f"{BAD}:1")
+        self.assertEqual(lines["try_failed"]["parts"], f"{BAD},{BAD}:1")
+        self.assertEqual(lines["try_failed"]["cause"], BROKEN.detail)
+
+
 class TestWhichPartIsBlocked(unittest.TestCase):
     """A part is blocked that explains several crashes, unless it was seen to be sound."""
 
