Follow a store that was restored from a copy

The store may come back from a copy some seconds old; its offsets go back and are given out again. Hosts did not read Store-Era: entries below the offsets that they knew were ignored for good, and those at offsets that were given out anew were never read, so that an endpoint which leaves went on getting requests. Hosts were not registered again, and fencing numbers repeated.

Change: the store's client reads the era from each answer, believes none of an era before, and tells the decision core of a higher one. Feeds then read all again; the directory takes that for a copy: endpoints that had left stay out, removed ones wait for their next entry, missing ones are used for two seconds.

Not done of part B: wasabiwick fuzz does not play a restore; keys and claims of our own interface are kept in a log of its own, which has no era.

--- a/src/wasabiwick/_events/_forwarding.py
+++ b/src/wasabiwick/_events/_forwarding.py
@@ -64,6 +64,19 @@
         self.why = why
 
 
+class StoreRestored(Event):
+    """The store came back from a copy: what was written since the copy is gone.
+
+    ``era`` counts how often that has happened. The next read of each feed brings all of it.
+    """
+
+    __slots__ = ("era",)
+
+    def __init__(self, *, at: float, era: int) -> None:
+        super().__init__(at=at)
+        self.era = era
+
+
 class SettingsRead(Event):
     """The settings that may change while the host runs were read again.
 
--- a/src/wasabiwick/_handlers/builds_saving.py
+++ b/src/wasabiwick/_handlers/builds_saving.py
@@ -10,7 +10,13 @@
 
 from .._effects import StartTimer
 from .._effects_forwarding import ReadSavedStreams, SaveStreams
-from .._events import ForwarderBooted, SavedStreamsRead, StreamsSaved, TimerFired
+from .._events import (
+    ForwarderBooted,
+    SavedStreamsRead,
+    StoreRestored,
+    StreamsSaved,
+    TimerFired,
+)
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
@@ -71,6 +77,12 @@
     yield SaveStreams(begun=streams, builds=mixed_services)
 
 
+@handles(StoreRestored)
+def save_again(state: State, event: StoreRestored) -> None:
+    """Save the streams again, as the copy may lack the last save."""
+    state["builds_saving"].saved_at = float("-inf")
+
+
 @handles(StreamsSaved)
 def streams_saved(state: State, event: StreamsSaved) -> None:
     """Let the next save begin; one that failed is repeated with what has changed since."""
--- a/src/wasabiwick/_handlers/directory.py
+++ b/src/wasabiwick/_handlers/directory.py
@@ -15,6 +15,7 @@
     FeedChanged,
     LoadTold,
     PlacesChanged,
+    StoreRestored,
     TimerFired,
 )
 from .._forwarding import DECODE, Endpoint
@@ -38,10 +39,21 @@
     ``lapsed`` holds endpoints that dropped out of the list around an outage of its source, with
     the monotonic time until which they are still used. ``busy`` holds endpoints that may be
     carrying out an order, with the monotonic time by which they will have finished. ``is_up``
-    says whether the list's source answers, and ``up_since`` when it last recovered.
+    says whether the list's source answers, and ``up_since`` when it last recovered. ``removed``
+    holds the endpoints that were removed before the list's source was restored from a copy, while
+    the copy has not been read.
     """
 
-    __slots__ = ("endpoints", "offsets", "lapsed", "busy", "read_at", "up_since", "is_up")
+    __slots__ = (
+        "endpoints",
+        "offsets",
+        "lapsed",
+        "busy",
+        "read_at",
+        "up_since",
+        "is_up",
+        "removed",
+    )
 
     def __init__(self, cfg: Settings) -> None:
         self.endpoints: dict[str, Endpoint] = {}
@@ -51,6 +63,7 @@
         self.read_at = 0.0
         self.up_since = float("-inf")
         self.is_up = True
+        self.removed: frozenset[str] | None = None
 
 
 def endpoint(state: State, name: str) -> Endpoint | None:
@@ -157,13 +170,18 @@
     directory_state.read_at = event.at
     has_changed = False
     dropped_names: list[str] = []
+    is_copy = event.whole and directory_state.removed is not None
+    removed = directory_state.removed if is_copy else frozenset()
+    if is_copy:
+        directory_state.removed = None
     for one in event.listings:
         if one.offset <= directory_state.offsets.get(one.name, -1):
             continue
         directory_state.offsets[one.name] = one.offset
         if one.endpoint is None:
             dropped_names.append(one.name)
-        else:
+        elif one.name not in removed:
+            # One that was removed writes its entry again if it is alive.
             has_changed = (yield from _add_endpoint(state, one.endpoint, event.at)) or has_changed
     if event.whole:
         listed_names = {one.name for one in event.listings}
@@ -173,6 +191,10 @@
             if name not in listed_names and directory_state.offsets.get(name, -1) < event.upto
         ]
     lapsed_names = _lapsed_names(state, dropped_names, event.at)
+    if is_copy:
+        # Those that are missing started after the copy, and write their entries again.
+        lapsed_names = {name for name in dropped_names if is_usable(state, name)}
+        directory_state.up_since = event.at
     for name in dropped_names:
         if name in lapsed_names:
             yield from _keep_lapsed(state, name, event.at)
@@ -269,12 +291,23 @@
     if directory_state.endpoints.pop(name, None) is None:
         return False
     yield Count(metric="endpoint_changes", label="gone")
-    yield LogLine(
-        event="endpoint_gone", fields={"endpoint": name, "offset": directory_state.offsets[name]}
-    )
+    fields = {"endpoint": name, "offset": directory_state.offsets.get(name, "-")}
+    yield LogLine(event="endpoint_gone", fields=fields)
     return True
 
 
+@handles(StoreRestored)
+def list_restored(state: State, event: StoreRestored) -> None:
+    """Take the next whole list for a copy that is some seconds old, whose offsets begin anew."""
+    directory_state = state["directory"]
+    directory_state.removed = frozenset(directory_state.offsets.keys() - directory_state.endpoints)
+    directory_state.offsets.clear()
+    for one in directory_state.endpoints.values():
+        if one.leaving and one.born:
+            # The copy may be from before the endpoint's entry said so.
+            departures.record(state, one.name, one.born)
+
+
 @on_timer("lapsed")
 def end_lapsed(state: State, event: TimerFired) -> typing.Iterator[Step]:
     """Remove the endpoints whose entries did not come back after an outage."""
--- a/src/wasabiwick/_handlers/neighbours.py
+++ b/src/wasabiwick/_handlers/neighbours.py
@@ -23,6 +23,7 @@
     LoadTold,
     PlacesChanged,
     StopAsked,
+    StoreRestored,
     TimerFired,
 )
 from .._forwarding import EndpointLoad, StreamLoad
@@ -39,6 +40,8 @@
 # Most datagrams per second that a host should receive; receiving these takes some 4% of a core.
 MAX_RECEIVE_RATE = 600.0
 SILENT_AFTER = 3.5  # Seconds without a datagram after which a host's load no longer counts.
+# Most hosts that enter the list of hosts in a second, a quarter of a small store's writes.
+MAX_ANNOUNCEMENTS_PER_S = 100.0
 FORGET_AFTER = 30.0  # Seconds without a datagram after which a host is removed.
 
 
@@ -146,6 +149,19 @@
     yield StartTimer(timer="tell", delay=SEND_INTERVAL)
 
 
+@handles(StoreRestored)
+def announce_again(state: State, event: StoreRestored) -> typing.Iterator[Step]:
+    """Enter this host in the list of hosts again; hosts do so one after the other."""
+    spread = host_count(state, event.at) / MAX_ANNOUNCEMENTS_PER_S
+    yield StartTimer(timer="announce", delay=spread * state.rng.random())
+
+
+@on_timer("announce")
+def announce(state: State, event: TimerFired) -> typing.Iterator[Step]:
+    """Enter this host in the list of hosts."""
+    yield AnnounceHost()
+
+
 @handles(HostFound)
 def host_found(state: State, event: HostFound) -> typing.Iterator[Step]:
     """Add a listed host, and send it this host's load soon."""
--- a/src/wasabiwick/_handlers/stages.py
+++ b/src/wasabiwick/_handlers/stages.py
@@ -15,7 +15,14 @@
 
 from .._effects import Count, LogLine, StartTimer
 from .._effects_forwarding import ClaimOrders, OrderStage, ReadClaims
-from .._events import ClaimAnswered, ClaimsRead, ForwarderBooted, StageAnswered, TimerFired
+from .._events import (
+    ClaimAnswered,
+    ClaimsRead,
+    ForwarderBooted,
+    StageAnswered,
+    StoreRestored,
+    TimerFired,
+)
 from .._forwarding import DECODE, PREFILL, Endpoint, ServiceTraits
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
@@ -55,9 +62,17 @@
     ``last_claim`` is the end of the log of claims when it was last read, the holder of the last
     claim, and the monotonic time at which this host first saw that claim. ``engine_stages`` holds
     the names and stages of each service's engines, unchanged since ``engine_stages_since``.
+    ``restored_at`` is when the log of claims was last restored from a copy.
     """
 
-    __slots__ = ("last_claim", "claimed_at", "ordered_at", "engine_stages", "engine_stages_since")
+    __slots__ = (
+        "last_claim",
+        "claimed_at",
+        "ordered_at",
+        "engine_stages",
+        "engine_stages_since",
+        "restored_at",
+    )
 
     def __init__(self, cfg: Settings) -> None:
         self.last_claim: tuple[int, str, float] = (-1, "", 0.0)
@@ -65,6 +80,7 @@
         self.ordered_at = float("-inf")
         self.engine_stages: dict[str, frozenset[tuple[str, str]]] = {}
         self.engine_stages_since: dict[str, float] = {}
+        self.restored_at = float("-inf")
 
 
 def stream_rate(state: State, service: ServiceTraits, prefill: int, decode: int) -> float:
@@ -182,6 +198,8 @@
     stages_state = state["stages"]
     if stages_state.last_claim[:2] != (event.end, event.holder):
         stages_state.last_claim = (event.end, event.holder, event.at)
+    if event.at - stages_state.restored_at < CLAIM_WAIT_S:
+        return
     is_other_host = event.holder not in ("", state.owner.host)
     if is_other_host and event.at - stages_state.last_claim[2] < CLAIM_WAIT_S:
         yield LogLine(event="orders_claimed", fields={"holder": event.holder, "end": event.end})
@@ -190,6 +208,12 @@
     yield ClaimOrders(after=event.end, holder=state.owner.host)
 
 
+@handles(StoreRestored)
+def claims_restored(state: State, event: StoreRestored) -> None:
+    """Make no claim for a while, as the copy may lack a claim that still holds."""
+    state["stages"].restored_at = event.at
+
+
 @handles(ClaimAnswered)
 def claim_answered(state: State, event: ClaimAnswered) -> typing.Iterator[Step]:
     """Send the order at once if the claim was accepted and did not take too long."""
--- a/src/wasabiwick/platform/__init__.py
+++ b/src/wasabiwick/platform/__init__.py
@@ -7,7 +7,7 @@
 import asyncio
 import time
 
-from .._events import EndpointLeaving, EndpointPaused, LimitNamed
+from .._events import EndpointLeaving, EndpointPaused, LimitNamed, StoreRestored
 from .._forward_daemon import serve
 from .._runner import Runner
 from .._settings import Settings
@@ -52,6 +52,7 @@
     async def follow(self, runner: Runner) -> None:
         """Follow routes, endpoints and findings in the store, and post each change as an event."""
         self.endpoints.listen(_EndpointEvents(runner))
+        self._store.on_restored(lambda era: runner.post(StoreRestored(at=runner.now(), era=era)))
         routes = Feed(
             store=self._store,
             name="routes",
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -17,6 +17,7 @@
 )
 from .._fingerprints import fingerprints
 from .._forwarding import Ask
+from .._header_numbers import parse_number
 from .._http1 import (
     BrokenAnswerError,
     Connection,
@@ -25,7 +26,6 @@
     NotSentError,
     encode_request,
 )
-from .._logging import log_event
 from .._ports import EndpointListener, Exchange
 from .._verdict import Verdict
 from . import _names
@@ -45,7 +45,6 @@
 MISDIRECTED = 421
 UNAVAILABLE = 503  # HTTP status with which an endpoint turns a request away for now.
 EVENT_STREAM = "text/event-stream"
-MAX_LOGGED_VALUE = 40  # Most characters of a header that are logged.
 MAX_PARTS = 16  # Most parts of a prompt that are read; prompts have a few.
 
 
@@ -137,14 +136,14 @@
         if conn.header(_names.SERVER_LEAVING).strip() == _names.IS_LEAVING:
             self._listener.leaving(endpoint, sent_at)
         pause = conn.header(_names.RETRY_AFTER) if conn.status == UNAVAILABLE else ""
-        seconds = _number(pause) if pause else None
+        seconds = parse_number(pause) if pause else None
         if seconds:
             self._listener.paused(endpoint, seconds)
         self._note_limit(endpoint, conn.header(_names.SERVER_LIMIT), sent_at)
 
     def _note_limit(self, endpoint: str, text: str, sent_at: float) -> None:
         if text:
-            rate = _number(text)
+            rate = parse_number(text)
             if rate is not None:
                 self._limited[endpoint] = self._clock()
                 self._listener.limit_named(endpoint, rate)
@@ -332,18 +331,6 @@
         return _failure(ENDPOINT_FAILED, Verdict.MAY_HAVE_RUN, f"unreadable answer: {exc}")
 
 
-def _number(text: str) -> float | None:
-    """Return the number in a header, or None if it is negative, not finite or no number."""
-    try:
-        number = float(text)
-    except ValueError:
-        number = math.nan
-    if math.isfinite(number) and number >= 0.0:
-        return number
-    log_event("header_unreadable", level="WARNING", value=text[:MAX_LOGGED_VALUE])
-    return None
-
-
 def _failure(reason: object, verdict: Verdict, detail: str) -> Failure:
     return Failure(reason=reason, verdict=verdict, detail=detail)
 
@@ -446,4 +433,4 @@
 
 
 def _header_number(text: str) -> float:
-    return (_number(text) or 0.0) if text else 0.0
+    return (parse_number(text) or 0.0) if text else 0.0
--- a/src/wasabiwick/platform/_feeds.py
+++ b/src/wasabiwick/platform/_feeds.py
@@ -39,6 +39,8 @@
 class Feed:
     """Follows one topic, a log of keyed records: reads each key's newest record, then later ones.
 
+    Once the store was restored from a copy, offsets begin anew, so all is read again.
+
     Args:
         store: Client of the store.
         name: Name of the feed in events and log lines.
@@ -73,6 +75,7 @@
     async def run(self, runner: Runner) -> None:
         """Follow the topic until cancelled; failed reads are retried."""
         position: int | None = None
+        era = 0
         retry = FIRST_RETRY_S
         while True:
             try:
@@ -90,7 +93,12 @@
                 retry = min(MAX_RETRY_S, 2 * retry)
                 continue
             retry = FIRST_RETRY_S
-            position = page.next
+            is_current = page.era == (self._store.era or 0)
+            if not is_current or (position is not None and page.era != era):
+                log_event("feed_begins_again", feed=self._name, era=page.era)
+                position = None
+                continue
+            position, era = page.next, page.era
             self._set_connected(runner, True)
             self._post(runner, page, has_all_keys)
             await asyncio.sleep(self._pause)
--- a/src/wasabiwick/platform/_names.py
+++ b/src/wasabiwick/platform/_names.py
@@ -12,6 +12,7 @@
 PRIORITY = PREFIX + b"request-priority"
 SEAL = PREFIX + b"response-seal"
 RETRY_AFTER = b"retry-after"
+STORE_ERA = "Store-Era"  # Rises by one each time that the store was restored from a copy.
 SERVER_LEAVING = b"server-leaving"
 SERVER_LIMIT = b"server-limit"
 STAGE = PREFIX + b"stage"
--- a/src/wasabiwick/platform/_store.py
+++ b/src/wasabiwick/platform/_store.py
@@ -2,7 +2,6 @@
 
 import base64
 import binascii
-import socket
 import struct
 import typing
 
@@ -10,16 +9,14 @@
 import msgspec
 
 from .._errors import LOG_UNAVAILABLE, Failure
+from .._keepalive import keepalive_socket
 from .._verdict import Verdict
 from . import _names
 
 # Time-out of a call, added to the wait of a long poll; a slow store answers within 0.25 s.
 CALL_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.5  # Time to connect; short, as TCP repeats a lost SYN only after 1 s.
-KEEPALIVE_IDLE_S = 1  # Silence after which a connection is probed.
-KEEPALIVE_INTERVAL_S = 1  # Time between two probes of a silent connection.
-KEEPALIVE_PROBES = 2  # Unanswered probes after which a connection is considered dead.
-USER_TIMEOUT_MS = 2_500  # A connection is closed if sent data stays unacknowledged for this time.
+ERA_SHIFT = 40  # Bits of an offset; an era counts above them.
 _LENGTH = struct.Struct(">I")  # Length of the record that follows, in bytes.
 _OFFSETS = struct.Struct(">QQ")  # Offsets of the topic's end and of its first kept record.
 
@@ -36,13 +33,20 @@
 
 
 class Page:
-    """Records that one read returned, and the offset at which the next read starts."""
+    """Records that one read returned, the offset at which the next read starts, and their era."""
 
-    __slots__ = ("records", "next")
+    __slots__ = ("records", "next", "era")
 
-    def __init__(self, *, records: list[Record], next: int) -> None:  # noqa: A002
+    def __init__(
+        self,
+        *,
+        records: list[Record],
+        next: int,  # noqa: A002
+        era: int,
+    ) -> None:
         self.records = records
         self.next = next
+        self.era = era
 
 
 class HistoryLostError(Exception):
@@ -74,13 +78,23 @@
 
     Args:
         url: Its base URL.
+
+    Attributes:
+        era: Highest era that an answer named; None before the first answer with one. Offsets are
+            comparable within one era only.
     """
 
-    __slots__ = ("_url", "_session")
+    __slots__ = ("era", "_url", "_session", "_report_restored")
 
     def __init__(self, url: str) -> None:
+        self.era: int | None = None
         self._url = url
         self._session: aiohttp.ClientSession | None = None
+        self._report_restored: typing.Callable[[int], None] | None = None
+
+    def on_restored(self, report: typing.Callable[[int], None]) -> None:
+        """Call a function with the new era once the store has been restored from a copy."""
+        self._report_restored = report
 
     async def newest(self, topic: str) -> Page:
         """Return the newest record of each key of a topic.
@@ -90,6 +104,7 @@
         """
         records: list[Record] = []
         first_end = -1
+        era = 0
         after = ""
         while True:
             query = {"topic": topic, "part": "0"}
@@ -101,11 +116,14 @@
                 records.extend(map(_decode_item, page.items))
             except (msgspec.MsgspecError, binascii.Error) as exc:
                 raise StoreError(f"unreadable answer: {exc}") from exc
+            if first_end >= 0 and self._known_era() != era:
+                raise HistoryLostError("the store was restored between two pages")
+            era = self._known_era()
             # The topic may change between two pages. So the next read starts where the topic ended
             # at the first page, and returns all changes since then, some for the second time.
             first_end = page.end_offset if first_end < 0 else first_end
             if not page.more or not page.items:
-                return Page(records=records, next=first_end)
+                return Page(records=records, next=first_end, era=era)
             after = page.items[-1].key
 
     async def read(self, topic: str, start: int, wait: float) -> Page:
@@ -134,7 +152,7 @@
             record = _decode_keyed(content, position)
             if record is not None:
                 records.append(record)
-        return Page(records=records, next=start + len(contents))
+        return Page(records=records, next=start + len(contents), era=self._known_era())
 
     async def append(
         self, topic: str, key: str, value: bytes, *, after: int | None = None
@@ -146,6 +164,9 @@
             key: The record's key.
             value: The record's value.
             after: Offset at which the topic must end for the record to be accepted; None for any.
+
+        Returns:
+            The offset, which rises over all eras, or the failure.
         """
         name = key.encode()
         content = bytes([len(name)]) + name + value
@@ -155,7 +176,8 @@
             query["at"] = str(after)
         try:
             answer = await self._call("POST", _names.LOG_APPEND, query, body=body)
-            return msgspec.json.decode(answer, type=_Appended).offset
+            offset = msgspec.json.decode(answer, type=_Appended).offset
+            return (self._known_era() << ERA_SHIFT) + offset
         except (StoreError, HistoryLostError, msgspec.MsgspecError) as exc:
             return store_failure(exc)
 
@@ -174,7 +196,7 @@
         timeout: float = CALL_TIMEOUT_S,
     ) -> bytes:
         if self._session is None:
-            connector = aiohttp.TCPConnector(limit=0, socket_factory=_keepalive_socket)
+            connector = aiohttp.TCPConnector(limit=0, socket_factory=keepalive_socket)
             self._session = aiohttp.ClientSession(connector=connector)
         limit = aiohttp.ClientTimeout(total=timeout, sock_connect=CONNECT_TIMEOUT_S)
         try:
@@ -184,33 +206,36 @@
                 answer = await resp.read()
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             raise StoreError(f"no answer from the store: {exc or type(exc).__name__}") from exc
+        self._check_era(resp.headers.get(_names.STORE_ERA, ""))
         if resp.status == 410:
             raise HistoryLostError("the store answered status 410")
         if resp.status != 200:
             raise StoreError(f"the store answered status {resp.status}")
         return answer
 
+    def _known_era(self) -> int:
+        return self.era or 0
+
+    def _check_era(self, text: str) -> None:
+        """Note the era that an answer names.
+
+        Raises:
+            StoreError: If the answer is older than the last restore.
+        """
+        era = int(text) if text.isdecimal() else None
+        if self.era is not None and (era is None or era < self.era):
+            raise StoreError("the answer is older than the restored store")
+        was_restored = self.era is not None and era > self.era
+        self.era = era
+        if was_restored and self._report_restored is not None:
+            self._report_restored(era)
+
 
 def store_failure(exc: Exception) -> Failure:
     """Return the failure for a call to the store that may have been executed."""
     return Failure(reason=LOG_UNAVAILABLE, verdict=Verdict.MAY_HAVE_RUN, detail=str(exc))
 
 
-def _keepalive_socket(address: tuple) -> socket.socket:
-    """Return a socket that detects dead connections by probes and a user timeout."""
-    sock = socket.socket(address[0], address[1], address[2])
-    sock.setblocking(False)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in (
-        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
-    ):
-        sock.setsockopt(socket.IPPROTO_TCP, option, value)
-    return sock
-
-
 def _decode_item(item: _Item) -> Record:
     value = base64.b64decode(item.value) if item.value is not None else None
     return Record(key=item.key, value=value, offset=item.offset)
--- a/tests/_forward.py
+++ b/tests/_forward.py
@@ -200,6 +200,12 @@
             _events.EndpointsRead, listings=tuple(listings), upto=self._offset + 1, whole=whole
         )
 
+    def restore_list(self, *endpoints: Endpoint) -> list[_effects.Effect]:
+        """Let the host read the list as it came back from a copy, whose offsets begin anew."""
+        self.feed(_events.StoreRestored, era=1)
+        self._offset = 0
+        return self.read_list(*endpoints, whole=True)
+
     def drop(self, name: str) -> list[_effects.Effect]:
         """Let the host read that an endpoint was removed from the list."""
         self._offset += 1
--- a/tests/_platform.py
+++ b/tests/_platform.py
@@ -29,9 +29,12 @@
         fault: Fault of all calls: empty for none, ``busy`` (503), ``many`` (429), ``silent``,
             ``lost`` (executed but not answered) or ``reset``.
         calls: Path of each call.
+        era: How often it was restored from a copy, as all its answers say.
     """
 
     def __init__(self) -> None:
+        self.era = 0
+        self._copy: dict[str, list[tuple[str, bytes]]] = {}
         self.topics: dict[str, list[tuple[str, bytes]]] = {}
         self.first_kept: dict[str, int] = {}
         self.fault = ""
@@ -41,6 +44,7 @@
     def app(self) -> web.Application:
         """Build the web application."""
         app = web.Application()
+        app.on_response_prepare.append(self._add_era)
         app.router.add_get("/v1/log-newest", self._newest)
         app.router.add_get("/v1/log-read", self._read)
         app.router.add_post("/v1/log-append", self._append)
@@ -51,6 +55,20 @@
         data = value if isinstance(value, bytes) else msgspec.json.encode(value)
         await self._add(topic, key, b"" if value is None else data)
 
+    async def _add_era(self, req: web.Request, resp: web.StreamResponse) -> None:
+        resp.headers["Store-Era"] = str(self.era)
+
+    def copy(self) -> None:
+        """Take a copy of all records."""
+        self._copy = {topic: list(records) for topic, records in self.topics.items()}
+
+    async def restore(self) -> None:
+        """Go back to the copy; what was written since is gone."""
+        self.topics = {topic: list(records) for topic, records in self._copy.items()}
+        self.era += 1
+        async with self._changed:
+            self._changed.notify_all()
+
     def delete_history(self, topic: str) -> None:
         """Delete the topic's records; the newest of each key can still be read."""
         self.first_kept[topic] = len(self.topics.get(topic, ()))
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -45,6 +45,49 @@
         self.assertTrue(directory.is_usable(host.state, "s9"))
 
 
+class TestRestoredList(unittest.TestCase):
+    """A list that came back from a copy some seconds old frees no endpoint that had left."""
+
+    def setUp(self) -> None:
+        self.host = Host(endpoints=(plain("s0", born=1), plain("s1", born=1)))
+
+    def usable(self) -> list[str]:
+        """Return the names of the endpoints that get new work."""
+        found = directory.usable_endpoints(self.host.state, "sign-up")
+        return sorted(one.name for one in found)
+
+    def test_endpoint_whose_entry_was_removed_is_not_used_by_the_copy(self) -> None:
+        self.host.drop("s0")
+        self.host.restore_list(plain("s0", born=1), plain("s1", born=1))
+        self.assertEqual(self.usable(), ["s1"])
+
+    def test_endpoint_that_writes_its_entry_again_is_used(self) -> None:
+        self.host.drop("s0")
+        self.host.restore_list(plain("s0", born=1), plain("s1", born=1))
+        self.host.read_list(plain("s0", born=1))
+        self.assertEqual(self.usable(), ["s0", "s1"])
+
+    def test_endpoint_whose_entry_said_that_it_leaves_is_not_used_by_the_copy(self) -> None:
+        self.host.read_list(plain("s0", born=1, leaving=True))
+        self.host.restore_list(plain("s0", born=1), plain("s1", born=1))
+        self.host.read_list(plain("s0", born=1))
+        self.assertEqual(self.usable(), ["s1"])
+
+    def test_endpoint_newer_than_the_copy_is_used_until_it_had_time_to_list_itself(self) -> None:
+        self.host.read_list(plain("s2", born=2))
+        self.host.restore_list(plain("s0", born=1), plain("s1", born=1))
+        self.assertEqual(self.usable(), ["s0", "s1", "s2"])
+        self.host.run(directory.RELIST_TIME_S + 0.1)
+        self.assertEqual(self.usable(), ["s0", "s1"])
+
+    def test_newer_entry_at_a_lower_offset_is_applied(self) -> None:
+        for _ in range(5):
+            self.host.read_list(plain("s0", born=1))
+        self.host.restore_list(plain("s0", born=1), plain("s1", born=1))
+        self.host.read_list(plain("s0", born=1, leaving=True))
+        self.assertEqual(self.usable(), ["s1"])
+
+
 class TestOutage(unittest.TestCase):
     """Entries that lapse in an outage are kept until live endpoints could list themselves again.
 
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -121,6 +121,15 @@
         host.run(0.2)
         self.assertEqual(of_type(host.feed(_events.ClaimsRead, end=8, holder="c"), ClaimOrders), [])
 
+    def test_no_claim_for_five_seconds_after_the_store_was_restored(self) -> None:
+        host = Host(endpoints=SPLIT)
+        host.run(4.0)
+        host.feed(_events.StoreRestored, era=1)
+        host.run(4.9)
+        self.assertEqual(of_type(host.feed(_events.ClaimsRead, end=7, holder=""), ClaimOrders), [])
+        host.run(0.2)
+        self.assertTrue(of_type(host.feed(_events.ClaimsRead, end=7, holder=""), ClaimOrders))
+
     def test_a_rejected_claim_sends_no_order(self) -> None:
         host = Host(endpoints=SPLIT)
         host.run(4.0)
