Give each host process under test an address of its own, and notice that it has ended

Cause: a host serves its metrics at a fixed port. A second process under test at the same address ends at its start with "address in use"; the test read its closed output in a loop without end. Change: the test's host has a loopback address made of the process's number, and the end of its output fails the test with its exit code.

--- a/tests/test_stopped_reader.py
+++ b/tests/test_stopped_reader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import ipaddress
 import os
 import pathlib
 import re
@@ -25,6 +26,11 @@
 MAX_GROWTH = 8 * 1024
 
 
+def _own_address() -> str:
+    """Return a loopback address that no other process on this machine uses."""
+    return str(ipaddress.IPv4Address("127.64.0.0") + os.getpid() % 2**22)
+
+
 class TestStoppedReader(unittest.IsolatedAsyncioTestCase):
     """A full log pipe, whose reader has stopped, neither blocks the host nor grows its memory."""
 
@@ -38,21 +44,30 @@
         await store.put(TOPIC_PREFIX + "op", "config", config())
         directory = self.enterContext(tempfile.TemporaryDirectory())
         path = pathlib.Path(directory) / "boot.toml"
-        path.write_text(SETTINGS.format(name="host-a", store=address), encoding="utf-8")
+        # The port of its metrics is fixed, so each process under test has an address of its own.
+        settings = SETTINGS.format(name="host-a", store=address)
+        settings = settings.replace('ip = "127.0.0.1"', f'ip = "{_own_address()}"')
+        path.write_text(settings, encoding="utf-8")
         self.proc = await asyncio.create_subprocess_exec(
             *(sys.executable, "-m", "wasabiwick", "run", "--platform"),
             env={**os.environ, "WASABIWICK_CONFIG": str(path)},
             stdout=asyncio.subprocess.PIPE,
         )
-        while not (found := re.search(rb"callers=(\S+)", await self.proc.stdout.readline())):
-            pass
-        self.callers = found[1].decode()
+        self.callers = await self._callers()
         self.proc.stdout._transport.pause_reading()  # The log is not read from now on.
         self.session = await self.enterAsyncContext(aiohttp.ClientSession())
         await until(self._serves)
 
+    async def _callers(self) -> str:
+        """Return the address for callers, which the process logs at its start."""
+        async for line in self.proc.stdout:
+            if found := re.search(rb"callers=(\S+)", line):
+                return found[1].decode()
+        raise AssertionError(f"the process ended with code {await self.proc.wait()}")
+
     async def asyncTearDown(self) -> None:
-        self.proc.kill()
+        if self.proc.returncode is None:
+            self.proc.kill()
         self.proc.stdout._transport.resume_reading()
         await self.proc.wait()
 
