Keep the order of trials among hosts that don't hear each other

What it did: of 300 hosts that were all cut off from each other, five let one blocked request pass within 1.1 s, and each ended an endpoint, after three had ended before (BUDGET allows three more). Cause: a host's turn was its rank among the hosts that it hears. One that hears none took the first. Change: its rank counts among all hosts that may be running, heard within half a minute or not. Evidence: test_host_that_hears_no_other_keeps_its_turn failed before.

--- a/src/wasabiwick/_handlers/crash_watch.py
+++ b/src/wasabiwick/_handlers/crash_watch.py
@@ -251,7 +251,8 @@
     if len(block.parts) > 1 or block.is_confirmed:
         return False
     (part,) = block.parts
-    hosts = ranked(part, [*neighbours.live_names(state, at), state.owner.host])
+    # A host that hears no other waits for its turn all the same, and reads of trials in the store.
+    hosts = ranked(part, [*neighbours.known_names(state), state.owner.host])
     turn = crashing_parts.TRIAL_AFTER_S * (1 + hosts.index(state.owner.host))
     tried_at = state["crash_watch"].trials.get((block.service, part), float("-inf"))
     return at - block.times[-1] >= turn and at - tried_at >= TRIAL_PAUSE_S
--- a/src/wasabiwick/_handlers/neighbours.py
+++ b/src/wasabiwick/_handlers/neighbours.py
@@ -110,6 +110,11 @@
     ]
 
 
+def known_names(state: State) -> list[str]:
+    """Return the names of the other hosts that may be running, heard or not."""
+    return list(state["neighbours"].hosts)
+
+
 def address_of(state: State, name: str) -> str:
     """Return the address at which another host receives datagrams."""
     return state["neighbours"].hosts[name].address
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -9,7 +9,7 @@
 from wasabiwick._errors import ENDPOINT_SILENT, PART_BLOCKED, REQUEST_BLOCKED, Failure
 from wasabiwick._fingerprints import PREFIX
 from wasabiwick._forwarding import Crash, Findings, SoundPart
-from wasabiwick._handlers import crash_watch, crashing_parts, findings_saving
+from wasabiwick._handlers import crash_watch, crashing_parts, findings_saving, neighbours
 from wasabiwick._rendezvous import ranked
 from wasabiwick._verdict import Verdict
 
@@ -324,6 +324,21 @@
             passed[name] = not is_refused(host, "new")
         self.assertEqual(passed, {first: True, second: False})
 
+    def test_host_that_hears_no_other_keeps_its_turn(self) -> None:
+        first, second = ranked("new", ["a", "b"])
+        host = Host(name=second, endpoints=ENGINES)
+        host.hear(first)
+        host.run(neighbours.SILENT_AFTER)
+        learn = Findings(
+            host=first,
+            crashes=tuple(crash(f"x{number}", "new", at=host.now) for number in range(3)),
+        )
+        host.feed(_events.FindingsRead, findings=(learn,))
+        host.run(crashing_parts.TRIAL_AFTER_S + 0.1)
+        self.assertTrue(is_refused(host, "new"))
+        host.run(crashing_parts.TRIAL_AFTER_S)
+        self.assertFalse(is_refused(host, "new"))
+
 
 class TestWhatCountsAsCrash(unittest.TestCase):
     """A broken answer counts only if its endpoint has ended, and had just begun to answer."""
