Save the first finding at once, whatever the size of the fleet

What it could do: of 300 hosts, each saved its findings once in three seconds, so that hosts which hear no other learned of a crash only as late as they are allowed to send the request that caused it. Cause: the pause that bounds all hosts' saves together came before the first save too. Change: a host looks every quarter of a second whether it has something to save, and pauses between two saves. All hosts at once save 300 times in a quarter of a second at most, once; only those that had a request at the endpoint have anything to save. Evidence: test_first_finding_is_saved_at_once_in_a_large_fleet failed before.

--- a/src/wasabiwick/_handlers/findings_saving.py
+++ b/src/wasabiwick/_handlers/findings_saving.py
@@ -5,7 +5,7 @@
 before, so that its first save does not replace that.
 
 Load pattern handled: many hosts see an endpoint end at once. Each saves only what it found itself,
-and the larger the fleet, the less often each one saves.
+the first time at once; and the larger the fleet, the less often each one saves again.
 """
 
 import typing
@@ -18,21 +18,22 @@
 from .._state import State, state_slice
 from . import crash_watch, crashing_parts, neighbours
 
-SAVE_INTERVAL_S = 0.25  # Time between two saves of a host while its findings change.
+SAVE_INTERVAL_S = 0.25  # Least time between two saves of a host while its findings change.
 MAX_SAVES_PER_S = 100.0  # Most saves of all hosts together, a quarter of a small store's writes.
 
 
 @state_slice("findings_saving")
 class FindingsSavingState:
-    """The version of the findings that was saved last, and whether an answer of the store is due.
+    """The version of the findings that was saved last, when, and whether an answer is due.
 
     ``is_restored`` says whether this host has read what it saved before it started.
     """
 
-    __slots__ = ("saved_version", "is_saving", "is_restored")
+    __slots__ = ("saved_version", "saved_at", "is_saving", "is_restored")
 
     def __init__(self, cfg: Settings) -> None:
         self.saved_version = 0
+        self.saved_at = float("-inf")
         self.is_saving = False
         self.is_restored = False
 
@@ -65,17 +66,17 @@
 @on_timer("save_findings")
 def save_findings(state: State, event: TimerFired) -> typing.Iterator[Step]:
     """Save this host's findings if they have changed, and forget old ones."""
-    interval = max(SAVE_INTERVAL_S, neighbours.host_count(state, event.at) / MAX_SAVES_PER_S)
-    yield StartTimer(timer="save_findings", delay=interval)
+    yield StartTimer(timer="save_findings", delay=SAVE_INTERVAL_S)
     if crashing_parts.forget_old(state, event.at):
         yield from crash_watch.apply_blocks(state, event.at)
     saving_state = state["findings_saving"]
     version = crashing_parts.version(state)
     if saving_state.is_saving or not saving_state.is_restored:
         return
-    if version == saving_state.saved_version:
+    pause = neighbours.host_count(state, event.at) / MAX_SAVES_PER_S
+    if version == saving_state.saved_version or event.at - saving_state.saved_at < pause:
         return
-    saving_state.saved_version = version
+    saving_state.saved_version, saving_state.saved_at = version, event.at
     saving_state.is_saving = True
     yield SaveFindings(findings=crashing_parts.own_findings(state))
 
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -462,6 +462,10 @@
         """Return the saves."""
         return [one for one in self.host.effects if isinstance(one, SaveFindings)]
 
+    def add_crash(self, endpoint: str) -> None:
+        """Let the host find that an engine has ended."""
+        crashing_parts.add_own_crash(self.host.state, crash(endpoint, "a", at=self.host.now))
+
     def restore(self, *findings: Findings) -> None:
         """Let the host read what hosts saved."""
         self.host.feed(_events.FindingsRead, findings=findings, whole=True)
@@ -520,6 +524,24 @@
         self.host.run(10.0)
         self.assertEqual(self.saved(), saves)
 
+    def test_first_finding_is_saved_at_once_in_a_large_fleet(self) -> None:
+        for number in range(300):
+            self.host.hear(f"h{number}")
+        self.restore()
+        self.host.run(1.0)
+        self.host.feed(_events.FindingsSaved, failure=None)
+        self.host.run(4.0)
+        self.add_crash("x0")
+        before = len(self.saved())
+        self.host.run(findings_saving.SAVE_INTERVAL_S)
+        self.assertEqual(len(self.saved()), before + 1)
+        self.host.feed(_events.FindingsSaved, failure=None)
+        self.add_crash("x1")
+        self.host.run(1.0)
+        self.assertEqual(len(self.saved()), before + 1)
+        self.host.run(3.0)
+        self.assertEqual(len(self.saved()), before + 2)
+
     def test_failed_save_is_repeated(self) -> None:
         self.restore()
         self.find("a")
