Take the list for old until endpoints had time to write their entries again

What it did: a host that had just read a list restored from a copy took the word of an endpoint that leaves for its older start, which the copy shows; once the newer start wrote its entry, it got requests again (DRAIN). Cause: the list counted as old only while its source was away, though endpoints need two seconds to list themselves again. Change: it counts as old until RELIST_TIME_S after its source is back or restored. Evidence: test_start_that_is_newer_than_a_restored_list_gets_no_work failed before.

--- a/src/wasabiwick/_handlers/directory.py
+++ b/src/wasabiwick/_handlers/directory.py
@@ -131,13 +131,18 @@
 @handles(EndpointLeaving)
 def endpoint_said_leaving(state: State, event: EndpointLeaving) -> typing.Iterator[Step]:
     """Give no new work to an endpoint that says that it leaves, whatever the list says of it."""
-    directory_state = state["directory"]
-    is_list_old = not directory_state.is_up or event.sent_at < directory_state.up_since
+    is_list_old = _is_list_old(state, event.sent_at)
     born = departures.start_at(state, event.endpoint, event.sent_at, is_list_old=is_list_old)
     if born is not None and departures.record_own(state, event.endpoint, born, event.at):
         yield from _stop_using(state, event.endpoint, born, "-", event.at)
 
 
+def _is_list_old(state: State, at: float) -> bool:
+    """Return whether endpoints may have started again that had not yet listed themselves anew."""
+    directory_state = state["directory"]
+    return not directory_state.is_up or at < directory_state.up_since + RELIST_TIME_S
+
+
 @handles(LoadTold)
 def leaving_told(state: State, event: LoadTold) -> typing.Iterator[Step]:
     """Give no new work to endpoints that said to another host that they leave."""
--- a/tests/_leaving_fleet.py
+++ b/tests/_leaving_fleet.py
@@ -61,6 +61,7 @@
         self.servers: dict[str, Server] = {}
         self.listed: dict[str, Endpoint] = {}
         self.copy: dict[str, Endpoint] = {}
+        self.era = 0
         self.names = [f"h{number}" for number in range(self.rng.choice((1, 2, 4)))]
         self.hosts: dict[str, Host] = {}
         self.incarnations = dict.fromkeys(self.names, 0)
@@ -113,10 +114,10 @@
 
     def reader(self, host_name: str, name: str, entry: Endpoint | None) -> object:
         """Return a function by which a host reads an entry, unless its path is cut by then."""
-        incarnation = self.incarnations[host_name]
+        run = self.incarnations[host_name], self.era
 
         def read() -> None:
-            if self.is_cut(host_name) or self.incarnations[host_name] != incarnation:
+            if self.is_cut(host_name) or run != (self.incarnations[host_name], self.era):
                 return
             host = self.hosts[host_name]
             if entry is None:
@@ -165,6 +166,8 @@
         self.incarnations[name] += 1
         self.hosts[name] = Host(name=name, at=self.now, endpoints=tuple(self.listed.values()))
         self.seen[name] = 0
+        if self.is_cut(name):
+            self.feed_changed(name, up=False)
         for key in [key for key in self.said_at if key[0] == name]:
             del self.said_at[key]
         for other in self.names:
@@ -183,16 +186,28 @@
             return
         seconds = self.rng.uniform(1.0, 15.0)
         self.cut_until[name] = self.now + seconds
-        incarnation = self.incarnations[name]
+        incarnation, era = self.incarnations[name], self.era
         self.feed_changed(name, up=False)
 
         def heal() -> None:
-            if self.incarnations[name] == incarnation:
-                self.feed_changed(name, up=True)
+            if self.incarnations[name] != incarnation:
+                return
+            self.feed_changed(name, up=True)
+            if self.era == era:
                 self.hosts[name].read_list(*self.listed.values(), whole=True)
+            else:
+                self.hosts[name].restore_list(*self.listed.values())
 
         self.later(seconds + STEP, heal)
 
+    def restore(self) -> None:
+        """Let the list come back from its copy; hosts that reach it read all of it again."""
+        self.era += 1
+        self.listed = dict(self.copy)
+        for name in self.names:
+            if not self.is_cut(name):
+                self.hosts[name].restore_list(*self.listed.values())
+
     def feed_changed(self, name: str, *, up: bool) -> None:
         """Let a host notice that it lost or regained the list."""
         self.hosts[name].feed(_events.FeedChanged, feed=directory.ENDPOINTS, up=up, why="")
@@ -263,12 +278,16 @@
 
     def trouble(self) -> None:
         """Let an endpoint leave, entries drop off or come back, or a host be cut or start again."""
-        kind = self.rng.choice(("leave", "leave", "drop", "drop", "restore", "cut", "restart"))
+        kind = self.rng.choice(
+            ("leave", "leave", "drop", "drop", "stale", "restore", "cut", "restart")
+        )
         if kind == "leave":
             self.leave(self.rng.choice(list(self.servers)))
         elif kind == "drop":
             self.drop(self.rng.choice(list(self.servers)), self.rng.uniform(0.0, 5.0))
         elif kind == "restore":
+            self.restore()
+        elif kind == "stale":
             for name, entry in self.copy.items():
                 self.publish(name, entry)
         elif kind == "cut":
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -96,6 +96,15 @@
         self.host.read_list(plain("s0", born=int(self.host.state.wall(self.host.now) * 1000)))
         self.assertEqual(self.usable(), ["s0", "s1"])
 
+    def test_start_that_is_newer_than_a_restored_list_gets_no_work(self) -> None:
+        restarted_at = int(self.host.state.wall(self.host.now) * 1000)
+        self.host.run(1.0)
+        self.host.restore_list(plain("s0", born=1), plain("s1", born=1))
+        self.host.run(1.0)
+        say_leaving(self.host, "s0")
+        self.host.read_list(plain("s0", born=restarted_at))
+        self.assertEqual(self.usable(), ["s1"])
+
     def test_entry_without_a_start_frees_no_leaving_endpoint(self) -> None:
         say_leaving(self.host, "s0")
         self.host.read_list(plain("s0"))
