List a removed endpoint that the second of two copies brings back

Found by reading the change: if the store is restored twice before a host has read its first copy, the names that were removed before the first are forgotten, and the second copy lists them as ready (DRAIN is possible).

--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -61,6 +61,12 @@
         self.host.restore_list(plain("s0", born=1), plain("s1", born=1))
         self.assertEqual(self.usable(), ["s1"])
 
+    def test_removed_endpoint_is_not_used_by_the_second_of_two_copies(self) -> None:
+        self.host.drop("s0")
+        self.host.feed(_events.StoreRestored, era=1)
+        self.host.restore_list(plain("s0", born=1), plain("s1", born=1))
+        self.assertEqual(self.usable(), ["s1"])
+
     def test_endpoint_that_writes_its_entry_again_is_used(self) -> None:
         self.host.drop("s0")
         self.host.restore_list(plain("s0", born=1), plain("s1", born=1))
