--- a/src/wasabiwick/_adapters/_datagrams.py
+++ b/src/wasabiwick/_adapters/_datagrams.py
@@ -39,7 +39,8 @@
     ``builds`` maps each service with several builds to the milliseconds since each was listed.
     ``crashes`` holds endpoints that ended by themselves, ``sound`` parts of prompts that are sound.
     ``limits`` holds what endpoints named as their limits, ``leaving`` the endpoints that said that
-    they leave, with the Unix milliseconds of their start.
+    they leave, with the Unix milliseconds of their start. ``unreached`` holds the services of which
+    the host reaches no endpoint, ``routes_version`` the version of the routes in force there.
     """
 
     host: str
@@ -56,6 +57,8 @@
     sound: list[SoundRow] = []
     limits: list[LimitRow] = []
     leaving: list[tuple[str, int]] = []
+    unreached: list[str] = []
+    routes_version: int = 0
 
 
 class PermitQuestion(msgspec.Struct, tag="ask"):
@@ -142,6 +145,8 @@
                 sound=encode_sound(effect.sound, now),
                 limits=encode_limits(effect.limits, now),
                 leaving=list(effect.leaving),
+                unreached=list(effect.unreached),
+                routes_version=effect.routes_version,
             )
         )
         for address in effect.addresses:
@@ -223,6 +228,8 @@
                 sound=decode_sound(datagram.sound, now),
                 limits=decode_limits(datagram.limits, now),
                 leaving=tuple(datagram.leaving),
+                unreached=tuple(datagram.unreached),
+                routes_version=datagram.routes_version,
             )
         )
 
--- a/src/wasabiwick/_effects_forwarding.py
+++ b/src/wasabiwick/_effects_forwarding.py
@@ -190,7 +190,8 @@
     the seconds since it was listed. ``crashes`` holds endpoints that ended by themselves, and
     ``sound`` the suspected parts of prompts that this host has seen to be sound. ``limits`` holds
     what endpoints named as their limits, and ``leaving`` the endpoints that said that they leave,
-    with the Unix milliseconds of their start.
+    with the Unix milliseconds of their start. ``unreached`` holds the services of which this host
+    reaches no endpoint, and ``routes_version`` is the version of the routes in force here.
     """
 
     __slots__ = (
@@ -205,6 +206,8 @@
         "sound",
         "limits",
         "leaving",
+        "unreached",
+        "routes_version",
     )
 
     def __init__(
@@ -221,6 +224,8 @@
         sound: tuple[SoundPart, ...] = (),
         limits: tuple[EndpointLimit, ...] = (),
         leaving: tuple[tuple[str, int], ...] = (),
+        unreached: tuple[str, ...] = (),
+        routes_version: int = 0,
     ) -> None:
         self.addresses = tuple(addresses)
         self.sequence = sequence
@@ -233,6 +238,8 @@
         self.sound = tuple(sound)
         self.limits = tuple(limits)
         self.leaving = tuple(leaving)
+        self.unreached = tuple(unreached)
+        self.routes_version = routes_version
 
 
 class AskPermit(ForwardEffect):
--- a/src/wasabiwick/_events/__init__.py
+++ b/src/wasabiwick/_events/__init__.py
@@ -60,6 +60,12 @@
     StreamsSaved,
     TryFailed,
 )
+from ._hops import (
+    CallPassedOn,
+    PlaceWanted,
+    ReachChanged,
+    ReachChecked,
+)
 from ._host import (
     Booted,
     CallAnswered,
@@ -105,6 +111,7 @@
     "Call",
     "CallAnswered",
     "CallArrived",
+    "CallPassedOn",
     "CallerGone",
     "CancelAnswered",
     "ClaimAnswered",
@@ -144,7 +151,10 @@
     "PermitAnswered",
     "PermitAsked",
     "PermitSettled",
+    "PlaceWanted",
     "PlacesChanged",
+    "ReachChanged",
+    "ReachChecked",
     "PrefillDone",
     "PromptAnswered",
     "RequestClosed",
--- a/src/wasabiwick/_events/_forwarding.py
+++ b/src/wasabiwick/_events/_forwarding.py
@@ -13,6 +13,7 @@
     RouteTable,
     SoundPart,
 )
+from .._hops import HopTarget
 from .._wire import Owner
 from ._base import Event
 from ._host import Booted
@@ -105,15 +106,21 @@
 
 
 class HostFound(Event):
-    """Another host was found; ``address`` is where it receives datagrams."""
+    """Another host was found; ``address`` is where it receives datagrams.
 
-    __slots__ = ("host", "address", "zone")
+    ``hops`` is where it takes requests of other hosts, None if it takes none.
+    """
+
+    __slots__ = ("host", "address", "zone", "hops")
 
-    def __init__(self, *, at: float, host: str, address: str, zone: str) -> None:
+    def __init__(
+        self, *, at: float, host: str, address: str, zone: str, hops: HopTarget | None = None
+    ) -> None:
         super().__init__(at=at)
         self.host = host
         self.address = address
         self.zone = zone
+        self.hops = hops
 
 
 class LoadTold(Event):
@@ -125,7 +132,8 @@
     seconds since it was listed. ``crashes`` holds endpoints that ended by themselves, and ``sound``
     the suspected parts of prompts that the sender has seen to be sound. ``limits`` holds what
     endpoints named as their limits, and ``leaving`` the endpoints that said that they leave, with
-    the Unix milliseconds of their start.
+    the Unix milliseconds of their start. ``unreached`` holds the services of which the sender
+    reaches no endpoint, and ``routes_version`` is the version of the routes in force there.
     """
 
     __slots__ = (
@@ -142,6 +150,8 @@
         "sound",
         "limits",
         "leaving",
+        "unreached",
+        "routes_version",
     )
 
     def __init__(
@@ -161,6 +171,8 @@
         sound: tuple[SoundPart, ...] = (),
         limits: tuple[EndpointLimit, ...] = (),
         leaving: tuple[tuple[str, int], ...] = (),
+        unreached: tuple[str, ...] = (),
+        routes_version: int = 0,
     ) -> None:
         super().__init__(at=at)
         self.sender = sender
@@ -176,6 +188,8 @@
         self.sound = tuple(sound)
         self.limits = tuple(limits)
         self.leaving = tuple(leaving)
+        self.unreached = tuple(unreached)
+        self.routes_version = routes_version
 
 
 class ForwardArrived(Event):
@@ -253,10 +267,11 @@
     """An endpoint answered a try, with the head of a stream or a whole answer.
 
     ``not_run`` is true if the endpoint said that it has not run the request. ``has_length`` is
-    false if the answer ends with its connection.
+    false if the answer ends with its connection. ``build`` is the endpoint's build if another host
+    sent the request there.
     """
 
-    __slots__ = ("status", "not_run", "streams", "has_length")
+    __slots__ = ("status", "not_run", "streams", "has_length", "build")
 
     def __init__(
         self,
@@ -265,6 +280,7 @@
         not_run: bool,
         streams: bool,
         has_length: bool = True,
+        build: str = "",
         **fields: typing.Any,
     ) -> None:
         super().__init__(**fields)
@@ -272,6 +288,7 @@
         self.not_run = not_run
         self.streams = streams
         self.has_length = has_length
+        self.build = build
 
 
 class TryFailed(TryEvent):
--- a/src/wasabiwick/_forward_daemon.py
+++ b/src/wasabiwick/_forward_daemon.py
@@ -12,8 +12,10 @@
 )
 from ._adapters._clock import SystemClock
 from ._adapters._datagrams import UdpDatagrams
+from ._adapters._hops import HostHops
 from ._events import ForwarderBooted, SettingsRead, StopAsked
 from ._forward_entry import ForwardEntry
+from ._hop_entry import HopEntry
 from ._logging import keep_flushing, log_event
 from ._ports import Dialect, Endpoints, HostRegister
 from ._runner import Ports, Runner
@@ -69,6 +71,7 @@
         "_metrics",
         "_servers",
         "_datagrams",
+        "_hops",
         "_trace",
         "runner",
         "callers",
@@ -81,6 +84,7 @@
         self._metrics = metrics
         self._servers: list[web.ServerRunner] = []
         self._datagrams: UdpDatagrams | None = None
+        self._hops: HostHops | None = None
         self._trace: TraceWriter | None = None
         self.runner: Runner | None = None
         self.callers = ""
@@ -90,11 +94,14 @@
         """Open the listeners and start the reducer."""
         cfg, deployment = self._cfg, self._deployment
         self._datagrams = UdpDatagrams(cfg.forwarding.datagrams)
+        clock = SystemClock()
+        self._hops = HostHops(clock.monotonic)
         ports = Ports(
-            clock=SystemClock(),
+            clock=clock,
             endpoints=deployment.endpoints,
             datagrams=self._datagrams,
             register=deployment.register,
+            hops=self._hops,
         )
         owner = Owner(host=cfg.host, incarnation=secrets.token_hex(INCARNATION_BYTES))
         self.runner = Runner(cfg=cfg, ports=ports, owner=owner, seed=secrets.randbits(SEED_BITS))
@@ -107,7 +114,11 @@
         entry = ForwardEntry(
             runner=self.runner, dialect=deployment.dialect, max_body_bytes=cfg.limits.max_body_bytes
         )
+        passed = HopEntry(
+            runner=self.runner, dialect=deployment.dialect, max_body_bytes=cfg.limits.max_body_bytes
+        )
         await self._datagrams.open(self.runner)
+        self._hops.address = await self._serve(passed.app(), cfg.forwarding.hops)
         self.callers = await self._serve(entry.server(), cfg.listen.callers)
         self.ready = await self._serve(entry.ready_server(), cfg.forwarding.ready)
         if self._metrics:
@@ -149,13 +160,23 @@
             await self.runner.close()
         if self._datagrams:
             self._datagrams.close()
+        if self._hops:
+            self._hops.close()
         await self._deployment.close()
         if self._trace:
             self._trace.close()
 
-    async def _serve(self, server: web.Server, address: str) -> str:
+    async def _serve(self, server: web.Server | web.Application, address: str) -> str:
         host, _, port = address.rpartition(":")
-        server_runner = web.ServerRunner(server, shutdown_timeout=CLOSE_TIMEOUT)
+        if isinstance(server, web.Application):
+            server_runner = web.AppRunner(
+                server,
+                handler_cancellation=True,
+                access_log=None,
+                shutdown_timeout=CLOSE_TIMEOUT,
+            )
+        else:
+            server_runner = web.ServerRunner(server, shutdown_timeout=CLOSE_TIMEOUT)
         await server_runner.setup()
         await web.TCPSite(server_runner, host, int(port), backlog=512).start()
         self._servers.append(server_runner)
--- a/src/wasabiwick/_forward_entry.py
+++ b/src/wasabiwick/_forward_entry.py
@@ -8,7 +8,7 @@
 from ._abort import abort_answer
 from ._answers import error_body
 from ._errors import Failure
-from ._events import ForwardAnswered, ForwardArrived, ForwardLeft
+from ._events import CallPassedOn, ForwardAnswered, ForwardArrived, ForwardLeft
 from ._forwarding import Ask
 from ._handlers import routes
 from ._handlers.host import in_flight
@@ -98,6 +98,38 @@
         return await self._ended
 
 
+async def answer_call(
+    runner: Runner, req: web.BaseRequest, call: ForwardCall, arrived: ForwardArrived | CallPassedOn
+) -> web.StreamResponse:
+    """Post the arrival of a call, and write its answer.
+
+    Args:
+        runner: The host's runner.
+        req: The HTTP request.
+        call: The call.
+        arrived: The event of its arrival.
+    """
+    call_id = arrived.ask.call_id
+    runner.forwarded_calls[call_id] = call
+    answered = False
+    try:
+        runner.post(arrived)
+        resp = await call.wait_for_answer()
+        if resp is None:
+            return web.Response(status=502)
+        if runner.state.stopping:
+            resp.force_close()
+        if not resp.prepared:
+            await resp.prepare(req)
+        await resp.write_eof()
+        answered = True
+        return resp
+    finally:
+        runner.forwarded_calls.pop(call_id, None)
+        event = ForwardAnswered if answered else ForwardLeft
+        runner.post(event(at=runner.now(), call_id=call_id))
+
+
 class ForwardEntry:
     """HTTP handlers for callers whose requests are forwarded to endpoints.
 
@@ -159,30 +191,7 @@
         )
         ask = self._dialect.ask(call_id, req.headers.get("Host", ""), exchange, runner.now())
         call = ForwardCall(req=req, ask=ask, exchange=exchange, dialect=self._dialect)
-        return await self._answer(req, ask, call)
-
-    async def _answer(
-        self, req: web.BaseRequest, ask: Ask, call: ForwardCall
-    ) -> web.StreamResponse:
-        runner = self._runner
-        runner.forwarded_calls[ask.call_id] = call
-        answered = False
-        try:
-            runner.post(ForwardArrived(at=runner.now(), ask=ask))
-            resp = await call.wait_for_answer()
-            if resp is None:
-                return web.Response(status=502)
-            if runner.state.stopping:
-                resp.force_close()
-            if not resp.prepared:
-                await resp.prepare(req)
-            await resp.write_eof()
-            answered = True
-            return resp
-        finally:
-            runner.forwarded_calls.pop(ask.call_id, None)
-            event = ForwardAnswered if answered else ForwardLeft
-            runner.post(event(at=runner.now(), call_id=ask.call_id))
+        return await answer_call(runner, req, call, ForwardArrived(at=runner.now(), ask=ask))
 
     async def _ready(self, req: web.BaseRequest) -> web.Response:
         state = self._runner.state
--- a/src/wasabiwick/_handlers/forward_arrivals.py
+++ b/src/wasabiwick/_handlers/forward_arrivals.py
@@ -10,12 +10,22 @@
     ENDPOINT_SILENT,
     NO_CONFIGURATION,
     NO_ROUTE,
+    NOT_REACHED,
+    OTHER_VERSION,
     OVERLOADED,
     STOPPING,
     Failure,
     Reason,
 )
-from .._events import AnswerCame, ForwardArrived, ForwardLeft, TimerFired, TryFailed
+from .._events import (
+    AnswerCame,
+    CallPassedOn,
+    ForwardArrived,
+    ForwardLeft,
+    PlaceWanted,
+    TimerFired,
+    TryFailed,
+)
 from .._forwarding import STREAM, Ask, Route
 from .._reducer import Step, handles, on_timer
 from .._state import State
@@ -25,7 +35,10 @@
     crash_watch,
     forward_plain,
     forward_streams,
+    forward_waiting,
     forwarding,
+    hops,
+    reach,
     rejecting,
     retry_budget,
     routes,
@@ -110,7 +123,7 @@
 
 
 def _refuse_arrival(
-    state: State, event: ForwardArrived, reason: Reason, retry_after: float | None
+    state: State, event: ForwardArrived | CallPassedOn, reason: Reason, retry_after: float | None
 ) -> typing.Iterator[Step]:
     ask = event.ask
     fields = {
@@ -129,11 +142,60 @@
 
 
 def _handler_module(state: State, req: ForwardedCall) -> typing.Any:
-    """Return the module that serves a call: `forward_streams` or `forward_plain`."""
+    """Return the module that serves a call: `hops`, `forward_streams` or `forward_plain`."""
+    if req.host:
+        return hops
     is_generation = routes.is_generation(state, req.route, req.service)
     return forward_streams if is_generation else forward_plain
 
 
+@handles(CallPassedOn)
+def start_passed_call(state: State, event: CallPassedOn) -> typing.Iterator[Step]:
+    """Serve a call that another host passed on, under its version of the routes, or turn it down.
+
+    It is sent to one endpoint at most; the other host counts it and may pass it on again.
+    """
+    ask, hop, at = event.ask, event.hop, event.at
+    route = routes.match_route(state, ask.host, ask.path)
+    reason = _turn_down_reason(state, event, route)
+    if reason is not None:
+        yield from _refuse_arrival(state, event, reason, OTHER_HOST_RETRY_AFTER)
+        return
+    req = ForwardedCall(ask=ask, route=route, service=hop.service, arrived_at=at)
+    req.passed_by = hop.sender
+    req.max_attempts = 1
+    req.build, req.events = hop.build, hop.events
+    req.avoid.extend(hop.avoid)
+    yield Count(metric="passed_in", label=hop.service)
+    yield from forwarding.open_call(state, req, at)
+    yield from crash_watch.refuse_blocked(state, req, at)
+    if forwarding.call(state, ask.call_id) is not None:
+        yield from _handler_module(state, req).start(state, req, at)
+
+
+def _turn_down_reason(state: State, event: CallPassedOn, route: Route | None) -> Reason | None:
+    hop = event.hop
+    if hop.routes_version != routes.version(state) or route is None:
+        return OTHER_VERSION
+    if hop.service not in [name for name, _ in route.services]:
+        return OTHER_VERSION
+    if state.stopping and not _can_finish_before_stop(state, route, event.ask, event.at):
+        return STOPPING
+    if reach.is_in_doubt(state, hop.service):
+        return NOT_REACHED
+    return OVERLOADED if hops.passed_calls(state) >= hops.MAX_PASSED else None
+
+
+@handles(PlaceWanted)
+def place_wanted(state: State, event: PlaceWanted) -> typing.Iterator[Step]:
+    """Serve a call anew, here or through another host."""
+    req = forwarding.call(state, event.call_id)
+    if req is not None and req.phase == forwarding.WAITING:
+        is_generation = routes.is_generation(state, req.route, req.service)
+        again = forward_waiting.enqueue if is_generation else forward_plain.start
+        yield from again(state, req, event.at)
+
+
 @handles(AnswerCame)
 def answer_came(state: State, event: AnswerCame) -> typing.Iterator[Step]:
     """Pass an answer to the call's newest try on to the module that serves the call."""
--- a/src/wasabiwick/_handlers/forward_plain.py
+++ b/src/wasabiwick/_handlers/forward_plain.py
@@ -30,6 +30,7 @@
     directory,
     forwarding,
     health,
+    hops,
     pauses,
     permits,
     placing,
@@ -49,7 +50,13 @@
 
 
 def start(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
-    """Send a request to the endpoint with the least work; refuse it if no endpoint is free."""
+    """Send a request to the endpoint with the least work; refuse it if no endpoint is free.
+
+    It goes through another host if this one reaches no endpoint.
+    """
+    if hops.is_needed(state, req, at):
+        yield from hops.start(state, req, at)
+        return
 
     def choose() -> Endpoint | None:
         return placing.choose_plain(state, req.service, at, req.avoid, req.build)
@@ -106,7 +113,6 @@
         tries=req.number,
         fingerprint=req.ask.fingerprint or "-",
     )
-    may_retry = _has_attempt_left(req)
     yield Forward(
         call_id=req.ask.call_id,
         endpoint=endpoint.name,
@@ -115,7 +121,7 @@
         deadline=req.ends_at,
         connections=placing.connection_limit(state, req.service, at),
         resume=req.events > 0,
-        quiet=TRY_TIMEOUT_SHARE * req.route.target_latency if may_retry else 0.0,
+        quiet=TRY_TIMEOUT_SHARE * req.route.target_latency if req.has_attempt_left else 0.0,
     )
 
 
@@ -151,7 +157,7 @@
 def _relay(state: State, req: ForwardedCall, event: AnswerCame) -> typing.Iterator[Step]:
     """Relay an answer; a stream that has begun takes only the rest of that stream."""
     if event.streams and event.status == 200:
-        yield forwarding.begin_relay(state, req, event.at)
+        yield forwarding.begin_relay(state, req, event.at, req.place.build)
     elif req.relay_begun:
         yield from forwarding.refuse_call(
             state, req, event.at, ENDPOINT_FAILED, endpoint=event.endpoint, status=event.status
@@ -183,12 +189,7 @@
 def _may_retry(state: State, req: ForwardedCall, at: float) -> bool:
     if req.events and not req.route.resumable:
         return False
-    return _has_attempt_left(req) and at + MIN_RETRY_TIME < req.ends_at
-
-
-def _has_attempt_left(req: ForwardedCall) -> bool:
-    has_attempt_left = req.route.repeatable and req.possible_runs < req.route.max_attempts
-    return has_attempt_left and not req.is_trial
+    return req.has_attempt_left and at + MIN_RETRY_TIME < req.ends_at
 
 
 def _retry(
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -40,6 +40,7 @@
     forward_waiting,
     forwarding,
     health,
+    hops,
     permits,
     places,
     placing,
@@ -112,6 +113,9 @@
     The first prefill of a call does not count as a retry, but is sent only while the retry budget
     has room.
     """
+    if hops.is_needed(state, req, at):
+        yield from _requeue(state, req, at)
+        return
     if req.place.name in req.warm_engines or req.prefill_engine is not None or req.is_trial:
         yield from _send(state, req, at)
         return
@@ -265,16 +269,11 @@
         priority=_priority(req),
         connections=placing.connection_limit(state, req.service, at),
         resume=req.events > 0,
-        quiet=HEAD_TIMEOUT if _may_retry(req) else 0.0,
+        quiet=HEAD_TIMEOUT if req.has_attempt_left else 0.0,
     )
     req.hold = ""
 
 
-def _may_retry(req: ForwardedCall) -> bool:
-    has_attempt_left = req.route.repeatable and req.possible_runs < req.route.max_attempts
-    return has_attempt_left and not req.is_trial
-
-
 def _requeue(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
     yield from forwarding.release_place(state, req, at)
     yield from forward_waiting.enqueue(state, req, at)
@@ -287,7 +286,7 @@
         yield from forwarding.finish_prefill(state, req, at)
         req.handle = ""  # The decode engine has fetched the KV cache.
         req.prefill_engine = None
-        yield forwarding.begin_relay(state, req, at)
+        yield forwarding.begin_relay(state, req, at, req.place.build)
         places.begin_stream(state, event.endpoint, req.ask.call_id, at)
         health.record_success(state, event.endpoint)
         yield Observe(metric="stream_started", label=req.route.kind, value=at - req.arrived_at)
@@ -307,7 +306,7 @@
         return
     req.handle = ""
     yield from forwarding.note_failure(state, req, event.endpoint, None, event.at)
-    if _may_retry(req) and retry_budget.remaining_retries(state, req.service, at) >= 1.0:
+    if req.has_attempt_left and retry_budget.remaining_retries(state, req.service, at) >= 1.0:
         req.avoid.append(event.endpoint)
         yield from _retry(state, req, at, event.endpoint, f"status {event.status}", refused=False)
         return
@@ -333,7 +332,7 @@
     yield DropTry(call_id=req.ask.call_id, number=req.number)
     if event.failure.reason is ENDPOINT_FAILED:
         yield from _keep_lost_run(state, req, event)
-    if not_run or _may_retry(req):
+    if not_run or req.has_attempt_left:
         cause = event.failure.detail
         nothing_sent = event.failure.reason is ENDPOINT_UNREACHABLE
         if not not_run and not req.relay_begun:
--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -17,7 +17,7 @@
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
-from . import directory, forwarding, health, permits, places, placing, rejecting, routes
+from . import directory, forwarding, health, hops, permits, places, placing, rejecting, routes
 from .forwarding import ForwardedCall
 
 QUEUE_CHECK_INTERVAL = 0.03  # Seconds between checks of queues that are not empty.
@@ -41,9 +41,17 @@
 
 
 def enqueue(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
-    """Queue a call for a place, and assign it one at once if there is room."""
+    """Queue a call for a place, and assign it one at once if there is room.
+
+    It goes through another host if this one reaches no engine.
+    """
+    if hops.is_needed(state, req, at):
+        yield from hops.start(state, req, at)
+        return
     req.phase = forwarding.WAITING
-    state["forward_waiting"].queues.setdefault(req.service, []).append(req.ask.call_id)
+    queue = state["forward_waiting"].queues.setdefault(req.service, [])
+    if req.ask.call_id not in queue:
+        queue.append(req.ask.call_id)
     yield from assign_places(state, req.service, at)
 
 
@@ -77,7 +85,9 @@
     still_waiting_calls = []
     misses = 0
     for req in sorted(waiting_calls, key=lambda one: rejecting.rank(state, one, at)):
-        if (
+        if hops.is_needed(state, req, at):
+            yield from hops.start(state, req, at)
+        elif (
             rejecting.should_refuse(state, req, at, has_room=has_room)
             or not _has_build(state, req)
             or not rejecting.can_wait(req, at, wait)
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -15,7 +15,7 @@
 from .._settings import Settings
 from .._state import State, state_slice
 from .._verdict import Verdict
-from . import builds, directory, health, neighbours, places, routes
+from . import builds, directory, health, neighbours, places, reach, routes
 from .host import busy_check
 
 # HTTP statuses by which a caller knows that its request has not run and never will.
@@ -65,6 +65,11 @@
         relay_begun: Whether this host has begun to relay a stream to the caller.
         has_length: Whether the newest answer states its length or comes in chunks.
         is_trial: Whether the call shows if a blocked part is sound; it is sent once only.
+        max_attempts: Largest number of endpoints that may run the request for this host.
+        passed_by: Host that passed the call to this one, or empty.
+        host: Host that this one has passed the call to, or empty.
+        hosts_tried: Names of the hosts that it was passed to.
+        unreachable: Names of the endpoints that accepted no connection for it.
         build: Build that began the caller's stream, at which alone it may go on; empty if the
             stream has not begun, or engines state no build.
     """
@@ -95,6 +100,11 @@
         "relay_begun",
         "has_length",
         "is_trial",
+        "max_attempts",
+        "passed_by",
+        "host",
+        "hosts_tried",
+        "unreachable",
         "build",
     )
 
@@ -124,6 +134,11 @@
         self.relay_begun = False
         self.has_length = True
         self.is_trial = False
+        self.max_attempts = route.max_attempts
+        self.passed_by = ""
+        self.host = ""
+        self.hosts_tried: list[str] = []
+        self.unreachable: set[str] = set()
         self.build = ""
 
     @property
@@ -136,6 +151,12 @@
         """Whether any endpoint may have begun to run the request."""
         return bool(self.may_have_run_at)
 
+    @property
+    def has_attempt_left(self) -> bool:
+        """Whether the request may be sent again after it may have run."""
+        may_repeat = self.route.repeatable and self.possible_runs < self.max_attempts
+        return may_repeat and not self.is_trial
+
     @property
     def warm_engines(self) -> list[str]:
         """Names of engines that may have the prompt in memory and are not in `avoid`."""
@@ -168,11 +189,21 @@
     def note_broken_off(self, events: int) -> None:
         """Record how many events the caller has; once it has any, they bind it to their build."""
         self.events = events
-        if events and not self.build:
+        if events and not self.build and self.place is not None:
             self.build = self.place.build
 
+    def begin_hop(self, host: str, at: float) -> None:
+        """Count a try through another host; from now on an endpoint may run the request."""
+        self.host = host
+        self.hosts_tried.append(host)
+        self.number += 1
+        self.phase = SENT
+        self.sent_at = at
+        self.may_have_run_at.append(f"{host}#{self.number}")
+
     def begin_try(self, at: float) -> None:
         """Count a try at the call's place; from now on the endpoint there may run the request."""
+        self.host = ""
         self.number += 1
         self.phase = SENT
         self.sent_at = at
@@ -258,19 +289,20 @@
 ) -> Step:
     """Count a call in the load of an endpoint, which becomes the call's place."""
     req.place = endpoint
+    reach.note_sent(state, req.service, at)
     places.add_request(state, endpoint.name, req.ask.call_id, stream)
     return LoadChanged(at=at, of_stream=stream is not None)
 
 
-def begin_relay(state: State, req: ForwardedCall, at: float) -> Step:
-    """Record that a stream has begun at the call's place and is relayed to the caller."""
+def begin_relay(state: State, req: ForwardedCall, at: float, build: str) -> Step:
+    """Record that a stream has begun at an endpoint of a build and is relayed to the caller."""
     req.phase = RELAYING
     req.relay_begun = True
     req.begun_at, req.begun_events = at, req.events
     stream = BegunStream(
         name=req.ask.resumes or req.ask.trace_id,
         service=req.service,
-        build=req.place.build,
+        build=build,
         began=at,
     )
     builds.begin_stream(state, stream)
@@ -338,6 +370,7 @@
         at: Monotonic time.
     """
     if failure is not None and failure.reason is ENDPOINT_UNREACHABLE:
+        req.unreachable.add(endpoint)
         yield from health.record_unreachable(state, endpoint)
         return
     if failure is not None:
@@ -414,6 +447,8 @@
         state,
         event.at,
         endpoint=req.place.name if req.place else "-",
+        host=req.host or "-",
+        passed_by=req.passed_by or "-",
         tries=req.number,
         events=req.events,
         has_length=req.has_length,
--- a/src/wasabiwick/_handlers/health.py
+++ b/src/wasabiwick/_handlers/health.py
@@ -49,16 +49,18 @@
     """Recent failures of one endpoint.
 
     ``failures`` counts consecutive failures, and ``silences`` an engine's consecutive missing
-    reports. ``ejection`` is the duration of the last ejection in seconds.
+    reports. ``ejection`` is the duration of the last ejection in seconds, and ``is_unreachable``
+    whether it was for accepting no connection.
     """
 
-    __slots__ = ("failures", "silences", "phase", "ejection")
+    __slots__ = ("failures", "silences", "phase", "ejection", "is_unreachable")
 
     def __init__(self) -> None:
         self.failures = 0
         self.silences = 0
         self.phase = Phase.USABLE
         self.ejection = 0.0
+        self.is_unreachable = False
 
 
 @state_slice("health")
@@ -117,6 +119,7 @@
     ):
         return
     endpoint.phase = Phase.EJECTED
+    endpoint.is_unreachable = False
     endpoint.ejection = min(MAX_EJECTION_S, max(FIRST_EJECTION_S, 2 * endpoint.ejection))
     delay = endpoint.ejection * (1.0 + EJECTION_JITTER * state.rng.random())
     yield Count(metric="ejected", label=name)
@@ -133,12 +136,20 @@
         return
     endpoint.failures = max(EJECT_AFTER, endpoint.failures + 1)
     endpoint.phase = Phase.EJECTED
+    endpoint.is_unreachable = True
     endpoint.ejection = min(MAX_UNREACHABLE_S, max(FIRST_EJECTION_S, 2 * endpoint.ejection))
     yield Count(metric="ejected", label=name)
     yield LogLine(event="endpoint_unreachable", fields={"endpoint": name, "for": endpoint.ejection})
     yield StartTimer(timer="probe", key=name, delay=endpoint.ejection)
 
 
+def forget_unreachable(state: State, name: str) -> None:
+    """Forget that an endpoint accepted no connection, once its service is reached again."""
+    endpoint = state["health"].endpoints.get(name)
+    if endpoint is not None and endpoint.is_unreachable:
+        del state["health"].endpoints[name]
+
+
 @on_timer("probe")
 def allow_probe(state: State, event: TimerFired) -> typing.Iterator[Step]:
     """Allow one probe, and another one after `PROBE_TIMEOUT_S` if the first gives no result."""
--- a/src/wasabiwick/_handlers/neighbours.py
+++ b/src/wasabiwick/_handlers/neighbours.py
@@ -30,7 +30,7 @@
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
-from . import builds, crashing_parts, departures, directory, endpoint_limits
+from . import builds, crashing_parts, departures, directory, endpoint_limits, reach, routes
 
 SEND_INTERVAL = 1.0  # Seconds between datagrams of a host whose load does not change.
 BATCH_DELAY = 0.01  # Seconds for which changes are collected into one datagram.
@@ -49,7 +49,7 @@
     """Another host and its last datagram.
 
     ``heard`` is the monotonic time of that datagram, and ``known`` that at which this host first
-    learned of the other.
+    learned of the other. ``unreached`` holds the services of which it reaches no endpoint.
     """
 
     __slots__ = (
@@ -61,6 +61,8 @@
         "known",
         "loads",
         "stopping",
+        "unreached",
+        "routes_version",
     )
 
     def __init__(self, *, address: str, zone: str, at: float) -> None:
@@ -72,6 +74,8 @@
         self.known = at
         self.loads: dict[str, EndpointLoad] = {}
         self.stopping = False
+        self.unreached: tuple[str, ...] = ()
+        self.routes_version = 0
 
 
 @state_slice("neighbours")
@@ -203,6 +207,8 @@
     neighbour.sequence = event.sequence
     neighbour.heard = event.at
     neighbour.stopping = event.stopping
+    neighbour.unreached = event.unreached
+    neighbour.routes_version = event.routes_version
     for endpoint, seconds in event.busy.items():
         if not directory.is_busy(state, endpoint, event.at):
             directory.set_busy(state, endpoint, event.at + seconds)
@@ -289,6 +295,8 @@
             sound=sound,
             limits=endpoint_limits.told_limits(state, at),
             leaving=departures.told(state, at),
+            unreached=reach.services_in_doubt(state),
+            routes_version=routes.version(state),
         )
         if builds.has_untold(state) or crashing_parts.has_untold(state):
             yield from send_soon(state, at)
--- a/src/wasabiwick/_http1.py
+++ b/src/wasabiwick/_http1.py
@@ -13,11 +13,9 @@
 
 import httptools
 
+from ._keepalive import detect_dead_peer
+
 CONNECT_TIMEOUT = 0.4  # Seconds to connect; a TCP handshake between zones takes some 10 ms.
-USER_TIMEOUT_MS = 2_500  # A connection is closed if sent data stays unacknowledged for this time.
-PROBE_IDLE = 1  # Seconds of silence after which a connection is probed.
-PROBE_INTERVAL = 1  # Seconds between two probes of a silent connection.
-MAX_LOST_PROBES = 2  # Probes without an answer after which the endpoint is considered dead.
 # Seconds for which an idle connection is kept if its endpoint sends no ``Keep-Alive`` time-out.
 DEFAULT_KEEP_TIME = 4.0
 # Seconds before the end of the time-out in its endpoint's ``Keep-Alive`` header from which an idle
@@ -35,15 +33,6 @@
 
 Header = tuple[bytes, bytes]
 
-# An engine may send nothing for seconds while it works, so a dead engine is detected by TCP probes,
-# which it does not answer.
-_LIVENESS_OPTIONS = (
-    (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
-    (socket.TCP_KEEPIDLE, PROBE_IDLE),
-    (socket.TCP_KEEPINTVL, PROBE_INTERVAL),
-    (socket.TCP_KEEPCNT, MAX_LOST_PROBES),
-)
-
 
 class NotSentError(Exception):
     """No connection was established, so no byte of the request was sent."""
@@ -234,9 +223,9 @@
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-            for option, value in _LIVENESS_OPTIONS:
-                sock.setsockopt(socket.IPPROTO_TCP, option, value)
+            # An engine may send nothing for seconds while it works, so a dead one is detected by
+            # TCP probes, which it does not answer.
+            detect_dead_peer(sock)
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of an answer; unsolicited bytes close the connection."""
@@ -361,6 +350,18 @@
             raise NotSentError(f"no connection: {exc}") from exc
         return conn
 
+    async def accepts(self, endpoint: str, address: str) -> bool:
+        """Return whether an endpoint accepts a new connection, which is kept for requests."""
+        key = (endpoint, address)
+        try:
+            conn = await self._connect(address, lambda: self._on_connection_lost(key))
+        except NotSentError:
+            return False
+        self._open_counts[key] += 1
+        conn.kept_until = self._clock() + DEFAULT_KEEP_TIME
+        self._keep(key, conn, MAX_IDLE_CONNECTIONS)
+        return True
+
     async def is_refused(self, address: str) -> bool:
         """Return whether nothing listens at an address, as far as it can be reached."""
         try:
@@ -392,12 +393,16 @@
         now = self._clock()
         if not conn.release(now):
             return
-        idle = self._idle.setdefault((endpoint, address), [])
+        self._keep((endpoint, address), conn, min(MAX_IDLE_CONNECTIONS, max_idle))
+
+    def _keep(self, key: tuple[str, str], conn: Connection, max_idle: int) -> None:
+        now = self._clock()
+        idle = self._idle.setdefault(key, [])
         for old in [one for one in idle if not one.is_usable(now)]:
             idle.remove(old)
             old.close()
         idle.append(conn)
-        while len(idle) > min(MAX_IDLE_CONNECTIONS, max_idle):
+        while len(idle) > max_idle:
             idle.pop(0).close()
 
     def close(self) -> None:
--- a/src/wasabiwick/_keepalive.py
+++ b/src/wasabiwick/_keepalive.py
@@ -12,6 +12,12 @@
     """Return a socket that detects dead connections by probes and a user timeout."""
     sock = socket.socket(address[0], address[1], address[2])
     sock.setblocking(False)
+    detect_dead_peer(sock)
+    return sock
+
+
+def detect_dead_peer(sock: socket.socket) -> None:
+    """Let a socket detect a dead connection by probes and a user timeout."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, value in (
         (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
@@ -20,4 +26,3 @@
         (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
     ):
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
-    return sock
--- a/src/wasabiwick/_metrics.py
+++ b/src/wasabiwick/_metrics.py
@@ -279,6 +279,9 @@
     _counter("permits", "Questions whether an endpoint's limit has room, by answer.", "answer"),
     _counter("part_trials", "Requests that passed to show whether a part is sound.", "service"),
     _counter("parts_blocked", "Blocks of prompts' parts, counted at each change.", "service"),
+    _counter("passed_on", "Tries of calls through another host.", "service"),
+    _counter("passed_in", "Calls that another host passed to this one.", "service"),
+    _counter("reach_changes", "Services lost from reach or reached again.", "reached or not"),
     _counter("budget_empty", "Retries that the retry budget did not allow.", "service"),
     _counter(
         "endpoint_refusals",
--- a/src/wasabiwick/_performers/forwarding.py
+++ b/src/wasabiwick/_performers/forwarding.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from .._effects_forwarding import (
-    AnnounceHost,
     AskWhetherBusy,
     ClaimOrders,
     CutForward,
@@ -21,44 +20,29 @@
     TakeHold,
     TellLoad,
 )
-from .._errors import ENDPOINT_FAILED, ENDPOINT_SILENT, Failure
-from .._event_stream import EventSplitter
+from .._errors import Failure
 from .._events import (
-    AnswerCame,
     ClaimAnswered,
     ClaimsRead,
     EngineSaidBusy,
     HoldAnswered,
-    HostFound,
     PromptAnswered,
     SavedStreamsRead,
     StageAnswered,
-    StreamDone,
-    StreamMoved,
     StreamsSaved,
-    TryFailed,
 )
-from .._http1 import BrokenAnswerError
 from .._logging import log_event
-from .._ports.endpoints import Answer
 from .._runner import Runner, performs
-from .._verdict import Verdict
+from ._tries import Try, task_name
 
-# Events of a stream between two reports of its progress to the reducer, after the first event.
-PROGRESS_EVENTS = 8
 SAVED_STREAMS_RETRY_S = 0.5  # Delay before the streams that hosts saved are read again.
-REGISTER_RETRY_S = 2.0  # Delay before this host tries again to register, or to list other hosts.
 CALL_TASKS = ("hold", "prompt", "send")  # Kinds of tasks that may run for one forwarded call.
 
 
-def _task_name(kind: str, call_id: str) -> str:
-    return f"{kind}/{call_id}"
-
-
 @performs(TakeHold)
 def take_hold(runner: Runner, effect: TakeHold) -> None:
     """Reserve a place at an engine."""
-    runner.spawn(_task_name("hold", effect.call_id), _take_hold(runner, effect))
+    runner.spawn(task_name("hold", effect.call_id), _take_hold(runner, effect))
 
 
 async def _take_hold(runner: Runner, effect: TakeHold) -> None:
@@ -126,7 +110,7 @@
 def read_prompt(runner: Runner, effect: ReadPrompt) -> None:
     """Prefill a prompt at an engine."""
     if effect.call_id in runner.forwarded_calls:
-        runner.spawn(_task_name("prompt", effect.call_id), _read_prompt(runner, effect))
+        runner.spawn(task_name("prompt", effect.call_id), _read_prompt(runner, effect))
 
 
 async def _read_prompt(runner: Runner, effect: ReadPrompt) -> None:
@@ -149,7 +133,7 @@
 def forward(runner: Runner, effect: Forward) -> None:
     """Send a request to an endpoint."""
     if effect.call_id in runner.forwarded_calls:
-        runner.spawn(_task_name("send", effect.call_id), _Try(runner, effect).run())
+        runner.spawn(task_name("send", effect.call_id), Try(runner, effect).run())
 
 
 @performs(Relay)
@@ -165,7 +149,7 @@
     """Cancel the tasks of a call, which closes their connections."""
     current = asyncio.current_task()
     for kind in CALL_TASKS:
-        name = _task_name(kind, effect.call_id)
+        name = task_name(kind, effect.call_id)
         # A task whose own report led to this effect is not cancelled, as it is about to end.
         if runner.tasks.get(name) is not current:
             runner.stop_task(name)
@@ -279,143 +263,3 @@
             failure=answer if failed else None,
         )
     )
-
-
-@performs(AnnounceHost)
-def announce(runner: Runner, effect: AnnounceHost) -> None:
-    """Register this host, then read the list of hosts; each step is retried until it succeeds."""
-    runner.spawn("announce", _announce(runner))
-
-
-async def _announce(runner: Runner) -> None:
-    register, datagrams = runner.ports.register, runner.ports.datagrams
-    while failure := await register.announce(
-        runner.owner.host, datagrams.address, runner.state.zone
-    ):
-        log_event("host_not_announced", level="WARNING", reason=failure.detail)
-        await asyncio.sleep(REGISTER_RETRY_S)
-    while isinstance(found := await register.hosts(), Failure):
-        log_event("hosts_not_read", level="WARNING", reason=found.detail)
-        await asyncio.sleep(REGISTER_RETRY_S)
-    for host, address, zone in found:
-        runner.post(HostFound(at=runner.now(), host=host, address=address, zone=zone))
-
-
-class _Try:
-    """Sends a request to an endpoint once, and relays the answer if the reducer decides so.
-
-    Args:
-        runner: The host's runner.
-        effect: The effect to perform.
-    """
-
-    __slots__ = ("_runner", "_effect", "_call")
-
-    def __init__(self, runner: Runner, effect: Forward) -> None:
-        self._runner = runner
-        self._effect = effect
-        self._call = runner.forwarded_calls[effect.call_id]
-
-    async def run(self) -> None:
-        """Send the request, report its answer, and relay it if the reducer decides so."""
-        runner, effect = self._runner, self._effect
-        try:
-            async with asyncio.timeout(effect.quiet or None):
-                answer = await runner.ports.endpoints.forward(
-                    self._call.exchange, effect, seconds=effect.deadline - runner.now()
-                )
-        except TimeoutError:
-            detail = f"no answer within {effect.quiet:.3g} s"
-            self._fail(Failure(reason=ENDPOINT_SILENT, verdict=Verdict.MAY_HAVE_RUN, detail=detail))
-            return
-        if isinstance(answer, Failure):
-            self._fail(answer)
-            return
-        try:
-            if answer.streams and answer.status == 200:
-                await self._relay_stream(answer)
-            else:
-                await self._relay_complete(answer)
-        except BrokenAnswerError as exc:
-            self._fail(
-                Failure(reason=ENDPOINT_FAILED, verdict=Verdict.MAY_HAVE_RUN, detail=str(exc))
-            )
-        finally:
-            answer.release()
-
-    def _fail(self, failure: Failure) -> None:
-        effect = self._effect
-        self._runner.post(
-            TryFailed(
-                at=self._runner.now(),
-                call_id=effect.call_id,
-                endpoint=effect.endpoint,
-                number=effect.number,
-                failure=failure,
-                events=self._call.exchange.events,
-            )
-        )
-
-    async def _may_relay(self, answer: Answer) -> bool:
-        """Report an answer to the reducer, and return whether this try may relay the answer."""
-        effect = self._effect
-        decision = asyncio.get_running_loop().create_future()
-        self._call.decision = decision
-        self._runner.post(
-            AnswerCame(
-                at=self._runner.now(),
-                call_id=effect.call_id,
-                endpoint=effect.endpoint,
-                number=effect.number,
-                status=answer.status,
-                not_run=answer.not_run,
-                streams=answer.streams,
-                has_length=answer.has_length,
-            )
-        )
-        return await decision == effect.number
-
-    async def _relay_complete(self, answer: Answer) -> None:
-        body = await answer.body()
-        answer.release()
-        if await self._may_relay(answer):
-            self._call.answer(answer.status, answer.headers, body)
-
-    async def _relay_stream(self, answer: Answer) -> None:
-        if not await self._may_relay(answer):
-            return
-        runner, call = self._runner, self._call
-        await call.start_stream(answer.status, answer.headers)
-        splitter = EventSplitter()
-        events_before = call.exchange.events
-        reported = 0
-        while True:
-            data = await answer.chunk()
-            if not data:
-                break
-            complete = splitter.feed(data)
-            if complete:
-                call.exchange.events = events_before + splitter.events
-                call.exchange.last_event_id = splitter.last_id or call.exchange.last_event_id
-                await call.write(complete)
-            if splitter.events - reported >= (PROGRESS_EVENTS if reported else 1):
-                reported = splitter.events
-                runner.post(self._progress_event(StreamMoved))
-        if splitter.is_inside_event:
-            raise BrokenAnswerError(f"ended inside an event, {len(splitter.rest)} bytes into it")
-        if not answer.has_length and not call.has_events:
-            raise BrokenAnswerError("closed before the first event")
-        if splitter.rest:
-            await call.write(splitter.rest)
-        runner.post(self._progress_event(StreamDone))
-        call.end_stream()
-
-    def _progress_event(self, event: type) -> StreamMoved | StreamDone:
-        effect = self._effect
-        return event(
-            at=self._runner.now(),
-            call_id=effect.call_id,
-            endpoint=effect.endpoint,
-            number=effect.number,
-            events=self._call.exchange.events,
-        )
--- a/src/wasabiwick/_ports/__init__.py
+++ b/src/wasabiwick/_ports/__init__.py
@@ -4,6 +4,7 @@
 from .dialect import Dialect
 from .endpoints import Answer, EndpointListener, Endpoints, Exchange
 from .engine import Engine
+from .hops import HopAnswer, Hops
 from .host_list import HostList
 from .log_service import LogService
 from .neighbours import Datagrams, HostRegister, SavedStreams
@@ -20,6 +21,8 @@
     "Endpoints",
     "Engine",
     "Exchange",
+    "HopAnswer",
+    "Hops",
     "HostList",
     "HostRegister",
     "LogService",
--- a/src/wasabiwick/_ports/endpoints.py
+++ b/src/wasabiwick/_ports/endpoints.py
@@ -94,6 +94,9 @@
     async def has_ended(self, effect: CheckEnded) -> bool | Failure:
         """Return whether an endpoint has ended; a failure if it can't be reached."""
 
+    async def accepts(self, endpoint: str, address: str) -> bool:
+        """Return whether an endpoint accepts a new connection."""
+
     async def prefill(
         self, exchange: Exchange, effect: ReadPrompt, *, seconds: float
     ) -> str | Failure:
--- a/src/wasabiwick/_ports/neighbours.py
+++ b/src/wasabiwick/_ports/neighbours.py
@@ -5,6 +5,7 @@
 from .._effects_forwarding import AnswerPermit, AskPermit, SaveStreams, TellLoad
 from .._errors import Failure
 from .._forwarding import BegunStream, Findings
+from .._hosts_codec import HostRecord
 from .._wire import Owner
 
 
@@ -45,7 +46,7 @@
 class HostRegister(typing.Protocol):
     """Register that the hosts share: hosts, their streams, and claims to order stage changes."""
 
-    async def announce(self, host: str, address: str, zone: str) -> Failure | None:
+    async def announce(self, host: str, record: HostRecord) -> Failure | None:
         """Register a host."""
 
     async def last_claim(self) -> tuple[int, str] | Failure:
@@ -57,8 +58,8 @@
         Returns the offset of the claim.
         """
 
-    async def hosts(self) -> list[tuple[str, str, str]] | Failure:
-        """Return name, address and zone of all hosts that ever registered."""
+    async def hosts(self) -> dict[str, HostRecord] | Failure:
+        """Return the records of all hosts that ever registered, by name."""
 
     async def save_streams(self, host: str, effect: SaveStreams, now: float) -> Failure | None:
         """Save a host's streams in place of those that it saved before."""
--- a/src/wasabiwick/_runner.py
+++ b/src/wasabiwick/_runner.py
@@ -16,6 +16,7 @@
     Datagrams,
     Endpoints,
     Engine,
+    Hops,
     HostList,
     HostRegister,
     LogService,
@@ -59,6 +60,7 @@
         "endpoints",
         "datagrams",
         "register",
+        "hops",
     )
 
     def __init__(
@@ -73,6 +75,7 @@
         endpoints: Endpoints | None = None,
         datagrams: Datagrams | None = None,
         register: HostRegister | None = None,
+        hops: Hops | None = None,
     ) -> None:
         self.clock = clock
         self.engine = engine
@@ -83,6 +86,7 @@
         self.endpoints = endpoints
         self.datagrams = datagrams
         self.register = register
+        self.hops = hops
 
 
 class Body:
--- a/src/wasabiwick/_settings.py
+++ b/src/wasabiwick/_settings.py
@@ -289,6 +289,7 @@
     Args:
         ready: Address of the readiness check, as ``host:port``.
         datagrams: Address for datagrams from other hosts, as ``host:port``.
+        hops: Address for requests that other hosts pass to this one, as ``host:port``.
         retry_ratio: Retries that all hosts together may send in a window, as a share of the
             requests to the same service.
         retry_slack: Retries to one service that all hosts together may send in a window in addition
@@ -296,19 +297,21 @@
         retry_window: Length in seconds of the window in which requests and retries are counted.
     """
 
-    __slots__ = ("ready", "datagrams", "retry_ratio", "retry_slack", "retry_window")
+    __slots__ = ("ready", "datagrams", "hops", "retry_ratio", "retry_slack", "retry_window")
 
     def __init__(
         self,
         *,
         ready: Address = "127.0.0.1:0",
         datagrams: Address = "127.0.0.1:0",
+        hops: Address = "127.0.0.1:0",
         retry_ratio: NonNegative = 0.2,
         retry_slack: NonNegative = 50.0,
         retry_window: Seconds = 10.0,
     ) -> None:
         self.ready = ready
         self.datagrams = datagrams
+        self.hops = hops
         self.retry_ratio = retry_ratio
         self.retry_slack = retry_slack
         self.retry_window = retry_window
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -211,6 +211,10 @@
             return True
         return answer
 
+    async def accepts(self, endpoint: str, address: str) -> bool:
+        """Return whether an endpoint accepts a new connection."""
+        return await self._pool.accepts(endpoint, address)
+
     async def prefill(
         self, exchange: Exchange, effect: ReadPrompt, *, seconds: float
     ) -> str | Failure:
--- a/src/wasabiwick/platform/_feeds.py
+++ b/src/wasabiwick/platform/_feeds.py
@@ -13,6 +13,7 @@
 from .._events import EndpointsRead, Event, FeedChanged, FindingsRead, RoutesRead
 from .._findings_codec import encode_crashes, encode_sound
 from .._forwarding import Findings, Listing
+from .._hosts_codec import HostRecord, decode_host
 from .._logging import log_event, log_exception
 from .._ports import SavedStreams
 from .._runner import Runner
@@ -182,10 +183,9 @@
     def __init__(self, store: Store) -> None:
         self._store = store
 
-    async def announce(self, host: str, address: str, zone: str) -> Failure | None:
-        """Register a host; ``address`` is where it receives datagrams."""
-        value = msgspec.json.encode(_records.HostRecord(address=address, zone=zone))
-        offset = await self._store.append(_names.HOSTS_TOPIC, host, value)
+    async def announce(self, host: str, record: HostRecord) -> Failure | None:
+        """Register a host."""
+        offset = await self._store.append(_names.HOSTS_TOPIC, host, msgspec.json.encode(record))
         return offset if isinstance(offset, Failure) else None
 
     async def last_claim(self) -> tuple[int, str] | Failure:
@@ -207,20 +207,18 @@
         value = msgspec.json.encode(_records.ClaimRecord(holder=holder))
         return await self._store.append(_names.CLAIMS_TOPIC, _names.CLAIM_KEY, value, after=after)
 
-    async def hosts(self) -> list[tuple[str, str, str]] | Failure:
-        """Return the name, address and zone of every host that ever registered."""
+    async def hosts(self) -> dict[str, HostRecord] | Failure:
+        """Return the record of every host that ever registered, by name."""
         try:
             page = await self._store.newest(_names.HOSTS_TOPIC)
         except (StoreError, HistoryLostError) as exc:
             return store_failure(exc)
-        found = []
+        found = {}
         for record in page.records:
             try:
-                host = _records.decode_host(record.value or b"")
+                found[record.key] = decode_host(record.value or b"")
             except msgspec.MsgspecError as exc:
                 log_event("host_unreadable", level="WARNING", host=record.key, error=str(exc))
-                continue
-            found.append((record.key, host.address, host.zone))
         return found
 
     async def save_streams(self, host: str, effect: SaveStreams, now: float) -> Failure | None:
--- a/src/wasabiwick/platform/_records.py
+++ b/src/wasabiwick/platform/_records.py
@@ -79,13 +79,6 @@
     holder: str
 
 
-class HostRecord(msgspec.Struct):
-    """An entry host in the register of hosts; ``address`` is where it receives datagrams."""
-
-    address: str
-    zone: str
-
-
 class StreamsRecord(msgspec.Struct):
     """The streams that began at an entry host; ``saved_ms`` is Unix time."""
 
@@ -105,7 +98,6 @@
 _CONFIG = msgspec.json.Decoder(_Config)
 _SERVER = msgspec.json.Decoder(_Server)
 _CLAIM = msgspec.json.Decoder(ClaimRecord)
-_HOST = msgspec.json.Decoder(HostRecord)
 _STREAMS = msgspec.json.Decoder(StreamsRecord)
 _FINDINGS = msgspec.json.Decoder(FindingsRecord)
 
@@ -178,15 +170,6 @@
     )
 
 
-def decode_host(value: bytes) -> HostRecord:
-    """Decode an entry host's entry in the register of hosts.
-
-    Raises:
-        msgspec.MsgspecError: If the value is not a valid record.
-    """
-    return _HOST.decode(value)
-
-
 def decode_streams_record(value: bytes) -> StreamsRecord:
     """Decode the streams that an entry host saved.
 
--- a/src/wasabiwick/platform/_settings.py
+++ b/src/wasabiwick/platform/_settings.py
@@ -98,6 +98,7 @@
         forwarding=Forwarding(
             ready=file.listen.readiness,
             datagrams=f"{file.ip}:{file.internal_ports[0]}",
+            hops=f"{file.ip}:{file.internal_ports[0]}",
             retry_ratio=file.bounds.retry_budget_ratio,
             retry_slack=file.bounds.budget_slack,
             retry_window=file.bounds.retry_window_s,
--- a/tests/_partition.py
+++ b/tests/_partition.py
@@ -145,6 +145,7 @@
         name: Its name, which a restart keeps.
         links: Its links, by endpoint.
         callers: Its address for callers.
+        incarnation: Run of its process.
         lines: Lines of its log, of all its starts.
     """
 
@@ -153,6 +154,7 @@
         self.zone = zone
         self.links = {one.name: Link(one.address) for one in endpoints}
         self.callers = ""
+        self.incarnation = ""
         self.lines: list[str] = []
         self.proc: asyncio.subprocess.Process | None = None
         self._path: pathlib.Path | None = None
@@ -179,8 +181,8 @@
         )
         async for line in self.proc.stdout:
             self.lines.append(line.decode().rstrip())
-            if found := re.search(r"callers=(\S+)", self.lines[-1]):
-                self.callers = found[1]
+            if found := re.search(r"incarnation=(\S+) callers=(\S+)", self.lines[-1]):
+                self.incarnation, self.callers = found.groups()
                 self._reading = asyncio.create_task(self._read())
                 return
         raise AssertionError(f"{self.name} ended with code {await self.proc.wait()}")
@@ -264,8 +266,23 @@
                 stack.push_async_callback(host.kill)
             for host in self.hosts.values():
                 await self.wait_until_served(host)
+            await self.wait_until_known(self.hosts.values())
             yield self
 
+    async def wait_until_known(self, hosts: typing.Iterable[HostProcess]) -> None:
+        """Wait until each of some hosts knows where the newest run of each other one takes hops."""
+
+        async def is_known() -> bool:
+            return all(
+                any(f"host={other.name} incarnation={other.incarnation}" in line for line in found)
+                for host in hosts
+                for found in [host.logged("host_takes_requests")]
+                for other in self.hosts.values()
+                if other is not host
+            )
+
+        await until(is_known)
+
     def _view(self, host: HostProcess) -> Store:
         addresses = {name: f"127.0.0.1:{link.port}" for name, link in host.links.items()}
         view = Store()
