Take no endpoint for ended while this host may be cut off

What it could do: a host that is cut off, with connections reset and new ones refused, took each endpoint whose stream broke off for ended, and told all hosts which requests had ended it: sound requests would be refused everywhere. Cause: "nothing listens" was the only proof, and a cut looks the same. Change: an endpoint has ended only if another one, of any service, accepts a connection at that moment; else it is examined again.

--- a/src/wasabiwick/_effects_forwarding.py
+++ b/src/wasabiwick/_effects_forwarding.py
@@ -304,15 +304,25 @@
 class CheckEnded(Effect):
     """Check whether an endpoint has ended, after connections to it broke off.
 
-    ``born`` is the Unix time at which it had started, in milliseconds; 0 if unknown.
+    ``born`` is the Unix time at which it had started, in milliseconds; 0 if unknown. ``others``
+    holds names and addresses of other endpoints: if none of them accepts a connection either, this
+    host is cut off.
     """
 
-    __slots__ = ("endpoint", "address", "born")
+    __slots__ = ("endpoint", "address", "born", "others")
 
-    def __init__(self, *, endpoint: str, address: str, born: int) -> None:
+    def __init__(
+        self,
+        *,
+        endpoint: str,
+        address: str,
+        born: int,
+        others: tuple[tuple[str, str], ...] = (),
+    ) -> None:
         self.endpoint = endpoint
         self.address = address
         self.born = born
+        self.others = tuple((name, address) for name, address in others)
 
 
 class AskWhetherBusy(Effect):
--- a/src/wasabiwick/_handlers/crash_watch.py
+++ b/src/wasabiwick/_handlers/crash_watch.py
@@ -1,7 +1,8 @@
 """Watches for endpoints that end while they begin to answer, and refuses blocked requests.
 
 A connection that breaks off does not show whether its endpoint has ended. So the endpoint is
-examined at once: it has ended if nothing listens at its address, or something else does. Which
+examined at once: it has ended if nothing listens at its address, or something else does. A host
+that is cut off may see the same, so another endpoint has to accept a connection. Which
 requests, or parts of their prompts, may have caused it is decided in `crashing_parts`.
 """
 
@@ -16,7 +17,7 @@
 from .._rendezvous import ranked
 from .._settings import Settings
 from .._state import State, state_slice
-from . import crashing_parts, forwarding, neighbours
+from . import crashing_parts, directory, forwarding, health, neighbours
 from .crashing_parts import Block
 from .forwarding import ForwardedCall
 
@@ -28,6 +29,8 @@
 # Seconds after which refused callers are told to retry. The request is refused again unless an
 # endpoint has been seen to serve another one with the same parts.
 BLOCKED_RETRY_AFTER_S = 30.0
+# Other endpoints that show whether this host is cut off, if one seems to have ended.
+MAX_OTHERS = 2
 TRIAL_PAUSE_S = 20.0  # Time until a trial is repeated that showed nothing.
 SERVER_ERROR = 500  # Lowest HTTP status of an endpoint's own failures.
 
@@ -127,14 +130,24 @@
             endpoint=endpoint.name, born=endpoint.born, service=req.service, parts=(), at=at
         )
         suspicion = suspicions[endpoint.name] = Suspicion(crash=crash, address=endpoint.address)
-        yield _check(suspicion)
+        yield _check(state, suspicion)
     parts = dict.fromkeys((*suspicion.crash.parts, *req.ask.blockable))
     suspicion.crash.parts = tuple(parts)
 
 
-def _check(suspicion: Suspicion) -> CheckEnded:
+def _check(state: State, suspicion: Suspicion) -> CheckEnded:
     crash = suspicion.crash
-    return CheckEnded(endpoint=crash.endpoint, address=suspicion.address, born=crash.born)
+    others = [
+        (one.name, one.address)
+        for one in directory.all_endpoints(state)
+        if one.name != crash.endpoint and health.is_usable(state, one.name)
+    ]
+    return CheckEnded(
+        endpoint=crash.endpoint,
+        address=suspicion.address,
+        born=crash.born,
+        others=tuple(state.rng.sample(others, min(MAX_OTHERS, len(others)))),
+    )
 
 
 @handles(EndChecked)
@@ -172,7 +185,7 @@
     """Examine an endpoint again that could not be examined."""
     suspicion = state["crash_watch"].suspicions.get(event.key)
     if suspicion is not None:
-        yield _check(suspicion)
+        yield _check(state, suspicion)
 
 
 @handles(LoadTold)
--- a/src/wasabiwick/_performers/findings.py
+++ b/src/wasabiwick/_performers/findings.py
@@ -1,10 +1,12 @@
 """Performs effects on what hosts find out of endpoints: checks, saves, and permits."""
 
 from .._effects_forwarding import AnswerPermit, AskPermit, CheckEnded, SaveFindings
-from .._errors import Failure
+from .._errors import NOT_REACHED, Failure
 from .._events import EndChecked, FindingsSaved
 from .._logging import log_event
 from .._runner import Runner, performs
+from .._verdict import Verdict
+from .hops import accepting
 
 
 @performs(AskPermit)
@@ -40,6 +42,8 @@
 
 async def _check_ended(runner: Runner, effect: CheckEnded) -> None:
     answer = await runner.ports.endpoints.has_ended(effect)
+    if answer is True and effect.others and not await accepting(runner, effect.others):
+        answer = Failure(reason=NOT_REACHED, verdict=Verdict.NOT_RUN)
     failed = isinstance(answer, Failure)
     runner.post(
         EndChecked(
--- a/src/wasabiwick/_performers/hops.py
+++ b/src/wasabiwick/_performers/hops.py
@@ -29,14 +29,17 @@
 
 
 async def _check_reach(runner: Runner, effect: CheckReach) -> None:
-    accepts = runner.ports.endpoints.accepts
-    found = await asyncio.gather(*(accepts(*one) for one in effect.endpoints))
-    accepted = tuple(
-        name for (name, _), is_open in zip(effect.endpoints, found, strict=True) if is_open
-    )
+    accepted = await accepting(runner, effect.endpoints)
     runner.post(ReachChecked(at=runner.now(), service=effect.service, accepted=accepted))
 
 
+async def accepting(runner: Runner, endpoints: tuple[tuple[str, str], ...]) -> tuple[str, ...]:
+    """Return the names of those endpoints, given by name and address, that accept connections."""
+    accepts = runner.ports.endpoints.accepts
+    found = await asyncio.gather(*(accepts(*one) for one in endpoints))
+    return tuple(name for (name, _), accepted in zip(endpoints, found, strict=True) if accepted)
+
+
 @performs(AnnounceHost)
 def announce(runner: Runner, effect: AnnounceHost) -> None:
     """Register this host, then read the list of hosts; each step is retried until it succeeds."""
--- a/tests/test_partition_live.py
+++ b/tests/test_partition_live.py
@@ -4,6 +4,7 @@
 import unittest
 
 from ._partition import HANGS, REFUSES, RESETS, HostProcess, PartitionSite
+from ._processes import until
 
 KINDS = ("/safe/x", "/unsafe/x", "/stream/x")
 REQUESTS = 10  # Of each kind, at each host.
@@ -64,3 +65,31 @@
 
     async def test_callers_are_served_while_a_whole_zone_is_cut_off(self) -> None:
         await self.check_cut_off([self.hosts["a-1"], self.hosts["a-2"]], HANGS)
+
+
+class TestEndpointsOutOfReach(PartitionTest):
+    """A host that is cut off takes no endpoint for one that has ended."""
+
+    zones = {"a-1": "zone-a", "b-1": "zone-b"}
+
+    async def test_reset_streams_blame_no_request(self) -> None:
+        for endpoint in self.site.endpoints.values():
+            endpoint.event_interval = 0.05
+        host = self.hosts["a-1"]
+        streams = [
+            asyncio.create_task(self.site.status_of(host, "/stream/x", b"body %d" % number))
+            for number in range(REQUESTS)
+        ]
+
+        async def have_begun() -> bool:
+            return sum(one.running_streams for one in self.site.endpoints.values()) == REQUESTS
+
+        await until(have_begun)
+        await host.cut(RESETS)
+        await asyncio.gather(*streams)
+        await until(lambda: self.has_checked(host))
+        self.assertEqual([line for line in host.logged("endpoint_checked") if "True" in line], [])
+
+    async def has_checked(self, host: HostProcess) -> bool:
+        """Return whether a host has examined the endpoints whose streams broke off."""
+        return bool(host.logged("endpoint_checked"))
