--- a/src/wasabiwick/_forward_daemon.py
+++ b/src/wasabiwick/_forward_daemon.py
@@ -204,6 +204,7 @@
             host=cfg.host,
             incarnation=runner.owner.incarnation,
             callers=daemon.callers,
+            hops=runner.ports.hops.address,
             zone=cfg.zone,
         )
         await runner.ended.wait()
--- a/tests/_partition.py
+++ b/tests/_partition.py
@@ -69,6 +69,7 @@
 
     async def close(self) -> None:
         """Close the listener and all connections."""
+        self._flows.set()
         for sock in self._blocking:
             sock.close()
         self._server.close()
@@ -146,6 +147,7 @@
         links: Its links, by endpoint.
         callers: Its address for callers.
         incarnation: Run of its process.
+        hops: Its address for requests of other hosts.
         lines: Lines of its log, of all its starts.
     """
 
@@ -155,6 +157,7 @@
         self.links = {one.name: Link(one.address) for one in endpoints}
         self.callers = ""
         self.incarnation = ""
+        self.hops = ""
         self.lines: list[str] = []
         self.proc: asyncio.subprocess.Process | None = None
         self._path: pathlib.Path | None = None
@@ -181,8 +184,8 @@
         )
         async for line in self.proc.stdout:
             self.lines.append(line.decode().rstrip())
-            if found := re.search(r"incarnation=(\S+) callers=(\S+)", self.lines[-1]):
-                self.incarnation, self.callers = found.groups()
+            if found := re.search(r"incarnation=(\S+) callers=(\S+) hops=(\S+)", self.lines[-1]):
+                self.incarnation, self.callers, self.hops = found.groups()
                 self._reading = asyncio.create_task(self._read())
                 return
         raise AssertionError(f"{self.name} ended with code {await self.proc.wait()}")
--- a/tests/_platform.py
+++ b/tests/_platform.py
@@ -163,6 +163,9 @@
         unanswered_left: How many of the next prefills it runs without ever answering.
         unsealed_left: How many of the next requests it runs and answers without the seal, which
             marks an answer as the endpoint's own.
+        answer_delay: Time until an answer of the plain service, in seconds.
+        prefill_delay: Time until the answer to a prefill, in seconds.
+        refused_at: Monotonic time of each request that it refused.
         events: Number of events in each stream.
         event_interval: Time between events, in seconds.
         running_streams: Number of streams that it is sending.
@@ -194,6 +197,9 @@
         self.states_length = True
         self.unanswered_left = 0
         self.unsealed_left = 0
+        self.answer_delay = 0.0
+        self.prefill_delay = 0.0
+        self.refused_at: list[float] = []
         self.events = 5
         self.event_interval = 0.0
         self.running_streams = 0
@@ -295,11 +301,13 @@
             return misdirected
         if self.refusals_left or self.is_changing_stage:
             self.refusals_left = max(0, self.refusals_left - 1)
+            self.refused_at.append(time.monotonic())
             return web.Response(status=503, headers={**echo, "X-Wasabiwick-Not-Executed": "1"})
         body = await req.read()
         self.requests.append((req.raw_path, req.headers.copy()))
         self.arrivals.append(time.monotonic())
         if req.headers.get("X-Wasabiwick-Stage") == "prefill":
+            await asyncio.sleep(self.prefill_delay)
             handle = f"handle-{self.name}-{next(self._counter)}"
             self.kv_handles.add(handle)
             if self.unanswered_left:
@@ -319,6 +327,7 @@
             self.failures_left -= 1
             return web.Response(status=500, headers=seal, text="own failure")
         if not self.stage:
+            await asyncio.sleep(self.answer_delay)
             return web.Response(body=req.raw_path.encode() + b" " + body, headers=seal)
         self.open_holds.discard(req.headers.get("X-Wasabiwick-Kv-Hold", ""))
         return await self._stream(req, seal)
