Send nothing to an endpoint that asked for rest since it was chosen

What callers saw: nothing; engines that had asked for rest got what was on its way to them. Cause: who may get work was decided when a place was reserved or a permit asked for, and not looked at again once the prompt was read or the permit came; had looked at choices only. The class: a decision outlives the facts it was made from. Change: a reserved place is given back, its hold dropped, and the call waits for another one; a granted permit isn't used. Leaving endpoints were looked at in the same places already.

--- a/src/wasabiwick/_handlers/forward_plain.py
+++ b/src/wasabiwick/_handlers/forward_plain.py
@@ -75,7 +75,7 @@
     if req is None or routes.is_generation(state, req.route, req.service):
         return
     endpoint = req.end_asking()
-    if event.is_granted and directory.is_usable(state, endpoint.name):
+    if event.is_granted and placing.may_get_work(state, endpoint.name, event.at):
         yield from _send(state, req, endpoint, event.at)
     else:
         yield from start(state, req, event.at)
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -41,6 +41,7 @@
     forwarding,
     health,
     hops,
+    pauses,
     permits,
     places,
     placing,
@@ -145,7 +146,7 @@
     if req is None or req.place is None or req.asked is req.place:
         return
     engine = req.end_asking()
-    if event.is_granted and directory.is_usable(state, engine.name):
+    if event.is_granted and placing.may_get_work(state, engine.name, event.at):
         yield from _prefill_at(state, req, engine, event.at)
     else:
         yield from _prefill(state, req, event.at)
@@ -238,8 +239,11 @@
     """Send the request to its decode engine, or requeue it if the engine takes no new work."""
     endpoint = req.place
     listed = directory.endpoint(state, endpoint.name)
-    if listed is None or listed.leaving or listed.build != endpoint.build:
-        yield forwarding.log("place_leaving", req, state, at, endpoint=endpoint.name)
+    is_paused = pauses.is_paused(state, endpoint.name, at)
+    if listed is None or listed.leaving or listed.build != endpoint.build or is_paused:
+        yield forwarding.log(
+            "place_leaving", req, state, at, endpoint=endpoint.name, paused=is_paused
+        )
         yield from _requeue(state, req, at)
         return
     req.begin_try(at)
--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -187,7 +187,7 @@
     if req is None or req.place is None or req.asked is not req.place:
         return
     endpoint = req.end_asking()
-    if event.is_granted and directory.is_usable(state, endpoint.name):
+    if event.is_granted and placing.may_get_work(state, endpoint.name, event.at):
         yield _reserve(state, req, event.at)
     else:
         yield from forwarding.release_place(state, req, event.at)
--- a/src/wasabiwick/_handlers/placing.py
+++ b/src/wasabiwick/_handlers/placing.py
@@ -257,6 +257,11 @@
     )
 
 
+def may_get_work(state: State, endpoint: str, at: float) -> bool:
+    """Return whether an endpoint chosen a while ago is still listed and wants requests."""
+    return directory.is_usable(state, endpoint) and not pauses.is_paused(state, endpoint, at)
+
+
 def wait_of(state: State, endpoint: str, at: float) -> float:
     """Return the seconds for which an endpoint takes nothing, by its limit or by its own word."""
     return max(permits.wait_of(state, endpoint, at), pauses.wait_of(state, endpoint, at))
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -3,9 +3,9 @@
 import unittest
 
 from wasabiwick import _events
-from wasabiwick._effects_forwarding import AskWhetherBusy
+from wasabiwick._effects_forwarding import AskPermit, AskWhetherBusy
 from wasabiwick._errors import OVERLOADED
-from wasabiwick._handlers import pauses
+from wasabiwick._handlers import pauses, permits
 from wasabiwick._verdict import Verdict
 
 from ._forward import DECODE, PREFILL, REFUSED, Forward, Host, ReadPrompt, TakeHold, engine, plain
@@ -215,3 +215,25 @@
             one.failures_left, one.retry_after = 1, "20"
         await self.site.status_of("/unsafe/x")
         self.assertEqual(self.paused(), set())
+
+
+class TestPending(unittest.TestCase):
+    """A call that waited for a permit is not sent to an endpoint that asked for rest meanwhile."""
+
+    def test_granted_permit_is_not_used(self) -> None:
+        host = Host(endpoints=(plain("s0"),))
+        host.hear("b")
+        owner = next(
+            name
+            for name in (f"s{number}" for number in range(50))
+            if permits._owner(host.state, name, host.now) == "b"
+        )
+        host.drop("s0")
+        host.read_list(plain(owner))
+        host.feed(_events.LimitNamed, endpoint=owner, rate=5.0)
+        call = host.ask("unsafe")
+        asked = host.last_effect(AskPermit, call)
+        pause(host, owner)
+        host.feed(_events.PermitAnswered, call_id=call, number=asked.number, wait=0.0)
+        self.assertEqual(host.effects_of(Forward, call), [])
+        self.assertIs(host.refusal(call).verdict, Verdict.NOT_RUN)
