Remember removed endpoints over two copies of the list in a row

What it could do: an endpoint whose entry was removed got work again if the store was restored twice before the host had read the first copy, and the second copy still listed it. Cause: which endpoints were removed is worked out from offsets, and the first restore had cleared them. Evidence: the listed test failed before (usable s0, s1 where s1 is expected). Change: names removed before an earlier copy stay until a copy is read.

--- a/src/wasabiwick/_handlers/directory.py
+++ b/src/wasabiwick/_handlers/directory.py
@@ -305,7 +305,9 @@
 def list_restored(state: State, event: StoreRestored) -> None:
     """Take the next whole list for a copy that is some seconds old, whose offsets begin anew."""
     directory_state = state["directory"]
-    directory_state.removed = frozenset(directory_state.offsets.keys() - directory_state.endpoints)
+    # An earlier copy may not have been read yet.
+    known_names = directory_state.offsets.keys() | (directory_state.removed or frozenset())
+    directory_state.removed = frozenset(known_names - directory_state.endpoints.keys())
     directory_state.offsets.clear()
     for one in directory_state.endpoints.values():
         if one.leaving and one.born:
