--- a/tests/_forward.py
+++ b/tests/_forward.py
@@ -216,13 +216,20 @@
         gone = Listing(name=name, offset=self._offset, endpoint=None)
         return self.feed(_events.EndpointsRead, listings=(gone,), upto=self._offset + 1)
 
-    def hear(self, name: str, told: TellLoad | None = None, *, incarnation: str = "1") -> None:
+    def hear(
+        self,
+        name: str,
+        told: TellLoad | None = None,
+        *,
+        incarnation: str = "1",
+        zone: str = ZONE,
+    ) -> None:
         """Let the host get another host's datagram; an empty one if ``told`` is None."""
         told = told or TellLoad(addresses=(), sequence=1, loads={}, stopping=False, busy={})
         self.feed(
             _events.LoadTold,
             sender=_wire.Owner(host=name, incarnation=incarnation),
-            zone=ZONE,
+            zone=zone,
             address=f"{name}:1",
             sequence=told.sequence,
             loads=told.loads,
@@ -244,7 +251,7 @@
         self._told += 1
         fields = {"loads": {}, "stopping": False, "busy": {}, "routes_version": 1, **told}
         tell = TellLoad(addresses=(), sequence=self._told, **fields)
-        self.hear(name, tell, incarnation=incarnation)
+        self.hear(name, tell, incarnation=incarnation, zone=zone)
 
     def check_reach(self, *accepted: str) -> list[_effects.Effect]:
         """Answer the newest check of reach with the names of endpoints that accepted."""
@@ -264,7 +271,7 @@
 
     def ask(self, path: str, **fields: object) -> str:
         """Let a caller send a request, and return the call's id."""
-        call_id = f"c{next(self._calls)}"
+        call_id = fields.pop("call_id", "") or self.new_call_id("c")
         is_stream = path in ("stream", "draft")
         seconds = fields.pop("seconds", 14.0 if is_stream else 1.5)
         sizes = {"prompt_tokens": 3_000, "max_tokens": 2_040, "length_hint": 800}
@@ -359,9 +366,23 @@
             events=events,
         )
 
-    def pass_in(self, path: str, *, service: str = APP, **hop: object) -> str:
+    def new_call_id(self, kind: str = "h") -> str:
+        """Return the id of a new call."""
+        return f"{kind}{next(self._calls)}"
+
+    def pass_in(
+        self,
+        path: str,
+        *,
+        service: str = APP,
+        call_id: str = "",
+        hop: Hop | None = None,
+        seconds: float = 0.0,
+        fingerprints: tuple[str, ...] = (),
+        **told: object,
+    ) -> str:
         """Let another host pass a request to this one, and return the call's id."""
-        call_id = f"h{next(self._calls)}"
+        call_id = call_id or self.new_call_id()
         is_stream = path in ("stream", "draft")
         sizes = {"prompt_tokens": 3_000, "max_tokens": 2_040, "length_hint": 800}
         ask = Ask(
@@ -369,11 +390,12 @@
             trace_id=f"t-{call_id}",
             host="example",
             path=f"/{path}/x",
-            deadline=self.now + (14.0 if is_stream else 1.5),
+            deadline=self.now + (seconds or (14.0 if is_stream else 1.5)),
+            fingerprints=fingerprints,
             **(sizes if is_stream else {}),
         )
-        fields = {"sender": "z", "service": service, "routes_version": 1, **hop}
-        self.feed(_events.CallPassedOn, ask=ask, hop=Hop(**fields))
+        fields = {"sender": "z", "service": service, "routes_version": 1, **told}
+        self.feed(_events.CallPassedOn, ask=ask, hop=hop or Hop(**fields))
         return call_id
 
     def start_stream(self, path: str = "stream", **fields: object) -> str:
--- a/tests/test_hops.py
+++ b/tests/test_hops.py
@@ -14,11 +14,13 @@
     NOT_REACHED,
     OTHER_VERSION,
     OVERLOADED,
+    REQUEST_BLOCKED,
     STOPPING,
     Failure,
     Reason,
 )
-from wasabiwick._handlers import builds, hops, retry_budget
+from wasabiwick._forwarding import Crash
+from wasabiwick._handlers import builds, crashing_parts, hops, retry_budget
 from wasabiwick._verdict import Verdict
 
 from ._forward import (
@@ -353,3 +355,19 @@
         for _ in range(5):
             call_id = self.host.pass_in("unsafe", avoid=("s0",))
             self.assertEqual(self.host.last_effect(Forward, call_id).endpoint, "s1")
+
+
+class TestCrashingRequestBehindAHop(unittest.TestCase):
+    """A request that ends endpoints is refused also where another host passes it on."""
+
+    def test_request_that_ended_endpoints_is_turned_down(self) -> None:
+        host = Host()
+        for number in range(crashing_parts.MIN_CRASHES):
+            crash = Crash(
+                endpoint=f"x{number}", born=1, service=APP, parts=("request:f",), at=host.now
+            )
+            crashing_parts.add_own_crash(host.state, crash)
+        call_id = host.pass_in("safe", fingerprints=("request:f",))
+        self.assertEqual(host.effects_of(Forward, call_id), [])
+        self.assertIs(host.refusal(call_id).reason, REQUEST_BLOCKED)
+        self.assertTrue(host.effects_of(Forward, host.pass_in("safe", fingerprints=("request:g",))))
