Let a host give no orders to engines that it doesn't reach

Change: a host that doesn't reach a service claims nothing, and hosts that told so are left out when the first one is found. Measured: the tests of stages pass.

--- a/src/wasabiwick/_handlers/hops.py
+++ b/src/wasabiwick/_handlers/hops.py
@@ -176,7 +176,11 @@
 
 
 def _refuse(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
-    reaching = [name for name in neighbours.live_names(state, at) if _reaches(state, name, req)]
+    reaching = [
+        name
+        for name in neighbours.live_names(state, at)
+        if neighbours.reaches(state, name, req.service)
+    ]
     yield from forwarding.refuse_call(
         state,
         req,
@@ -190,10 +194,6 @@
     )
 
 
-def _reaches(state: State, host: str, req: ForwardedCall) -> bool:
-    return req.service not in state["neighbours"].hosts[host].unreached
-
-
 def _choose_host(state: State, req: ForwardedCall, at: float) -> str | None:
     """Return the host that a call is passed to, or None."""
     if len(req.hosts_tried) >= MAX_HOSTS:
@@ -208,7 +208,7 @@
             target is not None
             and bool(target.address)
             and target.incarnation == hosts[name].incarnation
-            and _reaches(state, name, req)
+            and neighbours.reaches(state, name, req.service)
             and name not in req.hosts_tried
             and hops_state.avoid_until.get(name, 0.0) <= at
             and in_flight[name] < MAX_IN_FLIGHT
--- a/src/wasabiwick/_handlers/neighbours.py
+++ b/src/wasabiwick/_handlers/neighbours.py
@@ -119,6 +119,11 @@
     return list(state["neighbours"].hosts)
 
 
+def reaches(state: State, name: str, service: str) -> bool:
+    """Return whether another host reaches an endpoint of a service, as far as it has told."""
+    return service not in state["neighbours"].hosts[name].unreached
+
+
 def address_of(state: State, name: str) -> str:
     """Return the address at which another host receives datagrams."""
     return state["neighbours"].hosts[name].address
--- a/src/wasabiwick/_handlers/stages.py
+++ b/src/wasabiwick/_handlers/stages.py
@@ -27,7 +27,7 @@
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
-from . import directory, estimates, neighbours, pauses, places, routes
+from . import directory, estimates, neighbours, pauses, places, reach, routes
 
 REVIEW_INTERVAL_S = 1.0  # Time between reviews of how many engines each stage has.
 # No engine of a service changes its stage until the service's list of engines has been unchanged
@@ -162,13 +162,20 @@
     return at - stages_state.engine_stages_since[service] >= SETTLE_TIME_S
 
 
-def _is_first_host(state: State, at: float) -> bool:
-    """Return whether this host's name sorts first among the live hosts that are not stopping.
+def _is_first_host(state: State, service: str, at: float) -> bool:
+    """Return whether this host's name sorts first among the hosts that may order a service.
 
-    Only such a host claims, so that few hosts compete for a claim.
+    These are the live hosts that are not stopping and reach the service's engines. Only the first
+    one claims, so that few hosts compete for a claim.
     """
-    other_hosts = neighbours.live_names(state, at)
-    return not state.stopping and state.owner.host <= min(other_hosts, default=state.owner.host)
+    if state.stopping or reach.is_in_doubt(state, service):
+        return False
+    other_hosts = [
+        name
+        for name in neighbours.live_names(state, at)
+        if neighbours.reaches(state, name, service)
+    ]
+    return state.owner.host <= min(other_hosts, default=state.owner.host)
 
 
 @handles(ForwarderBooted)
@@ -187,7 +194,7 @@
         stage_change
         and not is_paused
         and directory.is_source_up(state)
-        and _is_first_host(state, event.at)
+        and _is_first_host(state, stage_change.service, event.at)
     ):
         yield ReadClaims()
 
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -143,6 +143,18 @@
         host.run(2.1)
         self.assertEqual(of_type(host.feed(_events.ClaimAnswered, offset=7), OrderStage), [])
 
+    def test_hosts_that_reach_no_engine_claim_nothing(self) -> None:
+        """Another host gives the orders while the first one is cut off."""
+        first, second = Host(name="a", endpoints=SPLIT), Host(name="b", endpoints=SPLIT)
+        first.hear("b")
+        second.know("a", unreached=(MODEL,))
+        first.ask("stream")
+        first.cut_off(MODEL)
+        self.assertEqual(of_type(first.run(4.0), ReadClaims), [])
+        second.run(2.0)
+        second.know("a", unreached=(MODEL,))
+        self.assertTrue(of_type(second.run(2.0), ReadClaims))
+
     def test_only_the_host_whose_name_sorts_first_reads_claims(self) -> None:
         host = Host(endpoints=SPLIT)
         host.feed(
