Notice at the first failed check that a host was cut off when it started

Cause: the time that tells a cut from a silent second ran anew, though nothing had answered since the start. Change: a service that never answered is unreached after one failed check; it is checked again twice a second as before. Waiting calls ask once a round, not each, whether their service is in doubt.

--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -17,7 +17,18 @@
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
-from . import directory, forwarding, health, hops, permits, places, placing, rejecting, routes
+from . import (
+    directory,
+    forwarding,
+    health,
+    hops,
+    permits,
+    places,
+    placing,
+    reach,
+    rejecting,
+    routes,
+)
 from .forwarding import ForwardedCall
 
 QUEUE_CHECK_INTERVAL = 0.03  # Seconds between checks of queues that are not empty.
@@ -82,10 +93,11 @@
     has_room = len(waiting_calls) == 1 and placing.has_idle_engine(candidates)
     decoding = directory.usable_endpoints(state, service, DECODE) if waiting_calls else []
     wait = placing.shortest_wait(state, (one.name for one in decoding), at)
+    is_in_doubt = reach.is_in_doubt(state, service)
     still_waiting_calls = []
     misses = 0
     for req in sorted(waiting_calls, key=lambda one: rejecting.rank(state, one, at)):
-        if hops.is_needed(state, req, at):
+        if (is_in_doubt or req.unreachable) and hops.is_needed(state, req, at):
             yield from hops.start(state, req, at)
         elif (
             rejecting.should_refuse(state, req, at, has_room=has_room)
--- a/src/wasabiwick/_handlers/health.py
+++ b/src/wasabiwick/_handlers/health.py
@@ -79,6 +79,11 @@
     return endpoint is None or endpoint.phase in (Phase.USABLE, Phase.HALF_OPEN)
 
 
+def has_failures(state: State) -> bool:
+    """Return whether any endpoint failed recently."""
+    return bool(state["health"].endpoints)
+
+
 def record_chosen(state: State, name: str) -> None:
     """Record that an endpoint was chosen for a request, which is the probe if it is half-open."""
     endpoint = state["health"].endpoints.get(name)
--- a/src/wasabiwick/_handlers/reach.py
+++ b/src/wasabiwick/_handlers/reach.py
@@ -4,7 +4,8 @@
 connections then hang, are reset, or live on while new ones are refused. A service counts as
 unreached if for `UNREACHED_AFTER_S` no endpoint answered anything and none accepted a new
 connection, although several were asked again and again. One endpoint that is silent for a second
-does not bring that about, nor do all of them together.
+does not bring that about, nor do all of them together. A service that never answered since this
+host started is unreached after one check.
 
 Load pattern handled: a cut leaves requests without an answer, and each that is sent meanwhile is
 lost. So the first check follows soon after an answer is overdue, and services are checked together.
@@ -98,9 +99,12 @@
 
     That is so once no endpoint that serves callers accepted a connection when it was last tried.
     """
+    if is_unreached(state, service):
+        return True
+    if not health.has_failures(state):
+        return False
     endpoints = directory.usable_endpoints(state, service, DECODE)
-    none_usable = endpoints and not any(health.is_usable(state, one.name) for one in endpoints)
-    return is_unreached(state, service) or bool(none_usable)
+    return bool(endpoints) and not any(health.is_usable(state, one.name) for one in endpoints)
 
 
 def note_sent(state: State, service: str, at: float) -> None:
@@ -190,7 +194,9 @@
     if reach.failing_since is None:
         reach.failing_since = began
     failing = event.at - reach.failing_since
-    if not reach.is_unreached and failing >= UNREACHED_AFTER_S:
+    # A host that has just started may be cut off already.
+    has_answered = reach.answered_at > float("-inf")
+    if not reach.is_unreached and failing >= (UNREACHED_AFTER_S if has_answered else 0.0):
         reach.is_unreached = True
         yield from _report(state, event.service, False, failing, event.at)
     pause = RECHECK_INTERVAL_S if reach.is_unreached else CHECK_PAUSE_S
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -60,9 +60,23 @@
         self.assertTrue(self.host.effects_of(Forward, call_id))
 
 
+class TestStart(ReachTest):
+    """A host that starts while it is cut off notices that with its first requests."""
+
+    def test_first_failed_check_counts(self) -> None:
+        self.host.ask("unsafe", seconds=10.0)
+        self.host.run(0.8)
+        self.host.check_reach()
+        self.assertTrue(self.is_unreached())
+
+
 class TestSilence(ReachTest):
     """Endpoints that are silent for a second are not cut off."""
 
+    def setUp(self) -> None:
+        super().setUp()
+        self.host.answer(self.host.ask("unsafe"))
+
     def test_one_second_of_silence_of_all_endpoints_is_no_cut(self) -> None:
         self.host.ask("unsafe", seconds=10.0)
         self.host.cut_off(APP, seconds=1.0)
