Prefer other hosts to one that failed a call, and exclude none for it

What callers could see: where one host alone is left to pass requests to, a single reset connection to it had it avoided for a second, and all calls of that second refused. A host that serves enough for others had its callers' host refuse them, not try the next host. Found by reading. Change: a host that failed comes after others, and "full" is one more reason to try another host.

--- a/src/wasabiwick/_handlers/forward_arrivals.py
+++ b/src/wasabiwick/_handlers/forward_arrivals.py
@@ -8,6 +8,7 @@
     BUILD_UNKNOWN,
     DEADLINE_PASSED,
     ENDPOINT_SILENT,
+    HOST_FULL,
     NO_CONFIGURATION,
     NO_ROUTE,
     NOT_REACHED,
@@ -183,7 +184,7 @@
         return STOPPING
     if reach.is_in_doubt(state, hop.service):
         return NOT_REACHED
-    return OVERLOADED if hops.passed_calls(state) >= hops.MAX_PASSED else None
+    return HOST_FULL if hops.passed_calls(state) >= hops.MAX_PASSED else None
 
 
 @handles(PlaceWanted)
--- a/src/wasabiwick/_handlers/hops.py
+++ b/src/wasabiwick/_handlers/hops.py
@@ -18,7 +18,7 @@
 from .._effects_hops import PassOn, ReadHosts
 from .._errors import (
     ENDPOINT_FAILED,
-    HOST_LOST,
+    HOST_FULL,
     HOST_REFUSED,
     HOST_UNREACHABLE,
     NOT_REACHED,
@@ -50,7 +50,7 @@
 # Calls at a host after which one of another zone is as good; within a zone they take less time.
 CALLS_PER_STEP = 4
 RECENT_S = 1.5  # Hosts that were heard within this time come before others.
-AVOID_TIME_S = 1.0  # Time for which a host that could not be reached is passed nothing.
+AVOID_TIME_S = 1.0  # Time for which a host that failed a call comes after others.
 READ_DELAY_S = 1.0  # Seconds after which the entry of a host that has started can be read.
 READ_INTERVAL_S = 1.0  # Least time between two reads of the list of hosts.
 REREAD_INTERVAL_S = 5.0  # Time between reads of it while a service is unreached.
@@ -58,12 +58,12 @@
 OTHER_HOST_RETRY_AFTER_S = 0.1  # When they are told to retry what another host reaches.
 SERVER_ERROR = 500  # Lowest HTTP status of an endpoint's own failures.
 # Reasons for which a host turns a request down before anything is sent to an endpoint.
-TURNED_DOWN = (HOST_REFUSED, HOST_UNREACHABLE, NOT_REACHED, OTHER_VERSION, STOPPING)
+TURNED_DOWN = (HOST_FULL, HOST_REFUSED, HOST_UNREACHABLE, NOT_REACHED, OTHER_VERSION, STOPPING)
 
 
 @state_slice("hops")
 class HopsState:
-    """Where other hosts take requests, by host, and until when each is passed nothing.
+    """Where other hosts take requests, by host, and until when each comes after others.
 
     ``heard`` holds the run of each host's process that was heard last, and ``read_at`` the
     monotonic time at which the list of hosts was last asked for. ``is_read_due`` is true while the
@@ -215,13 +215,13 @@
             and target.incarnation == hosts[name].incarnation
             and neighbours.reaches(state, name, req.service)
             and name not in req.hosts_tried
-            and hops_state.avoid_until.get(name, 0.0) <= at
             and in_flight[name] < MAX_IN_FLIGHT
         )
 
-    def cost(name: str) -> tuple[bool, bool, int, bool, float]:
+    def cost(name: str) -> tuple[bool, bool, bool, int, bool, float]:
         one = hosts[name]
         return (
+            hops_state.avoid_until.get(name, 0.0) > at,
             at - one.heard > RECENT_S,
             one.routes_version != version,
             in_flight[name] // CALLS_PER_STEP,
@@ -265,7 +265,8 @@
             yield from _try_again(state, req, at, failure.detail)
             return
     else:
-        if failure.reason is HOST_LOST and req.phase == forwarding.SENT:
+        # What breaks off midway is more likely an endpoint's fault, and shows the host alive.
+        if req.phase == forwarding.SENT:
             state["hops"].avoid_until[event.endpoint] = at + AVOID_TIME_S
         req.hosts_tried.clear()
         may_continue = not req.events or req.route.resumable
--- a/tests/test_hops.py
+++ b/tests/test_hops.py
@@ -8,9 +8,8 @@
 from wasabiwick._errors import (
     DEADLINE_PASSED,
     ENDPOINT_FAILED,
+    HOST_FULL,
     HOST_LOST,
-    HOST_REFUSED,
-    HOST_UNREACHABLE,
     NOT_REACHED,
     OTHER_VERSION,
     OVERLOADED,
@@ -165,7 +164,7 @@
         self.assertEqual(self.host.refusal(call_id).reason.status, 502)
 
     def test_hosts_that_turn_a_request_down_are_followed_by_others(self) -> None:
-        for reason in (OTHER_VERSION, STOPPING, NOT_REACHED, HOST_UNREACHABLE, HOST_REFUSED):
+        for reason in hops.TURNED_DOWN:
             with self.subTest(reason=reason.code):
                 self.host.state["hops"].avoid_until.clear()
                 call_id = self.host.ask("unsafe")
@@ -175,6 +174,16 @@
                 self.assertIs(self.host.refusal(call_id).verdict, Verdict.NOT_RUN)
                 self.assertGreater(self.host.refusal(call_id).retry_after, 0.0)
 
+    def test_host_that_failed_a_call_comes_after_others(self) -> None:
+        failed = self.host.ask("unsafe")
+        self.host.fail_hop(failed, LOST)
+        (name,) = self.hosts_of(failed)
+        for _ in range(4):
+            self.assertNotEqual(self.hosts_of(self.host.ask("unsafe")), [name])
+        other = "c" if name == "b" else "b"
+        self.host.know(other, unreached=(APP,))
+        self.assertEqual(self.hosts_of(self.host.ask("unsafe")), [name])
+
     def test_rejection_is_passed_on_with_when_to_come_back(self) -> None:
         call_id = self.host.ask("unsafe")
         self.host.fail_hop(call_id, not_run(OVERLOADED, retry_after=2.5))
@@ -332,6 +341,7 @@
         calls = [self.host.pass_in("stream", service=MODEL, routes_version=2) for _ in range(300)]
         kept = [call_id for call_id in calls if self.host.is_open(call_id)]
         self.assertLessEqual(len(kept), hops.MAX_PASSED)
+        self.assertIs(self.reason(calls[-1]), HOST_FULL)
 
     def test_requests_of_others_add_nothing_to_the_retry_budget(self) -> None:
         before = retry_budget.remaining_retries(self.host.state, APP, self.host.now)
