End the rest of an endpoint that has started again under its name

What it did: an endpoint that asked for rest, ended and started again under its name got nothing until that rest was over, though the new start had asked for none. Evidence: the test failed before. Change: a later start in the list ends the rest that an earlier one asked for. Measured: the tests of pauses pass.

--- a/src/wasabiwick/_handlers/pauses.py
+++ b/src/wasabiwick/_handlers/pauses.py
@@ -15,6 +15,7 @@
 from .._reducer import Step, handles
 from .._settings import Settings
 from .._state import State, state_slice
+from . import directory
 
 MAX_PAUSE_S = 30.0  # Longest pause that is believed; callers wait half of that at most.
 # Largest random addition to a pause, as a share of it, so that hosts do not return together.
@@ -23,12 +24,16 @@
 
 @state_slice("pauses")
 class PausesState:
-    """The monotonic time until which each endpoint wants nothing from this host."""
+    """The monotonic time until which each endpoint wants nothing from this host.
 
-    __slots__ = ("until",)
+    ``born`` holds the Unix milliseconds of the start that was listed then, 0 if unknown.
+    """
+
+    __slots__ = ("until", "born")
 
     def __init__(self, cfg: Settings) -> None:
         self.until: dict[str, float] = {}
+        self.born: dict[str, int] = {}
 
 
 def wait_of(state: State, endpoint: str, at: float) -> float:
@@ -48,6 +53,8 @@
     until = state["pauses"].until
     is_new = not is_paused(state, event.endpoint, event.at)
     until[event.endpoint] = max(until.get(event.endpoint, 0.0), event.at + seconds)
+    listed = directory.endpoint(state, event.endpoint)
+    state["pauses"].born[event.endpoint] = listed.born if listed is not None else 0
     if is_new:
         yield Count(metric="endpoint_pauses")
         fields = {"endpoint": event.endpoint, "said": event.seconds, "for": seconds}
@@ -56,7 +63,13 @@
 
 @handles(EndpointsRead)
 def forget_past(state: State, event: EndpointsRead) -> None:
-    """Forget pauses that have ended; an endpoint may be listed again before that."""
-    until = state["pauses"].until
-    for name in [name for name, ends_at in until.items() if ends_at <= event.at]:
-        del until[name]
+    """Forget pauses that have ended, and those of an earlier start of their endpoint.
+
+    An endpoint may drop off the list and be listed again before its pause has ended.
+    """
+    until, born = state["pauses"].until, state["pauses"].born
+    for name, ends_at in list(until.items()):
+        listed = directory.endpoint(state, name)
+        is_new_start = listed is not None and 0 < born[name] < listed.born
+        if ends_at <= event.at or is_new_start:
+            del until[name], born[name]
--- a/tests/_forward.py
+++ b/tests/_forward.py
@@ -119,7 +119,8 @@
 
 def plain(name: str, *, zone: str = ZONE, **fields: object) -> Endpoint:
     """Return an endpoint of the plain service."""
-    return Endpoint(name=name, service=APP, address=f"{name}:80", zone=zone, slots=6, **fields)
+    fields = {"slots": 6, **fields}
+    return Endpoint(name=name, service=APP, address=f"{name}:80", zone=zone, **fields)
 
 
 ENDPOINTS = (engine("p0", PREFILL), engine("d0", DECODE), engine("d1", DECODE)) + (
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -58,6 +58,14 @@
         self.host.read_list(plain("s0"))
         self.assertEqual(self.targets(), {"s1"})
 
+    def test_endpoint_that_started_again_under_its_name_is_used(self) -> None:
+        self.host.read_list(plain("s0", born=1), plain("s1", born=1))
+        pause(self.host, "s0", 5.0)
+        self.host.read_list(plain("s0", born=1, slots=7))
+        self.assertEqual(self.targets(), {"s1"})
+        self.host.read_list(plain("s0", born=2))
+        self.assertIn("s0", self.targets())
+
     def test_shorter_pause_does_not_end_a_longer_one(self) -> None:
         pause(self.host, "s0", 5.0)
         pause(self.host, "s0", 0.1)
