--- a/tests/_forward.py
+++ b/tests/_forward.py
@@ -313,28 +313,38 @@
         )
 
     def answer(
-        self, call_id: str, status: int = 200, *, not_run: bool = False, streams: bool = False
+        self,
+        call_id: str,
+        status: int = 200,
+        *,
+        sent: type = Forward,
+        not_run: bool = False,
+        streams: bool = False,
+        build: str = "",
     ) -> list[_effects.Effect]:
-        """Answer the newest request that was sent to an endpoint for a call."""
-        sent = self.last_effect(Forward, call_id)
+        """Answer the newest request that was sent for a call, to an endpoint by default."""
+        effect = self.last_effect(sent, call_id)
         return self.feed(
             _events.AnswerCame,
             call_id=call_id,
-            endpoint=sent.endpoint,
-            number=sent.number,
+            endpoint=effect.endpoint,
+            number=effect.number,
             status=status,
             not_run=not_run,
             streams=streams,
+            build=build,
         )
 
-    def fail(self, call_id: str, failure: Failure, events: int = 0) -> list[_effects.Effect]:
-        """Let the newest request that was sent to an endpoint for a call fail."""
-        sent = self.last_effect(Forward, call_id)
+    def fail(
+        self, call_id: str, failure: Failure, events: int = 0, *, sent: type = Forward
+    ) -> list[_effects.Effect]:
+        """Let the newest request that was sent for a call fail, at an endpoint by default."""
+        effect = self.last_effect(sent, call_id)
         return self.feed(
             _events.TryFailed,
             call_id=call_id,
-            endpoint=sent.endpoint,
-            number=sent.number,
+            endpoint=effect.endpoint,
+            number=effect.number,
             failure=failure,
             events=events,
         )
@@ -343,29 +353,11 @@
         self, call_id: str, status: int = 200, *, streams: bool = False, build: str = "v1"
     ) -> list[_effects.Effect]:
         """Answer the newest try of a call through another host."""
-        sent = self.last_effect(PassOn, call_id)
-        return self.feed(
-            _events.AnswerCame,
-            call_id=call_id,
-            endpoint=sent.endpoint,
-            number=sent.number,
-            status=status,
-            not_run=False,
-            streams=streams,
-            build=build,
-        )
+        return self.answer(call_id, status, sent=PassOn, streams=streams, build=build)
 
     def fail_hop(self, call_id: str, failure: Failure, events: int = 0) -> list[_effects.Effect]:
         """Let the newest try of a call through another host fail."""
-        sent = self.last_effect(PassOn, call_id)
-        return self.feed(
-            _events.TryFailed,
-            call_id=call_id,
-            endpoint=sent.endpoint,
-            number=sent.number,
-            failure=failure,
-            events=events,
-        )
+        return self.fail(call_id, failure, events, sent=PassOn)
 
     def new_call_id(self, kind: str = "h") -> str:
         """Return the id of a new call."""
