Explain requests that went through another host by what their caller got

What an operator saw: the history of such a request ended with the line that came last by the hosts' clocks, which may be that of the other host: refused, where the caller was served. Hops had no sentence of their own. Change: lines of calls that were passed to a host are no outcome. Test: the other host's clock is ahead.

--- a/src/wasabiwick/_explain.py
+++ b/src/wasabiwick/_explain.py
@@ -48,6 +48,11 @@
         """Host that wrote the line, taken from the call's identifier."""
         return self.get("call").partition(".")[0]
 
+    @property
+    def is_for_another_host(self) -> bool:
+        """Whether the line is about a call that another host passed to this one."""
+        return self.get("call").rpartition(".")[2].startswith("h")
+
 
 class History:
     """The log lines of one request.
@@ -66,7 +71,11 @@
     @property
     def final_line(self) -> Line | None:
         """The line that decided what the caller got, or None if no line ends the request."""
-        final_lines = [line for line in self.lines if line.event in FINAL_EVENTS]
+        final_lines = [
+            line
+            for line in self.lines
+            if line.event in FINAL_EVENTS and not line.is_for_another_host
+        ]
         return final_lines[-1] if final_lines else None
 
     @property
@@ -256,6 +265,14 @@
     )
 
 
+@describes("passed_on")
+def _passed_on(line: Line) -> str:
+    return (
+        f"Attempt {line.get('tries')} went through host {line.get('host')}, heard"
+        f" {line.get('heard_ago')} s before, as no endpoint of the service could be reached."
+    )
+
+
 @describes("try_failed")
 def _try_failed(line: Line) -> str:
     return (
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -34,9 +34,26 @@
 )  # fmt: skip
 
 
+# The clock of the host that the call was passed to is ahead.
+PASSED = "".join(
+    (
+        line(1, "passed_on", request="r3", call="a.1.f7", host="b", tries=1, heard_ago=0.2),
+        line(5, "refused", request="r3", call="b.1.h2", reason="stopping", verdict="not_run",
+             retry_after=0.1, waited=0.0),
+        line(2, "passed_on", request="r3", call="a.1.f7", host="c", tries=2, heard_ago=0.1),
+        line(3, "served", request="r3", call="a.1.f7", waited=0.2, tries=2),
+    )
+)  # fmt: skip
+
+
 class TestExplain(unittest.TestCase):
     """An operator finds a request's outcome and its cause by the request's identifier."""
 
+    def test_answer_of_another_host_is_not_taken_for_the_callers(self) -> None:
+        result = self.run_on("r3", PASSED)
+        self.assertIn("went through host c", result.output)
+        self.assertIn("The whole answer was written", result.output.splitlines()[-1])
+
     def run_on(self, request: str, text: str, *options: str) -> click.testing.Result:
         """Run the command on lines from standard input."""
         return click.testing.CliRunner().invoke(explain, [request, *options], input=text)
