--- a/tests/test_hops.py
+++ b/tests/test_hops.py
@@ -92,6 +92,15 @@
         self.assertEqual(self.hosts_of(call_id), [])
         self.assertIs(self.host.refusal(call_id).reason, NOT_REACHED)
 
+    def test_hosts_are_told_what_is_not_reached(self) -> None:
+        self.host.run(1.0)
+        told = [one for one in self.host.effects if isinstance(one, TellLoad)]
+        self.assertEqual(told[-1].unreached, (APP,))
+        self.host.check_reach("s0")
+        self.host.run(1.0)
+        told = [one for one in self.host.effects if isinstance(one, TellLoad)]
+        self.assertEqual(told[-1].unreached, ())
+
     def test_stopping_host_is_passed_none(self) -> None:
         self.host.know("b", stopping=True)
         self.assertEqual(self.hosts_of(self.host.ask("unsafe")), ["c"])
