Close connections after refusals, and believe none that may be older than the request

Cause: a refusal's connection was kept. A faulty engine that writes the refusal once more, after the next request was sent on that connection, had the copy taken for the next answer: a refusal needs no attempt identifier, and the same attempt may come to the same engine twice. The caller was told NOT_RUN for a request that ran (REFUSED), or it was sent to a second engine (TWICE).

Evidence: tests/test_repeated_refusals.py over raw sockets, a copy glued, soon, at rest, instead of the next answer, split in two.

Change: a connection is closed after a refusal (weighed: a pause of silence proves nothing against a copy that comes later; the identifier is not in refusals of holds). A refusal that names no attempt proves nothing on a used connection, or if it began before the request was written.

Result: all cases are answered, each request ran once. Price: one new connection a refusal.

--- a/src/wasabiwick/_http1.py
+++ b/src/wasabiwick/_http1.py
@@ -56,6 +56,8 @@
         has_length: Whether the answer states its length or comes in chunks; otherwise it ends with
             the connection.
         kept_until: Monotonic time until which the connection may be used again.
+        is_reused: Whether the connection has carried another request before.
+        is_early: Whether the answer began before the whole request was handed to the network.
     """
 
     __slots__ = (
@@ -65,6 +67,9 @@
         "ended",
         "has_length",
         "kept_until",
+        "is_reused",
+        "is_early",
+        "_has_sent",
         "_parser",
         "_chunks",
         "_buffered_bytes",
@@ -83,6 +88,8 @@
         self._on_lost = on_lost
         self.transport: asyncio.Transport | None = None
         self.kept_until = 0.0
+        self.is_reused = False
+        self._has_sent = False
         self._is_busy = False
         self._is_lost = False
         self._waiter: asyncio.Future | None = None
@@ -93,6 +100,7 @@
         self.headers: list[Header] = []
         self.ended = False
         self.has_length = False
+        self.is_early = False
         self._parser = httptools.HttpResponseParser(self)
         self._chunks: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
@@ -113,6 +121,7 @@
         """Write a whole request."""
         self._reset()
         self._is_busy = True
+        self.is_reused, self._has_sent = self._has_sent, True
         self.transport.write(data)
 
     async def head(self) -> None:
@@ -233,6 +242,8 @@
             self._fail("bytes came unasked")
             self.close()
             return
+        if not self._received_bytes:
+            self.is_early = self.transport.get_write_buffer_size() > 0
         self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -380,16 +391,29 @@
             self._idle.pop(key, None)
 
     def release(
-        self, endpoint: str, address: str, conn: Connection, *, max_idle: int = MAX_IDLE_CONNECTIONS
+        self,
+        endpoint: str,
+        address: str,
+        conn: Connection,
+        *,
+        max_idle: int = MAX_IDLE_CONNECTIONS,
+        refused: bool = False,
     ) -> None:
         """Keep a connection after its answer for further requests, or close it.
 
+        It is closed after a refusal. A faulty endpoint may write the refusal once more, and the
+        next request would then seem to be refused although it runs.
+
         Args:
             endpoint: Name of the endpoint.
             address: The endpoint's address.
             conn: The connection.
             max_idle: Number of connections to the endpoint that may be kept.
+            refused: Whether the answer said that the request was not run.
         """
+        if refused:
+            conn.close()
+            return
         now = self._clock()
         if not conn.release(now):
             return
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -86,12 +86,16 @@
     def __init__(self, *, pool: ConnectionPool, effect: Forward, conn: Connection) -> None:
         self.status = conn.status
         self.headers: list[Header] = conn.headers
-        self.not_run = conn.status == MISDIRECTED or bool(conn.header(_names.NOT_EXECUTED))
+        self.not_run = _is_refusal(conn)
         self.streams = conn.header(b"content-type").startswith(EVENT_STREAM)
         self.has_length = conn.has_length
         self._conn: Connection | None = conn
         self._return_connection = lambda: pool.release(
-            effect.endpoint, effect.address, conn, max_idle=effect.connections
+            effect.endpoint,
+            effect.address,
+            conn,
+            max_idle=effect.connections,
+            refused=self.not_run,
         )
 
     async def chunk(self) -> bytes:
@@ -258,6 +262,7 @@
             self._note_signs(effect.endpoint, conn, sent_at)
             _check_attempt_id(conn, _attempt_id(exchange))
             _check_seal(conn)
+            _check_refusal(conn)
             return EndpointAnswer(pool=self._pool, effect=effect, conn=conn)
         except BrokenAnswerError as exc:
             conn.close()
@@ -320,8 +325,9 @@
                 conn.close()
             raise
         status = conn.status
-        self._pool.release(endpoint, address, conn)
-        if status not in (200, 202):
+        refused = status not in (200, 202)
+        self._pool.release(endpoint, address, conn, refused=refused)
+        if refused:
             reason = ENDPOINT_CHANGED if status == MISDIRECTED else ENDPOINT_REFUSED
             return _failure(reason, Verdict.NOT_RUN, f"the endpoint answered status {status}")
         return body
@@ -358,6 +364,23 @@
         raise BrokenAnswerError("the answer does not carry the attempt identifier of its request")
 
 
+def _is_refusal(conn: Connection) -> bool:
+    """Return whether an answer says that its request was not run."""
+    return conn.status == MISDIRECTED or bool(conn.header(_names.NOT_EXECUTED))
+
+
+def _check_refusal(conn: Connection) -> None:
+    """Check that a refusal is the answer to the request that was sent.
+
+    Raises:
+        BrokenAnswerError: If it bears no attempt identifier, and may have been written earlier, for
+            another request or before this one had arrived.
+    """
+    is_named = bool(conn.header(_names.ATTEMPT_ID))
+    if _is_refusal(conn) and not is_named and (conn.is_reused or conn.is_early):
+        raise BrokenAnswerError("a refusal names no attempt and may be older than the request")
+
+
 def _check_seal(conn: Connection) -> None:
     """Check that a successful answer has the seal, a header that the platform's endpoints add.
 
--- /dev/null
+++ b/tests/test_repeated_refusals.py
@@ -0,0 +1,164 @@
+"""Tests of endpoints that write a refusal once more on a connection that is kept.
+
+The copy must never be taken for the answer to the next request: its caller would be told that it
+has not run, or it would run at a second endpoint.
+"""
+
+import asyncio
+import time
+import unittest
+
+from wasabiwick._effects_forwarding import Forward
+from wasabiwick._errors import Failure
+from wasabiwick._ports import Exchange
+from wasabiwick._verdict import Verdict
+from wasabiwick.platform._endpoints import PlatformEndpoints
+
+PAUSE = 0.02  # Seconds between writes that have to arrive apart.
+ENDPOINT = "e"
+
+
+class RepeatingEndpoint:
+    """Refuses the first request and runs all others; writes the refusal twice.
+
+    Attributes:
+        runs: Attempt identifiers of the requests that it ran.
+        connections: Connections that it accepted.
+
+    Args:
+        when: When the copy is written: ``glued`` to the refusal, ``soon`` after it, while the
+            connection ``rests``, ``instead`` of the next answer, which follows it, ``split`` into
+            one part that comes at rest and one with the next request, or ``never``.
+        names_attempt: Whether refusals bear the identifier of their request.
+    """
+
+    def __init__(self, when: str, *, names_attempt: bool = True) -> None:
+        self.when = when
+        self.names_attempt = names_attempt
+        self.runs: list[str] = []
+        self.connections = 0
+        self.refusal = b""
+        self._server: asyncio.Server | None = None
+        self._writers: list[asyncio.StreamWriter] = []
+
+    async def __aenter__(self) -> "RepeatingEndpoint":
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        self._server.close()
+        for writer in self._writers:
+            writer.close()
+
+    @property
+    def address(self) -> str:
+        """Address that it listens at."""
+        host, port = self._server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        self._writers.append(writer)
+        copy = b""
+        try:
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                attempt = _header(head, "X-Wasabiwick-Attempt-Id")
+                await reader.readexactly(int(_header(head, "Content-Length")))
+                if self.refusal:
+                    writer.write(copy)
+                    await writer.drain()
+                    await asyncio.sleep(PAUSE)
+                    copy = b""
+                    self.runs.append(attempt)
+                    writer.write(_answer("200 OK", attempt, "X-Wasabiwick-Response-Seal: s"))
+                    continue
+                named = attempt if self.names_attempt else ""
+                self.refusal = _answer(
+                    "503 Service Unavailable", named, "X-Wasabiwick-Not-Executed: 1"
+                )
+                copy = await self._refuse(writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass  # The router may close the connection at any time.
+
+    async def _refuse(self, writer: asyncio.StreamWriter) -> bytes:
+        """Write the refusal, and return what is to be written before the next answer."""
+        half = len(self.refusal) // 2
+        at_once = self.refusal if self.when == "glued" else b""
+        later = {"soon": self.refusal, "rests": self.refusal, "split": self.refusal[:half]}
+        writer.write(self.refusal + at_once)
+        await writer.drain()
+        if self.when in later:
+            await asyncio.sleep(0 if self.when == "soon" else PAUSE)
+            writer.write(later[self.when])
+        return {"instead": self.refusal, "split": self.refusal[half:]}.get(self.when, b"")
+
+
+def _header(head: bytes, name: str) -> str:
+    for line in head.decode().split("\r\n"):
+        key, _, value = line.partition(": ")
+        if key.lower() == name.lower():
+            return value
+    return ""
+
+
+def _answer(status: str, attempt: str, header: str) -> bytes:
+    lines = [f"HTTP/1.1 {status}", header, "Content-Length: 2"]
+    if attempt:
+        lines.append(f"X-Wasabiwick-Attempt-Id: {attempt}")
+    return "\r\n".join([*lines, "", "ok"]).encode()
+
+
+class TestRepeatedRefusals(unittest.IsolatedAsyncioTestCase):
+    """A refusal that is written twice never makes a request that runs look refused."""
+
+    def setUp(self) -> None:
+        self.endpoints = PlatformEndpoints(time.monotonic)
+        self.addCleanup(self.endpoints.close)
+
+    async def send(self, endpoint: RepeatingEndpoint, attempt: str) -> str:
+        """Send a request; return ``answered``, or else its verdict."""
+        exchange = Exchange(
+            method="POST",
+            target="/a",
+            headers=[(b"X-Wasabiwick-Attempt-Id", attempt.encode())],
+            body=b"body",
+        )
+        effect = Forward(
+            call_id="c",
+            endpoint=ENDPOINT,
+            address=endpoint.address,
+            number=1,
+            deadline=0.0,
+            connections=8,
+        )
+        answer = await self.endpoints.forward(exchange, effect, seconds=5.0)
+        if isinstance(answer, Failure):
+            return answer.verdict.value
+        try:
+            await answer.body()
+        finally:
+            answer.release()
+        return Verdict.NOT_RUN.value if answer.not_run else "answered"
+
+    async def test_next_request_is_never_told_not_run(self) -> None:
+        for when in ("glued", "soon", "rests", "instead", "split", "never"):
+            for second in ("second", "first"):  # The same attempt may come to the endpoint again.
+                for names_attempt in (True, False):
+                    with self.subTest(when=when, second=second, names_attempt=names_attempt):
+                        await self.play(when, second, names_attempt=names_attempt)
+
+    async def play(self, when: str, second: str, *, names_attempt: bool) -> None:
+        async with RepeatingEndpoint(when, names_attempt=names_attempt) as endpoint:
+            self.assertEqual(await self.send(endpoint, "first"), Verdict.NOT_RUN.value)
+            await asyncio.sleep(0 if when in ("glued", "soon") else 2 * PAUSE)
+            self.assertEqual(await self.send(endpoint, second), "answered")
+            self.assertEqual(endpoint.runs, [second])
+            self.assertEqual(endpoint.connections, 2)
+
+    async def test_refusal_without_a_name_on_a_used_connection_proves_nothing(self) -> None:
+        async with RepeatingEndpoint("never", names_attempt=False) as endpoint:
+            endpoint.refusal = b"none yet"
+            self.assertEqual(await self.send(endpoint, "first"), "answered")
+            endpoint.refusal = b""
+            self.assertEqual(await self.send(endpoint, "second"), Verdict.MAY_HAVE_RUN.value)
+            self.assertEqual(endpoint.connections, 1)
