Expect of a resumed stream only what its caller lacks, and place it first

Cause: once all hosts had been lost, hosts knew the build of nearly every broken stream, but refused its caller as overloaded with no wait: the whole output was expected again, within the time that the caller had left. Those that waited lost each free place to other hosts' new requests.

Change: Last-Event-Id says how much the caller has; that counts as prompt that is read again, and the rest as output. A resumed stream is tried unless it would end in time in under one case of twelve, waits as long as its caller's patience, is placed without the margin of memory that new requests leave, and with a priority before theirs.

--- a/src/wasabiwick/_forwarding.py
+++ b/src/wasabiwick/_forwarding.py
@@ -232,6 +232,7 @@
         length_hint: The caller's estimate of the output's length in tokens; 0 if it gave none.
         resumed: Whether the caller resumes a stream.
         resumes: Trace id of the call that brought the first event of a resumed stream, or empty.
+        events_before: Number of events of a resumed stream that the caller has, as far as known.
         parts: Identifiers of the parts of the prompt that other requests may share, in order.
         fingerprints: Identifiers of the whole request, the same if it comes again; the widest one
             first.
@@ -248,6 +249,7 @@
         "length_hint",
         "resumed",
         "resumes",
+        "events_before",
         "parts",
         "fingerprints",
     )
@@ -265,6 +267,7 @@
         length_hint: int = 0,
         resumed: bool = False,
         resumes: str = "",
+        events_before: int = 0,
         parts: tuple[str, ...] = (),
         fingerprints: tuple[str, ...] = (),
     ) -> None:
@@ -278,6 +281,7 @@
         self.length_hint = length_hint
         self.resumed = resumed
         self.resumes = resumes
+        self.events_before = events_before
         self.parts = tuple(parts)
         self.fingerprints = tuple(fingerprints)
 
--- a/src/wasabiwick/_handlers/estimates.py
+++ b/src/wasabiwick/_handlers/estimates.py
@@ -7,6 +7,7 @@
 from .._forwarding import Ask, ServiceTraits
 from .._settings import Settings
 from .._state import State, state_slice
+from .memory import OVERDUE_TIME_S
 from .predict import IntervalModel, MovingAverage, Rate
 
 PRIOR_OUTPUT_SHARE = 0.4  # Expected output as a share of the longest allowed.
@@ -63,6 +64,35 @@
     return int(output_share * ask.max_tokens)
 
 
+def tokens_before(service: ServiceTraits, ask: Ask, events: int = 0) -> int:
+    """Return the output that a caller has: from earlier calls, and ``events`` from this one.
+
+    An identifier of an event that is no count of events is bounded by the longest output.
+    """
+    tokens = (ask.events_before + events) * service.engine.stride
+    return min(tokens, ask.max_tokens) if ask.max_tokens else tokens
+
+
+def remaining_output(
+    state: State, service: ServiceTraits, route: str, ask: Ask, events: int = 0
+) -> int:
+    """Return the expected output that a caller does not have yet, in tokens.
+
+    Args:
+        state: The host's state.
+        service: The service that the request is sent to.
+        route: Name of the route.
+        ask: The request.
+        events: Number of events that this call has brought.
+    """
+    expected = expected_output(state, route, ask)
+    had = tokens_before(service, ask, events)
+    if not had:
+        return expected
+    overdue_tokens = int(OVERDUE_TIME_S * token_rate(state, service.name))
+    return max(expected - had, min(overdue_tokens, expected))
+
+
 def mean_sizes(state: State, service: ServiceTraits) -> tuple[float, float]:
     """Return the mean prompt and output of a service's generations, in tokens."""
     service_estimates = _estimates_of(state, service.name)
--- a/src/wasabiwick/_handlers/forward_arrivals.py
+++ b/src/wasabiwick/_handlers/forward_arrivals.py
@@ -110,6 +110,8 @@
         at,
         resumes=req.ask.resumes or "-",
         build=req.build or "-",
+        events_before=req.ask.events_before,
+        time_left=req.ends_at - at,
         began_ago=at - stream.began if stream is not None else "-",
         builds=",".join(builds.recent_builds(state, req.service, at)) or "-",
     )
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -52,6 +52,7 @@
 from .forwarding import ForwardedCall
 
 BASE_PRIORITY = 4  # Priority sent to engines for the most urgent route; engines default to 5.
+BROKEN_OFF_PRIORITY = 3  # The same for streams of which the caller has a part.
 LOWEST_PRIORITY = 9  # Highest, least urgent priority number sent to engines.
 # Seconds for which an engine that has changed its stage gets no work; by then the list of endpoints
 # should show the new stage.
@@ -183,7 +184,9 @@
 
 
 def _priority(req: ForwardedCall) -> int:
-    return min(LOWEST_PRIORITY, BASE_PRIORITY + req.route.priority)
+    """Return the priority for engines, which preempt new streams before those that broke off."""
+    base = BROKEN_OFF_PRIORITY if req.broke_off else BASE_PRIORITY
+    return min(LOWEST_PRIORITY, base + req.route.priority)
 
 
 @handles(PromptAnswered)
--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -19,6 +19,7 @@
 from .._state import State, state_slice
 from . import (
     directory,
+    estimates,
     forwarding,
     health,
     hops,
@@ -137,9 +138,16 @@
         )
     if req.build:
         candidates = [one for one in candidates if one.endpoint.build == req.build]
-    stream = places.stream_load(state, req.route.name, req.ask, at)
+    service = routes.service(state, req.service)
+    stream = places.stream_load(state, service, req.route.name, req.ask, at, req.events)
     while candidate := placing.choose_decode(
-        state, candidates, stream, at, req.avoid, req.warm_engines
+        state,
+        candidates,
+        stream,
+        at,
+        req.avoid,
+        req.warm_engines,
+        broke_off=req.broke_off,
     ):
         endpoint = candidate.endpoint
         answer = yield from permits.acquire(state, req.ask.call_id, endpoint.name, at)
@@ -162,7 +170,7 @@
         zone=endpoint.zone,
         prompt=stream.prompt,
         expected=stream.expected,
-        held=placing.hold_tokens(req.ask),
+        held=placing.hold_tokens(service, req.ask, req.events),
         reads_itself=prefills_itself,
     )
     if answer is permits.Answer.PENDING:
@@ -177,8 +185,8 @@
     endpoint = req.place
     req.phase = forwarding.HOLDING
     health.record_chosen(state, endpoint.name)
-    traits = routes.service(state, req.service).engine
-    if not traits.hold_time:
+    service = routes.service(state, req.service)
+    if not service.engine.hold_time:
         # These engines can't reserve places, so the call is only counted in the engine's load.
         return HoldAnswered(
             at=at, call_id=req.ask.call_id, endpoint=endpoint.name, hold="", failure=None
@@ -187,8 +195,8 @@
         call_id=req.ask.call_id,
         endpoint=endpoint.name,
         address=endpoint.address,
-        tokens=placing.hold_tokens(req.ask),
-        seconds=min(HOLD_TIME, traits.hold_time),
+        tokens=placing.hold_tokens(service, req.ask, req.events),
+        seconds=min(HOLD_TIME, service.engine.hold_time),
     )
 
 
@@ -229,5 +237,10 @@
         waiting=waiting_count,
         wait=wait,
         build=req.build or "-",
+        time_left=req.ends_at - at,
+        stream_time=rejecting.stream_duration(
+            state, req.service, req.route.name, req.ask, req.events
+        ),
+        token_rate=estimates.token_rate(state, req.service),
         **load_summary,
     )
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -157,6 +157,11 @@
         may_repeat = self.route.repeatable and self.possible_runs < self.max_attempts
         return may_repeat and not self.is_trial
 
+    @property
+    def broke_off(self) -> bool:
+        """Whether the caller has a part of the stream, from this call or an earlier one."""
+        return self.relay_begun or self.ask.resumed
+
     @property
     def warm_engines(self) -> list[str]:
         """Names of engines that may have the prompt in memory and are not in `avoid`."""
--- a/src/wasabiwick/_handlers/places.py
+++ b/src/wasabiwick/_handlers/places.py
@@ -3,7 +3,7 @@
 A place is a request's share of an endpoint: a slot, and for a stream the memory that it will need.
 """
 
-from .._forwarding import Ask, EndpointLoad, StreamLoad
+from .._forwarding import Ask, EndpointLoad, ServiceTraits, StreamLoad
 from .._settings import Settings
 from .._state import State, state_slice
 from . import estimates, neighbours
@@ -125,10 +125,26 @@
     return total_load
 
 
-def stream_load(state: State, route: str, ask: Ask, at: float) -> StreamLoad:
-    """Return the expected load of a stream that is placed now."""
-    expected = estimates.expected_output(state, route, ask)
-    return StreamLoad(prompt=ask.prompt_tokens, expected=expected, begins=at + FIRST_TOKEN_TIME_S)
+def stream_load(
+    state: State, service: ServiceTraits, route: str, ask: Ask, at: float, events: int
+) -> StreamLoad:
+    """Return the expected load of a stream that is placed now.
+
+    What the caller has of its output is read again with the prompt.
+
+    Args:
+        state: The host's state.
+        service: The service that the request is sent to.
+        route: Name of the route.
+        ask: The request.
+        at: Monotonic time.
+        events: Number of events that this call has brought.
+    """
+    return StreamLoad(
+        prompt=ask.prompt_tokens + estimates.tokens_before(service, ask, events),
+        expected=estimates.remaining_output(state, service, route, ask, events),
+        begins=at + FIRST_TOKEN_TIME_S,
+    )
 
 
 def mark_full(state: State, endpoint: str, at: float, seconds: float = HOLD_REFUSED_TIME_S) -> None:
--- a/src/wasabiwick/_handlers/placing.py
+++ b/src/wasabiwick/_handlers/placing.py
@@ -16,7 +16,7 @@
 
 import typing
 
-from .._forwarding import DECODE, PREFILL, Ask, Endpoint, StreamLoad
+from .._forwarding import DECODE, PREFILL, Ask, Endpoint, ServiceTraits, StreamLoad
 from .._state import State
 from . import directory, estimates, health, neighbours, pauses, permits, places, routes
 from .memory import Projection
@@ -26,6 +26,9 @@
 HOLD_OUTPUT_TOKENS = 64
 # Margin that is kept free in an engine's memory, in standard deviations of the projected use.
 MEMORY_MARGIN_DEVIATIONS = 1.5
+# The same for a stream that broke off. It gets places that no host gives to new requests, as its
+# caller waits in the middle of an answer.
+BROKEN_OFF_MARGIN_DEVIATIONS = -0.7
 # Once prompts wait this many seconds on average, prefill engines get no more of them.
 MAX_PREFILL_WAIT = 0.8
 # Seconds that a request waits for a prefill engine before a decode engine may prefill its prompt;
@@ -68,11 +71,16 @@
         self.memory = memory
         self.projection = projection
 
-    def memory_left(self, stream: StreamLoad) -> float | None:
-        """Return the tokens of memory left with a stream added; None if the stream does not fit."""
+    def memory_left(self, stream: StreamLoad, deviations: float) -> float | None:
+        """Return the tokens of memory left with a stream added; None if the stream does not fit.
+
+        Args:
+            stream: The stream.
+            deviations: Margin that is kept free, in standard deviations of the projected use.
+        """
         if self.running >= self.slots:
             return None
-        tokens_left = self.memory - self.projection.peak(stream, MEMORY_MARGIN_DEVIATIONS)
+        tokens_left = self.memory - self.projection.peak(stream, deviations)
         # An idle engine is tried even if the projected output would not fit.
         return tokens_left if tokens_left >= 0.0 or not self.running else None
 
@@ -119,6 +127,8 @@
     at: float,
     avoid: list[str],
     warm_engines: list[str],
+    *,
+    broke_off: bool = False,
 ) -> Candidate | None:
     """Return the engine that fits a stream best, or None if none does.
 
@@ -133,11 +143,13 @@
         at: Monotonic time.
         avoid: Names of engines that are used only if there is no other.
         warm_engines: Names of engines that may have the prompt cached.
+        broke_off: Whether the caller has a part of the stream.
     """
+    deviations = BROKEN_OFF_MARGIN_DEVIATIONS if broke_off else MEMORY_MARGIN_DEVIATIONS
     best_candidate: Candidate | None = None
     best_rank: tuple[bool, bool, bool, bool, float] | None = None
     for one in candidates:
-        tokens_left = one.memory_left(stream)
+        tokens_left = one.memory_left(stream, deviations)
         if tokens_left is None:
             continue
         name, zone = one.endpoint.name, one.endpoint.zone
@@ -320,9 +332,16 @@
     return min(usable_endpoints, key=cost, default=None)
 
 
-def hold_tokens(ask: Ask) -> int:
-    """Return the memory to reserve for a generation, as the number of tokens in whole blocks."""
-    return ((ask.prompt_tokens + HOLD_OUTPUT_TOKENS) // BLOCK_TOKENS + 1) * BLOCK_TOKENS
+def hold_tokens(service: ServiceTraits, ask: Ask, events: int = 0) -> int:
+    """Return the memory to reserve for a generation, as the number of tokens in whole blocks.
+
+    Args:
+        service: The service that the request is sent to.
+        ask: The request.
+        events: Number of events that this call has brought.
+    """
+    prompt_tokens = ask.prompt_tokens + estimates.tokens_before(service, ask, events)
+    return ((prompt_tokens + HOLD_OUTPUT_TOKENS) // BLOCK_TOKENS + 1) * BLOCK_TOKENS
 
 
 def load_summary(state: State, service: str, at: float) -> dict[str, object]:
--- a/src/wasabiwick/_handlers/rejecting.py
+++ b/src/wasabiwick/_handlers/rejecting.py
@@ -8,7 +8,7 @@
 
 from .._forwarding import Ask
 from .._state import State
-from . import estimates
+from . import estimates, routes
 from .forwarding import ForwardedCall
 
 # Seconds from the choice of a place to a stream's first event: hold, prefill, transfer and first
@@ -31,6 +31,9 @@
 LONG_OUTPUT_FACTOR = 1.2
 # Optimistic output length as a multiple of the expected one; three in ten outputs are shorter.
 SHORT_OUTPUT_FACTOR = 0.8
+# The same for a stream that its caller resumes. One in twelve outputs is so short, and a refused
+# caller has less time left when it comes back.
+RESUMED_OUTPUT_FACTOR = 0.5
 # Shortest delay told to refused callers, in seconds; bursts last a few seconds.
 MIN_RETRY_AFTER = 2.0
 # Largest random addition to the time until an endpoint takes requests again, as a share of it.
@@ -57,7 +60,7 @@
     that can meet their latency target, and last all others. Within a group, requests are sorted by
     the route's priority and then by arrival, or in the last group by `latest_start`.
     """
-    if req.relay_begun or req.ask.resumed:
+    if req.broke_off:
         group = 0
     elif has_returned(req):
         group = 1 if at - req.arrived_at >= RETURNED_MIN_WAIT else 3
@@ -72,13 +75,25 @@
     return (
         req.ends_at
         - TIME_TO_FIRST_EVENT
-        - stream_duration(state, req.service, req.route.name, req.ask)
+        - stream_duration(state, req.service, req.route.name, req.ask, req.events)
     )
 
 
-def stream_duration(state: State, service: str, route: str, ask: Ask) -> float:
-    """Return a cautious estimate of the seconds from a stream's first event to its end."""
-    tokens = estimates.expected_output(state, route, ask)
+def stream_duration(state: State, service: str, route: str, ask: Ask, events: int = 0) -> float:
+    """Return a cautious estimate of the seconds for the rest of a stream.
+
+    Args:
+        state: The host's state.
+        service: Name of the service.
+        route: Name of the route.
+        ask: The request.
+        events: Number of events that this call has brought.
+    """
+    traits = routes.service(state, service)
+    if traits is None or traits.engine is None:
+        tokens = estimates.expected_output(state, route, ask)
+    else:
+        tokens = estimates.remaining_output(state, traits, route, ask, events)
     return LONG_OUTPUT_FACTOR * tokens / estimates.token_rate(state, service)
 
 
@@ -87,7 +102,8 @@
 
     The length of its output is only an estimate. So while engines have room, a request is still
     tried if an output shorter than expected could finish in time. In a burst it is refused, since
-    other requests make better use of the memory.
+    other requests make better use of the memory. A stream that its caller resumes is always tried
+    so: its caller has the beginning, which is lost if it is refused.
 
     Args:
         state: The host's state.
@@ -98,20 +114,27 @@
     if req.relay_begun:
         return False
     time_left = latest_start(state, req) - at
-    if has_room:
-        full_duration = stream_duration(state, req.service, req.route.name, req.ask)
-        time_left += (1.0 - SHORT_OUTPUT_FACTOR / LONG_OUTPUT_FACTOR) * full_duration
+    if has_room or req.ask.resumed:
+        factor = RESUMED_OUTPUT_FACTOR if req.ask.resumed else SHORT_OUTPUT_FACTOR
+        full_duration = stream_duration(state, req.service, req.route.name, req.ask, req.events)
+        time_left += (1.0 - factor / LONG_OUTPUT_FACTOR) * full_duration
     return at - req.arrived_at >= max_wait(req) or time_left < 0.0
 
 
 def max_wait(req: ForwardedCall) -> float:
-    """Return how many seconds from its arrival a request may wait for a place."""
+    """Return how many seconds from its arrival a request may wait for a place.
+
+    A stream that its caller resumes may wait as long as the caller is patient: if it is refused, it
+    has less time left for the same rest.
+    """
     route = req.route
     patience = max(
         MIN_PATIENCE,
         PATIENCE_LATENCY_TARGETS * route.target_latency,
         PATIENCE_GAPS * route.target_gap,
     )
+    if req.ask.resumed:
+        return RETRY_WAIT_SHARE * patience
     share = RETRY_WAIT_SHARE if req.number else WAIT_SHARE
     return min(share * patience, (req.ends_at - req.arrived_at) / 3)
 
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -431,6 +431,7 @@
             length_hint=int(_header_number(values.get(_names.LENGTH_HINT, ""))),
             resumed=_names.LAST_EVENT_ID in values,
             resumes=values.get(_names.RESUMES, ""),
+            events_before=int(_header_number(values.get(_names.LAST_EVENT_ID, ""))),
             parts=_shared_parts(values.get(_names.PREFIX_HASH, "")),
             fingerprints=fingerprints(
                 method=exchange.method,
--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -13,6 +13,7 @@
 from ._forward import BROKEN, DECODE, PREFILL, Host, engine, plain
 
 OLD, NEW = "v1", "v1.1"
+STRIDE = 12  # Tokens in an event.
 MIXED = (
     engine("p0", PREFILL, build=OLD),
     engine("d0", DECODE, build=OLD),
@@ -110,6 +111,33 @@
         again = host.ask("stream", resumed=True, resumes=f"t-{call}")
         self.assertEqual(serve(host, again), OLD)
 
+    def test_resumed_call_is_not_refused_for_output_that_its_caller_has(self) -> None:
+        """Counting the whole output again refused nearly all callers after all hosts were lost."""
+        host, call = begin_before_release()
+        host.feed(_events.ForwardLeft, call_id=call)
+        again = host.ask(
+            "stream",
+            resumed=True,
+            resumes=f"t-{call}",
+            events_before=100,
+            length_hint=1_600,
+            seconds=5.0,
+        )
+        self.assertIsNone(host.refusal(again))
+        self.assertEqual(serve(host, again), OLD)
+
+    def test_reserved_memory_covers_the_output_that_is_read_again(self) -> None:
+        host, call = begin_before_release()
+        host.feed(_events.ForwardLeft, call_id=call)
+        again = host.ask("stream", resumed=True, resumes=f"t-{call}", events_before=100)
+        self.assertGreaterEqual(host.last_effect(TakeHold, again).tokens, 3_000 + 100 * STRIDE)
+
+    def test_identifier_that_counts_no_events_is_bounded_by_the_longest_output(self) -> None:
+        host, call = begin_before_release()
+        host.feed(_events.ForwardLeft, call_id=call)
+        again = host.ask("stream", resumed=True, resumes=f"t-{call}", events_before=10**9)
+        self.assertLess(host.last_effect(TakeHold, again).tokens, 3_000 + 2_040 + 100)
+
     def test_log_tells_what_bound_a_resumed_call(self) -> None:
         host, call = begin_before_release()
         host.run(2.0)
