Start from the rate of events where no stream was seen yet

A host of a large fleet serves a stream every few seconds: until its first one had ended, it expected outputs of 25 s, refused callers at once as beyond their deadline, and planned memory for a fifth of the growth.

Change: the prior is the stride of the engines over 48 ms, which is the old figure where the stride is 12. Streams are timed from 10 events on instead of 120 tokens.

--- a/src/wasabiwick/_handlers/estimates.py
+++ b/src/wasabiwick/_handlers/estimates.py
@@ -7,18 +7,20 @@
 from .._forwarding import Ask, ServiceTraits
 from .._settings import Settings
 from .._state import State, state_slice
+from . import routes
 from .memory import OVERDUE_TIME_S
 from .predict import IntervalModel, MovingAverage, Rate
 
 PRIOR_OUTPUT_SHARE = 0.4  # Expected output as a share of the longest allowed.
-PRIOR_TOKEN_RATE = 250.0  # Output tokens per second of a stream.
+# Seconds between two events of a stream; engines send one for every `EngineTraits.stride` tokens.
+PRIOR_EVENT_INTERVAL_S = 0.048
 PRIOR_PROMPT_SLOT_SHARE = 0.85  # Mean prompt as a share of an engine's memory per slot.
 PRIOR_OUTPUT_SLOT_SHARE = 0.25  # Mean output as a share of an engine's memory per slot.
 PRIOR_PREFILL_RATE = 25_000.0  # Prompt tokens per second of a prefill engine.
 PRIOR_PREFILL_BASE_S = 0.08  # Part of a prefill's time that does not depend on prompt length.
-# Streams with fewer output tokens than this do not count in the token rate. They look too fast, as
-# their first tokens arrive together.
-MIN_TIMED_TOKENS = 120
+# Streams with fewer events than this do not count in the token rate. They look too fast, as their
+# first events arrive together.
+MIN_TIMED_EVENTS = 10
 RATE_SPAN_TOKENS = 2_000  # Difference in prompt length over which the prefill rate is computed.
 # Factor by which the prefill rate may differ from its prior. The rate is learned from few prefills,
 # as only those that run alone are timed.
@@ -30,10 +32,10 @@
 
     __slots__ = ("prompt", "output", "token_rate", "prefill_model")
 
-    def __init__(self) -> None:
+    def __init__(self, *, stride: int) -> None:
         self.prompt: MovingAverage | None = None
         self.output: MovingAverage | None = None
-        self.token_rate = Rate(PRIOR_TOKEN_RATE)
+        self.token_rate = Rate(stride / PRIOR_EVENT_INTERVAL_S)
         self.prefill_model = IntervalModel(base=PRIOR_PREFILL_BASE_S, slope=1 / PRIOR_PREFILL_RATE)
 
 
@@ -51,7 +53,9 @@
 def _estimates_of(state: State, service: str) -> ServiceEstimates:
     services = state["estimates"].services
     if service not in services:
-        services[service] = ServiceEstimates()
+        traits = routes.service(state, service)
+        known = traits is not None and traits.engine is not None
+        services[service] = ServiceEstimates(stride=traits.engine.stride if known else 1)
     return services[service]
 
 
@@ -145,17 +149,18 @@
         mean_share.observe(min(1.0, tokens / ask.max_tokens))
 
 
-def observe_token_rate(state: State, service: str, tokens: int, seconds: float) -> None:
+def observe_token_rate(state: State, service: ServiceTraits, events: int, seconds: float) -> None:
     """Learn the token rate from a stream that ended.
 
     Args:
         state: The host's state.
-        service: Name of the service.
-        tokens: Tokens that the engine generated.
+        service: The service that generated it.
+        events: Events that the engine generated.
         seconds: Time from the stream's first event to its last.
     """
-    if tokens >= MIN_TIMED_TOKENS:
-        _estimates_of(state, service).token_rate.observe(tokens, seconds)
+    if events >= MIN_TIMED_EVENTS:
+        rate = _estimates_of(state, service.name).token_rate
+        rate.observe(events * service.engine.stride, seconds)
 
 
 def observe_prefill(state: State, service: str, tokens: int, seconds: float) -> None:
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -429,8 +429,8 @@
     traits = routes.service(state, req.service)
     if traits is None or traits.engine is None:
         return
-    stride = traits.engine.stride
-    tokens = (req.events - req.begun_events) * stride
-    estimates.observe_token_rate(state, req.service, tokens, event.at - req.begun_at)
+    new_events = req.events - req.begun_events
+    estimates.observe_token_rate(state, traits, new_events, event.at - req.begun_at)
     if not req.ask.resumed:
-        estimates.observe_output(state, req.route.name, req.ask, req.events * stride)
+        tokens = req.events * traits.engine.stride
+        estimates.observe_output(state, req.route.name, req.ask, tokens)
--- a/tests/_forward.py
+++ b/tests/_forward.py
@@ -76,7 +76,12 @@
 
 
 def table(
-    version: int = 1, *, memory: int = 33_860, slots: int = 12, hold_time: float = 2.0
+    version: int = 1,
+    *,
+    memory: int = 33_860,
+    slots: int = 12,
+    hold_time: float = 2.0,
+    stride: int = 12,
 ) -> RouteTable:
     """Return a table with a route of each kind, and streams of both services to resume or not."""
     engine = EngineTraits(
@@ -85,7 +90,7 @@
         hold_time=hold_time,
         handle_time=0.5,
         switch_time=6.0,
-        stride=12,
+        stride=stride,
     )
     return RouteTable(
         version=version,
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -5,7 +5,7 @@
 from wasabiwick import _events
 from wasabiwick._handlers import estimates, rejecting
 
-from ._forward import MODEL, Host
+from ._forward import MODEL, Host, table
 
 
 def play_stream(host: Host, *, events: int, seconds: float) -> str:
@@ -35,6 +35,16 @@
         # 60 events of 12 tokens each in 7.2 s.
         self.assertAlmostEqual(estimates.token_rate(host.state, MODEL), 100.0, delta=10.0)
 
+    def test_streams_of_hosts_that_served_none_are_expected_at_the_rate_of_their_events(
+        self,
+    ) -> None:
+        """At a fixed rate of tokens, hosts of a large fleet refused all callers at first."""
+        host = Host()
+        host.feed(_events.RoutesRead, table=table(2, stride=74))
+        call = host.ask("stream", max_tokens=9_620, length_hint=5_000)
+        self.assertIsNone(host.refusal(call))
+        self.assertGreater(estimates.token_rate(host.state, MODEL), 1_000.0)
+
     def test_rate_determines_expected_stream_duration(self) -> None:
         host = Host()
         ask = host.state["forwarding"].calls[host.ask("stream")].ask
