Estimate sizes and rates from what all hosts measured

Cause: each of 81 hosts learned from its own requests only, one every few seconds.

Change: hosts tell decayed sums once a second, which add up; priors weigh as ten requests, and that of outputs follows from streams of 3 s at the rate of events. Prefill rates are fitted over all hosts and may be 2.5 times the prior. One engine in six may change its stage at once under one claim, all with its fencing number, each another engine.

--- a/src/wasabiwick/_adapters/_datagrams.py
+++ b/src/wasabiwick/_adapters/_datagrams.py
@@ -24,6 +24,7 @@
     encode_limits,
 )
 from .._logging import log_event
+from .._observed import ObservedRow, decode_observed, encode_observed
 from .._runner import Runner
 from .._wire import Owner
 
@@ -41,6 +42,7 @@
     ``limits`` holds what endpoints named as their limits, ``leaving`` the endpoints that said that
     they leave, with the Unix milliseconds of their start. ``unreached`` holds the services of which
     the host reaches no endpoint, ``routes_version`` the version of the routes in force there.
+    ``observed`` holds sums of what the host measured of generations, by service.
     """
 
     host: str
@@ -59,6 +61,7 @@
     leaving: list[tuple[str, int]] = []
     unreached: list[str] = []
     routes_version: int = 0
+    observed: list[ObservedRow] = []
 
 
 class PermitQuestion(msgspec.Struct, tag="ask"):
@@ -147,6 +150,7 @@
                 leaving=list(effect.leaving),
                 unreached=list(effect.unreached),
                 routes_version=effect.routes_version,
+                observed=encode_observed(effect.observed),
             )
         )
         for address in effect.addresses:
@@ -230,6 +234,7 @@
                 leaving=tuple(datagram.leaving),
                 unreached=tuple(datagram.unreached),
                 routes_version=datagram.routes_version,
+                observed=decode_observed(datagram.observed),
             )
         )
 
--- a/src/wasabiwick/_effects_forwarding.py
+++ b/src/wasabiwick/_effects_forwarding.py
@@ -3,6 +3,7 @@
 from ._effects import Effect
 from ._errors import Failure
 from ._forwarding import BegunStream, Crash, EndpointLimit, EndpointLoad, Findings, SoundPart
+from ._observed import Observed
 
 
 class ForwardEffect(Effect):
@@ -192,6 +193,7 @@
     what endpoints named as their limits, and ``leaving`` the endpoints that said that they leave,
     with the Unix milliseconds of their start. ``unreached`` holds the services of which this host
     reaches no endpoint, and ``routes_version`` is the version of the routes in force here.
+    ``observed`` holds what this host measured of generations.
     """
 
     __slots__ = (
@@ -208,6 +210,7 @@
         "leaving",
         "unreached",
         "routes_version",
+        "observed",
     )
 
     def __init__(
@@ -226,6 +229,7 @@
         leaving: tuple[tuple[str, int], ...] = (),
         unreached: tuple[str, ...] = (),
         routes_version: int = 0,
+        observed: tuple[Observed, ...] = (),
     ) -> None:
         self.addresses = tuple(addresses)
         self.sequence = sequence
@@ -240,6 +244,7 @@
         self.leaving = tuple(leaving)
         self.unreached = tuple(unreached)
         self.routes_version = routes_version
+        self.observed = tuple(observed)
 
 
 class AskPermit(ForwardEffect):
--- a/src/wasabiwick/_events/_forwarding.py
+++ b/src/wasabiwick/_events/_forwarding.py
@@ -14,6 +14,7 @@
     SoundPart,
 )
 from .._hops import HopTarget
+from .._observed import Observed
 from .._wire import Owner
 from ._base import Event
 from ._host import Booted
@@ -134,6 +135,7 @@
     endpoints named as their limits, and ``leaving`` the endpoints that said that they leave, with
     the Unix milliseconds of their start. ``unreached`` holds the services of which the sender
     reaches no endpoint, and ``routes_version`` is the version of the routes in force there.
+    ``observed`` holds what the sender measured of generations; empty if it told that just before.
     """
 
     __slots__ = (
@@ -152,6 +154,7 @@
         "leaving",
         "unreached",
         "routes_version",
+        "observed",
     )
 
     def __init__(
@@ -173,6 +176,7 @@
         leaving: tuple[tuple[str, int], ...] = (),
         unreached: tuple[str, ...] = (),
         routes_version: int = 0,
+        observed: tuple[Observed, ...] = (),
     ) -> None:
         super().__init__(at=at)
         self.sender = sender
@@ -190,6 +194,7 @@
         self.leaving = tuple(leaving)
         self.unreached = tuple(unreached)
         self.routes_version = routes_version
+        self.observed = tuple(observed)
 
 
 class ForwardArrived(Event):
--- a/src/wasabiwick/_handlers/estimates.py
+++ b/src/wasabiwick/_handlers/estimates.py
@@ -1,64 +1,48 @@
 """Estimates, by service, the length of generations and the speed of prefill and decode.
 
-Each host learns from the requests that it serves itself. The priors (``PRIOR_*``) apply before
-any request was seen. They assume streams of a size at which an engine can use all of its slots.
+All hosts estimate from what they measured together (`observations`). The priors (``PRIOR_*``) apply
+before any request was seen. They assume streams of some seconds, and prompts of a size at which an
+engine can use most of its slots.
 """
 
 from .._forwarding import Ask, ServiceTraits
+from .._observed import Observed
 from .._settings import Settings
 from .._state import State, state_slice
-from . import routes
+from . import observations, routes
 from .memory import OVERDUE_TIME_S
-from .predict import IntervalModel, MovingAverage, Rate
+from .predict import MovingAverage
 
 PRIOR_OUTPUT_SHARE = 0.4  # Expected output as a share of the longest allowed.
 # Seconds between two events of a stream; engines send one for every `EngineTraits.stride` tokens.
 PRIOR_EVENT_INTERVAL_S = 0.048
+PRIOR_STREAM_S = 3.0  # Seconds from a stream's first event to its last.
 PRIOR_PROMPT_SLOT_SHARE = 0.85  # Mean prompt as a share of an engine's memory per slot.
-PRIOR_OUTPUT_SLOT_SHARE = 0.25  # Mean output as a share of an engine's memory per slot.
 PRIOR_PREFILL_RATE = 25_000.0  # Prompt tokens per second of a prefill engine.
 PRIOR_PREFILL_BASE_S = 0.08  # Part of a prefill's time that does not depend on prompt length.
+PRIOR_REQUESTS = 10.0  # Requests that weigh as much as the priors of sizes.
+PRIOR_STREAMED_S = 1.0  # Seconds of a stream that weigh as much as the prior of its rate.
+# Prompts, in tokens, of the prefills that stand for the prior, and the weight of each.
+PRIOR_PREFILLS = (0, 500)
+PRIOR_PREFILL_WEIGHT = 1.0
 # Streams with fewer events than this do not count in the token rate. They look too fast, as their
 # first events arrive together.
 MIN_TIMED_EVENTS = 10
-RATE_SPAN_TOKENS = 2_000  # Difference in prompt length over which the prefill rate is computed.
-# Factor by which the prefill rate may differ from its prior. The rate is learned from few prefills,
-# as only those that run alone are timed.
-PREFILL_RATE_RANGE = 1.5
-
-
-class ServiceEstimates:
-    """Estimates for one service; ``prompt`` and ``output`` are None before any request was seen."""
-
-    __slots__ = ("prompt", "output", "token_rate", "prefill_model")
-
-    def __init__(self, *, stride: int) -> None:
-        self.prompt: MovingAverage | None = None
-        self.output: MovingAverage | None = None
-        self.token_rate = Rate(stride / PRIOR_EVENT_INTERVAL_S)
-        self.prefill_model = IntervalModel(base=PRIOR_PREFILL_BASE_S, slope=1 / PRIOR_PREFILL_RATE)
+# Factor by which the prefill rate may differ from its prior. Prompts that seem to run alone may
+# share their engine with those of a host not heard yet.
+PREFILL_RATE_RANGE = 2.5
 
 
 @state_slice("estimates")
 class EstimatesState:
-    """Estimates by service, and by route the mean output as a share of the longest allowed."""
+    """By route, the mean output as a share of the longest allowed."""
 
-    __slots__ = ("services", "outputs")
+    __slots__ = ("outputs",)
 
     def __init__(self, cfg: Settings) -> None:
-        self.services: dict[str, ServiceEstimates] = {}
         self.outputs: dict[str, MovingAverage] = {}
 
 
-def _estimates_of(state: State, service: str) -> ServiceEstimates:
-    services = state["estimates"].services
-    if service not in services:
-        traits = routes.service(state, service)
-        known = traits is not None and traits.engine is not None
-        services[service] = ServiceEstimates(stride=traits.engine.stride if known else 1)
-    return services[service]
-
-
 def expected_output(state: State, route: str, ask: Ask) -> int:
     """Return the expected output of a generation, in tokens."""
     if ask.length_hint:
@@ -99,47 +83,69 @@
 
 def mean_sizes(state: State, service: ServiceTraits) -> tuple[float, float]:
     """Return the mean prompt and output of a service's generations, in tokens."""
-    service_estimates = _estimates_of(state, service.name)
     slot_memory = service.engine.memory_tokens / service.engine.slots
-    return (
-        (
-            service_estimates.prompt.value
-            if service_estimates.prompt
-            else PRIOR_PROMPT_SLOT_SHARE * slot_memory
-        ),
-        (
-            service_estimates.output.value
-            if service_estimates.output
-            else PRIOR_OUTPUT_SLOT_SHARE * slot_memory
-        ),
-    )
+    seen = observations.pooled(state, service.name)
+    prompt = PRIOR_REQUESTS * PRIOR_PROMPT_SLOT_SHARE * slot_memory + seen.prompt_tokens
+    output = PRIOR_REQUESTS * PRIOR_STREAM_S * _prior_token_rate(service) + seen.output_tokens
+    requests = PRIOR_REQUESTS + seen.requests
+    return prompt / requests, output / requests
+
+
+def _prior_token_rate(service: ServiceTraits) -> float:
+    return service.engine.stride / PRIOR_EVENT_INTERVAL_S
 
 
-def token_rate(state: State, service: str) -> float:
+def token_rate(state: State, name: str) -> float:
     """Return the output tokens per second of a stream."""
-    return _estimates_of(state, service).token_rate.per_second
+    service = routes.service(state, name)
+    known = service is not None and service.engine is not None
+    prior = _prior_token_rate(service) if known else 1 / PRIOR_EVENT_INTERVAL_S
+    seen = observations.pooled(state, name)
+    tokens = PRIOR_STREAMED_S * prior + seen.streamed_tokens
+    return tokens / (PRIOR_STREAMED_S + seen.streamed_seconds)
 
 
 def prefill_rate(state: State, service: str) -> float:
-    """Return the prompt tokens per second of a prefill engine."""
-    model = _estimates_of(state, service).prefill_model
-    span_seconds = model.at(2 * RATE_SPAN_TOKENS) - model.at(RATE_SPAN_TOKENS)
-    prior_seconds = RATE_SPAN_TOKENS / PRIOR_PREFILL_RATE
-    return RATE_SPAN_TOKENS / min(
-        PREFILL_RATE_RANGE * prior_seconds, max(prior_seconds / PREFILL_RATE_RANGE, span_seconds)
+    """Return the prompt tokens per second of a prefill engine.
+
+    It is the slope of a line through prefills, as each also takes a time that its prompt does not
+    change.
+    """
+    seen = observations.pooled(state, service)
+    for tokens in PRIOR_PREFILLS:
+        seconds = PRIOR_PREFILL_BASE_S + tokens / PRIOR_PREFILL_RATE
+        seen.add(_prefill(service, tokens, seconds), PRIOR_PREFILL_WEIGHT)
+    mean_tokens = seen.prefill_tokens / seen.prefills
+    variance = seen.prefill_tokens_squared / seen.prefills - mean_tokens**2
+    mean_seconds = seen.prefill_seconds / seen.prefills
+    covariance = seen.prefill_products / seen.prefills - mean_tokens * mean_seconds
+    most = PREFILL_RATE_RANGE * PRIOR_PREFILL_RATE
+    least = PRIOR_PREFILL_RATE / PREFILL_RATE_RANGE
+    return max(least, variance / max(variance / most, covariance))
+
+
+def _prefill(service: str, tokens: int, seconds: float) -> Observed:
+    return Observed(
+        service=service,
+        prefills=1.0,
+        prefill_tokens=tokens,
+        prefill_seconds=seconds,
+        prefill_tokens_squared=tokens**2,
+        prefill_products=tokens * seconds,
     )
 
 
-def observe_sizes(state: State, service: ServiceTraits, route: str, ask: Ask) -> None:
+def observe_sizes(state: State, service: ServiceTraits, route: str, ask: Ask, at: float) -> None:
     """Learn sizes when a request arrives; learning at its end would favour short streams."""
-    service_estimates = _estimates_of(state, service.name)
-    prompt, output = mean_sizes(state, service)
     expected = expected_output(state, route, ask)
     if ask.prompt_tokens and expected:
-        service_estimates.prompt = service_estimates.prompt or MovingAverage(prompt)
-        service_estimates.output = service_estimates.output or MovingAverage(output)
-        service_estimates.prompt.observe(ask.prompt_tokens)
-        service_estimates.output.observe(expected)
+        measured = Observed(
+            service=service.name,
+            requests=1.0,
+            prompt_tokens=ask.prompt_tokens,
+            output_tokens=expected,
+        )
+        observations.observe(state, measured, at)
 
 
 def observe_output(state: State, route: str, ask: Ask, tokens: int) -> None:
@@ -149,7 +155,9 @@
         mean_share.observe(min(1.0, tokens / ask.max_tokens))
 
 
-def observe_token_rate(state: State, service: ServiceTraits, events: int, seconds: float) -> None:
+def observe_token_rate(
+    state: State, service: ServiceTraits, events: int, seconds: float, at: float
+) -> None:
     """Learn the token rate from a stream that ended.
 
     Args:
@@ -157,13 +165,18 @@
         service: The service that generated it.
         events: Events that the engine generated.
         seconds: Time from the stream's first event to its last.
+        at: Monotonic time.
     """
-    if events >= MIN_TIMED_EVENTS:
-        rate = _estimates_of(state, service.name).token_rate
-        rate.observe(events * service.engine.stride, seconds)
+    if events >= MIN_TIMED_EVENTS and seconds > 0.0:
+        measured = Observed(
+            service=service.name,
+            streamed_tokens=events * service.engine.stride,
+            streamed_seconds=seconds,
+        )
+        observations.observe(state, measured, at)
 
 
-def observe_prefill(state: State, service: str, tokens: int, seconds: float) -> None:
+def observe_prefill(state: State, service: str, tokens: int, seconds: float, at: float) -> None:
     """Learn the prefill rate from a prompt that was the only one at its engine.
 
     Args:
@@ -171,5 +184,7 @@
         service: Name of the service.
         tokens: Tokens of the prompt.
         seconds: Time from sending the prompt to the answer.
+        at: Monotonic time.
     """
-    _estimates_of(state, service).prefill_model.observe(tokens, seconds)
+    if tokens > 0 and seconds > 0.0:
+        observations.observe(state, _prefill(service, tokens, seconds), at)
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -71,7 +71,7 @@
     """Queue a generation for a place; refuse it if its prompt exceeds an engine's memory."""
     service = routes.service(state, req.service)
     traits = service.engine
-    estimates.observe_sizes(state, service, req.route.name, req.ask)
+    estimates.observe_sizes(state, service, req.route.name, req.ask, at)
     if req.ask.prompt_tokens + 1 > traits.memory_tokens:
         yield from forwarding.refuse_call(
             state, req, at, OVERLOADED, detail="the prompt is larger than an engine's memory"
@@ -232,8 +232,11 @@
     health.record_success(state, event.endpoint)
     yield Count(metric="prefills", label="done")
     yield Observe(metric="prefill_time", value=event.at - req.sent_at)
-    if req.prefilled_alone:
-        estimates.observe_prefill(state, req.service, req.ask.prompt_tokens, event.at - req.sent_at)
+    # Prompts that other hosts sent meanwhile slow a prefill down as well.
+    if req.prefilled_alone and not places.load(state, event.endpoint, event.at).reading:
+        estimates.observe_prefill(
+            state, req.service, req.ask.prompt_tokens, event.at - req.sent_at, event.at
+        )
     req.handle = event.handle
     yield from _send(state, req, event.at)
 
@@ -430,7 +433,8 @@
     if traits is None or traits.engine is None:
         return
     new_events = req.events - req.begun_events
-    estimates.observe_token_rate(state, traits, new_events, event.at - req.begun_at)
+    seconds = event.at - req.begun_at
+    estimates.observe_token_rate(state, traits, new_events, seconds, event.at)
     if not req.ask.resumed:
         tokens = req.events * traits.engine.stride
         estimates.observe_output(state, req.route.name, req.ask, tokens)
--- a/src/wasabiwick/_handlers/neighbours.py
+++ b/src/wasabiwick/_handlers/neighbours.py
@@ -30,7 +30,16 @@
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
-from . import builds, crashing_parts, departures, directory, endpoint_limits, reach, routes
+from . import (
+    builds,
+    crashing_parts,
+    departures,
+    directory,
+    endpoint_limits,
+    observations,
+    reach,
+    routes,
+)
 
 SEND_INTERVAL = 1.0  # Seconds between datagrams of a host whose load does not change.
 BATCH_DELAY = 0.01  # Seconds for which changes are collected into one datagram.
@@ -302,6 +311,7 @@
             leaving=departures.told(state, at),
             unreached=reach.services_in_doubt(state),
             routes_version=routes.version(state),
+            observed=observations.take_told(state, at),
         )
         if builds.has_untold(state) or crashing_parts.has_untold(state):
             yield from send_soon(state, at)
--- a/src/wasabiwick/_handlers/stages.py
+++ b/src/wasabiwick/_handlers/stages.py
@@ -2,8 +2,8 @@
 
 Load pattern handled: traffic whose prompts and outputs don't match the stages that engines started
 with, so that one kind of engine is full while the other idles. The target is the split that serves
-the highest rate of streams; it is approached one engine at a time, and only for a clear gain, since
-an engine serves no requests while it changes its stage.
+the highest rate of streams; it is approached by few engines at a time, and only for a clear gain,
+since an engine serves no requests while it changes its stage.
 
 One host at a time sends orders. A host claims that right in a log, which accepts a claim only from
 a host that has read the last one. The holder of the claim sends its order at once, and other hosts
@@ -37,6 +37,8 @@
 MIN_GAIN = 0.15
 # Time between a host's orders, as a delayed order may be carried out 12 s after it was sent.
 ORDER_PAUSE_S = 12.0
+# One engine of so many may change its stage at once; each serves nothing for seconds meanwhile.
+ENGINES_PER_CHANGE = 6
 # Engines kept in each stage if a service has enough of them, as one may be lost.
 MIN_PER_STAGE = 2
 CLAIM_TERM_S = 2.0  # Time after sending a claim in which a host may send an order under it.
@@ -95,16 +97,19 @@
     return min(decode_stream_rate, prefill * estimates.prefill_rate(state, service.name) / prompt)
 
 
-def next_change(state: State, service: ServiceTraits, at: float) -> StageChange | None:
-    """Return the stage change that brings a service closer to its best split, or None."""
+def next_changes(state: State, service: ServiceTraits, at: float) -> list[StageChange]:
+    """Return the stage changes that bring a service closer to its best split.
+
+    In a large service several engines change at once, as orders are rare.
+    """
     engines = directory.usable_endpoints(state, service.name)
     if any(directory.is_busy(state, one.name, at) for one in engines):
-        return None
+        return []
     prefill = [one for one in engines if one.stage == PREFILL]
     decode = [one for one in engines if one.stage == DECODE]
     engine_count = len(prefill) + len(decode)
     if not prefill or not decode or engine_count < 3:
-        return None
+        return []
     current_rate = stream_rate(state, service, len(prefill), len(decode))
     min_per_stage = MIN_PER_STAGE if engine_count >= 2 * MIN_PER_STAGE + 1 else 1
     best_prefill_count = max(
@@ -115,16 +120,34 @@
         stream_rate(state, service, best_prefill_count, engine_count - best_prefill_count)
         < (1.0 + MIN_GAIN) * current_rate
     ):
-        return None
-    if best_prefill_count < len(prefill):
-        donors, stage = prefill, DECODE
-    else:
-        donors, stage = _spare_decode_engines(decode), PREFILL
+        return []
+    wanted = abs(best_prefill_count - len(prefill))
+    most = max(1, engine_count // ENGINES_PER_CHANGE)
+    stage = DECODE if best_prefill_count < len(prefill) else PREFILL
+    staying = prefill if stage == DECODE else decode
+    changes: list[StageChange] = []
+    while len(changes) < min(wanted, most):
+        donor = _choose_donor(state, staying, stage, at)
+        if donor is None:
+            break
+        staying.remove(donor)
+        changes.append(StageChange(endpoint=donor, stage=stage, service=service.name))
+    return changes
+
+
+def _choose_donor(state: State, engines: list[Endpoint], stage: str, at: float) -> Endpoint | None:
+    """Return the engine that is to change its stage, or None if none may.
+
+    Args:
+        state: The host's state.
+        engines: Engines of the other stage.
+        stage: The stage that it is to get.
+        at: Monotonic time.
+    """
+    donors = engines if stage == DECODE else _spare_decode_engines(engines)
     donors = [one for one in donors if not pauses.is_paused(state, one.name, at)]
-    if not donors:
-        return None
-    donors_in_zone = {one.zone: sum(other.zone == one.zone for other in donors) for one in donors}
-    donor = min(
+    donors_in_zone = collections.Counter(one.zone for one in donors)
+    return min(
         donors,
         key=lambda one: (
             -donors_in_zone[one.zone],
@@ -132,8 +155,8 @@
             places.load(state, one.name, at).reading,
             one.name,
         ),
+        default=None,
     )
-    return StageChange(endpoint=donor, stage=stage, service=service.name)
 
 
 def _spare_decode_engines(engines: list[Endpoint]) -> list[Endpoint]:
@@ -142,13 +165,13 @@
     return [one for one in engines if counts[one.build] > 1]
 
 
-def _next_order(state: State, at: float) -> StageChange | None:
+def _next_orders(state: State, at: float) -> list[StageChange]:
     for service in state["routes"].services.values():
         if service.engine is not None and _is_settled(state, service.name, at):
-            stage_change = next_change(state, service, at)
-            if stage_change:
-                return stage_change
-    return None
+            stage_changes = next_changes(state, service, at)
+            if stage_changes:
+                return stage_changes
+    return []
 
 
 def _is_settled(state: State, service: str, at: float) -> bool:
@@ -188,13 +211,13 @@
 def review_stages(state: State, event: TimerFired) -> typing.Iterator[Step]:
     """Read the claims if an engine should change its stage and this host may order that."""
     yield StartTimer(timer="stages", delay=REVIEW_INTERVAL_S)
-    stage_change = _next_order(state, event.at)
+    stage_changes = _next_orders(state, event.at)
     is_paused = event.at - state["stages"].ordered_at < ORDER_PAUSE_S
     if (
-        stage_change
+        stage_changes
         and not is_paused
         and directory.is_source_up(state)
-        and _is_first_host(state, stage_change.service, event.at)
+        and _is_first_host(state, stage_changes[0].service, event.at)
     ):
         yield ReadClaims()
 
@@ -223,25 +246,30 @@
 
 @handles(ClaimAnswered)
 def claim_answered(state: State, event: ClaimAnswered) -> typing.Iterator[Step]:
-    """Send the order at once if the claim was accepted and did not take too long."""
+    """Send the orders at once if the claim was accepted and did not take too long.
+
+    Each is to another engine, so that all may bear the claim's fencing number.
+    """
     stages_state = state["stages"]
-    stage_change = _next_order(state, event.at)
-    if (
-        event.offset < 0
-        or event.at - stages_state.claimed_at > CLAIM_TERM_S
-        or stage_change is None
-    ):
+    stage_changes = _next_orders(state, event.at)
+    if event.offset < 0 or event.at - stages_state.claimed_at > CLAIM_TERM_S or not stage_changes:
         yield LogLine(event="claim_unused", fields={"offset": event.offset})
         return
     stages_state.ordered_at = event.at
+    for stage_change in stage_changes:
+        yield from _order(state, stage_change, event.offset + 1, event.at)
+    yield from neighbours.send_now(state, event.at)
+
+
+def _order(state: State, stage_change: StageChange, fence: int, at: float) -> typing.Iterator[Step]:
     service = routes.service(state, stage_change.service)
-    busy_until = event.at + service.engine.switch_time + SWITCH_SLACK_S
+    busy_until = at + service.engine.switch_time + SWITCH_SLACK_S
     directory.set_busy(state, stage_change.endpoint.name, busy_until)
     prompt, output = estimates.mean_sizes(state, service)
     fields = {
         "endpoint": stage_change.endpoint.name,
         "stage": stage_change.stage,
-        "fence": event.offset + 1,
+        "fence": fence,
         "prompt": prompt,
         "output": output,
         "read_rate": estimates.prefill_rate(state, service.name),
@@ -254,9 +282,8 @@
         address=stage_change.endpoint.address,
         stage=stage_change.stage,
         holder=state.owner.host,
-        fence=event.offset + 1,
+        fence=fence,
     )
-    yield from neighbours.send_now(state, event.at)
 
 
 @handles(StageAnswered)
--- a/tests/_forward.py
+++ b/tests/_forward.py
@@ -247,6 +247,7 @@
             leaving=told.leaving,
             unreached=told.unreached,
             routes_version=told.routes_version,
+            observed=told.observed,
             stopping=told.stopping,
         )
 
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -72,7 +72,7 @@
 
     def test_two_engines_of_each_stage_remain(self) -> None:
         host = Host(endpoints=SPLIT[2:])
-        estimates.observe_prefill(host.state, MODEL, 1, 1.0)
+        estimates.observe_prefill(host.state, MODEL, 1, 1.0, host.now)
         for _ in range(3):
             for one in self.order(host):
                 self.assertNotEqual(one.stage, DECODE)
@@ -87,7 +87,7 @@
         for decode in (olds + news, olds[:1] + news):
             host = Host(endpoints=(*prefill, *decode))
             for _ in range(50):
-                estimates.observe_prefill(host.state, MODEL, 3_000, 1.0)
+                estimates.observe_prefill(host.state, MODEL, 3_000, 1.0, host.now)
             ordered += [one.endpoint for one in self.order(host)]
         self.assertEqual(len(ordered), 2)
         self.assertEqual(ordered[0], "d0")
