Require the attempt identifier of any answer on a used connection

Cause: an error without the identifier was taken for the answer to whatever had been sent last, so a late copy of one could reach the next caller; the check was made for refusals only. Change: one check for all answers: without the identifier, an answer counts only on a connection that carried nothing before, and only if it began after the whole request was handed to the network.

--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -262,7 +262,6 @@
             self._note_signs(effect.endpoint, conn, sent_at)
             _check_attempt_id(conn, _attempt_id(exchange))
             _check_seal(conn)
-            _check_refusal(conn)
             return EndpointAnswer(pool=self._pool, effect=effect, conn=conn)
         except BrokenAnswerError as exc:
             conn.close()
@@ -353,14 +352,17 @@
 
 
 def _check_attempt_id(conn: Connection, expected: bytes) -> None:
-    """Check that an answer carries its request's attempt identifier; only an error may lack it.
+    """Check that an answer carries its request's attempt identifier.
+
+    Only an error may lack it, and only if it can't have been written before the request had come.
 
     Raises:
-        BrokenAnswerError: If the answer has another identifier, or is a success without one.
+        BrokenAnswerError: If the answer may be that to another request.
     """
     received = conn.header(_names.ATTEMPT_ID).encode("latin-1")
-    success = 200 <= conn.status < 300
-    if received != expected and (received or success):
+    is_success = 200 <= conn.status < 300
+    may_be_older = conn.is_reused or conn.is_early
+    if received != expected and (received or is_success or may_be_older):
         raise BrokenAnswerError("the answer does not carry the attempt identifier of its request")
 
 
@@ -369,18 +371,6 @@
     return conn.status == MISDIRECTED or bool(conn.header(_names.NOT_EXECUTED))
 
 
-def _check_refusal(conn: Connection) -> None:
-    """Check that a refusal is the answer to the request that was sent.
-
-    Raises:
-        BrokenAnswerError: If it bears no attempt identifier, and may have been written earlier, for
-            another request or before this one had arrived.
-    """
-    is_named = bool(conn.header(_names.ATTEMPT_ID))
-    if _is_refusal(conn) and not is_named and (conn.is_reused or conn.is_early):
-        raise BrokenAnswerError("a refusal names no attempt and may be older than the request")
-
-
 def _check_seal(conn: Connection) -> None:
     """Check that a successful answer has the seal, a header that the platform's endpoints add.
 
