Let two hosts of a zone read the store for the others

Cause: each host followed three topics by itself, 1.5 calls a second; most returned what changed nothing.

Change: two hosts of a zone, by rendezvous hash over the hosts heard, read and tell the others what is new, and within 0.4 of the time of silence that nothing is. A host reads for itself at a gap, at a record too large for a datagram, at another era, or after a silence (0.4 of the shorter of the times within which an endpoint's leaving and a configuration have to apply). Zones of under four hosts read as before. Pauses follow those times too. Loads go to hosts of other zones every 1.6 s in a fleet of a dozen hosts; what all have to know at once still goes to all at once. The feed is generic and moved out of platform/, which shrinks by 120 lines.

--- a/src/wasabiwick/_adapters/_datagrams.py
+++ b/src/wasabiwick/_adapters/_datagrams.py
@@ -25,7 +25,9 @@
 )
 from .._logging import log_event
 from .._observed import ObservedRow, decode_observed, encode_observed
+from .._read_turns import ToldPage
 from .._runner import Runner
+from .._topics import KeyedRecord
 from .._wire import Owner
 
 
@@ -82,9 +84,19 @@
     wait: float
 
 
+class FeedNews(msgspec.Struct, tag="feed"):
+    """What a host read of a topic (`ToldPage`); a record is its key, value and offset."""
+
+    feed: str
+    era: int
+    after: int
+    upto: int
+    records: list[tuple[str, bytes | None, int]] | None = None
+
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(LoadDatagram)
-_PERMIT_DECODER = msgspec.msgpack.Decoder(PermitQuestion | PermitReply)
+_TAGGED_DECODER = msgspec.msgpack.Decoder(PermitQuestion | PermitReply | FeedNews)
 # A load is sent as an array, and all else as a small map, which its first byte shows.
 MAP_MASK, SMALL_MAP = 0xF0, 0x80
 
@@ -172,6 +184,22 @@
         reply = PermitReply(call=effect.call_id, number=effect.number, wait=effect.wait)
         self._send(effect.address, _ENCODER.encode(reply))
 
+    def send_page(self, addresses: tuple[str, ...], page: ToldPage) -> None:
+        """Tell other hosts what this one read of the store."""
+        records = page.records
+        news = FeedNews(
+            feed=page.feed,
+            era=page.era,
+            after=page.after,
+            upto=page.upto,
+            records=(
+                None if records is None else [(one.key, one.value, one.offset) for one in records]
+            ),
+        )
+        data = _ENCODER.encode(news)
+        for address in addresses:
+            self._send(address, data)
+
     def _send(self, address: str, data: bytes) -> None:
         host, _, port = address.rpartition(":")
         self._transport.sendto(data, (host, int(port)))
@@ -180,7 +208,11 @@
         """Post a datagram as an event; one that can't be decoded is logged and dropped."""
         try:
             if data and data[0] & MAP_MASK == SMALL_MAP:
-                self._post_permit(_PERMIT_DECODER.decode(data))
+                datagram = _TAGGED_DECODER.decode(data)
+                if isinstance(datagram, FeedNews):
+                    self._runner.ports.turns.deliver(_told_page(datagram))
+                else:
+                    self._post_permit(datagram)
             else:
                 self._post_load(_DECODER.decode(data))
         except msgspec.MsgspecError as exc:
@@ -246,3 +278,20 @@
         """Stop receiving datagrams."""
         if self._transport is not None:
             self._transport.close()
+
+
+def _told_page(news: FeedNews) -> ToldPage:
+    records = news.records
+    return ToldPage(
+        feed=news.feed,
+        era=news.era,
+        after=news.after,
+        upto=news.upto,
+        records=(
+            None
+            if records is None
+            else tuple(
+                KeyedRecord(key=key, value=value, offset=offset) for key, value, offset in records
+            )
+        ),
+    )
--- a/src/wasabiwick/_effects_forwarding.py
+++ b/src/wasabiwick/_effects_forwarding.py
@@ -247,6 +247,19 @@
         self.observed = tuple(observed)
 
 
+class SetReadTurn(Effect):
+    """Read the platform's store at this host's own pace, or listen to hosts that do.
+
+    ``addresses`` are those of the hosts that it tells what it reads.
+    """
+
+    __slots__ = ("reads", "addresses")
+
+    def __init__(self, *, reads: bool, addresses: tuple[str, ...]) -> None:
+        self.reads = reads
+        self.addresses = tuple(addresses)
+
+
 class AskPermit(ForwardEffect):
     """Ask another host whether a call may be sent to an endpoint that has a limit.
 
--- /dev/null
+++ b/src/wasabiwick/_feed.py
@@ -0,0 +1,169 @@
+"""Follows a topic of the platform's store, and posts what changes as events."""
+
+import asyncio
+import random
+import typing
+
+from ._events import Event, FeedChanged
+from ._logging import log_event, log_exception
+from ._read_turns import ToldPage
+from ._runner import Runner
+from ._topics import HistoryLostError, KeyedRecord, Page, StoreError, Topics
+
+FIRST_RETRY_S = 0.1  # Delay after the first failed read; doubled at each failure, and jittered.
+# Longest delay after a failed read, short compared to the time within which a configuration has to
+# apply.
+MAX_RETRY_S = 1.0
+
+PageDecoder = typing.Callable[[float, Page, bool], Event | None]
+
+
+class Feed:
+    """Follows one topic, a log of keyed records: reads each key's newest record, then later ones.
+
+    Where other hosts read for this one (`ReadTurns`), what they tell is applied like what it reads.
+    Once the store was restored from a copy, offsets begin anew, so all is read again.
+
+    Args:
+        store: Client of the store.
+        name: Name of the feed in events and log lines.
+        topic: Name of the topic.
+        decode: Function that converts a page of records to an event, or to None if there is none.
+            Its arguments are the monotonic time in seconds, the page, and whether the page has the
+            newest record of every key.
+        wait: Longest duration of a long poll, in seconds.
+        pause: Delay between two reads, in seconds.
+        content: Function that returns what of a record is told to other hosts once it changes.
+    """
+
+    __slots__ = (
+        "_store",
+        "_name",
+        "_topic",
+        "_decode",
+        "_wait",
+        "_pause",
+        "_content",
+        "_contents",
+        "_up",
+    )
+
+    def __init__(
+        self,
+        *,
+        store: Topics,
+        name: str,
+        topic: str,
+        decode: PageDecoder,
+        wait: float,
+        pause: float = 0.0,
+        content: typing.Callable[[KeyedRecord], object] = lambda record: record.offset,
+    ) -> None:
+        self._store = store
+        self._name = name
+        self._topic = topic
+        self._decode = decode
+        self._wait = wait
+        self._pause = pause
+        self._content = content
+        self._contents: dict[str, object] = {}
+        self._up = True
+
+    async def run(self, runner: Runner) -> None:
+        """Follow the topic until cancelled; failed reads are retried."""
+        position: int | None = None
+        era = 0
+        retry = FIRST_RETRY_S
+        turns = runner.ports.turns
+        while True:
+            told = None
+            if position is not None:
+                told = await turns.next_page(self._name, self._pause if self._up else 0.0)
+            if told is not None and told.follows(position, era):
+                self._set_connected(runner, True)
+                if told.upto > position:
+                    position = told.upto
+                    self._post(runner, Page(records=told.records, next=position, era=era), False)
+                continue
+            try:
+                has_all_keys = position is None
+                # The first read after a failure does not wait, so missed changes apply at once.
+                is_poll = self._up and told is None and turns.reads
+                page = await self._read_telling(
+                    runner, position, era, self._wait if is_poll else 0.0
+                )
+            except HistoryLostError as exc:
+                log_event("history_lost", feed=self._name, error=str(exc))
+                position = None
+                await asyncio.sleep(FIRST_RETRY_S)
+                continue
+            except StoreError as exc:
+                self._set_connected(runner, False, str(exc))
+                await asyncio.sleep(retry * random.uniform(0.5, 1.0))
+                retry = min(MAX_RETRY_S, 2 * retry)
+                continue
+            retry = FIRST_RETRY_S
+            is_current = page.era == (self._store.era or 0)
+            if not is_current or (position is not None and page.era != era):
+                log_event("feed_begins_again", feed=self._name, era=page.era)
+                position = None
+                continue
+            news = self._news(page, position)
+            position, era = page.next, page.era
+            self._set_connected(runner, True)
+            self._post(runner, page, has_all_keys)
+            if news is not None and turns.addresses:
+                runner.ports.datagrams.send_page(turns.addresses, news)
+
+    async def _read_telling(
+        self, runner: Runner, position: int | None, era: int, wait: float
+    ) -> Page:
+        """Read a page; meanwhile, tell the hosts that rely on this one that nothing is new."""
+        reading = asyncio.ensure_future(self._read_page(position, wait))
+        turns = runner.ports.turns
+        try:
+            while position is not None and turns.tell_interval is not None:
+                done, _ = await asyncio.wait({reading}, timeout=turns.tell_interval)
+                if done:
+                    break
+                unchanged = ToldPage(
+                    feed=self._name, era=era, after=position, upto=position, records=()
+                )
+                runner.ports.datagrams.send_page(turns.addresses, unchanged)
+            return await reading
+        finally:
+            reading.cancel()
+
+    def _news(self, page: Page, after: int | None) -> ToldPage | None:
+        """Return what a page says that is new, to be told to other hosts; None for a first page."""
+        new = []
+        for record in page.records:
+            content = self._content(record)
+            if record.key not in self._contents or self._contents[record.key] != content:
+                self._contents[record.key] = content
+                new.append(record)
+        if after is None:
+            return None
+        return ToldPage(
+            feed=self._name, era=page.era, after=after, upto=page.next, records=tuple(new)
+        ).fitting()
+
+    def _post(self, runner: Runner, page: Page, has_all_keys: bool) -> None:
+        try:
+            event = self._decode(runner.now(), page, has_all_keys)
+        except Exception as exc:  # noqa: BLE001 - logged with its traceback
+            # A page that can't be decoded must not end the feed, which the host can't do without.
+            log_exception("page_unreadable", exc, feed=self._name)
+            return
+        if event is not None:
+            runner.post(event)
+
+    async def _read_page(self, position: int | None, wait: float) -> Page:
+        if position is None:
+            return await self._store.newest(self._topic)
+        return await self._store.read(self._topic, position, wait)
+
+    def _set_connected(self, runner: Runner, up: bool, why: str = "") -> None:
+        if up != self._up:
+            self._up = up
+            runner.post(FeedChanged(at=runner.now(), feed=self._name, up=up, why=why))
--- a/src/wasabiwick/_forward_daemon.py
+++ b/src/wasabiwick/_forward_daemon.py
@@ -18,6 +18,7 @@
 from ._hop_entry import HopEntry
 from ._logging import keep_flushing, log_event
 from ._ports import Dialect, Endpoints, HostRegister
+from ._read_turns import ReadTurns
 from ._runner import Ports, Runner
 from ._settings import Settings
 from ._wire import Owner
@@ -102,6 +103,7 @@
             datagrams=self._datagrams,
             register=deployment.register,
             hops=self._hops,
+            turns=ReadTurns(cfg.forwarding.read_silence),
         )
         owner = Owner(host=cfg.host, incarnation=secrets.token_hex(INCARNATION_BYTES))
         self.runner = Runner(cfg=cfg, ports=ports, owner=owner, seed=secrets.randbits(SEED_BITS))
--- a/src/wasabiwick/_handlers/neighbours.py
+++ b/src/wasabiwick/_handlers/neighbours.py
@@ -6,7 +6,9 @@
 
 Load pattern handled: in a large fleet each host serves few requests but is sent the load of all
 others. There, a host sends its load soon only after a change by a generation, which uses memory for
-seconds. Most short requests have ended before another host could use the news. Each host limits its
+seconds. Most short requests have ended before another host could use the news. Hosts of other zones
+are told loads more seldom, as they use the engines of their own zone first; what all hosts have to
+know at once, such as an endpoint that leaves, is news and goes to all of them. Each host limits its
 own sending rate so that the rate at which any host receives stays bounded, whatever the size of the
 fleet.
 """
@@ -42,6 +44,9 @@
 )
 
 SEND_INTERVAL = 1.0  # Seconds between datagrams of a host whose load does not change.
+# Seconds between datagrams to hosts of other zones in a large fleet, unless there is news for all.
+# Two of them fit into `SILENT_AFTER`, as one may be lost.
+FAR_SEND_INTERVAL = 1.6
 BATCH_DELAY = 0.01  # Seconds for which changes are collected into one datagram.
 # With at least this many other hosts, changes by short requests wait for the next periodic
 # datagram.
@@ -89,15 +94,21 @@
 
 @state_slice("neighbours")
 class NeighboursState:
-    """Other hosts by name, and the state of this host's own datagrams."""
+    """Other hosts by name, and the state of this host's own datagrams.
 
-    __slots__ = ("hosts", "sequence", "send_scheduled", "told_at")
+    ``told_at`` and ``told_far_at`` are the monotonic times of the last datagram to any host, and to
+    all hosts. ``has_news`` tells whether the next one goes to all.
+    """
+
+    __slots__ = ("hosts", "sequence", "send_scheduled", "told_at", "told_far_at", "has_news")
 
     def __init__(self, cfg: Settings) -> None:
         self.hosts: dict[str, Neighbour] = {}
         self.sequence = 0
         self.send_scheduled = False
         self.told_at = 0.0
+        self.told_far_at = float("-inf")
+        self.has_news = False
 
 
 LoadSource = typing.Callable[[State], dict[str, EndpointLoad]]
@@ -115,6 +126,20 @@
     return [one for one in state["neighbours"].hosts.values() if at - one.heard < SILENT_AFTER]
 
 
+def is_large_fleet(state: State) -> bool:
+    """Return whether there are so many hosts that news of their load come late."""
+    return len(state["neighbours"].hosts) >= LARGE_FLEET_HOSTS
+
+
+def live_in_zone(state: State, at: float) -> dict[str, Neighbour]:
+    """Return the other hosts of this host's zone that are heard, by name."""
+    return {
+        name: one
+        for name, one in state["neighbours"].hosts.items()
+        if one.zone == state.zone and at - one.heard < SILENT_AFTER
+    }
+
+
 def live_names(state: State, at: float) -> list[str]:
     """Return the names of the other hosts that are heard and are not stopping."""
     hosts = state["neighbours"].hosts
@@ -228,7 +253,7 @@
             directory.set_busy(state, endpoint, event.at + seconds)
     if neighbour.loads != event.loads:
         neighbour.loads = event.loads
-        if len(hosts) < LARGE_FLEET_HOSTS:
+        if not is_large_fleet(state):
             # In a large fleet, waiting calls get places at the next check of their queue.
             yield PlacesChanged(at=event.at)
 
@@ -236,8 +261,8 @@
 @handles(LoadChanged)
 def load_changed(state: State, event: LoadChanged) -> typing.Iterator[Step]:
     """Send the load soon; in a large fleet, only if a generation changed it."""
-    if event.of_stream or len(state["neighbours"].hosts) < LARGE_FLEET_HOSTS:
-        yield from send_soon(state, event.at)
+    if event.of_stream or not is_large_fleet(state):
+        yield from _schedule_send(state, event.at)
 
 
 @handles(EndpointLeaving)
@@ -254,7 +279,12 @@
 
 
 def send_soon(state: State, at: float) -> typing.Iterator[Step]:
-    """Send the load and what else is to be told, after `BATCH_DELAY` or more in a large fleet."""
+    """Send news to all hosts, after `BATCH_DELAY` or more in a large fleet."""
+    state["neighbours"].has_news = True
+    yield from _schedule_send(state, at)
+
+
+def _schedule_send(state: State, at: float) -> typing.Iterator[Step]:
     neighbours_state = state["neighbours"]
     if not neighbours_state.send_scheduled:
         neighbours_state.send_scheduled = True
@@ -279,11 +309,13 @@
             yield LogLine(event="host_forgotten", fields={"host": name})
     if event.at - neighbours_state.told_at >= SEND_INTERVAL / 2:
         yield from _send_load(state, event.at)
-    yield StartTimer(timer="tell", delay=SEND_INTERVAL)
+    delay = FAR_SEND_INTERVAL / 2 if is_large_fleet(state) else SEND_INTERVAL
+    yield StartTimer(timer="tell", delay=delay)
 
 
 def send_now(state: State, at: float) -> typing.Iterator[Step]:
     """Send the load at once, after a change that others need before they choose an endpoint."""
+    state["neighbours"].has_news = True
     yield from _send_load(state, at)
 
 
@@ -294,16 +326,25 @@
     loads: dict[str, EndpointLoad] = {}
     for source in _LOAD_SOURCES:
         loads.update(source(state))
-    addresses = tuple(one.address for one in neighbours_state.hosts.values())
+    is_for_all = _is_for_all(state, at)
+    if is_for_all:
+        neighbours_state.told_far_at = at
+        neighbours_state.has_news = False
+    addresses = tuple(
+        one.address
+        for one in neighbours_state.hosts.values()
+        if is_for_all or one.zone == state.zone
+    )
     if addresses:
-        crashes, sound = crashing_parts.take_untold(state)
+        # What is told a fixed number of times waits for a datagram to all hosts.
+        crashes, sound = crashing_parts.take_untold(state) if is_for_all else ((), ())
         yield TellLoad(
             addresses=addresses,
             sequence=neighbours_state.sequence,
             loads=loads,
             stopping=state.stopping,
             busy=directory.busy_endpoints(state, at),
-            begun=builds.take_untold(state),
+            begun=builds.take_untold(state) if is_for_all else (),
             builds=builds.mixed_services(state, at),
             crashes=crashes,
             sound=sound,
@@ -311,7 +352,18 @@
             leaving=departures.told(state, at),
             unreached=reach.services_in_doubt(state),
             routes_version=routes.version(state),
-            observed=observations.take_told(state, at),
+            observed=observations.take_told(state, at) if is_for_all else (),
         )
-        if builds.has_untold(state) or crashing_parts.has_untold(state):
+        if is_for_all and (builds.has_untold(state) or crashing_parts.has_untold(state)):
             yield from send_soon(state, at)
+
+
+def _is_for_all(state: State, at: float) -> bool:
+    """Return whether the next datagram goes to the hosts of all zones."""
+    neighbours_state = state["neighbours"]
+    return (
+        neighbours_state.has_news
+        or not is_large_fleet(state)
+        or at - neighbours_state.told_far_at >= FAR_SEND_INTERVAL - BATCH_DELAY
+        or bool(builds.mixed_services(state, at))
+    )
--- /dev/null
+++ b/src/wasabiwick/_handlers/read_turns.py
@@ -0,0 +1,71 @@
+"""Read turns: decides which hosts read the platform's store for the others of their zone.
+
+Load pattern handled: a large fleet that follows the same few topics. If every host read them,
+calls would grow with the hosts, and most would return nothing new. So two hosts of a zone read,
+found by rendezvous hashing over the hosts heard, and tell the others. Hosts need not agree: at
+times one more reads, and where none does, each host reads once all was silent for a while.
+"""
+
+import typing
+
+from .. import _rendezvous
+from .._effects import LogLine, StartTimer
+from .._effects_forwarding import SetReadTurn
+from .._events import ForwarderBooted, TimerFired
+from .._reducer import Step, handles, on_timer
+from .._settings import Settings
+from .._state import State, state_slice
+from . import neighbours
+
+REVIEW_INTERVAL_S = 0.5  # Time between two reviews of whose turn it is.
+READERS = 2  # Hosts of a zone that read; the other goes on while one is lost.
+# With fewer hosts in a zone all of them read, which costs little there.
+MIN_ZONE_HOSTS = 4
+
+
+@state_slice("read_turns")
+class ReadTurnsState:
+    """Whether this host reads, and the addresses of the hosts that it tells."""
+
+    __slots__ = ("reads", "addresses")
+
+    def __init__(self, cfg: Settings) -> None:
+        self.reads = True
+        self.addresses: tuple[str, ...] = ()
+
+
+def is_reader(state: State, zone_hosts: typing.Sequence[str]) -> bool:
+    """Return whether this host reads.
+
+    Args:
+        state: The host's state.
+        zone_hosts: Names of the other hosts of its zone that are heard.
+    """
+    if len(zone_hosts) + 1 < MIN_ZONE_HOSTS:
+        return True
+    own = state.owner.host
+    return own in _rendezvous.ranked(state.zone, [*zone_hosts, own])[:READERS]
+
+
+@handles(ForwarderBooted)
+def start_reviews(state: State, event: ForwarderBooted) -> typing.Iterator[Step]:
+    """Start the reviews; until the first one this host reads."""
+    yield StartTimer(timer="read_turns", delay=REVIEW_INTERVAL_S)
+
+
+@on_timer("read_turns")
+def review(state: State, event: TimerFired) -> typing.Iterator[Step]:
+    """Take or leave a turn as hosts come and go."""
+    yield StartTimer(timer="read_turns", delay=REVIEW_INTERVAL_S)
+    turns_state = state["read_turns"]
+    in_zone = neighbours.live_in_zone(state, event.at)
+    zone_hosts = [name for name, one in in_zone.items() if not one.stopping]
+    reads = state.stopping or is_reader(state, zone_hosts)
+    shared = len(zone_hosts) + 1 >= MIN_ZONE_HOSTS and not state.stopping
+    addresses = tuple(sorted(one.address for one in in_zone.values())) if reads and shared else ()
+    if (reads, addresses) == (turns_state.reads, turns_state.addresses):
+        return
+    if reads != turns_state.reads:
+        yield LogLine(event="read_turn", fields={"reads": reads, "zone_hosts": len(zone_hosts)})
+    turns_state.reads, turns_state.addresses = reads, addresses
+    yield SetReadTurn(reads=reads, addresses=addresses)
--- a/src/wasabiwick/_performers/forwarding.py
+++ b/src/wasabiwick/_performers/forwarding.py
@@ -17,6 +17,7 @@
     RefuseForward,
     Relay,
     SaveStreams,
+    SetReadTurn,
     TakeHold,
     TellLoad,
 )
@@ -177,6 +178,12 @@
     runner.ports.datagrams.send_load(runner.owner, runner.state.zone, effect)
 
 
+@performs(SetReadTurn)
+def set_read_turn(runner: Runner, effect: SetReadTurn) -> None:
+    """Read the store at this host's own pace, or listen to hosts that do."""
+    runner.ports.turns.set_turn(reads=effect.reads, addresses=effect.addresses)
+
+
 @performs(SaveStreams)
 def save_streams(runner: Runner, effect: SaveStreams) -> None:
     """Save this host's streams."""
--- a/src/wasabiwick/_ports/neighbours.py
+++ b/src/wasabiwick/_ports/neighbours.py
@@ -6,6 +6,7 @@
 from .._errors import Failure
 from .._forwarding import BegunStream, Findings
 from .._hosts_codec import HostRecord
+from .._read_turns import ToldPage
 from .._wire import Owner
 
 
@@ -20,6 +21,9 @@
     def ask_permit(self, owner: Owner, effect: AskPermit) -> None:
         """Ask another host whether an endpoint's limit has room."""
 
+    def send_page(self, addresses: tuple[str, ...], page: ToldPage) -> None:
+        """Tell other hosts what this one read of the store; a datagram may be lost."""
+
     def answer_permit(self, effect: AnswerPermit) -> None:
         """Answer another host's question."""
 
--- a/src/wasabiwick/_runner.py
+++ b/src/wasabiwick/_runner.py
@@ -23,6 +23,7 @@
     Peer,
     Service,
 )
+from ._read_turns import ReadTurns
 from ._reducer import reduce
 from ._settings import Settings
 from ._state import State
@@ -61,6 +62,7 @@
         "datagrams",
         "register",
         "hops",
+        "turns",
     )
 
     def __init__(
@@ -76,6 +78,7 @@
         datagrams: Datagrams | None = None,
         register: HostRegister | None = None,
         hops: Hops | None = None,
+        turns: ReadTurns | None = None,
     ) -> None:
         self.clock = clock
         self.engine = engine
@@ -87,6 +90,7 @@
         self.datagrams = datagrams
         self.register = register
         self.hops = hops
+        self.turns = turns
 
 
 class Body:
--- a/src/wasabiwick/_settings.py
+++ b/src/wasabiwick/_settings.py
@@ -295,9 +295,21 @@
         retry_slack: Retries to one service that all hosts together may send in a window in addition
             to the share in ``retry_ratio``.
         retry_window: Length in seconds of the window in which requests and retries are counted.
+        list_pause: Seconds between two reads of the list of endpoints.
+        read_silence: Seconds without news of the store from other hosts after which a host that
+            relies on them reads the store itself.
     """
 
-    __slots__ = ("ready", "datagrams", "hops", "retry_ratio", "retry_slack", "retry_window")
+    __slots__ = (
+        "ready",
+        "datagrams",
+        "hops",
+        "retry_ratio",
+        "retry_slack",
+        "retry_window",
+        "list_pause",
+        "read_silence",
+    )
 
     def __init__(
         self,
@@ -308,6 +320,8 @@
         retry_ratio: NonNegative = 0.2,
         retry_slack: NonNegative = 50.0,
         retry_window: Seconds = 10.0,
+        list_pause: Seconds = 0.7,
+        read_silence: Seconds = 0.8,
     ) -> None:
         self.ready = ready
         self.datagrams = datagrams
@@ -315,6 +329,8 @@
         self.retry_ratio = retry_ratio
         self.retry_slack = retry_slack
         self.retry_window = retry_window
+        self.list_pause = list_pause
+        self.read_silence = read_silence
 
 
 class Settings:
--- /dev/null
+++ b/src/wasabiwick/_topics.py
@@ -0,0 +1,62 @@
+"""Topics: logs of keyed records that a store keeps, and what reading them returns."""
+
+import typing
+
+from ._record import Record
+
+
+class KeyedRecord(Record):
+    """A keyed record; ``value`` is None if the key was deleted."""
+
+    __slots__ = ("key", "value", "offset")
+
+    def __init__(self, *, key: str, value: bytes | None, offset: int) -> None:
+        self.key = key
+        self.value = value
+        self.offset = offset
+
+
+class Page:
+    """Records that one read returned, the offset at which the next read starts, and their era."""
+
+    __slots__ = ("records", "next", "era")
+
+    def __init__(
+        self,
+        *,
+        records: typing.Sequence[KeyedRecord],
+        next: int,  # noqa: A002
+        era: int,
+    ) -> None:
+        self.records = records
+        self.next = next
+        self.era = era
+
+
+class HistoryLostError(Exception):
+    """The store has deleted records that a read asked for."""
+
+
+class StoreError(Exception):
+    """The store refused a call, did not answer it, or gave an unreadable answer."""
+
+
+class Topics(typing.Protocol):
+    """A store of topics.
+
+    Attributes:
+        era: Highest era that an answer named, or None; offsets are comparable within one era only.
+    """
+
+    era: int | None
+
+    async def newest(self, topic: str) -> Page:
+        """Return the newest record of each key of a topic; raises `StoreError`."""
+
+    async def read(self, topic: str, start: int, wait: float) -> Page:
+        """Return the records from an offset on, after ``wait`` seconds at most if there are none.
+
+        Raises:
+            HistoryLostError: If some of these records have been deleted.
+            StoreError: If the store refused the call or gave no usable answer.
+        """
--- a/src/wasabiwick/platform/__init__.py
+++ b/src/wasabiwick/platform/__init__.py
@@ -7,23 +7,24 @@
 import asyncio
 import time
 
-from .._events import EndpointLeaving, EndpointPaused, LimitNamed, StoreRestored
+from .._endpoint_signs import EndpointSigns
+from .._events import StoreRestored
+from .._feed import Feed
 from .._forward_daemon import serve
 from .._runner import Runner
 from .._settings import Settings
 from . import _names
 from ._endpoints import PlatformDialect, PlatformEndpoints
 from ._feeds import (
-    ENDPOINTS_PAUSE_S,
     ENDPOINTS_POLL_WAIT_S,
     FINDINGS_PAUSE_S,
     FINDINGS_POLL_WAIT_S,
     ROUTES_POLL_WAIT_S,
-    Feed,
     StoreHostRegister,
     decode_endpoints,
     decode_findings,
     decode_routes,
+    listed_content,
 )
 from ._settings import SettingsError, file_stamp, load, metrics_address
 from ._store import Store
@@ -51,7 +52,7 @@
 
     async def follow(self, runner: Runner) -> None:
         """Follow routes, endpoints and findings in the store, and post each change as an event."""
-        self.endpoints.listen(_EndpointEvents(runner))
+        self.endpoints.listen(EndpointSigns(runner))
         self._store.on_restored(lambda era: runner.post(StoreRestored(at=runner.now(), era=era)))
         routes = Feed(
             store=self._store,
@@ -66,7 +67,8 @@
             topic=_names.SERVERS_TOPIC,
             decode=decode_endpoints,
             wait=ENDPOINTS_POLL_WAIT_S,
-            pause=ENDPOINTS_PAUSE_S,
+            pause=runner.cfg.forwarding.list_pause,
+            content=listed_content,
         )
         findings = Feed(
             store=self._store,
@@ -93,29 +95,6 @@
         await self._store.close()
 
 
-class _EndpointEvents:
-    """Posts what endpoints say of themselves as events."""
-
-    __slots__ = ("_runner",)
-
-    def __init__(self, runner: Runner) -> None:
-        self._runner = runner
-
-    def leaving(self, endpoint: str, sent_at: float) -> None:
-        """Post that an endpoint takes no new work."""
-        event = EndpointLeaving(at=self._runner.now(), endpoint=endpoint, sent_at=sent_at)
-        self._runner.post(event)
-
-    def paused(self, endpoint: str, seconds: float) -> None:
-        """Post for how long an endpoint wants nothing."""
-        event = EndpointPaused(at=self._runner.now(), endpoint=endpoint, seconds=seconds)
-        self._runner.post(event)
-
-    def limit_named(self, endpoint: str, rate: float | None) -> None:
-        """Post the limit that an endpoint named."""
-        self._runner.post(LimitNamed(at=self._runner.now(), endpoint=endpoint, rate=rate))
-
-
 async def run(path: str, cfg: Settings) -> None:
     """Run a host on the platform until it has shut down gracefully.
 
--- a/src/wasabiwick/platform/_feeds.py
+++ b/src/wasabiwick/platform/_feeds.py
@@ -1,128 +1,29 @@
 """Posts routes and endpoints from the store as events, and keeps the register of hosts there."""
 
-import asyncio
-import random
 import time
-import typing
 
 import msgspec
 
 from .._begun_codec import decode_ages, decode_streams, encode_ages, encode_streams
 from .._effects_forwarding import SaveStreams
 from .._errors import Failure
-from .._events import EndpointsRead, Event, FeedChanged, FindingsRead, RoutesRead
+from .._events import EndpointsRead, FindingsRead, RoutesRead
 from .._findings_codec import encode_crashes, encode_sound
 from .._forwarding import Findings, Listing
 from .._hosts_codec import HostRecord, decode_host
-from .._logging import log_event, log_exception
+from .._logging import log_event
 from .._ports import SavedStreams
-from .._runner import Runner
+from .._topics import HistoryLostError, KeyedRecord, Page, StoreError
 from . import _names, _records
-from ._store import HistoryLostError, Page, Record, Store, StoreError, store_failure
+from ._store import Store, store_failure
 
 # Longest long poll for routes. It is short, so that a poll lost in an outage is noticed soon.
 ROUTES_POLL_WAIT_S = 2.0
 ENDPOINTS_POLL_WAIT_S = 2.0  # Longest long poll for endpoints.
-# Pause between two reads of endpoints, since entries are rewritten more often than they change.
-ENDPOINTS_PAUSE_S = 0.7
 FINDINGS_POLL_WAIT_S = 5.0  # Longest long poll for findings, which seldom change.
 # Pause between two reads of findings. It bounds the reads of a large fleet whose hosts all find
 # something at once.
 FINDINGS_PAUSE_S = 0.5
-FIRST_RETRY_S = 0.1  # Delay after the first failed read; doubled at each failure, and jittered.
-# Longest delay after a failed read, short compared to the time within which a configuration has to
-# apply.
-MAX_RETRY_S = 1.0
-
-PageDecoder = typing.Callable[[float, Page, bool], Event | None]
-
-
-class Feed:
-    """Follows one topic, a log of keyed records: reads each key's newest record, then later ones.
-
-    Once the store was restored from a copy, offsets begin anew, so all is read again.
-
-    Args:
-        store: Client of the store.
-        name: Name of the feed in events and log lines.
-        topic: Name of the topic.
-        decode: Function that converts a page of records to an event, or to None if there is none.
-            Its arguments are the monotonic time in seconds, the page, and whether the page has the
-            newest record of every key.
-        wait: Longest duration of a long poll, in seconds.
-        pause: Delay between two reads, in seconds.
-    """
-
-    __slots__ = ("_store", "_name", "_topic", "_decode", "_wait", "_pause", "_up")
-
-    def __init__(
-        self,
-        *,
-        store: Store,
-        name: str,
-        topic: str,
-        decode: PageDecoder,
-        wait: float,
-        pause: float = 0.0,
-    ) -> None:
-        self._store = store
-        self._name = name
-        self._topic = topic
-        self._decode = decode
-        self._wait = wait
-        self._pause = pause
-        self._up = True
-
-    async def run(self, runner: Runner) -> None:
-        """Follow the topic until cancelled; failed reads are retried."""
-        position: int | None = None
-        era = 0
-        retry = FIRST_RETRY_S
-        while True:
-            try:
-                has_all_keys = position is None
-                # The first read after a failure does not wait, so missed changes apply at once.
-                page = await self._read_page(position, self._wait if self._up else 0.0)
-            except HistoryLostError as exc:
-                log_event("history_lost", feed=self._name, error=str(exc))
-                position = None
-                await asyncio.sleep(FIRST_RETRY_S)
-                continue
-            except StoreError as exc:
-                self._set_connected(runner, False, str(exc))
-                await asyncio.sleep(retry * random.uniform(0.5, 1.0))
-                retry = min(MAX_RETRY_S, 2 * retry)
-                continue
-            retry = FIRST_RETRY_S
-            is_current = page.era == (self._store.era or 0)
-            if not is_current or (position is not None and page.era != era):
-                log_event("feed_begins_again", feed=self._name, era=page.era)
-                position = None
-                continue
-            position, era = page.next, page.era
-            self._set_connected(runner, True)
-            self._post(runner, page, has_all_keys)
-            await asyncio.sleep(self._pause)
-
-    def _post(self, runner: Runner, page: Page, has_all_keys: bool) -> None:
-        try:
-            event = self._decode(runner.now(), page, has_all_keys)
-        except Exception as exc:  # noqa: BLE001 - logged with its traceback
-            # A page that can't be decoded must not end the feed, which the host can't do without.
-            log_exception("page_unreadable", exc, feed=self._name)
-            return
-        if event is not None:
-            runner.post(event)
-
-    async def _read_page(self, position: int | None, wait: float) -> Page:
-        if position is None:
-            return await self._store.newest(self._topic)
-        return await self._store.read(self._topic, position, wait)
-
-    def _set_connected(self, runner: Runner, up: bool, why: str = "") -> None:
-        if up != self._up:
-            self._up = up
-            runner.post(FeedChanged(at=runner.now(), feed=self._name, up=up, why=why))
 
 
 def decode_routes(at: float, page: Page, has_all_keys: bool) -> RoutesRead | None:
@@ -146,7 +47,12 @@
     return EndpointsRead(at=at, listings=listings, upto=page.next, whole=has_all_keys)
 
 
-def _decode_listing(record: Record) -> Listing:
+def listed_content(record: KeyedRecord) -> object:
+    """Return what an entry says of its endpoint, without what changes each time it is renewed."""
+    return _decode_listing(record).endpoint
+
+
+def _decode_listing(record: KeyedRecord) -> Listing:
     found = None
     if record.value is not None:
         try:
--- a/src/wasabiwick/platform/_settings.py
+++ b/src/wasabiwick/platform/_settings.py
@@ -13,6 +13,10 @@
 # Shortest graceful shutdown: the platform stops sending callers to a host after two failed
 # readiness checks a second apart.
 STOP_NOTICE_S = 3.2
+# Shares of the time within which an entry of the list has to apply: the pause between two reads,
+# and the silence of other hosts after which a host reads itself.
+LIST_PAUSE_SHARE = 0.35
+SILENCE_SHARE = 0.4
 METRICS_PORT = 9464  # Port that serves metrics, the same as in deploy/system.toml.
 
 
@@ -26,6 +30,8 @@
     retry_budget_ratio: float = 0.2
     retry_window_s: float = 10.0
     budget_slack: float = 50.0
+    drain_ms: float = 2_000.0
+    config_apply_ms: float = 2_000.0
 
 
 class _Store(msgspec.Struct):
@@ -102,5 +108,9 @@
             retry_ratio=file.bounds.retry_budget_ratio,
             retry_slack=file.bounds.budget_slack,
             retry_window=file.bounds.retry_window_s,
+            list_pause=LIST_PAUSE_SHARE * file.bounds.drain_ms / 1000,
+            read_silence=SILENCE_SHARE
+            * min(file.bounds.drain_ms, file.bounds.config_apply_ms)
+            / 1000,
         ),
     )
--- a/src/wasabiwick/platform/_store.py
+++ b/src/wasabiwick/platform/_store.py
@@ -10,6 +10,7 @@
 
 from .._errors import LOG_UNAVAILABLE, Failure
 from .._keepalive import keepalive_socket
+from .._topics import HistoryLostError, KeyedRecord, Page, StoreError
 from .._verdict import Verdict
 from . import _names
 
@@ -21,42 +22,6 @@
 _OFFSETS = struct.Struct(">QQ")  # Offsets of the topic's end and of its first kept record.
 
 
-class Record:
-    """A keyed record; ``value`` is None if the key was deleted."""
-
-    __slots__ = ("key", "value", "offset")
-
-    def __init__(self, *, key: str, value: bytes | None, offset: int) -> None:
-        self.key = key
-        self.value = value
-        self.offset = offset
-
-
-class Page:
-    """Records that one read returned, the offset at which the next read starts, and their era."""
-
-    __slots__ = ("records", "next", "era")
-
-    def __init__(
-        self,
-        *,
-        records: list[Record],
-        next: int,  # noqa: A002
-        era: int,
-    ) -> None:
-        self.records = records
-        self.next = next
-        self.era = era
-
-
-class HistoryLostError(Exception):
-    """The store has deleted records that a read asked for."""
-
-
-class StoreError(Exception):
-    """The store refused a call, did not answer it, or gave an unreadable answer."""
-
-
 class _Item(msgspec.Struct):
     key: str
     offset: int
@@ -102,7 +67,7 @@
         Raises:
             StoreError: If the store refused the call or gave no usable answer.
         """
-        records: list[Record] = []
+        records: list[KeyedRecord] = []
         first_end = -1
         era = 0
         after = ""
@@ -236,9 +201,9 @@
     return Failure(reason=LOG_UNAVAILABLE, verdict=Verdict.MAY_HAVE_RUN, detail=str(exc))
 
 
-def _decode_item(item: _Item) -> Record:
+def _decode_item(item: _Item) -> KeyedRecord:
     value = base64.b64decode(item.value) if item.value is not None else None
-    return Record(key=item.key, value=value, offset=item.offset)
+    return KeyedRecord(key=item.key, value=value, offset=item.offset)
 
 
 def _split_contents(data: bytes) -> typing.Iterator[bytes]:
@@ -252,10 +217,12 @@
         position += length
 
 
-def _decode_keyed(content: bytes, offset: int) -> Record | None:
+def _decode_keyed(content: bytes, offset: int) -> KeyedRecord | None:
     """Decode a record's key and value from its bytes; return None if it has no key."""
     if not content or len(content) < 1 + content[0]:
         return None
     value_start = 1 + content[0]
     value = content[value_start:] or None
-    return Record(key=content[1:value_start].decode("utf-8", "replace"), value=value, offset=offset)
+    return KeyedRecord(
+        key=content[1:value_start].decode("utf-8", "replace"), value=value, offset=offset
+    )
--- /dev/null
+++ b/tests/test_read_turns.py
@@ -0,0 +1,249 @@
+"""Tests of hosts that read the platform's store for the others of their zone."""
+
+import asyncio
+import types
+import unittest
+
+from wasabiwick._effects_forwarding import SetReadTurn
+from wasabiwick._feed import Feed
+from wasabiwick._handlers import neighbours, read_turns
+from wasabiwick._read_turns import MAX_KEPT_PAGES, MAX_TOLD_BYTES, ReadTurns, ToldPage
+from wasabiwick._topics import KeyedRecord, Page, StoreError
+
+from ._forward import ZONE, Host
+from ._processes import until
+
+SILENCE = 0.05  # Seconds after which a host that listens reads for itself.
+LONG = 30.0  # Seconds that no test waits for.
+NAMES = tuple(f"h{number:02}" for number in range(read_turns.MIN_ZONE_HOSTS + 4))
+
+
+def hosts_that_hear(names: tuple[str, ...], silent: tuple[str, ...] = ()) -> dict[str, Host]:
+    """Return hosts of one zone, each of which hears all others but the silent ones."""
+    hosts = {name: Host(name=name) for name in names if name not in silent}
+    for own, host in hosts.items():
+        for _ in range(3):
+            for name in names:
+                if name not in (own, *silent):
+                    host.know(name)
+            host.run(1.0)
+    return hosts
+
+
+def readers(hosts: dict[str, Host]) -> list[str]:
+    """Return the names of the hosts that read."""
+    return [name for name, host in hosts.items() if host.state["read_turns"].reads]
+
+
+class TestWhoReads(unittest.TestCase):
+    """Two hosts of a large zone read, and others take their place once they fall silent."""
+
+    def test_two_hosts_of_a_large_zone_read_and_tell_all_others(self) -> None:
+        hosts = hosts_that_hear(NAMES)
+        chosen = readers(hosts)
+        self.assertEqual(len(chosen), read_turns.READERS)
+        for name in chosen:
+            turn = [one for one in hosts[name].effects if isinstance(one, SetReadTurn)][-1]
+            self.assertEqual(len(turn.addresses), len(NAMES) - 1)
+
+    def test_another_host_reads_in_the_place_of_a_silent_one(self) -> None:
+        first = readers(hosts_that_hear(NAMES))
+        left = readers(hosts_that_hear(NAMES, silent=(first[0],)))
+        self.assertEqual(len(left), read_turns.READERS)
+        self.assertIn(first[1], left)
+
+    def test_a_host_alone_reads(self) -> None:
+        hosts = hosts_that_hear(NAMES)
+        listener = next(host for name, host in hosts.items() if name not in readers(hosts))
+        listener.run(neighbours.SILENT_AFTER + 1.0)
+        self.assertTrue(listener.state["read_turns"].reads)
+
+    def test_all_hosts_of_a_small_zone_read_and_tell_nobody(self) -> None:
+        hosts = hosts_that_hear(NAMES[: read_turns.MIN_ZONE_HOSTS - 1])
+        self.assertEqual(len(readers(hosts)), len(hosts))
+        for host in hosts.values():
+            self.assertEqual([one for one in host.effects if isinstance(one, SetReadTurn)], [])
+
+    def test_hosts_of_other_zones_do_not_count(self) -> None:
+        host = Host(name=NAMES[0])
+        for name in NAMES[1:]:
+            host.know(name, zone=f"not-{ZONE}")
+        host.run(1.0)
+        self.assertTrue(host.state["read_turns"].reads)
+
+
+class FakeTopics:
+    """A store with one topic; counts reads, and fails them while it is down."""
+
+    def __init__(self) -> None:
+        self.era: int | None = None
+        self.records: list[KeyedRecord] = []
+        self.reads = 0
+        self.is_down = False
+        self.waits: asyncio.Event | None = None
+
+    def add(self, key: str, value: bytes) -> None:
+        """Append a record."""
+        self.records.append(KeyedRecord(key=key, value=value, offset=len(self.records)))
+
+    async def newest(self, topic: str) -> Page:
+        """Return all records."""
+        return await self.read(topic, 0, 0.0)
+
+    async def read(self, topic: str, start: int, wait: float) -> Page:
+        """Return the records from an offset on."""
+        self.reads += 1
+        if self.is_down:
+            raise StoreError("down")
+        await asyncio.sleep(0)
+        if self.waits is not None:
+            await self.waits.wait()
+        return Page(records=self.records[start:], next=len(self.records), era=self.era or 0)
+
+
+class FeedCase(unittest.IsolatedAsyncioTestCase):
+    """Base with a feed on a fake store; ``seen`` holds the records that came from it, by value."""
+
+    silence = SILENCE
+
+    async def asyncSetUp(self) -> None:
+        self.topics = FakeTopics()
+        self.turns = ReadTurns(self.silence)
+        self.seen: list[bytes | None] = []
+        self.sent: list[ToldPage] = []
+        self.topics.add("a", b"first")
+        datagrams = types.SimpleNamespace(send_page=lambda addresses, page: self.sent.append(page))
+        self.runner = types.SimpleNamespace(
+            ports=types.SimpleNamespace(turns=self.turns, datagrams=datagrams),
+            now=lambda: 0.0,
+            post=lambda event: None,
+        )
+        feed = Feed(
+            store=self.topics,
+            name="feed",
+            topic="t",
+            decode=lambda at, page, whole: self.seen.extend(one.value for one in page.records),
+            wait=0.0,
+            pause=0.005,
+            content=lambda record: record.value and record.value.partition(b" ")[0],
+        )
+        task = asyncio.create_task(feed.run(self.runner))
+        self.addCleanup(task.cancel)
+        await self.until(lambda: self.seen)
+
+    async def until(self, holds: object) -> None:
+        """Wait until a condition holds."""
+
+        async def condition() -> bool:
+            return bool(holds())
+
+        await until(condition)
+
+    def tell(self, after: int, *values: bytes | None, era: int = 0, upto: int = 0) -> None:
+        """Tell the host a page whose records follow ``after``."""
+        records = tuple(
+            KeyedRecord(key="a", value=value, offset=after + number)
+            for number, value in enumerate(values)
+        )
+        upto = upto or after + len(values)
+        self.turns.deliver(ToldPage(feed="feed", era=era, after=after, upto=upto, records=records))
+
+
+class TestListening(FeedCase):
+    """A host that listens applies what it is told, and reads only what it would miss."""
+
+    silence = LONG
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.turns.set_turn(reads=False, addresses=())
+        reads = -1
+        while reads != self.topics.reads:  # A read that had begun may still end.
+            reads = self.topics.reads
+            await asyncio.sleep(0.02)
+        self.reads = reads
+
+    async def test_told_records_apply_without_a_read(self) -> None:
+        self.tell(1, b"second", b"third")
+        await self.until(lambda: self.seen[-1] == b"third")
+        self.assertEqual(self.topics.reads, self.reads)
+
+    async def test_records_told_twice_apply_once(self) -> None:
+        for _ in range(3):
+            self.tell(1, b"second")
+        self.tell(2, b"third")
+        await self.until(lambda: self.seen[-1] == b"third")
+        self.assertEqual(self.seen, [b"first", b"second", b"third"])
+
+    async def test_gap_is_read(self) -> None:
+        for value in (b"second", b"third"):
+            self.topics.add("a", value)
+        self.tell(2, b"third")
+        await self.until(lambda: self.seen[-1] == b"third")
+        self.assertEqual(self.seen, [b"first", b"second", b"third"])
+
+    async def test_records_too_large_to_be_told_are_read(self) -> None:
+        large = b"x" * (MAX_TOLD_BYTES + 1)
+        self.topics.add("a", large)
+        record = KeyedRecord(key="a", value=large, offset=1)
+        page = ToldPage(feed="feed", era=0, after=1, upto=2, records=(record,))
+        self.turns.deliver(page.fitting())
+        await self.until(lambda: self.seen[-1] == large)
+
+    async def test_page_of_another_era_is_not_applied(self) -> None:
+        self.topics.era = 1
+        self.topics.add("a", b"of the copy")
+        self.tell(1, b"from before", era=2)
+        await self.until(lambda: self.seen[-1] == b"of the copy")
+        self.assertNotIn(b"from before", self.seen)
+
+    async def test_host_turned_away_by_the_store_learns_from_others(self) -> None:
+        self.topics.is_down = True
+        self.tell(5, b"makes it read")
+        await self.until(lambda: self.topics.reads > self.reads)
+        self.tell(1, b"second")
+        await self.until(lambda: b"second" in self.seen)
+
+    async def test_unknown_feeds_and_floods_are_bounded(self) -> None:
+        for number in range(3 * MAX_KEPT_PAGES):
+            page = ToldPage(feed=f"f{number}", era=0, after=0, upto=1, records=())
+            self.turns.deliver(page)
+            self.tell(1_000 + number, b"far ahead")
+        self.assertEqual(list(self.turns._told), ["feed"])
+        self.assertLessEqual(len(self.turns._told["feed"]), MAX_KEPT_PAGES)
+
+
+class TestSilence(FeedCase):
+    """A host that is told nothing reads for itself."""
+
+    async def test_change_is_read_after_a_silence(self) -> None:
+        self.turns.set_turn(reads=False, addresses=())
+        self.topics.add("a", b"second")
+        await self.until(lambda: self.seen[-1] == b"second")
+
+
+class TestTelling(FeedCase):
+    """A host that reads tells what changed, and that nothing did."""
+
+    async def test_only_what_changed_is_told(self) -> None:
+        self.turns.set_turn(reads=True, addresses=("b:1",))
+        self.topics.add("a", b"first renewed")
+        self.topics.add("a", b"second")
+        await self.until(lambda: self.sent and self.sent[-1].upto == 3)
+        told = [one.value for page in self.sent for one in page.records]
+        self.assertEqual(told, [b"second"])
+
+    async def test_others_hear_while_a_read_waits(self) -> None:
+        """A long poll returns when something is new, which may be seconds later."""
+        self.topics.waits = asyncio.Event()
+        self.turns.set_turn(reads=True, addresses=("b:1",))
+        await self.until(lambda: len(self.sent) >= 3)
+        self.assertEqual({(one.after, one.upto, one.records) for one in self.sent}, {(1, 1, ())})
+        self.topics.add("a", b"second")
+        self.topics.waits.set()
+        await self.until(lambda: self.sent[-1].upto == 2)
+
+    async def test_host_with_nobody_to_tell_sends_nothing(self) -> None:
+        self.topics.add("a", b"second")
+        await self.until(lambda: self.seen[-1] == b"second")
+        self.assertEqual(self.sent, [])
