Answer requests that come between the last check of a planned stop and its end

Cause: once nothing was in flight the daemon closed its servers, which waits 0.1 s for handlers; listeners still accepted. A request read in that time was passed on to an endpoint and cut off without an answer.

Evidence: test_request_that_came_after_the_last_check_is_answered fails without finish_requests. Change: listeners close and idle connections end first; then the host waits for the answers to what it has read, as long as the platform allows.

--- a/src/wasabiwick/_forward_daemon.py
+++ b/src/wasabiwick/_forward_daemon.py
@@ -15,6 +15,7 @@
 from ._adapters._hops import HostHops
 from ._events import ForwarderBooted, SettingsRead, StopAsked
 from ._forward_entry import ForwardEntry
+from ._handlers.host import in_flight, stop_by
 from ._hop_entry import HopEntry
 from ._logging import keep_flushing, log_event
 from ._ports import Dialect, Endpoints, HostRegister
@@ -29,6 +30,7 @@
 INCARNATION_BYTES = 6
 SEED_BITS = 32
 SETTINGS_POLL_INTERVAL = 1.0  # Seconds between checks whether the settings file has changed.
+LAST_CHECK_INTERVAL = 0.02  # Seconds between checks whether the last requests are answered.
 CLOSE_TIMEOUT = 0.1  # Seconds that a shutdown gives connections to close after the last answer.
 
 
@@ -71,6 +73,8 @@
         "_deployment",
         "_metrics",
         "_servers",
+        "_sites",
+        "_entry",
         "_datagrams",
         "_hops",
         "_trace",
@@ -84,6 +88,8 @@
         self._deployment = deployment
         self._metrics = metrics
         self._servers: list[web.ServerRunner] = []
+        self._sites: list[web.TCPSite] = []
+        self._entry: ForwardEntry | None = None
         self._datagrams: UdpDatagrams | None = None
         self._hops: HostHops | None = None
         self._trace: TraceWriter | None = None
@@ -113,7 +119,7 @@
 
             self._trace = TraceWriter(cfg.trace, cfg, limit_bytes=cfg.trace_bytes)
             self.runner.events.subscribe(on_next=lambda step: self._trace.record(*step))
-        entry = ForwardEntry(
+        entry = self._entry = ForwardEntry(
             runner=self.runner, dialect=deployment.dialect, max_body_bytes=cfg.limits.max_body_bytes
         )
         passed = HopEntry(
@@ -154,6 +160,23 @@
             if self._deployment.changed():
                 self.reload()
 
+    async def finish_requests(self) -> None:
+        """Accept no connection any more, and wait for the answers to requests that were read.
+
+        Some may have come since the reducer found no work in flight. The wait ends with the time
+        that the platform allows for a graceful shutdown.
+        """
+        for site in self._sites:
+            await site.stop()
+        for server in self._servers:
+            server.server.pre_shutdown()
+        runner = self.runner
+        while runner.now() < stop_by(runner.state):
+            if not (self._entry.open_requests or in_flight(runner.state)):
+                return
+            await asyncio.sleep(LAST_CHECK_INTERVAL)
+        log_event("requests_cut_off", level="WARNING", requests=self._entry.open_requests)
+
     async def stop(self) -> None:
         """Close the listeners, the runner and the adapters."""
         for server in self._servers:
@@ -180,7 +203,9 @@
         else:
             server_runner = web.ServerRunner(server, shutdown_timeout=CLOSE_TIMEOUT)
         await server_runner.setup()
-        await web.TCPSite(server_runner, host, int(port), backlog=512).start()
+        site = web.TCPSite(server_runner, host, int(port), backlog=512)
+        await site.start()
+        self._sites.append(site)
         self._servers.append(server_runner)
         return "{}:{}".format(*server_runner.addresses[0][:2])
 
@@ -210,6 +235,7 @@
             zone=cfg.zone,
         )
         await runner.ended.wait()
+        await daemon.finish_requests()
     finally:
         await daemon.stop()
     log_event("stopped", host=cfg.host)
--- a/src/wasabiwick/_forward_entry.py
+++ b/src/wasabiwick/_forward_entry.py
@@ -137,15 +137,19 @@
         runner: The host's runner.
         dialect: Reads callers' requests and writes the headers of failures.
         max_body_bytes: Maximum size of a request's body.
+
+    Attributes:
+        open_requests: Number of requests whose head has been read and whose answer is not complete.
     """
 
-    __slots__ = ("_runner", "_dialect", "_max_body_bytes", "_sequence")
+    __slots__ = ("_runner", "_dialect", "_max_body_bytes", "_sequence", "open_requests")
 
     def __init__(self, *, runner: Runner, dialect: Dialect, max_body_bytes: int) -> None:
         self._runner = runner
         self._dialect = dialect
         self._max_body_bytes = max_body_bytes
         self._sequence = 0
+        self.open_requests = 0
 
     def server(self) -> web.Server:
         """Build the server for callers."""
@@ -179,6 +183,13 @@
         )
 
     async def _serve(self, req: web.BaseRequest) -> web.StreamResponse:
+        self.open_requests += 1
+        try:
+            return await self._forward(req)
+        finally:
+            self.open_requests -= 1
+
+    async def _forward(self, req: web.BaseRequest) -> web.StreamResponse:
         try:
             body = await req.read()
         except web.HTTPRequestEntityTooLarge:
--- a/tests/test_on_platform.py
+++ b/tests/test_on_platform.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from wasabiwick import platform
+from wasabiwick import _events, platform
 from wasabiwick._effects_forwarding import SaveStreams
 from wasabiwick._errors import Failure
 from wasabiwick._forward_daemon import ForwardDaemon
@@ -612,6 +612,34 @@
             self.assertEqual(resp.headers["Connection"], "close")
 
 
+class TestLastRequests(SiteTest):
+    """A planned stop cuts off no request that was read, not even one that came at its very end."""
+
+    async def test_request_that_came_after_the_last_check_is_answered(self) -> None:
+        """The process ends once nothing is in flight, and callers may send until it has ended."""
+        await self.site.wait_for_feeds()
+        for name in ("s0", "s1"):
+            self.site.endpoints[name].answer_delay = 0.5
+        daemon = self.site.daemon
+        daemon.runner.post(_events.StopAsked(at=daemon.runner.now()))
+        await daemon.runner.ended.wait()
+        request = asyncio.create_task(self.site.status_of("/unsafe/x"))
+
+        async def has_arrived() -> bool:
+            return any(self.requests_to(name) for name in ("s0", "s1"))
+
+        await until(has_arrived)
+        await daemon.finish_requests()
+        await daemon.stop()
+        self.assertEqual(await request, 200)
+
+    async def test_no_connection_is_accepted_once_the_last_requests_are_awaited(self) -> None:
+        await self.site.wait_for_feeds()
+        await self.site.daemon.finish_requests()
+        with self.assertRaises(aiohttp.ClientConnectorError):
+            await self.site.status_of("/safe/x")
+
+
 class TestSettings(SiteTest):
     """A changed settings file is read again; an error in it is reported in one line."""
 
