--- a/src/wasabiwick/_feed.py
+++ b/src/wasabiwick/_feed.py
@@ -70,7 +70,17 @@
         self._up = True
 
     async def run(self, runner: Runner) -> None:
-        """Follow the topic until cancelled; failed reads are retried."""
+        """Follow the topic until cancelled; after an error in the program it is followed anew."""
+        while True:
+            try:
+                await self._follow(runner)
+            except Exception as exc:  # noqa: BLE001 - logged with its traceback
+                # A host whose feeds have ended would stay at what it knows for good.
+                log_exception("feed_failed", exc, feed=self._name)
+            await asyncio.sleep(MAX_RETRY_S)
+
+    async def _follow(self, runner: Runner) -> None:
+        """Follow the topic; failed reads are retried."""
         position: int | None = None
         era = 0
         retry = FIRST_RETRY_S
--- a/tests/test_read_turns.py
+++ b/tests/test_read_turns.py
@@ -81,6 +81,7 @@
         self.reads = 0
         self.is_down = False
         self.waits: asyncio.Event | None = None
+        self.fault: Exception | None = None
 
     def add(self, key: str, value: bytes) -> None:
         """Append a record."""
@@ -93,6 +94,9 @@
     async def read(self, topic: str, start: int, wait: float) -> Page:
         """Return the records from an offset on."""
         self.reads += 1
+        if self.fault is not None:
+            fault, self.fault = self.fault, None
+            raise fault
         if self.is_down:
             raise StoreError("down")
         await asyncio.sleep(0)
@@ -222,6 +226,16 @@
         await self.until(lambda: self.seen[-1] == b"second")
 
 
+class TestErrors(FeedCase):
+    """An error in the program ends no feed, without which a host would never learn anything new."""
+
+    async def test_feed_goes_on_after_an_unexpected_error(self) -> None:
+        self.topics.fault = KeyError("unexpected")
+        self.topics.add("a", b"second")
+        await self.until(lambda: self.topics.fault is None)
+        await self.until(lambda: self.seen[-1] == b"second")
+
+
 class TestTelling(FeedCase):
     """A host that reads tells what changed, and that nothing did."""
 
