--- a/src/wasabiwick/_handlers/neighbours.py
+++ b/src/wasabiwick/_handlers/neighbours.py
@@ -6,9 +6,7 @@
 
 Load pattern handled: in a large fleet each host serves few requests but is sent the load of all
 others. There, a host sends its load soon only after a change by a generation, which uses memory for
-seconds. Most short requests have ended before another host could use the news. Hosts of other zones
-are told loads more seldom, as they use the engines of their own zone first; what all hosts have to
-know at once, such as an endpoint that leaves, is news and goes to all of them. Each host limits its
+seconds. Most short requests have ended before another host could use the news. Each host limits its
 own sending rate so that the rate at which any host receives stays bounded, whatever the size of the
 fleet.
 """
@@ -44,9 +42,6 @@
 )
 
 SEND_INTERVAL = 1.0  # Seconds between datagrams of a host whose load does not change.
-# Seconds between datagrams to hosts of other zones in a large fleet, unless there is news for all.
-# Two of them fit into `SILENT_AFTER`, as one may be lost.
-FAR_SEND_INTERVAL = 1.6
 BATCH_DELAY = 0.01  # Seconds for which changes are collected into one datagram.
 # With at least this many other hosts, changes by short requests wait for the next periodic
 # datagram.
@@ -94,21 +89,15 @@
 
 @state_slice("neighbours")
 class NeighboursState:
-    """Other hosts by name, and the state of this host's own datagrams.
+    """Other hosts by name, and the state of this host's own datagrams."""
 
-    ``told_at`` and ``told_far_at`` are the monotonic times of the last datagram to any host, and to
-    all hosts. ``has_news`` tells whether the next one goes to all.
-    """
-
-    __slots__ = ("hosts", "sequence", "send_scheduled", "told_at", "told_far_at", "has_news")
+    __slots__ = ("hosts", "sequence", "send_scheduled", "told_at")
 
     def __init__(self, cfg: Settings) -> None:
         self.hosts: dict[str, Neighbour] = {}
         self.sequence = 0
         self.send_scheduled = False
         self.told_at = 0.0
-        self.told_far_at = float("-inf")
-        self.has_news = False
 
 
 LoadSource = typing.Callable[[State], dict[str, EndpointLoad]]
@@ -262,7 +251,7 @@
 def load_changed(state: State, event: LoadChanged) -> typing.Iterator[Step]:
     """Send the load soon; in a large fleet, only if a generation changed it."""
     if event.of_stream or not is_large_fleet(state):
-        yield from _schedule_send(state, event.at)
+        yield from send_soon(state, event.at)
 
 
 @handles(EndpointLeaving)
@@ -279,12 +268,7 @@
 
 
 def send_soon(state: State, at: float) -> typing.Iterator[Step]:
-    """Send news to all hosts, after `BATCH_DELAY` or more in a large fleet."""
-    state["neighbours"].has_news = True
-    yield from _schedule_send(state, at)
-
-
-def _schedule_send(state: State, at: float) -> typing.Iterator[Step]:
+    """Send the load and what else is to be told, after `BATCH_DELAY` or more in a large fleet."""
     neighbours_state = state["neighbours"]
     if not neighbours_state.send_scheduled:
         neighbours_state.send_scheduled = True
@@ -309,13 +293,11 @@
             yield LogLine(event="host_forgotten", fields={"host": name})
     if event.at - neighbours_state.told_at >= SEND_INTERVAL / 2:
         yield from _send_load(state, event.at)
-    delay = FAR_SEND_INTERVAL / 2 if is_large_fleet(state) else SEND_INTERVAL
-    yield StartTimer(timer="tell", delay=delay)
+    yield StartTimer(timer="tell", delay=SEND_INTERVAL)
 
 
 def send_now(state: State, at: float) -> typing.Iterator[Step]:
     """Send the load at once, after a change that others need before they choose an endpoint."""
-    state["neighbours"].has_news = True
     yield from _send_load(state, at)
 
 
@@ -326,25 +308,16 @@
     loads: dict[str, EndpointLoad] = {}
     for source in _LOAD_SOURCES:
         loads.update(source(state))
-    is_for_all = _is_for_all(state, at)
-    if is_for_all:
-        neighbours_state.told_far_at = at
-        neighbours_state.has_news = False
-    addresses = tuple(
-        one.address
-        for one in neighbours_state.hosts.values()
-        if is_for_all or one.zone == state.zone
-    )
+    addresses = tuple(one.address for one in neighbours_state.hosts.values())
     if addresses:
-        # What is told a fixed number of times waits for a datagram to all hosts.
-        crashes, sound = crashing_parts.take_untold(state) if is_for_all else ((), ())
+        crashes, sound = crashing_parts.take_untold(state)
         yield TellLoad(
             addresses=addresses,
             sequence=neighbours_state.sequence,
             loads=loads,
             stopping=state.stopping,
             busy=directory.busy_endpoints(state, at),
-            begun=builds.take_untold(state) if is_for_all else (),
+            begun=builds.take_untold(state),
             builds=builds.mixed_services(state, at),
             crashes=crashes,
             sound=sound,
@@ -352,18 +325,7 @@
             leaving=departures.told(state, at),
             unreached=reach.services_in_doubt(state),
             routes_version=routes.version(state),
-            observed=observations.take_told(state, at) if is_for_all else (),
+            observed=observations.take_told(state, at),
         )
-        if is_for_all and (builds.has_untold(state) or crashing_parts.has_untold(state)):
+        if builds.has_untold(state) or crashing_parts.has_untold(state):
             yield from send_soon(state, at)
-
-
-def _is_for_all(state: State, at: float) -> bool:
-    """Return whether the next datagram goes to the hosts of all zones."""
-    neighbours_state = state["neighbours"]
-    return (
-        neighbours_state.has_news
-        or not is_large_fleet(state)
-        or at - neighbours_state.told_far_at >= FAR_SEND_INTERVAL - BATCH_DELAY
-        or bool(builds.mixed_services(state, at))
-    )
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -112,65 +112,6 @@
         self.assertLess(received_rate, 1.2 * neighbours.MAX_RECEIVE_RATE)
 
 
-class TestZones(unittest.TestCase):
-    """In a large fleet, hosts of other zones are told loads seldom, and news at once."""
-
-    def setUp(self) -> None:
-        self.host = Host()
-        for number in range(12):
-            self.host.know(f"near{number}")
-            self.host.know(f"far{number}", zone="zone-b")
-        self.host.run(2.0)
-
-    def sent(self, seconds: float = 0.0) -> list[TellLoad]:
-        """Return the datagrams of the next seconds."""
-        before = len(self.host.effects)
-        end = self.host.now + seconds
-        while self.host.now < end:
-            self.host.run(0.25)
-            for number in range(12):
-                self.host.know(f"far{number}", zone="zone-b")
-        return [one for one in self.host.effects[before:] if isinstance(one, TellLoad)]
-
-    def to_far(self, told: list[TellLoad]) -> list[TellLoad]:
-        """Return the datagrams that went to other zones too."""
-        return [one for one in told if "far0:1" in one.addresses]
-
-    def test_far_hosts_hear_twice_within_the_time_of_silence(self) -> None:
-        told = self.to_far(self.sent(10 * neighbours.SILENT_AFTER))
-        self.assertGreaterEqual(len(told), 20)
-        self.assertLess(len(told), 25)
-
-    def test_a_change_of_load_goes_to_the_own_zone(self) -> None:
-        self.sent(neighbours.FAR_SEND_INTERVAL)
-        calls = []
-        for _ in range(6):
-            calls.append(self.host.ask("stream"))
-            self.host.run(0.1)
-        told = [one for one in self.host.effects if isinstance(one, TellLoad)][-4:]
-        self.assertTrue(all("near0:1" in one.addresses for one in told))
-        self.assertLessEqual(len(self.to_far(told)), 1)
-
-    def test_news_go_to_all_zones_at_once(self) -> None:
-        self.sent(neighbours.FAR_SEND_INTERVAL)
-        before = len(self.host.effects)
-        self.host.feed(_events.EndpointLeaving, endpoint="s0", sent_at=self.host.now)
-        self.host.run(0.1)
-        told = [one for one in self.host.effects[before:] if isinstance(one, TellLoad)]
-        self.assertTrue(self.to_far(told))
-        self.assertIn("s0", [name for name, _ in self.to_far(told)[0].leaving])
-
-    def test_begun_streams_are_told_to_all_zones(self) -> None:
-        call = self.host.start_stream()
-        self.host.run(neighbours.BATCH_DELAY)
-        self.sent(3 * neighbours.FAR_SEND_INTERVAL)
-        told = [one for one in self.host.effects if isinstance(one, TellLoad)]
-        names = [stream.name for one in told for stream in one.begun]
-        self.assertEqual(names.count(f"t-{call}"), 2)
-        with_streams = [one for one in told if one.begun]
-        self.assertEqual(self.to_far(with_streams), with_streams)
-
-
 class TestBudget(unittest.TestCase):
     """All hosts together stay within the retry budget, even if a host is cut off."""
 
