--- a/tests/_platform.py
+++ b/tests/_platform.py
@@ -168,6 +168,7 @@
         refused_at: Monotonic time of each request that it refused.
         events: Number of events in each stream.
         event_interval: Time between events, in seconds.
+        drips: Whether its streams bring a byte of a comment at that interval, and never an event.
         running_streams: Number of streams that it is sending.
         orders: Bodies of the orders that it received.
         is_changing_stage: Whether it is changing its stage: it grants holds but refuses requests.
@@ -202,6 +203,7 @@
         self.refused_at: list[float] = []
         self.events = 5
         self.event_interval = 0.0
+        self.drips = False
         self.running_streams = 0
         self.orders: list[dict] = []
         self.is_changing_stage = False
@@ -352,6 +354,9 @@
             if self.cuts_left and not self.cut_before:
                 self.cuts_left -= 1
                 return resp
+            while self.drips:
+                await write(b":")
+                await asyncio.sleep(self.event_interval)
             for number in range(int(req.headers.get("Last-Event-Id", 0)) + 1, self.events + 1):
                 if self.cuts_left and number == self.cut_before:
                     self.cuts_left -= 1
--- a/tests/test_on_platform.py
+++ b/tests/test_on_platform.py
@@ -365,6 +365,33 @@
     async def _d1_is_newer(self) -> bool:
         return directory.endpoint(self.site.state, "d1").build == "v1.1"
 
+    async def test_stalled_stream_that_brings_bytes_ends_with_its_callers_time(self) -> None:
+        """Bytes that complete no event keep no stream alive, and it never looks complete."""
+        await self.site.wait_for_feeds()
+        for name in ("d0", "d1"):
+            self.site.endpoints[name].drips = True
+            self.site.endpoints[name].event_interval = 0.05
+        with self.assertRaises(aiohttp.ClientError):
+            async with asyncio.timeout(30.0):
+                async with self.site.request("/stream/x", X_Wasabiwick_Deadline_Ms="1200") as resp:
+                    self.assertEqual(resp.status, 200)
+                    await resp.read()
+
+        async def has_stopped() -> bool:
+            return not any(one.running_streams for one in self.site.endpoints.values())
+
+        await until(has_stopped)
+
+    async def test_slow_but_sound_stream_comes_whole(self) -> None:
+        """Its events come further apart than the time within which an answer has to begin."""
+        await self.site.wait_for_feeds()
+        for name in ("d0", "d1"):
+            self.site.endpoints[name].events = 2
+            self.site.endpoints[name].event_interval = 1.5
+        async with self.site.request("/stream/x") as resp:
+            text = await resp.text()
+        self.assertEqual((resp.status, text.count("data:")), (200, 2))
+
     async def test_unanswered_prefill_is_repeated(self) -> None:
         await self.site.wait_for_feeds()
         self.site.endpoints["p0"].unanswered_left = 1
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -1,10 +1,11 @@
-"""Tests of endpoints that write a refusal once more on a connection that is kept.
+"""Tests of endpoints that write a refusal or an answer once more on a connection that is kept.
 
 The copy must never be taken for the answer to the next request: its caller would be told that it
 has not run, or it would run at a second endpoint.
 """
 
 import asyncio
+import contextlib
 import time
 import unittest
 
@@ -108,8 +109,26 @@
     return "\r\n".join([*lines, "", "ok"]).encode()
 
 
-class TestRepeatedRefusals(unittest.IsolatedAsyncioTestCase):
-    """A refusal that is written twice never makes a request that runs look refused."""
+class RepeatingAnswers(RepeatingEndpoint):
+    """Answers each request, and writes the answer once more before the answer to the next one."""
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        self._writers.append(writer)
+        before = b""
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                attempt = _header(head, "X-Wasabiwick-Attempt-Id")
+                await reader.readexactly(int(_header(head, "Content-Length")))
+                self.runs.append(attempt)
+                answer = _answer(self.when, attempt, "X-Wasabiwick-Response-Seal: s")
+                writer.write(before or answer)
+                await writer.drain()
+                before = answer
+
+
+class RepeatedCase(unittest.IsolatedAsyncioTestCase):
+    """Base with endpoints' calls, and a helper that sends one request."""
 
     def setUp(self) -> None:
         self.endpoints = PlatformEndpoints(time.monotonic)
@@ -140,6 +159,23 @@
             answer.release()
         return Verdict.NOT_RUN.value if answer.not_run else "answered"
 
+
+class TestRepeatedAnswers(RepeatedCase):
+    """An answer that is written twice never reaches the next caller."""
+
+    async def test_next_caller_never_gets_the_copy(self) -> None:
+        for status in ("200 OK", "500 Internal Server Error"):
+            with self.subTest(status=status):
+                async with RepeatingAnswers(status) as endpoint:
+                    self.assertEqual(await self.send(endpoint, "first"), "answered")
+                    verdict = await self.send(endpoint, "second")
+                    self.assertEqual(verdict, Verdict.MAY_HAVE_RUN.value)
+                    self.assertEqual(endpoint.runs, ["first", "second"])
+
+
+class TestRepeatedRefusals(RepeatedCase):
+    """A refusal that is written twice never makes a request that runs look refused."""
+
     async def test_next_request_is_never_told_not_run(self) -> None:
         for when in ("glued", "soon", "rests", "instead", "split", "never"):
             for second in ("second", "first"):  # The same attempt may come to the endpoint again.
