--- a/src/wasabiwick/_read_turns.py
+++ b/src/wasabiwick/_read_turns.py
@@ -83,11 +83,6 @@
         """Seconds after which others are told that a read still waits; None if nobody is told."""
         return TELL_SHARE * self.silence if self.addresses else None
 
-    def _pause(self, pause: float) -> float:
-        if not self.reads:
-            return self.silence
-        return min(pause, PAUSE_SHARE * self.silence) if self.addresses else pause
-
     def set_turn(self, *, reads: bool, addresses: tuple[str, ...]) -> None:
         """Take or leave a turn."""
         self.reads = reads
@@ -126,3 +121,8 @@
                     await self._changed.wait()
             except TimeoutError:
                 pass  # The turn has come, or a page was told just now.
+
+    def _pause(self, pause: float) -> float:
+        if not self.reads:
+            return self.silence
+        return min(pause, PAUSE_SHARE * self.silence) if self.addresses else pause
