--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -16,41 +16,24 @@
 )
 
 from ._processes import until
+from ._raw_server import RawServer
 
 COMPLETE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=9\r\n\r\nok"
 WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\n\r\nok"
 REQUEST = encode_request("POST", "/a%2Fb?c=%20", [(b"Host", b"h")], b"body")
 
 
-class Endpoint:
+class Endpoint(RawServer):
     """A server that sends given bytes per request, then keeps, closes or resets the connection."""
 
     def __init__(self, answer: bytes, then: str = "keep") -> None:
+        super().__init__()
         self.answer = answer
         self.then = then
         self.requests: list[bytes] = []
-        self.connections = 0
-        self.writers: list[asyncio.StreamWriter] = []
-        self._server: asyncio.Server | None = None
-
-    async def __aenter__(self) -> "Endpoint":
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return self
-
-    async def __aexit__(self, *exc: object) -> None:
-        self._server.close()
-        for writer in self.writers:
-            writer.close()
-
-    @property
-    def address(self) -> str:
-        """Address that it listens at."""
-        host, port = self._server.sockets[0].getsockname()
-        return f"{host}:{port}"
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.connections += 1
-        self.writers.append(writer)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer each request."""
         while data := await reader.read(65_536):
             self.requests.append(data)
             writer.write(self.answer)
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -15,16 +15,17 @@
 from wasabiwick._verdict import Verdict
 from wasabiwick.platform._endpoints import PlatformEndpoints
 
+from ._raw_server import RawServer
+
 PAUSE = 0.02  # Seconds between writes that have to arrive apart.
 ENDPOINT = "e"
 
 
-class RepeatingEndpoint:
+class RepeatingEndpoint(RawServer):
     """Refuses the first request and runs all others; writes the refusal twice.
 
     Attributes:
         runs: Attempt identifiers of the requests that it ran.
-        connections: Connections that it accepted.
 
     Args:
         when: When the copy is written: ``glued`` to the refusal, ``soon`` after it, while the
@@ -34,32 +35,14 @@
     """
 
     def __init__(self, when: str, *, names_attempt: bool = True) -> None:
+        super().__init__()
         self.when = when
         self.names_attempt = names_attempt
         self.runs: list[str] = []
-        self.connections = 0
         self.refusal = b""
-        self._server: asyncio.Server | None = None
-        self._writers: list[asyncio.StreamWriter] = []
-
-    async def __aenter__(self) -> "RepeatingEndpoint":
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return self
-
-    async def __aexit__(self, *exc: object) -> None:
-        self._server.close()
-        for writer in self._writers:
-            writer.close()
-
-    @property
-    def address(self) -> str:
-        """Address that it listens at."""
-        host, port = self._server.sockets[0].getsockname()
-        return f"{host}:{port}"
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.connections += 1
-        self._writers.append(writer)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Refuse or run each request."""
         copy = b""
         try:
             while head := await reader.readuntil(b"\r\n\r\n"):
@@ -112,9 +95,8 @@
 class RepeatingAnswers(RepeatingEndpoint):
     """Answers each request, and writes the answer once more before the answer to the next one."""
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.connections += 1
-        self._writers.append(writer)
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer each request; the copy comes in the place of the next answer."""
         before = b""
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while head := await reader.readuntil(b"\r\n\r\n"):
