--- a/src/wasabiwick/_handlers/estimates.py
+++ b/src/wasabiwick/_handlers/estimates.py
@@ -22,9 +22,7 @@
 PRIOR_PREFILL_BASE_S = 0.08  # Part of a prefill's time that does not depend on prompt length.
 PRIOR_REQUESTS = 10.0  # Requests that weigh as much as the priors of sizes.
 PRIOR_STREAMED_S = 1.0  # Seconds of a stream that weigh as much as the prior of its rate.
-# Prompts, in tokens, of the prefills that stand for the prior, and the weight of each.
-PRIOR_PREFILLS = (0, 500)
-PRIOR_PREFILL_WEIGHT = 1.0
+PRIOR_PREFILL_TOKENS = (0, 500)  # Prompts of the prefills that stand for the prior.
 # Streams with fewer events than this do not count in the token rate. They look too fast, as their
 # first events arrive together.
 MIN_TIMED_EVENTS = 10
@@ -33,6 +31,27 @@
 PREFILL_RATE_RANGE = 2.5
 
 
+def _prefill(service: str, tokens: int, seconds: float) -> Observed:
+    return Observed(
+        service=service,
+        prefills=1.0,
+        prefill_tokens=tokens,
+        prefill_seconds=seconds,
+        prefill_tokens_squared=tokens**2,
+        prefill_products=tokens * seconds,
+    )
+
+
+def _prior_prefills() -> Observed:
+    sums = Observed(service="")
+    for tokens in PRIOR_PREFILL_TOKENS:
+        sums.add(_prefill("", tokens, PRIOR_PREFILL_BASE_S + tokens / PRIOR_PREFILL_RATE))
+    return sums
+
+
+PRIOR_PREFILL = _prior_prefills()
+
+
 @state_slice("estimates")
 class EstimatesState:
     """By route, the mean output as a share of the longest allowed."""
@@ -84,11 +103,14 @@
 def mean_sizes(state: State, service: ServiceTraits) -> tuple[float, float]:
     """Return the mean prompt and output of a service's generations, in tokens."""
     slot_memory = service.engine.memory_tokens / service.engine.slots
-    seen = observations.pooled(state, service.name)
-    prompt = PRIOR_REQUESTS * PRIOR_PROMPT_SLOT_SHARE * slot_memory + seen.prompt_tokens
-    output = PRIOR_REQUESTS * PRIOR_STREAM_S * _prior_token_rate(service) + seen.output_tokens
-    requests = PRIOR_REQUESTS + seen.requests
-    return prompt / requests, output / requests
+    own, others = observations.pooled(state, service.name)
+    requests = PRIOR_REQUESTS + own.requests + others.requests
+    prompt = PRIOR_REQUESTS * PRIOR_PROMPT_SLOT_SHARE * slot_memory
+    output = PRIOR_REQUESTS * PRIOR_STREAM_S * _prior_token_rate(service)
+    return (
+        (prompt + own.prompt_tokens + others.prompt_tokens) / requests,
+        (output + own.output_tokens + others.output_tokens) / requests,
+    )
 
 
 def _prior_token_rate(service: ServiceTraits) -> float:
@@ -100,9 +122,9 @@
     service = routes.service(state, name)
     known = service is not None and service.engine is not None
     prior = _prior_token_rate(service) if known else 1 / PRIOR_EVENT_INTERVAL_S
-    seen = observations.pooled(state, name)
-    tokens = PRIOR_STREAMED_S * prior + seen.streamed_tokens
-    return tokens / (PRIOR_STREAMED_S + seen.streamed_seconds)
+    own, others = observations.pooled(state, name)
+    tokens = PRIOR_STREAMED_S * prior + own.streamed_tokens + others.streamed_tokens
+    return tokens / (PRIOR_STREAMED_S + own.streamed_seconds + others.streamed_seconds)
 
 
 def prefill_rate(state: State, service: str) -> float:
@@ -111,30 +133,19 @@
     It is the slope of a line through prefills, as each also takes a time that its prompt does not
     change.
     """
-    seen = observations.pooled(state, service)
-    for tokens in PRIOR_PREFILLS:
-        seconds = PRIOR_PREFILL_BASE_S + tokens / PRIOR_PREFILL_RATE
-        seen.add(_prefill(service, tokens, seconds), PRIOR_PREFILL_WEIGHT)
-    mean_tokens = seen.prefill_tokens / seen.prefills
-    variance = seen.prefill_tokens_squared / seen.prefills - mean_tokens**2
-    mean_seconds = seen.prefill_seconds / seen.prefills
-    covariance = seen.prefill_products / seen.prefills - mean_tokens * mean_seconds
+    own, others = observations.pooled(state, service)
+    sources = (own, others, PRIOR_PREFILL)
+    count = sum(one.prefills for one in sources)
+    mean_tokens = sum(one.prefill_tokens for one in sources) / count
+    variance = sum(one.prefill_tokens_squared for one in sources) / count - mean_tokens**2
+    mean_seconds = sum(one.prefill_seconds for one in sources) / count
+    products = sum(one.prefill_products for one in sources) / count
+    covariance = products - mean_tokens * mean_seconds
     most = PREFILL_RATE_RANGE * PRIOR_PREFILL_RATE
     least = PRIOR_PREFILL_RATE / PREFILL_RATE_RANGE
     return max(least, variance / max(variance / most, covariance))
 
 
-def _prefill(service: str, tokens: int, seconds: float) -> Observed:
-    return Observed(
-        service=service,
-        prefills=1.0,
-        prefill_tokens=tokens,
-        prefill_seconds=seconds,
-        prefill_tokens_squared=tokens**2,
-        prefill_products=tokens * seconds,
-    )
-
-
 def observe_sizes(state: State, service: ServiceTraits, route: str, ask: Ask, at: float) -> None:
     """Learn sizes when a request arrives; learning at its end would favour short streams."""
     expected = expected_output(state, route, ask)
--- a/src/wasabiwick/_handlers/observations.py
+++ b/src/wasabiwick/_handlers/observations.py
@@ -19,6 +19,9 @@
 FORGET_AFTER_S = 30.0  # Time after which the sums of a silent host are dropped.
 
 
+NOTHING = Observed(service="")  # The sums of a service of which nothing was measured.
+
+
 class TakenSums:
     """The sums that another host told last, and when, as monotonic time."""
 
@@ -52,14 +55,16 @@
     _sums_of(state["observations"].own, measured.service).add(measured)
 
 
-def pooled(state: State, service: str) -> Observed:
-    """Return the sums of all hosts together."""
+def pooled(state: State, service: str) -> tuple[Observed, Observed]:
+    """Return this host's sums and those of all others, which the caller adds up as it needs them.
+
+    Rates are asked for at each look at a queue, so that adding up all sums would cost too much.
+    """
     observations_state = state["observations"]
-    sums = Observed(service=service)
-    for source in (observations_state.own, observations_state.totals):
-        if service in source:
-            sums.add(source[service])
-    return sums
+    return (
+        observations_state.own.get(service, NOTHING),
+        observations_state.totals.get(service, NOTHING),
+    )
 
 
 def take_told(state: State, at: float) -> tuple[Observed, ...]:
--- a/tests/test_observations.py
+++ b/tests/test_observations.py
@@ -26,6 +26,11 @@
     )
 
 
+def requests_seen(host: Host) -> float:
+    """Return the weight of the requests that a host knows of."""
+    return sum(one.requests for one in observations.pooled(host.state, MODEL))
+
+
 def tell(host: Host, name: str, *sums: Observed) -> None:
     """Let a host hear another one, which tells its sums."""
     host.know(name, observed=sums)
@@ -48,13 +53,13 @@
         for _ in range(3):
             tell(host, "b", measured())
         tell(host, "c", measured())
-        self.assertAlmostEqual(observations.pooled(host.state, MODEL).requests, 200.0)
+        self.assertAlmostEqual(requests_seen(host), 200.0)
 
     def test_datagram_without_sums_leaves_those_told_before(self) -> None:
         host = Host()
         tell(host, "b", measured())
         tell(host, "b")
-        self.assertAlmostEqual(observations.pooled(host.state, MODEL).requests, 100.0)
+        self.assertAlmostEqual(requests_seen(host), 100.0)
 
     def test_sums_of_a_silent_host_are_dropped(self) -> None:
         host = Host()
@@ -62,7 +67,7 @@
         host.run(observations.FORGET_AFTER_S - 2.0)
         tell(host, "c", measured(5.0))
         host.run(4.0)
-        self.assertAlmostEqual(observations.pooled(host.state, MODEL).requests, 5.0)
+        self.assertAlmostEqual(requests_seen(host), 5.0)
 
     def test_old_measurements_weigh_less(self) -> None:
         host = Host()
