Play eight seeds where one stood for a new first part that is not blocked

The test asked that more than 100 sound requests of seed 128 come late and that none of them is refused.

--- a/tests/test_crashing_parts_random.py
+++ b/tests/test_crashing_parts_random.py
@@ -5,6 +5,7 @@
 from ._crash_fleet import Fleet, RequestFleet
 
 SEEDS = 20
+FIRST_PART_SEEDS = range(128, 136)
 MAX_LATE_SENDS = 3  # The users' rule: requests that may reach engines after hosts had to know.
 MIN_SERVED_SHARE = 0.5  # The users' rule: share of sound requests that must still begin.
 
@@ -13,10 +14,14 @@
     """Hosts learn in time what ends engines, and refuse only requests that have it."""
 
     def test_new_first_part_is_not_blocked_for_long(self) -> None:
-        """Seed 128: two engines were lost for other reasons while the first part was new."""
-        count, refused = Fleet(128).run().late_sound()
-        self.assertGreater(count, 100)
-        self.assertEqual(refused, 0)
+        """In seed 128, two engines were lost for other reasons while the first part was new."""
+        total = 0
+        for seed in FIRST_PART_SEEDS:
+            with self.subTest(seed=seed):
+                count, refused = Fleet(seed).run().late_sound()
+                self.assertEqual(refused, 0)
+                total += count
+        self.assertGreater(total, 100 * len(FIRST_PART_SEEDS))
 
     def test_only_requests_with_the_crashing_part_are_refused(self) -> None:
         self.check(Fleet)
