Bound how often a host is told the sums of others

Change: sums are told so seldom that a host gets 40 tellings a second at most; up to 40 hosts nothing changes. Result: tests/test_observations.py.

--- a/src/wasabiwick/_handlers/observations.py
+++ b/src/wasabiwick/_handlers/observations.py
@@ -16,6 +16,9 @@
 
 HALF_TIME_S = 10.0  # Time in which the weight of a measurement halves; loads shift in seconds.
 TELL_INTERVAL_S = 1.0  # Shortest time between two tellings of the sums.
+# Most tellings that a host gets in a second. In a larger fleet each host tells its sums more
+# seldom, as taking them in is work that grows with the hosts.
+MAX_TELLINGS_PER_S = 40.0
 FORGET_AFTER_S = 30.0  # Time after which the sums of a silent host are dropped.
 
 
@@ -70,7 +73,8 @@
 def take_told(state: State, at: float) -> tuple[Observed, ...]:
     """Return the sums that the next datagram tells, or nothing if one told them just before."""
     observations_state = state["observations"]
-    if at - observations_state.told_at < TELL_INTERVAL_S:
+    interval = max(TELL_INTERVAL_S, len(observations_state.others) / MAX_TELLINGS_PER_S)
+    if at - observations_state.told_at < interval:
         return ()
     observations_state.told_at = at
     _weigh(state, at)
--- a/tests/test_observations.py
+++ b/tests/test_observations.py
@@ -89,6 +89,25 @@
         self.assertLessEqual(sum(bool(one.observed) for one in told), 3)
 
 
+class TestTellings(unittest.TestCase):
+    """What hosts hear of each other's sums stays bounded, whatever the size of the fleet."""
+
+    def test_sums_are_told_more_seldom_in_a_large_fleet(self) -> None:
+        host = Host()
+        others = int(4 * observations.MAX_TELLINGS_PER_S)
+        told = 0
+        for _ in range(12):
+            for number in range(others):
+                tell(host, f"h{number}", measured(1.0))
+            host.ask("stream")
+            before = len(host.effects)
+            host.run(1.0)
+            sent = [one for one in host.effects[before:] if isinstance(one, TellLoad)]
+            told += sum(bool(one.observed) for one in sent)
+        self.assertLessEqual(told, 4)
+        self.assertGreaterEqual(told, 2)
+
+
 class TestLargeFleet(unittest.TestCase):
     """In a large fleet each host serves a request every few seconds, and yet knows what comes."""
 
