Derive what need not be kept, and share the size of what an engine reads

Cause: read once more as a newcomer. The daemon kept a list of sites that its servers know; the tokens that an engine reads first were added up in two places; the threshold of a shared zone was checked twice; a test imported inside a function. Change: one function, the servers' own sites, one check. Behaviour stays as it is.

--- a/src/wasabiwick/_forward_daemon.py
+++ b/src/wasabiwick/_forward_daemon.py
@@ -73,7 +73,6 @@
         "_deployment",
         "_metrics",
         "_servers",
-        "_sites",
         "_entry",
         "_datagrams",
         "_hops",
@@ -88,7 +87,6 @@
         self._deployment = deployment
         self._metrics = metrics
         self._servers: list[web.ServerRunner] = []
-        self._sites: list[web.TCPSite] = []
         self._entry: ForwardEntry | None = None
         self._datagrams: UdpDatagrams | None = None
         self._hops: HostHops | None = None
@@ -166,9 +164,9 @@
         Some may have come since the reducer found no work in flight. The wait ends with the time
         that the platform allows for a graceful shutdown.
         """
-        for site in self._sites:
-            await site.stop()
         for server in self._servers:
+            for site in server.sites:
+                await site.stop()
             server.server.pre_shutdown()
         runner = self.runner
         while runner.now() < stop_by(runner.state):
@@ -203,9 +201,7 @@
         else:
             server_runner = web.ServerRunner(server, shutdown_timeout=CLOSE_TIMEOUT)
         await server_runner.setup()
-        site = web.TCPSite(server_runner, host, int(port), backlog=512)
-        await site.start()
-        self._sites.append(site)
+        await web.TCPSite(server_runner, host, int(port), backlog=512).start()
         self._servers.append(server_runner)
         return "{}:{}".format(*server_runner.addresses[0][:2])
 
--- a/src/wasabiwick/_handlers/estimates.py
+++ b/src/wasabiwick/_handlers/estimates.py
@@ -80,6 +80,11 @@
     return min(tokens, ask.max_tokens) if ask.max_tokens else tokens
 
 
+def tokens_to_read(service: ServiceTraits, ask: Ask, events: int = 0) -> int:
+    """Return the tokens that an engine reads first: the prompt, and what the caller has."""
+    return ask.prompt_tokens + tokens_before(service, ask, events)
+
+
 def remaining_output(
     state: State, service: ServiceTraits, route: str, ask: Ask, events: int = 0
 ) -> int:
--- a/src/wasabiwick/_handlers/places.py
+++ b/src/wasabiwick/_handlers/places.py
@@ -141,7 +141,7 @@
         events: Number of events that this call has brought.
     """
     return StreamLoad(
-        prompt=ask.prompt_tokens + estimates.tokens_before(service, ask, events),
+        prompt=estimates.tokens_to_read(service, ask, events),
         expected=estimates.remaining_output(state, service, route, ask, events),
         begins=at + FIRST_TOKEN_TIME_S,
     )
--- a/src/wasabiwick/_handlers/placing.py
+++ b/src/wasabiwick/_handlers/placing.py
@@ -340,8 +340,8 @@
         ask: The request.
         events: Number of events that this call has brought.
     """
-    prompt_tokens = ask.prompt_tokens + estimates.tokens_before(service, ask, events)
-    return ((prompt_tokens + HOLD_OUTPUT_TOKENS) // BLOCK_TOKENS + 1) * BLOCK_TOKENS
+    tokens = estimates.tokens_to_read(service, ask, events)
+    return ((tokens + HOLD_OUTPUT_TOKENS) // BLOCK_TOKENS + 1) * BLOCK_TOKENS
 
 
 def load_summary(state: State, service: str, at: float) -> dict[str, object]:
--- a/src/wasabiwick/_handlers/read_turns.py
+++ b/src/wasabiwick/_handlers/read_turns.py
@@ -35,14 +35,12 @@
 
 
 def is_reader(state: State, zone_hosts: typing.Sequence[str]) -> bool:
-    """Return whether this host reads.
+    """Return whether this host reads for its zone.
 
     Args:
         state: The host's state.
         zone_hosts: Names of the other hosts of its zone that are heard.
     """
-    if len(zone_hosts) + 1 < MIN_ZONE_HOSTS:
-        return True
     own = state.owner.host
     return own in _rendezvous.ranked(state.zone, [*zone_hosts, own])[:READERS]
 
@@ -60,9 +58,10 @@
     turns_state = state["read_turns"]
     in_zone = neighbours.live_in_zone(state, event.at)
     zone_hosts = [name for name, one in in_zone.items() if not one.stopping]
-    reads = state.stopping or is_reader(state, zone_hosts)
-    shared = len(zone_hosts) + 1 >= MIN_ZONE_HOSTS and not state.stopping
-    addresses = tuple(sorted(one.address for one in in_zone.values())) if reads and shared else ()
+    is_shared = len(zone_hosts) + 1 >= MIN_ZONE_HOSTS and not state.stopping
+    reads = not is_shared or is_reader(state, zone_hosts)
+    tells = is_shared and reads
+    addresses = tuple(sorted(one.address for one in in_zone.values())) if tells else ()
     if (reads, addresses) == (turns_state.reads, turns_state.addresses):
         return
     if reads != turns_state.reads:
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -17,6 +17,7 @@
 from wasabiwick.platform import _feeds, _records
 
 from ._forward import Host
+from .test_on_platform import Site
 
 ANYTHING = strategies.recursive(
     strategies.none()
@@ -155,8 +156,6 @@
     """Bytes that are no request end their own connection, and the host serves on."""
 
     async def test_host_serves_on(self) -> None:
-        from .test_on_platform import Site
-
         site = Site()
         await self.enterAsyncContext(site.run())
         await site.wait_for_feeds()
