Answer what a stopping host has begun to read, and accept no stream it may cut

Cause: the library's preparation for a stop makes connections in use drop what they receive and leaves idle ones open. And streams were accepted by an expected length that is often far off.

Change: at the end idle connections are closed, those in use are read and answered; an upload that has not ended by then is refused with 503. After the notice to load balancers a stream is accepted only if its caller or its route gives up before the process ends; before that one that can't be resumed counts with its longest output. What has not begun to be answered 0.2 s before the end is refused, with a true verdict.

--- a/src/wasabiwick/_forward_daemon.py
+++ b/src/wasabiwick/_forward_daemon.py
@@ -17,6 +17,7 @@
 from ._forward_entry import ForwardEntry
 from ._handlers.host import in_flight, stop_by
 from ._hop_entry import HopEntry
+from ._idle_connections import close_idle
 from ._logging import keep_flushing, log_event
 from ._ports import Dialect, Endpoints, HostRegister
 from ._read_turns import ReadTurns
@@ -159,21 +160,29 @@
                 self.reload()
 
     async def finish_requests(self) -> None:
-        """Accept no connection any more, and wait for the answers to requests that were read.
+        """Accept no connection any more, and wait for the answers to requests that were begun.
 
-        Some may have come since the reducer found no work in flight. The wait ends with the time
-        that the platform allows for a graceful shutdown.
+        Some may have come since the reducer found no work in flight, and some callers still send
+        theirs. The wait ends with the time that the platform allows for a graceful shutdown; a
+        request that was not read to its end by then is refused.
         """
         for server in self._servers:
             for site in server.sites:
                 await site.stop()
-            server.server.pre_shutdown()
         runner = self.runner
         while runner.now() < stop_by(runner.state):
-            if not (self._entry.open_requests or in_flight(runner.state)):
+            in_use = sum(close_idle(server.server) for server in self._servers)
+            if not (in_use or in_flight(runner.state)):
                 return
             await asyncio.sleep(LAST_CHECK_INTERVAL)
-        log_event("requests_cut_off", level="WARNING", requests=self._entry.open_requests)
+        uploads = self._entry.refuse_uploads()
+        await asyncio.sleep(LAST_CHECK_INTERVAL)
+        log_event(
+            "requests_cut_off",
+            level="WARNING",
+            requests=self._entry.open_requests,
+            uploads_refused=uploads,
+        )
 
     async def stop(self) -> None:
         """Close the listeners, the runner and the adapters."""
--- a/src/wasabiwick/_forward_entry.py
+++ b/src/wasabiwick/_forward_entry.py
@@ -7,7 +7,7 @@
 
 from ._abort import abort_answer
 from ._answers import error_body
-from ._errors import Failure
+from ._errors import STOPPING, Failure
 from ._events import CallPassedOn, ForwardAnswered, ForwardArrived, ForwardLeft
 from ._forwarding import Ask
 from ._handlers import routes
@@ -15,10 +15,13 @@
 from ._logging import log_event
 from ._ports import Dialect, Exchange
 from ._runner import Runner
+from ._verdict import Verdict
 
 JSON = "application/json"
 # Seconds for which an idle connection of a caller is kept; longer than any caller keeps one.
 KEEP_ALIVE_TIMEOUT = 75.0
+# Seconds after which a caller is told to retry whose upload a stopping host did not wait for.
+UPLOAD_RETRY_AFTER_S = 0.1
 _HOP_BY_HOP_HEADERS = (
     b"connection",
     b"keep-alive",
@@ -142,13 +145,21 @@
         open_requests: Number of requests whose head has been read and whose answer is not complete.
     """
 
-    __slots__ = ("_runner", "_dialect", "_max_body_bytes", "_sequence", "open_requests")
+    __slots__ = (
+        "_runner",
+        "_dialect",
+        "_max_body_bytes",
+        "_sequence",
+        "_uploads",
+        "open_requests",
+    )
 
     def __init__(self, *, runner: Runner, dialect: Dialect, max_body_bytes: int) -> None:
         self._runner = runner
         self._dialect = dialect
         self._max_body_bytes = max_body_bytes
         self._sequence = 0
+        self._uploads: set[asyncio.Future] = set()
         self.open_requests = 0
 
     def server(self) -> web.Server:
@@ -191,12 +202,14 @@
 
     async def _forward(self, req: web.BaseRequest) -> web.StreamResponse:
         try:
-            body = await req.read()
+            body = await self._read_body(req)
         except web.HTTPRequestEntityTooLarge:
             return web.Response(status=413)
         runner = self._runner
         self._sequence += 1
         call_id = f"{runner.owner.host}.{runner.owner.incarnation}.f{self._sequence}"
+        if body is None:
+            return self._refuse_upload(req, call_id)
         exchange = Exchange(
             method=req.method, target=req.raw_path, headers=list(req.raw_headers), body=body
         )
@@ -204,6 +217,44 @@
         call = ForwardCall(req=req, ask=ask, exchange=exchange, dialect=self._dialect)
         return await answer_call(runner, req, call, ForwardArrived(at=runner.now(), ask=ask))
 
+    async def _read_body(self, req: web.BaseRequest) -> bytes | None:
+        """Read a request's body; returns None if `refuse_uploads` ended that."""
+        if req.content.is_eof():
+            return await req.read()
+        reading = asyncio.ensure_future(req.read())
+        self._uploads.add(reading)
+        try:
+            await asyncio.wait({reading})
+            return None if reading.cancelled() else reading.result()
+        finally:
+            self._uploads.discard(reading)
+            reading.cancel()
+
+    def refuse_uploads(self) -> int:
+        """Refuse the requests whose bodies have not been read, and return how many there were."""
+        for reading in self._uploads:
+            reading.cancel()
+        return len(self._uploads)
+
+    def _refuse_upload(self, req: web.BaseRequest, call_id: str) -> web.StreamResponse:
+        exchange = Exchange(
+            method=req.method, target=req.raw_path, headers=list(req.raw_headers), body=b""
+        )
+        host = req.headers.get("Host", "")
+        ask = self._dialect.ask(call_id, host, exchange, self._runner.now())
+        log_event("upload_refused", request=ask.trace_id, call=call_id, reason=STOPPING.code)
+        failure = Failure(
+            reason=STOPPING, verdict=Verdict.NOT_RUN, retry_after=UPLOAD_RETRY_AFTER_S
+        )
+        resp = web.Response(
+            status=STOPPING.status,
+            body=error_body(failure),
+            content_type=JSON,
+            headers=self._dialect.failure_headers(ask, failure),
+        )
+        resp.force_close()
+        return resp
+
     async def _ready(self, req: web.BaseRequest) -> web.Response:
         state = self._runner.state
         if req.path != self._dialect.ready_path:
--- a/src/wasabiwick/_handlers/forward_arrivals.py
+++ b/src/wasabiwick/_handlers/forward_arrivals.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from .._effects import Count, LogLine
+from .._effects import Count, LogLine, StartTimer
 from .._effects_forwarding import RefuseForward
 from .._errors import (
     BUILD_UNKNOWN,
@@ -25,6 +25,7 @@
     ForwardArrived,
     ForwardLeft,
     PlaceWanted,
+    StopAsked,
     TimerFired,
     TryFailed,
 )
@@ -47,12 +48,15 @@
     routes,
 )
 from .forwarding import ForwardedCall
-from .host import stop_by
+from .host import notice_ends, stop_by
 
 # Seconds after which callers are told to retry while this host has read no routes.
 NO_ROUTES_RETRY_AFTER = 0.5
 # Seconds after which callers are told to retry where another host can answer at once.
 OTHER_HOST_RETRY_AFTER = 0.1
+# Time before the end of a stopping host at which it answers what it can't finish, so that these
+# answers are written and read.
+LAST_ANSWERS_TIME_S = 0.2
 # Seconds after which callers are told to retry whose stream this host does not know; by then other
 # hosts should have told it.
 BUILD_RETRY_AFTER = 0.5
@@ -144,11 +148,40 @@
 
 
 def _can_finish_before_stop(state: State, route: Route, ask: Ask, at: float) -> bool:
-    """Return whether the whole answer can be expected before the stopping host ends."""
-    seconds = route.target_latency
-    if route.kind == STREAM:
-        seconds += rejecting.stream_duration(state, route.services[0][0], route.name, ask)
-    return at + seconds < stop_by(state)
+    """Return whether the whole answer will be there before the stopping host ends.
+
+    A plain request that takes longer than expected still gets an answer (`answer_before_end`), but
+    a stream that has begun would be cut off. So it counts for as long as its caller and its route
+    wait. While load balancers still send callers here it counts shorter, as otherwise none would be
+    accepted: as expected if its caller can resume it, and for its longest output if not.
+    """
+    if route.kind != STREAM:
+        return at + route.target_latency < stop_by(state)
+    ends_at = min(ask.deadline, at + route.timeout)
+    if at < notice_ends(state):
+        service = route.services[0][0]
+        if route.resumable:
+            seconds = rejecting.stream_duration(state, service, route.name, ask)
+        else:
+            seconds = rejecting.longest_stream(state, service, ask)
+        ends_at = min(ends_at, at + route.target_latency + seconds)
+    return ends_at < stop_by(state)
+
+
+@handles(StopAsked)
+def plan_last_answers(state: State, event: StopAsked) -> typing.Iterator[Step]:
+    """Start the timer of the last answers."""
+    yield StartTimer(timer="last_answers", delay=stop_by(state) - event.at - LAST_ANSWERS_TIME_S)
+
+
+@on_timer("last_answers")
+def answer_before_end(state: State, event: TimerFired) -> typing.Iterator[Step]:
+    """Refuse what would otherwise end without an answer; streams that have begun go on."""
+    for req in list(state["forwarding"].calls.values()):
+        if not req.relay_begun:
+            yield from forwarding.refuse_call(
+                state, req, event.at, STOPPING, retry_after=OTHER_HOST_RETRY_AFTER, phase=req.phase
+            )
 
 
 def _refuse_arrival(
--- a/src/wasabiwick/_handlers/host.py
+++ b/src/wasabiwick/_handlers/host.py
@@ -66,6 +66,11 @@
     return state["host"].stop_by
 
 
+def notice_ends(state: State) -> float:
+    """Return the monotonic time until which load balancers may send callers to a stopping host."""
+    return state["host"].stop_asked + state.cfg.timing.stop_notice
+
+
 @handles(Booted, ForwarderBooted)
 def start_process(state: State, event: Booted) -> typing.Iterator[Step]:
     """Set the identity of the new process, and start the watchdog."""
@@ -110,8 +115,7 @@
     """End the process once nothing is in flight or the platform's shutdown window has passed."""
     work_in_flight = in_flight(state)
     # A load balancer may still send calls for a while after the host stopped being ready.
-    earliest_stop = state["host"].stop_asked + state.cfg.timing.stop_notice
-    if event.at < earliest_stop or (work_in_flight and event.at < state["host"].stop_by):
+    if event.at < notice_ends(state) or (work_in_flight and event.at < state["host"].stop_by):
         yield StartTimer(timer="drain", delay=DRAIN_CHECK_INTERVAL_S)
         return
     if work_in_flight:
--- a/src/wasabiwick/_handlers/rejecting.py
+++ b/src/wasabiwick/_handlers/rejecting.py
@@ -29,6 +29,8 @@
 RETURNED_MIN_WAIT = 1.5  # Seconds that a returned caller waits until it precedes new ones.
 # Cautious output length as a multiple of the expected one; outputs are often longer than expected.
 LONG_OUTPUT_FACTOR = 1.2
+# Slow engines take this multiple of the mean time for a stream.
+SLOW_STREAM_FACTOR = 1.5
 # Optimistic output length as a multiple of the expected one; three in ten outputs are shorter.
 SHORT_OUTPUT_FACTOR = 0.8
 # The same for a stream that its caller resumes. One in twelve outputs is so short, and a refused
@@ -97,6 +99,12 @@
     return LONG_OUTPUT_FACTOR * tokens / estimates.token_rate(state, service)
 
 
+def longest_stream(state: State, service: str, ask: Ask) -> float:
+    """Return the seconds that a stream of the longest output that its caller allows may take."""
+    tokens = max(ask.max_tokens, ask.length_hint)
+    return SLOW_STREAM_FACTOR * tokens / estimates.token_rate(state, service)
+
+
 def should_refuse(state: State, req: ForwardedCall, at: float, *, has_room: bool) -> bool:
     """Return whether a request has waited too long, or can no longer finish before its call ends.
 
--- /dev/null
+++ b/src/wasabiwick/_idle_connections.py
@@ -0,0 +1,23 @@
+"""Closes idle connections of a server that stops, and counts those that are in use.
+
+The library's own preparation for a stop also makes connections in use ignore what they receive,
+such as the rest of a request's body, and leaves idle ones open without reading from them.
+"""
+
+from aiohttp import web
+
+
+def close_idle(server: web.Server) -> int:
+    """Close a server's idle connections, and return how many are in use.
+
+    A connection is in use from the first head that was read until its answer was written. A request
+    of which less was read has not run, and its caller sends it again.
+    """
+    in_use = 0
+    for conn in list(server.connections):
+        waiter = conn._waiter  # noqa: SLF001 - pending exactly while no request was read
+        if waiter is not None and not waiter.done():
+            conn.force_close()
+        elif conn.transport is not None:
+            in_use += 1
+    return in_use
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -673,6 +673,45 @@
         self.assertEqual(host.refusal(call).reason.code, "stopping")
         self.assertEqual(host.refusal(call).verdict, Verdict.NOT_RUN)
 
+    def test_stream_that_its_caller_cannot_resume_is_counted_at_its_longest(self) -> None:
+        """A stream longer than its hint was cut off at the end of the stop."""
+        host = Host()
+        host.feed(_events.StopAsked)
+        self.assertIsNone(host.refusal(host.ask("draft", length_hint=60, max_tokens=60)))
+        call = host.ask("draft", length_hint=60, max_tokens=2_040)
+        self.assertEqual(host.refusal(call).reason.code, "stopping")
+
+    def test_after_the_notice_only_what_surely_ends_in_time_is_accepted(self) -> None:
+        """Streams accepted 3.5 s after the signal were cut off 4 s later."""
+        host = Host()
+        host.feed(_events.StopAsked)
+        running = host.start_stream()
+        host.run(3.5)
+        for path in ("stream", "draft"):
+            call = host.ask(path, length_hint=60, max_tokens=60)
+            self.assertEqual(host.refusal(call).reason.code, "stopping")
+        self.assertIsNone(host.refusal(host.ask("stream", length_hint=60, seconds=3.0)))
+        self.assertIsNone(host.refusal(host.ask("unsafe")))
+        host.run(3.8)
+        self.assertEqual(host.refusal(host.ask("unsafe")).reason.code, "stopping")
+        self.assertTrue(host.is_open(running))
+
+    def test_what_is_not_answered_is_refused_before_the_end(self) -> None:
+        """Requests that an engine held for long ended with their connection, without an answer."""
+        host = Host(endpoints=(engine("p0", PREFILL), engine("d0", DECODE)))
+        running = host.start_stream()
+        sent = host.ask("stream", length_hint=60)
+        host.answer_hold(sent)
+        host.answer_prefill(sent)
+        host.feed(_events.StopAsked)
+        for name in ("p0", "d0"):
+            host.drop(name)
+        host.run(7.4)
+        self.assertIs(host.refusal(sent).verdict, Verdict.MAY_HAVE_RUN)
+        self.assertNotIn(host.refusal(sent).reason.status, (408, 421, 429, 503))
+        self.assertTrue(host.is_open(running))
+        self.assertIsNone(host.refusal(running))
+
     def test_short_calls_are_served_until_the_load_balancer_reacts(self) -> None:
         host = Host()
         host.feed(_events.StopAsked)
--- a/tests/test_on_platform.py
+++ b/tests/test_on_platform.py
@@ -676,6 +676,67 @@
         await daemon.stop()
         self.assertEqual(await request, 200)
 
+    async def test_upload_is_read_to_its_end_and_answered(self) -> None:
+        """The rest of an upload was dropped once the last requests were awaited."""
+        await self.site.wait_for_feeds()
+        daemon = self.site.daemon
+        released = asyncio.Event()
+        uploading = asyncio.create_task(self._upload(released))
+        await until(self._is_uploading)
+        daemon.runner.post(_events.StopAsked(at=daemon.runner.now()))
+        await daemon.runner.ended.wait()
+        finishing = asyncio.create_task(daemon.finish_requests())
+        await asyncio.sleep(0.1)
+        released.set()
+        self.assertEqual(await uploading, 200)
+        await finishing
+
+    async def test_upload_that_does_not_end_is_refused_before_the_end(self) -> None:
+        await self.site.wait_for_feeds()
+        daemon = self.site.daemon
+        uploading = asyncio.create_task(self._upload(asyncio.Event()))
+        await until(self._is_uploading)
+        daemon.runner.post(_events.StopAsked(at=daemon.runner.now()))
+        self.site.state["host"].stop_by = daemon.runner.now()
+        await daemon.finish_requests()
+        self.assertEqual(await uploading, 503)
+        self.assertEqual(self.requests_to("s0") + self.requests_to("s1"), [])
+
+    async def test_idle_connections_are_closed_beside_an_upload(self) -> None:
+        """They stayed open, and requests that came on them were read and dropped."""
+        await self.site.wait_for_feeds()
+        host, _, port = self.site.daemon.callers.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        writer.write(
+            b"POST /safe/x HTTP/1.1\r\nHost: example\r\nX-Wasabiwick-Attempt-Id: kept\r\n"
+            b"X-Wasabiwick-Deadline-Ms: 5000\r\nContent-Length: 4\r\n\r\nbody"
+        )
+        await reader.readuntil(b"/safe/x body")
+        released = asyncio.Event()
+        uploading = asyncio.create_task(self._upload(released))
+        await until(self._is_uploading)
+        finishing = asyncio.create_task(self.site.daemon.finish_requests())
+        self.assertEqual(await reader.read(), b"")
+        released.set()
+        self.assertEqual(await uploading, 200)
+        await finishing
+
+    async def _upload(self, released: asyncio.Event) -> int:
+        """Send the head and a part of a body, and the rest once released; returns the status."""
+
+        async def parts() -> typing.AsyncIterator[bytes]:
+            yield b"a"
+            await released.wait()
+            yield b"b"
+
+        async with self.site.request("/unsafe/x", body=parts()) as resp:
+            await resp.read()
+            return resp.status
+
+    async def _is_uploading(self) -> bool:
+        return self.site.daemon._entry.open_requests > 0
+
     async def test_no_connection_is_accepted_once_the_last_requests_are_awaited(self) -> None:
         await self.site.wait_for_feeds()
         await self.site.daemon.finish_requests()
