Tell other hosts only what the store has answered

Cause: a reader told "nothing is new" by the clock while its read was under way, whether or not the store answered, and so kept the others from reading.

Change: only answers are told. Reads of a host on which others rely wait so briefly that these hear within 0.75 of the silence after which they would read; findings, which travel by datagrams too, have three times that time.

Tests: test_nothing_is_told_while_the_store_does_not_answer fails on the code before (11 tellings where 4 are allowed). test_others_hear_while_a_read_waits asked for the fault itself and is replaced by three tests.

--- a/src/wasabiwick/_read_turns.py
+++ b/src/wasabiwick/_read_turns.py
@@ -11,9 +11,10 @@
 
 MAX_TOLD_BYTES = 1_200  # Most bytes of records in one telling, so that it fits into a packet.
 MAX_KEPT_PAGES = 100  # Most pages of a feed that are kept until it asks.
-# Longest pause between two reads of a host that tells others, and longest time for which it tells
-# nothing while it waits in a read, as shares of the time of silence.
-PAUSE_SHARE, TELL_SHARE = 0.6, 0.4
+# Longest pause between two reads of a host that tells others, and longest time from the start of a
+# pause to the end of the read, as shares of the time of silence. It tells what the store answered,
+# and nothing in between: while a read is under way it can't know whether the store is reached.
+PAUSE_SHARE, READ_SHARE = 0.6, 0.75
 
 
 class ToldPage(Record):
@@ -78,10 +79,18 @@
         self._told: dict[str, list[ToldPage]] = {}
         self._changed = asyncio.Event()
 
-    @property
-    def tell_interval(self) -> float | None:
-        """Seconds after which others are told that a read still waits; None if nobody is told."""
-        return TELL_SHARE * self.silence if self.addresses else None
+    def longest_wait(self, wait: float, pause: float, patience: float = 1.0) -> float:
+        """Return how long a read may wait for news, so that others hear of it in time.
+
+        Args:
+            wait: Seconds for which the feed's reads wait where nobody relies on them.
+            pause: Seconds between two of its reads.
+            patience: Multiple of the time of silence for which others wait.
+        """
+        if not self.addresses:
+            return wait
+        silence = patience * self.silence
+        return min(wait, READ_SHARE * silence - min(pause, PAUSE_SHARE * silence))
 
     def set_turn(self, *, reads: bool, addresses: tuple[str, ...]) -> None:
         """Take or leave a turn."""
@@ -99,12 +108,13 @@
             del pages[:-MAX_KEPT_PAGES]
             self._changed.set()
 
-    async def next_page(self, feed: str, pause: float) -> ToldPage | None:
+    async def next_page(self, feed: str, pause: float, patience: float = 1.0) -> ToldPage | None:
         """Return a page that was told, or None once it is this host's turn to read.
 
         Args:
             feed: Name of the feed.
             pause: Seconds between two reads of a host that reads.
+            patience: Multiple of the time of silence after which a host that listens reads.
         """
         loop = asyncio.get_running_loop()
         began = loop.time()
@@ -112,7 +122,7 @@
         while True:
             if pages:
                 return pages.pop(0)
-            left = began + self._pause(pause) - loop.time()
+            left = began + self._pause(pause, patience * self.silence) - loop.time()
             if left <= 0.0:
                 return None
             self._changed.clear()
@@ -122,7 +132,7 @@
             except TimeoutError:
                 pass  # The turn has come, or a page was told just now.
 
-    def _pause(self, pause: float) -> float:
+    def _pause(self, pause: float, silence: float) -> float:
         if not self.reads:
-            return self.silence
-        return min(pause, PAUSE_SHARE * self.silence) if self.addresses else pause
+            return silence
+        return min(pause, PAUSE_SHARE * silence) if self.addresses else pause
--- a/src/wasabiwick/platform/__init__.py
+++ b/src/wasabiwick/platform/__init__.py
@@ -17,6 +17,7 @@
 from ._endpoints import PlatformDialect, PlatformEndpoints
 from ._feeds import (
     ENDPOINTS_POLL_WAIT_S,
+    FINDINGS_PATIENCE,
     FINDINGS_PAUSE_S,
     FINDINGS_POLL_WAIT_S,
     ROUTES_POLL_WAIT_S,
@@ -77,6 +78,7 @@
             decode=decode_findings,
             wait=FINDINGS_POLL_WAIT_S,
             pause=FINDINGS_PAUSE_S,
+            patience=FINDINGS_PATIENCE,
         )
         await asyncio.gather(routes.run(runner), endpoints.run(runner), findings.run(runner))
 
--- a/tests/test_read_turns.py
+++ b/tests/test_read_turns.py
@@ -247,16 +247,38 @@
         told = [one.value for page in self.sent for one in page.records]
         self.assertEqual(told, [b"second"])
 
-    async def test_others_hear_while_a_read_waits(self) -> None:
-        """A long poll returns when something is new, which may be seconds later."""
-        self.topics.waits = asyncio.Event()
+    async def test_others_hear_that_nothing_is_new(self) -> None:
         self.turns.set_turn(reads=True, addresses=("b:1",))
         await self.until(lambda: len(self.sent) >= 3)
         self.assertEqual({(one.after, one.upto, one.records) for one in self.sent}, {(1, 1, ())})
         self.topics.add("a", b"second")
-        self.topics.waits.set()
         await self.until(lambda: self.sent[-1].upto == 2)
 
+    async def test_nothing_is_told_while_the_store_does_not_answer(self) -> None:
+        """Two readers that were cut off the store kept all hosts of their zone from reading it."""
+        self.turns.set_turn(reads=True, addresses=("b:1",))
+        await self.until(lambda: self.sent)
+        self.topics.waits = asyncio.Event()
+        reads = self.topics.reads
+        await self.until(lambda: self.topics.reads > reads)
+        told = len(self.sent)
+        await asyncio.sleep(3 * self.silence)
+        self.assertLessEqual(len(self.sent), told + 1)  # One read may have been answered before.
+        self.topics.waits.set()
+        await self.until(lambda: len(self.sent) > told + 1)
+
+    def test_a_read_ends_in_time_for_those_who_listen(self) -> None:
+        """Otherwise they would read for themselves whenever nothing is new."""
+        turns = ReadTurns(0.8)
+        self.assertEqual(turns.longest_wait(2.0, 0.7), 2.0)
+        turns.set_turn(reads=True, addresses=("b:1",))
+        for patience in (1.0, 3.0):
+            for pause in (0.0, 0.1, 0.7, 5.0):
+                silence = patience * turns.silence
+                wait = turns.longest_wait(10.0, pause, patience)
+                self.assertGreater(wait, 0.0)
+                self.assertLess(min(pause, 0.6 * silence) + wait, 0.8 * silence)
+
     async def test_host_with_nobody_to_tell_sends_nothing(self) -> None:
         self.topics.add("a", b"second")
         await self.until(lambda: self.seen[-1] == b"second")
