Refuse requests that wait for a service which the configuration has dropped

Cause: the decision on waiting requests took the traits of their service for known, failed without them whenever it was due, and the runner dropped what the same event had decided for other requests.

Change: a dropped service stays known for two minutes, so that requests under way go on to their end; those that wait are refused at once with 503 service_gone, and when to come back. The log line of a new table names the services gone.

Tests: two of TestServiceGone fail on the code before.

--- a/src/wasabiwick/_errors.py
+++ b/src/wasabiwick/_errors.py
@@ -106,6 +106,7 @@
 STOPPING = Reason("stopping", 503, "the host is stopping")
 LOG_UNAVAILABLE = Reason("log_unavailable", 503, "the log service does not answer")
 OUTCOME_UNKNOWN = Reason("outcome_unknown", 502, "the outcome of an earlier attempt is unknown")
+SERVICE_GONE = Reason("service_gone", 503, "the service is no longer configured")
 NOT_REACHED = Reason("not_reached", 503, "no endpoint can be reached")
 OTHER_VERSION = Reason("other_version", 503, "the other host has another version of the routes")
 HOST_LOST = Reason("host_lost", 502, "the other host was lost on the way")
--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -11,7 +11,7 @@
 
 from .._effects import StartTimer
 from .._effects_forwarding import TakeHold
-from .._errors import NO_ENDPOINT, OVERLOADED
+from .._errors import NO_ENDPOINT, OVERLOADED, SERVICE_GONE
 from .._events import HoldAnswered, PermitSettled, PlacesChanged, TimerFired
 from .._forwarding import DECODE
 from .._reducer import Step, handles, on_timer
@@ -36,6 +36,9 @@
 MAX_MISSES = 3  # A check of a queue assigns no more places after this many requests found none.
 # Seconds for which a place is reserved; covers the wait for the prefill and the prefill itself.
 HOLD_TIME = 1.5
+# Seconds after which a caller is told to come back whose service was dropped while it waited. The
+# routes in force then lead it elsewhere.
+GONE_RETRY_AFTER_S = 0.1
 
 
 @state_slice("forward_waiting")
@@ -95,10 +98,15 @@
     decoding = directory.usable_endpoints(state, service, DECODE) if waiting_calls else []
     wait = placing.shortest_wait(state, (one.name for one in decoding), at)
     is_in_doubt = reach.is_in_doubt(state, service)
+    is_retired = routes.is_retired(state, service)
     still_waiting_calls = []
     misses = 0
     for req in sorted(waiting_calls, key=lambda one: rejecting.rank(state, one, at)):
-        if (is_in_doubt or req.unreachable) and hops.is_needed(state, req, at):
+        if is_retired and not req.relay_begun:
+            yield from forwarding.refuse_call(
+                state, req, at, SERVICE_GONE, retry_after=GONE_RETRY_AFTER_S, service=service
+            )
+        elif (is_in_doubt or req.unreachable) and hops.is_needed(state, req, at):
             yield from hops.start(state, req, at)
         elif (
             rejecting.should_refuse(state, req, at, has_room=has_room)
--- a/src/wasabiwick/_handlers/routes.py
+++ b/src/wasabiwick/_handlers/routes.py
@@ -7,16 +7,28 @@
 from .._settings import Settings
 from .._state import State, state_slice
 
+# Time for which a service is known after it was dropped; longer than any caller waits.
+RETIRED_TIME_S = 120.0
+
 
 @state_slice("routes")
 class RoutesState:
     """The table in force, its routes by host with the longest prefix first, and its services.
 
     ``stream_timeout`` is the longest time-out of its stream routes, in seconds, and
-    ``stream_services`` has the services that these routes name.
+    ``stream_services`` has the services that these routes name. ``retired`` holds services that are
+    no longer listed, with the monotonic time since then, as calls may still use them.
     """
 
-    __slots__ = ("table", "read_at", "by_host", "services", "stream_timeout", "stream_services")
+    __slots__ = (
+        "table",
+        "read_at",
+        "by_host",
+        "services",
+        "stream_timeout",
+        "stream_services",
+        "retired",
+    )
 
     def __init__(self, cfg: Settings) -> None:
         self.table: RouteTable | None = None
@@ -25,6 +37,7 @@
         self.services: dict[str, ServiceTraits] = {}
         self.stream_timeout = 0.0
         self.stream_services: frozenset[str] = frozenset()
+        self.retired: dict[str, tuple[ServiceTraits, float]] = {}
 
 
 def version(state: State) -> int:
@@ -47,8 +60,20 @@
 
 
 def service(state: State, name: str) -> ServiceTraits | None:
-    """Return the configuration of a service, or None if it is unknown."""
-    return state["routes"].services.get(name)
+    """Return the configuration of a service, or None if it is unknown.
+
+    One that is no longer listed stays known for as long as calls to it may last.
+    """
+    routes_state = state["routes"]
+    listed = routes_state.services.get(name)
+    if listed is None and name in routes_state.retired:
+        return routes_state.retired[name][0]
+    return listed
+
+
+def is_retired(state: State, name: str) -> bool:
+    """Return whether a service was listed, and is no longer."""
+    return name in state["routes"].retired
 
 
 def is_generation(state: State, route: Route, name: str) -> bool:
@@ -94,8 +119,20 @@
     routes_state.stream_services = frozenset(
         name for one in table.routes if one.kind == STREAM for name, _ in one.services
     )
-    routes_state.services = {one.name: one for one in table.services}
-    fields = {"version": table.version, "routes": len(table.routes)}
+    listed = {one.name: one for one in table.services}
+    gone = {name: one for name, one in routes_state.services.items() if name not in listed}
+    routes_state.retired |= {name: (one, event.at) for name, one in gone.items()}
+    routes_state.retired = {
+        name: (one, since)
+        for name, (one, since) in routes_state.retired.items()
+        if name not in listed and event.at - since < RETIRED_TIME_S
+    }
+    routes_state.services = listed
+    fields = {
+        "version": table.version,
+        "routes": len(table.routes),
+        "services_gone": ",".join(sorted(gone)) or "-",
+    }
     return [
         Count(metric="routes_changed"),
         LogLine(event="routes_in_force", fields=fields),
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -6,6 +6,7 @@
 from wasabiwick import _events
 from wasabiwick._effects_forwarding import AskWhetherBusy, CutForward, DropHold, FreeHandle
 from wasabiwick._errors import ENDPOINT_CHANGED, ENDPOINT_REFUSED, OVERLOADED, Failure
+from wasabiwick._forwarding import RouteTable
 from wasabiwick._handlers import places
 from wasabiwick._verdict import Verdict
 
@@ -13,6 +14,7 @@
     BROKEN,
     DECODE,
     ENDPOINTS,
+    MODEL,
     PREFILL,
     REFUSED,
     UNREACHABLE,
@@ -719,6 +721,70 @@
         self.assertTrue(host.effects_of(Forward, host.ask("unsafe")))
 
 
+class TestServiceGone(unittest.TestCase):
+    """A service may vanish from the configuration while engines are silent and requests wait."""
+
+    def setUp(self) -> None:
+        """Let a stream run, one be prefilled, and three wait as engines hold no more places."""
+        self.host = Host()
+        self.running = self.host.start_stream()
+        self.held = self.host.ask("stream")
+        self.host.answer_hold(self.held)
+        self.waiting = [self.host.ask(path) for path in ("stream", "draft", "stream")]
+        for call in self.waiting:
+            while self.host.state["forwarding"].calls[call].phase == "holding":
+                self.host.answer_hold(call, REFUSED)
+        before = table(2)
+        moved = [one for one in before.routes if one.services[0][0] != MODEL]
+        services = tuple(one for one in before.services if one.name != MODEL)
+        self.host.feed(
+            _events.RoutesRead, table=RouteTable(version=2, routes=tuple(moved), services=services)
+        )
+
+    def test_waiting_requests_are_refused_at_once(self) -> None:
+        """They were never answered: the decision failed whenever it was due."""
+        for call in self.waiting:
+            refusal = self.host.refusal(call)
+            self.assertEqual(refusal.reason.code, "service_gone")
+            self.assertIs(refusal.verdict, Verdict.NOT_RUN)
+            self.assertGreater(refusal.retry_after, 0)
+            self.assertFalse(self.host.is_open(call))
+
+    def test_requests_under_way_go_on_to_their_end(self) -> None:
+        self.host.answer_prefill(self.held)
+        self.host.answer(self.held, streams=True)
+        for call in (self.running, self.held):
+            number = self.host.last_effect(Forward, call).number
+            endpoint = self.host.last_effect(Forward, call).endpoint
+            self.host.feed(
+                _events.StreamDone, call_id=call, endpoint=endpoint, number=number, events=60
+            )
+            self.host.feed(_events.ForwardAnswered, call_id=call)
+            self.assertIsNone(self.host.refusal(call))
+            self.assertFalse(self.host.is_open(call))
+        self.assertEqual(self.host.state["places"].own_loads, {})
+
+    def test_stream_that_breaks_off_goes_on_at_an_engine_that_is_left(self) -> None:
+        self.host.run(0.1)  # Until the engines that refused a place are asked again.
+        self.host.fail(self.running, BROKEN, events=3)
+        self.assertEqual(len(self.host.effects_of(TakeHold, self.running)), 2)
+        self.host.answer_hold(self.running)
+        self.assertTrue(self.host.is_open(self.running))
+
+    def test_requests_to_other_services_notice_nothing(self) -> None:
+        """Requests to all services were left without an answer while one waited for this one."""
+        for _ in range(6):
+            call = self.host.ask("unsafe")
+            self.host.answer(call, 503, not_run=True)
+            self.host.answer(call)
+            self.assertTrue(self.host.effects_of(Relay, call))
+
+    def test_service_that_is_listed_again_is_served(self) -> None:
+        self.host.feed(_events.RoutesRead, table=table(3))
+        self.host.run(0.1)
+        self.assertTrue(self.host.effects_of(TakeHold, self.host.ask("stream")))
+
+
 class TestRoutesInForce(unittest.TestCase):
     """A host never goes back to an older version of the routes."""
 
