Abort a stream that has begun rather than write another answer into it

Operators of a like system report: a stream broke off, the next engine answered with an error, and callers found its text or head in the middle of their stream.

Looked for with a real host and twelve kinds of errors, each with and without a length: it doesn't happen, as the three modules that decide relay nothing but the rest of a stream. But it rested on them alone: what carries a decision out wrote any answer behind the events.

Change: a call whose stream has begun aborts the connection instead, and logs it as an error of the program; likewise for requests of other hosts.

Tests: test_no_answer_is_written_into_a_stream_whatever_was_decided fails on the code before; the others hold on it and are kept.

--- a/src/wasabiwick/_forward_entry.py
+++ b/src/wasabiwick/_forward_entry.py
@@ -61,6 +61,8 @@
 
     def refuse(self, failure: Failure) -> None:
         """Answer with a failure that this host reports itself."""
+        if self._abort_stream(failure.reason.status):
+            return
         resp = web.Response(
             status=failure.reason.status,
             body=error_body(failure),
@@ -71,6 +73,8 @@
 
     def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
         """Answer with an endpoint's complete answer."""
+        if self._abort_stream(status):
+            return
         self._end(web.Response(status=status, headers=_end_to_end_headers(headers), body=body))
 
     async def start_stream(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
@@ -87,6 +91,14 @@
         """End the stream as complete."""
         self._end(self._resp)
 
+    def _abort_stream(self, status: int) -> bool:
+        """Abort a stream that has begun, into which no other answer may be written."""
+        if self._resp is None:
+            return False
+        log_event("answer_into_stream", level="ERROR", call=self._ask.call_id, status=status)
+        self.abort()
+        return True
+
     def abort(self) -> None:
         """Abort the connection, so that the answer looks incomplete."""
         abort_answer(self._req)
--- a/src/wasabiwick/_hop_entry.py
+++ b/src/wasabiwick/_hop_entry.py
@@ -45,10 +45,14 @@
 
     def refuse(self, failure: Failure) -> None:
         """Answer with a failure that this host reports itself."""
+        if self._abort_stream(failure.reason.status):
+            return
         self._end(web.Response(body=encode_head(failure_head(failure))))
 
     def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
         """Answer with an endpoint's complete answer."""
+        if self._abort_stream(status):
+            return
         head = self._head(status, headers, streams=False)
         self._end(web.Response(body=encode_head(head) + body))
 
--- a/tests/_platform.py
+++ b/tests/_platform.py
@@ -219,6 +219,8 @@
         born: Unix time of its start, in milliseconds.
         retry_after: What it says in refusals: for how long it wants nothing; empty for nothing.
         says_leaving: Whether its answers say that it leaves.
+        resumed_answer: Bytes that it answers to a stream that is resumed, before it closes the
+            connection; ``ATTEMPT`` stands for the attempt's identifier. Empty for its own answer.
         limit: Requests a second that its answers name as its limit; None for no limit.
         arrivals: Monotonic time of each request.
         end: Closes its listener and its connections.
@@ -254,6 +256,7 @@
         self.born = 1
         self.retry_after = ""
         self.says_leaving = False
+        self.resumed_answer = b""
         self.limit: float | None = None
         self.arrivals: list[float] = []
         self.end: typing.Callable[[], typing.Awaitable[None]] | None = None
@@ -361,6 +364,12 @@
             self.has_ended = True
             await self.end()
             return web.Response(status=500, headers=echo)
+        if self.resumed_answer and "Last-Event-Id" in req.headers:
+            attempt = echo["X-Wasabiwick-Attempt-Id"].encode()
+            req.transport.write(self.resumed_answer.replace(b"ATTEMPT", attempt))
+            await asyncio.sleep(0.05)
+            req.transport.close()
+            return web.Response()
         seal = {**echo, "X-Wasabiwick-Response-Seal": f"seal-{self.name}"}
         if self.unsealed_left:
             self.unsealed_left -= 1
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -721,6 +721,38 @@
         self.assertTrue(host.effects_of(Forward, host.ask("unsafe")))
 
 
+class TestErrorAfterABreak(unittest.TestCase):
+    """What follows a stream that has begun is the rest of that stream, or the connection is cut."""
+
+    ANSWERS = ((200, False), (206, True), (206, False), (302, False), (404, False), (500, False))
+
+    def test_no_other_answer_is_relayed(self) -> None:
+        for path in ("stream", "feed"):
+            for status, streams in self.ANSWERS:
+                with self.subTest(path=path, status=status, streams=streams):
+                    self.assertEqual(self._relays_after_a_break(path, status, streams), 1)
+
+    def _relays_after_a_break(self, path: str, status: int, streams: bool) -> int:
+        """Break a stream off, answer each further try so, and return how many were relayed."""
+        host = Host()
+        if path == "stream":
+            call = host.start_stream()
+        else:
+            call = host.ask(path)
+            host.answer(call, streams=True)
+        host.fail(call, BROKEN, events=3)
+        for _ in range(5):
+            if not host.is_open(call):
+                break
+            if host.state["forwarding"].calls[call].phase == "holding":
+                host.answer_hold(call)
+            if host.state["forwarding"].calls[call].phase == "reading":
+                host.answer_prefill(call)
+            host.answer(call, status, streams=streams)
+        self.assertTrue(host.effects_of(CutForward, call))
+        return len(host.effects_of(Relay, call))
+
+
 class TestServiceGone(unittest.TestCase):
     """A service may vanish from the configuration while engines are silent and requests wait."""
 
--- a/tests/test_hops.py
+++ b/tests/test_hops.py
@@ -261,6 +261,24 @@
         self.assertTrue(self.host.effects_of(Relay, call_id))
         self.assertEqual(builds.begun_stream(self.host.state, f"t-{call_id}").build, "v2")
 
+    def test_no_other_answer_follows_a_stream_that_has_begun(self) -> None:
+        for status, streams in (
+            (200, False),
+            (206, True),
+            (302, False),
+            (404, False),
+            (500, False),
+        ):
+            with self.subTest(status=status, streams=streams):
+                self.setUp()
+                call_id = self.host.ask("stream")
+                self.host.answer_hop(call_id, streams=True)
+                self.host.fail_hop(call_id, BROKEN, events=3)
+                while self.host.is_open(call_id):
+                    self.host.answer_hop(call_id, status, streams=streams)
+                self.assertEqual(len(self.host.effects_of(Relay, call_id)), 1)
+                self.assertTrue(self.host.effects_of(CutForward, call_id))
+
     def test_broken_stream_goes_on_at_the_same_build(self) -> None:
         call_id = self.host.ask("stream")
         self.host.answer_hop(call_id, streams=True, build="v2")
--- a/tests/test_on_platform.py
+++ b/tests/test_on_platform.py
@@ -12,10 +12,11 @@
 
 from wasabiwick import _events, platform
 from wasabiwick._effects_forwarding import SaveStreams
-from wasabiwick._errors import Failure
+from wasabiwick._errors import OVERLOADED, Failure
 from wasabiwick._forward_daemon import ForwardDaemon
 from wasabiwick._forwarding import BegunStream, SavedBuilds
 from wasabiwick._handlers import builds, directory, routes
+from wasabiwick._verdict import Verdict
 
 from ._platform import APP, MODEL, ODD_ENTRIES, TOPIC_PREFIX, Endpoint, Store, config, serving
 from ._processes import until
@@ -591,6 +592,83 @@
         return builds.begun_stream(self.other.runner.state, name) is not None
 
 
+class TestErrorAfterABreak(SiteTest):
+    """A stream broke off and the next engine answers with an error: no byte of that is relayed.
+
+    Callers of like systems found the error's text, or its whole head, in the middle of their
+    stream, or the stream ended as if it were complete.
+    """
+
+    ERRORS = {
+        "own failure": b"HTTP/1.1 500 X\r\nX-Wasabiwick-Attempt-Id: ATTEMPT\r\n"
+        b"X-Wasabiwick-Response-Seal: seal\r\nContent-Length: 5\r\n\r\nerror",
+        "failure without a length": b"HTTP/1.1 502 X\r\nX-Wasabiwick-Attempt-Id: ATTEMPT\r\n\r\n"
+        b"<html>error</html>",
+        "failure as a stream": b"HTTP/1.1 500 X\r\nX-Wasabiwick-Attempt-Id: ATTEMPT\r\n"
+        b"Content-Type: text/event-stream\r\n\r\ndata: error\n\n",
+        "refusal": b"HTTP/1.1 503 X\r\nX-Wasabiwick-Attempt-Id: ATTEMPT\r\n"
+        b"X-Wasabiwick-Not-Executed: 1\r\nContent-Length: 5\r\n\r\nerror",
+        "success that is no stream": b"HTTP/1.1 200 X\r\nX-Wasabiwick-Attempt-Id: ATTEMPT\r\n"
+        b"X-Wasabiwick-Response-Seal: seal\r\nContent-Type: application/json\r\n"
+        b"Content-Length: 11\r\n\r\n{'error':1}",
+        "stream without a seal": b"HTTP/1.1 200 X\r\nX-Wasabiwick-Attempt-Id: ATTEMPT\r\n"
+        b"Content-Type: text/event-stream\r\nContent-Length: 13\r\n\r\ndata: error\n\n",
+        "stream of another attempt": b"HTTP/1.1 200 X\r\nX-Wasabiwick-Attempt-Id: other\r\n"
+        b"X-Wasabiwick-Response-Seal: seal\r\nContent-Type: text/event-stream\r\n"
+        b"Content-Length: 13\r\n\r\ndata: error\n\n",
+        "redirection": b"HTTP/1.1 302 X\r\nX-Wasabiwick-Attempt-Id: ATTEMPT\r\n"
+        b"Content-Length: 5\r\n\r\nerror",
+        "part of a stream": b"HTTP/1.1 206 X\r\nX-Wasabiwick-Attempt-Id: ATTEMPT\r\n"
+        b"X-Wasabiwick-Response-Seal: seal\r\nContent-Type: text/event-stream\r\n"
+        b"Content-Length: 13\r\n\r\ndata: error\n\n",
+        "two heads": b"HTTP/1.1 200 X\r\nX-Wasabiwick-Attempt-Id: ATTEMPT\r\n"
+        b"X-Wasabiwick-Response-Seal: seal\r\nContent-Type: text/event-stream\r\n"
+        b"Content-Length: 0\r\n\r\nHTTP/1.1 500 X\r\nContent-Length: 5\r\n\r\nerror",
+        "no answer": b"error\r\n\r\n",
+        "nothing": b"\r\n",
+    }
+
+    async def test_caller_gets_its_events_and_no_end(self) -> None:
+        await self.site.wait_for_feeds()
+        for name, answer in self.ERRORS.items():
+            for states_length in (True, False):
+                with self.subTest(answer=name, states_length=states_length):
+                    await self._check(answer, states_length)
+
+    async def test_no_answer_is_written_into_a_stream_whatever_was_decided(self) -> None:
+        """The caller's connection is aborted even if a decision to answer came too late."""
+        await self.site.wait_for_feeds()
+        for name in ("d0", "d1"):
+            self.site.endpoints[name].event_interval = 0.05
+        calls = self.site.daemon.runner.forwarded_calls
+        for late in (
+            lambda call: call.answer(500, [], b"error"),
+            lambda call: call.refuse(Failure(reason=OVERLOADED, verdict=Verdict.NOT_RUN)),
+        ):
+            body = b""
+            with self.assertRaises(aiohttp.ClientPayloadError):
+                async with self.site.request("/stream/x") as resp:
+                    body = await resp.content.readuntil(b"\n\n")
+                    (call,) = calls.values()
+                    late(call)
+                    body += await resp.read()
+            self.assertTrue(EVENTS.startswith(body), body)
+
+    async def _check(self, answer: bytes, states_length: bool) -> None:
+        for name in ("d0", "d1"):
+            engine = self.site.endpoints[name]
+            engine.cuts_left, engine.cut_before = 1, 3
+            engine.states_length = states_length
+            engine.resumed_answer = answer
+        body = bytearray()
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            async with self.site.request("/stream/x") as resp:
+                self.assertEqual(resp.status, 200)
+                async for data in resp.content.iter_any():
+                    body += data
+        self.assertTrue(EVENTS.startswith(bytes(body)), bytes(body))
+
+
 class TestSavedStreams(SiteTest):
     """Streams that hosts saved in the store are read again by hosts that start."""
 
