Keep polls long while the store answers a reader's other calls

Cause: each reader asked for routes 1.7 times a second, where nothing is new.

Change: only reads of the list of endpoints are short. While another feed's poll waits, others are told that nothing is new if the store has answered any call of this host within half the time of silence.

--- a/src/wasabiwick/_feed.py
+++ b/src/wasabiwick/_feed.py
@@ -34,7 +34,8 @@
         wait: Longest duration of a long poll, in seconds.
         pause: Delay between two reads, in seconds.
         content: Function that returns what of a record is told to other hosts once it changes.
-        patience: Multiple of the usual time of silence after which a host that listens reads.
+        is_short: Whether its reads are kept short where other hosts rely on this one, so that they
+            show whether the store is reached; one feed has to do so for all.
     """
 
     __slots__ = (
@@ -45,7 +46,7 @@
         "_wait",
         "_pause",
         "_content",
-        "_patience",
+        "_is_short",
         "_contents",
         "_up",
     )
@@ -60,7 +61,7 @@
         wait: float,
         pause: float = 0.0,
         content: typing.Callable[[KeyedRecord], object] = lambda record: record.offset,
-        patience: float = 1.0,
+        is_short: bool = False,
     ) -> None:
         self._store = store
         self._name = name
@@ -69,7 +70,7 @@
         self._wait = wait
         self._pause = pause
         self._content = content
-        self._patience = patience
+        self._is_short = is_short
         self._contents: dict[str, object] = {}
         self._up = True
 
@@ -92,8 +93,7 @@
         while True:
             told = None
             if position is not None:
-                pause = self._pause if self._up else 0.0
-                told = await turns.next_page(self._name, pause, self._patience)
+                told = await turns.next_page(self._name, self._pause if self._up else 0.0)
             if told is not None and told.follows(position, era):
                 self._set_connected(runner, True)
                 if told.upto > position:
@@ -104,8 +104,10 @@
                 has_all_keys = position is None
                 # The first read after a failure does not wait, so missed changes apply at once.
                 is_poll = self._up and told is None and turns.reads
-                wait = turns.longest_wait(self._wait, self._pause, self._patience)
-                page = await self._read_page(position, wait if is_poll else 0.0)
+                wait = self._wait
+                if self._is_short:
+                    wait = turns.short_wait(wait, self._pause)
+                page = await self._read_telling(runner, position, era, wait if is_poll else 0.0)
             except HistoryLostError as exc:
                 log_event("history_lost", feed=self._name, error=str(exc))
                 position = None
@@ -129,6 +131,30 @@
             if news is not None and turns.addresses:
                 runner.ports.datagrams.send_page(turns.addresses, news)
 
+    async def _read_telling(
+        self, runner: Runner, position: int | None, era: int, wait: float
+    ) -> Page:
+        """Read a page; meanwhile, tell the hosts that rely on this one that nothing is new.
+
+        They are told so only while the store answers this host's other calls.
+        """
+        reading = asyncio.ensure_future(self._read_page(position, wait))
+        turns = runner.ports.turns
+        try:
+            while position is not None and turns.tell_interval is not None:
+                done, _ = await asyncio.wait({reading}, timeout=turns.tell_interval)
+                if done:
+                    break
+                if runner.now() - self._store.answered_at > turns.answered_within:
+                    continue
+                unchanged = ToldPage(
+                    feed=self._name, era=era, after=position, upto=position, records=()
+                )
+                runner.ports.datagrams.send_page(turns.addresses, unchanged)
+            return await reading
+        finally:
+            reading.cancel()
+
     def _news(self, page: Page, after: int | None) -> ToldPage | None:
         """Return what a page says that is new, to be told to other hosts; None for a first page."""
         new = []
--- a/src/wasabiwick/_read_turns.py
+++ b/src/wasabiwick/_read_turns.py
@@ -12,9 +12,12 @@
 MAX_TOLD_BYTES = 1_200  # Most bytes of records in one telling, so that it fits into a packet.
 MAX_KEPT_PAGES = 100  # Most pages of a feed that are kept until it asks.
 # Longest pause between two reads of a host that tells others, and longest time from the start of a
-# pause to the end of the read, as shares of the time of silence. It tells what the store answered,
-# and nothing in between: while a read is under way it can't know whether the store is reached.
+# pause to the end of a short read, as shares of the time of silence.
 PAUSE_SHARE, READ_SHARE = 0.6, 0.75
+# While a long read waits, others are told at this interval that nothing is new, if the store has
+# answered any call for so long at most. Without an answer a host can't know whether it reaches the
+# store. Both are shares of the time of silence; short reads bring an answer in time.
+TELL_SHARE, ANSWERED_SHARE = 0.4, 0.5
 
 
 class ToldPage(Record):
@@ -79,18 +82,26 @@
         self._told: dict[str, list[ToldPage]] = {}
         self._changed = asyncio.Event()
 
-    def longest_wait(self, wait: float, pause: float, patience: float = 1.0) -> float:
-        """Return how long a read may wait for news, so that others hear of it in time.
+    @property
+    def tell_interval(self) -> float | None:
+        """Seconds after which others are told that a read still waits; None if nobody is told."""
+        return TELL_SHARE * self.silence if self.addresses else None
+
+    @property
+    def answered_within(self) -> float:
+        """Seconds for which an answer of the store shows that this host reaches it."""
+        return ANSWERED_SHARE * self.silence
+
+    def short_wait(self, wait: float, pause: float) -> float:
+        """Return how long a short read may wait for news, so that others hear of it in time.
 
         Args:
             wait: Seconds for which the feed's reads wait where nobody relies on them.
             pause: Seconds between two of its reads.
-            patience: Multiple of the time of silence for which others wait.
         """
         if not self.addresses:
             return wait
-        silence = patience * self.silence
-        return min(wait, READ_SHARE * silence - min(pause, PAUSE_SHARE * silence))
+        return min(wait, READ_SHARE * self.silence - min(pause, PAUSE_SHARE * self.silence))
 
     def set_turn(self, *, reads: bool, addresses: tuple[str, ...]) -> None:
         """Take or leave a turn."""
@@ -108,13 +119,12 @@
             del pages[:-MAX_KEPT_PAGES]
             self._changed.set()
 
-    async def next_page(self, feed: str, pause: float, patience: float = 1.0) -> ToldPage | None:
+    async def next_page(self, feed: str, pause: float) -> ToldPage | None:
         """Return a page that was told, or None once it is this host's turn to read.
 
         Args:
             feed: Name of the feed.
             pause: Seconds between two reads of a host that reads.
-            patience: Multiple of the time of silence after which a host that listens reads.
         """
         loop = asyncio.get_running_loop()
         began = loop.time()
@@ -122,7 +132,7 @@
         while True:
             if pages:
                 return pages.pop(0)
-            left = began + self._pause(pause, patience * self.silence) - loop.time()
+            left = began + self._pause(pause) - loop.time()
             if left <= 0.0:
                 return None
             self._changed.clear()
@@ -132,7 +142,7 @@
             except TimeoutError:
                 pass  # The turn has come, or a page was told just now.
 
-    def _pause(self, pause: float, silence: float) -> float:
+    def _pause(self, pause: float) -> float:
         if not self.reads:
-            return silence
-        return min(pause, PAUSE_SHARE * silence) if self.addresses else pause
+            return self.silence
+        return min(pause, PAUSE_SHARE * self.silence) if self.addresses else pause
--- a/src/wasabiwick/_topics.py
+++ b/src/wasabiwick/_topics.py
@@ -46,9 +46,11 @@
 
     Attributes:
         era: Highest era that an answer named, or None; offsets are comparable within one era only.
+        answered_at: Monotonic time of the last call that succeeded.
     """
 
     era: int | None
+    answered_at: float
 
     async def newest(self, topic: str) -> Page:
         """Return the newest record of each key of a topic; raises `StoreError`."""
--- a/src/wasabiwick/platform/__init__.py
+++ b/src/wasabiwick/platform/__init__.py
@@ -17,7 +17,6 @@
 from ._endpoints import PlatformDialect, PlatformEndpoints
 from ._feeds import (
     ENDPOINTS_POLL_WAIT_S,
-    FINDINGS_PATIENCE,
     FINDINGS_PAUSE_S,
     FINDINGS_POLL_WAIT_S,
     ROUTES_POLL_WAIT_S,
@@ -70,6 +69,7 @@
             wait=ENDPOINTS_POLL_WAIT_S,
             pause=runner.cfg.forwarding.list_pause,
             content=listed_content,
+            is_short=True,
         )
         findings = Feed(
             store=self._store,
@@ -78,7 +78,6 @@
             decode=decode_findings,
             wait=FINDINGS_POLL_WAIT_S,
             pause=FINDINGS_PAUSE_S,
-            patience=FINDINGS_PATIENCE,
         )
         await asyncio.gather(routes.run(runner), endpoints.run(runner), findings.run(runner))
 
--- a/src/wasabiwick/platform/_feeds.py
+++ b/src/wasabiwick/platform/_feeds.py
@@ -24,8 +24,6 @@
 # Pause between two reads of findings. It bounds the reads of a large fleet whose hosts all find
 # something at once.
 FINDINGS_PAUSE_S = 0.5
-# Findings reach other hosts by datagrams too, so these wait longer for a host that reads for them.
-FINDINGS_PATIENCE = 3.0
 
 
 def decode_routes(at: float, page: Page, has_all_keys: bool) -> RoutesRead | None:
--- a/src/wasabiwick/platform/_store.py
+++ b/src/wasabiwick/platform/_store.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 import struct
+import time
 import typing
 
 import aiohttp
@@ -48,12 +49,14 @@
     Attributes:
         era: Highest era that an answer named; None before the first answer with one. Offsets are
             comparable within one era only.
+        answered_at: Monotonic time of the last call that succeeded.
     """
 
-    __slots__ = ("era", "_url", "_session", "_report_restored")
+    __slots__ = ("era", "answered_at", "_url", "_session", "_report_restored")
 
     def __init__(self, url: str) -> None:
         self.era: int | None = None
+        self.answered_at = float("-inf")
         self._url = url
         self._session: aiohttp.ClientSession | None = None
         self._report_restored: typing.Callable[[int], None] | None = None
@@ -177,6 +180,7 @@
             raise HistoryLostError("the store answered status 410")
         if resp.status != 200:
             raise StoreError(f"the store answered status {resp.status}")
+        self.answered_at = time.monotonic()
         return answer
 
     def _known_era(self) -> int:
--- a/tests/test_on_platform.py
+++ b/tests/test_on_platform.py
@@ -16,7 +16,9 @@
 from wasabiwick._forward_daemon import ForwardDaemon
 from wasabiwick._forwarding import BegunStream, SavedBuilds
 from wasabiwick._handlers import builds, directory, routes
+from wasabiwick._topics import StoreError
 from wasabiwick._verdict import Verdict
+from wasabiwick.platform import _store
 
 from ._platform import APP, MODEL, ODD_ENTRIES, TOPIC_PREFIX, Endpoint, Store, config, serving
 from ._processes import until
@@ -707,6 +709,19 @@
         self.assertIsInstance(await register.save_streams("a", effect, 0.0), Failure)
         self.assertIsInstance(await register.saved_streams(0.0), Failure)
 
+    async def test_failed_call_does_not_count_as_an_answer(self) -> None:
+        """Otherwise a host that the store turns away would tell others that nothing is new."""
+        store = _store.Store(self.site.state.cfg.platform.log)
+        self.addAsyncCleanup(store.close)
+        await store.newest(TOPIC_PREFIX + "servers")
+        answered_at = store.answered_at
+        self.assertGreater(answered_at, 0.0)
+        for fault in ("reset", "busy"):
+            self.site.store.fault = fault
+            with self.assertRaises(StoreError):
+                await store.newest(TOPIC_PREFIX + "servers")
+        self.assertEqual(store.answered_at, answered_at)
+
     async def test_host_that_starts_reads_what_was_saved(self) -> None:
         await self.site.wait_for_feeds()
         await until(self._is_restored)
--- a/tests/test_read_turns.py
+++ b/tests/test_read_turns.py
@@ -82,6 +82,7 @@
         self.is_down = False
         self.waits: asyncio.Event | None = None
         self.fault: Exception | None = None
+        self.answered_at = 0.0
 
     def add(self, key: str, value: bytes) -> None:
         """Append a record."""
@@ -247,11 +248,14 @@
         told = [one.value for page in self.sent for one in page.records]
         self.assertEqual(told, [b"second"])
 
-    async def test_others_hear_that_nothing_is_new(self) -> None:
+    async def test_others_hear_while_a_read_waits_and_the_store_answers_others(self) -> None:
+        """A long poll returns when something is new, which may be seconds later."""
+        self.topics.waits = asyncio.Event()
         self.turns.set_turn(reads=True, addresses=("b:1",))
         await self.until(lambda: len(self.sent) >= 3)
         self.assertEqual({(one.after, one.upto, one.records) for one in self.sent}, {(1, 1, ())})
         self.topics.add("a", b"second")
+        self.topics.waits.set()
         await self.until(lambda: self.sent[-1].upto == 2)
 
     async def test_nothing_is_told_while_the_store_does_not_answer(self) -> None:
@@ -259,6 +263,7 @@
         self.turns.set_turn(reads=True, addresses=("b:1",))
         await self.until(lambda: self.sent)
         self.topics.waits = asyncio.Event()
+        self.topics.answered_at = -2 * self.turns.answered_within
         reads = self.topics.reads
         await self.until(lambda: self.topics.reads > reads)
         told = len(self.sent)
@@ -267,17 +272,19 @@
         self.topics.waits.set()
         await self.until(lambda: len(self.sent) > told + 1)
 
-    def test_a_read_ends_in_time_for_those_who_listen(self) -> None:
-        """Otherwise they would read for themselves whenever nothing is new."""
+    def test_short_reads_show_in_time_that_the_store_is_reached(self) -> None:
+        """Otherwise those who listen would read for themselves whenever nothing is new."""
         turns = ReadTurns(0.8)
-        self.assertEqual(turns.longest_wait(2.0, 0.7), 2.0)
+        self.assertEqual(turns.short_wait(2.0, 0.7), 2.0)
         turns.set_turn(reads=True, addresses=("b:1",))
-        for patience in (1.0, 3.0):
-            for pause in (0.0, 0.1, 0.7, 5.0):
-                silence = patience * turns.silence
-                wait = turns.longest_wait(10.0, pause, patience)
-                self.assertGreater(wait, 0.0)
-                self.assertLess(min(pause, 0.6 * silence) + wait, 0.8 * silence)
+        for pause in (0.0, 0.1, 0.7, 5.0):
+            wait = turns.short_wait(10.0, pause)
+            self.assertGreater(wait, 0.0)
+            cycle = min(pause, 0.6 * turns.silence) + wait
+            self.assertLess(cycle, 0.8 * turns.silence)
+            # Between two answers there is a telling, and none long after the last one.
+            self.assertLess(turns.tell_interval, turns.answered_within)
+            self.assertLess(cycle - turns.answered_within + turns.tell_interval, turns.silence)
 
     async def test_host_with_nobody_to_tell_sends_nothing(self) -> None:
         self.topics.add("a", b"second")
