Build a host's own failure answer in one place, and type an unknown build

Cause: the refusal of an upload built the same answer as ForwardCall.refuse, and BuildRead said that an unknown build is empty, while it is None and empty means that endpoints state no build.

Change: _failure_response serves both; the docstring and annotation say what holds. Behaviour is as before.

--- a/src/wasabiwick/_events/_forwarding.py
+++ b/src/wasabiwick/_events/_forwarding.py
@@ -356,12 +356,12 @@
 class BuildRead(Event):
     """The store tells at which build a stream may go on that this host was not told of.
 
-    ``build`` is empty if that can't be known.
+    ``build`` is None if that can't be known, and empty if endpoints state no build.
     """
 
     __slots__ = ("call_id", "build")
 
-    def __init__(self, *, at: float, call_id: str, build: str) -> None:
+    def __init__(self, *, at: float, call_id: str, build: str | None) -> None:
         super().__init__(at=at)
         self.call_id = call_id
         self.build = build
--- a/src/wasabiwick/_forward_entry.py
+++ b/src/wasabiwick/_forward_entry.py
@@ -63,13 +63,7 @@
         """Answer with a failure that this host reports itself."""
         if self._abort_stream(failure.reason.status):
             return
-        resp = web.Response(
-            status=failure.reason.status,
-            body=error_body(failure),
-            content_type=JSON,
-            headers=self._dialect.failure_headers(self._ask, failure),
-        )
-        self._end(resp)
+        self._end(_failure_response(self._dialect, self._ask, failure))
 
     def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
         """Answer with an endpoint's complete answer."""
@@ -258,12 +252,7 @@
         failure = Failure(
             reason=STOPPING, verdict=Verdict.NOT_RUN, retry_after=UPLOAD_RETRY_AFTER_S
         )
-        resp = web.Response(
-            status=STOPPING.status,
-            body=error_body(failure),
-            content_type=JSON,
-            headers=self._dialect.failure_headers(ask, failure),
-        )
+        resp = _failure_response(self._dialect, ask, failure)
         resp.force_close()
         return resp
 
@@ -284,6 +273,16 @@
         return web.Response(body=content, headers=headers)
 
 
+def _failure_response(dialect: Dialect, ask: Ask, failure: Failure) -> web.Response:
+    """Return the answer with a failure that this host reports itself."""
+    return web.Response(
+        status=failure.reason.status,
+        body=error_body(failure),
+        content_type=JSON,
+        headers=dialect.failure_headers(ask, failure),
+    )
+
+
 def _end_to_end_headers(headers: list[tuple[bytes, bytes]]) -> CIMultiDict[str]:
     """Return the headers of an answer without the hop-by-hop ones."""
     named = b",".join(value for name, value in headers if name == b"connection").lower()
