Agree on the types of organisations, their limits and what engines say of their load

Change: Organisation, OrganisationLimit and EngineSign; a route may be public; an Ask carries the digest of its caller's key; the load datagram gets three fields at its end, which builds before this one leave out and pass over. A call's priority is that of its organisation, if it has one. Measured: tests of forwarding, neighbours, load patterns, replay and malformed messages pass; nothing is filled yet.

--- a/src/wasabiwick/_adapters/_datagrams.py
+++ b/src/wasabiwick/_adapters/_datagrams.py
@@ -30,6 +30,7 @@
 from .._observed import ObservedRow, decode_observed, encode_observed
 from .._read_turns import ToldPage
 from .._runner import Runner
+from .._signs_codec import SignRow, decode_signs, encode_signs
 from .._topics import KeyedRecord
 from .._wire import Owner
 
@@ -47,7 +48,9 @@
     ``limits`` holds what endpoints named as their limits, ``leaving`` the endpoints that said that
     they leave, with the Unix milliseconds of their start. ``unreached`` holds the services of which
     the host reaches no endpoint, ``routes_version`` the version of the routes in force there.
-    ``observed`` holds sums of what the host measured of generations, by service.
+    ``observed`` holds sums of what the host measured of generations, by service. ``counted`` and
+    ``used`` hold sums of what organisations sent and used, ``signs`` what endpoints said of their
+    load.
     """
 
     host: str
@@ -67,6 +70,9 @@
     unreached: list[str] = []
     routes_version: int = 0
     observed: list[ObservedRow] = []
+    counted: dict[str, int] = {}
+    used: dict[str, int] = {}
+    signs: list[SignRow] = []
 
 
 class PermitQuestion(msgspec.Struct, tag="ask"):
@@ -256,6 +262,9 @@
                 unreached=list(effect.unreached),
                 routes_version=effect.routes_version,
                 observed=encode_observed(effect.observed),
+                counted=effect.counted,
+                used=effect.used,
+                signs=encode_signs(effect.signs, now),
             )
         )
         for address in effect.addresses:
@@ -403,6 +412,12 @@
         news["leaving"] = tuple(datagram.leaving)
     if datagram.observed:
         news["observed"] = decode_observed(datagram.observed)
+    if datagram.counted:
+        news["counted"] = datagram.counted
+    if datagram.used:
+        news["used"] = datagram.used
+    if datagram.signs:
+        news["signs"] = decode_signs(datagram.signs, now)
     return news
 
 
--- a/src/wasabiwick/_effects_forwarding.py
+++ b/src/wasabiwick/_effects_forwarding.py
@@ -7,6 +7,7 @@
     Crash,
     EndpointLimit,
     EndpointLoad,
+    EngineSign,
     Findings,
     SavedBuilds,
     SoundPart,
@@ -67,9 +68,11 @@
         deadline: Monotonic time until which the engine may work.
         priority: Priority at the engine; lower is more urgent.
         quiet: Time-out of the answer, in seconds.
+        organisation: Name that the endpoint is told as the caller's organisation, or empty; None
+            where the operator names no organisations.
     """
 
-    __slots__ = ("deadline", "priority", "quiet")
+    __slots__ = ("deadline", "priority", "quiet", "organisation")
 
     def __init__(
         self,
@@ -80,11 +83,13 @@
         deadline: float,
         priority: int,
         quiet: float,
+        organisation: str | None = None,
     ) -> None:
         super().__init__(call_id=call_id, endpoint=endpoint, address=address)
         self.deadline = deadline
         self.priority = priority
         self.quiet = quiet
+        self.organisation = organisation
 
 
 class FreeHandle(EndpointEffect):
@@ -114,6 +119,8 @@
         resume: Whether the stream continues after the last event that the caller got.
         quiet: Time-out of the response head, in seconds; 0 for none.
         born: Start of the endpoint that alone may get the request, in Unix milliseconds; 0 for any.
+        organisation: Name that the endpoint is told as the caller's organisation, or empty; None
+            where the operator names no organisations.
     """
 
     __slots__ = (
@@ -127,6 +134,7 @@
         "resume",
         "quiet",
         "born",
+        "organisation",
     )
 
     def __init__(
@@ -145,6 +153,7 @@
         resume: bool = False,
         quiet: float = 0.0,
         born: int = 0,
+        organisation: str | None = None,
     ) -> None:
         super().__init__(call_id=call_id, endpoint=endpoint, address=address)
         self.number = number
@@ -157,6 +166,7 @@
         self.resume = resume
         self.quiet = quiet
         self.born = born
+        self.organisation = organisation
 
 
 class Relay(ForwardEffect):
@@ -206,6 +216,9 @@
     with the Unix milliseconds of their start. ``unreached`` holds the services of which this host
     reaches no endpoint, and ``routes_version`` is the version of the routes in force here.
     ``observed`` holds what this host measured of generations.
+    ``counted`` and ``used`` hold by organisation, in sums since the process started, what
+    counted against its limit and the engine time that it used. ``signs`` holds what endpoints
+    said of their load.
     """
 
     __slots__ = (
@@ -223,6 +236,9 @@
         "unreached",
         "routes_version",
         "observed",
+        "counted",
+        "used",
+        "signs",
     )
 
     def __init__(
@@ -242,6 +258,9 @@
         unreached: tuple[str, ...] = (),
         routes_version: int = 0,
         observed: tuple[Observed, ...] = (),
+        counted: dict[str, int] | None = None,
+        used: dict[str, int] | None = None,
+        signs: tuple[EngineSign, ...] = (),
     ) -> None:
         self.addresses = tuple(addresses)
         self.sequence = sequence
@@ -257,6 +276,9 @@
         self.unreached = tuple(unreached)
         self.routes_version = routes_version
         self.observed = tuple(observed)
+        self.counted = counted or {}
+        self.used = used or {}
+        self.signs = tuple(signs)
 
 
 class SetReadTurn(Effect):
--- a/src/wasabiwick/_events/_forwarding.py
+++ b/src/wasabiwick/_events/_forwarding.py
@@ -9,6 +9,7 @@
     Crash,
     EndpointLimit,
     EndpointLoad,
+    EngineSign,
     Listing,
     RouteTable,
     SavedBuilds,
@@ -137,6 +138,9 @@
     the Unix milliseconds of their start. ``unreached`` holds the services of which the sender
     reaches no endpoint, and ``routes_version`` is the version of the routes in force there.
     ``observed`` holds what the sender measured of generations; empty if it told that just before.
+    ``counted`` and ``used`` hold by organisation, in sums since the process started, what
+    counted against its limit and the engine time that it used. ``signs`` holds what endpoints
+    said of their load.
     """
 
     __slots__ = (
@@ -156,6 +160,9 @@
         "unreached",
         "routes_version",
         "observed",
+        "counted",
+        "used",
+        "signs",
     )
 
     def __init__(
@@ -178,6 +185,9 @@
         unreached: tuple[str, ...] = (),
         routes_version: int = 0,
         observed: tuple[Observed, ...] = (),
+        counted: dict[str, int] | None = None,
+        used: dict[str, int] | None = None,
+        signs: tuple[EngineSign, ...] = (),
     ) -> None:
         super().__init__(at=at)
         self.sender = sender
@@ -196,6 +206,9 @@
         self.unreached = tuple(unreached)
         self.routes_version = routes_version
         self.observed = tuple(observed)
+        self.counted = counted or {}
+        self.used = used or {}
+        self.signs = tuple(signs)
 
 
 class ForwardArrived(Event):
--- a/src/wasabiwick/_forwarding.py
+++ b/src/wasabiwick/_forwarding.py
@@ -34,6 +34,7 @@
             there is no target.
         priority: Priority, where 0 is the most urgent.
         services: Names of services, each with its weight.
+        public: Whether callers need no key of an organisation.
     """
 
     __slots__ = (
@@ -48,6 +49,7 @@
         "target_gap",
         "priority",
         "services",
+        "public",
     )
 
     def __init__(
@@ -64,6 +66,7 @@
         resumable: bool = False,
         target_gap: float = 0.0,
         priority: int = 0,
+        public: bool = False,
     ) -> None:
         self.name = name
         self.host = host
@@ -76,6 +79,7 @@
         self.target_gap = target_gap
         self.priority = priority
         self.services = tuple((name, weight) for name, weight in services)
+        self.public = public
 
     @property
     def repeatable(self) -> bool:
@@ -129,13 +133,69 @@
         self.engine = engine
 
 
+class OrganisationLimit(Record):
+    """How much an organisation may send to all hosts together.
+
+    Args:
+        rate: Tokens or requests a second, as ``counts_tokens`` says.
+        burst: How many of them it may send at once beyond the rate.
+        counts_tokens: Whether tokens are counted, those of the prompt and the longest output;
+            otherwise requests are.
+        plain_tokens: Tokens that a request without a stated length counts as.
+    """
+
+    __slots__ = ("rate", "burst", "counts_tokens", "plain_tokens")
+
+    def __init__(
+        self, *, rate: float, burst: float, counts_tokens: bool, plain_tokens: int = 0
+    ) -> None:
+        self.rate = rate
+        self.burst = burst
+        self.counts_tokens = counts_tokens
+        self.plain_tokens = plain_tokens
+
+    def cost(self, ask: "Ask") -> int:
+        """Return how much of the limit a request takes."""
+        if not self.counts_tokens:
+            return 1
+        return ask.prompt_tokens + ask.max_tokens or self.plain_tokens
+
+
+class Organisation(Record):
+    """A customer of the operator, whose callers name one of its keys.
+
+    Args:
+        name: Name that endpoints are told.
+        keys: Digests of its keys (`_caller_keys.digest`); the keys themselves are kept nowhere.
+        priority: Priority that goes before that of the route, where 0 is the most urgent; None if
+            the route's holds.
+        limit: How much it may send, or None.
+    """
+
+    __slots__ = ("name", "keys", "priority", "limit")
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        keys: tuple[str, ...],
+        priority: int | None = None,
+        limit: OrganisationLimit | None = None,
+    ) -> None:
+        self.name = name
+        self.keys = tuple(keys)
+        self.priority = priority
+        self.limit = limit
+
+
 class RouteTable(Record):
-    """One version of all routes and services.
+    """One version of all routes, services and organisations.
 
     ``max_header_bytes`` is the longest request line or header field that a caller may send.
+    ``organisations`` is None if the operator names none, so that callers need no key.
     """
 
-    __slots__ = ("version", "routes", "services", "max_header_bytes")
+    __slots__ = ("version", "routes", "services", "max_header_bytes", "organisations")
 
     def __init__(
         self,
@@ -144,11 +204,13 @@
         routes: tuple[Route, ...],
         services: tuple[ServiceTraits, ...],
         max_header_bytes: int = DEFAULT_MAX_HEADER_BYTES,
+        organisations: tuple[Organisation, ...] | None = None,
     ) -> None:
         self.version = version
         self.routes = tuple(routes)
         self.services = tuple(services)
         self.max_header_bytes = max_header_bytes
+        self.organisations = None if organisations is None else tuple(organisations)
 
 
 class Endpoint(Record):
@@ -247,6 +309,7 @@
         parts: Identifiers of the parts of the prompt that other requests may share, in order.
         fingerprints: Identifiers of the whole request, the same if it comes again; the widest one
             first.
+        key: Digest of the key that the caller named (`_caller_keys.digest`), or empty.
     """
 
     __slots__ = (
@@ -263,6 +326,7 @@
         "events_before",
         "parts",
         "fingerprints",
+        "key",
     )
 
     def __init__(
@@ -281,6 +345,7 @@
         events_before: int = 0,
         parts: tuple[str, ...] = (),
         fingerprints: tuple[str, ...] = (),
+        key: str = "",
     ) -> None:
         self.call_id = call_id
         self.trace_id = trace_id
@@ -295,6 +360,7 @@
         self.events_before = events_before
         self.parts = tuple(parts)
         self.fingerprints = tuple(fingerprints)
+        self.key = key
 
     @property
     def fingerprint(self) -> str:
@@ -454,3 +520,35 @@
         self.running = running
         self.reading = reading
         self.streams = tuple(streams)
+
+
+class EngineSign(Record):
+    """What an endpoint said of its own load in an answer.
+
+    Args:
+        endpoint: Name of the endpoint.
+        running: Requests that it was running.
+        waiting: Requests that waited there.
+        slots: Requests that it runs at once.
+        slowness: How long work takes there, as a multiple of the usual; None if it did not say.
+        at: Monotonic time of the answer.
+    """
+
+    __slots__ = ("endpoint", "running", "waiting", "slots", "slowness", "at")
+
+    def __init__(
+        self,
+        *,
+        endpoint: str,
+        running: int,
+        waiting: int,
+        slots: int,
+        slowness: float | None,
+        at: float,
+    ) -> None:
+        self.endpoint = endpoint
+        self.running = running
+        self.waiting = waiting
+        self.slots = slots
+        self.slowness = slowness
+        self.at = at
--- a/src/wasabiwick/_handlers/forward_arrivals.py
+++ b/src/wasabiwick/_handlers/forward_arrivals.py
@@ -41,6 +41,7 @@
     forward_waiting,
     forwarding,
     hops,
+    organisations,
     reach,
     retry_budget,
     routes,
@@ -72,6 +73,7 @@
         yield from _refuse_arrival(state, event, STOPPING, OTHER_HOST_RETRY_AFTER)
         return
     req = ForwardedCall(ask=ask, route=route, service=service, arrived_at=at)
+    req.organisation = organisations.of_key(state, ask.key)
     is_resumed = ask.resumed and route.kind == STREAM
     is_known = is_resumed and _bind_to_stream(state, req)
     yield from forwarding.open_call(state, req, at)
@@ -181,6 +183,7 @@
         yield from _refuse_arrival(state, event, reason, OTHER_HOST_RETRY_AFTER)
         return
     req = ForwardedCall(ask=ask, route=route, service=hop.service, arrived_at=at)
+    req.organisation = organisations.of_key(state, ask.key)
     req.passed_by = hop.sender
     req.max_attempts = 1
     req.build, req.events = hop.build, hop.events
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -192,7 +192,7 @@
 def _priority(req: ForwardedCall) -> int:
     """Return the priority for engines, which preempt new streams before those that broke off."""
     base = BROKEN_OFF_PRIORITY if req.broke_off else BASE_PRIORITY
-    return min(LOWEST_PRIORITY, base + req.route.priority)
+    return min(LOWEST_PRIORITY, base + req.priority)
 
 
 @handles(PromptAnswered)
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -10,7 +10,7 @@
 from .._effects_forwarding import CutForward, DropHold, DropTry, FreeHandle, RefuseForward
 from .._errors import ENDPOINT_FAILED, ENDPOINT_UNREACHABLE, Failure, Reason
 from .._events import ForwardAnswered, LoadChanged, PermitSettled, PlacesChanged, StepFailed
-from .._forwarding import Ask, BegunStream, Endpoint, Route, StreamLoad
+from .._forwarding import Ask, BegunStream, Endpoint, Organisation, Route, StreamLoad
 from .._reducer import Step, handles
 from .._settings import Settings
 from .._state import State, state_slice
@@ -74,6 +74,8 @@
         unreachable: Names of the endpoints that accepted no connection for it.
         build: Build that began the caller's stream, at which alone it may go on; empty if the
             stream has not begun, or engines state no build.
+        organisation: The caller's organisation by the newest version of the routes under which the
+            call was judged; None if it needs none.
     """
 
     __slots__ = (
@@ -108,6 +110,7 @@
         "hosts_tried",
         "unreachable",
         "build",
+        "organisation",
     )
 
     def __init__(self, *, ask: Ask, route: Route, service: str, arrived_at: float) -> None:
@@ -142,6 +145,13 @@
         self.hosts_tried: list[str] = []
         self.unreachable: set[str] = set()
         self.build = ""
+        self.organisation: Organisation | None = None
+
+    @property
+    def priority(self) -> int:
+        """Priority of the caller's organisation, or else of the route; 0 is the most urgent."""
+        own = self.organisation.priority if self.organisation is not None else None
+        return self.route.priority if own is None else own
 
     @property
     def possible_runs(self) -> int:
--- a/src/wasabiwick/_handlers/rejecting.py
+++ b/src/wasabiwick/_handlers/rejecting.py
@@ -69,7 +69,7 @@
     else:
         group = 2 if at <= latest_on_time_start(req) else 3
     sort_time = latest_start(state, req) if group == 3 else req.arrived_at
-    return group, req.route.priority, sort_time
+    return group, req.priority, sort_time
 
 
 def latest_start(state: State, req: ForwardedCall) -> float:
--- a/src/wasabiwick/platform/_records.py
+++ b/src/wasabiwick/platform/_records.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from .._begun_codec import StreamRow
+from .._caller_keys import digest
 from .._decoding import MAX_WHOLE, Whole, check_address, decode
 from .._findings_codec import CrashRow, SoundRow, decode_crashes, decode_sound
 from .._forwarding import (
@@ -14,12 +15,15 @@
     Endpoint,
     EngineTraits,
     Findings,
+    Organisation,
+    OrganisationLimit,
     Route,
     RouteTable,
     ServiceTraits,
 )
 
 MS_PER_S = 1000.0
+_TOKENS_UNIT = "token_stream"  # Unit of limits that count tokens instead of requests.
 MAX_SLOTS = 100_000  # Most slots that an entry is believed to have; real ones have some tens.
 
 
@@ -41,6 +45,7 @@
     priority: int = 0
     resumable: bool = False
     target_itl_ms: float = 0.0
+    public: bool = False
 
 
 class _Engine(msgspec.Struct, rename="kebab"):
@@ -58,10 +63,21 @@
     engine: _Engine | None = None
 
 
+class _Tenant(msgspec.Struct, rename="kebab"):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    unit: str = ""
+    plain_tokens: int = 0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 class _Config(msgspec.Struct, rename="kebab"):
     version: int
     routes: list[_Route]
     services: list[_Service]
+    tenants: list[_Tenant] | None = None
     limits: object = None  # One that can't be read leaves the routes in force.
 
 
@@ -124,6 +140,9 @@
         routes=tuple(map(_to_route, config.routes)),
         services=tuple(map(_to_service, config.services)),
         max_header_bytes=_max_header_bytes(config.limits),
+        organisations=(
+            None if config.tenants is None else tuple(map(_to_organisation, config.tenants))
+        ),
     )
 
 
@@ -133,6 +152,21 @@
     return named if is_bound else DEFAULT_MAX_HEADER_BYTES
 
 
+def _to_organisation(record: _Tenant) -> Organisation:
+    limit = OrganisationLimit(
+        rate=record.rate_per_s,
+        burst=record.burst,
+        counts_tokens=record.unit == _TOKENS_UNIT,
+        plain_tokens=record.plain_tokens,
+    )
+    return Organisation(
+        name=record.name,
+        keys=tuple(digest(key.encode()) for key in record.api_keys),
+        priority=record.priority,
+        limit=limit if record.rate_per_s > 0 else None,
+    )
+
+
 def _to_route(record: _Route) -> Route:
     split = tuple((part.service, part.weight) for part in record.split if part.weight > 0)
     return Route(
@@ -147,6 +181,7 @@
         target_gap=record.target_itl_ms / MS_PER_S,
         priority=record.priority,
         services=split or ((record.service, 1.0),),
+        public=record.public,
     )
 
 
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -107,7 +107,7 @@
         nested = b"\x91" * 50_000 + b"\x01"
         # A field that is not known to this version follows those that are.
         array_head = bytes([0x90 + FIELDS + 1]) if FIELDS < 15 else bytes([0xDC, 0, FIELDS + 1])
-        rest = [[], {}, [], [], [], [], [], 0, []]
+        rest = [[], {}, [], [], [], [], [], 0, [], {}, {}, []]
         known = b"".join(map(msgspec.msgpack.encode, fields + rest))
         self.assertEqual(len(fields + rest), FIELDS)
         self.receive(array_head + known + nested)
