Keep organisations to their limits over all hosts

Cause: the configuration names a rate and a burst for each organisation, and nothing kept to them. Change: each host counts what it lets in and tells the sums in its load datagrams; near a limit it keeps to a share, and silent hosts keep theirs. What is beyond is refused with 429 and when to come back.

--- a/src/wasabiwick/_errors.py
+++ b/src/wasabiwick/_errors.py
@@ -98,6 +98,9 @@
 HOST_FAILED = Reason("host_failed", 503, "the host failed before it sent the request")
 TOO_LARGE = Reason("too_large", 413, "the body is too large")
 LIMIT_REACHED = Reason("limit_reached", 429, "the plan's limit is reached")
+ORGANISATION_LIMIT = Reason(
+    "organisation_limit", 429, "the organisation's limit over all hosts is reached"
+)
 OVERLOADED = Reason("overloaded", 503, "no capacity within the deadline")
 NO_ENDPOINT = Reason("no_endpoint", 503, "no endpoint is available")
 NO_CONFIGURATION = Reason("no_configuration", 503, "no configuration has been read yet")
--- a/src/wasabiwick/_handlers/forward_arrivals.py
+++ b/src/wasabiwick/_handlers/forward_arrivals.py
@@ -12,6 +12,7 @@
     NO_CONFIGURATION,
     NO_ROUTE,
     NOT_REACHED,
+    ORGANISATION_LIMIT,
     OTHER_VERSION,
     OVERLOADED,
     STOPPING,
@@ -41,6 +42,7 @@
     forward_waiting,
     forwarding,
     hops,
+    organisation_limits,
     organisations,
     reach,
     retry_budget,
@@ -111,7 +113,19 @@
 
 def _start(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
     yield from crash_watch.refuse_blocked(state, req, at)
-    if forwarding.call(state, req.ask.call_id) is not None:
+    if forwarding.call(state, req.ask.call_id) is None:
+        return
+    if wait := organisation_limits.wait_for(state, req, at):
+        yield Count(metric="beyond_limit", label=req.organisation.name)
+        yield from forwarding.refuse_call(
+            state,
+            req,
+            at,
+            ORGANISATION_LIMIT,
+            retry_after=round(wait, 2),
+            **organisation_limits.log_fields(state, req.organisation, at),
+        )
+    else:
         yield from _handler_module(state, req).start(state, req, at)
 
 
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -15,7 +15,17 @@
 from .._settings import Settings
 from .._state import State, state_slice
 from .._verdict import Verdict
-from . import builds, directory, health, neighbours, places, reach, retry_budget, routes
+from . import (
+    builds,
+    directory,
+    health,
+    neighbours,
+    organisation_limits,
+    places,
+    reach,
+    retry_budget,
+    routes,
+)
 from .host import busy_check
 
 T = typing.TypeVar("T")
@@ -76,6 +86,7 @@
             stream has not begun, or engines state no build.
         organisation: The caller's organisation by the newest version of the routes under which the
             call was judged; None if it needs none.
+        charge: What the call was counted as against its organisation's limit, or None.
     """
 
     __slots__ = (
@@ -111,6 +122,7 @@
         "unreachable",
         "build",
         "organisation",
+        "charge",
     )
 
     def __init__(self, *, ask: Ask, route: Route, service: str, arrived_at: float) -> None:
@@ -146,6 +158,7 @@
         self.unreachable: set[str] = set()
         self.build = ""
         self.organisation: Organisation | None = None
+        self.charge: organisation_limits.Charge | None = None
 
     @property
     def priority(self) -> int:
@@ -327,6 +340,7 @@
     state: State, req: ForwardedCall, endpoint: Endpoint, stream: StreamLoad | None, at: float
 ) -> Step:
     """Count a call in the load of an endpoint, which becomes the call's place."""
+    organisation_limits.note_try(state, req, at)
     req.place = endpoint
     reach.note_sent(state, req.service, at)
     places.add_request(state, endpoint.name, req.ask.call_id, stream)
@@ -430,6 +444,7 @@
     """Remove a call, abort its requests to endpoints, and free what is reserved for it."""
     if state["forwarding"].calls.pop(req.ask.call_id, None) is None:
         return
+    organisation_limits.settle(state, req, at)
     yield StopTimer(timer="forward_ends", key=req.ask.call_id)
     yield DropTry(call_id=req.ask.call_id, number=req.number)
     yield from release_place(state, req, at)
--- a/src/wasabiwick/_handlers/hops.py
+++ b/src/wasabiwick/_handlers/hops.py
@@ -40,7 +40,7 @@
 from .._settings import Settings
 from .._state import State, state_slice
 from .._verdict import Verdict
-from . import forwarding, neighbours, reach, retry_budget, routes
+from . import forwarding, neighbours, organisation_limits, reach, retry_budget, routes
 from .forwarding import ForwardedCall
 
 MAX_HOSTS = 3  # Hosts that one call is passed to while they turn it down.
@@ -146,6 +146,7 @@
     if host is None:
         yield from _refuse(state, req, at)
         return
+    organisation_limits.note_try(state, req, at)
     req.begin_hop(host, at)
     yield Count(metric="passed_on", label=req.service)
     yield forwarding.log(
--- a/src/wasabiwick/_metrics.py
+++ b/src/wasabiwick/_metrics.py
@@ -6,7 +6,15 @@
 
 import typing
 
-from ._handlers import cancels, lists, members, neighbours, requests, routes
+from ._handlers import (
+    cancels,
+    lists,
+    members,
+    neighbours,
+    organisation_limits,
+    requests,
+    routes,
+)
 from ._handlers.host import in_flight, roles_held
 from ._logging import dropped_lines
 from ._state import State
@@ -300,12 +308,25 @@
         "up or down",
     ),
 )
+_section(
+    "Limits of organisations",
+    _counter(
+        "beyond_limit",
+        "Calls refused because their organisation's limit over all hosts was reached.",
+        "organisation",
+    ),
+)
 _section(
     "The program itself",
     _counter("faults", "Events and effects whose handling raised an exception.", "event or effect"),
 )
 
 
+@gauge("near_limit", "Organisations that are near their limit, as far as this host knows.")
+def _near_limit(state: State) -> GaugeValues:
+    return {"": organisation_limits.near_limit(state)}
+
+
 @gauge(
     "in_flight", "Pieces of work, such as open requests, that a graceful shutdown would wait for."
 )
--- a/src/wasabiwick/_settings.py
+++ b/src/wasabiwick/_settings.py
@@ -313,6 +313,10 @@
         list_pause: Seconds between two reads of the list of endpoints.
         read_silence: Seconds without news of the store from other hosts after which a host that
             relies on them reads the store itself.
+        limit_window: Length in seconds of the window in which organisations' use is counted.
+        limit_overshoot: Share of what an organisation's limit allows in a window by which it may be
+            exceeded at most.
+        limit_slack: Tokens, or requests, by which it may be exceeded in addition.
     """
 
     __slots__ = (
@@ -324,6 +328,9 @@
         "retry_window",
         "list_pause",
         "read_silence",
+        "limit_window",
+        "limit_overshoot",
+        "limit_slack",
     )
 
     def __init__(
@@ -337,6 +344,9 @@
         retry_window: Seconds = 10.0,
         list_pause: Seconds = 0.7,
         read_silence: Seconds = 0.8,
+        limit_window: Seconds = 8.0,
+        limit_overshoot: NonNegative = 0.1,
+        limit_slack: NonNegative = 0.0,
     ) -> None:
         self.ready = ready
         self.datagrams = datagrams
@@ -346,6 +356,9 @@
         self.retry_window = retry_window
         self.list_pause = list_pause
         self.read_silence = read_silence
+        self.limit_window = limit_window
+        self.limit_overshoot = limit_overshoot
+        self.limit_slack = limit_slack
 
 
 class Settings:
--- a/src/wasabiwick/platform/_settings.py
+++ b/src/wasabiwick/platform/_settings.py
@@ -40,6 +40,9 @@
     budget_slack: float = 50.0
     drain_ms: float = 2_000.0
     config_apply_ms: float = 2_000.0
+    quota_window_s: float = 8.0
+    quota_overshoot: float = 0.1
+    quota_slack: float = 0.0
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
@@ -138,5 +141,8 @@
             read_silence=SILENCE_SHARE
             * min(file.bounds.drain_ms, file.bounds.config_apply_ms)
             / 1000,
+            limit_window=file.bounds.quota_window_s,
+            limit_overshoot=file.bounds.quota_overshoot,
+            limit_slack=file.bounds.quota_slack,
         ),
     )
