Move records that hosts keep for each other out of platform/

Records that only hosts write and read are no names of the platform. Change: a move to _saved_records; what is written stays the same.

--- a/src/wasabiwick/platform/_feeds.py
+++ b/src/wasabiwick/platform/_feeds.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from .. import _saved_records
 from .._begun_codec import decode_ages, decode_streams, encode_ages, encode_streams
 from .._effects_forwarding import SaveStreams
 from .._errors import Failure
@@ -69,7 +70,7 @@
     found = []
     for record in page.records:
         try:
-            found.append(_records.decode_findings(record.key, record.value or b"", at))
+            found.append(_saved_records.decode_findings(record.key, record.value or b"", at))
         except msgspec.MsgspecError as exc:
             log_event("findings_unreadable", level="WARNING", host=record.key, error=str(exc))
     return FindingsRead(at=at, findings=tuple(found), whole=has_all_keys)
@@ -99,7 +100,7 @@
         try:
             page = await self._store.newest(_names.CLAIMS_TOPIC)
             values = [one.value for one in page.records if one.key == _names.CLAIM_KEY]
-            holder = _records.decode_claim(values[-1] or b"").holder if values else ""
+            holder = _saved_records.decode_claim(values[-1] or b"").holder if values else ""
         except (StoreError, HistoryLostError, msgspec.MsgspecError) as exc:
             return store_failure(exc)
         return page.next, holder
@@ -110,7 +111,7 @@
         Returns:
             The claim's offset, or the failure.
         """
-        value = msgspec.json.encode(_records.ClaimRecord(holder=holder))
+        value = msgspec.json.encode(_saved_records.ClaimRecord(holder=holder))
         return await self._store.append(_names.CLAIMS_TOPIC, _names.CLAIM_KEY, value, after=after)
 
     async def hosts(self) -> dict[str, HostRecord] | Failure:
@@ -129,7 +130,7 @@
 
     async def save_streams(self, host: str, effect: SaveStreams, now: float) -> Failure | None:
         """Save a host's streams in place of those that it saved before."""
-        record = _records.StreamsRecord(
+        record = _saved_records.StreamsRecord(
             saved_ms=int(time.time() * 1000),
             streams=encode_streams(effect.begun, now),
             builds=encode_ages(effect.builds),
@@ -148,7 +149,7 @@
         saved = SavedStreams(streams={}, builds=[], saved={})
         for one in page.records:
             try:
-                record = _records.decode_streams_record(one.value or b"")
+                record = _saved_records.decode_streams_record(one.value or b"")
             except msgspec.MsgspecError as exc:
                 log_event("streams_unreadable", level="WARNING", host=one.key, error=str(exc))
                 continue
@@ -164,7 +165,7 @@
 
     async def save_findings(self, findings: Findings, now: float) -> Failure | None:
         """Save what a host has found in place of what it saved before."""
-        record = _records.FindingsRecord(
+        record = _saved_records.FindingsRecord(
             saved_ms=int(time.time() * 1000),
             crashes=encode_crashes(findings.crashes, now),
             sound=encode_sound(findings.sound, now),
