Judge callers by their organisation's key, and keep keys from endpoints

Where the operator names organisations, a request needs a key of one of them, endpoints got the caller's key and whatever name it gave itself, and any key was served.

The key is read once in platform/ and known as a digest from there on. A request is judged when its head has come, when its body has, at a host that it is passed to, when a newer version comes into force while it waits, and before it is sent again. The key and the caller's own name are taken out of all that is sent to endpoints and other hosts, and the organisation's name is put in. An organisation that can't be read costs its own callers alone, who are told to come back.

--- a/src/wasabiwick/_adapters/_hops.py
+++ b/src/wasabiwick/_adapters/_hops.py
@@ -23,7 +23,7 @@
     NotSentError,
     encode_request,
 )
-from .._ports import Exchange
+from .._ports import Dialect, Exchange
 from .._verdict import Verdict
 
 PATH = "/v1/hops"
@@ -90,19 +90,21 @@
 
     Args:
         clock: Returns monotonic time in seconds.
+        dialect: Takes callers' keys out of what is passed on.
 
     Attributes:
         address: Where this host takes requests of others, as ``host:port``; empty if nowhere.
         key: What others have to name in their requests.
     """
 
-    __slots__ = ("address", "key", "_pool", "_keys")
+    __slots__ = ("address", "key", "_pool", "_keys", "_dialect")
 
-    def __init__(self, clock: typing.Callable[[], float]) -> None:
+    def __init__(self, clock: typing.Callable[[], float], *, dialect: Dialect) -> None:
         self.address = ""
         self.key = secrets.token_hex(KEY_BYTES)
         self._pool = ConnectionPool(clock)
         self._keys: dict[str, str] = {}
+        self._dialect = dialect
 
     def learn(self, host: str, key: str) -> None:
         """Keep the key that another host wants to be named."""
@@ -136,7 +138,7 @@
         head = RequestHead(
             method=exchange.method,
             target=exchange.target,
-            headers=exchange.headers,
+            headers=self._dialect.passed_headers(exchange.headers, hop.organisation),
             left_ms=max(1.0, seconds * 1000),
             sender=hop.sender,
             service=hop.service,
@@ -145,6 +147,9 @@
             events=hop.events,
             last_event_id=exchange.last_event_id,
             avoid=list(hop.avoid),
+            key=hop.key,
+            organisation=hop.organisation,
+            fingerprints=list(hop.fingerprints),
         )
         headers = [
             (b"Host", effect.address.encode()),
--- a/src/wasabiwick/_errors.py
+++ b/src/wasabiwick/_errors.py
@@ -84,6 +84,7 @@
 
 BAD_REQUEST = Reason("bad_request", 400, "the request is malformed")
 BAD_KEY = Reason("bad_key", 401, "the API key is not known")
+KEY_UNDECIDED = Reason("key_undecided", 503, "the API key is not known here yet")
 KEY_REQUIRED = Reason("key_required", 400, "the service needs an Idempotency-Key")
 KEY_UNTIMED = Reason("key_untimed", 400, "the Idempotency-Key must be a UUID of version 7")
 KEY_EXPIRED = Reason("key_expired", 409, "the Idempotency-Key is older than the horizon")
--- a/src/wasabiwick/_events/_forwarding.py
+++ b/src/wasabiwick/_events/_forwarding.py
@@ -221,6 +221,17 @@
         self.ask = ask
 
 
+class HeadRefused(Event):
+    """A caller's request was refused once its head had come, before its body was read."""
+
+    __slots__ = ("ask", "failure")
+
+    def __init__(self, *, at: float, ask: Ask, failure: Failure) -> None:
+        super().__init__(at=at)
+        self.ask = ask
+        self.failure = failure
+
+
 class ForwardEvent(Event):
     """Base of events that belong to one forwarded call."""
 
--- a/src/wasabiwick/_forward_daemon.py
+++ b/src/wasabiwick/_forward_daemon.py
@@ -102,7 +102,7 @@
         cfg, deployment = self._cfg, self._deployment
         self._datagrams = UdpDatagrams(cfg.forwarding.datagrams)
         clock = SystemClock()
-        self._hops = HostHops(clock.monotonic)
+        self._hops = HostHops(clock.monotonic, dialect=deployment.dialect)
         ports = Ports(
             clock=clock,
             endpoints=deployment.endpoints,
--- a/src/wasabiwick/_forward_entry.py
+++ b/src/wasabiwick/_forward_entry.py
@@ -9,10 +9,10 @@
 from ._answers import error_body
 from ._body_memory import SMALL_BODY_BYTES, BodyMemory, BodyShare
 from ._errors import BODIES_FULL, STOPPING, Failure, Reason
-from ._events import CallPassedOn, ForwardAnswered, ForwardArrived, ForwardLeft
+from ._events import CallPassedOn, ForwardAnswered, ForwardArrived, ForwardLeft, HeadRefused
 from ._forward_connection import HEADERS_TOO_LARGE, ForwardServer
 from ._forwarding import Ask
-from ._handlers import routes
+from ._handlers import caller_keys, organisations, routes
 from ._handlers.host import in_flight
 from ._idle_connections import has_request_waiting
 from ._logging import log_event
@@ -269,6 +269,10 @@
         runner = self._runner
         self._sequence += 1
         call_id = f"{runner.owner.host}.{runner.owner.incarnation}.f{self._sequence}"
+        if not req.content.is_eof():
+            refused = self._refuse_head(req, call_id)
+            if refused is not None:
+                return refused
         try:
             body = await self._read_body(req, share)
         except web.HTTPRequestEntityTooLarge:
@@ -286,6 +290,30 @@
         )
         return await answer_call(runner, req, call, ForwardArrived(at=runner.now(), ask=ask))
 
+    def _refuse_head(self, req: web.BaseRequest, call_id: str) -> web.StreamResponse | None:
+        """Return the refusal of a request whose body need not be read, or None if it need be.
+
+        The HTTP library throws away what still comes of the body, so that the caller gets the
+        answer, and then closes the connection.
+        """
+        runner = self._runner
+        if not organisations.are_named(runner.state):
+            return None
+        ask = self._ask_of_head(req, call_id)
+        failure = caller_keys.refusal_of_head(runner.state, ask, runner.now())
+        if failure is None:
+            return None
+        runner.post(HeadRefused(at=runner.now(), ask=ask, failure=failure))
+        resp = _failure_response(self._dialect, ask, failure)
+        resp.force_close()
+        return resp
+
+    def _ask_of_head(self, req: web.BaseRequest, call_id: str) -> Ask:
+        exchange = Exchange(
+            method=req.method, target=req.raw_path, headers=list(req.raw_headers), body=b""
+        )
+        return self._dialect.ask(call_id, req.headers.get("Host", ""), exchange, self._runner.now())
+
     async def _read_body(self, req: web.BaseRequest, share: BodyShare) -> bytes | None:
         """Read a request's body; returns None if `refuse_uploads` ended that.
 
@@ -334,11 +362,7 @@
     def _refuse_upload(
         self, req: web.BaseRequest, call_id: str, reason: Reason, retry_after: float
     ) -> web.StreamResponse:
-        exchange = Exchange(
-            method=req.method, target=req.raw_path, headers=list(req.raw_headers), body=b""
-        )
-        host = req.headers.get("Host", "")
-        ask = self._dialect.ask(call_id, host, exchange, self._runner.now())
+        ask = self._ask_of_head(req, call_id)
         log_event("upload_refused", request=ask.trace_id, call=call_id, reason=reason.code)
         failure = Failure(reason=reason, verdict=Verdict.NOT_RUN, retry_after=retry_after)
         resp = _failure_response(self._dialect, ask, failure)
--- a/src/wasabiwick/_forwarding.py
+++ b/src/wasabiwick/_forwarding.py
@@ -193,9 +193,18 @@
 
     ``max_header_bytes`` is the longest request line or header field that a caller may send.
     ``organisations`` is None if the operator names none, so that callers need no key.
+    ``unread_keys`` holds the digests of keys whose organisation can't be read; None if not all of
+    them are known.
     """
 
-    __slots__ = ("version", "routes", "services", "max_header_bytes", "organisations")
+    __slots__ = (
+        "version",
+        "routes",
+        "services",
+        "max_header_bytes",
+        "organisations",
+        "unread_keys",
+    )
 
     def __init__(
         self,
@@ -205,12 +214,14 @@
         services: tuple[ServiceTraits, ...],
         max_header_bytes: int = DEFAULT_MAX_HEADER_BYTES,
         organisations: tuple[Organisation, ...] | None = None,
+        unread_keys: tuple[str, ...] | None = (),
     ) -> None:
         self.version = version
         self.routes = tuple(routes)
         self.services = tuple(services)
         self.max_header_bytes = max_header_bytes
         self.organisations = None if organisations is None else tuple(organisations)
+        self.unread_keys = None if unread_keys is None else tuple(unread_keys)
 
 
 class Endpoint(Record):
--- /dev/null
+++ b/src/wasabiwick/_handlers/caller_keys.py
@@ -0,0 +1,116 @@
+"""Caller keys: whether a caller may use a route, by the newest version of the routes read here.
+
+A request is judged when its head has come, when its body has, at each host that it is passed to,
+when a newer version comes into force while it waits, and before it is sent again. One whose stream
+has begun goes on without its key: a planned change cuts nothing off.
+
+Not knowing is apart from knowing that a key is unknown: callers don't come back after the latter.
+So a key that may be one of a version or an organisation that this host has not read is refused for
+now only.
+"""
+
+import typing
+
+from .._errors import BAD_KEY, ENDPOINT_FAILED, KEY_UNDECIDED, Failure
+from .._events import RoutesRead
+from .._forwarding import Ask, Route
+from .._reducer import Step, handles
+from .._state import State
+from .._verdict import Verdict
+from . import directory, forwarding, neighbours, organisations, routes
+from .forwarding import ForwardedCall
+
+# Seconds after which callers are told to retry whose key may be known by then, or at another host.
+UNDECIDED_RETRY_AFTER = 0.5
+# Age of the newest news from the store from which on a version may be missing here. Hosts hear
+# from it every two seconds or so, and a new version may take three to be in force everywhere.
+STALE_AGE_S = 5.0
+
+
+def refusal(state: State, route: Route, key: str, at: float) -> Failure | None:
+    """Return why a caller may not use a route, or None if it may.
+
+    Args:
+        state: The host's state.
+        route: The route that the request matches.
+        key: Digest of the key that the caller named, or empty.
+        at: Monotonic time.
+    """
+    if not organisations.needs_key(state, route):
+        return None
+    if organisations.of_key(state, key) is not None:
+        return None
+    if organisations.may_be_unread(state, key) or _is_behind(state, at):
+        return Failure(
+            reason=KEY_UNDECIDED, verdict=Verdict.NOT_RUN, retry_after=UNDECIDED_RETRY_AFTER
+        )
+    return Failure(reason=BAD_KEY, verdict=Verdict.NOT_RUN)
+
+
+def refusal_of_head(state: State, ask: Ask, at: float) -> Failure | None:
+    """Return why a request is refused before its body has come, or None if it is not."""
+    route = routes.match_route(state, ask.host, ask.path)
+    return refusal(state, route, ask.key, at) if route is not None else None
+
+
+def _is_behind(state: State, at: float) -> bool:
+    """Return whether there may be a newer version than the one in force here."""
+    if directory.list_age(state, at) > STALE_AGE_S:
+        return True
+    hosts, version = state["neighbours"].hosts, routes.version(state)
+    return any(hosts[name].routes_version > version for name in neighbours.live_names(state, at))
+
+
+def told_name(state: State, req: ForwardedCall) -> str | None:
+    """Return the name that endpoints are told as a call's organisation, or an empty string.
+
+    It is None where the operator names no organisations, so that headers stay as they are.
+    """
+    if not organisations.are_named(state):
+        return None
+    return req.organisation.name if req.organisation is not None else ""
+
+
+def may_go_on(state: State, req: ForwardedCall, at: float) -> bool:
+    """Return whether a call may be sent, or sent again."""
+    return req.relay_begun or _refusal_of_call(state, req, at) is None
+
+
+def refuse(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
+    """Refuse a call that no organisation's key allows any more."""
+    failure = _refusal_of_call(state, req, at)
+    # After a run, the caller must not take it that nothing was done.
+    yield from forwarding.refuse_call(
+        state,
+        req,
+        at,
+        ENDPOINT_FAILED if req.may_have_run else failure.reason,
+        retry_after=failure.retry_after,
+        cause=failure.reason.code,
+        organisation=req.organisation.name if req.organisation is not None else "-",
+        phase=req.phase,
+    )
+
+
+def _refusal_of_call(state: State, req: ForwardedCall, at: float) -> Failure | None:
+    route = routes.match_route(state, req.ask.host, req.ask.path) or req.route
+    return refusal(state, route, req.ask.key, at)
+
+
+@handles(RoutesRead)
+def judge_again(state: State, event: RoutesRead) -> typing.Iterator[Step]:
+    """Judge the calls in progress by the organisations of a newer version."""
+    if state["routes"].table is not event.table:
+        return
+    for req in list(state["forwarding"].calls.values()):
+        yield from forwarding.guarded(req, event.at, _judge_call(state, req, event.at))
+
+
+def _judge_call(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
+    holder = organisations.of_key(state, req.ask.key)
+    if holder is not None or not organisations.are_named(state):
+        req.organisation = holder
+        return
+    is_sent = req.phase in (forwarding.SENT, forwarding.RELAYING)
+    if not is_sent and not may_go_on(state, req, at):
+        yield from refuse(state, req, at)
--- a/src/wasabiwick/_handlers/forward_arrivals.py
+++ b/src/wasabiwick/_handlers/forward_arrivals.py
@@ -5,6 +5,7 @@
 from .._effects import Count, LogLine
 from .._effects_forwarding import RefuseForward
 from .._errors import (
+    BAD_KEY,
     BUILD_UNKNOWN,
     DEADLINE_PASSED,
     ENDPOINT_SILENT,
@@ -24,17 +25,19 @@
     CallPassedOn,
     ForwardArrived,
     ForwardLeft,
+    HeadRefused,
     PlaceWanted,
     TimerFired,
     TryFailed,
 )
-from .._forwarding import STREAM, Route
+from .._forwarding import STREAM, Ask, Organisation, Route
 from .._reducer import Step, handles, on_timer
 from .._state import State
 from .._verdict import Verdict
 from . import (
     builds,
     builds_saving,
+    caller_keys,
     crash_watch,
     forward_plain,
     forward_streams,
@@ -68,6 +71,10 @@
     if route is None:
         yield from _refuse_arrival(state, event, NO_ROUTE, None)
         return
+    key_failure = caller_keys.refusal(state, route, ask.key, at)
+    if key_failure is not None:
+        yield from _refuse_arrival(state, event, key_failure.reason, key_failure.retry_after)
+        return
     service = routes.pick_service(state, route)
     if not stopping.may_accept(state, route, service, ask, at):
         yield from _refuse_arrival(state, event, STOPPING, OTHER_HOST_RETRY_AFTER)
@@ -146,20 +153,29 @@
 def _refuse_arrival(
     state: State, event: ForwardArrived | CallPassedOn, reason: Reason, retry_after: float | None
 ) -> typing.Iterator[Step]:
-    ask = event.ask
+    failure = Failure(reason=reason, verdict=Verdict.NOT_RUN, retry_after=retry_after)
+    yield from _note_refusal(state, event.ask, failure)
+    yield RefuseForward(call_id=event.ask.call_id, failure=failure)
+
+
+@handles(HeadRefused)
+def head_refused(state: State, event: HeadRefused) -> typing.Iterator[Step]:
+    """Count a request that was answered before its body was read."""
+    yield from _note_refusal(state, event.ask, event.failure)
+
+
+def _note_refusal(state: State, ask: Ask, failure: Failure) -> typing.Iterator[Step]:
     fields = {
         "request": ask.trace_id,
         "call": ask.call_id,
         "host": ask.host,
         "path": ask.path,
-        "reason": reason.code,
-        "verdict": Verdict.NOT_RUN.value,
+        "reason": failure.reason.code,
+        "verdict": failure.verdict.value,
         "routes_version": routes.version(state),
     }
-    failure = Failure(reason=reason, verdict=Verdict.NOT_RUN, retry_after=retry_after)
-    yield Count(metric="forward_refused", label=reason.code)
+    yield Count(metric="forward_refused", label=failure.reason.code)
     yield LogLine(event="refused", fields=fields)
-    yield RefuseForward(call_id=ask.call_id, failure=failure)
 
 
 def _handler_module(state: State, req: ForwardedCall) -> typing.Any:
@@ -178,12 +194,14 @@
     """
     ask, hop, at = event.ask, event.hop, event.at
     route = routes.match_route(state, ask.host, ask.path)
-    reason = _turn_down_reason(state, event, route)
+    reason = _turn_down_reason(state, event, route) or _key_reason(state, event, route)
     if reason is not None:
         yield from _refuse_arrival(state, event, reason, OTHER_HOST_RETRY_AFTER)
         return
     req = ForwardedCall(ask=ask, route=route, service=hop.service, arrived_at=at)
     req.organisation = organisations.of_key(state, ask.key)
+    if req.organisation is None and hop.organisation:
+        req.organisation = Organisation(name=hop.organisation, keys=())
     req.passed_by = hop.sender
     req.max_attempts = 1
     req.build, req.events = hop.build, hop.events
@@ -206,6 +224,20 @@
     return HOST_FULL if hops.passed_calls(state) >= hops.MAX_PASSED else None
 
 
+def _key_reason(state: State, event: CallPassedOn, route: Route) -> Reason | None:
+    """Return why the caller's key does not allow a call that was passed on, or None if it does.
+
+    A stream that began at the sender goes on under the name that the sender tells. What is not
+    decided here is turned down as hosts of all builds do.
+    """
+    if event.hop.events and event.hop.organisation:
+        return None
+    failure = caller_keys.refusal(state, route, event.ask.key, event.at)
+    if failure is None:
+        return None
+    return BAD_KEY if failure.reason is BAD_KEY else OTHER_VERSION
+
+
 @handles(PlaceWanted)
 def place_wanted(state: State, event: PlaceWanted) -> typing.Iterator[Step]:
     """Serve a call anew, here or through another host."""
--- a/src/wasabiwick/_handlers/forward_plain.py
+++ b/src/wasabiwick/_handlers/forward_plain.py
@@ -27,6 +27,7 @@
 from .._state import State
 from .._verdict import Verdict
 from . import (
+    caller_keys,
     directory,
     forwarding,
     health,
@@ -55,6 +56,9 @@
 
     It goes through another host if this one reaches no endpoint.
     """
+    if not caller_keys.may_go_on(state, req, at):
+        yield from caller_keys.refuse(state, req, at)
+        return
     if not stopping.may_begin(state, req, at):
         yield from stopping.refuse_unfinished(state, req, at)
         return
@@ -127,6 +131,7 @@
         deadline=req.ends_at,
         connections=placing.connection_limit(state, req.service, at),
         resume=req.events > 0,
+        organisation=caller_keys.told_name(state, req),
         quiet=(
             TRY_TIMEOUT_SHARE * req.route.target_latency
             if forwarding.may_be_sent_again(state, req, at)
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -36,6 +36,7 @@
 from .._verdict import Verdict
 from . import (
     busy_engines,
+    caller_keys,
     directory,
     estimates,
     forward_waiting,
@@ -186,6 +187,7 @@
         quiet=PREFILL_GRACE
         + PREFILL_TIME_FACTOR
         * placing.prefill_backlog_seconds(state, req.service, engine.name, at),
+        organisation=caller_keys.told_name(state, req),
     )
 
 
@@ -291,6 +293,7 @@
         quiet=HEAD_TIMEOUT if forwarding.may_be_sent_again(state, req, at) else 0.0,
         # The list may still name the build of an engine's last start.
         born=listed.born if req.events or req.ask.resumed else 0,
+        organisation=caller_keys.told_name(state, req),
     )
     req.hold = ""
 
--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -24,6 +24,7 @@
 from .._settings import Settings
 from .._state import State, state_slice
 from . import (
+    caller_keys,
     directory,
     estimates,
     forwarding,
@@ -67,6 +68,9 @@
 
     It goes through another host if this one reaches no engine.
     """
+    if not caller_keys.may_go_on(state, req, at):
+        yield from caller_keys.refuse(state, req, at)
+        return
     if hops.is_needed(state, req, at):
         yield from hops.start(state, req, at)
         return
--- a/src/wasabiwick/_handlers/hops.py
+++ b/src/wasabiwick/_handlers/hops.py
@@ -40,7 +40,7 @@
 from .._settings import Settings
 from .._state import State, state_slice
 from .._verdict import Verdict
-from . import forwarding, neighbours, reach, retry_budget, routes
+from . import caller_keys, forwarding, neighbours, reach, retry_budget, routes
 from .forwarding import ForwardedCall
 
 MAX_HOSTS = 3  # Hosts that one call is passed to while they turn it down.
@@ -163,6 +163,8 @@
     # A generation may wait for a place at the other host, which bounds that wait itself.
     is_generation = routes.is_generation(state, req.route, req.service)
     may_retry = req.has_attempt_left and not is_generation
+    organisation = caller_keys.told_name(state, req)
+    has_key_taken_out = organisation is not None
     yield PassOn(
         call_id=req.ask.call_id,
         endpoint=host,
@@ -177,6 +179,9 @@
             build=req.build,
             events=req.events,
             avoid=tuple(req.avoid),
+            key=req.ask.key if has_key_taken_out else "",
+            organisation=organisation,
+            fingerprints=req.ask.fingerprints if has_key_taken_out else (),
         ),
     )
 
--- a/src/wasabiwick/_handlers/organisations.py
+++ b/src/wasabiwick/_handlers/organisations.py
@@ -1,8 +1,11 @@
 """Organisations: whose key a caller names, by the newest version of the routes that was read."""
 
+import typing
+
+from .._effects import LogLine
 from .._events import RoutesRead
 from .._forwarding import Organisation, Route
-from .._reducer import handles
+from .._reducer import Step, handles
 from .._settings import Settings
 from .._state import State, state_slice
 
@@ -11,15 +14,17 @@
 class OrganisationsState:
     """Organisations of the version in force, by the digest of each key and by name.
 
-    ``by_key`` and ``by_name`` are None if the operator names no organisations.
+    ``by_key`` and ``by_name`` are None if the operator names no organisations. ``unread_keys``
+    holds the digests of keys whose organisation can't be read; None if these aren't known either.
     """
 
-    __slots__ = ("version", "by_key", "by_name")
+    __slots__ = ("version", "by_key", "by_name", "unread_keys")
 
     def __init__(self, cfg: Settings) -> None:
         self.version = 0
         self.by_key: dict[str, Organisation] | None = None
         self.by_name: dict[str, Organisation] | None = None
+        self.unread_keys: frozenset[str] | None = frozenset()
 
 
 def are_named(state: State) -> bool:
@@ -47,15 +52,31 @@
     return are_named(state) and not route.public
 
 
+def may_be_unread(state: State, key: str) -> bool:
+    """Return whether the key of a digest may be one of an organisation that can't be read."""
+    unread_keys = state["organisations"].unread_keys
+    return bool(key) and (unread_keys is None or key in unread_keys)
+
+
 @handles(RoutesRead)
-def apply_organisations(state: State, event: RoutesRead) -> None:
+def apply_organisations(state: State, event: RoutesRead) -> typing.Iterator[Step]:
     """Put the organisations of a newer version of the routes in force."""
     organisations_state, table = state["organisations"], event.table
     if table.version <= organisations_state.version:
         return
     organisations_state.version = table.version
+    organisations_state.unread_keys = (
+        None if table.unread_keys is None else frozenset(table.unread_keys)
+    )
     if table.organisations is None:
         organisations_state.by_key = organisations_state.by_name = None
         return
     organisations_state.by_name = {one.name: one for one in table.organisations}
     organisations_state.by_key = {key: one for one in table.organisations for key in one.keys}
+    fields = {
+        "version": table.version,
+        "organisations": len(table.organisations),
+        "keys": len(organisations_state.by_key),
+        "unread_keys": "-" if table.unread_keys is None else len(table.unread_keys),
+    }
+    yield LogLine(event="organisations_in_force", fields=fields)
--- a/src/wasabiwick/_hop_entry.py
+++ b/src/wasabiwick/_hop_entry.py
@@ -156,4 +156,7 @@
         ask = self._dialect.ask(call_id, host.decode("latin-1"), exchange, now)
         ask.deadline = min(ask.deadline, now + head.left_ms / 1000)
         ask.resumed = ask.resumed or head.events > 0
+        # The sender has taken the key out of the headers, unless it is of an earlier build.
+        ask.key = head.key or ask.key
+        ask.fingerprints = tuple(head.fingerprints) or ask.fingerprints
         return CallPassedOn(at=now, ask=ask, hop=head.hop())
--- a/src/wasabiwick/_hops.py
+++ b/src/wasabiwick/_hops.py
@@ -13,9 +13,24 @@
         build: Build at which alone the request's stream may go on, or empty.
         events: Number of stream events that the caller got.
         avoid: Names of endpoints that refused the request or failed.
+        key: Digest of the key that the caller named, or empty.
+        organisation: Name that endpoints are told as the caller's organisation, or empty; None
+            where the operator names no organisations.
+        fingerprints: Identifiers of the whole request as its caller sent it; none where its
+            headers are passed on as they came.
     """
 
-    __slots__ = ("sender", "service", "routes_version", "build", "events", "avoid")
+    __slots__ = (
+        "sender",
+        "service",
+        "routes_version",
+        "build",
+        "events",
+        "avoid",
+        "key",
+        "organisation",
+        "fingerprints",
+    )
 
     def __init__(
         self,
@@ -26,6 +41,9 @@
         build: str = "",
         events: int = 0,
         avoid: tuple[str, ...] = (),
+        key: str = "",
+        organisation: str | None = None,
+        fingerprints: tuple[str, ...] = (),
     ) -> None:
         self.sender = sender
         self.service = service
@@ -33,6 +51,9 @@
         self.build = build
         self.events = events
         self.avoid = tuple(avoid)
+        self.key = key
+        self.organisation = organisation
+        self.fingerprints = tuple(fingerprints)
 
 
 class HopTarget(Record):
--- a/src/wasabiwick/_hops_codec.py
+++ b/src/wasabiwick/_hops_codec.py
@@ -23,7 +23,8 @@
     """A request that one host passes to another; its body follows.
 
     ``left_ms`` is the time that an answer may take. ``last_event_id`` is that of the last of the
-    ``events`` that the caller got of a stream.
+    ``events`` that the caller got of a stream. Hosts of an earlier build neither send nor read the
+    fields from ``key`` on; they pass on callers' own headers.
     """
 
     method: str
@@ -37,6 +38,9 @@
     events: int
     last_event_id: bytes
     avoid: list[str]
+    key: str = ""
+    organisation: str | None = None
+    fingerprints: list[str] = []
 
     def hop(self) -> Hop:
         """Return what the sender tells of the request."""
@@ -47,6 +51,9 @@
             build=self.build,
             events=self.events,
             avoid=tuple(self.avoid),
+            key=self.key,
+            organisation=self.organisation,
+            fingerprints=tuple(self.fingerprints),
         )
 
 
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from .._body_memory import Room
+from .._caller_keys import digest
 from .._decoding import decode_json
 from .._effects_forwarding import CheckEnded, Forward, OrderStage, ReadPrompt
 from .._errors import (
@@ -227,7 +228,7 @@
         self, exchange: Exchange, effect: ReadPrompt, *, seconds: float
     ) -> str | Failure:
         """Prefill a prompt and return the handle of its KV cache."""
-        headers = _forwarded_headers(exchange, effect.endpoint, seconds)
+        headers = _forwarded_headers(exchange, effect, seconds)
         headers.append((_names.STAGE, b"prefill"))
         headers.append((_names.PRIORITY, b"%d" % effect.priority))
         data = encode_request(exchange.method, exchange.target, headers, exchange.body)
@@ -244,7 +245,7 @@
         self, exchange: Exchange, effect: Forward, *, seconds: float
     ) -> EndpointAnswer | Failure:
         """Send a request and return its answer once its status and headers have arrived."""
-        headers = _forwarded_headers(exchange, effect.endpoint, seconds)
+        headers = _forwarded_headers(exchange, effect, seconds)
         if effect.priority is not None:
             headers.append((_names.PRIORITY, b"%d" % effect.priority))
         if effect.hold:
@@ -429,22 +430,45 @@
         raise BrokenAnswerError("the endpoint answered with a success that has no seal")
 
 
-def _forwarded_headers(exchange: Exchange, endpoint: str, seconds: float) -> list[Header]:
+def _forwarded_headers(
+    exchange: Exchange, effect: Forward | ReadPrompt, seconds: float
+) -> list[Header]:
     """Return a caller's headers, except those of its connection and those that the system sets.
 
-    The endpoint's name and the time left, ``seconds``, are added.
+    The endpoint's name and the time left, ``seconds``, are added, and the organisation's name where
+    the operator names organisations.
     """
-    connection_options: set[bytes] = set()
-    for name, value in exchange.headers:
-        if name.lower() == b"connection":
-            connection_options.update(part.strip().lower() for part in value.split(b","))
+    connection_options = _connection_options(exchange.headers)
     dropped = _names.SYSTEM_HEADERS | _names.CONNECTION_HEADERS | connection_options
     headers = [(name, value) for name, value in exchange.headers if name.lower() not in dropped]
-    headers.append((_names.EXPECT_INSTANCE, endpoint.encode()))
+    headers = _with_organisation(headers, effect.organisation)
+    headers.append((_names.EXPECT_INSTANCE, effect.endpoint.encode()))
     headers.append((_names.DEADLINE_MS, b"%d" % max(1, int(seconds * 1000))))
     return headers
 
 
+def _connection_options(headers: list[Header]) -> set[bytes]:
+    """Return the names of headers that a caller says concern its connection only."""
+    options: set[bytes] = set()
+    for name, value in headers:
+        if name.lower() == _names.CONNECTION:
+            options.update(part.strip().lower() for part in value.split(b","))
+    return options
+
+
+def _with_organisation(headers: list[Header], organisation: str | None) -> list[Header]:
+    """Return headers with an organisation's name in place of what the caller says of itself.
+
+    They are left as they are where the operator names no organisations (None).
+    """
+    if organisation is None:
+        return headers
+    kept = [(name, value) for name, value in headers if not _names_caller(name)]
+    if organisation:
+        kept.append((_names.ORGANISATION, organisation.encode()))
+    return kept
+
+
 class PlatformDialect:
     """Headers in which the platform's callers describe a request and are told of a failure."""
 
@@ -478,8 +502,31 @@
                 caller=[value for name, value in exchange.headers if _names_caller(name)],
                 body=exchange.body,
             ),
+            key=self.key(exchange.headers),
         )
 
+    def key(self, headers: list[Header]) -> str:
+        """Return the digest of the key that a caller names, or an empty string.
+
+        A caller that names several keys, or one that can't be read, names none.
+        """
+        values = [value for name, value in headers if name.lower() == _names.CALLER_KEY]
+        words = values[0].split() if len(values) == 1 else []
+        is_key = len(words) == 2 and words[0].lower() == _names.CALLER_KEY_SCHEME
+        return digest(words[1]) if is_key else ""
+
+    def passed_headers(self, headers: list[Header], organisation: str | None) -> list[Header]:
+        """Return a caller's headers as they are passed to another host.
+
+        That host may be of a build that sends them to endpoints as they are. So the key is gone,
+        and nothing that the caller says of its connection can drop the organisation's name.
+        """
+        if organisation is None:
+            return headers
+        dropped = (_connection_options(headers) | {_names.CONNECTION}) - {_names.HOST}
+        kept = [(name, value) for name, value in headers if name.lower() not in dropped]
+        return _with_organisation(kept, organisation)
+
     def failure_headers(self, ask: Ask, failure: Failure) -> dict[str, str]:
         """Return the headers of an answer in which this host reports a failure."""
         headers = {"X-Wasabiwick-Attempt-Id": ask.trace_id} if ask.trace_id else {}
--- a/src/wasabiwick/platform/_names.py
+++ b/src/wasabiwick/platform/_names.py
@@ -19,6 +19,8 @@
 TOKEN_COUNT = PREFIX + b"token-count"
 LAST_EVENT_ID = b"last-event-id"
 RESUMES = b"resumes"
+CONNECTION = b"connection"
+HOST = b"host"
 
 # Headers that only this system may set; if a caller sends them, they are removed.
 SYSTEM_HEADERS = frozenset(
@@ -40,7 +42,7 @@
 # Headers that concern one connection only, and the body's length, which is set anew.
 CONNECTION_HEADERS = frozenset(
     (
-        b"connection",
+        CONNECTION,
         b"keep-alive",
         b"proxy-connection",
         b"proxy-authenticate",
@@ -54,8 +56,12 @@
     )
 )
 
-# Headers that say who sends a request.
-CALLER_HEADERS = frozenset((b"authorization", PREFIX + b"tenant"))
+CALLER_KEY = b"authorization"
+CALLER_KEY_SCHEME = b"token"  # Word before a caller's key, in any case.
+ORGANISATION = PREFIX + b"tenant"
+# Headers that say who sends a request. Where the operator names organisations, no endpoint gets
+# them as the caller wrote them.
+CALLER_HEADERS = frozenset((CALLER_KEY, ORGANISATION))
 
 IS_LEAVING = "1"  # Value of the header by which an endpoint says that it leaves.
 
--- a/src/wasabiwick/platform/_records.py
+++ b/src/wasabiwick/platform/_records.py
@@ -1,5 +1,6 @@
 """Decodes records of the platform's store into this product's types."""
 
+import itertools
 import time
 import typing
 
@@ -21,6 +22,7 @@
     RouteTable,
     ServiceTraits,
 )
+from .._logging import log_event
 
 MS_PER_S = 1000.0
 _TOKENS_UNIT = "token_stream"  # Unit of limits that count tokens instead of requests.
@@ -45,7 +47,7 @@
     priority: int = 0
     resumable: bool = False
     target_itl_ms: float = 0.0
-    public: bool = False
+    public: object = False  # Callers need a key unless this is clearly true.
 
 
 class _Engine(msgspec.Struct, rename="kebab"):
@@ -63,21 +65,32 @@
     engine: _Engine | None = None
 
 
+# Names that can be sent as a header's value: no control characters, and no blanks around them.
+_NAME = r"^[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?\Z"
+_Name = typing.Annotated[str, msgspec.Meta(pattern=_NAME)]
+_Amount = typing.Annotated[float, msgspec.Meta(ge=0.0, le=MAX_WHOLE)]
+
+
 class _Tenant(msgspec.Struct, rename="kebab"):
-    name: str
+    name: _Name
     api_keys: list[str] = []
-    priority: int | None = None
-    unit: str = ""
-    plain_tokens: int = 0
-    rate_per_s: float = 0.0
-    burst: float = 0.0
+    priority: Whole | None = None
+    unit: str | None = None
+    plain_tokens: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE)] | None = None
+    rate_per_s: _Amount | None = None
+    burst: _Amount | None = None
+
+
+class _TenantKeys(msgspec.Struct, rename="kebab"):
+    api_keys: list[str]
 
 
 class _Config(msgspec.Struct, rename="kebab"):
     version: int
     routes: list[_Route]
     services: list[_Service]
-    tenants: list[_Tenant] | None = None
+    # Each is decoded apart: one that can't be read costs its own callers.
+    tenants: msgspec.Raw = msgspec.Raw(b"null")
     limits: object = None  # One that can't be read leaves the routes in force.
 
 
@@ -122,6 +135,9 @@
 
 
 _CONFIG = msgspec.json.Decoder(_Config)
+_TENANTS = msgspec.json.Decoder(list[msgspec.Raw] | None)
+_TENANT = msgspec.json.Decoder(_Tenant)
+_TENANT_KEYS = msgspec.json.Decoder(_TenantKeys)
 _SERVER = msgspec.json.Decoder(_Server)
 _CLAIM = msgspec.json.Decoder(ClaimRecord)
 _STREAMS = msgspec.json.Decoder(StreamsRecord)
@@ -135,14 +151,14 @@
         msgspec.MsgspecError: If the value is not a valid record.
     """
     config = decode(_CONFIG, value)
+    organisations, unread_keys = _to_organisations(config.tenants)
     return RouteTable(
         version=config.version,
         routes=tuple(map(_to_route, config.routes)),
         services=tuple(map(_to_service, config.services)),
         max_header_bytes=_max_header_bytes(config.limits),
-        organisations=(
-            None if config.tenants is None else tuple(map(_to_organisation, config.tenants))
-        ),
+        organisations=organisations,
+        unread_keys=unread_keys,
     )
 
 
@@ -152,18 +168,59 @@
     return named if is_bound else DEFAULT_MAX_HEADER_BYTES
 
 
+def _to_organisations(
+    data: msgspec.Raw,
+) -> tuple[tuple[Organisation, ...] | None, tuple[str, ...] | None]:
+    """Return the organisations of a configuration, and the digests of the keys of unreadable ones.
+
+    The former is None if the configuration has none, the latter if not all those keys are known.
+    """
+    try:
+        records = decode(_TENANTS, data)
+    except msgspec.MsgspecError:
+        log_event("organisations_unreadable", level="WARNING")
+        return (), None
+    if records is None:
+        return None, ()
+    found: list[Organisation] = []
+    unread: list[tuple[str, ...] | None] = []
+    for number, record in enumerate(records):
+        try:
+            found.append(_to_organisation(decode(_TENANT, record)))
+        except msgspec.MsgspecError as exc:
+            # The message may quote what was read, which may be a key.
+            field = str(exc).rpartition("`$")[2].strip(".`") or "-"
+            log_event("organisation_unreadable", level="WARNING", number=number, field=field)
+            unread.append(_keys_of_unreadable(record))
+    if None in unread:
+        return tuple(found), None
+    return tuple(found), tuple(itertools.chain.from_iterable(unread))
+
+
+def _keys_of_unreadable(record: msgspec.Raw) -> tuple[str, ...] | None:
+    try:
+        return tuple(map(_key_digest, decode(_TENANT_KEYS, record).api_keys))
+    except msgspec.MsgspecError:
+        return None
+
+
+def _key_digest(key: str) -> str:
+    return digest(key.encode())
+
+
 def _to_organisation(record: _Tenant) -> Organisation:
+    rate = record.rate_per_s or 0.0
     limit = OrganisationLimit(
-        rate=record.rate_per_s,
-        burst=record.burst,
+        rate=rate,
+        burst=record.burst or 0.0,
         counts_tokens=record.unit == _TOKENS_UNIT,
-        plain_tokens=record.plain_tokens,
+        plain_tokens=record.plain_tokens or 0,
     )
     return Organisation(
         name=record.name,
-        keys=tuple(digest(key.encode()) for key in record.api_keys),
+        keys=tuple(map(_key_digest, record.api_keys)),
         priority=record.priority,
-        limit=limit if record.rate_per_s > 0 else None,
+        limit=limit if rate > 0 else None,
     )
 
 
@@ -181,7 +238,7 @@
         target_gap=record.target_itl_ms / MS_PER_S,
         priority=record.priority,
         services=split or ((record.service, 1.0),),
-        public=record.public,
+        public=record.public is True,
     )
 
 
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -19,6 +19,7 @@
 from wasabiwick._http1 import BrokenAnswerError
 from wasabiwick._ports import Exchange
 from wasabiwick._verdict import Verdict
+from wasabiwick.platform._endpoints import PlatformDialect
 
 from ._cut_engine import (
     BODY,
@@ -430,7 +431,7 @@
 
     async def test_cut_at_each_byte(self) -> None:
         asyncio.get_running_loop().set_debug(False)
-        hops = HostHops(time.monotonic)
+        hops = HostHops(time.monotonic, dialect=PlatformDialect())
         self.addCleanup(hops.close)
         head = AnswerHead(status=200, headers=[(b"a", b"b")], streams=False, build="v1")
         for framing in ("length", "chunks"):
