Move what is not the platform's own out of the platform folder

The hosts' own records in the store, the handling of callers' headers, and an endpoint's answer name nothing of the platform's interfaces; they stand in modules of their own. No change of behaviour.

--- /dev/null
+++ b/src/wasabiwick/_saved_codec.py
@@ -0,0 +1,121 @@
+"""Records that entry hosts keep in the store for each other and for their next start."""
+
+import time
+
+import msgspec
+
+from ._begun_codec import StreamRow, decode_ages, decode_streams, encode_ages, encode_streams
+from ._decoding import Whole, decode
+from ._effects_forwarding import SaveStreams
+from ._findings_codec import (
+    CrashRow,
+    SoundRow,
+    decode_crashes,
+    decode_sound,
+    encode_crashes,
+    encode_sound,
+)
+from ._forwarding import Findings, SavedBuilds
+from ._ports import SavedStreams
+
+MS_PER_S = 1000.0
+
+
+class ClaimRecord(msgspec.Struct):
+    """A host's claim to the right to order stage changes."""
+
+    holder: str
+
+
+class StreamsRecord(msgspec.Struct):
+    """The streams that began at an entry host; ``saved_ms`` is Unix time.
+
+    ``begun`` and ``lost`` hold the builds at which streams may have begun, by service: since the
+    host started, and before it, with the milliseconds since then.
+    """
+
+    saved_ms: Whole
+    streams: list[StreamRow]
+    builds: dict[str, dict[str, Whole]]
+    begun: dict[str, list[str]] = {}
+    lost: dict[str, dict[str, Whole]] = {}
+
+
+class FindingsRecord(msgspec.Struct):
+    """What an entry host has found out; ``saved_ms`` is Unix time."""
+
+    saved_ms: Whole
+    crashes: list[CrashRow] = []
+    sound: list[SoundRow] = []
+
+
+_CLAIM = msgspec.json.Decoder(ClaimRecord)
+_STREAMS = msgspec.json.Decoder(StreamsRecord)
+_FINDINGS = msgspec.json.Decoder(FindingsRecord)
+
+
+def encode_streams_record(effect: SaveStreams, now: float) -> bytes:
+    """Encode the streams of an entry host; ``now`` is monotonic time."""
+    record = StreamsRecord(
+        saved_ms=int(time.time() * MS_PER_S),
+        streams=encode_streams(effect.begun, now),
+        builds=encode_ages(effect.builds),
+        begun={service: list(names) for service, names in effect.saved.begun.items()},
+        lost=encode_ages(effect.saved.lost),
+    )
+    return msgspec.json.encode(record)
+
+
+def decode_streams_record(value: bytes) -> StreamsRecord:
+    """Decode the streams that an entry host saved.
+
+    Raises:
+        msgspec.MsgspecError: If the value is not a valid record.
+    """
+    return decode(_STREAMS, value)
+
+
+def add_streams(saved: SavedStreams, host: str, record: StreamsRecord, now: float) -> None:
+    """Add the streams that a host saved to those of other hosts; ``now`` is monotonic time."""
+    passed = max(0.0, time.time() - record.saved_ms / MS_PER_S)
+    saved.streams[host] = decode_streams(record.streams, now - passed)
+    saved.builds.append(decode_ages(record.builds, passed))
+    saved.saved[host] = SavedBuilds(
+        age=passed,
+        begun={service: tuple(names) for service, names in record.begun.items()},
+        lost=decode_ages(record.lost, passed),
+    )
+
+
+def encode_findings(findings: Findings, now: float) -> bytes:
+    """Encode what an entry host has found out; ``now`` is monotonic time."""
+    record = FindingsRecord(
+        saved_ms=int(time.time() * MS_PER_S),
+        crashes=encode_crashes(findings.crashes, now),
+        sound=encode_sound(findings.sound, now),
+    )
+    return msgspec.json.encode(record)
+
+
+def decode_findings(host: str, value: bytes, now: float) -> Findings:
+    """Decode what an entry host saved of its findings; ``now`` is monotonic time.
+
+    Raises:
+        msgspec.MsgspecError: If the value is not a valid record.
+    """
+    record = decode(_FINDINGS, value)
+    saved_at = now - max(0.0, time.time() - record.saved_ms / MS_PER_S)
+    return Findings(
+        host=host,
+        crashes=decode_crashes(record.crashes, saved_at),
+        sound=decode_sound(record.sound, saved_at),
+    )
+
+
+def decode_claim(value: bytes) -> ClaimRecord:
+    """Decode a claim to the right to order stage changes.
+
+    Raises:
+        msgspec.MsgspecError: If the value is not a valid record.
+    """
+    return decode(_CLAIM, value)
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -6,8 +6,14 @@
 
 import msgspec
 
-from .._body_memory import Room
-from .._caller_keys import digest
+from .._adapters._endpoint_answer import EndpointAnswer
+from .._caller_headers import (
+    CONNECTION_HEADERS,
+    connection_options,
+    named_key,
+    without,
+    without_connection_options,
+)
 from .._decoding import decode_json
 from .._effects_forwarding import CheckEnded, Forward, OrderStage, ReadPrompt
 from .._errors import (
@@ -49,7 +55,6 @@
 # HTTP status: the address belongs to another endpoint now, or the engine has another stage.
 MISDIRECTED = 421
 UNAVAILABLE = 503  # HTTP status with which an endpoint turns a request away for now.
-EVENT_STREAM = "text/event-stream"
 MAX_PARTS = 16  # Most parts of a prompt that are read; prompts have a few.
 
 
@@ -69,55 +74,6 @@
     kv_handle: str
 
 
-class EndpointAnswer:
-    """An endpoint's answer whose head (status and headers) has arrived.
-
-    Args:
-        pool: Pool that the connection is returned to.
-        effect: The effect that sent the request.
-        conn: The connection.
-    """
-
-    __slots__ = (
-        "status",
-        "headers",
-        "not_run",
-        "streams",
-        "has_length",
-        "_conn",
-        "_return_connection",
-    )
-
-    def __init__(self, *, pool: ConnectionPool, effect: Forward, conn: Connection) -> None:
-        self.status = conn.status
-        self.headers: list[Header] = conn.headers
-        self.not_run = _is_refusal(conn)
-        self.streams = conn.header(b"content-type").startswith(EVENT_STREAM)
-        self.has_length = conn.has_length
-        self._conn: Connection | None = conn
-        self._return_connection = lambda: pool.release(
-            effect.endpoint,
-            effect.address,
-            conn,
-            max_idle=effect.connections,
-            refused=self.not_run,
-        )
-
-    async def chunk(self) -> bytes:
-        """Return the next bytes of the body, or empty bytes at its end."""
-        return await self._conn.chunk()
-
-    async def body(self, room: Room | None = None) -> bytes:
-        """Return the whole body; ``room`` may let a large one wait."""
-        return await self._conn.body(room)
-
-    def release(self) -> None:
-        """Return the connection to its pool, or close it if the answer is incomplete."""
-        if self._conn is not None:
-            self._conn = None
-            self._return_connection()
-
-
 class PlatformEndpoints:
     """Calls to endpoints over HTTP/1.1.
 
@@ -266,7 +222,9 @@
             self._note_signs(effect.endpoint, conn, sent_at)
             _check_attempt_id(conn, _attempt_id(exchange))
             _check_seal(conn)
-            return EndpointAnswer(pool=self._pool, effect=effect, conn=conn)
+            return EndpointAnswer(
+                pool=self._pool, effect=effect, conn=conn, not_run=_is_refusal(conn)
+            )
         except BrokenAnswerError as exc:
             conn.close()
             return _failure(ENDPOINT_FAILED, Verdict.MAY_HAVE_RUN, str(exc))
@@ -438,24 +396,18 @@
     The endpoint's name and the time left, ``seconds``, are added, and the organisation's name where
     the operator names organisations.
     """
-    connection_options = _connection_options(exchange.headers)
-    dropped = _names.SYSTEM_HEADERS | _names.CONNECTION_HEADERS | connection_options
-    headers = [(name, value) for name, value in exchange.headers if name.lower() not in dropped]
+    headers = without(
+        exchange.headers,
+        _names.SYSTEM_HEADERS,
+        CONNECTION_HEADERS,
+        connection_options(exchange.headers),
+    )
     headers = _with_organisation(headers, effect.organisation)
     headers.append((_names.EXPECT_INSTANCE, effect.endpoint.encode()))
     headers.append((_names.DEADLINE_MS, b"%d" % max(1, int(seconds * 1000))))
     return headers
 
 
-def _connection_options(headers: list[Header]) -> set[bytes]:
-    """Return the names of headers that a caller says concern its connection only."""
-    options: set[bytes] = set()
-    for name, value in headers:
-        if name.lower() == _names.CONNECTION:
-            options.update(part.strip().lower() for part in value.split(b","))
-    return options
-
-
 def _with_organisation(headers: list[Header], organisation: str | None) -> list[Header]:
     """Return headers with an organisation's name in place of what the caller says of itself.
 
@@ -463,7 +415,7 @@
     """
     if organisation is None:
         return headers
-    kept = [(name, value) for name, value in headers if not _names_caller(name)]
+    kept = without(headers, _names.CALLER_HEADERS)
     if organisation:
         kept.append((_names.ORGANISATION, organisation.encode()))
     return kept
@@ -506,14 +458,8 @@
         )
 
     def key(self, headers: list[Header]) -> str:
-        """Return the digest of the key that a caller names, or an empty string.
-
-        A caller that names several keys, or one that can't be read, names none.
-        """
-        values = [value for name, value in headers if name.lower() == _names.CALLER_KEY]
-        words = values[0].split() if len(values) == 1 else []
-        is_key = len(words) == 2 and words[0].lower() == _names.CALLER_KEY_SCHEME
-        return digest(words[1]) if is_key else ""
+        """Return the digest of the key that a caller names, or an empty string."""
+        return named_key(headers, _names.CALLER_KEY, _names.CALLER_KEY_SCHEME)
 
     def passed_headers(self, headers: list[Header], organisation: str | None) -> list[Header]:
         """Return a caller's headers as they are passed to another host.
@@ -523,9 +469,7 @@
         """
         if organisation is None:
             return headers
-        dropped = (_connection_options(headers) | {_names.CONNECTION}) - {_names.HOST}
-        kept = [(name, value) for name, value in headers if name.lower() not in dropped]
-        return _with_organisation(kept, organisation)
+        return _with_organisation(without_connection_options(headers), organisation)
 
     def failure_headers(self, ask: Ask, failure: Failure) -> dict[str, str]:
         """Return the headers of an answer in which this host reports a failure."""
--- a/src/wasabiwick/platform/_feeds.py
+++ b/src/wasabiwick/platform/_feeds.py
@@ -1,15 +1,12 @@
 """Posts routes and endpoints from the store as events, and keeps the register of hosts there."""
 
-import time
-
 import msgspec
 
-from .._begun_codec import decode_ages, decode_streams, encode_ages, encode_streams
+from .. import _saved_codec
 from .._effects_forwarding import SaveStreams
 from .._errors import Failure
 from .._events import EndpointsRead, FindingsRead, RoutesRead
-from .._findings_codec import encode_crashes, encode_sound
-from .._forwarding import Findings, Listing, SavedBuilds
+from .._forwarding import Findings, Listing
 from .._hosts_codec import HostRecord, decode_host
 from .._logging import log_event
 from .._ports import SavedStreams
@@ -69,7 +66,7 @@
     found = []
     for record in page.records:
         try:
-            found.append(_records.decode_findings(record.key, record.value or b"", at))
+            found.append(_saved_codec.decode_findings(record.key, record.value or b"", at))
         except msgspec.MsgspecError as exc:
             log_event("findings_unreadable", level="WARNING", host=record.key, error=str(exc))
     return FindingsRead(at=at, findings=tuple(found), whole=has_all_keys)
@@ -99,7 +96,7 @@
         try:
             page = await self._store.newest(_names.CLAIMS_TOPIC)
             values = [one.value for one in page.records if one.key == _names.CLAIM_KEY]
-            holder = _records.decode_claim(values[-1] or b"").holder if values else ""
+            holder = _saved_codec.decode_claim(values[-1] or b"").holder if values else ""
         except (StoreError, HistoryLostError, msgspec.MsgspecError) as exc:
             return store_failure(exc)
         return page.next, holder
@@ -110,7 +107,7 @@
         Returns:
             The claim's offset, or the failure.
         """
-        value = msgspec.json.encode(_records.ClaimRecord(holder=holder))
+        value = msgspec.json.encode(_saved_codec.ClaimRecord(holder=holder))
         return await self._store.append(_names.CLAIMS_TOPIC, _names.CLAIM_KEY, value, after=after)
 
     async def hosts(self) -> dict[str, HostRecord] | Failure:
@@ -129,14 +126,8 @@
 
     async def save_streams(self, host: str, effect: SaveStreams, now: float) -> Failure | None:
         """Save a host's streams in place of those that it saved before."""
-        record = _records.StreamsRecord(
-            saved_ms=int(time.time() * 1000),
-            streams=encode_streams(effect.begun, now),
-            builds=encode_ages(effect.builds),
-            begun={service: list(names) for service, names in effect.saved.begun.items()},
-            lost=encode_ages(effect.saved.lost),
-        )
-        offset = await self._store.append(_names.STREAMS_TOPIC, host, msgspec.json.encode(record))
+        value = _saved_codec.encode_streams_record(effect, now)
+        offset = await self._store.append(_names.STREAMS_TOPIC, host, value)
         return offset if isinstance(offset, Failure) else None
 
     async def saved_streams(self, now: float) -> SavedStreams | Failure:
@@ -148,27 +139,15 @@
         saved = SavedStreams(streams={}, builds=[], saved={})
         for one in page.records:
             try:
-                record = _records.decode_streams_record(one.value or b"")
+                record = _saved_codec.decode_streams_record(one.value or b"")
             except msgspec.MsgspecError as exc:
                 log_event("streams_unreadable", level="WARNING", host=one.key, error=str(exc))
                 continue
-            passed = max(0.0, time.time() - record.saved_ms / 1000)
-            saved.streams[one.key] = decode_streams(record.streams, now - passed)
-            saved.builds.append(decode_ages(record.builds, passed))
-            saved.saved[one.key] = SavedBuilds(
-                age=passed,
-                begun={service: tuple(names) for service, names in record.begun.items()},
-                lost=decode_ages(record.lost, passed),
-            )
+            _saved_codec.add_streams(saved, one.key, record, now)
         return saved
 
     async def save_findings(self, findings: Findings, now: float) -> Failure | None:
         """Save what a host has found in place of what it saved before."""
-        record = _records.FindingsRecord(
-            saved_ms=int(time.time() * 1000),
-            crashes=encode_crashes(findings.crashes, now),
-            sound=encode_sound(findings.sound, now),
-        )
-        value = msgspec.json.encode(record)
+        value = _saved_codec.encode_findings(findings, now)
         offset = await self._store.append(_names.FINDINGS_TOPIC, findings.host, value)
         return offset if isinstance(offset, Failure) else None
--- a/src/wasabiwick/platform/_names.py
+++ b/src/wasabiwick/platform/_names.py
@@ -19,8 +19,6 @@
 TOKEN_COUNT = PREFIX + b"token-count"
 LAST_EVENT_ID = b"last-event-id"
 RESUMES = b"resumes"
-CONNECTION = b"connection"
-HOST = b"host"
 
 # Headers that only this system may set; if a caller sends them, they are removed.
 SYSTEM_HEADERS = frozenset(
@@ -39,23 +37,6 @@
     )
 )
 
-# Headers that concern one connection only, and the body's length, which is set anew.
-CONNECTION_HEADERS = frozenset(
-    (
-        CONNECTION,
-        b"keep-alive",
-        b"proxy-connection",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"expect",
-        b"content-length",
-    )
-)
-
 CALLER_KEY = b"authorization"
 CALLER_KEY_SCHEME = b"token"  # Word before a caller's key, in any case.
 ORGANISATION = PREFIX + b"tenant"
--- a/src/wasabiwick/platform/_records.py
+++ b/src/wasabiwick/platform/_records.py
@@ -1,21 +1,17 @@
 """Decodes records of the platform's store into this product's types."""
 
 import itertools
-import time
 import typing
 
 import msgspec
 
-from .._begun_codec import StreamRow
 from .._caller_keys import digest
 from .._decoding import MAX_WHOLE, Whole, check_address, decode
-from .._findings_codec import CrashRow, SoundRow, decode_crashes, decode_sound
 from .._forwarding import (
     DEFAULT_MAX_HEADER_BYTES,
     KINDS,
     Endpoint,
     EngineTraits,
-    Findings,
     Organisation,
     OrganisationLimit,
     Route,
@@ -106,42 +102,11 @@
     born: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE)] = 0
 
 
-class ClaimRecord(msgspec.Struct):
-    """A host's claim to the right to order stage changes."""
-
-    holder: str
-
-
-class StreamsRecord(msgspec.Struct):
-    """The streams that began at an entry host; ``saved_ms`` is Unix time.
-
-    ``begun`` and ``lost`` hold the builds at which streams may have begun, by service: since the
-    host started, and before it, with the milliseconds since then.
-    """
-
-    saved_ms: Whole
-    streams: list[StreamRow]
-    builds: dict[str, dict[str, Whole]]
-    begun: dict[str, list[str]] = {}
-    lost: dict[str, dict[str, Whole]] = {}
-
-
-class FindingsRecord(msgspec.Struct):
-    """What an entry host has found out; ``saved_ms`` is Unix time."""
-
-    saved_ms: Whole
-    crashes: list[CrashRow] = []
-    sound: list[SoundRow] = []
-
-
 _CONFIG = msgspec.json.Decoder(_Config)
 _TENANTS = msgspec.json.Decoder(list[msgspec.Raw] | None)
 _TENANT = msgspec.json.Decoder(_Tenant)
 _TENANT_KEYS = msgspec.json.Decoder(_TenantKeys)
 _SERVER = msgspec.json.Decoder(_Server)
-_CLAIM = msgspec.json.Decoder(ClaimRecord)
-_STREAMS = msgspec.json.Decoder(StreamsRecord)
-_FINDINGS = msgspec.json.Decoder(FindingsRecord)
 
 
 def decode_route_table(value: bytes) -> RouteTable:
@@ -275,36 +240,3 @@
         cold=round(server.cold_remaining_ms / MS_PER_S),
         build=server.version,
     )
-
-
-def decode_streams_record(value: bytes) -> StreamsRecord:
-    """Decode the streams that an entry host saved.
-
-    Raises:
-        msgspec.MsgspecError: If the value is not a valid record.
-    """
-    return decode(_STREAMS, value)
-
-
-def decode_findings(host: str, value: bytes, now: float) -> Findings:
-    """Decode what an entry host saved of its findings; ``now`` is monotonic time.
-
-    Raises:
-        msgspec.MsgspecError: If the value is not a valid record.
-    """
-    record = decode(_FINDINGS, value)
-    saved_at = now - max(0.0, time.time() - record.saved_ms / MS_PER_S)
-    return Findings(
-        host=host,
-        crashes=decode_crashes(record.crashes, saved_at),
-        sound=decode_sound(record.sound, saved_at),
-    )
-
-
-def decode_claim(value: bytes) -> ClaimRecord:
-    """Decode a claim to the right to order stage changes.
-
-    Raises:
-        msgspec.MsgspecError: If the value is not a valid record.
-    """
-    return decode(_CLAIM, value)
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -10,7 +10,7 @@
 import msgspec
 from hypothesis import strategies
 
-from wasabiwick import _decoding, _events, _reducer
+from wasabiwick import _decoding, _events, _reducer, _saved_codec
 from wasabiwick._adapters._datagrams import FeedNews, LoadDatagram, UdpDatagrams
 from wasabiwick._hops_codec import decode_request
 from wasabiwick._hosts_codec import decode_host
@@ -164,9 +164,9 @@
         decoders = (
             _records.decode_route_table,
             lambda value: _records.decode_endpoint("e", value),
-            _records.decode_streams_record,
-            lambda value: _records.decode_findings("h", value, 0.0),
-            _records.decode_claim,
+            _saved_codec.decode_streams_record,
+            lambda value: _saved_codec.decode_findings("h", value, 0.0),
+            _saved_codec.decode_claim,
         )
 
         @SEEDED
@@ -214,17 +214,17 @@
         huge = b"9" * 400
         for decode, value in (
             (_records.decode_route_table, nested),
-            (_records.decode_streams_record, nested),
+            (_saved_codec.decode_streams_record, nested),
             (
-                _records.decode_streams_record,
+                _saved_codec.decode_streams_record,
                 b'{"saved_ms": 1, "builds": {}, "streams": [["t", "m", "v", %s]]}' % huge,
             ),
             (
-                _records.decode_streams_record,
+                _saved_codec.decode_streams_record,
                 b'{"saved_ms": %s, "builds": {}, "streams": []}' % huge,
             ),
-            (lambda data: _records.decode_findings("h", data, 0.0), b'{"saved_ms": %s}' % huge),
-            (_records.decode_claim, nested),
+            (lambda data: _saved_codec.decode_findings("h", data, 0.0), b'{"saved_ms": %s}' % huge),
+            (_saved_codec.decode_claim, nested),
             (decode_host, nested),
             (decode_host, b'{"address": "10.0.0.1:70000", "zone": "z"}'),
         ):
