Test the decision on callers' keys without a network

A stream that another host passes on in its middle went on nowhere once its key was gone: the check before a place is asked for did not know that it had begun at the sender. Found by its test.

--- a/src/wasabiwick/_handlers/caller_keys.py
+++ b/src/wasabiwick/_handlers/caller_keys.py
@@ -73,7 +73,8 @@
 
 def may_go_on(state: State, req: ForwardedCall, at: float) -> bool:
     """Return whether a call may be sent, or sent again."""
-    return req.relay_begun or _refusal_of_call(state, req, at) is None
+    has_begun = req.relay_begun or bool(req.passed_by and req.events)
+    return has_begun or _refusal_of_call(state, req, at) is None
 
 
 def refuse(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
--- a/tests/_forward.py
+++ b/tests/_forward.py
@@ -413,6 +413,7 @@
         hop: Hop | None = None,
         seconds: float = 0.0,
         fingerprints: tuple[str, ...] = (),
+        key: str = "",
         **told: object,
     ) -> str:
         """Let another host pass a request to this one, and return the call's id."""
@@ -426,6 +427,7 @@
             path=f"/{path}/x",
             deadline=self.now + (seconds or (14.0 if is_stream else 1.5)),
             fingerprints=fingerprints,
+            key=key,
             **(sizes if is_stream else {}),
         )
         fields = {"sender": "z", "service": service, "routes_version": 1, **told}
@@ -479,5 +481,6 @@
     "TakeHold",
     "engine",
     "plain",
+    "route",
     "table",
 ]
