--- a/src/wasabiwick/_saved_records.py
+++ b/src/wasabiwick/_saved_codec.py
@@ -1,13 +1,22 @@
-"""Records that entry hosts keep in the store for each other."""
+"""Records that entry hosts keep in the store for each other and for their next start."""
 
 import time
 
 import msgspec
 
-from ._begun_codec import StreamRow
+from ._begun_codec import StreamRow, decode_ages, decode_streams, encode_ages, encode_streams
 from ._decoding import Whole, decode
-from ._findings_codec import CrashRow, SoundRow, decode_crashes, decode_sound
-from ._forwarding import Findings
+from ._effects_forwarding import SaveStreams
+from ._findings_codec import (
+    CrashRow,
+    SoundRow,
+    decode_crashes,
+    decode_sound,
+    encode_crashes,
+    encode_sound,
+)
+from ._forwarding import Findings, SavedBuilds
+from ._ports import SavedStreams
 
 MS_PER_S = 1000.0
 
@@ -45,6 +54,18 @@
 _FINDINGS = msgspec.json.Decoder(FindingsRecord)
 
 
+def encode_streams_record(effect: SaveStreams, now: float) -> bytes:
+    """Encode the streams of an entry host; ``now`` is monotonic time."""
+    record = StreamsRecord(
+        saved_ms=int(time.time() * MS_PER_S),
+        streams=encode_streams(effect.begun, now),
+        builds=encode_ages(effect.builds),
+        begun={service: list(names) for service, names in effect.saved.begun.items()},
+        lost=encode_ages(effect.saved.lost),
+    )
+    return msgspec.json.encode(record)
+
+
 def decode_streams_record(value: bytes) -> StreamsRecord:
     """Decode the streams that an entry host saved.
 
@@ -54,6 +75,28 @@
     return decode(_STREAMS, value)
 
 
+def add_streams(saved: SavedStreams, host: str, record: StreamsRecord, now: float) -> None:
+    """Add the streams that a host saved to those of other hosts; ``now`` is monotonic time."""
+    passed = max(0.0, time.time() - record.saved_ms / MS_PER_S)
+    saved.streams[host] = decode_streams(record.streams, now - passed)
+    saved.builds.append(decode_ages(record.builds, passed))
+    saved.saved[host] = SavedBuilds(
+        age=passed,
+        begun={service: tuple(names) for service, names in record.begun.items()},
+        lost=decode_ages(record.lost, passed),
+    )
+
+
+def encode_findings(findings: Findings, now: float) -> bytes:
+    """Encode what an entry host has found out; ``now`` is monotonic time."""
+    record = FindingsRecord(
+        saved_ms=int(time.time() * MS_PER_S),
+        crashes=encode_crashes(findings.crashes, now),
+        sound=encode_sound(findings.sound, now),
+    )
+    return msgspec.json.encode(record)
+
+
 def decode_findings(host: str, value: bytes, now: float) -> Findings:
     """Decode what an entry host saved of its findings; ``now`` is monotonic time.
 
