--- a/src/wasabiwick/platform/__init__.py
+++ b/src/wasabiwick/platform/__init__.py
@@ -26,6 +26,7 @@
     decode_routes,
     listed_content,
 )
+from ._records import ENTRIES
 from ._settings import SettingsError, file_stamp, load, metrics_address
 from ._store import Store
 
@@ -106,4 +107,4 @@
     await serve(cfg, PlatformDeployment(path, cfg), metrics=metrics_address(cfg))
 
 
-__all__ = ["SETTINGS_VARIABLE", "PlatformDeployment", "SettingsError", "load", "run"]
+__all__ = ["ENTRIES", "SETTINGS_VARIABLE", "PlatformDeployment", "SettingsError", "load", "run"]
--- a/src/wasabiwick/platform/_records.py
+++ b/src/wasabiwick/platform/_records.py
@@ -240,3 +240,11 @@
         cold=round(server.cold_remaining_ms / MS_PER_S),
         build=server.version,
     )
+
+
+# What a configuration lists: the field of `RouteTable`, and how an entry is decoded and converted.
+ENTRIES = {
+    "routes": ("routes", _Route, _to_route),
+    "services": ("services", _Service, _to_service),
+    "tenants": ("organisations", _Tenant, _to_organisation),
+}
