Project no more memory than an engine's streams could use together

Cause: the margin for the spread of output lengths is computed for many small streams. One with a large prompt makes the variance so large that mean and margin exceed what all streams need if none ends, so that large prompts were turned away from engines that had room.

Evidence: the test fails before the change.

--- a/src/wasabiwick/_handlers/memory.py
+++ b/src/wasabiwick/_handlers/memory.py
@@ -4,6 +4,10 @@
 For several points in time ahead, the projection sums each stream's memory, weighted with the
 probability that it is still running, and the variance of that sum. Streams are taken as
 independent of each other, so the streams of all hosts can simply be added to both sums.
+
+Load pattern handled: large prompts beside small ones. One large stream makes the variance so large
+that mean and margin exceed what all streams together could ever use, and large ones are turned
+away although there is room. So no more is projected than the memory of all streams if none ends.
 """
 
 import math
@@ -23,20 +27,21 @@
 
 
 class Projection:
-    """Mean and variance of an engine's memory, in tokens, at each horizon.
+    """Mean, variance and upper bound of an engine's memory, in tokens, at each horizon.
 
     Args:
         at: Monotonic time of the projection.
         rate: Output tokens per second of a stream.
     """
 
-    __slots__ = ("_at", "_rate", "means", "variances", "streams")
+    __slots__ = ("_at", "_rate", "means", "variances", "bounds", "streams")
 
     def __init__(self, *, at: float, rate: float) -> None:
         self._at = at
         self._rate = rate
         self.means = [0.0] * len(HORIZONS_S)
         self.variances = [0.0] * len(HORIZONS_S)
+        self.bounds = [0.0] * len(HORIZONS_S)
         self.streams = 0
 
     def add(self, stream: StreamLoad) -> None:
@@ -45,6 +50,7 @@
         for index, (probability, tokens) in enumerate(self._trajectory(stream)):
             self.means[index] += probability * tokens
             self.variances[index] += probability * (1.0 - probability) * tokens * tokens
+            self.bounds[index] += tokens
 
     def peak(self, stream: StreamLoad, deviations: float) -> float:
         """Return the largest memory to plan for at any horizon, in tokens, if a stream is added.
@@ -57,7 +63,8 @@
         for index, (probability, tokens) in enumerate(self._trajectory(stream)):
             mean = self.means[index] + probability * tokens
             variance = self.variances[index] + probability * (1.0 - probability) * tokens * tokens
-            peak = max(peak, mean + deviations * math.sqrt(variance))
+            planned = min(mean + deviations * math.sqrt(variance), self.bounds[index] + tokens)
+            peak = max(peak, planned)
         return peak
 
     def _trajectory(self, stream: StreamLoad) -> list[tuple[float, float]]:
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -223,3 +223,14 @@
                 host.feed(_events.ForwardLeft, call_id=call)
                 break
         self.assertTrue(host.effects_of(TakeHold, urgent))
+
+
+class TestLargePrompts(unittest.TestCase):
+    """Large prompts get the room that an engine has."""
+
+    def test_two_large_prompts_share_an_engine_that_has_room_for_both(self) -> None:
+        """The margin for many small streams exceeded what the two could ever use together."""
+        host = host_with_engines(decode=1)
+        calls = [host.ask("stream", prompt_tokens=15_000, length_hint=300) for _ in range(2)]
+        for call in calls:
+            self.assertEqual(len(host.effects_of(TakeHold, call)), 1)
