--- a/src/wasabiwick/_forward_daemon.py
+++ b/src/wasabiwick/_forward_daemon.py
@@ -102,7 +102,7 @@
         cfg, deployment = self._cfg, self._deployment
         self._datagrams = UdpDatagrams(cfg.forwarding.datagrams)
         clock = SystemClock()
-        self._hops = HostHops(clock.monotonic)
+        self._hops = HostHops(clock.monotonic, dialect=deployment.dialect)
         ports = Ports(
             clock=clock,
             endpoints=deployment.endpoints,
@@ -198,8 +198,8 @@
 
     async def stop(self) -> None:
         """Close the listeners, the runner and the adapters."""
-        for server in self._servers:
-            await server.cleanup()
+        # Side by side, as each may wait twice for `CLOSE_TIMEOUT`.
+        await asyncio.gather(*(server.cleanup() for server in self._servers))
         if self.runner:
             await self.runner.close()
         if self._datagrams:
