--- a/src/wasabiwick/_events/_forwarding.py
+++ b/src/wasabiwick/_events/_forwarding.py
@@ -84,11 +84,20 @@
 class SettingsRead(Event):
     """The settings that may change while the host runs were read again.
 
-    ``drain`` and ``stop_notice`` bound a graceful shutdown, in seconds; the others define the retry
-    budget.
+    ``drain`` and ``stop_notice`` bound a graceful shutdown, in seconds; those of retries define the
+    retry budget, and those of limits how organisations' use is counted.
     """
 
-    __slots__ = ("drain", "stop_notice", "retry_ratio", "retry_slack", "retry_window")
+    __slots__ = (
+        "drain",
+        "stop_notice",
+        "retry_ratio",
+        "retry_slack",
+        "retry_window",
+        "limit_window",
+        "limit_overshoot",
+        "limit_slack",
+    )
 
     def __init__(
         self,
@@ -99,6 +108,9 @@
         retry_ratio: float,
         retry_slack: float,
         retry_window: float,
+        limit_window: float = 8.0,
+        limit_overshoot: float = 0.1,
+        limit_slack: float = 0.0,
     ) -> None:
         super().__init__(at=at)
         self.drain = drain
@@ -106,6 +118,9 @@
         self.retry_ratio = retry_ratio
         self.retry_slack = retry_slack
         self.retry_window = retry_window
+        self.limit_window = limit_window
+        self.limit_overshoot = limit_overshoot
+        self.limit_slack = limit_slack
 
 
 class HostFound(Event):
--- a/src/wasabiwick/_forward_daemon.py
+++ b/src/wasabiwick/_forward_daemon.py
@@ -158,6 +158,9 @@
                 retry_ratio=cfg.forwarding.retry_ratio,
                 retry_slack=cfg.forwarding.retry_slack,
                 retry_window=cfg.forwarding.retry_window,
+                limit_window=cfg.forwarding.limit_window,
+                limit_overshoot=cfg.forwarding.limit_overshoot,
+                limit_slack=cfg.forwarding.limit_slack,
             )
         )
 
--- a/src/wasabiwick/_handlers/host.py
+++ b/src/wasabiwick/_handlers/host.py
@@ -112,6 +112,9 @@
     forwarding.retry_ratio = event.retry_ratio
     forwarding.retry_slack = event.retry_slack
     forwarding.retry_window = event.retry_window
+    forwarding.limit_window = event.limit_window
+    forwarding.limit_overshoot = event.limit_overshoot
+    forwarding.limit_slack = event.limit_slack
     yield LogLine(event="settings_in_force", fields={"drain": event.drain})
 
 
--- a/src/wasabiwick/_handlers/organisation_limits.py
+++ b/src/wasabiwick/_handlers/organisation_limits.py
@@ -34,7 +34,8 @@
 FIRST_SEQUENCES = (
     5  # A host whose datagrams are heard from one of these on is heard from its start.
 )
-UNKNOWN = -(1 << 62)  # Marks a sum of which nothing was heard.
+MAX_SUM = 1 << 62  # A sum that no host can reach; larger ones are passed over.
+UNKNOWN = -MAX_SUM  # Marks a sum of which nothing was heard.
 
 
 class Charge:
@@ -167,7 +168,7 @@
         _scan(state, at)
     for organisation, total in event.counted.items():
         index = limits_state.limited.get(organisation)
-        if index is not None:
+        if index is not None and abs(total) < MAX_SUM:
             grown = host.take_sum(index, total)
             if grown:
                 account = _account(state, organisation, at)
@@ -256,17 +257,11 @@
 
 
 def _account(state: State, organisation: str, at: float) -> Account:
-    accounts = state["organisation_limits"].accounts
+    accounts, cfg = state["organisation_limits"].accounts, state.cfg.forwarding
     account = accounts.get(organisation)
     if account is None:
-        cfg = state.cfg.forwarding
-        account = accounts[organisation] = Account(
-            state["organisations"].by_name[organisation].limit,
-            window=cfg.limit_window,
-            overshoot=cfg.limit_overshoot,
-            slack=cfg.limit_slack,
-            at=at,
-        )
+        limit = state["organisations"].by_name[organisation].limit
+        account = accounts[organisation] = Account(limit, cfg=cfg, at=at)
     return account
 
 
--- a/src/wasabiwick/_limit_account.py
+++ b/src/wasabiwick/_limit_account.py
@@ -13,24 +13,30 @@
 import random
 
 from ._forwarding import OrganisationLimit
+from ._settings import Forwarding
 
 # The bucket is near its end under the first share of what it can hold, until it is over the second.
 NEAR_SHARE = 0.25
 PLENTY_SHARE = 0.6
 CALM_TIME_S = 2.0  # Seconds without a refusal after which there may be plenty again.
-SPARE_SHARE = 0.3  # Share of the tolerated excess that the bucket holds beyond the burst.
+SPARE_SHARE = 0.1  # Share of the tolerated excess that the bucket holds beyond the burst.
 DEBT_SHARE = 0.5  # Share of the tolerated excess by which the bucket may be overdrawn.
+# Share of the tolerated excess that is let in in every window: what is refused below it is lost to
+# callers, and the rest of it covers what hosts don't know of each other.
+STANDING_SHARE = 0.33
 CORRECTION_TIME_S = 2.0  # Seconds within which hosts make up for a debt, or use what is left over.
 USE_TIME_S = 6.0  # Seconds over which use is averaged.
 # Part of the rate that is shared evenly among hosts; the rest follows their use.
 EVEN_SHARE = 0.3
 # Share of the tolerated excess by which the bucket is overdrawn near the limit, as hosts that kept
 # to its very end would refuse requests while there are tokens that other hosts have not used.
-AIM_SHARE = 0.1
+AIM_SHARE = 0.05
 # Share of the tolerated excess that hosts may let in before they hear of each other.
-BLIND_SHARE = 0.7
-# Mean age of news, in seconds, over which hosts may just have been cut off from each other.
-LATE_NEWS_S = 1.0
+BLIND_SHARE = 0.65
+# Mean age of news, in seconds, over which hosts may just have been cut off from each other. Among
+# few hosts a lost datagram raises the mean by as much as the second, over the root of their number.
+LATE_NEWS_S = 0.8
+LATE_NEWS_SPREAD_S = 1.0
 NEWS_TIME_S = 1.0  # Seconds until the other hosts hear of a use, if no datagram gets lost.
 RECENT_TIME_S = 3.0  # Seconds over which a host's own use is averaged for its growth.
 GROWTH = 2.0  # Multiple of its recent use that a host may add before others hear of it.
@@ -61,15 +67,19 @@
         """Share of each limit that belongs to the hosts that are heard."""
         return self.heard / self.hosts
 
+    @property
+    def may_be_cut(self) -> bool:
+        """Whether the news are so old that others may not be heard any more."""
+        others = max(1, self.heard - 1)
+        return self.age >= LATE_NEWS_S + LATE_NEWS_SPREAD_S / math.sqrt(others)
+
 
 class Account:
     """The limit of one organisation, as this host knows it.
 
     Args:
         limit: The limit in force.
-        window: Seconds in which the excess is counted.
-        overshoot: Tolerated excess as a share of what the limit allows in a window.
-        slack: Tolerated excess in addition, in what the limit counts.
+        cfg: Settings with the window in which use is counted, and the excess tolerated in it.
         at: Monotonic time.
 
     Attributes:
@@ -84,9 +94,7 @@
 
     __slots__ = (
         "limit",
-        "window",
-        "overshoot",
-        "slack",
+        "cfg",
         "level",
         "own",
         "untold",
@@ -103,19 +111,9 @@
         "_purse_at",
     )
 
-    def __init__(
-        self,
-        limit: OrganisationLimit,
-        *,
-        window: float,
-        overshoot: float,
-        slack: float,
-        at: float,
-    ) -> None:
+    def __init__(self, limit: OrganisationLimit, *, cfg: Forwarding, at: float) -> None:
         self.limit = limit
-        self.window = window
-        self.overshoot = overshoot
-        self.slack = slack
+        self.cfg = cfg
         self.level = 0.0
         self.own = 0
         self.untold = 0
@@ -134,8 +132,13 @@
     @property
     def margin(self) -> float:
         """Tokens by which a window's use may exceed the limit at most."""
-        allowed = self.limit.rate * self.window + self.limit.burst
-        return self.overshoot * allowed + self.slack
+        allowed = self.limit.rate * self.cfg.limit_window + self.limit.burst
+        return self.cfg.limit_overshoot * allowed + self.cfg.limit_slack
+
+    @property
+    def rate(self) -> float:
+        """Tokens a second that are let in, with what is tolerated in every window."""
+        return self.limit.rate + STANDING_SHARE * self.margin / self.cfg.limit_window
 
     def capacity(self, fleet: Fleet) -> float:
         """Return the tokens that the bucket can hold for the hosts that are heard."""
@@ -143,15 +146,14 @@
 
     def refill(self, fleet: Fleet, at: float) -> None:
         """Bring the account up to a moment."""
-        limit = self.limit
-        level = self.level + limit.rate * (fleet.clock - self._refilled)
+        level = self.level + self.rate * (fleet.clock - self._refilled)
         self._refilled = fleet.clock
         if fleet.part < self._part:
             # Hosts that have fallen silent keep their share of what was left.
             level = min(level, level * fleet.part / self._part)
         self._part = fleet.part
         # What was used more than a window ago binds nobody any more.
-        self.level = max(-limit.rate * self.window, min(self.capacity(fleet), level))
+        self.level = max(-self.rate * self.cfg.limit_window, min(self.capacity(fleet), level))
         passed = max(0.0, at - self._used_at)
         fade = math.exp(-passed / USE_TIME_S)
         self._recent *= math.exp(-passed / RECENT_TIME_S)
@@ -165,11 +167,11 @@
         If the news are late, others may have used all.
         """
         left = self.level - fleet.age * self._other_use / USE_TIME_S
-        return left if fleet.age < LATE_NEWS_S else min(0.0, left)
+        return min(0.0, left) if fleet.may_be_cut else left
 
     def share(self, fleet: Fleet) -> float:
         """Return this host's share of what the hosts that are heard may use."""
-        even = EVEN_SHARE * self.limit.rate * USE_TIME_S
+        even = EVEN_SHARE * self.rate * USE_TIME_S
         total = self._own_use + self._other_use + even
         return (self._own_use + even / fleet.heard) / total
 
@@ -214,18 +216,18 @@
                 return 0.0
             return self._refuse(NEWS_TIME_S, 0.0, rng, at)
         pace = self._fill_purse(left, fleet, at)
-        debt = -left - DEBT_SHARE * min(self.margin, self.limit.rate * self.window)
+        debt = -left - DEBT_SHARE * min(self.margin, self.rate * self.cfg.limit_window)
         if self.purse > 0.0 and debt <= 0.0:
             return 0.0
-        wait = max(-self.purse / pace, debt / (self.limit.rate * fleet.part))
+        wait = max(-self.purse / pace, debt / (self.rate * fleet.part))
         return self._refuse(wait, cost / pace, rng, at)
 
     def _refuse(self, wait: float, turn: float, rng: random.Random, at: float) -> float:
         """Return after how many seconds a caller may come back; the next one gets a later turn."""
         self.refused_at = at
         since = max(at + wait, self.booked_until)
-        self.booked_until = min(since + turn, at + self.window)
-        wait = min(since - at, self.window)
+        self.booked_until = min(since + turn, at + self.cfg.limit_window)
+        wait = min(since - at, self.cfg.limit_window)
         return max(wait, 0.01) * (1.0 + MAX_WAIT_SPREAD * rng.random())
 
     def _note_mode(
@@ -233,7 +235,7 @@
     ) -> None:
         capacity = self.capacity(fleet)
         if self.is_near:
-            is_calm = at - self.refused_at >= CALM_TIME_S and fleet.age < LATE_NEWS_S
+            is_calm = at - self.refused_at >= CALM_TIME_S and not fleet.may_be_cut
             self.is_near = left < PLENTY_SHARE * capacity or not is_calm
         elif left <= NEAR_SHARE * capacity:
             self.is_near = True
@@ -244,7 +246,7 @@
 
     def _fill_purse(self, left: float, fleet: Fleet, at: float) -> float:
         """Fill the purse up to now; returns the tokens that flow into it in a second."""
-        share, rate = self.share(fleet), self.limit.rate * fleet.part
+        share, rate = self.share(fleet), self.rate * fleet.part
         surplus = left + AIM_SHARE * self.margin * fleet.part
         flow = max(0.0, rate + surplus / CORRECTION_TIME_S)
         filled = self.purse + share * flow * max(0.0, at - self._purse_at)
--- a/tests/test_on_platform.py
+++ b/tests/test_on_platform.py
@@ -999,6 +999,16 @@
     async def _has_slack_7(self) -> bool:
         return self.site.state.cfg.forwarding.retry_slack == 7
 
+    async def test_bounds_of_organisations_limits_are_read(self) -> None:
+        """Guards against limits of organisations that are held with other bounds than named."""
+        bounds = "quota-window-s = 6\nquota-overshoot = 0.2\nquota-slack = 900\n"
+        self.site.rewrite_settings(
+            lambda text: text.replace("budget-slack = 52\n", "budget-slack = 7\n" + bounds)
+        )
+        await until(self._has_slack_7)
+        cfg = self.site.state.cfg.forwarding
+        self.assertEqual((cfg.limit_window, cfg.limit_overshoot, cfg.limit_slack), (6, 0.2, 900))
+
     async def test_invalid_file_leaves_the_old_settings(self) -> None:
         self.site.rewrite_settings(lambda text: "node-name = 5\n")
         self.site.daemon.reload()
--- a/tests/test_organisation_limits.py
+++ b/tests/test_organisation_limits.py
@@ -367,6 +367,14 @@
         limited.host.know("b", counted={"unknown": 500, "free": 3})
         self.assertIsNone(limited.host.refusal(limited.host.ask("safe", key="k")))
 
+    def test_sum_beyond_all_bounds_is_passed_over(self) -> None:
+        """Guards against a datagram that can't be counted and costs the others in it."""
+        limited = LimitedHost(10_000.0, 10_000.0)
+        limited.host.know("b", counted={"one": 2**63})
+        limited.host.know("b", counted={"one": -(2**63) - 1})
+        limited.host.know("b", counted={"one": 400})
+        self.assertIsNone(limited.host.refusal(limited.host.ask("safe", key="k")))
+
     def test_nothing_is_told_after_a_while(self) -> None:
         """Guards against datagrams that grow with all organisations ever seen."""
         limited = LimitedHost(10_000.0, 10_000.0)
