--- a/src/wasabiwick/_handlers/caller_keys.py
+++ b/src/wasabiwick/_handlers/caller_keys.py
@@ -108,9 +108,8 @@
 
 
 def _judge_call(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
-    holder = organisations.of_key(state, req.ask.key)
-    if holder is not None or not organisations.are_named(state):
-        req.organisation = holder
+    if _refusal_of_call(state, req, at) is None:
+        req.organisation = organisations.of_key(state, req.ask.key)
         return
     is_sent = req.phase in (forwarding.SENT, forwarding.RELAYING)
     if not is_sent and not may_go_on(state, req, at):
--- a/src/wasabiwick/_metrics.py
+++ b/src/wasabiwick/_metrics.py
@@ -6,7 +6,7 @@
 
 import typing
 
-from ._handlers import cancels, lists, members, neighbours, requests, routes
+from ._handlers import cancels, lists, members, neighbours, organisations, requests, routes
 from ._handlers.host import in_flight, roles_held
 from ._logging import dropped_lines
 from ._state import State
@@ -369,6 +369,11 @@
     return {"": routes.version(state)}
 
 
+@gauge("organisations", "Organisations of the version of the routes in force; 0 if none are named.")
+def _organisations(state: State) -> GaugeValues:
+    return {"": len(organisations.known(state))}
+
+
 @gauge("endpoints_known", "Endpoints of the directory that may get new work.", "stage")
 def _endpoints_known(state: State) -> GaugeValues:
     found: GaugeValues = {}
--- a/tests/test_caller_keys.py
+++ b/tests/test_caller_keys.py
@@ -278,6 +278,12 @@
         self.host.fail(call_id, REFUSED)
         self.assertIs(self.reason(call_id), BAD_KEY)
 
+    def test_public_request_is_sent_again_without_the_name_of_a_former_holder(self) -> None:
+        call_id = self.ask("open")
+        self.read(3)
+        self.host.fail(call_id, REFUSED)
+        self.assertEqual(self.names_told(call_id), ["acme", ""])
+
     def test_older_version_brings_no_key_back(self) -> None:
         """A configuration in force never reverts."""
         self.read(4, organisation("heir", SECOND))
