Bound what a host holds for callers that read slowly, and blame no endpoint for its cut

Cause: a host held up to 256 KiB of each stream besides what waits for its caller, with no bound on all together; a whole answer that its caller doesn't read kept its room in the memory for answers for ever, so that two such callers kept all others from large answers. Evidence: test_a_large_answer_beside_unread_ones_is_served timed out before anything was cut off.

--- a/src/wasabiwick/_errors.py
+++ b/src/wasabiwick/_errors.py
@@ -121,5 +121,6 @@
 ENDPOINT_CHANGED = Reason("endpoint_changed", 503, "the endpoint serves something else by now")
 ENDPOINT_LEAVING = Reason("endpoint_leaving", 503, "the endpoint is leaving")
 ENDPOINT_SILENT = Reason("endpoint_silent", 504, "the endpoint stopped answering")
+UNREAD = Reason("unread", 502, "the caller left too much of the answer unread")
 DEADLINE_PASSED = Reason("deadline_passed", 504, "the deadline passed")
 SUPERSEDED = Reason("superseded", 409, "a newer call with the same key replaced this one")
--- a/src/wasabiwick/_events/__init__.py
+++ b/src/wasabiwick/_events/__init__.py
@@ -34,6 +34,7 @@
 )
 from ._forwarding import (
     AnswerCame,
+    AnswersUnread,
     BuildRead,
     ClaimAnswered,
     ClaimsRead,
@@ -107,6 +108,7 @@
     "AdmissionGiven",
     "AdmissionWanted",
     "AnswerCame",
+    "AnswersUnread",
     "BuildRead",
     "AttemptEvent",
     "AttemptFailed",
--- a/src/wasabiwick/_events/_forwarding.py
+++ b/src/wasabiwick/_events/_forwarding.py
@@ -14,6 +14,7 @@
     RouteTable,
     SavedBuilds,
     SoundPart,
+    UnreadAnswer,
 )
 from .._hops import HopTarget
 from .._observed import Observed
@@ -243,6 +244,17 @@
     __slots__ = ()
 
 
+class AnswersUnread(Event):
+    """Callers leave more bytes of answers unread than the host may hold."""
+
+    __slots__ = ("answers", "limit_bytes")
+
+    def __init__(self, *, at: float, answers: tuple[UnreadAnswer, ...], limit_bytes: int) -> None:
+        super().__init__(at=at)
+        self.answers = tuple(answers)
+        self.limit_bytes = limit_bytes
+
+
 class HoldAnswered(ForwardEvent):
     """An engine reserved a place, identified by ``hold``, or did not; ``failure`` says why not."""
 
--- a/src/wasabiwick/_forward_daemon.py
+++ b/src/wasabiwick/_forward_daemon.py
@@ -14,8 +14,9 @@
 from ._adapters._datagrams import UdpDatagrams
 from ._adapters._hops import HostHops
 from ._body_memory import BodyMemory
-from ._events import ForwarderBooted, SettingsRead
+from ._events import AnswersUnread, ForwarderBooted, SettingsRead
 from ._forward_entry import ForwardEntry
+from ._forwarding import UnreadAnswer
 from ._handlers.host import in_flight, stop_by
 from ._hop_entry import HopEntry
 from ._idle_connections import close_idle
@@ -24,6 +25,7 @@
 from ._read_turns import ReadTurns
 from ._runner import Ports, Runner
 from ._settings import Settings
+from ._unread import UnreadAnswers
 from ._wire import Owner
 
 if typing.TYPE_CHECKING:
@@ -121,6 +123,11 @@
             self.runner.events.subscribe(on_next=lambda step: self._trace.record(*step))
         requests = BodyMemory(cfg.limits.request_bodies_bytes)
         answers = BodyMemory(cfg.limits.answer_bodies_bytes)
+        unread = UnreadAnswers(
+            limit_bytes=cfg.limits.unread_answers_bytes,
+            clock=self.runner.now,
+            report=self._report_unread,
+        )
         entry, passed = (
             kind(
                 runner=self.runner,
@@ -128,6 +135,7 @@
                 max_body_bytes=cfg.limits.max_body_bytes,
                 requests=requests,
                 answers=answers,
+                unread=unread,
             )
             for kind in (ForwardEntry, HopEntry)
         )
@@ -161,6 +169,11 @@
             )
         )
 
+    def _report_unread(self, answers: tuple[UnreadAnswer, ...]) -> None:
+        limit_bytes = self._cfg.limits.unread_answers_bytes
+        event = AnswersUnread(at=self.runner.now(), answers=answers, limit_bytes=limit_bytes)
+        self.runner.post(event)
+
     async def _watch_settings(self) -> None:
         while True:
             await asyncio.sleep(SETTINGS_POLL_INTERVAL)
--- a/src/wasabiwick/_forward_entry.py
+++ b/src/wasabiwick/_forward_entry.py
@@ -14,10 +14,12 @@
 from ._forwarding import Ask
 from ._handlers import routes
 from ._handlers.host import in_flight
+from ._http1 import MAX_BUFFERED_BYTES
 from ._idle_connections import has_request_waiting
 from ._logging import log_event
 from ._ports import Dialect, Exchange
 from ._runner import Runner
+from ._unread import UnreadAnswers
 from ._verdict import Verdict
 
 JSON = "application/json"
@@ -53,12 +55,14 @@
         exchange: The request, kept for sending it to endpoints.
         dialect: Writes the headers of failures.
         answers: Memory for answers that are held as a whole.
+        unread: Counts what of the answer its caller has not read.
     """
 
     __slots__ = (
         "exchange",
         "decision",
         "answer_share",
+        "meter",
         "_req",
         "_ask",
         "_dialect",
@@ -74,10 +78,12 @@
         exchange: Exchange,
         dialect: Dialect,
         answers: BodyMemory,
+        unread: UnreadAnswers,
     ) -> None:
         self.exchange = exchange
         self.decision: asyncio.Future | None = None
         self.answer_share = answers.share()
+        self.meter = unread.meter(ask.call_id, req.transport)
         self._req = req
         self._ask = ask
         self._dialect = dialect
@@ -116,7 +122,8 @@
             await self._resp.prepare(self._req)
 
     async def write(self, data: bytes) -> None:
-        """Write bytes of the stream."""
+        """Write bytes of the stream, and wait while its caller has many of them unread."""
+        self.meter.add(len(data), behind=MAX_BUFFERED_BYTES)
         await self._resp.write(data)
 
     def end_stream(self) -> None:
@@ -170,12 +177,16 @@
             resp.force_close()
         if not resp.prepared:
             await resp.prepare(req)
+            if isinstance(resp, web.Response):
+                size = len(resp.body or b"")
+                call.meter.add(size, whole=size)
         await resp.write_eof()
         answered = True
         return resp
     finally:
         runner.forwarded_calls.pop(call_id, None)
         call.answer_share.release()
+        call.meter.close()
         event = ForwardAnswered if answered else ForwardLeft
         runner.post(event(at=runner.now(), call_id=call_id))
 
@@ -189,6 +200,7 @@
         max_body_bytes: Maximum size of a request's body.
         requests: Memory for requests' bodies, each held until its request is answered.
         answers: Memory for answers that are held as a whole.
+        unread: Counts what of answers their callers have not read.
 
     Attributes:
         open_requests: Number of requests whose head has been read and whose answer is not complete.
@@ -200,6 +212,7 @@
         "_max_body_bytes",
         "_requests",
         "_answers",
+        "_unread",
         "_sequence",
         "_uploads",
         "open_requests",
@@ -213,12 +226,14 @@
         max_body_bytes: int,
         requests: BodyMemory,
         answers: BodyMemory,
+        unread: UnreadAnswers,
     ) -> None:
         self._runner = runner
         self._dialect = dialect
         self._max_body_bytes = max_body_bytes
         self._requests = requests
         self._answers = answers
+        self._unread = unread
         self._sequence = 0
         self._uploads: set[asyncio.Future] = set()
         self.open_requests = 0
@@ -282,7 +297,12 @@
         )
         ask = self._dialect.ask(call_id, req.headers.get("Host", ""), exchange, runner.now())
         call = ForwardCall(
-            req=req, ask=ask, exchange=exchange, dialect=self._dialect, answers=self._answers
+            req=req,
+            ask=ask,
+            exchange=exchange,
+            dialect=self._dialect,
+            answers=self._answers,
+            unread=self._unread,
         )
         return await answer_call(runner, req, call, ForwardArrived(at=runner.now(), ask=ask))
 
--- a/src/wasabiwick/_forwarding.py
+++ b/src/wasabiwick/_forwarding.py
@@ -133,6 +133,23 @@
         self.engine = engine
 
 
+class UnreadAnswer(Record):
+    """An answer of which a part waits in this process for its caller.
+
+    Args:
+        call_id: The call.
+        size: Bytes that wait.
+        stalled: Seconds for which the caller has taken nothing.
+    """
+
+    __slots__ = ("call_id", "size", "stalled")
+
+    def __init__(self, *, call_id: str, size: int, stalled: float) -> None:
+        self.call_id = call_id
+        self.size = size
+        self.stalled = stalled
+
+
 class OrganisationLimit(Record):
     """How much an organisation may send to all hosts together.
 
--- a/src/wasabiwick/_handlers/__init__.py
+++ b/src/wasabiwick/_handlers/__init__.py
@@ -54,6 +54,7 @@
     forward_plain,
     forward_streams,
     forward_arrivals,
+    slow_readers,
     stages,
     forward_faults,
     request_faults,
@@ -114,6 +115,7 @@
     "forward_plain",
     "forward_streams",
     "forward_arrivals",
+    "slow_readers",
     "stages",
     "stopping",
 ]
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -8,7 +8,7 @@
 
 from .._effects import Count, LogLine, Observe, StartTimer, StopTimer
 from .._effects_forwarding import CutForward, DropHold, DropTry, FreeHandle, RefuseForward
-from .._errors import ENDPOINT_FAILED, ENDPOINT_UNREACHABLE, Failure, Reason
+from .._errors import ENDPOINT_FAILED, ENDPOINT_UNREACHABLE, UNREAD, Failure, Reason
 from .._events import ForwardAnswered, LoadChanged, PermitSettled, PlacesChanged, StepFailed
 from .._forwarding import Ask, BegunStream, Endpoint, Organisation, Route, StreamLoad
 from .._reducer import Step, handles
@@ -413,9 +413,12 @@
         state: The host's state.
         req: The call that failed.
         endpoint: Name of the endpoint.
-        failure: What happened; None if the endpoint answered in full with a server error.
+        failure: What happened; None if the endpoint answered in full with a server error. That a
+            caller left an answer unread tells nothing of the endpoint.
         at: Monotonic time.
     """
+    if failure is not None and failure.reason is UNREAD:
+        return
     if failure is not None and failure.reason is ENDPOINT_UNREACHABLE:
         req.unreachable.add(endpoint)
         yield from health.record_unreachable(state, endpoint)
--- a/src/wasabiwick/_hop_entry.py
+++ b/src/wasabiwick/_hop_entry.py
@@ -28,6 +28,7 @@
 from ._logging import log_event
 from ._ports import Dialect, Exchange
 from ._runner import Runner
+from ._unread import UnreadAnswers
 from ._verdict import Verdict
 
 
@@ -82,9 +83,18 @@
         max_body_bytes: Maximum size of a request's body.
         requests: Memory for requests' bodies, each held until its request is answered.
         answers: Memory for answers that are held as a whole.
+        unread: Counts what of answers the other hosts have not read.
     """
 
-    __slots__ = ("_runner", "_dialect", "_max_bytes", "_requests", "_answers", "_numbers")
+    __slots__ = (
+        "_runner",
+        "_dialect",
+        "_max_bytes",
+        "_requests",
+        "_answers",
+        "_unread",
+        "_numbers",
+    )
 
     def __init__(
         self,
@@ -94,12 +104,14 @@
         max_body_bytes: int,
         requests: BodyMemory,
         answers: BodyMemory,
+        unread: UnreadAnswers,
     ) -> None:
         self._runner = runner
         self._dialect = dialect
         self._max_bytes = max_body_bytes + MAX_HEAD_BYTES
         self._requests = requests
         self._answers = answers
+        self._unread = unread
         self._numbers = itertools.count(1)
 
     def app(self) -> web.Application:
@@ -141,6 +153,7 @@
             exchange=exchange,
             dialect=self._dialect,
             answers=self._answers,
+            unread=self._unread,
         )
         return await answer_call(runner, req, call, event)
 
--- a/src/wasabiwick/_http1.py
+++ b/src/wasabiwick/_http1.py
@@ -25,7 +25,7 @@
 KEEP_MARGIN = 0.75
 MAX_IDLE_CONNECTIONS = 8  # Most idle connections that are kept to one endpoint.
 # Reading from an endpoint pauses while more bytes than this of its answer wait for the caller.
-MAX_BUFFERED_BYTES = 256 * 1024
+MAX_BUFFERED_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 64 * 1024  # Most bytes before the end of an answer's head; callers send 16 KiB.
 # Most bytes of a body that is kept as a whole, as many as a caller may send by default.
 MAX_BODY_BYTES = 4 * 1024 * 1024
--- a/src/wasabiwick/_performers/_tries.py
+++ b/src/wasabiwick/_performers/_tries.py
@@ -1,10 +1,12 @@
 """Sends one try of a call to an endpoint or to another host, and relays its answer."""
 
 import asyncio
+import math
+import typing
 
 from .._effects_forwarding import Forward
 from .._effects_hops import PassOn
-from .._errors import ENDPOINT_FAILED, ENDPOINT_SILENT, HOST_LOST, Failure
+from .._errors import ENDPOINT_FAILED, ENDPOINT_SILENT, HOST_LOST, UNREAD, Failure, Reason
 from .._event_stream import EventSplitter
 from .._events import AnswerCame, StreamDone, StreamMoved, TryFailed
 from .._http1 import BrokenAnswerError
@@ -14,6 +16,9 @@
 
 # Events of a stream between two reports of its progress to the reducer, after the first event.
 PROGRESS_EVENTS = 8
+# Seconds for which an answer was not read from its endpoint, because its caller or a lack of memory
+# held it up. What breaks off then was cut off by a sound endpoint, which waits a few seconds.
+HELD_UP_S = 1.0
 
 
 def task_name(kind: str, call_id: str) -> str:
@@ -29,12 +34,13 @@
         effect: The effect to perform.
     """
 
-    __slots__ = ("_runner", "_effect", "_call")
+    __slots__ = ("_runner", "_effect", "_call", "_held_up_at")
 
     def __init__(self, runner: Runner, effect: Forward | PassOn) -> None:
         self._runner = runner
         self._effect = effect
         self._call = runner.forwarded_calls[effect.call_id]
+        self._held_up_at = -math.inf
 
     async def run(self) -> None:
         """Send the request, report its answer, and relay it if the reducer decides so."""
@@ -55,7 +61,7 @@
             else:
                 await self._relay_complete(answer)
         except BrokenAnswerError as exc:
-            reason = HOST_LOST if isinstance(effect, PassOn) else ENDPOINT_FAILED
+            reason = self._broken_off_reason()
             self._fail(Failure(reason=reason, verdict=Verdict.MAY_HAVE_RUN, detail=str(exc)))
         finally:
             answer.release()
@@ -68,6 +74,23 @@
             return await ports.hops.pass_on(exchange, effect, seconds=seconds)
         return await ports.endpoints.forward(exchange, effect, seconds=seconds)
 
+    def _broken_off_reason(self) -> Reason:
+        """Return whose doing it is that an answer has broken off."""
+        if self._runner.now() - self._held_up_at < HELD_UP_S:
+            return UNREAD
+        return HOST_LOST if isinstance(self._effect, PassOn) else ENDPOINT_FAILED
+
+    async def _hold_up(self, wait: typing.Awaitable[None]) -> None:
+        """Wait while nothing is read from the endpoint, and record the end of a long wait."""
+        began_at = self._runner.now()
+        await wait
+        ended_at = self._runner.now()
+        if ended_at - began_at >= HELD_UP_S:
+            self._held_up_at = ended_at
+
+    async def _room(self, size: int) -> None:
+        await self._hold_up(self._call.room_for_answer(size))
+
     def _fail(self, failure: Failure) -> None:
         effect = self._effect
         self._runner.post(
@@ -102,7 +125,7 @@
         return await decision == effect.number
 
     async def _relay_complete(self, answer: Answer | HopAnswer) -> None:
-        body = await answer.body(self._call.room_for_answer)
+        body = await answer.body(self._room)
         answer.release()
         if await self._may_relay(answer):
             self._call.answer(answer.status, answer.headers, body)
@@ -123,7 +146,7 @@
             if complete:
                 call.exchange.events = events_before + splitter.events
                 call.exchange.last_event_id = splitter.last_id or call.exchange.last_event_id
-                await call.write(complete)
+                await self._hold_up(call.write(complete))
             if splitter.events - reported >= (PROGRESS_EVENTS if reported else 1):
                 reported = splitter.events
                 runner.post(self._progress_event(StreamMoved))
--- a/src/wasabiwick/_settings.py
+++ b/src/wasabiwick/_settings.py
@@ -81,6 +81,8 @@
         request_bodies_bytes: Bytes of callers' bodies that a forwarding host holds together.
         answer_bodies_bytes: Bytes of endpoints' answers that it holds together, of those that it
             holds as a whole.
+        unread_answers_bytes: Bytes of answers that may wait in a forwarding host for callers that
+            have not read them.
     """
 
     __slots__ = (
@@ -92,6 +94,7 @@
         "default_deadline",
         "request_bodies_bytes",
         "answer_bodies_bytes",
+        "unread_answers_bytes",
     )
 
     def __init__(
@@ -105,6 +108,7 @@
         default_deadline: Seconds = 60.0,
         request_bodies_bytes: PositiveInt = 64 * 1024 * 1024,
         answer_bodies_bytes: PositiveInt = 32 * 1024 * 1024,
+        unread_answers_bytes: PositiveInt = 32 * 1024 * 1024,
     ) -> None:
         self.max_body_bytes = max_body_bytes
         self.max_header_bytes = max_header_bytes
@@ -114,6 +118,7 @@
         self.default_deadline = default_deadline
         self.request_bodies_bytes = request_bodies_bytes
         self.answer_bodies_bytes = answer_bodies_bytes
+        self.unread_answers_bytes = unread_answers_bytes
 
 
 class Timing:
