--- a/src/wasabiwick/platform/_names.py
+++ b/src/wasabiwick/platform/_names.py
@@ -37,25 +37,12 @@
     )
 )
 
-# Headers that concern one connection only, and the body's length, which is set anew.
-CONNECTION_HEADERS = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"expect",
-        b"content-length",
-    )
-)
-
-# Headers that say who sends a request.
-CALLER_HEADERS = frozenset((b"authorization", PREFIX + b"tenant"))
+CALLER_KEY = b"authorization"
+CALLER_KEY_SCHEME = b"token"  # Word before a caller's key, in any case.
+ORGANISATION = PREFIX + b"tenant"
+# Headers that say who sends a request. Where the operator names organisations, no endpoint gets
+# them as the caller wrote them.
+CALLER_HEADERS = frozenset((CALLER_KEY, ORGANISATION))
 
 IS_LEAVING = "1"  # Value of the header by which an endpoint says that it leaves.
 
