Hear what endpoints say of their load and slowness, and tell it on

Cause: answers say how long work takes at an endpoint at this moment, and nothing read it. Each host keeps the newest sign of an endpoint and its age, and tells what it saw itself in the datagrams that it sends anyway, with the times that it measured.

--- a/src/wasabiwick/_endpoint_signs.py
+++ b/src/wasabiwick/_endpoint_signs.py
@@ -1,6 +1,7 @@
 """Posts what endpoints say of themselves in their answers as events."""
 
-from ._events import EndpointLeaving, EndpointPaused, LimitNamed
+from ._events import EndpointLeaving, EndpointPaused, LimitNamed, LoadNamed
+from ._forwarding import EngineSign
 from ._runner import Runner
 
 
@@ -29,3 +30,18 @@
     def limit_named(self, endpoint: str, rate: float | None) -> None:
         """Post the limit that an endpoint named."""
         self._runner.post(LimitNamed(at=self._runner.now(), endpoint=endpoint, rate=rate))
+
+    def load_named(
+        self, endpoint: str, *, running: int, waiting: int, slots: int, slowness: float
+    ) -> None:
+        """Post what an endpoint said of its load."""
+        at = self._runner.now()
+        sign = EngineSign(
+            endpoint=endpoint,
+            running=running,
+            waiting=waiting,
+            slots=slots,
+            slowness=slowness,
+            at=at,
+        )
+        self._runner.post(LoadNamed(at=at, sign=sign))
--- a/src/wasabiwick/_events/_findings.py
+++ b/src/wasabiwick/_events/_findings.py
@@ -1,7 +1,7 @@
 """Events of what endpoints say of themselves, and of what hosts find out and tell each other."""
 
 from .._errors import Failure
-from .._forwarding import EndpointLimit, Findings
+from .._forwarding import EndpointLimit, EngineSign, Findings
 from ._base import Event
 from ._forwarding import ForwardEvent
 
@@ -45,6 +45,16 @@
         self.rate = rate
 
 
+class LoadNamed(Event):
+    """An endpoint said in an answer how much it runs and how long work takes there."""
+
+    __slots__ = ("sign",)
+
+    def __init__(self, *, at: float, sign: EngineSign) -> None:
+        super().__init__(at=at)
+        self.sign = sign
+
+
 class PermitAsked(Event):
     """Another host asked whether it may send a request to an endpoint that has a limit.
 
--- a/src/wasabiwick/_forwarding.py
+++ b/src/wasabiwick/_forwarding.py
@@ -532,9 +532,20 @@
         slots: Requests that it runs at once.
         slowness: How long work takes there, as a multiple of the usual; None if it did not say.
         at: Monotonic time of the answer.
+        taken: Seconds of work that the teller measured there since it told last.
+        expected: Seconds that this work should have taken by the endpoint's word.
     """
 
-    __slots__ = ("endpoint", "running", "waiting", "slots", "slowness", "at")
+    __slots__ = (
+        "endpoint",
+        "running",
+        "waiting",
+        "slots",
+        "slowness",
+        "at",
+        "taken",
+        "expected",
+    )
 
     def __init__(
         self,
@@ -545,6 +556,8 @@
         slots: int,
         slowness: float | None,
         at: float,
+        taken: float = 0.0,
+        expected: float = 0.0,
     ) -> None:
         self.endpoint = endpoint
         self.running = running
@@ -552,3 +565,18 @@
         self.slots = slots
         self.slowness = slowness
         self.at = at
+        self.taken = taken
+        self.expected = expected
+
+    def with_times(self, taken: float, expected: float) -> "EngineSign":
+        """Return the same sign with seconds of work."""
+        return EngineSign(
+            endpoint=self.endpoint,
+            running=self.running,
+            waiting=self.waiting,
+            slots=self.slots,
+            slowness=self.slowness,
+            at=self.at,
+            taken=taken,
+            expected=expected,
+        )
--- a/src/wasabiwick/_handlers/neighbours.py
+++ b/src/wasabiwick/_handlers/neighbours.py
@@ -37,6 +37,7 @@
     departures,
     directory,
     endpoint_limits,
+    engine_signs,
     observations,
     reach,
     routes,
@@ -327,6 +328,7 @@
             unreached=reach.services_in_doubt(state),
             routes_version=routes.version(state),
             observed=observations.take_told(state, at),
+            signs=engine_signs.take_told(state, at),
         )
         if builds.has_untold(state) or crashing_parts.has_untold(state):
             yield from send_soon(state, at)
--- a/src/wasabiwick/_ports/endpoints.py
+++ b/src/wasabiwick/_ports/endpoints.py
@@ -71,6 +71,14 @@
         That is None once the endpoint names no limit any more.
         """
 
+    def load_named(
+        self, endpoint: str, *, running: int, waiting: int, slots: int, slowness: float
+    ) -> None:
+        """Note the requests that an endpoint runs and lets wait, its slots and its slowness.
+
+        ``slowness`` says how long work takes there at this moment, as a multiple of the usual.
+        """
+
 
 class Endpoints(typing.Protocol):
     """Calls to endpoints; without an answer, a failure says whether the request may have run."""
