Choose engines by their own speed, and the better of two drawn in a large fleet

Cause: times and projected memory used the service's mean speed, though a quarter of the engines is twice as fast and each slows down at times; and hosts that chose within the age of each other's news took the same engine. Change: where a service's endpoints say how slow they are, prefill choice, projected memory, time-outs of prefills and the choice for plain requests go by each one's speed, and requests that only the endpoint tells of count; with 12 or more other hosts the better of two engines drawn by memory left and speed gets a stream. All others are served as before.

--- a/src/wasabiwick/_handlers/estimates.py
+++ b/src/wasabiwick/_handlers/estimates.py
@@ -138,6 +138,17 @@
     It is the slope of a line through prefills, as each also takes a time that its prompt does not
     change.
     """
+    return 1.0 / _prefill_line(state, service)[2]
+
+
+def prefill_seconds(state: State, service: str, tokens: int) -> float:
+    """Return the seconds that a prefill engine takes for a prompt that is its only one."""
+    mean_tokens, mean_seconds, slope = _prefill_line(state, service)
+    return max(tokens * slope, mean_seconds + (tokens - mean_tokens) * slope)
+
+
+def _prefill_line(state: State, service: str) -> tuple[float, float, float]:
+    """Return the mean tokens and seconds of prefills, and the seconds that a token adds."""
     own, others = observations.pooled(state, service)
     sources = (own, others, PRIOR_PREFILL)
     count = sum(one.prefills for one in sources)
@@ -148,7 +159,8 @@
     covariance = products - mean_tokens * mean_seconds
     most = PREFILL_RATE_RANGE * PRIOR_PREFILL_RATE
     least = PRIOR_PREFILL_RATE / PREFILL_RATE_RANGE
-    return max(least, variance / max(variance / most, covariance))
+    rate = max(least, variance / max(variance / most, covariance))
+    return mean_tokens, mean_seconds, 1.0 / rate
 
 
 def observe_sizes(state: State, service: ServiceTraits, route: str, ask: Ask, at: float) -> None:
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -37,6 +37,7 @@
 from . import (
     busy_engines,
     directory,
+    engine_signs,
     estimates,
     forward_waiting,
     forwarding,
@@ -66,10 +67,6 @@
 # Seconds without a response head after which a resumable stream is sent again. This is longer than
 # an engine takes to prefill a whole prompt between the decode steps of a full batch.
 HEAD_TIMEOUT = 1.2
-# A prefill is sent again if it takes longer than PREFILL_GRACE seconds plus PREFILL_TIME_FACTOR
-# times what the engine is expected to need for all prompts that it was sent.
-PREFILL_GRACE = 0.4  # Fixed seconds of a prefill's time-out; four times what one prefill takes.
-PREFILL_TIME_FACTOR = 2.0  # Above 1, as prompts prefilled together slow each other down.
 
 
 def start(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
@@ -172,20 +169,26 @@
         return
     req.prefills += 1
     req.phase = forwarding.PREFILLING
-    req.prefilled_alone = places.load(state, engine.name, at).reading == 0
+    req.prefilled_after = places.load(state, engine.name, at).reading
     req.sent_at = at
     forwarding.begin_prefill(state, req, engine)
     health.record_chosen(state, engine.name)
-    yield forwarding.log("prefill_sent", req, state, at, endpoint=engine.name, tokens=tokens)
+    yield forwarding.log(
+        "prefill_sent",
+        req,
+        state,
+        at,
+        endpoint=engine.name,
+        tokens=tokens,
+        **engine_signs.basis(state, engine.name, at),
+    )
     yield ReadPrompt(
         call_id=req.ask.call_id,
         endpoint=engine.name,
         address=engine.address,
         deadline=req.ends_at,
         priority=_priority(req),
-        quiet=PREFILL_GRACE
-        + PREFILL_TIME_FACTOR
-        * placing.prefill_backlog_seconds(state, req.service, engine.name, at),
+        quiet=placing.prefill_timeout(state, req.service, engine.name, at),
     )
 
 
@@ -238,8 +241,11 @@
     health.record_success(state, event.endpoint)
     yield Count(metric="prefills", label="done")
     yield Observe(metric="prefill_time", value=event.at - req.sent_at)
+    tokens = req.prefilled_after + req.ask.prompt_tokens
+    usual = estimates.prefill_seconds(state, req.service, tokens)
+    engine_signs.observe(state, event.endpoint, event.at - req.sent_at, usual, event.at)
     # Prompts that other hosts sent meanwhile slow a prefill down as well.
-    if req.prefilled_alone and not places.load(state, event.endpoint, event.at).reading:
+    if not req.prefilled_after and not places.load(state, event.endpoint, event.at).reading:
         estimates.observe_prefill(
             state, req.service, req.ask.prompt_tokens, event.at - req.sent_at, event.at
         )
@@ -454,6 +460,9 @@
         return
     new_events = req.events - req.begun_events
     seconds = event.at - req.begun_at
+    if new_events >= estimates.MIN_TIMED_EVENTS and req.place is not None:
+        usual = new_events * traits.engine.stride / estimates.token_rate(state, req.service)
+        engine_signs.observe(state, req.place.name, seconds, usual, event.at)
     estimates.observe_token_rate(state, traits, new_events, seconds, event.at)
     if not req.ask.resumed:
         tokens = req.events * traits.engine.stride
--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -25,6 +25,7 @@
 from .._state import State, state_slice
 from . import (
     directory,
+    engine_signs,
     estimates,
     forwarding,
     health,
@@ -192,6 +193,7 @@
         expected=stream.expected,
         held=placing.hold_tokens(service, req.ask, req.events),
         reads_itself=prefills_itself,
+        **engine_signs.basis(state, endpoint.name, at),
     )
     if answer is permits.Answer.PENDING:
         req.begin_asking(endpoint)
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -55,8 +55,8 @@
             engine has fetched the KV cache. It is the decode engine if that prefills the prompt
             itself.
         reading: Prompt tokens counted in the load of `prefill_engine` until they are prefilled.
-        prefilled_alone: Whether `prefill_engine` had no other prompt to prefill when it was sent
-            this one, as far as this host knows.
+        prefilled_after: Tokens of other prompts that `prefill_engine` had to prefill when it was
+            sent this one, as far as this host knows.
         prefills: Number of prefills sent that were not refused.
         hold: Identifier of the reservation at `place` while it is unused, or empty.
         handle: Identifier of a KV cache that was not fetched yet from the prefill engine, or empty.
@@ -93,7 +93,7 @@
         "place",
         "prefill_engine",
         "reading",
-        "prefilled_alone",
+        "prefilled_after",
         "prefills",
         "hold",
         "handle",
@@ -128,7 +128,7 @@
         self.place: Endpoint | None = None
         self.prefill_engine: Endpoint | None = None
         self.reading = 0
-        self.prefilled_alone = False
+        self.prefilled_after = 0
         self.prefills = 0
         self.hold = ""
         self.handle = ""
--- a/src/wasabiwick/_handlers/placing.py
+++ b/src/wasabiwick/_handlers/placing.py
@@ -21,6 +21,7 @@
 from . import (
     builds,
     directory,
+    engine_signs,
     estimates,
     health,
     neighbours,
@@ -31,7 +32,16 @@
 )
 from .memory import Projection
 
+ENGINES_DRAWN = 2  # Engines drawn for a stream, the better of which gets it.
+# Part that an engine's speed has in its weight. A fast engine's streams end sooner, which shows in
+# its memory already; with 1.0 fast engines got the most work, and with 0.0 slow ones.
+DRAW_SPEED_EXPONENT = 0.5
+LOCAL_WEIGHT = 2.0  # How many times as likely an engine of the local zone is to be drawn.
 BLOCK_TOKENS = 16  # Engines allocate KV cache in blocks of this many tokens.
+# A prefill is sent again if it takes longer than PREFILL_GRACE seconds plus PREFILL_TIME_FACTOR
+# times what the engine is expected to need for all prompts that it was sent.
+PREFILL_GRACE = 0.4  # Fixed seconds of a prefill's time-out; four times what one prefill takes.
+PREFILL_TIME_FACTOR = 2.0  # Above 1, as prompts prefilled together slow each other down.
 # Output tokens for which a hold reserves memory, besides the prompt; enough for a stream to begin.
 HOLD_OUTPUT_TOKENS = 64
 # Margin that is kept free in an engine's memory, in standard deviations of the projected use.
@@ -50,6 +60,8 @@
 PREFILL_REFUSED_TIME = 0.3  # Seconds for which an engine that refused a prompt gets no other.
 # Extra seconds of prefill wait accepted to prefill a prompt in its decode engine's zone.
 CROSS_ZONE_PREFILL_COST = 0.15
+# The same where each engine's speed is known, so that the wait is that of the engine itself.
+KNOWN_CROSS_ZONE_PREFILL_COST = 0.03
 # Requests per slot that are added to the load of a plain endpoint in another zone.
 CROSS_ZONE_LOAD_COST = 1.0
 # Requests per slot that are added to the load of a plain endpoint that failed recently.
@@ -59,10 +71,12 @@
 class Candidate:
     """A decode engine's load, updated while several requests are placed in a row.
 
-    ``reading`` counts the prompt tokens that the engine itself has yet to prefill.
+    ``reading`` counts the prompt tokens that the engine itself has yet to prefill. ``factor`` says
+    how long work takes there, as a multiple of the mean of the service's engines; None if they
+    don't say.
     """
 
-    __slots__ = ("endpoint", "running", "reading", "slots", "memory", "projection")
+    __slots__ = ("endpoint", "running", "reading", "slots", "memory", "projection", "factor")
 
     def __init__(
         self,
@@ -73,6 +87,7 @@
         slots: int,
         memory: int,
         projection: Projection,
+        factor: float | None = None,
     ) -> None:
         self.endpoint = endpoint
         self.running = running
@@ -80,6 +95,7 @@
         self.slots = slots
         self.memory = memory
         self.projection = projection
+        self.factor = factor
 
     def memory_left(self, stream: StreamLoad, deviations: float) -> float | None:
         """Return the tokens of memory left with a stream added; None if the stream does not fit.
@@ -106,8 +122,10 @@
     if traits is None or traits.engine is None:
         return []
     rate = estimates.token_rate(state, service)
+    engines = directory.usable_endpoints(state, service, DECODE)
+    factors = engine_signs.factors(state, engines, at)
     candidates = []
-    for one in directory.usable_endpoints(state, service, DECODE):
+    for one in engines:
         if places.is_full(state, one.name, at) or not _takes_work(state, one, at):
             continue
         if not builds.may_begin(state, service, one.build, at):
@@ -116,7 +134,8 @@
         slots = min(one.slots, traits.engine.slots)
         if engine_load.running >= slots:
             continue
-        projection = Projection(at=at, rate=rate)
+        factor = factors.get(one.name, 1.0)
+        projection = Projection(at=at, rate=rate / factor)
         for stream in engine_load.streams:
             projection.add(stream)
         candidates.append(
@@ -127,6 +146,7 @@
                 slots=slots,
                 memory=traits.engine.memory_tokens,
                 projection=projection,
+                factor=factor if factors else None,
             )
         )
     return candidates
@@ -146,7 +166,8 @@
 
     In order of preference: engines that may have the prompt in their cache, engines not in
     ``avoid``, engines that did not abort a request recently (another abort would waste the
-    prefill), engines of the local zone, and those with the most memory left.
+    prefill), engines of the local zone, and those with the most memory left. Where engines say how
+    slow they are and hosts are many, the last two are left to `_draw`.
 
     Args:
         state: The host's state.
@@ -158,23 +179,47 @@
         broke_off: Whether the caller has a part of the stream.
     """
     deviations = BROKEN_OFF_MARGIN_DEVIATIONS if broke_off else MEMORY_MARGIN_DEVIATIONS
-    best_candidate: Candidate | None = None
-    best_rank: tuple[bool, bool, bool, bool, float] | None = None
+    best: list[tuple[Candidate, float]] = []
+    best_rank: tuple[bool, bool, bool] | None = None
     for one in candidates:
         tokens_left = one.memory_left(stream, deviations)
         if tokens_left is None:
             continue
-        name, zone = one.endpoint.name, one.endpoint.zone
+        name = one.endpoint.name
         rank = (
             name in warm_engines,
             name not in avoid,
             not places.is_unstable(state, name, at),
-            zone == state.zone,
-            tokens_left,
         )
         if best_rank is None or rank > best_rank:
-            best_candidate, best_rank = one, rank
-    return best_candidate
+            best, best_rank = [], rank
+        if rank == best_rank:
+            best.append((one, tokens_left))
+    if not best:
+        return None
+    if neighbours.is_large_fleet(state) and any(one.factor is not None for one, _ in best):
+        return _draw(state, best)
+    return max(best, key=lambda pair: (pair[0].endpoint.zone == state.zone, pair[1]))[0]
+
+
+def _draw(state: State, fitting: list[tuple[Candidate, float]]) -> Candidate:
+    """Return the better of some engines drawn at random, by their memory left for their speed.
+
+    Hosts that choose within the age of each other's news would all take the engine with the most
+    memory left, and overrun it.
+
+    Args:
+        state: The host's state.
+        fitting: Engines, each with the tokens of memory that it has left with the stream.
+    """
+    weights = [
+        max(1.0, tokens_left)
+        / (one.factor or 1.0) ** DRAW_SPEED_EXPONENT
+        * (LOCAL_WEIGHT if one.endpoint.zone == state.zone else 1.0)
+        for one, tokens_left in fitting
+    ]
+    drawn = state.rng.choices(range(len(fitting)), weights=weights, k=ENGINES_DRAWN)
+    return fitting[max(drawn, key=weights.__getitem__)][0]
 
 
 def choose_prefill(
@@ -200,16 +245,21 @@
         warm_engines: Names of engines that may have the prompt cached.
     """
     rate = estimates.prefill_rate(state, service)
+    engines = _prefill_engines(state, service, at)
+    factors = engine_signs.factors(state, engines, at)
+
+    zone_cost = KNOWN_CROSS_ZONE_PREFILL_COST if factors else CROSS_ZONE_PREFILL_COST
 
     def cost(one: Endpoint) -> tuple[bool, bool, float]:
-        wait = (places.load(state, one.name, at).reading + tokens) / rate
+        backlog = places.load(state, one.name, at).reading + tokens
+        wait = backlog / rate * factors.get(one.name, 1.0)
         return (
             one.name not in warm_engines,
             one.name in avoid,
-            wait + (0.0 if one.zone == zone else CROSS_ZONE_PREFILL_COST),
+            wait + (0.0 if one.zone == zone else zone_cost),
         )
 
-    return min(_prefill_engines(state, service, at), key=cost, default=None)
+    return min(engines, key=cost, default=None)
 
 
 def _prefill_engines(state: State, service: str, at: float) -> list[Endpoint]:
@@ -226,7 +276,16 @@
 def prefill_backlog_seconds(state: State, service: str, endpoint: str, at: float) -> float:
     """Return the expected time until an engine has prefilled all prompts sent to it."""
     queued_tokens = places.load(state, endpoint, at).reading
-    return queued_tokens / estimates.prefill_rate(state, service)
+    engines = directory.usable_endpoints(state, service, PREFILL)
+    factor = engine_signs.factors(state, engines, at).get(endpoint, 1.0)
+    return queued_tokens / estimates.prefill_rate(state, service) * factor
+
+
+def prefill_timeout(state: State, service: str, endpoint: str, at: float) -> float:
+    """Return the seconds after which a prefill is sent again, also if its engine slows down."""
+    backlog = prefill_backlog_seconds(state, service, endpoint, at)
+    slowest = engine_signs.slowest_moment(state, service)
+    return PREFILL_GRACE + PREFILL_TIME_FACTOR * slowest * backlog
 
 
 def can_prefill(state: State, service: str, at: float, pending_tokens: int) -> bool:
@@ -243,7 +302,9 @@
     queued_tokens = pending_tokens + sum(
         places.load(state, one.name, at).reading for one in engines
     )
-    return bool(engines) and queued_tokens / (rate * len(engines)) < MAX_PREFILL_WAIT
+    factors = engine_signs.factors(state, engines, at)
+    speeds = sum(1.0 / factors.get(one.name, 1.0) for one in engines)
+    return bool(engines) and queued_tokens / (rate * speeds) < MAX_PREFILL_WAIT
 
 
 def has_idle_engine(candidates: list[Candidate]) -> bool:
@@ -341,9 +402,12 @@
     usable_endpoints = [
         one for one in connectable_endpoints if health.is_usable(state, one.name)
     ] or connectable_endpoints
+    factors = engine_signs.factors(state, usable_endpoints, at)
 
     def cost(one: Endpoint) -> float:
-        load_per_slot = (places.load(state, one.name, at).running + 1) / max(1, one.slots)
+        running = places.load(state, one.name, at).running
+        running += engine_signs.unseen_requests(state, one.name, running, at)
+        load_per_slot = (running + 1) / max(1, one.slots) * factors.get(one.name, 1.0)
         load_per_slot += UNSTABLE_LOAD_COST if places.is_unstable(state, one.name, at) else 0.0
         return (
             load_per_slot
