--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -26,6 +26,7 @@
 from . import (
     caller_keys,
     directory,
+    engine_signs,
     estimates,
     forwarding,
     health,
@@ -196,6 +197,7 @@
         expected=stream.expected,
         held=placing.hold_tokens(service, req.ask, req.events),
         reads_itself=prefills_itself,
+        **engine_signs.basis(state, endpoint.name, at),
     )
     if answer is permits.Answer.PENDING:
         req.begin_asking(endpoint)
--- a/src/wasabiwick/_handlers/organisation_limits.py
+++ b/src/wasabiwick/_handlers/organisation_limits.py
@@ -14,15 +14,12 @@
 import typing
 
 from .._events import ForwarderBooted, HostFound, LoadTold, RoutesRead
-from .._forwarding import Organisation
+from .._forwarding import Ask, Organisation
 from .._limit_account import Account, Fleet
 from .._reducer import handles
 from .._settings import Settings
 from .._state import State, state_slice
 
-if typing.TYPE_CHECKING:
-    from .forwarding import ForwardedCall
-
 # Seconds without a datagram after which a host is silent; two of them in a row seldom get lost.
 SILENT_AFTER_S = 2.2
 # Seconds of silence after which a host no longer has a share: it has been removed.
@@ -48,6 +45,17 @@
         self.runs = 1
 
 
+class CountedCall(typing.Protocol):
+    """What is read and kept of a call, which `forwarding` describes."""
+
+    ask: Ask
+    organisation: Organisation | None
+    passed_by: str
+    may_have_run_at: list[str]
+    prefills: int
+    charge: Charge | None
+
+
 class OtherHost:
     """What was heard of another host.
 
@@ -270,7 +278,7 @@
     return account
 
 
-def wait_for(state: State, req: "ForwardedCall", at: float) -> float:
+def wait_for(state: State, req: CountedCall, at: float) -> float:
     """Return 0 if a call may be let in, and count it; otherwise when its caller may come back.
 
     A call that another host passed on was counted there.
@@ -289,14 +297,14 @@
     return wait
 
 
-def note_try(state: State, req: "ForwardedCall", at: float) -> None:
+def note_try(state: State, req: CountedCall, at: float) -> None:
     """Count a call once more that is sent to another endpoint after it may have run at one."""
     if req.charge is not None and len(req.may_have_run_at) >= req.charge.runs:
         req.charge.runs += 1
         _count(state, req.charge, req.charge.cost, at)
 
 
-def settle(state: State, req: "ForwardedCall", at: float) -> None:
+def settle(state: State, req: CountedCall, at: float) -> None:
     """Give back at a call's end what has not run, or been prefilled, at any endpoint."""
     charge, req.charge = req.charge, None
     if charge is None:
--- a/tests/_forward.py
+++ b/tests/_forward.py
@@ -284,6 +284,7 @@
             routes_version=told.routes_version,
             observed=told.observed,
             counted=told.counted,
+            signs=told.signs,
             stopping=told.stopping,
         )
 
