Share the room for bodies between organisations

Cause: one organisation's large bodies, or its large answers that nobody reads, took all the room for bodies of all. Evidence: TestShareOfAnOrganisation; without a bound of its own an organisation fills the memory, and one that waits for its own room keeps all others waiting. Change: where the operator names organisations, a body counts for the organisation that its head names, which may take twice what is free; answers that are held as a whole likewise. Without organisations nothing changes.

--- a/src/wasabiwick/_forward_entry.py
+++ b/src/wasabiwick/_forward_entry.py
@@ -111,8 +111,15 @@
             return
         self._end(web.Response(status=status, headers=_end_to_end_headers(headers), body=body))
 
-    async def room_for_answer(self, size: int) -> None:
-        """Wait until there is room for an endpoint's answer, in place of that of an earlier try."""
+    async def room_for_answer(self, size: int, owner: str = "") -> None:
+        """Wait until there is room for an endpoint's answer, in place of that of an earlier try.
+
+        Args:
+            size: Bytes of the answer.
+            owner: Name of the organisation whose answer it is, or empty.
+        """
+        self.answer_share.release()
+        self.answer_share.owner = owner
         await self.answer_share.wait_for(size)
 
     async def start_stream(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
@@ -285,7 +292,7 @@
         self._sequence += 1
         call_id = f"{runner.owner.host}.{runner.owner.incarnation}.f{self._sequence}"
         if not req.content.is_eof():
-            refused = self._refuse_head(req, call_id)
+            refused = self._refuse_head(req, call_id, share)
             if refused is not None:
                 return refused
         try:
@@ -310,9 +317,13 @@
         )
         return await answer_call(runner, req, call, ForwardArrived(at=runner.now(), ask=ask))
 
-    def _refuse_head(self, req: web.BaseRequest, call_id: str) -> web.StreamResponse | None:
+    def _refuse_head(
+        self, req: web.BaseRequest, call_id: str, share: BodyShare
+    ) -> web.StreamResponse | None:
         """Return the refusal of a request whose body need not be read, or None if it need be.
 
+        Then the body counts for the organisation that its head names.
+
         The HTTP library throws away what still comes of the body, so that the caller gets the
         answer, and then closes the connection.
         """
@@ -322,6 +333,8 @@
         ask = self._ask_of_head(req, call_id)
         failure = caller_keys.refusal_of_head(runner.state, ask, runner.now())
         if failure is None:
+            owner = organisations.of_key(runner.state, ask.key)
+            share.owner = owner.name if owner is not None else ""
             return None
         runner.post(HeadRefused(at=runner.now(), ask=ask, failure=failure))
         resp = _failure_response(self._dialect, ask, failure)
--- a/src/wasabiwick/_performers/_tries.py
+++ b/src/wasabiwick/_performers/_tries.py
@@ -89,7 +89,8 @@
             self._held_up_at = ended_at
 
     async def _room(self, size: int) -> None:
-        await self._hold_up(self._call.room_for_answer(size))
+        owner = self._effect.organisation if isinstance(self._effect, Forward) else None
+        await self._hold_up(self._call.room_for_answer(size, owner or ""))
 
     def _fail(self, failure: Failure) -> None:
         effect = self._effect
--- a/src/wasabiwick/platform/_settings.py
+++ b/src/wasabiwick/platform/_settings.py
@@ -24,9 +24,9 @@
 # a host without any takes a third of the memory.
 REQUESTS_SHARE = 0.13
 ANSWERS_SHARE = 0.065
-# Share of a process's memory for answers that their callers have not read, less than for answers held
-# as a whole, so that unread ones don't keep others from their room. They may take twice as
-# much before answers are cut off that are still read.
+# Share of a process's memory for answers that their callers have not read. It is less than for
+# answers held as a whole, so that unread ones don't keep others from their room. They may take
+# twice as much before answers are cut off that are still read.
 UNREAD_SHARE = 0.04
 BYTES_PER_MB = 1_000_000
 METRICS_PORT = 9464  # Port that serves metrics, the same as in deploy/system.toml.
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -7,7 +7,7 @@
 
 from wasabiwick import platform
 from wasabiwick._adapters._hops import KEY_HEADER, PATH
-from wasabiwick._body_memory import SMALL_BODY_BYTES, BodyMemory
+from wasabiwick._body_memory import SMALL_BODY_BYTES, BodyMemory, BodyShare
 from wasabiwick._errors import HOST_FULL
 from wasabiwick._hops_codec import decode_answer_head, head_end
 from wasabiwick._settings import Limits
@@ -89,6 +89,84 @@
         self.assertEqual(self.memory.held_bytes, HALF + 1)
 
 
+class TestShareOfAnOrganisation(unittest.IsolatedAsyncioTestCase):
+    """One organisation's bodies leave room for those of others, and keep none of them waiting.
+
+    Load: an organisation sends many large bodies, or leaves many large answers unread.
+    """
+
+    def setUp(self) -> None:
+        self.memory = BodyMemory(LIMIT)
+
+    def share(self, owner: str) -> BodyShare:
+        """Return a share for a body of an organisation."""
+        share = self.memory.share()
+        share.owner = owner
+        return share
+
+    def fill(self, owner: str, *, size: int = SMALL_BODY_BYTES) -> int:
+        """Take bodies of an organisation until one is refused, and return their bytes."""
+        held = 0
+        while self.share(owner).resize(size):
+            held += size
+        return held
+
+    def test_alone_an_organisation_takes_two_thirds_at_most(self) -> None:
+        """Without a bound of its own it took all, and others were refused."""
+        self.assertLessEqual(self.fill("large"), LIMIT * 2 / 3)
+        self.assertTrue(self.share("small").resize(SMALL_BODY_BYTES))
+
+    def test_each_organisation_leaves_a_third_of_what_it_found(self) -> None:
+        for number in range(5):
+            free = LIMIT - self.memory.held_bytes
+            held = self.fill(f"o{number}", size=512)
+            self.assertGreater(held, 0)
+            self.assertLessEqual(held, free * 2 / 3)
+
+    def test_organisations_that_go_on_come_to_equal_shares(self) -> None:
+        """What the first gives back with its answers, the other may take."""
+        shares: dict[str, list[BodyShare]] = {"first": [], "second": []}
+        for turn in range(2_000):
+            for owner, held in shares.items():
+                if held and turn % 2:
+                    held.pop(0).release()
+                new = self.share(owner)
+                while new.resize(1024):
+                    held.append(new)
+                    new = self.share(owner)
+        first, second = (1024 * len(held) for held in shares.values())
+        self.assertLess(abs(first - second), LIMIT / 20)
+        self.assertGreater(first, LIMIT / 3)
+
+    def test_what_an_organisation_gives_back_it_may_take_again(self) -> None:
+        first, second = self.share("large"), self.share("large")
+        self.assertTrue(first.resize(HALF))
+        self.assertFalse(second.resize(HALF // 2))
+        first.release()
+        self.assertTrue(second.resize(HALF // 2))
+        second.release()
+        self.assertEqual(self.memory.held_bytes, 0)
+
+    def test_bodies_of_no_organisation_may_take_all(self) -> None:
+        self.assertEqual(self.fill(""), LIMIT)
+
+    async def test_one_that_waits_for_its_own_keeps_no_other_waiting(self) -> None:
+        """All waited behind the one whose organisation had its share."""
+        first, second = self.share("large"), self.share("large")
+        first.resize(HALF)
+        large = asyncio.create_task(second.wait_for(HALF // 2))
+        await asyncio.sleep(0)
+        async with asyncio.timeout(STOP_TIMEOUT):
+            small = self.share("small")
+            await small.wait_for(SMALL_BODY_BYTES)
+            self.assertFalse(large.done())
+            own = asyncio.create_task(self.share("large").wait_for(1))
+            await asyncio.sleep(0)
+            self.assertFalse(own.done())  # It came later than one of its own organisation.
+            first.release()
+            await asyncio.gather(large, own)
+
+
 class TestMemorySetting(unittest.TestCase):
     """Room for bodies follows the memory that the platform gives a process."""
 
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -1,4 +1,4 @@
-"""Tests of callers that read answers slowly: what is held for them, and what an endpoint's cut is."""
+"""Tests of callers that read slowly: what is held for them, and whose doing a cut is."""
 
 import asyncio
 import unittest
@@ -26,7 +26,7 @@
 
 
 class TestWhichAnswersAreCut(unittest.TestCase):
-    """Replays callers that leave answers unread, beside some that read slowly and some that read."""
+    """Replays callers that leave answers unread, beside some that read slowly."""
 
     def setUp(self) -> None:
         self.host = Host()
