--- a/src/wasabiwick/_forward_entry.py
+++ b/src/wasabiwick/_forward_entry.py
@@ -300,7 +300,8 @@
         except web.HTTPRequestEntityTooLarge:
             return web.Response(status=413)
         except NoRoomError:
-            return self._refuse_upload(req, call_id, BODIES_FULL, FULL_RETRY_AFTER_S)
+            held = {"held": self._requests.held_bytes, "organisation": share.owner or "-"}
+            return self._refuse_upload(req, call_id, BODIES_FULL, FULL_RETRY_AFTER_S, **held)
         if body is None:
             return self._refuse_upload(req, call_id, STOPPING, UPLOAD_RETRY_AFTER_S)
         exchange = Exchange(
@@ -393,10 +394,16 @@
         return len(self._uploads)
 
     def _refuse_upload(
-        self, req: web.BaseRequest, call_id: str, reason: Reason, retry_after: float
+        self,
+        req: web.BaseRequest,
+        call_id: str,
+        reason: Reason,
+        retry_after: float,
+        **inputs: object,
     ) -> web.StreamResponse:
         ask = self._ask_of_head(req, call_id)
-        log_event("upload_refused", request=ask.trace_id, call=call_id, reason=reason.code)
+        fields = {"request": ask.trace_id, "call": call_id, "reason": reason.code, **inputs}
+        log_event("upload_refused", **fields)
         failure = Failure(reason=reason, verdict=Verdict.NOT_RUN, retry_after=retry_after)
         resp = _failure_response(self._dialect, ask, failure)
         resp.force_close()
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from wasabiwick import _events
 from wasabiwick._effects_forwarding import CutForward
-from wasabiwick._errors import UNREAD, Failure
+from wasabiwick._errors import ENDPOINT_FAILED, UNREAD, Failure, Reason
 from wasabiwick._forwarding import Organisation, RouteTable, UnreadAnswer
 from wasabiwick._handlers import health, places
+from wasabiwick._http1 import BrokenAnswerError
+from wasabiwick._performers._tries import Try
 from wasabiwick._unread import PAUSE_BYTES, UNCOUNTED_BYTES, UnreadAnswers
 from wasabiwick._verdict import Verdict
 
@@ -124,6 +127,69 @@
             self.assertTrue(health.is_usable(host.state, endpoint))
 
 
+class CutStream:
+    """An endpoint's stream that breaks off behind its first event."""
+
+    status, not_run, streams, has_length, headers = 200, False, True, True, ()
+
+    def __init__(self) -> None:
+        self.left = [b"id: 1\ndata: part\n\n"]
+
+    async def chunk(self) -> bytes:
+        if not self.left:
+            raise BrokenAnswerError("reset")
+        return self.left.pop()
+
+    def release(self) -> None:
+        pass
+
+
+class Caller:
+    """A call whose caller takes some seconds to read each piece, and the runner that serves it."""
+
+    def __init__(self, seconds: float) -> None:
+        self.seconds = seconds
+        self.time = 0.0
+        self.exchange = mock.Mock(events=0, last_event_id=b"")
+        self.decision: asyncio.Future | None = None
+        self.failures: list[Failure] = []
+        self.forwarded_calls = {"c": self}
+        self.ports = mock.Mock()
+        self.ports.endpoints.forward = mock.AsyncMock(side_effect=lambda *_, **__: CutStream())
+
+    def now(self) -> float:
+        return self.time
+
+    def post(self, event: object) -> None:
+        if isinstance(event, _events.AnswerCame):
+            self.decision.set_result(event.number)
+        elif isinstance(event, _events.TryFailed):
+            self.failures.append(event.failure)
+
+    async def start_stream(self, status: int, headers: object) -> None:
+        pass
+
+    async def write(self, data: bytes) -> None:
+        self.time += self.seconds
+
+
+class TestWhoseDoing(unittest.IsolatedAsyncioTestCase):
+    """A cut counts as the caller's doing only where the caller had held up the answer."""
+
+    async def reason_at(self, seconds: float) -> Reason:
+        """Return why a stream broke off whose caller took some seconds to read a piece."""
+        caller = Caller(seconds)
+        sent = Forward(call_id="c", endpoint="s0", address="", number=1, deadline=60.0)
+        await Try(caller, sent).run()
+        return caller.failures[0].reason
+
+    async def test_an_answer_that_its_caller_held_up(self) -> None:
+        self.assertIs(await self.reason_at(3.0), UNREAD)
+
+    async def test_an_answer_that_its_caller_read(self) -> None:
+        self.assertIs(await self.reason_at(0.1), ENDPOINT_FAILED)
+
+
 class Transport:
     """A connection whose other end takes what a test says."""
 
