--- a/src/wasabiwick/_forward_entry.py
+++ b/src/wasabiwick/_forward_entry.py
@@ -111,8 +111,15 @@
             return
         self._end(web.Response(status=status, headers=_end_to_end_headers(headers), body=body))
 
-    async def room_for_answer(self, size: int) -> None:
-        """Wait until there is room for an endpoint's answer, in place of that of an earlier try."""
+    async def room_for_answer(self, size: int, owner: str = "") -> None:
+        """Wait until there is room for an endpoint's answer, in place of that of an earlier try.
+
+        Args:
+            size: Bytes of the answer.
+            owner: Name of the organisation whose answer it is, or empty.
+        """
+        self.answer_share.release()
+        self.answer_share.owner = owner
         await self.answer_share.wait_for(size)
 
     async def start_stream(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
@@ -285,7 +292,7 @@
         self._sequence += 1
         call_id = f"{runner.owner.host}.{runner.owner.incarnation}.f{self._sequence}"
         if not req.content.is_eof():
-            refused = self._refuse_head(req, call_id)
+            refused = self._refuse_head(req, call_id, share)
             if refused is not None:
                 return refused
         try:
@@ -293,7 +300,8 @@
         except web.HTTPRequestEntityTooLarge:
             return web.Response(status=413)
         except NoRoomError:
-            return self._refuse_upload(req, call_id, BODIES_FULL, FULL_RETRY_AFTER_S)
+            held = {"held": self._requests.held_bytes, "organisation": share.owner or "-"}
+            return self._refuse_upload(req, call_id, BODIES_FULL, FULL_RETRY_AFTER_S, **held)
         if body is None:
             return self._refuse_upload(req, call_id, STOPPING, UPLOAD_RETRY_AFTER_S)
         exchange = Exchange(
@@ -310,9 +318,13 @@
         )
         return await answer_call(runner, req, call, ForwardArrived(at=runner.now(), ask=ask))
 
-    def _refuse_head(self, req: web.BaseRequest, call_id: str) -> web.StreamResponse | None:
+    def _refuse_head(
+        self, req: web.BaseRequest, call_id: str, share: BodyShare
+    ) -> web.StreamResponse | None:
         """Return the refusal of a request whose body need not be read, or None if it need be.
 
+        Then the body counts for the organisation that its head names.
+
         The HTTP library throws away what still comes of the body, so that the caller gets the
         answer, and then closes the connection.
         """
@@ -322,6 +334,8 @@
         ask = self._ask_of_head(req, call_id)
         failure = caller_keys.refusal_of_head(runner.state, ask, runner.now())
         if failure is None:
+            owner = organisations.of_key(runner.state, ask.key)
+            share.owner = owner.name if owner is not None else ""
             return None
         runner.post(HeadRefused(at=runner.now(), ask=ask, failure=failure))
         resp = _failure_response(self._dialect, ask, failure)
@@ -380,10 +394,16 @@
         return len(self._uploads)
 
     def _refuse_upload(
-        self, req: web.BaseRequest, call_id: str, reason: Reason, retry_after: float
+        self,
+        req: web.BaseRequest,
+        call_id: str,
+        reason: Reason,
+        retry_after: float,
+        **inputs: object,
     ) -> web.StreamResponse:
         ask = self._ask_of_head(req, call_id)
-        log_event("upload_refused", request=ask.trace_id, call=call_id, reason=reason.code)
+        fields = {"request": ask.trace_id, "call": call_id, "reason": reason.code, **inputs}
+        log_event("upload_refused", **fields)
         failure = Failure(reason=reason, verdict=Verdict.NOT_RUN, retry_after=retry_after)
         resp = _failure_response(self._dialect, ask, failure)
         resp.force_close()
