Keep room at decode engines for more urgent and for larger generations

Cause: in a large fleet a host's queue holds about one request, so its order decides nothing. Small, less urgent generations filled all engines alike, and the urgent ones, whose prompts are large, found room at none.

Change: hosts count together how many more urgent or large generations come, and leave room for half a second of these at engines that follow from their names; small ones of the same priority merely take such engines last. The less urgent wait at the host rather than in a prefill engine's queue.

--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -35,6 +35,7 @@
     placing,
     reach,
     rejecting,
+    reserves,
     routes,
     stopping,
 )
@@ -44,6 +45,9 @@
 MAX_MISSES = 3  # A check of a queue assigns no more places after this many requests found none.
 # Seconds for which a place is reserved; covers the wait for the prefill and the prefill itself.
 HOLD_TIME = 1.5
+# Once prompts wait this many seconds on average, prefill engines get no more of requests that go
+# behind others: these would miss their target if they found a longer queue there.
+SHORT_PREFILL_WAIT = 0.2
 # Seconds after which a caller is told to come back whose service was dropped while it waited. The
 # routes in force then lead it elsewhere.
 GONE_RETRY_AFTER_S = 0.1
@@ -153,9 +157,14 @@
     state: State, req: ForwardedCall, candidates: list[placing.Candidate], at: float
 ) -> typing.Generator[Step, None, bool]:
     """Choose and reserve a place for a call; returns whether one was found."""
-    prefills_itself = not placing.can_prefill(
-        state, req.service, at, _pending_prompt_tokens(state, req.service)
-    )
+    pending_tokens = _pending_prompt_tokens(state, req.service)
+    prefills_itself = not placing.can_prefill(state, req.service, at, pending_tokens)
+    if (
+        not prefills_itself
+        and reserves.goes_behind(state, req)
+        and not placing.can_prefill(state, req.service, at, pending_tokens, SHORT_PREFILL_WAIT)
+    ):
+        return False
     if prefills_itself:
         candidates = placing.self_prefill_candidates(
             state, req.service, candidates, at - req.arrived_at
@@ -164,6 +173,7 @@
         candidates = [one for one in candidates if one.endpoint.build == req.build]
     service = routes.service(state, req.service)
     stream = places.stream_load(state, service, req.route.name, req.ask, at, req.events)
+    rooms = reserves.rooms(state, req, at)
     while candidate := placing.choose_decode(
         state,
         candidates,
@@ -172,6 +182,8 @@
         req.avoid,
         req.warm_engines,
         broke_off=req.broke_off,
+        rooms=rooms,
+        is_urgent=reserves.goes_before(state, req),
     ):
         endpoint = candidate.endpoint
         answer = yield from permits.acquire(state, req.ask.call_id, endpoint.name, at)
@@ -196,6 +208,8 @@
         expected=stream.expected,
         held=placing.hold_tokens(service, req.ask, req.events),
         reads_itself=prefills_itself,
+        rooms=len(rooms),
+        room=max(rooms.values(), default=0.0),
     )
     if answer is permits.Answer.PENDING:
         req.begin_asking(endpoint)
--- a/src/wasabiwick/_handlers/placing.py
+++ b/src/wasabiwick/_handlers/placing.py
@@ -39,6 +39,9 @@
 # The same for a stream that broke off. It gets places that no host gives to new requests, as its
 # caller waits in the middle of an answer.
 BROKEN_OFF_MARGIN_DEVIATIONS = -0.7
+# The same for a request that goes before others that come to the same engines: if memory runs out,
+# the engine stops one of those.
+URGENT_MARGIN_DEVIATIONS = 0.0
 # Once prompts wait this many seconds on average, prefill engines get no more of them.
 MAX_PREFILL_WAIT = 0.8
 # Seconds that a request waits for a prefill engine before a decode engine may prefill its prompt;
@@ -81,16 +84,19 @@
         self.memory = memory
         self.projection = projection
 
-    def memory_left(self, stream: StreamLoad, deviations: float) -> float | None:
+    def memory_left(self, stream: StreamLoad, deviations: float, kept: float = 0.0) -> float | None:
         """Return the tokens of memory left with a stream added; None if the stream does not fit.
 
         Args:
             stream: The stream.
             deviations: Margin that is kept free, in standard deviations of the projected use.
+            kept: Tokens that are to be left for others, besides a slot.
         """
-        if self.running >= self.slots:
+        if self.running + (kept > 0.0) >= self.slots:
             return None
-        tokens_left = self.memory - self.projection.peak(stream, deviations)
+        tokens_left = self.memory - kept - self.projection.peak(stream, deviations)
+        if kept > 0.0:
+            return tokens_left if tokens_left >= 0.0 else None
         # An idle engine is tried even if the projected output would not fit.
         return tokens_left if tokens_left >= 0.0 or not self.running else None
 
@@ -141,12 +147,15 @@
     warm_engines: list[str],
     *,
     broke_off: bool = False,
+    rooms: dict[str, float] | None = None,
+    is_urgent: bool = False,
 ) -> Candidate | None:
     """Return the engine that fits a stream best, or None if none does.
 
     In order of preference: engines that may have the prompt in their cache, engines not in
     ``avoid``, engines that did not abort a request recently (another abort would waste the
-    prefill), engines of the local zone, and those with the most memory left.
+    prefill), engines that keep no room for others, engines of the local zone, and those with the
+    most memory left.
 
     Args:
         state: The host's state.
@@ -156,12 +165,19 @@
         avoid: Names of engines that are used only if there is no other.
         warm_engines: Names of engines that may have the prompt cached.
         broke_off: Whether the caller has a part of the stream.
+        rooms: Engines that come last, with the tokens of memory to be left free for others there.
+        is_urgent: Whether less urgent streams may run at the same engines.
     """
-    deviations = BROKEN_OFF_MARGIN_DEVIATIONS if broke_off else MEMORY_MARGIN_DEVIATIONS
+    rooms = rooms or {}
+    deviations = MEMORY_MARGIN_DEVIATIONS
+    if broke_off:
+        deviations = BROKEN_OFF_MARGIN_DEVIATIONS
+    elif is_urgent:
+        deviations = URGENT_MARGIN_DEVIATIONS
     best_candidate: Candidate | None = None
-    best_rank: tuple[bool, bool, bool, bool, float] | None = None
+    best_rank: tuple[bool, bool, bool, bool, bool, float] | None = None
     for one in candidates:
-        tokens_left = one.memory_left(stream, deviations)
+        tokens_left = one.memory_left(stream, deviations, rooms.get(one.endpoint.name, 0.0))
         if tokens_left is None:
             continue
         name, zone = one.endpoint.name, one.endpoint.zone
@@ -169,6 +185,7 @@
             name in warm_engines,
             name not in avoid,
             not places.is_unstable(state, name, at),
+            name not in rooms,
             zone == state.zone,
             tokens_left,
         )
@@ -229,21 +246,28 @@
     return queued_tokens / estimates.prefill_rate(state, service)
 
 
-def can_prefill(state: State, service: str, at: float, pending_tokens: int) -> bool:
-    """Return whether the prefill engines would begin another prompt within `MAX_PREFILL_WAIT`.
+def can_prefill(
+    state: State,
+    service: str,
+    at: float,
+    pending_tokens: int,
+    max_wait: float = MAX_PREFILL_WAIT,
+) -> bool:
+    """Return whether the prefill engines would begin another prompt within a time.
 
     Args:
         state: The host's state.
         service: Name of the service.
         at: Monotonic time.
         pending_tokens: Prompt tokens of calls that are about to be prefilled.
+        max_wait: Longest wait, in seconds.
     """
     rate = estimates.prefill_rate(state, service)
     engines = _prefill_engines(state, service, at)
     queued_tokens = pending_tokens + sum(
         places.load(state, one.name, at).reading for one in engines
     )
-    return bool(engines) and queued_tokens / (rate * len(engines)) < MAX_PREFILL_WAIT
+    return bool(engines) and queued_tokens / (rate * len(engines)) < max_wait
 
 
 def has_idle_engine(candidates: list[Candidate]) -> bool:
--- /dev/null
+++ b/src/wasabiwick/_handlers/reserves.py
@@ -0,0 +1,154 @@
+"""Reserves: keeps room at decode engines for generations that are more urgent, or larger.
+
+Load patterns handled:
+
+- A burst of less urgent generations that fills the memory of all engines. In a large fleet each
+  host's queue holds about one request, so the order of a queue decides nothing; what decides is
+  which host's request finds room. So some room is left free that only more urgent ones may take.
+- Large prompts beside small ones. Where every engine gets small ones as long as they fit, none ever
+  has the room for a large one, although the memory left would do for several.
+
+All hosts keep the same rooms without asking each other: how many is computed from the arrivals that
+the hosts observe together (`observations`), and at which engines from the engines' names. Rooms are
+free memory, not a share set aside: once one is taken, another is kept at the same engine as soon
+as there is memory for it. They are given back when the requests that they are kept for stop coming.
+"""
+
+import hashlib
+import math
+
+from .._events import RoutesRead
+from .._forwarding import DECODE, Endpoint, RouteTable, ServiceTraits
+from .._observed import Observed
+from .._reducer import handles
+from .._settings import Settings
+from .._state import State, state_slice
+from . import directory, estimates, observations, rejecting, routes
+from .forwarding import ForwardedCall
+
+# A generation is large if its prompt needs more than this share of an engine's memory: such a room
+# is rarely left by others.
+LARGE_SHARE = 0.25
+# Seconds of arrivals for which room is kept; what is placed then is known to all hosts afterwards.
+ROOM_TIME_S = 0.5
+MAX_ENGINE_SHARE = 0.5  # Rooms are kept at this share of the engines at most.
+MIN_ARRIVALS = 0.5  # With fewer arrivals in `observations.HALF_TIME_S` no room is kept.
+
+
+@state_slice("reserves")
+class ReservesState:
+    """Priorities that requests to each service may have, the most urgent first."""
+
+    __slots__ = ("priorities",)
+
+    def __init__(self, cfg: Settings) -> None:
+        self.priorities: dict[str, list[int]] = {}
+
+
+@handles(RoutesRead)
+def apply_priorities(state: State, event: RoutesRead) -> None:
+    """Learn which priorities requests may have by the version in force."""
+    if state["routes"].table is event.table:
+        state["reserves"].priorities = _priorities(event.table)
+
+
+def _priorities(table: RouteTable) -> dict[str, list[int]]:
+    own = {one.priority for one in table.organisations or () if one.priority is not None}
+    found: dict[str, set[int]] = {}
+    for route in table.routes:
+        for name, _ in route.services:
+            found.setdefault(name, set(own)).add(route.priority)
+    return {name: sorted(priorities) for name, priorities in found.items()}
+
+
+def observe_arrival(state: State, service: ServiceTraits, req: ForwardedCall, at: float) -> None:
+    """Count the arrival of a generation for which others keep room."""
+    priorities = state["reserves"].priorities.get(service.name, [])
+    large = is_large(service, req)
+    if not large and (not priorities or req.priority >= priorities[-1]):
+        return
+    if rejecting.has_returned(req) or req.ask.resumed:
+        return
+    measured = Observed(
+        service=_source(service.name, req.priority, large=large),
+        requests=1.0,
+        prompt_tokens=req.ask.prompt_tokens,
+        output_tokens=estimates.expected_output(state, req.route.name, req.ask),
+    )
+    observations.observe(state, measured, at)
+
+
+def is_large(service: ServiceTraits, req: ForwardedCall) -> bool:
+    """Return whether a generation needs a room that small ones rarely leave."""
+    return req.ask.prompt_tokens > LARGE_SHARE * service.engine.memory_tokens
+
+
+def goes_before(state: State, req: ForwardedCall) -> bool:
+    """Return whether less urgent requests may come to the same engines."""
+    priorities = state["reserves"].priorities.get(req.service)
+    return bool(priorities) and req.priority < priorities[-1]
+
+
+def goes_behind(state: State, req: ForwardedCall) -> bool:
+    """Return whether generations that are more urgent have come lately."""
+    return any(
+        sums.requests >= MIN_ARRIVALS
+        for priority in state["reserves"].priorities.get(req.service, ())
+        if priority < req.priority
+        for large in (True, False)
+        for sums in observations.pooled(state, _source(req.service, priority, large=large))
+    )
+
+
+def _source(service: str, priority: int, *, large: bool) -> str:
+    """Return the name under which the arrivals of a kind are observed; no service has it."""
+    return f"{service}\n{priority}{'+' if large else ''}"
+
+
+def rooms(state: State, req: ForwardedCall, at: float) -> dict[str, float]:
+    """Return the engines that a call takes last, with the tokens of memory to leave free there.
+
+    Room is left free for more urgent calls. Engines are merely taken last by small calls for the
+    large ones of their priority, which are worth no more: they fill other engines first, and
+    nothing stays empty. A call that is late leaves room for those of its own kind too, as they may
+    still be in time. A stream that broke off leaves none.
+    """
+    service = routes.service(state, req.service)
+    if req.broke_off or service is None or service.engine is None:
+        return {}
+    large = is_large(service, req)
+    is_late = at > rejecting.latest_on_time_start(req)
+    urgent, alike = Observed(service=""), Observed(service="")
+    for priority in state["reserves"].priorities.get(req.service, ()):
+        for other_large in (True, False):
+            is_same = priority == req.priority and other_large == large
+            if (priority, not other_large) < (req.priority, not large) or (is_late and is_same):
+                arrivals = urgent if priority < req.priority else alike
+                name = _source(req.service, priority, large=other_large)
+                for sums in observations.pooled(state, name):
+                    arrivals.add(sums)
+    engines = directory.usable_endpoints(state, req.service, DECODE)
+    found = dict.fromkeys(_first(engines, _count(alike, engines)), 0.0)
+    if count := _count(urgent, engines):
+        mean = (urgent.prompt_tokens + urgent.output_tokens / 2) / urgent.requests
+        room = min(mean, service.engine.memory_tokens)
+        found |= dict.fromkeys(_first(engines, count), room)
+    return found
+
+
+def _count(arrivals: Observed, engines: list[Endpoint]) -> int:
+    """Return how many engines keep room for what arrives."""
+    if arrivals.requests < MIN_ARRIVALS:
+        return 0
+    rate = arrivals.requests * math.log(2.0) / observations.HALF_TIME_S
+    return min(math.ceil(rate * ROOM_TIME_S), int(MAX_ENGINE_SHARE * len(engines)))
+
+
+def _first(engines: list[Endpoint], count: int) -> list[str]:
+    """Return the engines that keep rooms: the same ones at all hosts, few of which ever change."""
+    names = sorted((one.name for one in engines), key=_place_in_order)
+    return names[:count]
+
+
+def _place_in_order(name: str) -> bytes:
+    return hashlib.blake2b(name.encode(), digest_size=8).digest()
--- /dev/null
+++ b/src/wasabiwick/_handlers/shares.py
@@ -0,0 +1,140 @@
+"""Shares: divides the engines' room between organisations while there is too little of it.
+
+Load pattern handled: one organisation sends many times its usual, and the engines' memory runs out.
+Each host sees a request of it now and then, so nothing that one host queues shares anything. What
+each organisation uses is therefore known across hosts: each host sums what it charges by
+organisation, tells the sums with its load, and adds up by how much those of the others rise.
+
+An organisation whose recent use is above its fair share yields: its generations are placed only
+while engines have more room than others need, and wait for less long. The fair share is the largest
+use that all organisations may have at once if those that use less leave the rest to others
+(max-min). A share of its generations doesn't yield, so that it is always served, too.
+"""
+
+from .._events import LoadTold
+from .._forwarding import ServiceTraits
+from .._reducer import handles
+from .._settings import Settings
+from .._state import State, state_slice
+from . import estimates, organisations
+from .forwarding import ForwardedCall
+
+HALF_TIME_S = 5.0  # Time in which the weight of use halves; a flood shows within seconds.
+# An organisation yields once it uses this multiple of its fair share, as use varies by chance.
+YIELD_FACTOR = 1.5
+# Share of an organisation's generations that never yield: so it is served at least that often as
+# those that keep within their share.
+UNYIELDING_SHARE = 0.35
+# Token-seconds of recent use of all organisations below which their standing isn't known.
+MIN_USE = 200_000.0
+PREFILL_TOKEN_S = 0.3  # Token-seconds that prefilling a token counts as.
+
+
+class Decayed:
+    """Use by organisation, in token-seconds, in which older use weighs less."""
+
+    __slots__ = ("amounts", "weighed_at")
+
+    def __init__(self) -> None:
+        self.amounts: dict[str, float] = {}
+        self.weighed_at = 0.0
+
+    def add(self, name: str, amount: float, at: float) -> None:
+        """Add an organisation's use."""
+        factor = 0.5 ** (max(0.0, at - self.weighed_at) / HALF_TIME_S)
+        self.amounts = {one: factor * used for one, used in self.amounts.items()}
+        self.weighed_at = at
+        self.amounts[name] = self.amounts.get(name, 0.0) + amount
+
+    def now(self, at: float) -> dict[str, float]:
+        """Return the use by organisation at a time."""
+        factor = 0.5 ** (max(0.0, at - self.weighed_at) / HALF_TIME_S)
+        return {one: factor * used for one, used in self.amounts.items()}
+
+
+class Heard:
+    """The sums that a host told last, by which process, and in which of its datagrams."""
+
+    __slots__ = ("incarnation", "sequence", "used")
+
+    def __init__(self, *, incarnation: str, sequence: int, used: dict[str, int]) -> None:
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.used = used
+
+
+@state_slice("shares")
+class SharesState:
+    """Sums of this host's own use since it started, what others told, and the use of all lately."""
+
+    __slots__ = ("own", "heard", "recent")
+
+    def __init__(self, cfg: Settings) -> None:
+        self.own: dict[str, int] = {}
+        self.heard: dict[str, Heard] = {}
+        self.recent = Decayed()
+
+
+def charge(state: State, service: ServiceTraits, req: ForwardedCall, at: float) -> None:
+    """Charge a generation that got its place to its organisation, by its expected use."""
+    if req.organisation is None or not organisations.are_named(state):
+        return
+    output = estimates.remaining_output(state, service, req.route.name, req.ask, req.events)
+    seconds = output / estimates.token_rate(state, service.name)
+    prompt = req.ask.prompt_tokens
+    used = int((prompt + output / 2) * seconds + PREFILL_TOKEN_S * prompt)
+    name, shares_state = req.organisation.name, state["shares"]
+    shares_state.own[name] = shares_state.own.get(name, 0) + used
+    shares_state.recent.add(name, used, at)
+
+
+def told(state: State) -> dict[str, int]:
+    """Return the sums of this host's use, for the next datagram."""
+    known = {one.name for one in organisations.known(state)}
+    return {name: used for name, used in state["shares"].own.items() if name in known}
+
+
+@handles(LoadTold)
+def use_told(state: State, event: LoadTold) -> None:
+    """Add by how much another host's sums have risen.
+
+    The first datagram heard of a process only tells from where its sums rise.
+    """
+    if not event.used:
+        return
+    shares_state, name = state["shares"], event.sender.host
+    before = shares_state.heard.get(name)
+    is_same = before is not None and before.incarnation == event.sender.incarnation
+    if is_same and event.sequence <= before.sequence:
+        return
+    shares_state.heard[name] = Heard(
+        incarnation=event.sender.incarnation, sequence=event.sequence, used=event.used
+    )
+    if is_same:
+        for organisation, used in event.used.items():
+            rise = used - before.used.get(organisation, 0)
+            if rise > 0:
+                shares_state.recent.add(organisation, rise, event.at)
+
+
+def standing(state: State, name: str, at: float) -> float:
+    """Return an organisation's recent use as a multiple of its fair share; 0 if not known."""
+    amounts = state["shares"].recent.now(at)
+    total = sum(amounts.values())
+    if total < MIN_USE or name not in amounts:
+        return 0.0
+    return amounts[name] / _fair_share(sorted(amounts.values()), total)
+
+
+def _fair_share(amounts: list[float], total: float) -> float:
+    """Return the use that is fair for each organisation: what others leave goes to those above."""
+    return total / len(amounts)
+
+
+def must_yield(state: State, req: ForwardedCall, at: float) -> bool:
+    """Decide whether a new generation yields to those of organisations below their share."""
+    if req.organisation is None or req.broke_off or not organisations.are_named(state):
+        return False
+    if standing(state, req.organisation.name, at) < YIELD_FACTOR:
+        return False
+    return state.rng.random() >= UNYIELDING_SHARE
