Count requests that only an engine tells of, and show how evenly engines work

Cause: a host that hears nobody fills engines which the others take for idle; and no metric showed how uneven work is. The gauge engine_spread shows the busiest engine over the mean, by service and stage.

--- a/src/wasabiwick/_handlers/engine_signs.py
+++ b/src/wasabiwick/_handlers/engine_signs.py
@@ -323,6 +323,21 @@
     }
 
 
+def spread(state: State) -> dict[str, float]:
+    """Return how long the busiest endpoint worked lately, as a multiple of the mean.
+
+    The keys are services, those of model engines with their stage. Only endpoints count of which
+    hosts measured work.
+    """
+    seconds: dict[str, list[float]] = {}
+    for name, speed in state["engine_signs"].speeds.items():
+        listed = directory.endpoint(state, name)
+        if listed is not None and speed.taken:
+            key = f"{listed.service}/{listed.stage}" if listed.stage else listed.service
+            seconds.setdefault(key, []).append(speed.taken)
+    return {key: max(values) * len(values) / sum(values) for key, values in seconds.items()}
+
+
 @handles(EndpointsRead)
 def forget_gone(state: State, event: EndpointsRead) -> None:
     """Forget endpoints that are no longer listed."""
--- a/src/wasabiwick/_handlers/placing.py
+++ b/src/wasabiwick/_handlers/placing.py
@@ -132,16 +132,22 @@
             continue
         engine_load = places.load(state, one.name, at)
         slots = min(one.slots, traits.engine.slots)
-        if engine_load.running >= slots:
+        unseen = engine_signs.unseen_requests(state, one.name, engine_load.running, at)
+        if engine_load.running + unseen >= slots:
             continue
         factor = factors.get(one.name, 1.0)
         projection = Projection(at=at, rate=rate / factor)
         for stream in engine_load.streams:
             projection.add(stream)
+        if unseen:
+            prompt, output = estimates.mean_sizes(state, traits)
+            stream = StreamLoad(prompt=int(prompt), expected=int(output), begins=at)
+            for _ in range(unseen):
+                projection.add(stream)
         candidates.append(
             Candidate(
                 endpoint=one,
-                running=engine_load.running,
+                running=engine_load.running + unseen,
                 reading=engine_load.reading,
                 slots=slots,
                 memory=traits.engine.memory_tokens,
--- a/src/wasabiwick/_metrics.py
+++ b/src/wasabiwick/_metrics.py
@@ -6,7 +6,7 @@
 
 import typing
 
-from ._handlers import cancels, lists, members, neighbours, requests, routes
+from ._handlers import cancels, engine_signs, lists, members, neighbours, requests, routes
 from ._handlers.host import in_flight, roles_held
 from ._logging import dropped_lines
 from ._state import State
@@ -388,3 +388,13 @@
 @gauge("stopping", "1 while the host shuts down gracefully.")
 def _stopping(state: State) -> GaugeValues:
     return {"": int(state.stopping)}
+
+
+@gauge(
+    "engine_spread",
+    "Time for which the busiest engine worked lately, as a multiple of the mean, as far as hosts"
+    " told it.",
+    "service/stage",
+)
+def _engine_spread(state: State) -> GaugeValues:
+    return engine_signs.spread(state)
--- a/tests/test_engine_signs.py
+++ b/tests/test_engine_signs.py
@@ -271,6 +271,14 @@
         chosen = placing.choose_plain(self.host.state, APP, self.host.now, [])
         self.assertEqual(chosen.name, "s1")
 
+    def test_the_spread_of_work_is_shown_by_stage(self) -> None:
+        say_often(self.host, self.slowness)
+        for name, taken in {"d0": 3.0, "d1": 1.0, "p0": 0.2, "p1": 0.2}.items():
+            engine_signs.observe(self.host.state, name, taken, taken, self.host.now)
+        found = engine_signs.spread(self.host.state)
+        self.assertAlmostEqual(found[f"{MODEL}/{DECODE}"], 1.5, delta=0.3)
+        self.assertAlmostEqual(found[f"{MODEL}/{PREFILL}"], 1.0, delta=0.1)
+
     def test_what_is_known_of_a_dropped_endpoint_is_forgotten(self) -> None:
         say_often(self.host, self.slowness)
         engine_signs.observe(self.host.state, "d0", 1.0, 1.0, self.host.now)
--- a/tests/test_even_load.py
+++ b/tests/test_even_load.py
@@ -57,6 +57,12 @@
         self.assertLess(mean_spread(after), mean_spread(before))
         self.assertLess(mean_refused(after), mean_refused(before))
 
+    def test_hosts_that_are_not_heard_count_by_what_engines_say(self) -> None:
+        """A third of the hosts hears nobody, so that the others know nothing of its streams."""
+        before = play(BUSY_RATE, says=False, cut=20)
+        after = play(BUSY_RATE, cut=20)
+        self.assertLess(mean_spread(after), mean_spread(before))
+
     def test_small_fleets_choose_as_before(self) -> None:
         """Six hosts hear each other soon enough to take the engine with the most memory left."""
         fleets = play(4.0, hosts=6, news_time=0.02, seconds=10.0)
