--- a/src/wasabiwick/_handlers/engine_signs.py
+++ b/src/wasabiwick/_handlers/engine_signs.py
@@ -27,6 +27,10 @@
 MOMENT_HALF_TIME_S = 0.5
 SAMPLE_INTERVAL_S = 0.25  # Shortest time between two signs that count in a mean.
 SPEED_HALF_TIME_S = 15.0  # Time in which the weight of a sign in an endpoint's mean halves.
+# The same while an endpoint says nothing, as engines do that prefill.
+SILENT_HALF_TIME_S = 60.0
+# Time without any sign after which a service's endpoints count as not saying how slow they are.
+SERVICE_SILENT_S = 120.0
 MEASURED_HALF_TIME_S = 30.0  # The same for measured times, of which there are fewer.
 PRIOR_SIGNS = 2.0  # Signs that weigh as much as the mean of the other endpoints.
 PRIOR_MEASURED_S = 1.0  # Seconds of work that weigh as much as the endpoint's word.
@@ -89,9 +93,10 @@
         self.expected = factor * self.expected + expected
         self.measured_at = max(at, self.measured_at)
 
-    def mean(self, others: float) -> float:
-        """Return the mean of the signs, nearer to that of other endpoints the fewer there are."""
-        return (self.slowness + PRIOR_SIGNS * others) / (self.signs + PRIOR_SIGNS)
+    def mean(self, others: float, at: float) -> float:
+        """Return the mean of the signs, nearer to that of others the fewer and older they are."""
+        weight = 0.5 ** (max(0.0, at - self.sampled_at) / SILENT_HALF_TIME_S)
+        return (weight * self.slowness + PRIOR_SIGNS * others) / (weight * self.signs + PRIOR_SIGNS)
 
     @property
     def correction(self) -> float:
@@ -110,7 +115,7 @@
 class EngineSignsState:
     """By endpoint: the newest sign, what is known of its speed, and what other hosts aren't told.
 
-    ``services`` holds the services of which an endpoint has said how slow it is. ``untold`` holds
+    ``services`` holds by service when an endpoint last said how slow it is. ``untold`` holds
     signs that this host saw itself, the newest at the end, and ``untold_times`` the seconds of work
     that it measured, taken and expected.
     """
@@ -120,14 +125,15 @@
     def __init__(self, cfg: Settings) -> None:
         self.newest: dict[str, EngineSign] = {}
         self.speeds: dict[str, Speed] = {}
-        self.services: set[str] = set()
+        self.services: dict[str, float] = {}
         self.untold: dict[str, EngineSign] = {}
         self.untold_times: dict[str, tuple[float, float]] = {}
 
 
-def tells(state: State, service: str) -> bool:
+def tells(state: State, service: str, at: float) -> bool:
     """Return whether endpoints of a service say how slow they are."""
-    return service in state["engine_signs"].services
+    said_at = state["engine_signs"].services.get(service)
+    return said_at is not None and at - said_at < SERVICE_SILENT_S
 
 
 @handles(LoadNamed)
@@ -162,7 +168,7 @@
     if sign.at > at or at - sign.at > USE_TIME_S or (known and known.at >= sign.at):
         return False
     signs_state.newest[sign.endpoint] = sign
-    signs_state.services.add(listed.service)
+    signs_state.services[listed.service] = at
     signs_state.speeds.setdefault(sign.endpoint, Speed(at)).add_sign(sign)
     return True
 
@@ -188,10 +194,10 @@
     """
     signs_state = state["engine_signs"]
     listed = directory.endpoint(state, endpoint)
-    if listed is None or not tells(state, listed.service) or taken <= 0.0 or usual <= 0.0:
+    if listed is None or not tells(state, listed.service, at) or taken <= 0.0 or usual <= 0.0:
         return
     peers = directory.usable_endpoints(state, listed.service, listed.stage)
-    said = _said(state, listed.service, {endpoint, *(one.name for one in peers)})
+    said = _said(state, listed.service, {endpoint, *(one.name for one in peers)}, at)
     expected = usual * said[endpoint] / _harmonic_mean(said.values())
     taken = min(MAX_CORRECTION * expected, max(MIN_CORRECTION * expected, taken))
     _add_times(state, endpoint, taken, expected, at)
@@ -259,10 +265,10 @@
 
     The result is empty if no endpoint of the service says how slow it is.
     """
-    if not endpoints or not tells(state, endpoints[0].service):
+    if not endpoints or not tells(state, endpoints[0].service, at):
         return {}
     speeds = state["engine_signs"].speeds
-    found = _said(state, endpoints[0].service, {one.name for one in endpoints})
+    found = _said(state, endpoints[0].service, {one.name for one in endpoints}, at)
     for name in found.keys() & speeds.keys():
         found[name] *= speeds[name].correction
     mean = _harmonic_mean(found.values())
@@ -275,9 +281,9 @@
     return found
 
 
-def slowest_moment(state: State, service: str) -> float:
+def slowest_moment(state: State, service: str, at: float) -> float:
     """Return how much longer than its mean work may take at an endpoint in a slow moment."""
-    if not tells(state, service):
+    if not tells(state, service, at):
         return 1.0
     speeds = state["engine_signs"].speeds
     ratios = (
@@ -288,7 +294,7 @@
     return min(MAX_CORRECTION, max(ratios, default=1.0))
 
 
-def _said(state: State, service: str, names: set[str]) -> dict[str, float]:
+def _said(state: State, service: str, names: set[str], at: float) -> dict[str, float]:
     """Return the mean slowness that each of some endpoints said.
 
     For those that said little it is near the mean of all endpoints of the service.
@@ -296,7 +302,7 @@
     speeds = state["engine_signs"].speeds
     told = [one for name, one in speeds.items() if one.signs and _service(state, name) == service]
     overall = _harmonic_mean([one.slowness / one.signs for one in told]) if told else 1.0
-    return {name: speeds[name].mean(overall) if name in speeds else overall for name in names}
+    return {name: speeds[name].mean(overall, at) if name in speeds else overall for name in names}
 
 
 def _service(state: State, endpoint: str) -> str:
--- a/src/wasabiwick/_handlers/placing.py
+++ b/src/wasabiwick/_handlers/placing.py
@@ -290,7 +290,7 @@
 def prefill_timeout(state: State, service: str, endpoint: str, at: float) -> float:
     """Return the seconds after which a prefill is sent again, also if its engine slows down."""
     backlog = prefill_backlog_seconds(state, service, endpoint, at)
-    slowest = engine_signs.slowest_moment(state, service)
+    slowest = engine_signs.slowest_moment(state, service, at)
     return PREFILL_GRACE + PREFILL_TIME_FACTOR * slowest * backlog
 
 
--- a/tests/test_engine_signs.py
+++ b/tests/test_engine_signs.py
@@ -198,6 +198,20 @@
         found = factors(self.host)
         self.assertLess(found["d0"] / found["d1"], 1.7)
 
+    def test_a_service_that_stops_saying_it_is_served_as_before(self) -> None:
+        say_often(self.host, self.slowness)
+        self.host.run(engine_signs.SERVICE_SILENT_S)
+        self.assertEqual(factors(self.host), {})
+
+    def test_the_speed_of_an_engine_that_falls_silent_is_forgotten_slowly(self) -> None:
+        say_often(self.host, self.slowness)
+        self.host.run(10.0)
+        self.assertLess(factors(self.host)["d0"], 0.8)
+        for _ in range(100):
+            self.host.run(4.0)
+            say(self.host, "d1", 1.2)
+        self.assertGreater(factors(self.host)["d0"], 0.9)
+
     def test_a_lying_engine_is_found_out_and_still_gets_work(self) -> None:
         """It says that it is fast, and work takes five times as long there."""
         for _ in range(10):
