--- a/src/wasabiwick/_metrics.py
+++ b/src/wasabiwick/_metrics.py
@@ -8,6 +8,7 @@
 
 from ._handlers import (
     cancels,
+    engine_signs,
     lists,
     members,
     neighbours,
@@ -415,3 +416,13 @@
 @gauge("stopping", "1 while the host shuts down gracefully.")
 def _stopping(state: State) -> GaugeValues:
     return {"": int(state.stopping)}
+
+
+@gauge(
+    "engine_spread",
+    "Time for which the busiest engine worked lately, as a multiple of the mean, as far as hosts"
+    " told it.",
+    "service/stage",
+)
+def _engine_spread(state: State) -> GaugeValues:
+    return engine_signs.spread(state)
