Run the tests in three groups side by side

Change: every third module's tests run in one process, three side by side; their output follows group by group.

--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -59,3 +59,31 @@
     def test_listed_test_that_does_not_exist_is_an_error(self) -> None:
         (line,) = self.errors("tests.test_a.TestA.test_gone")
         self.assertIn("does not exist", line)
+
+
+class TestGroups(unittest.TestCase):
+    """Each test is in exactly one group, so that none is dropped where groups run side by side."""
+
+    def test_every_test_is_in_one_group(self) -> None:
+        cases = [
+            type(f"Test{number}", (_Sample,), {"__module__": f"tests.test_{number}"})("passing")
+            for number in (5, 1, 1, 3, 2, 0)
+        ]
+        suite = unittest.TestSuite(cases)
+        groups = [known_red.group_of(suite, number, 3) for number in range(3)]
+        found = [test for group in groups for test in group]
+        self.assertCountEqual(map(id, found), map(id, cases))
+        self.assertEqual(len(known_red.modules(suite)), 5)
+        for group in groups:
+            self.assertTrue(group.countTestCases())
+
+    def test_tests_of_a_module_stay_together(self) -> None:
+        cases = [
+            type(f"Test{number}", (_Sample,), {"__module__": "tests.test_one"})("passing")
+            for number in range(4)
+        ]
+        sizes = [
+            known_red.group_of(unittest.TestSuite(cases), number, 3).countTestCases()
+            for number in range(3)
+        ]
+        self.assertEqual(sorted(sizes), [0, 0, 4])
