--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -98,7 +98,9 @@
     """Run all groups side by side; returns how many tests ran and failed, and whether all did."""
     options = [f"-W{option}" for option in sys.warnoptions]
     command = [sys.executable, *options, str(pathlib.Path(__file__).resolve()), "--group"]
-    files = [tempfile.TemporaryFile(mode="w+") for _ in range(GROUPS)]
+    files = [
+        tempfile.TemporaryFile(mode="w+") for _ in range(GROUPS)
+    ]  # noqa: SIM115 - each is closed once its group has ended
     running = [
         subprocess.Popen([*command, str(number)], stdout=file, stderr=subprocess.STDOUT, cwd=ROOT)
         for number, file in enumerate(files)
