--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -8,6 +8,7 @@
 Exits with 1 if a test fails that is not listed, or if a listed test passes or does not exist.
 """
 
+import contextlib
 import io
 import pathlib
 import re
@@ -98,25 +99,25 @@
     """Run all groups side by side; returns how many tests ran and failed, and whether all did."""
     options = [f"-W{option}" for option in sys.warnoptions]
     command = [sys.executable, *options, str(pathlib.Path(__file__).resolve()), "--group"]
-    files = [
-        tempfile.TemporaryFile(mode="w+") for _ in range(GROUPS)
-    ]  # noqa: SIM115 - each is closed once its group has ended
-    running = [
-        subprocess.Popen([*command, str(number)], stdout=file, stderr=subprocess.STDOUT, cwd=ROOT)
-        for number, file in enumerate(files)
-    ]
     total = total_failed = 0
     is_whole = True
-    for process, file in zip(running, files, strict=True):
-        code = process.wait()
-        with file:
+    with contextlib.ExitStack() as stack:
+        files = [stack.enter_context(tempfile.TemporaryFile(mode="w+")) for _ in range(GROUPS)]
+        running = [
+            subprocess.Popen(
+                [*command, str(number)], stdout=file, stderr=subprocess.STDOUT, cwd=ROOT
+            )
+            for number, file in enumerate(files)
+        ]
+        for process, file in zip(running, files, strict=True):
+            code = process.wait()
             file.seek(0)
             text = file.read()
-        print(text, end="")
-        counts = re.search(r"^(\d+) (\d+)\s*\Z", text, re.MULTILINE)
-        ran, failed = map(int, counts.groups()) if counts else (0, 0)
-        total, total_failed = total + ran, total_failed + failed
-        is_whole = is_whole and counts is not None and code == (1 if failed else 0)
+            print(text, end="")
+            counts = re.search(r"^(\d+) (\d+)\s*\Z", text, re.MULTILINE)
+            ran, failed = map(int, counts.groups()) if counts else (0, 0)
+            total, total_failed = total + ran, total_failed + failed
+            is_whole = is_whole and counts is not None and code == (1 if failed else 0)
     return total, total_failed, is_whole
 
 
