Tell a store that does not answer from one with nothing new, where a key is unknown

Whether versions can be read is taken from the feed of the routes now; the test with a minute without changes failed before.

--- a/src/wasabiwick/_handlers/caller_keys.py
+++ b/src/wasabiwick/_handlers/caller_keys.py
@@ -17,14 +17,11 @@
 from .._reducer import Step, handles
 from .._state import State
 from .._verdict import Verdict
-from . import directory, forwarding, neighbours, organisations, routes
+from . import forwarding, neighbours, organisations, routes
 from .forwarding import ForwardedCall
 
 # Seconds after which callers are told to retry whose key may be known by then, or at another host.
 UNDECIDED_RETRY_AFTER = 0.5
-# Age of the newest news from the store from which on a version may be missing here. Hosts hear
-# from it every two seconds or so, and a new version may take three to be in force everywhere.
-STALE_AGE_S = 5.0
 
 
 def refusal(state: State, route: Route, key: str, at: float) -> Failure | None:
@@ -55,7 +52,7 @@
 
 def _is_behind(state: State, at: float) -> bool:
     """Return whether there may be a newer version than the one in force here."""
-    if directory.list_age(state, at) > STALE_AGE_S:
+    if organisations.may_be_old(state):
         return True
     hosts, version = state["neighbours"].hosts, routes.version(state)
     return any(hosts[name].routes_version > version for name in neighbours.live_names(state, at))
--- a/src/wasabiwick/_handlers/organisations.py
+++ b/src/wasabiwick/_handlers/organisations.py
@@ -3,12 +3,14 @@
 import typing
 
 from .._effects import LogLine
-from .._events import RoutesRead
+from .._events import FeedChanged, RoutesRead
 from .._forwarding import Organisation, Route
 from .._reducer import Step, handles
 from .._settings import Settings
 from .._state import State, state_slice
 
+ROUTES = "routes"  # Name of the feed that reads versions of the routes.
+
 
 @state_slice("organisations")
 class OrganisationsState:
@@ -16,15 +18,17 @@
 
     ``by_key`` and ``by_name`` are None if the operator names no organisations. ``unread_keys``
     holds the digests of keys whose organisation can't be read; None if these aren't known either.
+    ``is_up`` is false while no new version can be read.
     """
 
-    __slots__ = ("version", "by_key", "by_name", "unread_keys")
+    __slots__ = ("version", "by_key", "by_name", "unread_keys", "is_up")
 
     def __init__(self, cfg: Settings) -> None:
         self.version = 0
         self.by_key: dict[str, Organisation] | None = None
         self.by_name: dict[str, Organisation] | None = None
         self.unread_keys: frozenset[str] | None = frozenset()
+        self.is_up = True
 
 
 def are_named(state: State) -> bool:
@@ -58,6 +62,18 @@
     return bool(key) and (unread_keys is None or key in unread_keys)
 
 
+def may_be_old(state: State) -> bool:
+    """Return whether there may be newer versions, none of which can be read."""
+    return not state["organisations"].is_up
+
+
+@handles(FeedChanged)
+def feed_changed(state: State, event: FeedChanged) -> None:
+    """Record whether new versions of the routes can be read."""
+    if event.feed == ROUTES:
+        state["organisations"].is_up = event.up
+
+
 @handles(RoutesRead)
 def apply_organisations(state: State, event: RoutesRead) -> typing.Iterator[Step]:
     """Put the organisations of a newer version of the routes in force."""
--- a/tests/test_caller_keys.py
+++ b/tests/test_caller_keys.py
@@ -17,7 +17,7 @@
     Failure,
 )
 from wasabiwick._forwarding import SAFE, Organisation, RouteTable
-from wasabiwick._handlers import caller_keys, routes
+from wasabiwick._handlers import routes
 from wasabiwick._verdict import Verdict
 
 from ._forward import (
@@ -162,11 +162,16 @@
         self.read(3, ACME, organisation("other", OTHER))
         self.assertEqual(self.names_told(self.ask("safe", OTHER)), ["other"])
 
-    def test_unknown_key_is_undecided_while_the_store_is_silent(self) -> None:
-        self.host.run(caller_keys.STALE_AGE_S + 0.1)
+    def test_unknown_key_is_undecided_while_no_version_can_be_read(self) -> None:
+        self.host.feed(_events.FeedChanged, feed="routes", up=False)
         self.assertIs(self.reason(self.ask("safe", OTHER)), KEY_UNDECIDED)
         self.assertEqual(self.names_told(self.ask("safe")), ["acme"])
-        self.host.read_list()
+        self.host.feed(_events.FeedChanged, feed="routes", up=True)
+        self.assertIs(self.reason(self.ask("safe", OTHER)), BAD_KEY)
+
+    def test_unknown_key_is_known_to_be_so_while_nothing_changes(self) -> None:
+        """A host that others read the store for hears nothing for long; that is not silence."""
+        self.host.run(60.0)
         self.assertIs(self.reason(self.ask("safe", OTHER)), BAD_KEY)
 
     def test_keys_of_an_unreadable_organisation_are_undecided(self) -> None:
@@ -391,6 +396,8 @@
                     host.read_list()
             if rng.random() < 0.1:
                 away = rng.sample(hosts, self.HOSTS // 3)
+            for host in hosts:
+                host.feed(_events.FeedChanged, feed="routes", up=host not in away)
             for host in hosts:
                 others = [one for one in hosts if one is not host]
                 for other in others:
@@ -422,7 +429,8 @@
         is_known_elsewhere = held < newest and any(
             key in keys for keys in versions[held - 1 : newest - 1]
         )
-        if is_known_elsewhere and self.has_heard(host, held):
+        is_away = not host.state["organisations"].is_up
+        if is_away or (is_known_elsewhere and self.has_heard(host, held)):
             self.assertIs(failure.reason, KEY_UNDECIDED)
         self.assertIs(failure.verdict, Verdict.NOT_RUN)
 
