--- a/src/wasabiwick/_errors.py
+++ b/src/wasabiwick/_errors.py
@@ -99,6 +99,9 @@
 HOST_FAILED = Reason("host_failed", 503, "the host failed before it sent the request")
 TOO_LARGE = Reason("too_large", 413, "the body is too large")
 LIMIT_REACHED = Reason("limit_reached", 429, "the plan's limit is reached")
+ORGANISATION_LIMIT = Reason(
+    "organisation_limit", 429, "the organisation's limit over all hosts is reached"
+)
 OVERLOADED = Reason("overloaded", 503, "no capacity within the deadline")
 NO_ENDPOINT = Reason("no_endpoint", 503, "no endpoint is available")
 NO_CONFIGURATION = Reason("no_configuration", 503, "no configuration has been read yet")
@@ -122,5 +125,6 @@
 ENDPOINT_CHANGED = Reason("endpoint_changed", 503, "the endpoint serves something else by now")
 ENDPOINT_LEAVING = Reason("endpoint_leaving", 503, "the endpoint is leaving")
 ENDPOINT_SILENT = Reason("endpoint_silent", 504, "the endpoint stopped answering")
+UNREAD = Reason("unread", 502, "the caller left too much of the answer unread")
 DEADLINE_PASSED = Reason("deadline_passed", 504, "the deadline passed")
 SUPERSEDED = Reason("superseded", 409, "a newer call with the same key replaced this one")
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -8,14 +8,24 @@
 
 from .._effects import Count, LogLine, Observe, StartTimer, StopTimer
 from .._effects_forwarding import CutForward, DropHold, DropTry, FreeHandle, RefuseForward
-from .._errors import ENDPOINT_FAILED, ENDPOINT_UNREACHABLE, Failure, Reason
+from .._errors import ENDPOINT_FAILED, ENDPOINT_UNREACHABLE, UNREAD, Failure, Reason
 from .._events import ForwardAnswered, LoadChanged, PermitSettled, PlacesChanged, StepFailed
 from .._forwarding import Ask, BegunStream, Endpoint, Organisation, Route, StreamLoad
 from .._reducer import Step, handles
 from .._settings import Settings
 from .._state import State, state_slice
 from .._verdict import Verdict
-from . import builds, directory, health, neighbours, places, reach, retry_budget, routes
+from . import (
+    builds,
+    directory,
+    health,
+    neighbours,
+    organisation_limits,
+    places,
+    reach,
+    retry_budget,
+    routes,
+)
 from .host import busy_check
 
 T = typing.TypeVar("T")
@@ -55,8 +65,8 @@
             engine has fetched the KV cache. It is the decode engine if that prefills the prompt
             itself.
         reading: Prompt tokens counted in the load of `prefill_engine` until they are prefilled.
-        prefilled_alone: Whether `prefill_engine` had no other prompt to prefill when it was sent
-            this one, as far as this host knows.
+        prefilled_after: Tokens of other prompts that `prefill_engine` had to prefill when it was
+            sent this one, as far as this host knows.
         prefills: Number of prefills sent that were not refused.
         hold: Identifier of the reservation at `place` while it is unused, or empty.
         handle: Identifier of a KV cache that was not fetched yet from the prefill engine, or empty.
@@ -76,6 +86,7 @@
             stream has not begun, or engines state no build.
         organisation: The caller's organisation by the newest version of the routes under which the
             call was judged; None if it needs none.
+        charge: What the call was counted as against its organisation's limit, or None.
     """
 
     __slots__ = (
@@ -93,7 +104,7 @@
         "place",
         "prefill_engine",
         "reading",
-        "prefilled_alone",
+        "prefilled_after",
         "prefills",
         "hold",
         "handle",
@@ -111,6 +122,7 @@
         "unreachable",
         "build",
         "organisation",
+        "charge",
     )
 
     def __init__(self, *, ask: Ask, route: Route, service: str, arrived_at: float) -> None:
@@ -128,7 +140,7 @@
         self.place: Endpoint | None = None
         self.prefill_engine: Endpoint | None = None
         self.reading = 0
-        self.prefilled_alone = False
+        self.prefilled_after = 0
         self.prefills = 0
         self.hold = ""
         self.handle = ""
@@ -146,6 +158,7 @@
         self.unreachable: set[str] = set()
         self.build = ""
         self.organisation: Organisation | None = None
+        self.charge: organisation_limits.Charge | None = None
 
     @property
     def priority(self) -> int:
@@ -327,6 +340,7 @@
     state: State, req: ForwardedCall, endpoint: Endpoint, stream: StreamLoad | None, at: float
 ) -> Step:
     """Count a call in the load of an endpoint, which becomes the call's place."""
+    organisation_limits.note_try(state, req, at)
     req.place = endpoint
     reach.note_sent(state, req.service, at)
     places.add_request(state, endpoint.name, req.ask.call_id, stream)
@@ -413,9 +427,12 @@
         state: The host's state.
         req: The call that failed.
         endpoint: Name of the endpoint.
-        failure: What happened; None if the endpoint answered in full with a server error.
+        failure: What happened; None if the endpoint answered in full with a server error. That a
+            caller left an answer unread tells nothing of the endpoint.
         at: Monotonic time.
     """
+    if failure is not None and failure.reason is UNREAD:
+        return
     if failure is not None and failure.reason is ENDPOINT_UNREACHABLE:
         req.unreachable.add(endpoint)
         yield from health.record_unreachable(state, endpoint)
@@ -430,6 +447,7 @@
     """Remove a call, abort its requests to endpoints, and free what is reserved for it."""
     if state["forwarding"].calls.pop(req.ask.call_id, None) is None:
         return
+    organisation_limits.settle(state, req, at)
     yield StopTimer(timer="forward_ends", key=req.ask.call_id)
     yield DropTry(call_id=req.ask.call_id, number=req.number)
     yield from release_place(state, req, at)
--- a/src/wasabiwick/_settings.py
+++ b/src/wasabiwick/_settings.py
@@ -81,6 +81,8 @@
         request_bodies_bytes: Bytes of callers' bodies that a forwarding host holds together.
         answer_bodies_bytes: Bytes of endpoints' answers that it holds together, of those that it
             holds as a whole.
+        unread_answers_bytes: Bytes of answers that may wait in a forwarding host for callers that
+            have not read them.
     """
 
     __slots__ = (
@@ -92,6 +94,7 @@
         "default_deadline",
         "request_bodies_bytes",
         "answer_bodies_bytes",
+        "unread_answers_bytes",
     )
 
     def __init__(
@@ -105,6 +108,7 @@
         default_deadline: Seconds = 60.0,
         request_bodies_bytes: PositiveInt = 64 * 1024 * 1024,
         answer_bodies_bytes: PositiveInt = 32 * 1024 * 1024,
+        unread_answers_bytes: PositiveInt = 32 * 1024 * 1024,
     ) -> None:
         self.max_body_bytes = max_body_bytes
         self.max_header_bytes = max_header_bytes
@@ -114,6 +118,7 @@
         self.default_deadline = default_deadline
         self.request_bodies_bytes = request_bodies_bytes
         self.answer_bodies_bytes = answer_bodies_bytes
+        self.unread_answers_bytes = unread_answers_bytes
 
 
 class Timing:
@@ -313,6 +318,10 @@
         list_pause: Seconds between two reads of the list of endpoints.
         read_silence: Seconds without news of the store from other hosts after which a host that
             relies on them reads the store itself.
+        limit_window: Length in seconds of the window in which organisations' use is counted.
+        limit_overshoot: Share of what an organisation's limit allows in a window by which it may be
+            exceeded at most.
+        limit_slack: Tokens, or requests, by which it may be exceeded in addition.
     """
 
     __slots__ = (
@@ -324,6 +333,9 @@
         "retry_window",
         "list_pause",
         "read_silence",
+        "limit_window",
+        "limit_overshoot",
+        "limit_slack",
     )
 
     def __init__(
@@ -337,6 +349,9 @@
         retry_window: Seconds = 10.0,
         list_pause: Seconds = 0.7,
         read_silence: Seconds = 0.8,
+        limit_window: Seconds = 8.0,
+        limit_overshoot: NonNegative = 0.1,
+        limit_slack: NonNegative = 0.0,
     ) -> None:
         self.ready = ready
         self.datagrams = datagrams
@@ -346,6 +361,9 @@
         self.retry_window = retry_window
         self.list_pause = list_pause
         self.read_silence = read_silence
+        self.limit_window = limit_window
+        self.limit_overshoot = limit_overshoot
+        self.limit_slack = limit_slack
 
 
 class Settings:
--- a/src/wasabiwick/platform/_settings.py
+++ b/src/wasabiwick/platform/_settings.py
@@ -24,6 +24,10 @@
 # a host without any takes a third of the memory.
 REQUESTS_SHARE = 0.13
 ANSWERS_SHARE = 0.065
+# Share of a process's memory for answers that their callers have not read. It is less than for
+# answers held as a whole, so that unread ones don't keep others from their room. They may take
+# twice as much before answers are cut off that are still read.
+UNREAD_SHARE = 0.04
 BYTES_PER_MB = 1_000_000
 METRICS_PORT = 9464  # Port that serves metrics, the same as in deploy/system.toml.
 
@@ -40,6 +44,9 @@
     budget_slack: float = 50.0
     drain_ms: float = 2_000.0
     config_apply_ms: float = 2_000.0
+    quota_window_s: float = 8.0
+    quota_overshoot: float = 0.1
+    quota_slack: float = 0.0
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
@@ -108,6 +115,7 @@
     return Limits(
         request_bodies_bytes=max(1, int(REQUESTS_SHARE * memory)),
         answer_bodies_bytes=max(1, int(ANSWERS_SHARE * memory)),
+        unread_answers_bytes=max(1, int(UNREAD_SHARE * memory)),
     )
 
 
@@ -138,5 +146,8 @@
             read_silence=SILENCE_SHARE
             * min(file.bounds.drain_ms, file.bounds.config_apply_ms)
             / 1000,
+            limit_window=file.bounds.quota_window_s,
+            limit_overshoot=file.bounds.quota_overshoot,
+            limit_slack=file.bounds.quota_slack,
         ),
     )
