--- a/tests/test_caller_keys.py
+++ b/tests/test_caller_keys.py
@@ -16,8 +16,8 @@
     OTHER_VERSION,
     Failure,
 )
-from wasabiwick._forwarding import SAFE, Organisation, RouteTable
-from wasabiwick._handlers import routes
+from wasabiwick._forwarding import SAFE, STREAM, Organisation, RouteTable
+from wasabiwick._handlers import forwarding, rejecting, routes
 from wasabiwick._verdict import Verdict
 
 from ._forward import (
@@ -123,6 +123,23 @@
         priorities = [self.host.last_effect(Forward, one).priority for one in (first, second)]
         self.assertEqual(priorities[0], priorities[1] + 2)
 
+    def test_priority_of_the_route_decides_between_calls_of_one_organisation(self) -> None:
+        """Only the organisation's priority counted, so urgent calls waited behind others."""
+        known = table(3)
+        self.host.feed(
+            _events.RoutesRead,
+            table=RouteTable(
+                version=3,
+                routes=(known.routes[0], route(STREAM, MODEL, name="draft", priority=2)),
+                services=known.services,
+                organisations=(organisation("acme", FIRST, priority=1),),
+            ),
+        )
+        later, urgent = self.ask("draft"), self.ask("stream")
+        calls = [forwarding.call(self.host.state, one) for one in (later, urgent)]
+        ranks = [rejecting.rank(self.host.state, one, self.host.now) for one in calls]
+        self.assertGreater(*ranks)
+
     def test_without_organisations_nothing_changes(self) -> None:
         """A key decides nothing where the operator names no organisations."""
         host = Host()
