--- a/src/wasabiwick/_http1.py
+++ b/src/wasabiwick/_http1.py
@@ -26,6 +26,7 @@
 MAX_IDLE_CONNECTIONS = 8  # Most idle connections that are kept to one endpoint.
 # Reading from an endpoint pauses while more bytes than this of its answer wait for the caller.
 MAX_BUFFERED_BYTES = 64 * 1024
+READ_BYTES = 32 * 1024  # Most bytes of an answer that are read at once.
 MAX_HEAD_BYTES = 64 * 1024  # Most bytes before the end of an answer's head; callers send 16 KiB.
 # Most bytes of a body that is kept as a whole, as many as a caller may send by default.
 MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -253,6 +254,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport and set the options of its socket."""
         self.transport = transport
+        # asyncio reads up to 256 KiB at once, which is much for each of many slow callers.
+        transport.max_size = READ_BYTES
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/_body_load.py
+++ b/tests/_body_load.py
@@ -1,8 +1,9 @@
 """Sends many large bodies at once to a host that is a process of its own, and measures its memory.
 
-Usage: python -m tests._body_load BODIES [chunked | answers]
+Usage: python -m tests._body_load BODIES [chunked | answers | unread]
 
 Bodies are those of requests, and come back in the answers; with ``answers`` only those are large.
+With ``unread`` they are streams whose callers read nothing.
 """
 
 import asyncio
@@ -14,6 +15,7 @@
 import typing
 
 import aiohttp
+from aiohttp import web
 
 from ._partition import HostProcess
 from ._platform import TOPIC_PREFIX, Endpoint, Store, config, serving
@@ -26,6 +28,27 @@
 PIECE = 64 * 1024
 
 
+UNREAD_S = 10.0  # Seconds for which streams are left unread.
+EVENT = b"data: %b\n\n" % bytes(4_000).replace(b"\0", b"x")
+
+
+class StreamingEndpoint(Endpoint):
+    """An endpoint that answers requests of safe routes with a stream that does not end."""
+
+    async def _request(self, req: web.Request) -> web.StreamResponse:
+        if not req.path.startswith("/safe/"):
+            return await super()._request(req)
+        headers = {
+            "X-Wasabiwick-Attempt-Id": req.headers["X-Wasabiwick-Attempt-Id"],
+            "X-Wasabiwick-Response-Seal": f"seal-{self.name}",
+            "Content-Type": "text/event-stream",
+        }
+        resp = web.StreamResponse(headers=headers)
+        await resp.prepare(req)
+        while True:
+            await resp.write(EVENT)
+
+
 class BodyLoad:
     """A store, two endpoints that answer with the body they got, and one host.
 
@@ -36,7 +59,7 @@
 
     def __init__(self) -> None:
         self.host: HostProcess | None = None
-        self.endpoints = [Endpoint(name) for name in ("s0", "s1")]
+        self.endpoints = [StreamingEndpoint(name) for name in ("s0", "s1")]
         self._session: aiohttp.ClientSession | None = None
         self._requests = 0
 
@@ -90,6 +113,24 @@
                 return 0
             return resp.status
 
+    async def leave_unread(self, path: str, *, seconds: float) -> asyncio.StreamWriter:
+        """Send a request whose caller reads nothing, and return the open connection.
+
+        Args:
+            path: The request's path.
+            seconds: The caller's deadline.
+        """
+        self._requests += 1
+        host, _, port = self.host.callers.rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port), limit=1024)
+        writer.transport.pause_reading()
+        writer.write(
+            b"POST %b HTTP/1.1\r\nHost: example\r\nContent-Length: 0\r\n"
+            b"X-Wasabiwick-Deadline-Ms: %d\r\nX-Wasabiwick-Attempt-Id: id%d\r\n\r\n"
+            % (path.encode(), 1000 * seconds, self._requests)
+        )
+        return writer
+
     def memory_mb(self, name: str = "VmHWM") -> float:
         """Return the host's resident memory in MB: the most it had, or now (``VmRSS``)."""
         status = pathlib.Path(f"/proc/{self.host.proc.pid}/status").read_text()
@@ -109,6 +150,14 @@
         for endpoint in load.endpoints:
             endpoint.answer_delay = 1.0
         rest = load.memory_mb()
+        if kind == "unread":
+            writers = [await load.leave_unread("/safe/x", seconds=60.0) for _ in range(bodies)]
+            await asyncio.sleep(UNREAD_S)
+            peak, now = load.memory_mb(), load.memory_mb("VmRSS")
+            print(f"{bodies} unread streams: rest {rest:.0f} MB, peak {peak:.0f}, then {now:.0f}")
+            for writer in writers:
+                writer.close()
+            return
         body = b"" if kind == "answers" else bytes(LARGE)
         if kind == "answers":
             for endpoint in load.endpoints:
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -14,13 +14,15 @@
 from wasabiwick._unread import PAUSE_BYTES, UNCOUNTED_BYTES, UnreadAnswers
 from wasabiwick._verdict import Verdict
 
-from ._body_load import LARGE, BodyLoad
+from ._body_load import LARGE, MEMORY_MB, BodyLoad
 from ._forward import DropTry, Forward, Host, table
 from ._processes import STOP_TIMEOUT
 
 LIMIT = 1_000_000
 LEFT_UNREAD = Failure(reason=UNREAD, verdict=Verdict.MAY_HAVE_RUN, detail="reset")
 STALLED = 10.0
+MANY_STREAMS = 160
+STREAM_TIME_S = 1.5  # For streams to fill what the host holds of them.
 
 
 def unread(call_id: str, size: int, stalled: float = STALLED) -> UnreadAnswer:
@@ -251,27 +253,29 @@
 
 
 class TestUnreadAnswers(unittest.IsolatedAsyncioTestCase):
-    """Callers that don't read large answers keep no others from theirs."""
+    """Callers that read nothing take no more than the host's memory, nor the room of others."""
+
+    async def asyncSetUp(self) -> None:
+        self.load = BodyLoad()
+        await self.enterAsyncContext(self.load.running())
+
+    async def leave_unread(self, path: str, seconds: float) -> None:
+        """Send a request whose caller reads nothing."""
+        writer = await self.load.leave_unread(path, seconds=seconds)
+        self.addCleanup(writer.close)
 
     async def test_a_large_answer_beside_unread_ones_is_served(self) -> None:
         """They held the room of all large answers until they closed their connections."""
-        load = BodyLoad()
-        await self.enterAsyncContext(load.running())
-        for endpoint in load.endpoints:
+        for endpoint in self.load.endpoints:
             endpoint.padding = LARGE
-        for number in range(4):
-            await self.leave_unread(load, f"unread{number}")
+        for _ in range(4):
+            await self.leave_unread("/unsafe/x", 1.5)
         async with asyncio.timeout(STOP_TIMEOUT):
-            self.assertEqual(await load.send(b""), 200)
-
-    async def leave_unread(self, load: BodyLoad, attempt: str) -> None:
-        """Ask for a large answer, and read only how it begins."""
-        host, _, port = load.host.callers.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port), limit=1024)
-        self.addCleanup(writer.close)
-        writer.write(
-            b"POST /unsafe/x HTTP/1.1\r\nHost: example\r\nContent-Length: 0\r\n"
-            b"X-Wasabiwick-Deadline-Ms: 1500\r\nX-Wasabiwick-Attempt-Id: %b\r\n\r\n"
-            % attempt.encode()
-        )
-        writer.transport.pause_reading()
+            self.assertEqual(await self.load.send(b""), 200)
+
+    async def test_many_unread_streams_leave_the_host_its_memory(self) -> None:
+        """Each held up to 0.9 MB, and nothing bounded their number."""
+        for _ in range(MANY_STREAMS):
+            await self.leave_unread("/safe/x", 60.0)
+        await asyncio.sleep(STREAM_TIME_S)
+        self.assertLess(self.load.memory_mb(), MEMORY_MB)
