--- a/src/wasabiwick/_metrics.py
+++ b/src/wasabiwick/_metrics.py
@@ -6,7 +6,17 @@
 
 import typing
 
-from ._handlers import cancels, lists, members, neighbours, requests, routes
+from ._handlers import (
+    cancels,
+    engine_signs,
+    lists,
+    members,
+    neighbours,
+    organisation_limits,
+    organisations,
+    requests,
+    routes,
+)
 from ._handlers.host import in_flight, roles_held
 from ._logging import dropped_lines
 from ._state import State
@@ -300,12 +310,25 @@
         "up or down",
     ),
 )
+_section(
+    "Limits of organisations",
+    _counter(
+        "beyond_limit",
+        "Calls refused because their organisation's limit over all hosts was reached.",
+        "organisation",
+    ),
+)
 _section(
     "The program itself",
     _counter("faults", "Events and effects whose handling raised an exception.", "event or effect"),
 )
 
 
+@gauge("near_limit", "Organisations that are near their limit, as far as this host knows.")
+def _near_limit(state: State) -> GaugeValues:
+    return {"": organisation_limits.near_limit(state)}
+
+
 @gauge(
     "in_flight", "Pieces of work, such as open requests, that a graceful shutdown would wait for."
 )
@@ -369,6 +392,11 @@
     return {"": routes.version(state)}
 
 
+@gauge("organisations", "Organisations of the version of the routes in force; 0 if none are named.")
+def _organisations(state: State) -> GaugeValues:
+    return {"": len(organisations.known(state))}
+
+
 @gauge("endpoints_known", "Endpoints of the directory that may get new work.", "stage")
 def _endpoints_known(state: State) -> GaugeValues:
     found: GaugeValues = {}
@@ -388,3 +416,13 @@
 @gauge("stopping", "1 while the host shuts down gracefully.")
 def _stopping(state: State) -> GaugeValues:
     return {"": int(state.stopping)}
+
+
+@gauge(
+    "engine_spread",
+    "Time for which the busiest engine worked lately, as a multiple of the mean, as far as hosts"
+    " told it.",
+    "service/stage",
+)
+def _engine_spread(state: State) -> GaugeValues:
+    return engine_signs.spread(state)
--- a/tests/_forward.py
+++ b/tests/_forward.py
@@ -283,6 +283,8 @@
             unreached=told.unreached,
             routes_version=told.routes_version,
             observed=told.observed,
+            counted=told.counted,
+            signs=told.signs,
             stopping=told.stopping,
         )
 
