Let organisations that use far more than their share go behind others

Cause: each host sees a request of an organisation now and then, so one that sends many times its usual took its part of every engine, and the others paid.

Change: hosts charge generations to their organisations by memory and time, tell the sums with their load, and compute a fair share (max-min). An organisation far above it yields: behind others in queues, only where room for another generation is left, and not into long prefill queues; a third of its generations doesn't. Without organisations nothing is charged, told or decided.

--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -51,6 +51,7 @@
     reserves,
     retry_budget,
     routes,
+    shares,
     stopping,
 )
 from .forwarding import ForwardedCall
@@ -80,6 +81,7 @@
     traits = service.engine
     estimates.observe_sizes(state, service, req.route.name, req.ask, at)
     reserves.observe_arrival(state, service, req, at)
+    yield from shares.decide(state, req, at)
     if req.ask.prompt_tokens + 1 > traits.memory_tokens:
         yield from forwarding.refuse_call(
             state, req, at, OVERLOADED, detail="the prompt is larger than an engine's memory"
@@ -113,6 +115,7 @@
         return
     health.record_answer(state, event.endpoint)
     yield Count(metric="holds", label="held")
+    shares.charge(state, routes.service(state, req.service), req, event.at)
     req.hold = event.hold
     yield from _prefill(state, req, event.at)
 
--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -37,6 +37,7 @@
     rejecting,
     reserves,
     routes,
+    shares,
     stopping,
 )
 from .forwarding import ForwardedCall
@@ -161,7 +162,7 @@
     prefills_itself = not placing.can_prefill(state, req.service, at, pending_tokens)
     if (
         not prefills_itself
-        and reserves.goes_behind(state, req)
+        and (req.yields or reserves.goes_behind(state, req))
         and not placing.can_prefill(state, req.service, at, pending_tokens, SHORT_PREFILL_WAIT)
     ):
         return False
@@ -174,6 +175,9 @@
     service = routes.service(state, req.service)
     stream = places.stream_load(state, service, req.route.name, req.ask, at, req.events)
     rooms = reserves.rooms(state, req, at)
+    if (room := shares.room_for_others(state, req)) > 0.0:
+        names = (one.endpoint.name for one in candidates)
+        rooms = {name: max(room, rooms.get(name, 0.0)) for name in names}
     while candidate := placing.choose_decode(
         state,
         candidates,
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -74,6 +74,8 @@
         unreachable: Names of the endpoints that accepted no connection for it.
         build: Build that began the caller's stream, at which alone it may go on; empty if the
             stream has not begun, or engines state no build.
+        yields: Whether it goes behind the calls of other organisations, as its own has used more
+            than its share.
         organisation: The caller's organisation by the newest version of the routes under which the
             call was judged; None if it needs none.
     """
@@ -110,6 +112,7 @@
         "hosts_tried",
         "unreachable",
         "build",
+        "yields",
         "organisation",
     )
 
@@ -145,6 +148,7 @@
         self.hosts_tried: list[str] = []
         self.unreachable: set[str] = set()
         self.build = ""
+        self.yields = False
         self.organisation: Organisation | None = None
 
     @property
--- a/src/wasabiwick/_handlers/neighbours.py
+++ b/src/wasabiwick/_handlers/neighbours.py
@@ -111,6 +111,16 @@
     return source
 
 
+UseSource = typing.Callable[[State], dict[str, int]]
+_USE_SOURCES: list[UseSource] = []
+
+
+def use_source(source: UseSource) -> UseSource:
+    """Register a function that returns sums of engine time that this host used, by organisation."""
+    _USE_SOURCES.append(source)
+    return source
+
+
 def live_hosts(state: State, at: float) -> list[Neighbour]:
     """Return the other hosts that sent a datagram recently, so that their load counts."""
     return [one for one in state["neighbours"].hosts.values() if at - one.heard < SILENT_AFTER]
@@ -309,6 +319,9 @@
     loads: dict[str, EndpointLoad] = {}
     for source in _LOAD_SOURCES:
         loads.update(source(state))
+    used: dict[str, int] = {}
+    for source in _USE_SOURCES:
+        used.update(source(state))
     addresses = tuple(one.address for one in neighbours_state.hosts.values())
     if addresses:
         crashes, sound = crashing_parts.take_untold(state)
@@ -327,6 +340,7 @@
             unreached=reach.services_in_doubt(state),
             routes_version=routes.version(state),
             observed=observations.take_told(state, at),
+            used=used,
         )
         if builds.has_untold(state) or crashing_parts.has_untold(state):
             yield from send_soon(state, at)
--- a/src/wasabiwick/_handlers/rejecting.py
+++ b/src/wasabiwick/_handlers/rejecting.py
@@ -53,14 +53,15 @@
     return req.arrived_at + req.route.target_latency - TIME_TO_FIRST_EVENT
 
 
-def rank(state: State, req: ForwardedCall, at: float) -> tuple[int, int, float]:
+def rank(state: State, req: ForwardedCall, at: float) -> tuple[int, int, bool, float]:
     """Return the sort key by which waiting requests get places; the lowest comes first.
 
     Streams that broke off come first, whether this host or their caller resumes them, as their
     callers wait in the middle of an answer. Next come
     callers that were refused before and have now waited for `RETURNED_MIN_WAIT`, then requests
     that can meet their latency target, and last all others. Within a group, requests are sorted by
-    the route's priority and then by arrival, or in the last group by `latest_start`.
+    their priority, then by whether their organisation is above its share, and then by arrival, or
+    in the last group by `latest_start`.
     """
     if req.broke_off:
         group = 0
@@ -69,7 +70,7 @@
     else:
         group = 2 if at <= latest_on_time_start(req) else 3
     sort_time = latest_start(state, req) if group == 3 else req.arrived_at
-    return group, req.priority, sort_time
+    return group, req.priority, req.yields, sort_time
 
 
 def latest_start(state: State, req: ForwardedCall) -> float:
--- a/src/wasabiwick/_handlers/shares.py
+++ b/src/wasabiwick/_handlers/shares.py
@@ -5,18 +5,22 @@
 each organisation uses is therefore known across hosts: each host sums what it charges by
 organisation, tells the sums with its load, and adds up by how much those of the others rise.
 
-An organisation whose recent use is above its fair share yields: its generations are placed only
-while engines have more room than others need, and wait for less long. The fair share is the largest
-use that all organisations may have at once if those that use less leave the rest to others
-(max-min). A share of its generations doesn't yield, so that it is always served, too.
+An organisation whose recent use is far above its fair share yields: its generations are placed only
+where room for another one is left, and go behind others in queues and at prefill engines. The fair
+share is the use above which organisations would have to be cut if `CUT_SHARE` of all use had to
+end (max-min). A part of its generations doesn't yield, so that it is always served, too. Where
+there is room for all, those that yield are served like others.
 """
 
+import typing
+
+from .._effects import Count
 from .._events import LoadTold
 from .._forwarding import ServiceTraits
-from .._reducer import handles
+from .._reducer import Step, handles
 from .._settings import Settings
 from .._state import State, state_slice
-from . import estimates, organisations
+from . import estimates, forwarding, neighbours, organisations, routes
 from .forwarding import ForwardedCall
 
 HALF_TIME_S = 5.0  # Time in which the weight of use halves; a flood shows within seconds.
@@ -25,8 +29,11 @@
 # Share of an organisation's generations that never yield: so it is served at least that often as
 # those that keep within their share.
 UNYIELDING_SHARE = 0.35
-# Token-seconds of recent use of all organisations below which their standing isn't known.
-MIN_USE = 200_000.0
+CUT_SHARE = 0.3  # Part of all use that has to end in a shortage for which fair shares are computed.
+# Generations of usual size that an organisation must have had lately for its standing to be known;
+# with fewer, use is above the mean by chance.
+MIN_GENERATIONS = 10.0
+MAX_ROOM_SHARE = 0.5  # Share of an engine's memory that a call leaves free at most.
 PREFILL_TOKEN_S = 0.3  # Token-seconds that prefilling a token counts as.
 
 
@@ -80,14 +87,19 @@
     if req.organisation is None or not organisations.are_named(state):
         return
     output = estimates.remaining_output(state, service, req.route.name, req.ask, req.events)
-    seconds = output / estimates.token_rate(state, service.name)
-    prompt = req.ask.prompt_tokens
-    used = int((prompt + output / 2) * seconds + PREFILL_TOKEN_S * prompt)
+    used = int(_use(state, service, req.ask.prompt_tokens, output))
     name, shares_state = req.organisation.name, state["shares"]
     shares_state.own[name] = shares_state.own.get(name, 0) + used
     shares_state.recent.add(name, used, at)
 
 
+def _use(state: State, service: ServiceTraits, prompt: float, output: float) -> float:
+    """Return the token-seconds of engines that a generation uses."""
+    seconds = output / estimates.token_rate(state, service.name)
+    return (prompt + output / 2) * seconds + PREFILL_TOKEN_S * prompt
+
+
+@neighbours.use_source
 def told(state: State) -> dict[str, int]:
     """Return the sums of this host's use, for the next datagram."""
     known = {one.name for one in organisations.known(state)}
@@ -117,24 +129,53 @@
                 shares_state.recent.add(organisation, rise, event.at)
 
 
-def standing(state: State, name: str, at: float) -> float:
-    """Return an organisation's recent use as a multiple of its fair share; 0 if not known."""
+def standing(state: State, service: ServiceTraits, name: str, at: float) -> float:
+    """Return an organisation's recent use as a multiple of its fair share; 0 if not known.
+
+    It is at most the multiple of the mean use: with few organisations, or such as use the same,
+    fair shares are below what each uses.
+    """
     amounts = state["shares"].recent.now(at)
-    total = sum(amounts.values())
-    if total < MIN_USE or name not in amounts:
+    used = amounts.get(name, 0.0)
+    if used < MIN_GENERATIONS * _use(state, service, *estimates.mean_sizes(state, service)):
         return 0.0
-    return amounts[name] / _fair_share(sorted(amounts.values()), total)
+    total = sum(amounts.values())
+    fair = _fair_share(sorted(amounts.values()), (1.0 - CUT_SHARE) * total)
+    return used / max(fair, total / len(amounts))
+
 
+def _fair_share(amounts: list[float], room: float) -> float:
+    """Return the largest share of some room that is fair: what some don't use goes to the others.
 
-def _fair_share(amounts: list[float], total: float) -> float:
-    """Return the use that is fair for each organisation: what others leave goes to those above."""
-    return total / len(amounts)
+    Args:
+        amounts: Use of each organisation, the smallest first; more than the room altogether.
+        room: Use that there is room for.
+    """
+    for number, amount in enumerate(amounts):
+        equal = room / (len(amounts) - number)
+        if amount >= equal:
+            return equal
+        room -= amount
+    return amounts[-1]
 
 
-def must_yield(state: State, req: ForwardedCall, at: float) -> bool:
-    """Decide whether a new generation yields to those of organisations below their share."""
+def decide(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
+    """Decide whether a new generation goes behind those of organisations below their share."""
     if req.organisation is None or req.broke_off or not organisations.are_named(state):
-        return False
-    if standing(state, req.organisation.name, at) < YIELD_FACTOR:
-        return False
-    return state.rng.random() >= UNYIELDING_SHARE
+        return
+    name, service = req.organisation.name, routes.service(state, req.service)
+    above = standing(state, service, name, at)
+    if above < YIELD_FACTOR or state.rng.random() < UNYIELDING_SHARE:
+        return
+    req.yields = True
+    yield Count(metric="generations_yielding")
+    yield forwarding.log("yields", req, state, at, organisation=name, standing=above)
+
+
+def room_for_others(state: State, req: ForwardedCall) -> float:
+    """Return the tokens of memory that a call leaves free at an engine for other organisations."""
+    service = routes.service(state, req.service)
+    if not req.yields or service is None or service.engine is None:
+        return 0.0
+    prompt, output = estimates.mean_sizes(state, service)
+    return min(prompt + output / 2, MAX_ROOM_SHARE * service.engine.memory_tokens)
--- a/src/wasabiwick/_metrics.py
+++ b/src/wasabiwick/_metrics.py
@@ -290,6 +290,9 @@
     ),
     _counter("holds", "Requests to an engine to reserve a place for a stream.", "outcome"),
     _counter("prefills", "Prefill requests to engines.", "outcome"),
+    _counter(
+        "generations_yielding", "Generations of organisations that have used more than their share."
+    ),
     _counter("prefills_in_vain", "KV caches freed because no decode engine fetched them."),
     _counter("routes_changed", "Times a new version of the routes came into force."),
     _counter("endpoint_changes", "Changes to the directory of endpoints.", "change"),
--- a/tests/_forward.py
+++ b/tests/_forward.py
@@ -283,6 +283,7 @@
             unreached=told.unreached,
             routes_version=told.routes_version,
             observed=told.observed,
+            used=told.used,
             stopping=told.stopping,
         )
 
