Keep rooms by kind, and let urgent calls yield in queues only

Cause: with organisations of a priority of their own, small generations are urgent as well, and a room of the mean of small and large ones fits no large one. And an urgent call of an organisation above its share left room to less urgent ones.

--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -162,7 +162,7 @@
     prefills_itself = not placing.can_prefill(state, req.service, at, pending_tokens)
     if (
         not prefills_itself
-        and (req.yields or reserves.goes_behind(state, req))
+        and (shares.leaves_room(state, req) or reserves.goes_behind(state, req))
         and not placing.can_prefill(state, req.service, at, pending_tokens, SHORT_PREFILL_WAIT)
     ):
         return False
--- a/src/wasabiwick/_handlers/reserves.py
+++ b/src/wasabiwick/_handlers/reserves.py
@@ -118,30 +118,34 @@
         return {}
     large = is_large(service, req)
     is_late = at > rejecting.latest_on_time_start(req)
-    urgent, alike = Observed(service=""), Observed(service="")
+    kept: list[float] = []
     for priority in state["reserves"].priorities.get(req.service, ()):
         for other_large in (True, False):
             is_same = priority == req.priority and other_large == large
             if (priority, not other_large) < (req.priority, not large) or (is_late and is_same):
-                arrivals = urgent if priority < req.priority else alike
+                arrivals = Observed(service="")
                 name = _source(req.service, priority, large=other_large)
                 for sums in observations.pooled(state, name):
                     arrivals.add(sums)
+                room = _room(service, arrivals) if priority < req.priority else 0.0
+                kept += [room] * _count(arrivals)
+    kept.sort(reverse=True)
     engines = directory.usable_endpoints(state, req.service, DECODE)
-    found = dict.fromkeys(_first(engines, _count(alike, engines)), 0.0)
-    if count := _count(urgent, engines):
-        mean = (urgent.prompt_tokens + urgent.output_tokens / 2) / urgent.requests
-        room = min(mean, service.engine.memory_tokens)
-        found |= dict.fromkeys(_first(engines, count), room)
-    return found
+    return dict(zip(_first(engines, int(MAX_ENGINE_SHARE * len(engines))), kept, strict=False))
 
 
-def _count(arrivals: Observed, engines: list[Endpoint]) -> int:
-    """Return how many engines keep room for what arrives."""
+def _count(arrivals: Observed) -> int:
+    """Return how many rooms are kept for a kind of generations, by what came of it lately."""
     if arrivals.requests < MIN_ARRIVALS:
         return 0
     rate = arrivals.requests * math.log(2.0) / observations.HALF_TIME_S
-    return min(math.ceil(rate * ROOM_TIME_S), int(MAX_ENGINE_SHARE * len(engines)))
+    return math.ceil(rate * ROOM_TIME_S)
+
+
+def _room(service: ServiceTraits, arrivals: Observed) -> float:
+    """Return the memory that a mean generation of a kind needs, in tokens."""
+    tokens = arrivals.prompt_tokens + arrivals.output_tokens / 2
+    return min(tokens / max(MIN_ARRIVALS, arrivals.requests), service.engine.memory_tokens)
 
 
 def _first(engines: list[Endpoint], count: int) -> list[str]:
--- a/src/wasabiwick/_handlers/shares.py
+++ b/src/wasabiwick/_handlers/shares.py
@@ -20,7 +20,7 @@
 from .._reducer import Step, handles
 from .._settings import Settings
 from .._state import State, state_slice
-from . import estimates, forwarding, neighbours, organisations, routes
+from . import estimates, forwarding, neighbours, organisations, reserves, routes
 from .forwarding import ForwardedCall
 
 HALF_TIME_S = 5.0  # Time in which the weight of use halves; a flood shows within seconds.
@@ -172,10 +172,18 @@
     yield forwarding.log("yields", req, state, at, organisation=name, standing=above)
 
 
+def leaves_room(state: State, req: ForwardedCall) -> bool:
+    """Return whether a call leaves room at engines to other organisations; rank goes before it."""
+    return req.yields and not reserves.goes_before(state, req)
+
+
 def room_for_others(state: State, req: ForwardedCall) -> float:
-    """Return the tokens of memory that a call leaves free at an engine for other organisations."""
+    """Return the tokens of memory that a call leaves free at an engine for other organisations.
+
+    One that is urgent leaves none: most that come are less urgent.
+    """
     service = routes.service(state, req.service)
-    if not req.yields or service is None or service.engine is None:
+    if not leaves_room(state, req) or service is None or service.engine is None:
         return 0.0
     prompt, output = estimates.mean_sizes(state, service)
     return min(prompt + output / 2, MAX_ROOM_SHARE * service.engine.memory_tokens)
