--- a/src/wasabiwick/_forward_entry.py
+++ b/src/wasabiwick/_forward_entry.py
@@ -14,10 +14,12 @@
 from ._forwarding import Ask
 from ._handlers import caller_keys, organisations, routes
 from ._handlers.host import in_flight
+from ._http1 import MAX_BUFFERED_BYTES
 from ._idle_connections import has_request_waiting
 from ._logging import log_event
 from ._ports import Dialect, Exchange
 from ._runner import Runner
+from ._unread import UnreadAnswers
 from ._verdict import Verdict
 
 JSON = "application/json"
@@ -53,12 +55,14 @@
         exchange: The request, kept for sending it to endpoints.
         dialect: Writes the headers of failures.
         answers: Memory for answers that are held as a whole.
+        unread: Counts what of the answer its caller has not read.
     """
 
     __slots__ = (
         "exchange",
         "decision",
         "answer_share",
+        "meter",
         "_req",
         "_ask",
         "_dialect",
@@ -74,10 +78,12 @@
         exchange: Exchange,
         dialect: Dialect,
         answers: BodyMemory,
+        unread: UnreadAnswers,
     ) -> None:
         self.exchange = exchange
         self.decision: asyncio.Future | None = None
         self.answer_share = answers.share()
+        self.meter = unread.meter(ask.call_id, req.transport)
         self._req = req
         self._ask = ask
         self._dialect = dialect
@@ -105,8 +111,15 @@
             return
         self._end(web.Response(status=status, headers=_end_to_end_headers(headers), body=body))
 
-    async def room_for_answer(self, size: int) -> None:
-        """Wait until there is room for an endpoint's answer, in place of that of an earlier try."""
+    async def room_for_answer(self, size: int, owner: str = "") -> None:
+        """Wait until there is room for an endpoint's answer, in place of that of an earlier try.
+
+        Args:
+            size: Bytes of the answer.
+            owner: Name of the organisation whose answer it is, or empty.
+        """
+        self.answer_share.release()
+        self.answer_share.owner = owner
         await self.answer_share.wait_for(size)
 
     async def start_stream(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
@@ -116,7 +129,8 @@
             await self._resp.prepare(self._req)
 
     async def write(self, data: bytes) -> None:
-        """Write bytes of the stream."""
+        """Write bytes of the stream, and wait while its caller has many of them unread."""
+        self.meter.add(len(data), behind=MAX_BUFFERED_BYTES)
         await self._resp.write(data)
 
     def end_stream(self) -> None:
@@ -170,12 +184,16 @@
             resp.force_close()
         if not resp.prepared:
             await resp.prepare(req)
+            if isinstance(resp, web.Response):
+                size = len(resp.body or b"")
+                call.meter.add(size, whole=size)
         await resp.write_eof()
         answered = True
         return resp
     finally:
         runner.forwarded_calls.pop(call_id, None)
         call.answer_share.release()
+        call.meter.close()
         event = ForwardAnswered if answered else ForwardLeft
         runner.post(event(at=runner.now(), call_id=call_id))
 
@@ -189,6 +207,7 @@
         max_body_bytes: Maximum size of a request's body.
         requests: Memory for requests' bodies, each held until its request is answered.
         answers: Memory for answers that are held as a whole.
+        unread: Counts what of answers their callers have not read.
 
     Attributes:
         open_requests: Number of requests whose head has been read and whose answer is not complete.
@@ -200,6 +219,7 @@
         "_max_body_bytes",
         "_requests",
         "_answers",
+        "_unread",
         "_sequence",
         "_uploads",
         "open_requests",
@@ -213,12 +233,14 @@
         max_body_bytes: int,
         requests: BodyMemory,
         answers: BodyMemory,
+        unread: UnreadAnswers,
     ) -> None:
         self._runner = runner
         self._dialect = dialect
         self._max_body_bytes = max_body_bytes
         self._requests = requests
         self._answers = answers
+        self._unread = unread
         self._sequence = 0
         self._uploads: set[asyncio.Future] = set()
         self.open_requests = 0
@@ -270,7 +292,7 @@
         self._sequence += 1
         call_id = f"{runner.owner.host}.{runner.owner.incarnation}.f{self._sequence}"
         if not req.content.is_eof():
-            refused = self._refuse_head(req, call_id)
+            refused = self._refuse_head(req, call_id, share)
             if refused is not None:
                 return refused
         try:
@@ -278,7 +300,8 @@
         except web.HTTPRequestEntityTooLarge:
             return web.Response(status=413)
         except NoRoomError:
-            return self._refuse_upload(req, call_id, BODIES_FULL, FULL_RETRY_AFTER_S)
+            held = {"held": self._requests.held_bytes, "organisation": share.owner or "-"}
+            return self._refuse_upload(req, call_id, BODIES_FULL, FULL_RETRY_AFTER_S, **held)
         if body is None:
             return self._refuse_upload(req, call_id, STOPPING, UPLOAD_RETRY_AFTER_S)
         exchange = Exchange(
@@ -286,13 +309,22 @@
         )
         ask = self._dialect.ask(call_id, req.headers.get("Host", ""), exchange, runner.now())
         call = ForwardCall(
-            req=req, ask=ask, exchange=exchange, dialect=self._dialect, answers=self._answers
+            req=req,
+            ask=ask,
+            exchange=exchange,
+            dialect=self._dialect,
+            answers=self._answers,
+            unread=self._unread,
         )
         return await answer_call(runner, req, call, ForwardArrived(at=runner.now(), ask=ask))
 
-    def _refuse_head(self, req: web.BaseRequest, call_id: str) -> web.StreamResponse | None:
+    def _refuse_head(
+        self, req: web.BaseRequest, call_id: str, share: BodyShare
+    ) -> web.StreamResponse | None:
         """Return the refusal of a request whose body need not be read, or None if it need be.
 
+        Then the body counts for the organisation that its head names.
+
         The HTTP library throws away what still comes of the body, so that the caller gets the
         answer, and then closes the connection.
         """
@@ -302,6 +334,8 @@
         ask = self._ask_of_head(req, call_id)
         failure = caller_keys.refusal_of_head(runner.state, ask, runner.now())
         if failure is None:
+            owner = organisations.of_key(runner.state, ask.key)
+            share.owner = owner.name if owner is not None else ""
             return None
         runner.post(HeadRefused(at=runner.now(), ask=ask, failure=failure))
         resp = _failure_response(self._dialect, ask, failure)
@@ -360,10 +394,16 @@
         return len(self._uploads)
 
     def _refuse_upload(
-        self, req: web.BaseRequest, call_id: str, reason: Reason, retry_after: float
+        self,
+        req: web.BaseRequest,
+        call_id: str,
+        reason: Reason,
+        retry_after: float,
+        **inputs: object,
     ) -> web.StreamResponse:
         ask = self._ask_of_head(req, call_id)
-        log_event("upload_refused", request=ask.trace_id, call=call_id, reason=reason.code)
+        fields = {"request": ask.trace_id, "call": call_id, "reason": reason.code, **inputs}
+        log_event("upload_refused", **fields)
         failure = Failure(reason=reason, verdict=Verdict.NOT_RUN, retry_after=retry_after)
         resp = _failure_response(self._dialect, ask, failure)
         resp.force_close()
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -38,6 +38,7 @@
     busy_engines,
     caller_keys,
     directory,
+    engine_signs,
     estimates,
     forward_waiting,
     forwarding,
@@ -48,8 +49,10 @@
     places,
     placing,
     rejecting,
+    reserves,
     retry_budget,
     routes,
+    shares,
     stopping,
 )
 from .forwarding import ForwardedCall
@@ -67,10 +70,6 @@
 # Seconds without a response head after which a resumable stream is sent again. This is longer than
 # an engine takes to prefill a whole prompt between the decode steps of a full batch.
 HEAD_TIMEOUT = 1.2
-# A prefill is sent again if it takes longer than PREFILL_GRACE seconds plus PREFILL_TIME_FACTOR
-# times what the engine is expected to need for all prompts that it was sent.
-PREFILL_GRACE = 0.4  # Fixed seconds of a prefill's time-out; four times what one prefill takes.
-PREFILL_TIME_FACTOR = 2.0  # Above 1, as prompts prefilled together slow each other down.
 
 
 def start(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
@@ -78,6 +77,8 @@
     service = routes.service(state, req.service)
     traits = service.engine
     estimates.observe_sizes(state, service, req.route.name, req.ask, at)
+    reserves.observe_arrival(state, service, req, at)
+    yield from shares.decide(state, req, at)
     if req.ask.prompt_tokens + 1 > traits.memory_tokens:
         yield from forwarding.refuse_call(
             state, req, at, OVERLOADED, detail="the prompt is larger than an engine's memory"
@@ -111,6 +112,7 @@
         return
     health.record_answer(state, event.endpoint)
     yield Count(metric="holds", label="held")
+    shares.charge(state, routes.service(state, req.service), req, event.at)
     req.hold = event.hold
     yield from _prefill(state, req, event.at)
 
@@ -173,20 +175,26 @@
         return
     req.prefills += 1
     req.phase = forwarding.PREFILLING
-    req.prefilled_alone = places.load(state, engine.name, at).reading == 0
+    req.prefilled_after = places.load(state, engine.name, at).reading
     req.sent_at = at
     forwarding.begin_prefill(state, req, engine)
     health.record_chosen(state, engine.name)
-    yield forwarding.log("prefill_sent", req, state, at, endpoint=engine.name, tokens=tokens)
+    yield forwarding.log(
+        "prefill_sent",
+        req,
+        state,
+        at,
+        endpoint=engine.name,
+        tokens=tokens,
+        **engine_signs.basis(state, engine.name, at),
+    )
     yield ReadPrompt(
         call_id=req.ask.call_id,
         endpoint=engine.name,
         address=engine.address,
         deadline=req.ends_at,
         priority=_priority(req),
-        quiet=PREFILL_GRACE
-        + PREFILL_TIME_FACTOR
-        * placing.prefill_backlog_seconds(state, req.service, engine.name, at),
+        quiet=placing.prefill_timeout(state, req.service, engine.name, at),
         organisation=caller_keys.told_name(state, req),
     )
 
@@ -240,8 +248,11 @@
     health.record_success(state, event.endpoint)
     yield Count(metric="prefills", label="done")
     yield Observe(metric="prefill_time", value=event.at - req.sent_at)
+    tokens = req.prefilled_after + req.ask.prompt_tokens
+    usual = estimates.prefill_seconds(state, req.service, tokens)
+    engine_signs.observe(state, event.endpoint, event.at - req.sent_at, usual, event.at)
     # Prompts that other hosts sent meanwhile slow a prefill down as well.
-    if req.prefilled_alone and not places.load(state, event.endpoint, event.at).reading:
+    if not req.prefilled_after and not places.load(state, event.endpoint, event.at).reading:
         estimates.observe_prefill(
             state, req.service, req.ask.prompt_tokens, event.at - req.sent_at, event.at
         )
@@ -457,6 +468,9 @@
         return
     new_events = req.events - req.begun_events
     seconds = event.at - req.begun_at
+    if new_events >= estimates.MIN_TIMED_EVENTS and req.place is not None:
+        usual = new_events * traits.engine.stride / estimates.token_rate(state, req.service)
+        engine_signs.observe(state, req.place.name, seconds, usual, event.at)
     estimates.observe_token_rate(state, traits, new_events, seconds, event.at)
     if not req.ask.resumed:
         tokens = req.events * traits.engine.stride
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -8,7 +8,7 @@
 
 from .._effects import Count, LogLine, Observe, StartTimer, StopTimer
 from .._effects_forwarding import CutForward, DropHold, DropTry, FreeHandle, RefuseForward
-from .._errors import ENDPOINT_FAILED, ENDPOINT_UNREACHABLE, Failure, Reason
+from .._errors import ENDPOINT_FAILED, ENDPOINT_UNREACHABLE, UNREAD, Failure, Reason
 from .._events import ForwardAnswered, LoadChanged, PermitSettled, PlacesChanged, StepFailed
 from .._forwarding import Ask, BegunStream, Endpoint, Organisation, Route, StreamLoad
 from .._reducer import Step, handles
@@ -65,8 +65,8 @@
             engine has fetched the KV cache. It is the decode engine if that prefills the prompt
             itself.
         reading: Prompt tokens counted in the load of `prefill_engine` until they are prefilled.
-        prefilled_alone: Whether `prefill_engine` had no other prompt to prefill when it was sent
-            this one, as far as this host knows.
+        prefilled_after: Tokens of other prompts that `prefill_engine` had to prefill when it was
+            sent this one, as far as this host knows.
         prefills: Number of prefills sent that were not refused.
         hold: Identifier of the reservation at `place` while it is unused, or empty.
         handle: Identifier of a KV cache that was not fetched yet from the prefill engine, or empty.
@@ -84,6 +84,8 @@
         unreachable: Names of the endpoints that accepted no connection for it.
         build: Build that began the caller's stream, at which alone it may go on; empty if the
             stream has not begun, or engines state no build.
+        yields: Whether it goes behind the calls of other organisations, as its own has used more
+            than its share.
         organisation: The caller's organisation by the newest version of the routes under which the
             call was judged; None if it needs none.
         charge: What the call was counted as against its organisation's limit, or None.
@@ -104,7 +106,7 @@
         "place",
         "prefill_engine",
         "reading",
-        "prefilled_alone",
+        "prefilled_after",
         "prefills",
         "hold",
         "handle",
@@ -121,6 +123,7 @@
         "hosts_tried",
         "unreachable",
         "build",
+        "yields",
         "organisation",
         "charge",
     )
@@ -140,7 +143,7 @@
         self.place: Endpoint | None = None
         self.prefill_engine: Endpoint | None = None
         self.reading = 0
-        self.prefilled_alone = False
+        self.prefilled_after = 0
         self.prefills = 0
         self.hold = ""
         self.handle = ""
@@ -157,6 +160,7 @@
         self.hosts_tried: list[str] = []
         self.unreachable: set[str] = set()
         self.build = ""
+        self.yields = False
         self.organisation: Organisation | None = None
         self.charge: organisation_limits.Charge | None = None
 
@@ -427,9 +431,12 @@
         state: The host's state.
         req: The call that failed.
         endpoint: Name of the endpoint.
-        failure: What happened; None if the endpoint answered in full with a server error.
+        failure: What happened; None if the endpoint answered in full with a server error. That a
+            caller left an answer unread tells nothing of the endpoint.
         at: Monotonic time.
     """
+    if failure is not None and failure.reason is UNREAD:
+        return
     if failure is not None and failure.reason is ENDPOINT_UNREACHABLE:
         req.unreachable.add(endpoint)
         yield from health.record_unreachable(state, endpoint)
--- a/src/wasabiwick/_metrics.py
+++ b/src/wasabiwick/_metrics.py
@@ -8,10 +8,12 @@
 
 from ._handlers import (
     cancels,
+    engine_signs,
     lists,
     members,
     neighbours,
     organisation_limits,
+    organisations,
     requests,
     routes,
 )
@@ -298,6 +300,9 @@
     ),
     _counter("holds", "Requests to an engine to reserve a place for a stream.", "outcome"),
     _counter("prefills", "Prefill requests to engines.", "outcome"),
+    _counter(
+        "generations_yielding", "Generations of organisations that have used more than their share."
+    ),
     _counter("prefills_in_vain", "KV caches freed because no decode engine fetched them."),
     _counter("routes_changed", "Times a new version of the routes came into force."),
     _counter("endpoint_changes", "Changes to the directory of endpoints.", "change"),
@@ -390,6 +395,11 @@
     return {"": routes.version(state)}
 
 
+@gauge("organisations", "Organisations of the version of the routes in force; 0 if none are named.")
+def _organisations(state: State) -> GaugeValues:
+    return {"": len(organisations.known(state))}
+
+
 @gauge("endpoints_known", "Endpoints of the directory that may get new work.", "stage")
 def _endpoints_known(state: State) -> GaugeValues:
     found: GaugeValues = {}
@@ -409,3 +419,13 @@
 @gauge("stopping", "1 while the host shuts down gracefully.")
 def _stopping(state: State) -> GaugeValues:
     return {"": int(state.stopping)}
+
+
+@gauge(
+    "engine_spread",
+    "Time for which the busiest engine worked lately, as a multiple of the mean, as far as hosts"
+    " told it.",
+    "service/stage",
+)
+def _engine_spread(state: State) -> GaugeValues:
+    return engine_signs.spread(state)
--- a/tests/_forward.py
+++ b/tests/_forward.py
@@ -284,6 +284,8 @@
             routes_version=told.routes_version,
             observed=told.observed,
             counted=told.counted,
+            signs=told.signs,
+            used=told.used,
             stopping=told.stopping,
         )
 
