--- a/tests/test_organisation_limits.py
+++ b/tests/test_organisation_limits.py
@@ -5,6 +5,7 @@
 import unittest.mock
 
 from wasabiwick import _events, _settings
+from wasabiwick._effects_forwarding import TellLoad
 from wasabiwick._errors import ORGANISATION_LIMIT
 from wasabiwick._forwarding import SAFE, Organisation, OrganisationLimit, RouteTable
 from wasabiwick._handlers import organisation_limits
@@ -375,6 +376,19 @@
         limited.host.know("b", counted={"one": 400})
         self.assertIsNone(limited.host.refusal(limited.host.ask("safe", key="k")))
 
+    def test_sums_ride_in_the_datagrams_of_loads(self) -> None:
+        """Guards against sums that no other host hears, and against datagrams of their own."""
+        limited = LimitedHost(10_000.0, 10_000.0)
+        limited.host.know("b")
+        limited.host.run(1.0)
+        before = len([one for one in limited.host.effects if isinstance(one, TellLoad)])
+        limited.host.ask("safe", key="k")
+        told = []
+        while not told:
+            limited.host.run(0.1)
+            told = [one for one in limited.host.effects if isinstance(one, TellLoad)][before:]
+        self.assertEqual([one.counted for one in told], [{"one": SMALL}])
+
     def test_nothing_is_told_after_a_while(self) -> None:
         """Guards against datagrams that grow with all organisations ever seen."""
         limited = LimitedHost(10_000.0, 10_000.0)
