Let in at most as much beyond an organisation's rate as the rate allows

Cause: with a limit far below the tolerated excess, a third of that excess was a multiple of the limit: 9.5 times a rate of 1,000 tokens a second were let in (trial on the virtual clock, 62 hosts). Change: what is let in beyond the rate in every window is the rate at most.

--- a/src/wasabiwick/_limit_account.py
+++ b/src/wasabiwick/_limit_account.py
@@ -137,8 +137,9 @@
 
     @property
     def rate(self) -> float:
-        """Tokens a second that are let in, with what is tolerated in every window."""
-        return self.limit.rate + STANDING_SHARE * self.margin / self.cfg.limit_window
+        """Tokens a second that are let in: the limit's, and at most as much that is tolerated."""
+        tolerated = STANDING_SHARE * self.margin / self.cfg.limit_window
+        return self.limit.rate + min(tolerated, self.limit.rate)
 
     def capacity(self, fleet: Fleet) -> float:
         """Return the tokens that the bucket can hold for the hosts that are heard."""
--- a/tests/test_organisation_limits.py
+++ b/tests/test_organisation_limits.py
@@ -192,6 +192,9 @@
         self.fleet.set_limit(1_000.0)
         self.flood(30.0)
         self.assertLess(self.fleet.worst_window(), 1.0)
+        # Twice the rate, and what the bucket held.
+        most = 2.0 * 16.0 * 1_000.0 + 21_000.0
+        self.assertLess(self.fleet.let_in(self.fleet.now - 16.0), most)
 
 
 class TestAnyWindow(unittest.TestCase):
