Leave an organisation's shares once there is plenty, although some purses are empty

Cause: a refusal by an empty purse put off the end of shares by two seconds, also while the bucket was nearly full. Change: only refusals while the bucket is short put it off.

--- a/src/wasabiwick/_limit_account.py
+++ b/src/wasabiwick/_limit_account.py
@@ -220,12 +220,13 @@
         debt = -left - DEBT_SHARE * min(self.margin, self.rate * self.cfg.limit_window)
         if self.purse > 0.0 and debt <= 0.0:
             return 0.0
+        if left < PLENTY_SHARE * self.capacity(fleet):
+            self.refused_at = at  # Otherwise it is the spread over hosts that is short.
         wait = max(-self.purse / pace, debt / (self.rate * fleet.part))
         return self._refuse(wait, cost / pace, rng, at)
 
     def _refuse(self, wait: float, turn: float, rng: random.Random, at: float) -> float:
         """Return after how many seconds a caller may come back; the next one gets a later turn."""
-        self.refused_at = at
         since = max(at + wait, self.booked_until)
         self.booked_until = min(since + turn, at + self.cfg.limit_window)
         wait = min(since - at, self.cfg.limit_window)
