--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -84,6 +84,8 @@
         unreachable: Names of the endpoints that accepted no connection for it.
         build: Build that began the caller's stream, at which alone it may go on; empty if the
             stream has not begun, or engines state no build.
+        yields: Whether it goes behind the calls of other organisations, as its own has used more
+            than its share.
         organisation: The caller's organisation by the newest version of the routes under which the
             call was judged; None if it needs none.
         charge: What the call was counted as against its organisation's limit, or None.
@@ -121,6 +123,7 @@
         "hosts_tried",
         "unreachable",
         "build",
+        "yields",
         "organisation",
         "charge",
     )
@@ -157,6 +160,7 @@
         self.hosts_tried: list[str] = []
         self.unreachable: set[str] = set()
         self.build = ""
+        self.yields = False
         self.organisation: Organisation | None = None
         self.charge: organisation_limits.Charge | None = None
 
--- a/tests/_forward.py
+++ b/tests/_forward.py
@@ -285,6 +285,7 @@
             observed=told.observed,
             counted=told.counted,
             signs=told.signs,
+            used=told.used,
             stopping=told.stopping,
         )
 
