--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -80,13 +80,13 @@
     service = routes.service(state, req.service)
     traits = service.engine
     estimates.observe_sizes(state, service, req.route.name, req.ask, at)
-    reserves.observe_arrival(state, service, req, at)
-    yield from shares.decide(state, req, at)
     if req.ask.prompt_tokens + 1 > traits.memory_tokens:
         yield from forwarding.refuse_call(
             state, req, at, OVERLOADED, detail="the prompt is larger than an engine's memory"
         )
         return
+    reserves.observe_arrival(state, service, req, at)
+    yield from shares.decide(state, req, at)
     yield from forward_waiting.enqueue(state, req, at)
 
 
--- a/tests/test_reserves.py
+++ b/tests/test_reserves.py
@@ -53,6 +53,14 @@
         fleet.run(60.0, {"review": 0.0, "digest": 0.2})
         self.assertEqual(reserves.rooms(host.state, req, req.arrived_at), {})
 
+    def test_no_room_is_kept_for_prompts_that_fit_no_engine(self) -> None:
+        """Such prompts made rooms as large as an engine, which then stood empty."""
+        host = RoomFleet(1, (REVIEW, DIGEST), hosts=1, decode=4).hosts["h0"]
+        for _ in range(20):
+            host.ask("review", prompt_tokens=90_000)
+        req = host.state["forwarding"].calls[host.ask("digest")]
+        self.assertEqual(reserves.rooms(host.state, req, host.now), {})
+
     def test_hosts_keep_room_at_the_same_engines(self) -> None:
         fleet = RoomFleet(1, (REVIEW, DIGEST), hosts=4, decode=6)
         fleet.run(6.0)
