Let large calls that have waited take rooms, and keep the margin for the urgent

Cause: rooms kept for more urgent calls stood empty while large ones waited for 2.3 s and were refused; the urgent, placed without a margin, made engines run out of memory.

Refusals log the prompt and the priority.

--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -187,7 +187,6 @@
         req.warm_engines,
         broke_off=req.broke_off,
         rooms=rooms,
-        is_urgent=reserves.goes_before(state, req),
     ):
         endpoint = candidate.endpoint
         answer = yield from permits.acquire(state, req.ask.call_id, endpoint.name, at)
@@ -279,6 +278,8 @@
         waiting=waiting_count,
         wait=wait,
         build=req.build or "-",
+        prompt=req.ask.prompt_tokens,
+        priority=req.priority,
         time_left=req.ends_at - at,
         stream_time=rejecting.stream_duration(
             state, req.service, req.route.name, req.ask, req.events
--- a/src/wasabiwick/_handlers/placing.py
+++ b/src/wasabiwick/_handlers/placing.py
@@ -39,9 +39,6 @@
 # The same for a stream that broke off. It gets places that no host gives to new requests, as its
 # caller waits in the middle of an answer.
 BROKEN_OFF_MARGIN_DEVIATIONS = -0.7
-# The same for a request that goes before others that come to the same engines: if memory runs out,
-# the engine stops one of those.
-URGENT_MARGIN_DEVIATIONS = 0.0
 # Once prompts wait this many seconds on average, prefill engines get no more of them.
 MAX_PREFILL_WAIT = 0.8
 # Seconds that a request waits for a prefill engine before a decode engine may prefill its prompt;
@@ -148,7 +145,6 @@
     *,
     broke_off: bool = False,
     rooms: dict[str, float] | None = None,
-    is_urgent: bool = False,
 ) -> Candidate | None:
     """Return the engine that fits a stream best, or None if none does.
 
@@ -166,14 +162,9 @@
         warm_engines: Names of engines that may have the prompt cached.
         broke_off: Whether the caller has a part of the stream.
         rooms: Engines that come last, with the tokens of memory to be left free for others there.
-        is_urgent: Whether less urgent streams may run at the same engines.
     """
     rooms = rooms or {}
-    deviations = MEMORY_MARGIN_DEVIATIONS
-    if broke_off:
-        deviations = BROKEN_OFF_MARGIN_DEVIATIONS
-    elif is_urgent:
-        deviations = URGENT_MARGIN_DEVIATIONS
+    deviations = BROKEN_OFF_MARGIN_DEVIATIONS if broke_off else MEMORY_MARGIN_DEVIATIONS
     best_candidate: Candidate | None = None
     best_rank: tuple[bool, bool, bool, bool, bool, float] | None = None
     for one in candidates:
--- a/src/wasabiwick/_handlers/reserves.py
+++ b/src/wasabiwick/_handlers/reserves.py
@@ -31,6 +31,7 @@
 LARGE_SHARE = 0.25
 # Seconds of arrivals for which room is kept; what is placed then is known to all hosts afterwards.
 ROOM_TIME_S = 0.5
+AGED_SHARE = 0.5  # A large call takes any room after this share of the time that it may wait.
 MAX_ENGINE_SHARE = 0.5  # Rooms are kept at this share of the engines at most.
 MIN_ARRIVALS = 0.5  # With fewer arrivals in `observations.HALF_TIME_S` no room is kept.
 
@@ -111,12 +112,15 @@
     Room is left free for more urgent calls. Engines are merely taken last by small calls for the
     large ones of their priority, which are worth no more: they fill other engines first, and
     nothing stays empty. A call that is late leaves room for those of its own kind too, as they may
-    still be in time. A stream that broke off leaves none.
+    still be in time. A large call that has waited for long leaves none, as only a room will do for
+    it and it is refused soon; nor does a stream that broke off.
     """
     service = routes.service(state, req.service)
     if req.broke_off or service is None or service.engine is None:
         return {}
     large = is_large(service, req)
+    if large and at - req.arrived_at >= AGED_SHARE * rejecting.max_wait(req):
+        return {}
     is_late = at > rejecting.latest_on_time_start(req)
     kept: list[float] = []
     for priority in state["reserves"].priorities.get(req.service, ()):
