End a try quietly whose caller leaves while a piece is written

Cause: a write to a connection that its caller has just closed raises, before the listener's own report of its end; the try's task failed, logged as an error of the program, and its call was repaired as after one. The test failed before. Change: the try ends; ForwardLeft ends the call.

--- a/src/wasabiwick/_performers/_tries.py
+++ b/src/wasabiwick/_performers/_tries.py
@@ -10,6 +10,7 @@
 from .._event_stream import EventSplitter
 from .._events import AnswerCame, StreamDone, StreamMoved, TryFailed
 from .._http1 import BrokenAnswerError
+from .._logging import log_event
 from .._ports import Answer, HopAnswer
 from .._runner import Runner
 from .._verdict import Verdict
@@ -63,6 +64,9 @@
         except BrokenAnswerError as exc:
             reason = self._broken_off_reason()
             self._fail(Failure(reason=reason, verdict=Verdict.MAY_HAVE_RUN, detail=str(exc)))
+        except ConnectionError as exc:
+            # Of the caller's connection, whose own end is reported by its listener (`ForwardLeft`).
+            log_event("caller_unwritable", level="DEBUG", call=effect.call_id, error=repr(exc))
         finally:
             answer.release()
 
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -4,6 +4,8 @@
 import unittest
 from unittest import mock
 
+from aiohttp import ClientConnectionResetError
+
 from wasabiwick import _events
 from wasabiwick._effects_forwarding import CutForward
 from wasabiwick._errors import ENDPOINT_FAILED, UNREAD, Failure, Reason
@@ -192,6 +194,21 @@
         self.assertIs(await self.reason_at(0.1), ENDPOINT_FAILED)
 
 
+class TestCallerLeaves(unittest.IsolatedAsyncioTestCase):
+    """A caller that leaves just as a piece is written for it is no error of the program."""
+
+    async def test_the_try_ends_and_lets_its_endpoint_go(self) -> None:
+        """Its task failed, which counted as a fault of the host."""
+        caller = Caller(0.0)
+        answer = mock.Mock(wraps=CutStream(), status=200, streams=True, headers=())
+        caller.ports.endpoints.forward = mock.AsyncMock(return_value=answer)
+        caller.write = mock.AsyncMock(side_effect=ClientConnectionResetError("closing"))
+        sent = Forward(call_id="c", endpoint="s0", address="", number=1, deadline=60.0)
+        await Try(caller, sent).run()
+        self.assertEqual(caller.failures, [])
+        answer.release.assert_called_once()
+
+
 class Transport:
     """A connection whose other end takes what a test says."""
 
