--- a/src/wasabiwick/_endpoint_signs.py
+++ b/src/wasabiwick/_endpoint_signs.py
@@ -2,6 +2,7 @@
 
 from ._events import EndpointLeaving, EndpointPaused, LimitNamed, LoadNamed
 from ._forwarding import EngineSign
+from ._header_numbers import ToldLoad
 from ._runner import Runner
 
 
@@ -31,17 +32,10 @@
         """Post the limit that an endpoint named."""
         self._runner.post(LimitNamed(at=self._runner.now(), endpoint=endpoint, rate=rate))
 
-    def load_named(
-        self, endpoint: str, *, running: int, waiting: int, slots: int, slowness: float
-    ) -> None:
-        """Post what an endpoint said of its load."""
+    def load_named(self, endpoint: str, load: ToldLoad | None) -> None:
+        """Post what an endpoint said of its load, if it said it."""
+        if load is None:
+            return
         at = self._runner.now()
-        sign = EngineSign(
-            endpoint=endpoint,
-            running=running,
-            waiting=waiting,
-            slots=slots,
-            slowness=slowness,
-            at=at,
-        )
+        sign = EngineSign(endpoint=endpoint, at=at, **load._asdict())
         self._runner.post(LoadNamed(at=at, sign=sign))
--- a/src/wasabiwick/_ports/endpoints.py
+++ b/src/wasabiwick/_ports/endpoints.py
@@ -5,6 +5,7 @@
 from .._body_memory import Room
 from .._effects_forwarding import CheckEnded, Forward, OrderStage, ReadPrompt
 from .._errors import Failure
+from .._header_numbers import ToldLoad
 
 
 class Exchange:
@@ -71,13 +72,8 @@
         That is None once the endpoint names no limit any more.
         """
 
-    def load_named(
-        self, endpoint: str, *, running: int, waiting: int, slots: int, slowness: float
-    ) -> None:
-        """Note the requests that an endpoint runs and lets wait, its slots and its slowness.
-
-        ``slowness`` says how long work takes there at this moment, as a multiple of the usual.
-        """
+    def load_named(self, endpoint: str, load: ToldLoad | None) -> None:
+        """Note what an endpoint tells of its load and of how long work takes there, if it does."""
 
 
 class Endpoints(typing.Protocol):
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -19,7 +19,7 @@
 )
 from .._fingerprints import fingerprints
 from .._forwarding import Ask
-from .._header_numbers import parse_number
+from .._header_numbers import parse_load, parse_number
 from .._http1 import (
     BrokenAnswerError,
     Connection,
@@ -35,11 +35,6 @@
 # Time-out of a request for a hold, the reservation of a place at an engine. An engine answers at
 # once, and an unused hold expires by itself.
 HOLD_TIMEOUT_S = 0.5
-# Figures of an endpoint's load: requests running, requests waiting, slots, and the time that work
-# takes there, in per cent of the usual. Endpoints that leave out the last are not heard.
-LOAD_FIGURES = 4
-MAX_LOAD_FIGURE = 100_000  # Largest figure that is believed; real ones are below 1,000.
-PER_CENT = 100.0
 # Time-out of an order to change an engine's stage. It is shorter than the time for which a claim
 # allows its host to send orders.
 ORDER_TIMEOUT_S = 0.8
@@ -153,25 +148,7 @@
         if seconds:
             self._listener.paused(endpoint, seconds)
         self._note_limit(endpoint, conn.header(_names.SERVER_LIMIT), sent_at)
-        self._note_load(endpoint, conn.header(_names.INSTANCE_LOAD))
-
-    def _note_load(self, endpoint: str, text: str) -> None:
-        """Tell an endpoint's load, if it also says how long work takes there."""
-        figures = text.split(",", LOAD_FIGURES)
-        if len(figures) < LOAD_FIGURES:
-            return
-        numbers = [parse_number(one) for one in figures[:LOAD_FIGURES]]
-        if None in numbers or max(numbers) > MAX_LOAD_FIGURE:
-            return
-        running, waiting, slots, per_cent = numbers
-        if per_cent:
-            self._listener.load_named(
-                endpoint,
-                running=int(running),
-                waiting=int(waiting),
-                slots=int(slots),
-                slowness=per_cent / PER_CENT,
-            )
+        self._listener.load_named(endpoint, parse_load(conn.header(_names.INSTANCE_LOAD)))
 
     def _note_limit(self, endpoint: str, text: str, sent_at: float) -> None:
         if text:
--- a/tests/test_engine_signs.py
+++ b/tests/test_engine_signs.py
@@ -11,6 +11,7 @@
 from wasabiwick._effects_forwarding import TellLoad
 from wasabiwick._forwarding import EngineSign
 from wasabiwick._handlers import directory, engine_signs, placing
+from wasabiwick._header_numbers import ToldLoad
 from wasabiwick._signs_codec import decode_signs, encode_signs
 from wasabiwick.platform._endpoints import PlatformEndpoints
 
@@ -23,17 +24,18 @@
     """Listener that keeps what endpoints said of their load."""
 
     def __init__(self) -> None:
-        self.loads: list[tuple[str, dict[str, float]]] = []
+        self.loads: list[tuple[str, ToldLoad]] = []
 
-    def load_named(self, endpoint: str, **load: float) -> None:
+    def load_named(self, endpoint: str, load: ToldLoad | None) -> None:
         """Keep what an endpoint said."""
-        self.loads.append((endpoint, load))
+        if load is not None:
+            self.loads.append((endpoint, load))
 
     def limit_named(self, endpoint: str, rate: float | None) -> None:
         """Ignore a limit."""
 
 
-def said(text: str) -> list[tuple[str, dict[str, float]]]:
+def said(text: str) -> list[tuple[str, ToldLoad]]:
     """Return what a listener is told of an answer with a load."""
     heard, endpoints = Heard(), PlatformEndpoints(lambda: 0.0)
     endpoints.listen(heard)
@@ -72,7 +74,7 @@
     """A load that can't be read costs that value alone; without a slowness it is not heard."""
 
     def test_four_figures_are_heard(self) -> None:
-        load = {"running": 3, "waiting": 1, "slots": 12, "slowness": 2.5}
+        load = ToldLoad(running=3, waiting=1, slots=12, slowness=2.5)
         self.assertEqual(said("3,1,12,250"), [("d0", load)])
         self.assertEqual(said(" 3, 1 ,12, 250,9"), [("d0", load)])
 
