Bound what hosts tell of organisations' use, and what adding it costs

Cause: by reading: each sum that rose weighed the use of all organisations anew, and each datagram told all sums, so the work grew with organisations times organisations, and datagrams with organisations. Change: use enters with a weight that grows with time, so that adding is one step; a datagram tells the 64 sums that rose last, and one that is told for the first time in a full datagram counts from there on.

--- a/src/wasabiwick/_handlers/shares.py
+++ b/src/wasabiwick/_handlers/shares.py
@@ -12,6 +12,7 @@
 there is room for all, those that yield are served like others.
 """
 
+import itertools
 import typing
 
 from .._effects import Count
@@ -33,12 +34,19 @@
 # Generations of usual size that an organisation must have had lately for its standing to be known;
 # with fewer, use is above the mean by chance.
 MIN_GENERATIONS = 10.0
+MAX_WEIGHT_HALVINGS = 20  # Use is weighed anew after so many half times; far from overflowing.
+# Most sums in one datagram, which has to stay small; those that rose last are told.
+MAX_TOLD = 64
 MAX_ROOM_SHARE = 0.5  # Share of an engine's memory that a call leaves free at most.
 PREFILL_TOKEN_S = 0.3  # Token-seconds that prefilling a token counts as.
 
 
 class Decayed:
-    """Use by organisation, in token-seconds, in which older use weighs less."""
+    """Use by organisation, in token-seconds, in which older use weighs less.
+
+    ``amounts`` holds it as of ``weighed_at``; use since then enters with the larger weight that it
+    has by comparison, so that adding costs the same however many organisations there are.
+    """
 
     __slots__ = ("amounts", "weighed_at")
 
@@ -48,16 +56,19 @@
 
     def add(self, name: str, amount: float, at: float) -> None:
         """Add an organisation's use."""
-        factor = 0.5 ** (max(0.0, at - self.weighed_at) / HALF_TIME_S)
-        self.amounts = {one: factor * used for one, used in self.amounts.items()}
-        self.weighed_at = at
-        self.amounts[name] = self.amounts.get(name, 0.0) + amount
+        if at - self.weighed_at > MAX_WEIGHT_HALVINGS * HALF_TIME_S:
+            self.amounts = {one: used for one, used in self.now(at).items() if used >= 1.0}
+            self.weighed_at = at
+        self.amounts[name] = self.amounts.get(name, 0.0) + amount / self._factor(at)
 
     def now(self, at: float) -> dict[str, float]:
         """Return the use by organisation at a time."""
-        factor = 0.5 ** (max(0.0, at - self.weighed_at) / HALF_TIME_S)
+        factor = self._factor(at)
         return {one: factor * used for one, used in self.amounts.items()}
 
+    def _factor(self, at: float) -> float:
+        return 0.5 ** ((at - self.weighed_at) / HALF_TIME_S)
+
 
 class Heard:
     """The sums that a host told last, by which process, and in which of its datagrams."""
@@ -72,7 +83,10 @@
 
 @state_slice("shares")
 class SharesState:
-    """Sums of this host's own use since it started, what others told, and the use of all lately."""
+    """Sums of this host's own use since it started, what others told, and the use of all lately.
+
+    ``own`` has the sum that rose last at its end.
+    """
 
     __slots__ = ("own", "heard", "recent")
 
@@ -89,7 +103,7 @@
     output = estimates.remaining_output(state, service, req.route.name, req.ask, req.events)
     used = int(_use(state, service, req.ask.prompt_tokens, output))
     name, shares_state = req.organisation.name, state["shares"]
-    shares_state.own[name] = shares_state.own.get(name, 0) + used
+    shares_state.own[name] = shares_state.own.pop(name, 0) + used
     shares_state.recent.add(name, used, at)
 
 
@@ -101,16 +115,18 @@
 
 @neighbours.use_source
 def told(state: State) -> dict[str, int]:
-    """Return the sums of this host's use, for the next datagram."""
-    known = {one.name for one in organisations.known(state)}
-    return {name: used for name, used in state["shares"].own.items() if name in known}
+    """Return the sums of this host's use that rose last, for the next datagram."""
+    own = state["shares"].own
+    newest = itertools.islice(reversed(own), MAX_TOLD)
+    return {name: own[name] for name in newest if organisations.named(state, name) is not None}
 
 
 @handles(LoadTold)
 def use_told(state: State, event: LoadTold) -> None:
     """Add by how much another host's sums have risen.
 
-    The first datagram heard of a process only tells from where its sums rise.
+    The first datagram heard of a process only tells from where its sums rise. So does a sum that is
+    told for the first time in a datagram that has no room for all.
     """
     if not event.used:
         return
@@ -119,14 +135,15 @@
     is_same = before is not None and before.incarnation == event.sender.incarnation
     if is_same and event.sequence <= before.sequence:
         return
+    known = before.used if is_same else {}
     shares_state.heard[name] = Heard(
-        incarnation=event.sender.incarnation, sequence=event.sequence, used=event.used
+        incarnation=event.sender.incarnation, sequence=event.sequence, used=known | event.used
     )
-    if is_same:
-        for organisation, used in event.used.items():
-            rise = used - before.used.get(organisation, 0)
-            if rise > 0:
-                shares_state.recent.add(organisation, rise, event.at)
+    has_all = len(event.used) < MAX_TOLD
+    for organisation, used in event.used.items() if is_same else ():
+        rise = used - known.get(organisation, 0 if has_all else used)
+        if rise > 0:
+            shares_state.recent.add(organisation, rise, event.at)
 
 
 def standing(state: State, service: ServiceTraits, name: str, at: float) -> float:
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -1,9 +1,10 @@
 """Load tests, on a virtual clock, of how organisations share engines with too little room."""
 
 import unittest
+import unittest.mock
 
 from wasabiwick._effects_forwarding import TellLoad
-from wasabiwick._handlers import shares
+from wasabiwick._handlers import organisations, shares
 
 from ._forward import MODEL
 from ._room_fleet import Caller, Kind, RoomFleet
@@ -96,6 +97,33 @@
         self.host.run(10 * shares.HALF_TIME_S)
         self.assertEqual(self.standing("large0"), 0.0)
 
+    def test_use_weighs_by_its_age_however_long_ago_it_was_weighed(self) -> None:
+        """Use is summed with weights that grow with time, which must not show."""
+        recent = shares.Decayed()
+        for number in range(400):
+            recent.add("one", 1_000.0, number * shares.HALF_TIME_S)
+        found = recent.now(399 * shares.HALF_TIME_S)["one"]
+        self.assertAlmostEqual(found, 2_000.0, places=3)
+
+    def test_a_datagram_tells_the_sums_that_rose_last(self) -> None:
+        """With thousands of organisations, all sums would not fit a datagram."""
+        names = [one.name for one in organisations.known(self.host.state)]
+        own = self.host.state["shares"].own
+        own |= dict.fromkeys(names, 5)
+        with unittest.mock.patch.object(shares, "MAX_TOLD", 2):
+            self.assertEqual(shares.told(self.host.state), dict.fromkeys(names[-2:], 5))
+
+    def test_a_sum_that_had_no_room_before_counts_from_when_it_is_told(self) -> None:
+        with unittest.mock.patch.object(shares, "MAX_TOLD", 2):
+            self.hear({"large0": 0, "small1": 0})
+            self.hear({"large0": 900_000, "small2": 50_000_000})
+            self.hear({"small1": 100_000, "small2": 50_100_000})
+        recent = self.host.state["shares"].recent.now(self.host.now)
+        self.assertEqual(
+            {name: round(used) for name, used in recent.items()},
+            {"large0": 900_000, "small1": 100_000, "small2": 100_000},
+        )
+
     def test_without_organisations_nothing_is_charged_told_or_decided(self) -> None:
         fleet = RoomFleet(1, (DRAFT,), hosts=2, decode=2)
         fleet.run(5.0)
