--- a/tests/_soak.py
+++ b/tests/_soak.py
@@ -17,6 +17,7 @@
 from ._soak_hosts import Host
 from ._soak_kinds import KINDS, PROBE, configuration
 from ._soak_operator import OPERATOR, Operator
+from ._soak_organisations import STEADY, Organisations
 from ._soak_record import Attempt, Change, Record, now
 from ._soak_traffic import Traffic
 
@@ -39,6 +40,7 @@
         load: Load as a multiple of the endpoints' capacity.
         source: Source tree that hosts run.
         show: Called with each line of the report as it comes.
+        has_organisations: Whether the operator names organisations.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         load: float,
         source: pathlib.Path = ROOT,
         show: Printer = print,
+        has_organisations: bool = False,
     ) -> None:
         self._seed, self._load, self._source, self._show = seed, load, source, show
         self._count = hosts
@@ -60,7 +63,8 @@
         self._hosts: list[Host] = []
         self._tasks: list[asyncio.Task] = []
         self.record = Record()
-        self.checks = Checks(self.record, self._print_finding)
+        self._organisations = Organisations(seed) if has_organisations else None
+        self.checks = Checks(self.record, self._print_finding, self._organisations)
 
     async def run(self, seconds: float) -> bool:
         """Run; returns whether all rules held."""
@@ -68,7 +72,10 @@
             folder = stack.enter_context(tempfile.TemporaryDirectory())
             address = await stack.enter_async_context(serving(self._store.app()))
             stack.push_async_callback(self._end)
-            await self._store.put(OPERATOR, "config", configuration(7, "", self._rng))
+            config = configuration(7, "", self._rng)
+            if self._organisations is not None:
+                self._organisations.add_to(config)
+            await self._store.put(OPERATOR, "config", config)
             for stage, count, slots, queue in ENDPOINTS:
                 for _ in range(count):
                     await self._start_engine(stage, slots, queue)
@@ -79,7 +86,13 @@
         return not self.checks.findings
 
     async def _play(self, seconds: float) -> None:
-        traffic = Traffic(record=self.record, hosts=self._hosts, seed=self._seed, load=self._load)
+        traffic = Traffic(
+            record=self.record,
+            hosts=self._hosts,
+            seed=self._seed,
+            load=self._load,
+            organisations=self._organisations,
+        )
         operator = Operator(
             record=self.record,
             hosts=self._hosts,
@@ -89,6 +102,7 @@
             will_stop=traffic.will_stop,
             replace=self._replace,
             report=self.checks.add,
+            organisations=self._organisations,
         )
         self._tasks += [asyncio.create_task(host.watch()) for host in self._hosts]
         self._tasks.append(asyncio.create_task(self._probe()))
@@ -131,6 +145,7 @@
                 store=store,
                 record=self.record,
                 number=first * 16 + number,
+                bounds=self._organisations.bounds() if self._organisations else "",
             )
             self._hosts.append(host)
             await host.start()
@@ -148,9 +163,9 @@
                 conn = await Connection.open(host)
                 if conn is not None:
                     name = f"warm{next(self._names):08x}"
-                    attempt = await conn.send(
-                        self.record, name, Plan(KINDS[kind], answer, 36), self._rng
-                    )
+                    key = STEADY if self._organisations is not None else None
+                    plan = Plan(KINDS[kind], answer, 36, key=key)
+                    attempt = await conn.send(self.record, name, plan, self._rng)
                     conn.close()
                     if attempt.status == 200:
                         return
--- a/tests/_soak_callers.py
+++ b/tests/_soak_callers.py
@@ -32,6 +32,8 @@
         upload_s: Time over which its body is sent; 0 for at once.
         leave_s: Time from its last byte after which the caller leaves; 0 for never.
         is_chunked: Whether its body comes in chunks.
+        key: The key that it names; empty for none, None for not chosen yet.
+        claims: Name of an organisation that the caller claims to be.
     """
 
     kind: Kind
@@ -40,6 +42,8 @@
     upload_s: float = 0.0
     leave_s: float = 0.0
     is_chunked: bool = False
+    key: str | None = None
+    claims: str = ""
 
 
 def make_plan(rng: random.Random, kind: Kind) -> Plan:
@@ -115,6 +119,7 @@
             deadline=kind.deadline_ms / 1000,
         )
         attempt.is_kept = self.uses > 0
+        attempt.key = plan.key or ""
         self.uses += 1
         attempt.first_sent = now()
         sending = asyncio.create_task(self._write(attempt, plan, rng))
@@ -156,6 +161,10 @@
                 "X-Wasabiwick-Prefix-Hash": f"5c1e07a2:800,{attempt.name}:660",
                 "X-Wasabiwick-Length-Hint": str(plan.hint),
             }
+        if plan.key:
+            headers["Authorization"] = f"Token {plan.key}"
+        if plan.claims:
+            headers["X-Wasabiwick-Tenant"] = plan.claims
         body = b""
         if method == "POST":
             size = LARGEST_BODY if plan.upload_s and kind.is_stream else rng.randint(100, 3_000)
--- a/tests/_soak_checks.py
+++ b/tests/_soak_checks.py
@@ -5,7 +5,9 @@
 
 from . import _soak_answers as answers
 from ._soak_hosts import GRACE_S
+from ._soak_key_checks import KeyChecks
 from ._soak_kinds import KINDS
+from ._soak_organisations import Organisations
 from ._soak_record import (
     BROKE_OFF,
     CLOSED,
@@ -56,6 +58,7 @@
     Args:
         record: What was seen.
         report: Called with each finding.
+        organisations: Organisations of the operator, or None.
 
     Attributes:
         counts: Number of findings of each rule.
@@ -64,8 +67,20 @@
         gone: At how many requests of gone callers endpoints worked on, and of how many.
     """
 
-    def __init__(self, record: Record, report: typing.Callable[[Finding], None]) -> None:
+    def __init__(
+        self,
+        record: Record,
+        report: typing.Callable[[Finding], None],
+        organisations: Organisations | None = None,
+    ) -> None:
         self._record = record
+        self._keys = organisations and KeyChecks(
+            record,
+            organisations,
+            apply_s=CONFIG_APPLY_S,
+            contact_s=CONTACT_S,
+            is_disturbed=self.is_disturbed,
+        )
         self._report = report
         self._found: set[tuple[str, str]] = set()
         self.counts: collections.Counter[str] = collections.Counter()
@@ -89,6 +104,9 @@
             *_refused(attempt, runs),
         ):
             self._add(rule, attempt, text)
+        if self._keys is not None:
+            for rule, text in self._keys.check(attempt):
+                self._add(rule, attempt, text)
 
     def check_all(self) -> None:
         """Check all requests once more, and what shows only over many of them."""
@@ -97,6 +115,9 @@
         self._check_gone()
         self._check_kept()
         self._check_changes()
+        if self._keys is not None:
+            for rule, text in self._keys.check_all():
+                self.add(rule, text)
 
     def is_disturbed(self, life: Life, sent: float, ended: float) -> bool:
         """Return whether a host was slowed down from `CONTACT_S` before a request to its end."""
--- a/tests/_soak_engines.py
+++ b/tests/_soak_engines.py
@@ -11,6 +11,7 @@
 from ._platform import APP, MODEL, Store
 from ._soak_answers import event, plain_body, read_stream_plan, read_work
 from ._soak_http import BrokenError, Headers, Wire, chunk, message
+from ._soak_kinds import KEY_MARK
 from ._soak_record import BROKE_OFF, CLOSED_ON, DONE, REFUSED, Record, Run, now
 
 SERVERS = "keyed.servers"
@@ -197,11 +198,11 @@
         if self.stage and is_prefill != (self.stage == "prefill"):
             return await self._write(writer, msg, 421)
         if now() < self._rests_until or not await self._get_slot(msg):
-            run = Run(name=msg.name, engine=self.name, stage=self.stage or "plain")
+            run = self._run(msg)
             run.end(REFUSED)
             self._record.add_run(run)
             return await self._refuse(writer, msg)
-        run = Run(name=msg.name, engine=self.name, stage=self.stage or "plain")
+        run = self._run(msg)
         run.seal = f"seal.{self.name}.{next(self._numbers)}"
         self._record.add_run(run)
         serve = self._prefill if is_prefill else self._stream if self.stage else self._plain
@@ -215,6 +216,12 @@
         finally:
             self._free_slot()
 
+    def _run(self, msg: Message) -> Run:
+        run = Run(name=msg.name, engine=self.name, stage=self.stage or "plain")
+        run.organisation = msg.headers.get("x-wasabiwick-tenant", "")
+        run.shows_key = any(KEY_MARK in value for value in msg.headers.values())
+        return run
+
     async def _get_slot(self, msg: Message) -> bool:
         held = self._holds.pop(msg.headers.get("x-wasabiwick-kv-hold", ""), None)
         if held is None and self._running >= self._slots:
--- a/tests/_soak_hosts.py
+++ b/tests/_soak_hosts.py
@@ -50,7 +50,7 @@
 budget-slack = 52
 lease-ms = 3000
 thaw-ms = 300
-[platform]
+{bounds}[platform]
 address = "{store}"
 form = "log"
 """
@@ -67,6 +67,7 @@
         store: Address of the store.
         record: Gets what happens.
         number: Tells its addresses from those of the other hosts.
+        bounds: More lines on bounds for its settings file.
 
     Attributes:
         life: Its newest process.
@@ -84,6 +85,7 @@
         store: str,
         record: Record,
         number: int,
+        bounds: str = "",
     ) -> None:
         self.name = name
         self.zone = zone
@@ -93,6 +95,7 @@
         self._source, self._store, self._record = source, store, record
         self._ip = str(FIRST_ADDRESS + (os.getpid() * 61 + number) % ADDRESSES)
         self._ports = sorted(_free_ports(self._ip, 4))
+        self._bounds = bounds
         self._misses = 0
         self._proc: asyncio.subprocess.Process | None = None
         self._reading: asyncio.Task | None = None
@@ -111,6 +114,7 @@
             readiness=self._ports[3],
             store=self._store,
             ratio=ratio,
+            bounds=self._bounds,
         )
         partial = self._path.with_suffix(".new")
         partial.write_text(text, encoding="utf-8")
--- a/tests/_soak_kinds.py
+++ b/tests/_soak_kinds.py
@@ -6,6 +6,7 @@
 from ._platform import APP, MODEL
 
 HOST_NAME = "ficu95.example"
+KEY_MARK = "soakkey"  # Part of every key, known or not.
 
 
 class Kind(typing.NamedTuple):
--- a/tests/_soak_operator.py
+++ b/tests/_soak_operator.py
@@ -9,6 +9,7 @@
 from ._soak_engines import Engine
 from ._soak_hosts import GRACE_S, Host
 from ._soak_kinds import configuration
+from ._soak_organisations import Organisations
 from ._soak_record import Change, Record, now
 
 OPERATOR = "keyed.op"
@@ -32,6 +33,7 @@
         will_stop: Gets the time at which each host will be stopped, by name.
         replace: Starts an endpoint in place of one that leaves, and returns it.
         report: Called with a rule and what was seen, if a host does not start.
+        organisations: Organisations that versions name, or None.
     """
 
     def __init__(
@@ -45,10 +47,12 @@
         will_stop: dict[str, float],
         replace: typing.Callable[[Engine], typing.Awaitable[Engine]],
         report: typing.Callable[[str, str], None],
+        organisations: Organisations | None = None,
     ) -> None:
         self._record, self._hosts, self._engines, self._store = record, hosts, engines, store
         self._rng = random.Random(f"operator {seed}")
         self._will_stop, self._replace, self._report = will_stop, replace, report
+        self._organisations = organisations
         self._version = 7
         self._probe = ""
         self._tasks: set[asyncio.Task] = set()
@@ -131,6 +135,9 @@
             change = Change(version=self._version, added=self._probe, dropped=dropped, sent=now())
             self._record.changes.append(change)
             config = configuration(self._version, self._probe, self._rng)
+            if self._organisations is not None:
+                self._organisations.change(change)
+                self._organisations.add_to(config)
             await self._store.put(OPERATOR, "config", config)
             change.acked = now()
             self._record.note(f"configuration {self._version}")
--- a/tests/_soak_record.py
+++ b/tests/_soak_record.py
@@ -79,6 +79,7 @@
         how: How the answer ended.
         ended: Time at which the answer or the connection ended.
         sends: Plan of the sending, for the report.
+        key: The key that it named; empty for none.
     """
 
     __slots__ = (
@@ -98,6 +99,7 @@
         "how",
         "ended",
         "sends",
+        "key",
     )
 
     def __init__(
@@ -119,6 +121,7 @@
         self.how = ""
         self.ended = 0.0
         self.sends = "at once"
+        self.key = ""
 
     @property
     def is_cut(self) -> bool:
@@ -134,9 +137,23 @@
         begun: Time at which the endpoint began to work on it, or refused it.
         ended: Time at which it ended; None while it is at work.
         would_end: Time until which the work lasts if nobody ends it.
+        organisation: Name of the organisation that the endpoint was told; empty for none.
+        shows_key: Whether the endpoint was shown a key.
     """
 
-    __slots__ = ("name", "engine", "stage", "begun", "ended", "how", "status", "seal", "would_end")
+    __slots__ = (
+        "name",
+        "engine",
+        "stage",
+        "begun",
+        "ended",
+        "how",
+        "status",
+        "seal",
+        "would_end",
+        "organisation",
+        "shows_key",
+    )
 
     def __init__(self, *, name: str, engine: str, stage: str) -> None:
         self.name = name
@@ -148,6 +165,8 @@
         self.status = 0
         self.seal = ""
         self.would_end = self.begun
+        self.organisation = ""
+        self.shows_key = False
 
     def end(self, how: str) -> None:
         """Note how it ended, unless that is known."""
--- a/tests/_soak_traffic.py
+++ b/tests/_soak_traffic.py
@@ -9,6 +9,7 @@
 from ._soak_callers import Connection, Plan, make_plan
 from ._soak_hosts import Host, pick
 from ._soak_kinds import PLAIN, STREAMS, Kind
+from ._soak_organisations import Organisations
 from ._soak_record import Attempt, Record, now
 
 # Requests a second that the endpoints of a site can serve; see `_soak_site`.
@@ -28,6 +29,9 @@
 )
 LONG_STREAMS = 2  # Waiting connections of a host that begin a long stream before it stops.
 LONG_STREAM = StreamPlan(170, 46, 0, 0)
+FLOOD_RATE = 20.0  # Requests a second of the limited organisation while it floods.
+FLOOD_S = (4.0, 9.0)
+FLOOD_PAUSE_S = (2.0, 6.0)
 UPLOADS = 2  # Waiting connections of a host that begin an upload before it stops.
 UPLOAD_S = (0.5, 7.0)
 
@@ -40,12 +44,20 @@
         hosts: All hosts.
         seed: Seed of all choices.
         load: Load as a multiple of the endpoints' capacity.
+        organisations: Organisations whose keys callers name, or None.
     """
 
     def __init__(
-        self, *, record: Record, hosts: typing.Sequence[Host], seed: int, load: float
+        self,
+        *,
+        record: Record,
+        hosts: typing.Sequence[Host],
+        seed: int,
+        load: float,
+        organisations: Organisations | None = None,
     ) -> None:
         self._record, self._hosts, self._load = record, hosts, load
+        self._organisations = organisations
         self._rng = random.Random(f"traffic {seed}")
         self._zones = sorted({host.zone for host in hosts})
         self._numbers = itertools.count(1)
@@ -59,6 +71,8 @@
         """Start to send."""
         self._spawn(self._arrivals(PLAIN, self._load * PLAIN_CAPACITY))
         self._spawn(self._arrivals(STREAMS, self._load * STREAM_CAPACITY))
+        if self._organisations is not None:
+            self._spawn(self._floods(self._organisations))
         for host in self._hosts:
             for number in range(WAITERS_PER_HOST):
                 self._spawn(self._wait_for_stop(host, number))
@@ -73,6 +87,8 @@
 
     async def send(self, conn: Connection, plan: Plan) -> Attempt:
         """Send a request on a connection."""
+        if self._organisations is not None:
+            plan = self._organisations.sign(plan)
         name = f"{self._salt}{next(self._numbers):08x}"
         return await conn.send(self._record, name, plan, self._rng)
 
@@ -89,11 +105,20 @@
             await asyncio.sleep(max(0.0, at - now()))
             self._spawn(self._arrive(self._rng.choice(kinds)))
 
-    async def _arrive(self, kind: Kind) -> None:
+    async def _floods(self, organisations: Organisations) -> None:
+        """Send far more than the limit of an organisation for some seconds, time and again."""
+        while not self._is_over:
+            await asyncio.sleep(self._rng.uniform(*FLOOD_PAUSE_S))
+            ends = now() + self._rng.uniform(*FLOOD_S)
+            while now() < ends and not self._is_over:
+                await asyncio.sleep(self._rng.expovariate(FLOOD_RATE))
+                self._spawn(self._arrive(self._rng.choice(PLAIN), organisations.limited_key()))
+
+    async def _arrive(self, kind: Kind, key: str | None = None) -> None:
         conn = await self._take()
         if conn is None:
             return
-        await self.send(conn, make_plan(self._rng, kind))
+        await self.send(conn, make_plan(self._rng, kind)._replace(key=key))
         self._idle.append(conn)
 
     async def _take(self) -> Connection | None:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,5 +1,7 @@
 """Runs a soak: ``python -m tests.soak --seed N --seconds S --hosts H [--load X] [--build SRC]``.
 
+With ``--organisations`` the operator names organisations.
+
 Exits with 1 if a rule was broken.
 """
 
@@ -21,9 +23,15 @@
         "--load", type=float, default=0.4, help="as a multiple of the endpoints' capacity"
     )
     parser.add_argument("--build", type=pathlib.Path, default=ROOT, help="source tree of the hosts")
+    parser.add_argument("--organisations", action="store_true", help="callers need keys")
     args = parser.parse_args()
     soak = Soak(
-        seed=args.seed, hosts=args.hosts, load=args.load, source=args.build.resolve(), show=_show
+        seed=args.seed,
+        hosts=args.hosts,
+        load=args.load,
+        source=args.build.resolve(),
+        show=_show,
+        has_organisations=args.organisations,
     )
     held = asyncio.run(soak.run(args.seconds))
     for line in soak.summary():
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,7 @@
 from . import _soak_answers as answers
 from ._soak import Soak
 from ._soak_checks import Checks, Finding
+from ._soak_organisations import LIMITED, PUBLIC, STEADY, Organisations, Version
 from ._soak_record import (
     BROKE_OFF,
     CLOSED,
@@ -17,6 +18,7 @@
     REFUSED,
     RESET,
     Attempt,
+    Change,
     Life,
     Record,
     Run,
@@ -81,10 +83,10 @@
         self.record.add_run(one)
         return one
 
-    def rules(self) -> list[str]:
+    def rules(self, organisations: Organisations | None = None) -> list[str]:
         """Return the rules that were broken."""
         found: list[Finding] = []
-        Checks(self.record, found.append).check_all()
+        Checks(self.record, found.append, organisations).check_all()
         return [one.rule for one in found]
 
 
@@ -219,6 +221,92 @@
         self.assertEqual(self.seen.rules(), ["GONE"])
 
 
+class OrganisationRulesTest(unittest.TestCase):
+    """What is served against keys and limits is found by the names of the rules."""
+
+    def setUp(self) -> None:
+        self.seen = Seen()
+        self.organisations = Organisations(1)
+        self.key = self.organisations.limited_key()
+        self._change(-1000.0, {STEADY: "abbey", self.key: LIMITED})
+        self.organisations.versions.pop(0)
+
+    def _change(self, at: float, holders: dict[str, str]) -> None:
+        change = Change(version=8, added="", dropped="", sent=TERM + at)
+        change.acked = change.sent + 0.1
+        self.organisations.versions.append(Version(change, holders, 3))
+
+    def _served(
+        self, sent: float, key: str, organisation: str, kind: str = "roster-read"
+    ) -> tuple[Attempt, Run]:
+        one = self.seen.attempt(sent, sent + 0.1, kind=kind, key=key)
+        answered(one, answers.plain_body(one.name))
+        run = self.seen.run(one, sent, sent + 0.1)
+        run.organisation = organisation
+        return one, run
+
+    def _refused(self, sent: float, key: str, status: int, kind: str = "roster-read") -> None:
+        self.seen.attempt(sent, sent, kind=kind, key=key, how=COMPLETE, status=status)
+
+    def _rules(self) -> list[str]:
+        return self.seen.rules(self.organisations)
+
+    def test_what_keys_and_limits_allow_breaks_nothing(self) -> None:
+        self._change(-20.0, {STEADY: "abbey"})
+        self._served(-30.0, self.key, LIMITED)
+        self._served(-18.5, self.key, LIMITED)
+        self._served(-10.0, self.key, "", PUBLIC)
+        self._served(-10.0, "", "", PUBLIC)
+        self._refused(-10.0, self.key, 401)
+        self._refused(-10.0, "none", 401)
+        self.assertEqual(self._rules(), [])
+
+    def test_key_or_name_that_an_endpoint_must_not_get_is_unasked(self) -> None:
+        _, run = self._served(-10.0, STEADY, "abbey")
+        run.shows_key = True
+        for key, name, kind in (
+            (STEADY, LIMITED, "roster-read"),
+            (STEADY, "", PUBLIC),
+            ("none", "abbey", PUBLIC),
+        ):
+            self._served(-10.0, key, name, kind)
+        self.assertEqual(self._rules(), ["UNASKED"] * 4)
+
+    def test_key_that_was_never_held_breaks_the_route(self) -> None:
+        self._change(-5.0, {STEADY: "abbey", "new": "choir"})
+        for key in ("none", "", "new"):
+            self._served(-10.0, key, "")
+        self.assertEqual(self._rules(), ["ROUTE"] * 3)
+
+    def test_key_is_served_as_only_an_older_version_allows(self) -> None:
+        self._change(-20.0, {STEADY: "abbey", "new": "choir"})
+        self._served(-17.0, self.key, LIMITED)
+        self._refused(-17.0, "new", 401)
+        self._refused(-17.0, "", 401, PUBLIC)
+        self.assertEqual(self._rules(), ["CONFIG"] * 3)
+
+    def test_more_than_the_limit_runs_within_a_window(self) -> None:
+        most = int(self.organisations.most(3) / self.organisations.unit)
+        for number in range(most):
+            self._served(-20.0 + 0.1 * number, self.key, LIMITED)
+        self.assertEqual(self._rules(), [])
+        self._served(-13.0, self.key, LIMITED)
+        self.assertEqual(self._rules(), ["QUOTA"])
+
+    def test_organisation_that_is_served_far_less_often_is_starved(self) -> None:
+        self.organisations.versions[0].holders["other"] = "choir"
+        for number in range(40):
+            self._served(-20.0, STEADY, "abbey")
+            if number < 10:
+                self._served(-20.0, "other", "choir")
+            else:
+                self._refused(-20.0, "other", 503)
+        self.assertEqual(self._rules(), [])
+        for _ in range(20):
+            self._refused(-20.0, "other", 503)
+        self.assertEqual(self._rules(), ["STARVED"])
+
+
 class ShortSoakTest(unittest.TestCase):
     """Two hosts under load, of which one is stopped and started again, break no rule."""
 
@@ -233,6 +321,16 @@
         late = [one for one in sent if one.life in stopped and one.sent > one.life.term]
         self.assertTrue(late)
 
+    def test_short_soak_with_organisations(self) -> None:
+        """It guards against keys and limits that the code takes otherwise than callers see them."""
+        lines: list[str] = []
+        soak = Soak(seed=SEED, hosts=HOSTS, load=LOAD, show=lines.append, has_organisations=True)
+        held = asyncio.run(soak.run(SECONDS))
+        self.assertTrue(held, "\n".join([*lines, *soak.summary()]))
+        statuses = {one.status for one in soak.record.attempts}
+        self.assertLessEqual({200, 401, 429}, statuses)
+        self.assertTrue(soak.record.changes)
+
 
 if __name__ == "__main__":
     unittest.main()
