--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -297,12 +297,12 @@
         self.organisations.versions[0].holders["other"] = "choir"
         for number in range(40):
             self._served(-20.0, STEADY, "abbey")
-            if number < 10:
+            if number < 8:
                 self._served(-20.0, "other", "choir")
             else:
                 self._refused(-20.0, "other", 503)
         self.assertEqual(self._rules(), [])
-        for _ in range(20):
+        for _ in range(60):
             self._refused(-20.0, "other", 503)
         self.assertEqual(self._rules(), ["STARVED"])
 
