Keep no second copy of a request's body while its answer is awaited

Cause: what is sent had a name in the frame that waits for the answer, so each large body was kept twice. Evidence: test_body_memory.TestBodiesAtOnce.test_bodies_in_chunks failed once, with a peak of 160 MB of 150. Change: a request is encoded where it is sent, under no name, to endpoints and to other hosts.

--- a/src/wasabiwick/_adapters/_hops.py
+++ b/src/wasabiwick/_adapters/_hops.py
@@ -114,13 +114,13 @@
         self, exchange: Exchange, effect: PassOn, *, seconds: float
     ) -> PassedAnswer | Failure:
         """Pass a request to another host, and return the answer once its head has arrived."""
-        data = self._encode(exchange, effect, seconds)
         try:
             conn = await self._pool.acquire(effect.endpoint, effect.address)
         except NotSentError as exc:
             return _failure(HOST_UNREACHABLE, Verdict.NOT_RUN, str(exc))
         try:
-            conn.send(data)
+            # Under no name of its own, or this copy of the body would be kept until the answer.
+            conn.send(self._encode(exchange, effect, seconds))
             await conn.head()
             if conn.status == FORBIDDEN:
                 conn.close()
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -212,13 +212,13 @@
         if effect.resume:
             headers = [one for one in headers if one[0].lower() != _names.LAST_EVENT_ID]
             headers.append((_names.LAST_EVENT_ID, exchange.last_event_id))
-        data = encode_request(exchange.method, exchange.target, headers, exchange.body)
         conn = await self._connect(effect)
         if isinstance(conn, Failure):
             return conn
         try:
             sent_at = self._clock()
-            conn.send(data)
+            # Under no name of its own, or this copy of the body would be kept until the answer.
+            conn.send(encode_request(exchange.method, exchange.target, headers, exchange.body))
             await conn.head()
             self._note_signs(effect.endpoint, conn, sent_at)
             _check_attempt_id(conn, _attempt_id(exchange))
