Judge a call's key, and the wait for a prefill, once

Cause: read again: each call's route was matched anew wherever it was queued or sent, also where no organisation is named; a refusal judged the call twice, in the same two lines at three places; and one decision worked out the engines' backlog twice for organisations above their share. organisation_limits read a slice that is not its own. Change: a key that is allowed everywhere is seen before any route is matched; caller_keys.refuse_barred judges and refuses; placing.prefill_wait returns the wait, which is compared with both bounds; organisations.named is called. All decisions stay the same.

--- a/src/wasabiwick/_handlers/caller_keys.py
+++ b/src/wasabiwick/_handlers/caller_keys.py
@@ -33,9 +33,7 @@
         key: Digest of the key that the caller named, or empty.
         at: Monotonic time.
     """
-    if not organisations.needs_key(state, route):
-        return None
-    if organisations.of_key(state, key) is not None:
+    if organisations.is_allowed_anywhere(state, key) or route.public:
         return None
     if organisations.may_be_unread(state, key) or _is_behind(state, at):
         return Failure(
@@ -68,15 +66,14 @@
     return req.organisation.name if req.organisation is not None else ""
 
 
-def may_go_on(state: State, req: ForwardedCall, at: float) -> bool:
-    """Return whether a call may be sent, or sent again."""
+def refuse_barred(
+    state: State, req: ForwardedCall, at: float
+) -> typing.Generator[Step, None, bool]:
+    """Refuse a call that no organisation's key allows any more; returns whether it was refused."""
     has_begun = req.relay_begun or bool(req.passed_by and req.events)
-    return has_begun or _refusal_of_call(state, req, at) is None
-
-
-def refuse(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
-    """Refuse a call that no organisation's key allows any more."""
-    failure = _refusal_of_call(state, req, at)
+    failure = None if has_begun else _refusal_of_call(state, req, at)
+    if failure is None:
+        return False
     # After a run, the caller must not take it that nothing was done.
     yield from forwarding.refuse_call(
         state,
@@ -88,9 +85,12 @@
         organisation=req.organisation.name if req.organisation is not None else "-",
         phase=req.phase,
     )
+    return True
 
 
 def _refusal_of_call(state: State, req: ForwardedCall, at: float) -> Failure | None:
+    if organisations.is_allowed_anywhere(state, req.ask.key):
+        return None
     route = routes.match_route(state, req.ask.host, req.ask.path) or req.route
     return refusal(state, route, req.ask.key, at)
 
@@ -108,6 +108,5 @@
     if _refusal_of_call(state, req, at) is None:
         req.organisation = organisations.of_key(state, req.ask.key)
         return
-    is_sent = req.phase in (forwarding.SENT, forwarding.RELAYING)
-    if not is_sent and not may_go_on(state, req, at):
-        yield from refuse(state, req, at)
+    if req.phase not in (forwarding.SENT, forwarding.RELAYING):
+        yield from refuse_barred(state, req, at)
--- a/src/wasabiwick/_handlers/forward_plain.py
+++ b/src/wasabiwick/_handlers/forward_plain.py
@@ -56,8 +56,7 @@
 
     It goes through another host if this one reaches no endpoint.
     """
-    if not caller_keys.may_go_on(state, req, at):
-        yield from caller_keys.refuse(state, req, at)
+    if (yield from caller_keys.refuse_barred(state, req, at)):
         return
     if not stopping.may_begin(state, req, at):
         yield from stopping.refuse_unfinished(state, req, at)
--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -74,8 +74,7 @@
 
     It goes through another host if this one reaches no engine.
     """
-    if not caller_keys.may_go_on(state, req, at):
-        yield from caller_keys.refuse(state, req, at)
+    if (yield from caller_keys.refuse_barred(state, req, at)):
         return
     if hops.is_needed(state, req, at):
         yield from hops.start(state, req, at)
@@ -160,11 +159,10 @@
 ) -> typing.Generator[Step, None, bool]:
     """Choose and reserve a place for a call; returns whether one was found."""
     pending_tokens = _pending_prompt_tokens(state, req.service)
-    prefills_itself = not placing.can_prefill(state, req.service, at, pending_tokens)
-    if (
-        not prefills_itself
-        and (shares.leaves_room(state, req) or reserves.goes_behind(state, req))
-        and not placing.can_prefill(state, req.service, at, pending_tokens, SHORT_PREFILL_WAIT)
+    wait = placing.prefill_wait(state, req.service, at, pending_tokens)
+    prefills_itself = wait >= placing.MAX_PREFILL_WAIT
+    if SHORT_PREFILL_WAIT <= wait < placing.MAX_PREFILL_WAIT and (
+        shares.leaves_room(state, req) or reserves.goes_behind(state, req)
     ):
         return False
     if prefills_itself:
--- a/src/wasabiwick/_handlers/organisation_limits.py
+++ b/src/wasabiwick/_handlers/organisation_limits.py
@@ -19,6 +19,7 @@
 from .._reducer import handles
 from .._settings import Settings
 from .._state import State, state_slice
+from . import organisations
 
 # Seconds without a datagram after which a host is silent; two of them in a row seldom get lost.
 SILENT_AFTER_S = 2.2
@@ -268,7 +269,7 @@
     accounts, cfg = state["organisation_limits"].accounts, state.cfg.forwarding
     account = accounts.get(organisation)
     if account is None:
-        limit = state["organisations"].by_name[organisation].limit
+        limit = organisations.named(state, organisation).limit
         account = accounts[organisation] = Account(limit, cfg=cfg, at=at)
     return account
 
--- a/src/wasabiwick/_handlers/organisations.py
+++ b/src/wasabiwick/_handlers/organisations.py
@@ -4,7 +4,7 @@
 
 from .._effects import LogLine
 from .._events import FeedChanged, RoutesRead
-from .._forwarding import Organisation, Route
+from .._forwarding import Organisation
 from .._reducer import Step, handles
 from .._settings import Settings
 from .._state import State, state_slice
@@ -51,9 +51,9 @@
     return list((state["organisations"].by_name or {}).values())
 
 
-def needs_key(state: State, route: Route) -> bool:
-    """Return whether the callers of a route need a key of an organisation."""
-    return are_named(state) and not route.public
+def is_allowed_anywhere(state: State, key: str) -> bool:
+    """Return whether the key of a digest allows all routes, or none of them needs a key."""
+    return not are_named(state) or of_key(state, key) is not None
 
 
 def may_be_unread(state: State, key: str) -> bool:
--- a/src/wasabiwick/_handlers/placing.py
+++ b/src/wasabiwick/_handlers/placing.py
@@ -14,6 +14,7 @@
 - Plain requests: the endpoint with the least work per slot, in the local zone first.
 """
 
+import math
 import typing
 
 from .._forwarding import DECODE, PREFILL, Ask, Endpoint, ServiceTraits, StreamLoad
@@ -302,21 +303,14 @@
     return PREFILL_GRACE + PREFILL_TIME_FACTOR * slowest * backlog
 
 
-def can_prefill(
-    state: State,
-    service: str,
-    at: float,
-    pending_tokens: int,
-    max_wait: float = MAX_PREFILL_WAIT,
-) -> bool:
-    """Return whether the prefill engines would begin another prompt within a time.
+def prefill_wait(state: State, service: str, at: float, pending_tokens: int) -> float:
+    """Return the seconds until prefill engines begin another prompt; infinity if there are none.
 
     Args:
         state: The host's state.
         service: Name of the service.
         at: Monotonic time.
         pending_tokens: Prompt tokens of calls that are about to be prefilled.
-        max_wait: Longest wait, in seconds.
     """
     rate = estimates.prefill_rate(state, service)
     engines = _prefill_engines(state, service, at)
@@ -325,7 +319,7 @@
     )
     factors = engine_signs.factors(state, engines, at)
     speeds = sum(1.0 / factors.get(one.name, 1.0) for one in engines)
-    return bool(engines) and queued_tokens / (rate * speeds) < max_wait
+    return queued_tokens / (rate * speeds) if engines else math.inf
 
 
 def has_idle_engine(candidates: list[Candidate]) -> bool:
