--- a/review/lab2.py
+++ b/review/lab2.py
@@ -359,11 +359,16 @@
             task.cancel()
         for host in self.hosts:
             await host.kill()
+        self._keep_logs()
+        await self._stack.aclose()
+        self.record_path.write_text("\n".join(self.lines) + "\n")
+
+    def _keep_logs(self) -> None:
+        """Copy the hosts' logs to the folder that KEEP_LOGS names, if it does."""
         if folder := os.environ.get("KEEP_LOGS"):
+            pathlib.Path(folder).mkdir(parents=True, exist_ok=True)
             for path in self.folder.glob("*.log"):
                 (pathlib.Path(folder) / path.name).write_bytes(path.read_bytes())
-        await self._stack.aclose()
-        self.record_path.write_text("\n".join(self.lines) + "\n")
 
     async def add_engine(self, engine: Engine) -> Engine:
         """Start an engine, which enters the list."""
