Send requests until one reaches the endpoint of a test's failure

It sent four requests and expected one of them at the first of two equal endpoints; a host draws between these, so each run had a chance of missing it.

--- a/tests/test_caller_keys_live.py
+++ b/tests/test_caller_keys_live.py
@@ -63,6 +63,10 @@
     return [headers for one in site.endpoints.values() for _, headers in one.requests]
 
 
+# Requests until one is sent to a given one of two equal endpoints, between which a host draws.
+MAX_REQUESTS = 100
+
+
 class LiveKeyTest(SiteTest):
     """Base of tests with a host whose configuration names an organisation."""
 
@@ -89,12 +93,15 @@
     """No endpoint gets a caller's key or the name that it gives itself; all get the holder's."""
 
     async def test_plain_request_and_its_retry(self) -> None:
-        self.site.endpoints["s0"].failures_left = 1
-        for _ in range(4):
+        endpoint = self.site.endpoints["s0"]
+        endpoint.failures_left = 1
+        for number in range(MAX_REQUESTS):
+            if number >= 4 and not endpoint.failures_left:
+                break
             self.assertEqual(
                 await self.site.status_of("/safe/x", Authorization=f"Token {KEY}"), 200
             )
-        self.assertEqual(self.site.endpoints["s0"].failures_left, 0)
+        self.assertEqual(endpoint.failures_left, 0)
         self.check_received()
 
     async def test_generation_its_prefill_and_its_resumption(self) -> None:
