Save builds in a spare topic while the usual one is down

Cause: hosts learn of a build from one topic and save it in another. With the other one down, a build was used after 3 s that no record named, and a host that starts took its older record for complete.

Why this works: a save of new builds or streams that fails is repeated at once in a topic of another partition, and hosts read both. So a release is served at once while a part of the store is down, and what hosts use is written down. If both fail, a build is used after 3 s as before, as a release has to be served; a host that starts counts such a build as lost if it is listed and old enough.

Tests: test_build_is_saved_elsewhere_if_it_cannot_be_saved_where_it_should, test_streams_are_saved_elsewhere_while_a_part_of_the_store_is_down, test_save_that_fails_in_both_parts_waits_for_the_next_one, test_host_that_may_have_used_a_build_without_saving_it_binds_no_stream and test_younger_of_a_hosts_two_records_counts fail on the code before, which has no spare saves.

--- a/src/wasabiwick/_effects_forwarding.py
+++ b/src/wasabiwick/_effects_forwarding.py
@@ -326,10 +326,11 @@
     """Save the streams that began at this host, in place of those saved before.
 
     ``builds`` holds the services with several builds: each build, with the seconds since it was
-    listed. ``saved`` holds the builds at which any stream of this host may have begun.
+    listed. ``saved`` holds the builds at which any stream of this host may have begun. A ``spare``
+    save goes to another part of the store, as the usual one may be down.
     """
 
-    __slots__ = ("begun", "builds", "saved")
+    __slots__ = ("begun", "builds", "saved", "spare")
 
     def __init__(
         self,
@@ -337,10 +338,12 @@
         begun: tuple[BegunStream, ...],
         builds: dict[str, dict[str, float]],
         saved: SavedBuilds,
+        spare: bool = False,
     ) -> None:
         self.begun = tuple(begun)
         self.builds = builds
         self.saved = saved
+        self.spare = spare
 
 
 class ReadSavedStreams(Effect):
--- a/src/wasabiwick/_handlers/builds.py
+++ b/src/wasabiwick/_handlers/builds.py
@@ -16,7 +16,7 @@
 after they begin, and each one `TELLS` times, as datagrams get lost. A host that starts is told all.
 """
 
-from .._events import EndpointsRead, LoadTold
+from .._events import EndpointsRead, ForwarderBooted, LoadTold
 from .._forwarding import BegunStream, SavedBuilds
 from .._reducer import handles
 from .._settings import Settings
@@ -38,6 +38,7 @@
 # so a host of an earlier version that knows of no other build refuses the stream, too.
 UNKNOWN_BUILD = "?"
 FIRST_ERA = 0  # Era of a store that was never restored from a copy, or doesn't name its era.
+MS_PER_S = 1000.0
 MAX_CLOCK_SKEW_S = 10.0  # Hosts' clocks, by which what they saved is dated, differ by less.
 
 
@@ -54,6 +55,8 @@
     started, with the monotonic time of that start. ``watched_since`` is when this host started.
     ``lost_unknown_at`` is the same time if what it saved before may be missing from the store.
     ``era`` is the store's, and ``era_since`` the time since when that is known to be in force.
+    ``unproven`` is what this host saved before it started, until the list of endpoints has shown
+    which builds it may have used besides; ``booted_at`` is the time of its start.
     """
 
     __slots__ = (
@@ -69,6 +72,8 @@
         "watched_since",
         "era",
         "era_since",
+        "unproven",
+        "booted_at",
     )
 
     def __init__(self, cfg: Settings) -> None:
@@ -84,6 +89,8 @@
         self.watched_since = 0.0
         self.era = FIRST_ERA
         self.era_since = float("inf")
+        self.unproven: SavedBuilds | None = None
+        self.booted_at = 0.0
 
 
 def keep_time(state: State) -> float:
@@ -287,10 +294,36 @@
         builds_state.tells_left.setdefault(name, 1)
 
 
+@handles(ForwarderBooted)
+def note_boot(state: State, event: ForwarderBooted) -> None:
+    """Record when this host started."""
+    state["builds"].booted_at = event.at
+
+
 @handles(EndpointsRead)
 def endpoints_read(state: State, event: EndpointsRead) -> None:
     """Record which builds are listed."""
     note_listed(state, event.at)
+    _note_used_unsaved(state)
+
+
+def _note_used_unsaved(state: State) -> None:
+    """Count builds as lost that this host may have used before it started without saving them.
+
+    A build is used unsaved only if it was listed for `SAVE_PATIENCE_S`. So that did not happen if
+    this host saved later than that before its start, nor at endpoints that are younger.
+    """
+    builds_state = state["builds"]
+    saved = builds_state.unproven
+    if saved is None or not builds_state.is_restored or not directory.all_endpoints(state):
+        return
+    builds_state.unproven = None
+    latest_used_ms = (state.wall(builds_state.booted_at) - SAVE_PATIENCE_S) * MS_PER_S
+    for one in directory.all_endpoints(state):
+        is_known = one.build in ("", *saved.begun.get(one.service, ()))
+        if not is_known and one.born <= latest_used_ms:
+            lost = builds_state.lost.setdefault(one.service, {})
+            lost.setdefault(one.build, builds_state.booted_at)
 
 
 def note_listed(state: State, at: float) -> None:
@@ -356,7 +389,10 @@
             builds_state.lost[service] = {build: at - age for build, age in ages.items()}
         for service, names in saved.begun.items():
             builds_state.lost.setdefault(service, {}).update(dict.fromkeys(names, at))
+        if saved.age - (at - builds_state.booted_at) >= SAVE_PATIENCE_S:
+            builds_state.unproven = saved
     if may_lack_saves(state, saved, at):
         builds_state.lost_unknown_at = at
     builds_state.own |= dict.fromkeys(name for name in builds_state.streams if name in own)
     builds_state.is_restored = True
+    _note_used_unsaved(state)
--- a/src/wasabiwick/_handlers/builds_saving.py
+++ b/src/wasabiwick/_handlers/builds_saving.py
@@ -42,6 +42,8 @@
 SHARED_READ_S = 0.25
 # Longest wait of a caller for the store, which answers in some ms; another host may be told.
 READ_TIMEOUT_S = 0.8
+# Time for which saves go to the spare part of the store, after one to the usual part has failed.
+SPARE_TIME_S = 5.0
 # Time after an exception in which a save or a read that is under way has a result.
 STORE_CALL_LOST_S = 3.0
 
@@ -51,7 +53,8 @@
     """What this host saved last, when, and whether an answer of the store is due.
 
     ``waiting`` holds the calls that wait for a read of the store: id, service and monotonic time
-    of arrival. ``read`` has what hosts had saved when the store was asked at ``asked_at``.
+    of arrival. ``read`` has what hosts had saved when the store was asked at ``asked_at``. Until
+    ``spare_until``, saves go to the spare part of the store.
     """
 
     __slots__ = (
@@ -59,7 +62,9 @@
         "saved_at",
         "is_saving",
         "saving_builds",
+        "is_spare_save",
         "save_scheduled",
+        "spare_until",
         "is_reading",
         "asked_at",
         "read",
@@ -71,7 +76,9 @@
         self.saved_at = float("-inf")
         self.is_saving = False
         self.saving_builds: dict[str, tuple[str, ...]] = {}
+        self.is_spare_save = False
         self.save_scheduled = False
+        self.spare_until = float("-inf")
         self.is_reading = False
         self.asked_at = float("-inf")
         self.read: dict[str, SavedBuilds] = {}
@@ -250,7 +257,10 @@
     saving_state.saved, saving_state.saved_at = _names(streams), at
     saving_state.saving_builds = saved.begun
     saving_state.is_saving = True
-    yield SaveStreams(begun=streams, builds=mixed_services, saved=saved)
+    saving_state.is_spare_save = at < saving_state.spare_until
+    yield SaveStreams(
+        begun=streams, builds=mixed_services, saved=saved, spare=saving_state.is_spare_save
+    )
 
 
 @handles(StoreRestored)
@@ -262,11 +272,20 @@
 
 @handles(StreamsSaved)
 def streams_saved(state: State, event: StreamsSaved) -> typing.Iterator[Step]:
-    """Let the next save begin; one that failed is repeated with what has changed since."""
+    """Let the next save begin; one that failed is repeated with what has changed since.
+
+    Parts of the store may be down while the list of endpoints is served. So a save of a new build
+    or of streams is repeated at once in the spare part, and if that fails, in the usual one again.
+    """
     saving_state = state["builds_saving"]
     saving_state.is_saving = False
     if event.failure is not None:
         saving_state.saved_at = float("-inf")
+        saving_state.spare_until = float("-inf")
+        is_needed = builds.has_unsaved(state) or bool(saving_state.saved)
+        if is_needed and not saving_state.is_spare_save:
+            saving_state.spare_until = event.at + SPARE_TIME_S
+            yield from _save(state, event.at)
         return
     had_unsaved = builds.has_unsaved(state)
     builds.note_saved(state, saving_state.saving_builds)
--- a/src/wasabiwick/_performers/forwarding.py
+++ b/src/wasabiwick/_performers/forwarding.py
@@ -198,7 +198,12 @@
 async def _save_streams(runner: Runner, effect: SaveStreams) -> None:
     failure = await runner.ports.register.save_streams(runner.owner.host, effect, runner.now())
     if failure:
-        log_event("streams_not_saved", reason=failure.detail, streams=len(effect.begun))
+        log_event(
+            "streams_not_saved",
+            reason=failure.detail,
+            streams=len(effect.begun),
+            spare=effect.spare,
+        )
     runner.post(StreamsSaved(at=runner.now(), failure=failure))
 
 
--- a/src/wasabiwick/_saved_codec.py
+++ b/src/wasabiwick/_saved_codec.py
@@ -81,10 +81,16 @@
 
 
 def add_streams(saved: SavedStreams, host: str, record: StreamsRecord, now: float) -> None:
-    """Add the streams that a host saved to those of other hosts; ``now`` is monotonic time."""
+    """Add the streams that a host saved to those of other hosts; ``now`` is monotonic time.
+
+    Of two records of a host, the builds of the younger one count.
+    """
     passed = max(0.0, time.time() - record.saved_ms / MS_PER_S)
-    saved.streams[host] = decode_streams(record.streams, now - passed)
+    streams = decode_streams(record.streams, now - passed)
+    saved.streams[host] = saved.streams.get(host, ()) + streams
     saved.builds.append(decode_ages(record.builds, passed))
+    if host in saved.saved and saved.saved[host].age <= passed:
+        return
     saved.saved[host] = SavedBuilds(
         age=passed,
         begun={service: tuple(names) for service, names in record.begun.items()},
--- a/src/wasabiwick/platform/_feeds.py
+++ b/src/wasabiwick/platform/_feeds.py
@@ -1,5 +1,7 @@
 """Posts routes and endpoints from the store as events, and keeps the register of hosts there."""
 
+import asyncio
+
 import msgspec
 
 from .. import _saved_codec
@@ -127,17 +129,20 @@
     async def save_streams(self, host: str, effect: SaveStreams, now: float) -> Failure | None:
         """Save a host's streams in place of those that it saved before."""
         value = _saved_codec.encode_streams_record(effect, now)
-        offset = await self._store.append(_names.STREAMS_TOPIC, host, value)
+        topic = _names.SPARE_STREAMS_TOPIC if effect.spare else _names.STREAMS_TOPIC
+        offset = await self._store.append(topic, host, value)
         return offset if isinstance(offset, Failure) else None
 
     async def saved_streams(self, now: float) -> SavedStreams | Failure:
-        """Return the streams that each host saved last."""
+        """Return the streams that each host saved last, in either topic."""
+        topics = (_names.STREAMS_TOPIC, _names.SPARE_STREAMS_TOPIC)
         try:
-            page = await self._store.newest(_names.STREAMS_TOPIC)
+            pages = await asyncio.gather(*map(self._store.newest, topics))
         except (StoreError, HistoryLostError) as exc:
             return store_failure(exc)
-        saved = SavedStreams(streams={}, builds=[], saved={}, era=page.era)
-        for one in page.records:
+        # Records read before a restore name an earlier era, too.
+        saved = SavedStreams(streams={}, builds=[], saved={}, era=max(page.era for page in pages))
+        for one in (record for page in pages for record in page.records):
             try:
                 record = _saved_codec.decode_streams_record(one.value or b"")
             except msgspec.MsgspecError as exc:
--- a/src/wasabiwick/platform/_names.py
+++ b/src/wasabiwick/platform/_names.py
@@ -67,6 +67,7 @@
 HOSTS_TOPIC = "keyed.hosts"
 # Streams of each entry host, with the build that began them; written by entry hosts only.
 STREAMS_TOPIC = "keyed.streams"
+SPARE_STREAMS_TOPIC = "keyed.streams-spare"  # The same, while the partition of the other is down.
 # What each entry host has found out about endpoints and prompts; written by entry hosts only.
 FINDINGS_TOPIC = "keyed.findings"
 CONFIG_KEY = "config"
--- a/tests/_forward.py
+++ b/tests/_forward.py
@@ -153,7 +153,10 @@
         stored: What hosts saved in the store of the builds that they use, by host; hosts may share
             it.
         era: Era of the store that they name.
+        last_save: The last save that the store has taken.
         store_answers: Whether the store answers this host, at once.
+        usual_part_is_up: Whether the part of the store is up to which hosts save first. What hosts
+            saved can be read only if all parts are up.
     """
 
     reduce = staticmethod(_reducer.reduce)  # What applies events; raises what handlers raise.
@@ -170,6 +173,7 @@
         builds: tuple[dict[str, dict[str, float]], ...] = (),
         own: frozenset[str] = frozenset(),
         era: int = 0,
+        usual_part_is_up: bool = True,
     ) -> None:
         self.now = at
         self.state = _state.State(make_settings(name, slack=slack))
@@ -183,6 +187,8 @@
         self._checks_failed: dict[str, int] = {}
         self.stored: dict[str, SavedBuilds] = {} if stored is None else stored
         self.era = era
+        self.last_save: SaveStreams | None = None
+        self.usual_part_is_up = usual_part_is_up
         self.store_answers = False
         self.feed(
             _events.ForwarderBooted,
@@ -192,8 +198,9 @@
             seed=7,
         )
         self.store_answers = True
-        read = {"begun": begun, "builds": builds, "own": own}
-        self.feed(_events.SavedStreamsRead, saved=dict(self.stored), era=era, **read)
+        if usual_part_is_up:
+            read = {"begun": begun, "builds": builds, "own": own}
+            self.feed(_events.SavedStreamsRead, saved=dict(self.stored), era=era, **read)
         self.feed(_events.RoutesRead, table=table())
         self.read_list(*endpoints)
 
@@ -218,10 +225,13 @@
         return new_effects
 
     def _answer_for_store(self, effect: _effects.Effect) -> None:
-        if isinstance(effect, SaveStreams):
+        if isinstance(effect, SaveStreams) and not (effect.spare or self.usual_part_is_up):
+            self.fail_save()
+        elif isinstance(effect, SaveStreams):
+            self.last_save = effect
             self.stored[self.state.owner.host] = effect.saved
             self.feed(_events.StreamsSaved, failure=None)
-        elif isinstance(effect, ReadSavedStreams):
+        elif isinstance(effect, ReadSavedStreams) and self.usual_part_is_up:
             self.read_saved()
 
     def read_saved(self) -> None:
@@ -235,13 +245,23 @@
             era=self.era,
         )
 
+    def fail_save(self) -> None:
+        """Answer a save with a failure."""
+        failure = Failure(reason=LOG_UNAVAILABLE, verdict=Verdict.MAY_HAVE_RUN)
+        self.feed(_events.StreamsSaved, failure=failure)
+
     def store_returns(self) -> None:
         """Let the store answer this host again; a save that was under way has failed."""
         self.store_answers = True
         if self.state["builds_saving"].is_saving:
-            failure = Failure(reason=LOG_UNAVAILABLE, verdict=Verdict.MAY_HAVE_RUN)
-            self.feed(_events.StreamsSaved, failure=failure)
-        if self.state["builds_saving"].is_reading:
+            self.fail_save()
+        if self.state["builds_saving"].is_reading and self.usual_part_is_up:
+            self.read_saved()
+
+    def usual_part_returns(self) -> None:
+        """Let the part of the store be up again to which hosts save first."""
+        self.usual_part_is_up = True
+        if self.store_answers and self.state["builds_saving"].is_reading:
             self.read_saved()
 
     def run(self, seconds: float) -> list[_effects.Effect]:
--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -17,7 +17,7 @@
 from wasabiwick._handlers.forwarding import call as open_call
 from wasabiwick._verdict import Verdict
 
-from ._forward import BROKEN, DECODE, MODEL, PREFILL, Host, engine, plain
+from ._forward import BROKEN, DECODE, EPOCH, MODEL, PREFILL, Host, engine, plain
 
 OLD, NEW = "v1", "v1.1"
 STRIDE = 12  # Tokens in an event.
@@ -444,6 +444,53 @@
         host.run(builds.SAVE_PATIENCE_S)
         self.assertEqual(serve(host, host.ask("stream")), NEW)
 
+    def test_build_is_saved_elsewhere_if_it_cannot_be_saved_where_it_should(self) -> None:
+        """A release that began while a part of the store was down was in no record."""
+        host = Host(endpoints=MIXED[:3])
+        host.usual_part_is_up = False
+        host.read_list(*MIXED[3:])
+        for name in ("d0", "d1"):
+            host.drop(name)
+        self.assertEqual(serve(host, host.ask("stream")), NEW)
+        self.assertEqual(host.stored["a"].begun[MODEL], (OLD, NEW))
+        again = Host(endpoints=MIXED[:3], stored=host.stored)
+        self.assertIsNotNone(again.refusal(self.resume(again)))
+
+    def test_streams_are_saved_elsewhere_while_a_part_of_the_store_is_down(self) -> None:
+        host, call = begin_before_release()
+        host.run(1.0)
+        host.usual_part_is_up = False
+        host.effects.clear()
+        late = host.ask("stream")
+        serve(host, late)
+        host.run(1.0)
+        failed, saved = [one for one in host.effects if isinstance(one, SaveStreams)]
+        self.assertEqual((failed.spare, saved.spare), (False, True))
+        self.assertLess({f"t-{call}", f"t-{late}"}, {one.name for one in saved.begun})
+
+    def test_saves_go_where_they_should_again_after_a_while(self) -> None:
+        host, _ = begin_before_release()
+        host.usual_part_is_up = False
+        serve(host, host.ask("stream"))
+        host.run(1.0)
+        host.usual_part_is_up = True
+        host.run(builds_saving.SPARE_TIME_S)
+        host.effects.clear()
+        serve(host, host.ask("stream"))
+        host.run(1.0)
+        saves = [one.spare for one in host.effects if isinstance(one, SaveStreams)]
+        self.assertEqual(saves, [False])
+
+    def test_save_that_fails_in_both_parts_waits_for_the_next_one(self) -> None:
+        host = Host(endpoints=MIXED[:3])
+        host.store_answers = False
+        host.effects.clear()
+        host.read_list(*MIXED[3:])
+        host.fail_save()
+        host.fail_save()
+        saves = [one.spare for one in host.effects if isinstance(one, SaveStreams)]
+        self.assertEqual(saves, [False, True])
+
     def test_stream_of_the_only_build_is_never_joined_after_a_loss_of_all_hosts(self) -> None:
         """A host that had just started took the only build that it had seen for the only one."""
         host = Host(endpoints=MIXED[3:], stored={"a": using(OLD), "b": using(OLD)})
@@ -487,6 +534,21 @@
         again = Host(endpoints=MIXED[3:], stored=host.stored, at=host.now)
         self.assertIsNotNone(again.refusal(self.resume(again)))
 
+    def test_host_that_may_have_used_a_build_without_saving_it_binds_no_stream(self) -> None:
+        """Nothing told the host that started of the build that could not be saved."""
+        stored = {"a": using(OLD, age=builds.SAVE_PATIENCE_S)}
+        host = Host(endpoints=MIXED, stored=stored)
+        self.assertIsNotNone(host.refusal(self.resume(host)))
+        again = Host(endpoints=MIXED[:3], stored=host.stored)
+        self.assertIsNotNone(again.refusal(self.resume(again)))
+
+    def test_build_that_came_after_the_loss_was_not_used_before_it(self) -> None:
+        born = int((EPOCH + 100.0 - builds.SAVE_PATIENCE_S / 2) * 1000)
+        new = [engine(name, DECODE, build=NEW, born=born) for name in ("d2", "d3")]
+        stored = {"a": using(OLD, age=builds.SAVE_PATIENCE_S)}
+        host = Host(endpoints=(*MIXED[:3], *new), stored=stored)
+        self.assertEqual(serve(host, self.resume(host)), OLD)
+
     def test_loss_is_forgotten_once_no_stream_of_before_can_last(self) -> None:
         host = Host(endpoints=MIXED[3:], stored={"a": using(OLD)})
         host.run(builds.MIN_KEEP_TIME_S + 1.0)
--- a/tests/test_builds_random.py
+++ b/tests/test_builds_random.py
@@ -14,6 +14,7 @@
 HOSTS = ("a", "b", "c")
 LOSS = 0.2  # Share of the datagrams that are lost.
 CUT_STEPS = (12, 80)  # Steps of 0.05 s for which a host is cut off.
+DOWN_STEPS = 40  # Steps for which no host can save builds where it should, or read them.
 
 
 class Caller:
@@ -36,8 +37,8 @@
         self.told = dict.fromkeys(HOSTS, 0)
         self.saved: dict[str, SaveStreams] = {}
         self.stored: dict[str, SavedBuilds] = {}
-        self.last_saves: dict[str, SaveStreams] = {}
         self.era = 0
+        self.down_steps: int | None = None
         self.copied: tuple[dict[str, SaveStreams], dict[str, SavedBuilds]] = ({}, {})
         self.out_of_step: dict[str, int] = {}
         self.calls: list[tuple[str, str, Caller]] = []
@@ -126,6 +127,21 @@
         for host in self.in_step():
             host.note_era(self.era)
 
+    def take_part_down(self) -> None:
+        """Take a part of the store down for some steps, once in a run."""
+        if self.down_steps is None:
+            self.down_steps = DOWN_STEPS
+            for host in self.hosts.values():
+                host.usual_part_is_up = False
+
+    def bring_part_up(self) -> None:
+        """Bring the part of the store up that has been down for long enough."""
+        if self.down_steps:
+            self.down_steps -= 1
+        for host in () if self.down_steps else self.hosts.values():
+            if not host.usual_part_is_up:
+                host.usual_part_returns()
+
     def started(self, name: str) -> Host:
         """Return a host that has just started, and has read what hosts have saved."""
         own = self.saved[name].begun if name in self.saved else ()
@@ -138,16 +154,14 @@
             builds=tuple(saved.builds for saved in self.saved.values()),
             own=frozenset(one.name for one in own),
             era=self.era,
+            usual_part_is_up=not self.down_steps,
         )
 
     def save(self) -> None:
-        """Carry out the hosts' saves."""
+        """Note what hosts have saved; a save is gone once the store came back from a copy."""
         for name, host in self.hosts.items():
-            if name in self.out_of_step:
-                continue
-            saves = [one for one in host.effects if isinstance(one, SaveStreams)]
-            if saves and saves[-1] is not self.last_saves.get(name):
-                self.saved[name] = self.last_saves[name] = saves[-1]
+            if host.last_save is not None:
+                self.saved[name], host.last_save = host.last_save, None
 
     def tell(self, receiver: str, sender: str, told: TellLoad | None = None) -> None:
         """Deliver a datagram."""
@@ -160,6 +174,7 @@
         """Let a little time pass, and deliver most of the datagrams."""
         self.now += 0.05
         self.step_again()
+        self.bring_part_up()
         for host in self.hosts.values():
             host.run(self.now - host.now)
         for sender in self.hosts:
@@ -250,7 +265,7 @@
             + [self.break_off] * 4
             + [self.release, self.remove_engine, self.add_engine, self.put_out_of_step]
             + [lambda: self.start_host(self.rng.choice(HOSTS)), self.lose_all_hosts]
-            + [self.copy_store, self.restore_store]
+            + [self.copy_store, self.restore_store, self.take_part_down]
         )
         for _ in range(STEPS):
             self.rng.choice(steps)()
--- a/tests/test_on_platform.py
+++ b/tests/test_on_platform.py
@@ -695,6 +695,18 @@
         self.assertEqual(saved.saved["a"].begun, {MODEL: ("v1",)})
         self.assertAlmostEqual(saved.saved["a"].lost[MODEL]["v0"], 2.0, delta=1.0)
 
+    async def test_younger_of_a_hosts_two_records_counts(self) -> None:
+        register, now = self.site.daemon.runner.ports.register, self.site.daemon.runner.now()
+        for spare, build in ((False, "v1"), (True, "v2"), (False, "v3")):
+            saved = SavedBuilds(age=0.0, begun={MODEL: (build,)}, lost={})
+            stream = BegunStream(name=f"t-{build}", service=MODEL, build=build, began=now)
+            effect = SaveStreams(begun=(stream,), builds={}, saved=saved, spare=spare)
+            self.assertIsNone(await register.save_streams("b", effect, now))
+            await asyncio.sleep(0.005)  # Records are dated in milliseconds.
+            read = await register.saved_streams(now)
+            self.assertEqual(read.saved["b"].begun, {MODEL: (build,)})
+        self.assertEqual({one.name for one in read.streams["b"]}, {"t-v2", "t-v3"})
+
     async def test_saved_builds_name_the_era_in_which_they_were_saved(self) -> None:
         register, now = self.site.daemon.runner.ports.register, self.site.daemon.runner.now()
         self.site.store.copy()
