Claim no orders soon after a start in a store restored lately

Cause: running hosts wait after a restore, but a host that starts is told of none. When the store was restored is kept once now, with its era, which a host that starts reads with what hosts have saved.

Test: test_no_claim_for_five_seconds_after_a_start_in_a_store_restored_lately failed before.

--- a/src/wasabiwick/_handlers/builds.py
+++ b/src/wasabiwick/_handlers/builds.py
@@ -240,6 +240,12 @@
             builds_state.era_since = min(builds_state.era_since, at - one.era_age)
 
 
+def restored_at(state: State) -> float:
+    """Return when the store was last restored, as far as this host knows; -inf if never."""
+    builds_state = state["builds"]
+    return builds_state.era_since if builds_state.era > FIRST_ERA else float("-inf")
+
+
 def may_lack_saves(state: State, saved: SavedBuilds | None, at: float) -> bool:
     """Return whether the store may have lost what a host saved last, as it came from a copy.
 
@@ -250,12 +256,10 @@
         saved: What the host has saved, as the store has it; None if it has nothing.
         at: Monotonic time.
     """
-    builds_state = state["builds"]
-    was_restored = builds_state.era > FIRST_ERA
-    if not was_restored or at - builds_state.era_since > keep_time(state) + MAX_CLOCK_SKEW_S:
+    if at - restored_at(state) > keep_time(state) + MAX_CLOCK_SKEW_S:
         return False
     # What hosts of an earlier version saved names no era.
-    return saved is None or (saved.era is not None and saved.era < builds_state.era)
+    return saved is None or (saved.era is not None and saved.era < state["builds"].era)
 
 
 def recent_builds(state: State, service: str, at: float) -> dict[str, float]:
--- a/src/wasabiwick/_handlers/stages.py
+++ b/src/wasabiwick/_handlers/stages.py
@@ -20,14 +20,13 @@
     ClaimsRead,
     ForwarderBooted,
     StageAnswered,
-    StoreRestored,
     TimerFired,
 )
 from .._forwarding import DECODE, PREFILL, Endpoint, ServiceTraits
 from .._reducer import Step, handles, on_timer
 from .._settings import Settings
 from .._state import State, state_slice
-from . import directory, estimates, neighbours, pauses, places, reach, routes
+from . import builds, directory, estimates, neighbours, pauses, places, reach, routes
 
 REVIEW_INTERVAL_S = 1.0  # Time between reviews of how many engines each stage has.
 # No engine of a service changes its stage until the service's list of engines has been unchanged
@@ -64,7 +63,6 @@
     ``last_claim`` is the end of the log of claims when it was last read, the holder of the last
     claim, and the monotonic time at which this host first saw that claim. ``engine_stages`` holds
     the names and stages of each service's engines, unchanged since ``engine_stages_since``.
-    ``restored_at`` is when the log of claims was last restored from a copy.
     """
 
     __slots__ = (
@@ -73,7 +71,6 @@
         "ordered_at",
         "engine_stages",
         "engine_stages_since",
-        "restored_at",
     )
 
     def __init__(self, cfg: Settings) -> None:
@@ -82,7 +79,6 @@
         self.ordered_at = float("-inf")
         self.engine_stages: dict[str, frozenset[tuple[str, str]]] = {}
         self.engine_stages_since: dict[str, float] = {}
-        self.restored_at = float("-inf")
 
 
 def stream_rate(state: State, service: ServiceTraits, prefill: int, decode: int) -> float:
@@ -228,7 +224,8 @@
     stages_state = state["stages"]
     if stages_state.last_claim[:2] != (event.end, event.holder):
         stages_state.last_claim = (event.end, event.holder, event.at)
-    if event.at - stages_state.restored_at < CLAIM_WAIT_S:
+    # A copy may lack a claim that still holds.
+    if event.at - builds.restored_at(state) < CLAIM_WAIT_S:
         return
     is_other_host = event.holder not in ("", state.owner.host)
     if is_other_host and event.at - stages_state.last_claim[2] < CLAIM_WAIT_S:
@@ -238,12 +235,6 @@
     yield ClaimOrders(after=event.end, holder=state.owner.host)
 
 
-@handles(StoreRestored)
-def claims_restored(state: State, event: StoreRestored) -> None:
-    """Make no claim for a while, as the copy may lack a claim that still holds."""
-    state["stages"].restored_at = event.at
-
-
 @handles(ClaimAnswered)
 def claim_answered(state: State, event: ClaimAnswered) -> typing.Iterator[Step]:
     """Send the orders at once if the claim was accepted and did not take too long.
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -130,6 +130,14 @@
         host.run(0.2)
         self.assertTrue(of_type(host.feed(_events.ClaimsRead, end=7, holder=""), ClaimOrders))
 
+    def test_no_claim_for_five_seconds_after_a_start_in_a_store_restored_lately(self) -> None:
+        """A host that started after a restore did not know of another host's claim."""
+        host = Host(endpoints=SPLIT, era=1)
+        host.run(4.9)
+        self.assertEqual(of_type(host.feed(_events.ClaimsRead, end=7, holder=""), ClaimOrders), [])
+        host.run(0.2)
+        self.assertTrue(of_type(host.feed(_events.ClaimsRead, end=7, holder=""), ClaimOrders))
+
     def test_a_rejected_claim_sends_no_order(self) -> None:
         host = Host(endpoints=SPLIT)
         host.run(4.0)
