Take nothing with an unknown status for an answer or a part of one

Cause: a status below 200 was taken for an interim answer, and nothing checked that a status is one. The parser reports a body behind such heads.

Why this works: a status outside 100 to 599, or a body behind an interim status, closes the connection, and the request may have run. A head behind what was no answer counts for nothing, also if both came in one read, which the check for repeated status lines lacked as well.

--- a/src/wasabiwick/_adapters/_engine.py
+++ b/src/wasabiwick/_adapters/_engine.py
@@ -22,7 +22,14 @@
     PrefillAsk,
     ResumeAsk,
 )
-from ._http import HTTP_CONFLICT, JSON_TYPE, failure_from_error, failure_from_status, request_json
+from ._http import (
+    HTTP_CONFLICT,
+    JSON_TYPE,
+    check_status,
+    failure_from_error,
+    failure_from_status,
+    request_json,
+)
 
 Batch = list[Frame] | Failure
 
@@ -104,6 +111,7 @@
                 asyncio.timeout(self._timing.service),
                 self._session.post(f"{address}/v1/orders", data=data, headers=JSON_TYPE) as resp,
             ):
+                check_status(resp)
                 if resp.status == HTTP_CONFLICT:
                     return False
                 return True if resp.ok else failure_from_status(resp.status, address)
@@ -116,6 +124,7 @@
         data = msgspec.json.encode(ask)
         try:
             async with self._session.post(address + path, data=data, headers=JSON_TYPE) as resp:
+                check_status(resp)
                 if resp.status >= 400:
                     yield failure_from_status(resp.status, address)
                     return
--- a/src/wasabiwick/_adapters/_http.py
+++ b/src/wasabiwick/_adapters/_http.py
@@ -9,7 +9,7 @@
 
 from .._decoding import decode_json
 from .._errors import ENDPOINT_FAILED, ENDPOINT_REFUSED, ENDPOINT_SILENT, SUPERSEDED, Failure
-from .._http1 import MAX_BODY_BYTES
+from .._http1 import FIRST_STATUS, LAST_STATUS, MAX_BODY_BYTES
 from .._verdict import Verdict
 
 T = typing.TypeVar("T")
@@ -62,6 +62,16 @@
     )
 
 
+def check_status(resp: aiohttp.ClientResponse) -> None:
+    """Check that what came is an answer.
+
+    Raises:
+        aiohttp.ClientError: If it has a status that HTTP does not know, such as 000.
+    """
+    if not FIRST_STATUS <= resp.status <= LAST_STATUS:
+        raise aiohttp.ClientPayloadError(f"the answer has the status {resp.status:03}")
+
+
 async def read_body(resp: aiohttp.ClientResponse) -> bytes:
     """Return the whole body of an answer.
 
@@ -69,8 +79,10 @@
     length nor chunks. Such an answer is complete only if the connection was closed, not reset.
 
     Raises:
-        aiohttp.ClientError: If the body is incomplete, or has more than `MAX_BODY_BYTES`.
+        aiohttp.ClientError: If the body is incomplete, or has more than `MAX_BODY_BYTES`, or if
+            what came is no answer.
     """
+    check_status(resp)
     protocol = None if resp.connection is None else resp.connection.protocol
     body = bytearray()
     while part := await resp.content.readany():
--- a/src/wasabiwick/_http1.py
+++ b/src/wasabiwick/_http1.py
@@ -33,6 +33,9 @@
 # Bytes that frame a body, such as the sizes of its chunks, may be this multiple of the body itself,
 # beside `MAX_HEAD_BYTES`. A chunk of one byte needs five to frame it.
 MAX_FRAMING_RATIO = 8
+# Statuses that HTTP knows; an interim answer has one below `FIRST_FINAL_STATUS`.
+FIRST_STATUS, LAST_STATUS = 100, 599
+FIRST_FINAL_STATUS = 200
 # Start of a status line, which no line of a sound head holds. An endpoint that stopped in the
 # middle of a line went on with another answer there.
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
@@ -317,15 +320,22 @@
             self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Record the answer's head; that of an interim answer (status 1xx) is dropped."""
-        if self.ended:
+        """Record the answer's head; that of an interim answer (status 1xx) is dropped.
+
+        A head behind one that was no answer's counts for nothing, also if both came at once.
+        """
+        if self.ended or self._error:
             return
         if self._holds_status_line():
             self._fail("another answer begins within the head")
             self.close()
             return
         status = self._parser.get_status_code()
-        if status < 200:
+        if not FIRST_STATUS <= status <= LAST_STATUS:
+            self._fail(f"the answer has the status {status:03}")
+            self.close()
+            return
+        if status < FIRST_FINAL_STATUS:
             self.headers.clear()
             self._reason = b""
             return
@@ -342,8 +352,11 @@
         self._has_head = True
 
     def on_body(self, body: bytes) -> None:
-        """Keep bytes of the body."""
-        if not self.ended:
+        """Keep bytes of the body; an interim answer has none."""
+        if not self._has_head:
+            self._fail("an answer without a final status has a body")
+            self.close()
+        elif not self.ended:
             self._chunks.append(body)
             self._buffered_bytes += len(body)
             self._body_bytes += len(body)
--- a/tests/_cut_engine.py
+++ b/tests/_cut_engine.py
@@ -14,6 +14,8 @@
 HOLD = b'{"hold":"hold-1"}'
 PROMPT = b'{"kv-handle":"handle-1","tokens":10,"version":1}'
 FAILURE = b"500 Failed"
+ATTEMPT = b"ATTEMPT"
+ENDLESS_BLOCK_BYTES = 16_384  # Bytes of each write of an answer without an end.
 RESET_DELAY_S = 0.002  # Bytes have to arrive before a reset, which would discard them.
 FRAMINGS = ("length", "chunks", "close")
 
@@ -60,6 +62,9 @@
         cuts: Where the next answers of that kind are cut off: behind so many bytes, or behind a
             text of theirs; later ones are whole.
         strays: Bytes that it writes before the next answers of that kind.
+        endless: Bytes that it writes in place of answers of that kind, and those that follow them
+            without end; `ATTEMPT` stands for the attempt's identifier. None for sound answers.
+        endless_bytes: Number of bytes that the last of these brought until they were refused.
         fails: Whether its answers to plain requests are its own failures.
         resets: Whether it resets the connection then, which it closes otherwise.
         is_early: Whether it cuts off before it reads the request's body.
@@ -76,6 +81,8 @@
         self.cut_kind = ""
         self.cuts: list[int | bytes] = []
         self.strays: list[bytes] = []
+        self.endless: tuple[bytes, bytes] | None = None
+        self.endless_bytes = 0
         self.fails = False
         self.resets = False
         self.is_early = False
@@ -110,6 +117,12 @@
                 head = await reader.readuntil(b"\r\n\r\n")
                 fields = head_fields(head)
                 kind, answer = self._answer(head, fields)
+                if kind == self.cut_kind and self.endless is not None:
+                    beginning, repeated = self.endless
+                    attempt = fields.get("x-wasabiwick-attempt-id", "").encode()
+                    beginning = beginning.replace(ATTEMPT, attempt)
+                    await self._write_endless(writer, beginning, repeated)
+                    return
                 is_cut = kind == self.cut_kind and bool(self.cuts)
                 if not (is_cut and self.is_early):
                     await reader.readexactly(int(fields.get("content-length", 0)))
@@ -130,6 +143,18 @@
                     writer.close()
                     return
 
+    async def _write_endless(
+        self, writer: asyncio.StreamWriter, beginning: bytes, repeated: bytes
+    ) -> None:
+        block = repeated * (ENDLESS_BLOCK_BYTES // len(repeated))
+        writer.write(beginning)
+        self.endless_bytes = 0
+        while True:
+            writer.write(block)
+            self.endless_bytes += len(block)
+            await writer.drain()
+            await asyncio.sleep(0)
+
     def _answer(self, head: bytes, fields: dict[str, str]) -> tuple[str, bytes]:
         target = head.split(b" ")[1].decode()
         if target.startswith("/v1/hold-take"):
--- a/tests/test_adapters.py
+++ b/tests/test_adapters.py
@@ -34,6 +34,14 @@
             with self.subTest(answer=answer, then=then):
                 self.assertEqual((await self.call(answer, then)).body, "ok")
 
+    async def test_status_that_http_does_not_know_is_no_answer(self) -> None:
+        """A status 000 was passed on as an answer."""
+        for status in (b"000", b"099", b"600"):
+            with self.subTest(status):
+                failure = await self.call(COMPLETE.replace(b"200", status), "keep")
+                self.assertIsInstance(failure, Failure)
+                self.assertIs(failure.verdict, Verdict.MAY_HAVE_RUN)
+
     async def test_answer_without_length_is_incomplete_after_a_reset(self) -> None:
         """The client library took the reset for the end of the answer."""
         failure = await self.call(WITHOUT_LENGTH, "reset")
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -90,6 +90,13 @@
     async def _has_read_all(self) -> bool:
         return len(self.site.state["directory"].endpoints) == len(self.site.engines)
 
+    async def remove(self, *names: str) -> None:
+        """Remove engines from the list."""
+        for name in names:
+            await self.site.store.put(TOPIC_PREFIX + "servers", name, None)
+            del self.site.engines[name]
+        await until(self._has_read_all)
+
     async def ask(
         self, path: str, body: bytes = b"body", **headers: str
     ) -> tuple[int, bytes, dict[str, str], bool]:
@@ -208,6 +215,11 @@
     async def test_cut_before_the_request_was_sent_whole(self) -> None:
         await self.sweep(framing="length", resets=lambda cut: cut % 2 == 0, early=True)
 
+    async def test_reset_before_the_request_was_sent_whole(self) -> None:
+        """A part of an answer without a length, reset within an upload, came as a whole answer."""
+        for framing in ("close", "chunks"):
+            await self.sweep(framing=framing, resets=lambda cut: True, early=True)
+
     async def test_safe_request_gets_the_whole_answer_of_the_next_try(self) -> None:
         other = CutEngine("s1")
         await self.enterAsyncContext(other)
@@ -235,6 +247,58 @@
         return "s1" in self.site.state["directory"].endpoints
 
 
+# Heads and what follows them, none of which is an answer.
+NO_ANSWERS = {
+    "status 000": b"HTTP/1.1 000 \r\nContent-Length: 4\r\n\r\npart",
+    "status 000 without a length": b"HTTP/1.1 000 \r\n\r\n",
+    "status below the first one": b"HTTP/1.1 099 Odd\r\nContent-Length: 4\r\n\r\npart",
+    "status above the last one": b"HTTP/1.1 600 Odd\r\nContent-Length: 4\r\n\r\npart",
+    "interim answer with a body": b"HTTP/1.1 199 Odd\r\nContent-Length: 4\r\n\r\npart",
+}
+
+
+class TestStatusesThatAreNone(CutAnswerTest):
+    """What has no status of HTTP is no answer, and nothing of it gets into another one."""
+
+    async def test_alone(self) -> None:
+        """A status 000 was waited on until the connection ended; one of 600 came as an answer."""
+        engine = self.site.engines["s0"]
+        engine.cut_kind, engine.framing = "plain", "close"
+        for name, stray in NO_ANSWERS.items():
+            with self.subTest(name):
+                self.site.forgive()
+                engine.strays, engine.cuts = [stray], [stray]
+                found = await self.ask("/unsafe/x")
+                self.assertEqual(found[0], 502)
+                self.assertNotIn("x-wasabiwick-response-seal", found[2])
+                self.assertNotIn(b"part", found[1])
+
+    async def test_before_an_answer(self) -> None:
+        """The body behind a status 000 came as the beginning of the next answer's body."""
+        engine = self.site.engines["s0"]
+        engine.cut_kind = "plain"
+        for name, stray in NO_ANSWERS.items():
+            with self.subTest(name):
+                self.site.forgive()
+                engine.strays = [stray]
+                found = await self.ask("/unsafe/x")
+                self.assertEqual(found[0], 502)
+                self.assertNotIn("x-wasabiwick-response-seal", found[2])
+
+    async def test_before_a_stream(self) -> None:
+        engine = self.site.engines["d0"]
+        engine.cut_kind = "stream"
+        await self.remove("d1")
+        for name, stray in NO_ANSWERS.items():
+            with self.subTest(name):
+                self.site.forgive()
+                engine.strays = [stray]
+                status, body, _, is_whole = await self.ask("/stream/x")
+                if is_whole and status == 200:
+                    self.assertEqual(body, EVENTS)
+                self.assertNotIn(b"HTTP/1.1", body)
+
+
 class TestHeadsBehindCutHeads(CutAnswerTest):
     """A head that was cut off is not read on into the head of the answer that follows it.
 
