End an answer without a length only once its request has arrived

What callers could get: a part of an answer as a whole one (MIXED). An engine answered a long upload at once, without a length, ended its side of the connection and reset it while the upload was still written.

Cause: the end of input ended such an answer, whatever became of the other direction. A reset in place of an end was noticed, also within an upload.

A process that closes a socket whose input it has read so far sends an end first and a reset later. Shown by test_answer_reset_behind_its_end_is_not_complete, which got the part as whole before and fails there; the other cases of tests/test_early_ends.py and test_reset_before_the_request_was_sent_whole held before as well.

Why this works: the answer ends once the endpoint's kernel has acknowledged all of the request, and is broken off if the connection is reset before. If the request has arrived already, nothing is waited for; an endpoint that ends its answer and reads on has answered in whole, as before.

--- a/src/wasabiwick/_http1.py
+++ b/src/wasabiwick/_http1.py
@@ -8,8 +8,11 @@
 
 import asyncio
 import collections
+import fcntl
 import re
 import socket
+import struct
+import termios
 import typing
 
 import httptools
@@ -36,6 +39,9 @@
 # Statuses that HTTP knows; an interim answer has one below `FIRST_FINAL_STATUS`.
 FIRST_STATUS, LAST_STATUS = 100, 599
 FIRST_FINAL_STATUS = 200
+# Seconds between checks whether the rest of a request has arrived, once its answer has ended.
+UNSENT_CHECK_S = 0.005
+_TCP_CLOSE = 7  # State of a TCP connection that was reset, as in the first byte of `TCP_INFO`.
 # Start of a status line, which no line of a sound head holds. An endpoint that stopped in the
 # middle of a line went on with another answer there.
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
@@ -248,6 +254,35 @@
         """Return how many bytes of an answer may have come, by what is known of its body."""
         return MAX_HEAD_BYTES + (1 + MAX_FRAMING_RATIO) * self._body_bytes
 
+    def _unsent_bytes(self) -> int:
+        """Return how many bytes of the request have not arrived at the endpoint."""
+        sock = self.transport.get_extra_info("socket")
+        if sock is None or sock.fileno() < 0:
+            return 0
+        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(struct.calcsize("i")))
+        return self.transport.get_write_buffer_size() + struct.unpack("i", queued)[0]
+
+    def _was_reset(self) -> bool:
+        sock = self.transport.get_extra_info("socket")
+        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == _TCP_CLOSE
+
+    def _end_if_sent(self) -> None:
+        """End an answer without a length once its request has arrived, unless a reset comes first.
+
+        An endpoint that fails while it is sent a long request may close the connection before it
+        resets it, and its answer is then not complete.
+        """
+        if self._is_lost or self._error or not self._is_busy:
+            return
+        if not self._unsent_bytes():
+            self.ended = True
+            self._fail("closed by the endpoint")
+        elif self._was_reset():
+            self._fail("reset behind its end")
+            self.close()
+        else:
+            asyncio.get_running_loop().call_later(UNSENT_CHECK_S, self._end_if_sent)
+
     def _fail(self, error: str) -> None:
         self._error = self._error or error
         self._wake()
@@ -290,11 +325,18 @@
             self.transport.pause_reading()
         self._wake()
 
-    def eof_received(self) -> None:
-        """Treat the end of input as the end of an answer that has no length."""
+    def eof_received(self) -> bool | None:
+        """Treat the end of input as the end of an answer that has no length.
+
+        Returns:
+            Whether the rest of the request is still to be written.
+        """
         if self._is_busy and self._has_head and not self.ended and not self.has_length:
-            self.ended = True
+            self._end_if_sent()
+            if not self._error:
+                return True
         self._fail("closed by the endpoint")
+        return None
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record that the connection is closed."""
