Test that endless bytes cost a host one request, whatever was asked

Operators reported a machine that kept all of an answer without end and ran out of memory. Here heads, bodies, events and framing were bounded before; that was tested on single connections alone. The test lets an engine answer plain requests, streams, prefills and reservations of a whole host in 12 to 26 ways each: none brings more than the bounds and the sockets' buffers hold, no part comes as a whole answer, and the next request is served.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -22,9 +22,16 @@
 from wasabiwick._verdict import Verdict
 from wasabiwick._wire import ResumeAsk
 
+from ._cut_engine import BODY, EVENTS, SEAL
+from ._processes import until
+from .test_cut_answers import CutAnswerTest
+
 REQUEST = encode_request("GET", "/", [(b"Host", b"h")], b"")
 OK = b"HTTP/1.1 200 OK\r\n"
 RESUME = ResumeAsk(request_id="r", attempt_id="a", owner="o")
+DEADLINE_MS = (
+    "700"  # Of requests that are answered without end, so that no other try is waited for.
+)
 BLOCK = 16_384  # Bytes of each write.
 # Bytes that a server's and a client's sockets may hold beside what the client has taken.
 SOCKET_BYTES = 16 * 1024 * 1024
@@ -80,6 +87,18 @@
 }
 
 
+# The same behind a head that is an engine's, of a plain answer or of a stream.
+SEALED = OK + b"X-Wasabiwick-Attempt-Id: ATTEMPT\r\nX-Wasabiwick-Response-Seal: %b\r\n" % (
+    SEAL.encode()
+)
+EVENT_STREAM = b"Content-Type: text/event-stream\r\n"
+SEALED_BODIES = {
+    f"{name} of {kind}": (beginning.replace(OK, head), repeated)
+    for name, (beginning, repeated) in BODIES.items()
+    for kind, head in (("an answer", SEALED), ("a stream", SEALED + EVENT_STREAM))
+}
+
+
 class TestEndlessAnswers(unittest.IsolatedAsyncioTestCase):
     """An answer that does not end is broken off before it fills the memory."""
 
@@ -114,6 +133,49 @@
                 self.assertLess(sent_bytes, MAX_BODY_BYTES + SOCKET_BYTES)
 
 
+class TestWholeHost(CutAnswerTest):
+    """An engine that sends bytes without end costs its own request alone, whatever it was asked."""
+
+    async def check_endless(
+        self, path: str, name: str, kind: str, cases: dict[str, tuple[bytes, bytes]]
+    ) -> None:
+        """Send requests that an engine answers without end, and check that others are served."""
+        engine = self.site.engines[name]
+        engine.cut_kind = kind
+        for case, (beginning, repeated) in cases.items():
+            with self.subTest(case, kind=kind):
+                self.site.forgive()
+                engine.endless, engine.endless_bytes = (beginning, repeated), 0
+                status, body, _, is_whole = await self.ask(
+                    path, X_Wasabiwick_Deadline_Ms=DEADLINE_MS
+                )
+                await until(self._has_no_calls)
+                self.assertGreater(engine.endless_bytes, 0)
+                self.assertLess(engine.endless_bytes, MAX_BODY_BYTES + SOCKET_BYTES)
+                if 200 <= status < 300 and is_whole:
+                    self.assertIn(body, (BODY, EVENTS, b"ok"))
+                engine.endless = None
+                self.site.forgive()
+                self.assertEqual((await self.ask(path))[0], 200)
+
+    async def _has_no_calls(self) -> bool:
+        return not self.host.runner.forwarded_calls
+
+    async def test_plain_answer(self) -> None:
+        await self.check_endless("/unsafe/x", "s0", "plain", HEADS | BODIES | SEALED_BODIES)
+
+    async def test_stream(self) -> None:
+        await self.remove("d1")
+        await self.check_endless("/stream/x", "d0", "stream", HEADS | SEALED_BODIES)
+
+    async def test_prefill(self) -> None:
+        await self.check_endless("/stream/x", "p0", "prefill", HEADS | BODIES)
+
+    async def test_hold(self) -> None:
+        await self.remove("d1")
+        await self.check_endless("/stream/x", "d0", "hold", HEADS | BODIES)
+
+
 class TestOwnInterface(unittest.IsolatedAsyncioTestCase):
     """Endpoints behind our own interface may send bytes without end, too."""
 
