Make a read wait that began after what two tests set up

A read that had begun before the test set its turn, or before the test counted reads, waited on the test's event for ever, so the condition could not hold. The tests wait until a read waits that began in its turn.

--- a/tests/test_read_turns.py
+++ b/tests/test_read_turns.py
@@ -81,6 +81,7 @@
         self.reads = 0
         self.is_down = False
         self.waits: asyncio.Event | None = None
+        self.waiting = 0  # Reads that wait for this event.
         self.fault: Exception | None = None
         self.answered_at = 0.0
 
@@ -102,7 +103,9 @@
             raise StoreError("down")
         await asyncio.sleep(0)
         if self.waits is not None:
+            self.waiting += 1
             await self.waits.wait()
+            self.waiting -= 1
         return Page(records=self.records[start:], next=len(self.records), era=self.era or 0)
 
 
@@ -250,9 +253,12 @@
 
     async def test_others_hear_while_a_read_waits_and_the_store_answers_others(self) -> None:
         """A long poll returns when something is new, which may be seconds later."""
-        self.topics.waits = asyncio.Event()
         self.turns.set_turn(reads=True, addresses=("b:1",))
-        await self.until(lambda: len(self.sent) >= 3)
+        await self.until(lambda: self.sent)  # The next read begins with its turn.
+        self.topics.waits = asyncio.Event()
+        await self.until(lambda: self.topics.waiting)
+        told = len(self.sent)
+        await self.until(lambda: len(self.sent) >= told + 3)
         self.assertEqual({(one.after, one.upto, one.records) for one in self.sent}, {(1, 1, ())})
         self.topics.add("a", b"second")
         self.topics.waits.set()
@@ -264,8 +270,7 @@
         await self.until(lambda: self.sent)
         self.topics.waits = asyncio.Event()
         self.topics.answered_at = -2 * self.turns.answered_within
-        reads = self.topics.reads
-        await self.until(lambda: self.topics.reads > reads)
+        await self.until(lambda: self.topics.waiting)
         told = len(self.sent)
         await asyncio.sleep(3 * self.silence)
         self.assertLessEqual(len(self.sent), told + 1)  # One read may have been answered before.
