Tell of entries again that a whole read lacked

Cause: a host that reads for others tells entries that differ from what it last read under their name. For names that the copy lacked it kept what it had read before, so entries that came back as they had been were told to nobody, while the others had dropped the engines.

Why this works: a whole read replaces what the reader knows. It holds after any whole read, also where history was dropped in an outage.

Test: test_record_that_a_copy_lacked_is_told_once_it_is_back failed before.

--- a/src/wasabiwick/_feed.py
+++ b/src/wasabiwick/_feed.py
@@ -156,8 +156,14 @@
             reading.cancel()
 
     def _news(self, page: Page, after: int | None) -> ToldPage | None:
-        """Return what a page says that is new, to be told to other hosts; None for a first page."""
+        """Return what a page says that is new, to be told to other hosts; None for a first page.
+
+        A first page has every key. One that is missing there is new once it is back, also with the
+        content that it had, as hosts that read the page without it have dropped it.
+        """
         new = []
+        if after is None:
+            self._contents.clear()
         for record in page.records:
             content = self._content_of(record)
             if record.key not in self._contents or self._contents[record.key] != content:
--- a/tests/test_read_turns.py
+++ b/tests/test_read_turns.py
@@ -251,6 +251,18 @@
         told = [one.value for page in self.sent for one in page.records]
         self.assertEqual(told, [b"second"])
 
+    async def test_record_that_a_copy_lacked_is_told_once_it_is_back(self) -> None:
+        """Hosts that listen lost endpoints for good whose entries came back as they had been."""
+        self.turns.set_turn(reads=True, addresses=("b:1",))
+        self.topics.records.clear()
+        self.topics.add("b", b"of the copy")
+        self.topics.era = 1
+        await self.until(lambda: b"of the copy" in self.seen)
+        self.topics.add("a", b"first")
+        await self.until(lambda: self.sent and self.sent[-1].upto == 2 and self.sent[-1].era == 1)
+        told = [one.value for page in self.sent for one in page.records]
+        self.assertEqual(told, [b"first"])
+
     async def test_others_hear_while_a_read_waits_and_the_store_answers_others(self) -> None:
         """A long poll returns when something is new, which may be seconds later."""
         self.turns.set_turn(reads=True, addresses=("b:1",))
