Keep an endpoint whose entry is back in the page that removed it

Cause: a page was applied in order, but endpoints were removed behind it, also one that a later entry of the page had listed again. Hosts that read the store got it back with its next heartbeat; hosts that listen are told only what changes, and so never did.

Why this works: what is listed last in a page counts, in either order.

Test: test_an_entry_that_is_back_in_the_same_page_is_used failed before.

--- a/src/wasabiwick/_handlers/directory.py
+++ b/src/wasabiwick/_handlers/directory.py
@@ -175,7 +175,7 @@
     directory_state = state["directory"]
     directory_state.read_at = event.at
     has_changed = False
-    dropped_names: list[str] = []
+    dropped_names: dict[str, None] = {}  # In order of their removal.
     is_copy = event.whole and directory_state.removed is not None
     removed = directory_state.removed if is_copy else frozenset()
     if is_copy:
@@ -185,8 +185,10 @@
             continue
         directory_state.offsets[one.name] = one.offset
         if one.endpoint is None:
-            dropped_names.append(one.name)
+            dropped_names[one.name] = None
         elif one.name not in removed:
+            # One page may hold that an entry lapsed, and the same entry again.
+            dropped_names.pop(one.name, None)
             # One that was removed writes its entry again if it is alive.
             try:
                 added = yield from _add_endpoint(state, one.endpoint, event.at)
@@ -196,11 +198,11 @@
             has_changed = added or has_changed
     if event.whole:
         listed_names = {one.name for one in event.listings}
-        dropped_names += [
-            name
+        dropped_names |= {
+            name: None
             for name in directory_state.endpoints
             if name not in listed_names and directory_state.offsets.get(name, -1) < event.upto
-        ]
+        }
     lapsed_names = _lapsed_names(state, dropped_names, event.at)
     if is_copy:
         # Those that are missing started after the copy, and write their entries again.
@@ -215,7 +217,7 @@
         yield PlacesChanged(at=event.at)
 
 
-def _lapsed_names(state: State, dropped_names: list[str], at: float) -> set[str]:
+def _lapsed_names(state: State, dropped_names: typing.Iterable[str], at: float) -> set[str]:
     """Return those of the dropped names whose entries lapsed in an outage of the list's source.
 
     A long outage removes the entries of most endpoints of a service. If only this host was cut off
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -9,6 +9,11 @@
 from ._forward import ENDPOINTS, Host, plain
 
 
+def gone_at(name: str, offset: int) -> Listing:
+    """Return a removed entry."""
+    return Listing(name=name, offset=offset, endpoint=None)
+
+
 class TestOrder(unittest.TestCase):
     """An entry that is read late does not replace a newer one."""
 
@@ -19,6 +24,19 @@
         host.feed(_events.EndpointsRead, listings=(old,), upto=1)
         self.assertFalse(directory.is_usable(host.state, "s0"))
 
+    def test_an_entry_that_is_back_in_the_same_page_is_used(self) -> None:
+        """The first read after an outage brings both; the endpoint was removed for good."""
+        host = Host()
+        back = Listing(name="s0", offset=101, endpoint=plain("s0"))
+        host.feed(_events.EndpointsRead, listings=(gone_at("s0", 100), back), upto=102)
+        self.assertTrue(directory.is_usable(host.state, "s0"))
+        host.feed(
+            _events.EndpointsRead,
+            listings=(Listing(name="s0", offset=102, endpoint=plain("s0")), gone_at("s0", 103)),
+            upto=104,
+        )
+        self.assertFalse(directory.is_usable(host.state, "s0"))
+
     def test_an_unreadable_entry_removes_only_its_own_endpoint(self) -> None:
         host = Host()
         host.drop("s0")
