--- a/src/wasabiwick/_handlers/directory.py
+++ b/src/wasabiwick/_handlers/directory.py
@@ -187,9 +187,9 @@
         if one.endpoint is None:
             dropped_names[one.name] = None
         elif one.name not in removed:
-            # One page may hold that an entry lapsed, and the same entry again.
+            # One that was removed writes its entry again if it is alive. One page may hold that an
+            # entry lapsed, and the same entry again.
             dropped_names.pop(one.name, None)
-            # One that was removed writes its entry again if it is alive.
             try:
                 added = yield from _add_endpoint(state, one.endpoint, event.at)
             except Exception as exc:  # noqa: BLE001 - reported; the other entries count
