--- a/review/lab3.py
+++ b/review/lab3.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 import itertools
+import logging
 import os
 import pathlib
 import re
@@ -214,7 +215,9 @@
                 self.callers = found[1]
                 self._reading = asyncio.create_task(self._read())
                 return
-        raise RuntimeError(f"{self.name} ended with code {await self.proc.wait()}")
+        raise RuntimeError(
+            f"{self.name} ended with code {await self.proc.wait()}: {self.lines[-3:]}"
+        )
 
     async def _read(self) -> None:
         async for line in self.proc.stdout:
@@ -268,16 +271,22 @@
 
 
 async def call_stream(
-    session: aiohttp.ClientSession, host: Host, record: Record, *, deadline_s: float = 14.0
+    session: aiohttp.ClientSession,
+    host: Host,
+    record: Record,
+    *,
+    deadline_s: float = 14.0,
+    request: str = "",
+    prefix: str = "",
 ) -> Stream:
     """Send a request for a stream on a new connection, and read it to its end."""
-    found = Stream(new_id())
+    found = Stream(request or new_id())
     headers = {
         **STREAM_HEADERS,
         "Host": "example",
         "X-Wasabiwick-Attempt-Id": found.request,
         "X-Wasabiwick-Deadline-Ms": str(int(deadline_s * 1000)),
-        "X-Wasabiwick-Prefix-Hash": f"aa{found.request}:200,bb{found.request}:800",
+        "X-Wasabiwick-Prefix-Hash": prefix or f"aa{found.request}:200,bb{found.request}:800",
         "Connection": "close",
     }
     body = bytearray()
@@ -345,6 +354,8 @@
 
 def run(main: typing.Callable[[], typing.Coroutine[None, None, int]]) -> typing.NoReturn:
     """Run a case, and exit with its result; 2 if it could not run."""
+    # Stand-ins that are cut off while they answer would fill the terminal.
+    logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
     try:
         code = asyncio.run(main())
     except Exception as exc:  # noqa: BLE001 - reported
