--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,7 +1,15 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of the third review start. They are Python: this shows that they
-# and the project's own compile, and find all libraries that they use in target/deps.
+# Builds the stand-ins that the scripts of the third review start, the project's own too. They are
+# Python: this checks that all of it compiles and finds its libraries in target/deps.
 set -eu
 cd "$(dirname "$0")/.."
-python3 -m compileall -q review/lab3.py review/11 review/12 tests/_platform.py tests/_partition.py
-PYTHONPATH=target/deps:. python3 -c "import review.lab3"
+PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=target/deps:. python3 - <<'END'
+import pathlib
+
+from review import lab3
+
+assert lab3.site
+paths = [*pathlib.Path("review").glob("1[1-5]/case.py"), *pathlib.Path("tests").glob("_p*.py")]
+for path in paths:
+    compile(path.read_text(encoding="utf-8"), str(path), "exec")
+END
--- a/review/lab3.py
+++ b/review/lab3.py
@@ -22,6 +22,7 @@
 from tests._platform import APP, MODEL, TOPIC_PREFIX, Endpoint, Store, serving
 
 SERVERS = TOPIC_PREFIX + "servers"
+PATIENCE_S = 4.0  # Four times the objective: a gap after which a caller gives a stream up.
 HEARTBEAT_S = 1.2  # `heartbeat-ms` of the small deployments.
 REPO = pathlib.Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -106,6 +107,19 @@
         print(text)
 
 
+class PartlyDownStore(Store):
+    """A store of which some topics may be down."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.down: frozenset[str] = frozenset()
+
+    async def _apply_fault(self, req: web.Request) -> web.Response | None:
+        if req.query.get("topic") in self.down:
+            return web.Response(status=503)
+        return await super()._apply_fault(req)
+
+
 class VersionedEngine(Endpoint):
     """A model engine whose events name the version of its software."""
 
@@ -178,6 +192,17 @@
                 conn.transport.abort()
         await self._runner.cleanup()
 
+    async def leave(self, linger: float) -> None:
+        """Leave without a report: the entry is removed, and it serves on for a while."""
+        self._beats.cancel()
+        await self._store.put(SERVERS, self.endpoint.name, None)
+        self._beats = asyncio.create_task(self._end(linger))
+
+    async def _end(self, linger: float) -> None:
+        await asyncio.sleep(linger)
+        self._record.line(f"{self.endpoint.name} has left")
+        await self._runner.cleanup()
+
     async def close(self) -> None:
         """End the stand-in."""
         self._beats.cancel()
@@ -309,6 +334,131 @@
     return found
 
 
+class Front:
+    """The way of callers to one host. While the host has no power, connections are silent."""
+
+    def __init__(self, host: Host) -> None:
+        self.host = host
+        self.port = 0
+        self.started_at = 0.0
+        self._is_dark = False
+        self._pumps: set[asyncio.Task] = set()
+        self._held: list[asyncio.StreamWriter] = []
+        self._server: asyncio.Server | None = None
+
+    async def open(self) -> None:
+        """Accept callers."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def power_off(self) -> None:
+        """Take the power from the host: nothing tells its callers."""
+        self._is_dark = True
+        for pump in list(self._pumps):
+            pump.cancel()
+        await self.host.kill()
+
+    async def power_on(self) -> None:
+        """Start the host again."""
+        await self.host.start()
+        self.started_at = time.monotonic()
+        self._is_dark = False
+
+    async def close(self) -> None:
+        """Close all connections."""
+        self._server.close()
+        for writer in self._held:
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._held.append(writer)
+        if self._is_dark:
+            return
+        address, _, port = self.host.callers.rpartition(":")
+        try:
+            upstream, upward = await asyncio.open_connection(address, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        for pump in (self._pump(reader, upward), self._pump(upstream, writer)):
+            task = asyncio.create_task(pump)
+            self._pumps.add(task)
+            task.add_done_callback(self._pumps.discard)
+
+    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65_536):
+                writer.write(data)
+                await writer.drain()
+        if not self._is_dark:
+            writer.close()
+
+
+class Caller:
+    """A caller of one stream, which takes it up if it breaks off."""
+
+    def __init__(self, session: aiohttp.ClientSession, record: Record) -> None:
+        self._session, self._record = session, record
+        self.request = new_id()
+        self.events = 0
+        self.versions: list[str] = []  # Of the engines that wrote its events, in order.
+        self.is_whole = False
+        self.taken_up_at: float | None = None
+        self.taken_up_by: Front | None = None
+        self.goes_on = False
+        self.retry_after = 0.0
+
+    async def ask(self, front: Front) -> None:
+        """Ask for the stream, and read it until it ends or is silent for too long."""
+        await self._read(front, self.request, {})
+
+    async def take_up(self, front: Front) -> None:
+        """Take the stream up where it broke off."""
+        self.taken_up_at, self.taken_up_by = time.monotonic(), front
+        before = self.events
+        taken_up = {"Last-Event-Id": str(self.events), "Resumes": self.request}
+        await self._read(front, new_id(), taken_up)
+        self.goes_on = self.events > before
+
+    async def _read(self, front: Front, request: str, headers: dict[str, str]) -> None:
+        sent = {
+            **STREAM_HEADERS,
+            **headers,
+            "Host": "example",
+            "X-Wasabiwick-Attempt-Id": request,
+            "X-Wasabiwick-Deadline-Ms": "14000",
+            "X-Wasabiwick-Prefix-Hash": f"aa000000:200,{self.request}:800",
+            "Connection": "close",
+        }
+        self._record.line(f"send {request} to {front.host.name} {headers or ''}")
+        status = 0
+        try:
+            async with asyncio.timeout(PATIENCE_S) as patience:
+                url = f"http://127.0.0.1:{front.port}/stream/x"
+                async with self._session.post(url, data=b"prompt", headers=sent) as resp:
+                    status = resp.status
+                    self.retry_after = float(resp.headers.get("Retry-After", "0.1"))
+                    rest = b""
+                    async for data in resp.content.iter_any():
+                        *events, rest = (rest + data).split(b"\n\n")
+                        if status == 200:
+                            self._take(events)
+                        patience.reschedule(asyncio.get_running_loop().time() + PATIENCE_S)
+                    self.is_whole = status == 200
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            self._record.line(f"end {request} {exc!r}")
+        self._record.line(
+            f"answer {request} status {status} whole {self.is_whole}, {self.events} events"
+        )
+
+    def _take(self, events: list[bytes]) -> None:
+        self.events += len(events)
+        for event in events:
+            version = event.rpartition(b"data: ")[2].decode()
+            if version not in self.versions:
+                self.versions.append(version)
+
+
 async def until(condition: typing.Callable[[], typing.Awaitable[bool]], seconds: float) -> None:
     """Wait until a condition holds."""
     async with asyncio.timeout(seconds):
@@ -329,9 +479,10 @@
     *,
     hosts: int = 2,
     config: dict[str, object] | None = None,
+    store: Store | None = None,
 ) -> typing.AsyncIterator[tuple[Store, dict[str, Server], list[Host]]]:
     """Start a store, endpoints and hosts, and end them all."""
-    store = Store()
+    store = store or Store()
     async with contextlib.AsyncExitStack() as stack:
         address = await stack.enter_async_context(serving(store.app()))
         servers = {}
