--- a/review/lab3.py
+++ b/review/lab3.py
@@ -10,6 +10,7 @@
 import os
 import pathlib
 import re
+import signal
 import sys
 import tempfile
 import time
@@ -507,6 +508,8 @@
     """Run a case, and exit with its result; 2 if it could not run."""
     # Stand-ins that are cut off while they answer would fill the terminal.
     logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
+    # A script that is stopped ends its hosts, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         code = asyncio.run(main())
     except Exception as exc:  # noqa: BLE001 - reported
