--- a/src/wasabiwick/_effects_forwarding.py
+++ b/src/wasabiwick/_effects_forwarding.py
@@ -347,9 +347,15 @@
 
 
 class ReadSavedStreams(Effect):
-    """Read the streams that all hosts saved; retried until it succeeds."""
+    """Read the streams that all hosts saved; retried until it succeeds.
 
-    __slots__ = ()
+    With ``history``, the entries of the list of endpoints are read that came since the saves.
+    """
+
+    __slots__ = ("history",)
+
+    def __init__(self, *, history: bool = False) -> None:
+        self.history = history
 
 
 class SaveFindings(Effect):
--- a/src/wasabiwick/_events/_forwarding.py
+++ b/src/wasabiwick/_events/_forwarding.py
@@ -381,10 +381,11 @@
     ``own`` holds the names of those that this host had saved before it started. An entry of
     ``builds`` holds the services with several builds: each build, with the seconds since it was
     listed. ``saved`` holds for each host the builds at which its streams may have begun, ``era`` is
-    the store's, and ``asked_at`` is the monotonic time at which it was asked.
+    the store's, and ``asked_at`` is the monotonic time at which it was asked. ``history`` holds the
+    entries of the list of endpoints since those saves, as far as they are kept, if asked for.
     """
 
-    __slots__ = ("begun", "builds", "own", "saved", "era", "asked_at")
+    __slots__ = ("begun", "builds", "own", "saved", "era", "asked_at", "history")
 
     def __init__(
         self,
@@ -396,8 +397,10 @@
         saved: dict[str, SavedBuilds] | None = None,
         era: int = 0,
         asked_at: float | None = None,
+        history: tuple[Listing, ...] = (),
     ) -> None:
         super().__init__(at=at)
+        self.history = tuple(history)
         self.begun = tuple(begun)
         self.builds = tuple(builds)
         self.own = frozenset(own)
--- a/src/wasabiwick/_forwarding.py
+++ b/src/wasabiwick/_forwarding.py
@@ -447,9 +447,12 @@
             each with the seconds since that start.
         era: Era of the store in which they were saved; None if the host's version doesn't tell.
         era_age: Seconds for which that era is known to have been in force.
+        shares: Those of ``lost`` at which only a share of the streams may have begun, by service.
+        listed_upto: Position in the history of the list of endpoints up to which the host had read
+            it; None if the host's version doesn't tell.
     """
 
-    __slots__ = ("age", "begun", "lost", "era", "era_age")
+    __slots__ = ("age", "begun", "lost", "era", "era_age", "shares", "listed_upto")
 
     def __init__(
         self,
@@ -459,7 +462,11 @@
         lost: dict[str, dict[str, float]],
         era: int | None = None,
         era_age: float = 0.0,
+        shares: dict[str, dict[str, float]] | None = None,
+        listed_upto: int | None = None,
     ) -> None:
+        self.shares = shares or {}
+        self.listed_upto = listed_upto
         self.age = age
         self.begun = begun
         self.lost = lost
--- a/src/wasabiwick/_handlers/builds.py
+++ b/src/wasabiwick/_handlers/builds.py
@@ -14,14 +14,20 @@
 Load pattern handled: a release during which engines of two or more builds serve, while hosts and
 engines are lost and callers return within a second. Streams are told along with the load, soon
 after they begin, and each one `TELLS` times, as datagrams get lost. A host that starts is told all.
+
+While no save succeeds, some streams begin at builds that weren't saved (`unsaved_builds`). So a
+host that starts looks in the history of the list for builds that were used and are in no record.
 """
 
+import typing
+
+from .._effects import LogLine
 from .._events import EndpointsRead, ForwarderBooted, LoadTold
-from .._forwarding import BegunStream, SavedBuilds
-from .._reducer import handles
+from .._forwarding import DECODE, BegunStream, Listing, SavedBuilds
+from .._reducer import Step, handles
 from .._settings import Settings
 from .._state import State, state_slice
-from . import directory, routes
+from . import directory, routes, unsaved_builds
 
 TELLS = 2  # Datagrams in which a stream is told to the other hosts.
 MAX_TOLD = 40  # Most streams in one datagram, which has to stay small.
@@ -55,8 +61,11 @@
     started, with the monotonic time of that start. ``watched_since`` is when this host started.
     ``lost_unknown_at`` is the same time if what it saved before may be missing from the store.
     ``era`` is the store's, and ``era_since`` the time since when that is known to be in force.
-    ``unproven`` is what this host saved before it started, until the list of endpoints has shown
-    which builds it may have used besides; ``booted_at`` is the time of its start.
+    ``unproven`` holds what hosts saved before this one started, until the list of endpoints has
+    shown which builds they may have used besides, and ``history`` the entries listed since;
+    ``booted_at`` is the time of its start. ``shares`` holds those builds of ``lost`` at which only
+    a share of the streams may have begun, and ``listed_upto`` the position up to which the list's
+    history was read.
     """
 
     __slots__ = (
@@ -73,7 +82,10 @@
         "era",
         "era_since",
         "unproven",
+        "history",
         "booted_at",
+        "shares",
+        "listed_upto",
     )
 
     def __init__(self, cfg: Settings) -> None:
@@ -89,8 +101,11 @@
         self.watched_since = 0.0
         self.era = FIRST_ERA
         self.era_since = float("inf")
-        self.unproven: SavedBuilds | None = None
+        self.unproven: tuple[SavedBuilds, ...] = ()
+        self.history: tuple[Listing, ...] = ()
         self.booted_at = 0.0
+        self.shares: dict[str, dict[str, float]] = {}
+        self.listed_upto = 0
 
 
 def keep_time(state: State) -> float:
@@ -124,12 +139,30 @@
 
 
 def may_begin(state: State, service: str, build: str, at: float) -> bool:
-    """Return whether a stream may begin at a build: it was saved, or that takes too long."""
+    """Return whether streams may begin at a build: it was saved, or that takes too long.
+
+    In the latter case only those may of which `may_begin_anywhere` says so.
+    """
     if not build or build in state["builds"].saved.get(service, ()):
         return True
     return at - state["builds"].unsaved.get((service, build), at) >= SAVE_PATIENCE_S
 
 
+def safe_builds(state: State, service: str) -> frozenset[str]:
+    """Return the builds at which any stream may begin, among them the empty one."""
+    saved = state["builds"].saved.get(service)
+    if saved:
+        return frozenset(("", *saved))
+    return unsaved_builds.oldest_build(directory.usable_endpoints(state, service, DECODE))
+
+
+def may_begin_anywhere(state: State, service: str, name: str) -> bool:
+    """Return whether a stream, by its name, may begin also at builds that are not safe."""
+    engines = directory.usable_endpoints(state, service, DECODE)
+    share = unsaved_builds.share(engines, safe_builds(state, service))
+    return unsaved_builds.position(name) < share
+
+
 def has_unsaved(state: State) -> bool:
     """Return whether streams wait until a build is saved."""
     return bool(state["builds"].unsaved)
@@ -157,6 +190,12 @@
         lost={service: ages for service, ages in lost.items() if ages},
         era=builds_state.era,
         era_age=max(0.0, at - builds_state.era_since),
+        shares={
+            service: {build: shares[build] for build in lost[service] if build in shares}
+            for service, shares in builds_state.shares.items()
+            if service in lost
+        },
+        listed_upto=builds_state.listed_upto,
     )
 
 
@@ -176,6 +215,7 @@
     saved: dict[str, SavedBuilds],
     at: float,
     *,
+    name: str = "",
     telling: frozenset[str] = frozenset(),
 ) -> frozenset[str]:
     """Return all builds at which a stream may have begun that this host was not told of.
@@ -185,6 +225,7 @@
         service: Name of the service.
         saved: What each host saved last, as the store has it now.
         at: Monotonic time.
+        name: Name of the stream.
         telling: The other hosts that have told this one of all their streams.
 
     Returns:
@@ -193,8 +234,9 @@
     """
     note_listed(state, at)
     keep = keep_time(state)
-    found = set(_lost_ages(state, service, at))
-    has_lost = bool(found)
+    own_lost = set(_lost_ages(state, service, at))
+    found = _may_have_begun(name, own_lost, state["builds"].shares.get(service, {}))
+    has_lost = bool(own_lost)
     others = {
         host: one
         for host, one in saved.items()
@@ -204,7 +246,7 @@
         lost = {build for build, age in one.lost.get(service, {}).items() if age <= keep}
         if may_lack_saves(state, one, at):
             lost.add(UNKNOWN_BUILD)
-        found |= lost
+        found |= _may_have_begun(name, lost, one.shares.get(service, {}))
         has_lost = has_lost or bool(lost)
         if not lost or host not in telling:
             found |= set(one.begun.get(service, ()))
@@ -216,6 +258,12 @@
     return frozenset(found)
 
 
+def _may_have_begun(name: str, lost: set[str], shares: dict[str, float]) -> set[str]:
+    """Return those of some lost builds at which a stream may have begun."""
+    where = unsaved_builds.position(name)
+    return {build for build in lost if where < shares.get(build, unsaved_builds.WHOLE_SHARE)}
+
+
 def only_build(possible: frozenset[str]) -> str | None:
     """Return the build if a stream can have begun only there; None if it can't be known."""
     return next(iter(possible)) if len(possible) == 1 and UNKNOWN_BUILD not in possible else None
@@ -234,6 +282,8 @@
     """Record the store's era, and since when any host knows that it is in force."""
     builds_state = state["builds"]
     if era > builds_state.era or builds_state.era_since > at:
+        if era > builds_state.era:
+            builds_state.listed_upto = 0  # Offsets begin anew.
         builds_state.era, builds_state.era_since = era, at
     for one in saved.values():
         if one.era == builds_state.era:
@@ -305,29 +355,75 @@
 
 
 @handles(EndpointsRead)
-def endpoints_read(state: State, event: EndpointsRead) -> None:
+def endpoints_read(state: State, event: EndpointsRead) -> typing.Iterator[Step]:
     """Record which builds are listed."""
+    state["builds"].listed_upto = event.upto
     note_listed(state, event.at)
-    _note_used_unsaved(state)
+    yield from note_used_unsaved(state)
 
 
-def _note_used_unsaved(state: State) -> None:
-    """Count builds as lost that this host may have used before it started without saving them.
+def note_used_unsaved(state: State) -> typing.Iterator[Step]:
+    """Count builds as lost that hosts may have used before this one started, without saving them.
 
     A build is used unsaved only if it was listed for `SAVE_PATIENCE_S`. So that did not happen if
-    this host saved later than that before its start, nor at endpoints that are younger.
+    a host saved later than that before this one's start, nor at endpoints that are younger.
     """
     builds_state = state["builds"]
-    saved = builds_state.unproven
-    if saved is None or not builds_state.is_restored or not directory.all_endpoints(state):
+    if not (builds_state.unproven and builds_state.is_restored):
+        return
+    if not directory.all_endpoints(state):
         return
-    builds_state.unproven = None
+    for saved in builds_state.unproven:
+        for service in sorted(routes.stream_services(state)):
+            yield from _note_unnamed_builds(state, service, saved)
+    builds_state.unproven, builds_state.history = (), ()
+
+
+def _note_unnamed_builds(state: State, service: str, saved: SavedBuilds) -> typing.Iterator[Step]:
+    """Count the builds of a service as lost that were listed but are not in a host's record."""
+    builds_state = state["builds"]
+    is_whole = saved.listed_upto is None or saved.era != builds_state.era
+    since = [
+        one for one in builds_state.history if is_whole or one.offset >= (saved.listed_upto or 0)
+    ]
+    current = [one for one in directory.all_endpoints(state) if one.service == service]
+    names = {one.name for one in current}
+    names |= {one.name for one in since if one.endpoint and one.endpoint.service == service}
+    listings = [one for one in since if one.name in names]
+    seen = [one.endpoint for one in listings if one.endpoint is not None] + current
+    begun = saved.begun.get(service, ())
     latest_used_ms = (state.wall(builds_state.booted_at) - SAVE_PATIENCE_S) * MS_PER_S
-    for one in directory.all_endpoints(state):
-        is_known = one.build in ("", *saved.begun.get(one.service, ()))
-        if not is_known and one.born <= latest_used_ms:
-            lost = builds_state.lost.setdefault(one.service, {})
-            lost.setdefault(one.build, builds_state.booted_at)
+    unnamed = {one.build for one in seen if one.born <= latest_used_ms} - {"", *begun}
+    if not unnamed:
+        return
+    share = unsaved_builds.WHOLE_SHARE
+    # Hosts of an earlier version begin any stream at a build that they could not save.
+    if saved.listed_upto is not None:
+        saved_ms = (state.wall(builds_state.booted_at) - saved.age) * MS_PER_S
+        share = unsaved_builds.largest_share(listings, current, begun, saved_ms)
+    for build in sorted(unnamed):
+        _add_lost(state, service, build, share)
+        fields = {
+            "service": service,
+            "build": build,
+            "share": share,
+            "saved_age": saved.age,
+            "listed_upto": "-" if saved.listed_upto is None else saved.listed_upto,
+            "entries": len(listings),
+        }
+        yield LogLine(event="build_used_unsaved", fields=fields)
+
+
+def _add_lost(state: State, service: str, build: str, share: float) -> None:
+    """Count a build as lost at which a share of the streams may have begun."""
+    builds_state = state["builds"]
+    lost = builds_state.lost.setdefault(service, {})
+    shares = builds_state.shares.setdefault(service, {})
+    if build not in lost:
+        lost[build] = builds_state.booted_at
+        shares[build] = share
+    elif build in shares:
+        shares[build] = max(share, shares[build])
 
 
 def note_listed(state: State, at: float) -> None:
@@ -377,26 +473,41 @@
             _see(state, service, build, at - age)
 
 
-def restore(state: State, own: frozenset[str], saved: SavedBuilds | None, at: float) -> None:
+def restore(
+    state: State,
+    own: frozenset[str],
+    saved: dict[str, SavedBuilds],
+    history: tuple[Listing, ...],
+    at: float,
+) -> typing.Iterator[Step]:
     """Record that what hosts had saved is known.
 
     Args:
         state: The host's state.
         own: Names of the streams that are this host's.
-        saved: What this host saved before it started, or None.
+        saved: What each host saved before this one started.
+        history: Entries of the list of endpoints since then, as far as they are kept.
         at: Monotonic time.
     """
     builds_state = state["builds"]
     builds_state.watched_since = at
-    if saved is not None and saved.age <= MAX_SAVED_AGE_S:
-        for service, ages in saved.lost.items():
+    mine = saved.get(state.owner.host)
+    if mine is not None and mine.age <= MAX_SAVED_AGE_S:
+        for service, ages in mine.lost.items():
             builds_state.lost[service] = {build: at - age for build, age in ages.items()}
-        for service, names in saved.begun.items():
+            builds_state.shares[service] = dict(mine.shares.get(service, {}))
+        for service, names in mine.begun.items():
             builds_state.lost.setdefault(service, {}).update(dict.fromkeys(names, at))
-        if saved.age - (at - builds_state.booted_at) >= SAVE_PATIENCE_S:
-            builds_state.unproven = saved
-    if may_lack_saves(state, saved, at):
+            for name in names:
+                builds_state.shares.get(service, {}).pop(name, None)
+    builds_state.unproven = tuple(
+        one
+        for one in saved.values()
+        if SAVE_PATIENCE_S + at - builds_state.booted_at <= one.age <= MAX_SAVED_AGE_S
+    )
+    builds_state.history = history
+    if may_lack_saves(state, mine, at):
         builds_state.lost_unknown_at = at
     builds_state.own |= dict.fromkeys(name for name in builds_state.streams if name in own)
     builds_state.is_restored = True
-    _note_used_unsaved(state)
+    yield from note_used_unsaved(state)
--- a/src/wasabiwick/_handlers/builds_saving.py
+++ b/src/wasabiwick/_handlers/builds_saving.py
@@ -52,9 +52,9 @@
 class SavingState:
     """What this host saved last, when, and whether an answer of the store is due.
 
-    ``waiting`` holds the calls that wait for a read of the store: id, service and monotonic time
-    of arrival. ``read`` has what hosts had saved when the store was asked at ``asked_at``. Until
-    ``spare_until``, saves go to the spare part of the store.
+    ``waiting`` holds the calls that wait for a read of the store: id, service, name of the stream
+    and monotonic time of arrival. ``read`` has what hosts had saved when the store was asked at
+    ``asked_at``. Until ``spare_until``, saves go to the spare part of the store.
     """
 
     __slots__ = (
@@ -82,7 +82,7 @@
         self.is_reading = False
         self.asked_at = float("-inf")
         self.read: dict[str, SavedBuilds] = {}
-        self.waiting: dict[str, tuple[str, float]] = {}
+        self.waiting: dict[str, tuple[str, str, float]] = {}
 
 
 @handles(ForwarderBooted)
@@ -96,7 +96,7 @@
     saving_state = state["builds_saving"]
     if not saving_state.is_reading:
         saving_state.is_reading = True
-        yield ReadSavedStreams()
+        yield ReadSavedStreams(history=not builds.is_restored(state))
 
 
 @handles(SavedStreamsRead)
@@ -114,12 +114,12 @@
     builds.note_era(state, event.era, event.saved, event.at)
     if not builds.is_restored(state):
         own = event.saved.get(state.owner.host)
-        builds.restore(state, event.own, own, event.at)
+        yield from builds.restore(state, event.own, event.saved, event.history, event.at)
         yield _restored_line(state, own, event)
         yield from _save_new_builds(state, event.at)
-    for call_id, (service, arrived_at) in list(saving_state.waiting.items()):
+    for call_id, (service, name, arrived_at) in list(saving_state.waiting.items()):
         if arrived_at <= event.asked_at + SHARED_READ_S:
-            yield _answer(state, call_id, service, event.at)
+            yield _answer(state, call_id, service, name, event.at)
     if saving_state.waiting:
         yield from _ask(state)
 
@@ -130,26 +130,30 @@
         "saved_era": "-" if own is None or own.era is None else own.era,
         "saved_age": "-" if own is None else own.age,
         "complete": not builds.may_lack_saves(state, own, event.at),
+        "history": len(event.history),
     }
     return LogLine(event="builds_restored", fields=fields)
 
 
-def look_up(state: State, call_id: str, service: str, at: float) -> typing.Iterator[Step]:
+def look_up(
+    state: State, call_id: str, service: str, name: str, at: float
+) -> typing.Iterator[Step]:
     """Ask the store at which build a stream may go on; the answer is a `BuildRead`.
 
     Args:
         state: The host's state.
         call_id: The call that resumes the stream.
         service: Name of the call's service.
+        name: Name of the stream.
         at: Monotonic time.
     """
     saving_state = state["builds_saving"]
     if builds.states_no_build(state, service):
         yield BuildRead(at=at, call_id=call_id, build="")
     elif at <= saving_state.asked_at + SHARED_READ_S:
-        yield _answer(state, call_id, service, at)
+        yield _answer(state, call_id, service, name, at)
     else:
-        saving_state.waiting[call_id] = (service, at)
+        saving_state.waiting[call_id] = (service, name, at)
         yield StartTimer(timer="build_unread", key=call_id, delay=READ_TIMEOUT_S)
         yield from _ask(state)
 
@@ -159,11 +163,13 @@
     return at - state["builds_saving"].asked_at
 
 
-def _answer(state: State, call_id: str, service: str, at: float) -> BuildRead:
+def _answer(state: State, call_id: str, service: str, name: str, at: float) -> BuildRead:
     saving_state = state["builds_saving"]
     saving_state.waiting.pop(call_id, None)
     telling = neighbours.hosts_telling_streams(state, at)
-    found = builds.possible_builds(state, service, saving_state.read, at, telling=telling)
+    found = builds.possible_builds(
+        state, service, saving_state.read, at, name=name, telling=telling
+    )
     return BuildRead(
         at=at, call_id=call_id, build=builds.only_build(found), possible=tuple(sorted(found))
     )
@@ -321,4 +327,4 @@
         saving_state.saved_at = float("-inf")
     if _may_need_read(state):
         saving_state.is_reading = True
-        yield ReadSavedStreams()
+        yield ReadSavedStreams(history=not builds.is_restored(state))
--- a/src/wasabiwick/_handlers/forward_arrivals.py
+++ b/src/wasabiwick/_handlers/forward_arrivals.py
@@ -88,7 +88,7 @@
     yield from forwarding.open_call(state, req, at)
     retry_budget.count_request(state, req.service, at)
     if is_resumed and not is_known:
-        yield from builds_saving.look_up(state, ask.call_id, req.service, at)
+        yield from builds_saving.look_up(state, ask.call_id, req.service, ask.resumes, at)
         return
     if is_known:
         yield _binding_line(state, req, at)
--- a/src/wasabiwick/_handlers/forward_plain.py
+++ b/src/wasabiwick/_handlers/forward_plain.py
@@ -67,7 +67,12 @@
 
     def choose() -> Endpoint | None:
         return placing.choose_plain(
-            state, req.service, at, req.avoid, req.build, streams=req.route.kind == STREAM
+            state,
+            req.service,
+            at,
+            req.avoid,
+            req.build,
+            stream=req.stream_name if req.route.kind == STREAM else None,
         )
 
     endpoint = yield from permits.first_permitted(state, req, choose, at)
--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -110,7 +110,9 @@
         if req is not None and req.phase == forwarding.WAITING
     ]
     candidates = placing.decode_candidates(state, service, at) if waiting_calls else []
-    has_room = len(waiting_calls) == 1 and placing.has_idle_engine(candidates)
+    has_room = len(waiting_calls) == 1 and placing.has_idle_engine(
+        _open_to(state, waiting_calls[0], candidates)
+    )
     decoding = directory.usable_endpoints(state, service, DECODE) if waiting_calls else []
     wait = placing.shortest_wait(state, (one.name for one in decoding), at)
     is_in_doubt = reach.is_in_doubt(state, service)
@@ -133,9 +135,12 @@
                 or not rejecting.can_wait(req, at, wait)
             ):
                 yield from _refuse_waiting(state, req, at, len(waiting_calls), wait)
-            elif misses >= MAX_MISSES or not (yield from _assign_place(state, req, candidates, at)):
+            else:
+                places_open = _open_to(state, req, candidates)
+                if misses < MAX_MISSES and (yield from _assign_place(state, req, places_open, at)):
+                    continue
                 # Other engines may have room for calls that any build can serve.
-                misses += not req.build
+                misses += len(places_open) == len(candidates)
                 still_waiting_calls.append(req)
         except Exception as exc:  # noqa: BLE001 - reported with its traceback
             yield forwarding.failed(req, at, exc)
@@ -154,6 +159,15 @@
     return not req.build or directory.decodes_build(state, req.service, req.build)
 
 
+def _open_to(
+    state: State, req: ForwardedCall, candidates: list[placing.Candidate]
+) -> list[placing.Candidate]:
+    """Return the engines whose build may serve a call."""
+    if req.build:
+        return [one for one in candidates if one.endpoint.build == req.build]
+    return placing.open_to(state, req.service, candidates, req.stream_name)
+
+
 def _assign_place(
     state: State, req: ForwardedCall, candidates: list[placing.Candidate], at: float
 ) -> typing.Generator[Step, None, bool]:
@@ -169,20 +183,19 @@
         candidates = placing.self_prefill_candidates(
             state, req.service, candidates, at - req.arrived_at
         )
-    if req.build:
-        candidates = [one for one in candidates if one.endpoint.build == req.build]
     service = routes.service(state, req.service)
     stream = places.stream_load(state, service, req.route.name, req.ask, at, req.events)
     rooms = reserves.rooms(state, req, at)
     if (room := shares.room_for_others(state, req)) > 0.0:
         names = (one.endpoint.name for one in candidates)
         rooms = {name: max(room, rooms.get(name, 0.0)) for name in names}
+    avoid = [*req.avoid, *placing.kept_for_others(state, req.service, candidates)]
     while candidate := placing.choose_decode(
         state,
         candidates,
         stream,
         at,
-        req.avoid,
+        avoid,
         req.warm_engines,
         broke_off=req.broke_off,
         rooms=rooms,
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -170,6 +170,11 @@
         own = self.organisation.priority if self.organisation is not None else None
         return self.route.priority if own is None else own
 
+    @property
+    def stream_name(self) -> str:
+        """Identifier of the caller's attempt that brought the stream's first event, or will."""
+        return self.ask.resumes or self.ask.trace_id
+
     @property
     def possible_runs(self) -> int:
         """Number of endpoints that may have run the request."""
@@ -357,7 +362,7 @@
     req.relay_begun = True
     req.begun_at, req.begun_events = at, req.events
     stream = BegunStream(
-        name=req.ask.resumes or req.ask.trace_id,
+        name=req.stream_name,
         service=req.service,
         build=build,
         began=at,
--- a/src/wasabiwick/_handlers/placing.py
+++ b/src/wasabiwick/_handlers/placing.py
@@ -396,13 +396,13 @@
     avoid: list[str],
     build: str = "",
     *,
-    streams: bool = False,
+    stream: str | None = None,
 ) -> Endpoint | None:
     """Return the endpoint of a plain service with the least work per slot, or None.
 
     Endpoints of other zones and endpoints that failed recently count as having more work. If a
-    build is given, only endpoints of that build are chosen. For a stream, only endpoints are chosen
-    at whose build it may begin.
+    build is given, only endpoints of that build are chosen. If a stream's name is given, only
+    endpoints are chosen at whose build it may begin.
     """
     max_connections = connection_limit(state, service, at)
     connectable_endpoints = [
@@ -410,7 +410,7 @@
         for one in directory.usable_endpoints(state, service)
         if one.name not in avoid
         and build in ("", one.build)
-        and (not streams or builds.may_begin(state, service, one.build, at))
+        and (stream is None or _may_begin_at(state, one, stream, at))
         and wait_of(state, one.name, at) == 0.0
         and _own_running(state, one.name) < max_connections
     ]
@@ -433,6 +433,35 @@
     return min(usable_endpoints, key=cost, default=None)
 
 
+def _may_begin_at(state: State, one: Endpoint, stream: str, at: float) -> bool:
+    """Return whether a stream may begin at an endpoint's build."""
+    return builds.may_begin(state, one.service, one.build, at) and (
+        one.build in builds.safe_builds(state, one.service)
+        or builds.may_begin_anywhere(state, one.service, stream)
+    )
+
+
+def open_to(
+    state: State, service: str, candidates: list[Candidate], stream: str
+) -> list[Candidate]:
+    """Return the decode engines at whose build a new stream may begin, by the stream's name."""
+    safe = _at_safe_builds(state, service, candidates)
+    if len(safe) == len(candidates) or builds.may_begin_anywhere(state, service, stream):
+        return candidates
+    return safe
+
+
+def kept_for_others(state: State, service: str, candidates: list[Candidate]) -> list[str]:
+    """Return the names of engines that a stream leaves to those that may begin only there."""
+    safe = _at_safe_builds(state, service, candidates)
+    return [one.endpoint.name for one in safe] if len(safe) < len(candidates) else []
+
+
+def _at_safe_builds(state: State, service: str, candidates: list[Candidate]) -> list[Candidate]:
+    safe = builds.safe_builds(state, service)
+    return [one for one in candidates if one.endpoint.build in safe]
+
+
 def hold_tokens(service: ServiceTraits, ask: Ask, events: int = 0) -> int:
     """Return the memory to reserve for a generation, as the number of tokens in whole blocks.
 
--- a/src/wasabiwick/_performers/forwarding.py
+++ b/src/wasabiwick/_performers/forwarding.py
@@ -210,16 +210,17 @@
 @performs(ReadSavedStreams)
 def read_saved_streams(runner: Runner, effect: ReadSavedStreams) -> None:
     """Read the streams that all hosts saved; retried until it succeeds."""
-    runner.spawn("saved_streams", _read_saved_streams(runner))
+    runner.spawn("saved_streams", _read_saved_streams(runner, effect))
 
 
-async def _read_saved_streams(runner: Runner) -> None:
-    register = runner.ports.register
-    asked_at = runner.now()
-    while isinstance(saved := await register.saved_streams(asked_at), Failure):
+async def _read_saved_streams(runner: Runner, effect: ReadSavedStreams) -> None:
+    while True:
+        asked_at = runner.now()
+        saved = await runner.ports.register.saved_streams(asked_at, history=effect.history)
+        if not isinstance(saved, Failure):
+            break
         log_event("streams_not_read", level="WARNING", reason=saved.detail)
         await asyncio.sleep(SAVED_STREAMS_RETRY_S)
-        asked_at = runner.now()
     own = frozenset(one.name for one in saved.streams.get(runner.owner.host, ()))
     begun = tuple(one for streams in saved.streams.values() for one in streams)
     log_event("streams_read", streams=len(begun), own=len(own))
@@ -232,6 +233,7 @@
             saved=saved.saved,
             era=saved.era,
             asked_at=asked_at,
+            history=saved.history,
         )
     )
 
--- a/src/wasabiwick/_ports/neighbours.py
+++ b/src/wasabiwick/_ports/neighbours.py
@@ -4,7 +4,7 @@
 
 from .._effects_forwarding import AnswerPermit, AskPermit, SaveStreams, TellLoad
 from .._errors import Failure
-from .._forwarding import BegunStream, Findings, SavedBuilds
+from .._forwarding import BegunStream, Findings, Listing, SavedBuilds
 from .._hosts_codec import HostRecord
 from .._read_turns import ToldPage
 from .._wire import Owner
@@ -36,10 +36,11 @@
 
     An entry of ``builds`` holds the services with several builds: each build, with the seconds
     since it was listed. ``saved`` holds the builds at which each host's streams may have begun,
-    and ``era`` is the store's.
+    and ``era`` is the store's. ``history`` holds the entries of the list of endpoints since they
+    were saved, if asked for.
     """
 
-    __slots__ = ("streams", "builds", "saved", "era")
+    __slots__ = ("streams", "builds", "saved", "era", "history")
 
     def __init__(
         self,
@@ -53,6 +54,7 @@
         self.builds = builds
         self.saved = saved
         self.era = era
+        self.history: tuple[Listing, ...] = ()
 
 
 class HostRegister(typing.Protocol):
@@ -76,8 +78,11 @@
     async def save_streams(self, host: str, effect: SaveStreams, now: float) -> Failure | None:
         """Save a host's streams in place of those that it saved before."""
 
-    async def saved_streams(self, now: float) -> SavedStreams | Failure:
-        """Return the streams that each host saved last."""
+    async def saved_streams(self, now: float, *, history: bool = False) -> SavedStreams | Failure:
+        """Return the streams that each host saved last.
+
+        ``history`` adds the entries of the list of endpoints since then, as far as they are kept.
+        """
 
     async def save_findings(self, findings: Findings, now: float) -> Failure | None:
         """Save what a host has found in place of what it saved before."""
--- a/src/wasabiwick/_saved_codec.py
+++ b/src/wasabiwick/_saved_codec.py
@@ -1,5 +1,6 @@
 """Records that entry hosts keep in the store for each other and for their next start."""
 
+import math
 import time
 
 import msgspec
@@ -19,6 +20,7 @@
 from ._ports import SavedStreams
 
 MS_PER_S = 1000.0
+SHARE_UNITS = 1000  # A share is written in thousandths, rounded up.
 
 
 class ClaimRecord(msgspec.Struct):
@@ -33,6 +35,8 @@
     ``begun`` and ``lost`` hold the builds at which streams may have begun, by service: since the
     host started, and before it, with the milliseconds since then. ``era`` is that of the store as
     far as the host knew, and ``era_ms`` for how many milliseconds it is known to be in force.
+    ``shares`` holds those builds of ``lost`` at which only some streams may have begun, in
+    thousandths. ``listed_upto`` is the position up to which the list of endpoints was read.
     """
 
     saved_ms: Whole
@@ -42,6 +46,8 @@
     lost: dict[str, dict[str, Whole]] = {}
     era: Whole | None = None
     era_ms: Whole = 0
+    shares: dict[str, dict[str, Whole]] = {}
+    listed_upto: Whole | None = None
 
 
 class FindingsRecord(msgspec.Struct):
@@ -67,6 +73,11 @@
         lost=encode_ages(effect.saved.lost),
         era=effect.saved.era,
         era_ms=int(effect.saved.era_age * MS_PER_S),
+        shares={
+            service: {build: math.ceil(share * SHARE_UNITS) for build, share in shares.items()}
+            for service, shares in effect.saved.shares.items()
+        },
+        listed_upto=effect.saved.listed_upto,
     )
     return msgspec.json.encode(record)
 
@@ -97,6 +108,11 @@
         lost=decode_ages(record.lost, passed),
         era=record.era,
         era_age=record.era_ms / MS_PER_S + passed,
+        shares={
+            service: {build: share / SHARE_UNITS for build, share in shares.items()}
+            for service, shares in record.shares.items()
+        },
+        listed_upto=record.listed_upto,
     )
 
 
--- a/src/wasabiwick/_topics.py
+++ b/src/wasabiwick/_topics.py
@@ -17,9 +17,12 @@
 
 
 class Page:
-    """Records that one read returned, the offset at which the next read starts, and their era."""
+    """Records that one read returned, the offset at which the next read starts, and their era.
 
-    __slots__ = ("records", "next", "era")
+    ``end`` is where the topic ended at that read, if the store said so.
+    """
+
+    __slots__ = ("records", "next", "era", "end")
 
     def __init__(
         self,
@@ -27,14 +30,20 @@
         records: typing.Sequence[KeyedRecord],
         next: int,  # noqa: A002
         era: int,
+        end: int | None = None,
     ) -> None:
+        self.end = end
         self.records = records
         self.next = next
         self.era = era
 
 
 class HistoryLostError(Exception):
-    """The store has deleted records that a read asked for."""
+    """The store has deleted records that a read asked for; ``first`` is kept, if that is known."""
+
+    def __init__(self, message: str, first: int | None = None) -> None:
+        super().__init__(message)
+        self.first = first
 
 
 class StoreError(Exception):
--- a/src/wasabiwick/platform/_feeds.py
+++ b/src/wasabiwick/platform/_feeds.py
@@ -133,8 +133,13 @@
         offset = await self._store.append(topic, host, value)
         return offset if isinstance(offset, Failure) else None
 
-    async def saved_streams(self, now: float) -> SavedStreams | Failure:
-        """Return the streams that each host saved last, in either topic."""
+    async def saved_streams(self, now: float, *, history: bool = False) -> SavedStreams | Failure:
+        """Return the streams that each host saved last, in either topic.
+
+        Args:
+            now: Monotonic time.
+            history: Whether to add the entries of the list of endpoints since the earliest save.
+        """
         topics = (_names.STREAMS_TOPIC, _names.SPARE_STREAMS_TOPIC)
         try:
             pages = await asyncio.gather(*map(self._store.newest, topics))
@@ -149,8 +154,24 @@
                 log_event("streams_unreadable", level="WARNING", host=one.key, error=str(exc))
                 continue
             _saved_codec.add_streams(saved, one.key, record, now)
+        if history:
+            try:
+                saved.history = await self._listed_since(saved)
+            except (StoreError, HistoryLostError) as exc:
+                return store_failure(exc)
         return saved
 
+    async def _listed_since(self, saved: SavedStreams) -> tuple[Listing, ...]:
+        """Return the entries of the list of endpoints that came since hosts saved their builds."""
+        positions = [
+            one.listed_upto or 0 if one.era == saved.era else 0 for one in saved.saved.values()
+        ]
+        if not positions:
+            return ()
+        return tuple(
+            map(_decode_listing, await self._store.kept(_names.SERVERS_TOPIC, min(positions)))
+        )
+
     async def save_findings(self, findings: Findings, now: float) -> Failure | None:
         """Save what a host has found in place of what it saved before."""
         value = _saved_codec.encode_findings(findings, now)
--- a/src/wasabiwick/platform/_store.py
+++ b/src/wasabiwick/platform/_store.py
@@ -40,6 +40,10 @@
     offset: int
 
 
+class _Deleted(msgspec.Struct):
+    first: int
+
+
 class Store:
     """Client of the store.
 
@@ -115,13 +119,37 @@
         except (struct.error, ValueError) as exc:
             raise StoreError(f"unreadable answer: {exc}") from exc
         if first > start or end < start:
-            raise HistoryLostError(f"offset {start} requested, but {first} to {end} are kept")
+            detail = f"offset {start} requested, but {first} to {end} are kept"
+            raise HistoryLostError(detail, first)
         records = []
         for position, content in enumerate(contents, start):
             record = _decode_keyed(content, position)
             if record is not None:
                 records.append(record)
-        return Page(records=records, next=start + len(contents), era=self._known_era())
+        return Page(records=records, next=start + len(contents), era=self._known_era(), end=end)
+
+    async def kept(self, topic: str, start: int) -> list[KeyedRecord]:
+        """Return the records from an offset on that are kept, up to where the topic ends now.
+
+        Raises:
+            HistoryLostError: If records are deleted while they are read.
+            StoreError: If the store refused a call or gave no usable answer.
+        """
+        try:
+            page = await self.read(topic, start, 0.0)
+        except HistoryLostError as exc:
+            if exc.first is None:
+                raise
+            page = await self.read(topic, exc.first, 0.0)
+        end = page.end or 0
+        records = list(page.records)
+        era = page.era
+        while page.next < end and page.records:
+            page = await self.read(topic, page.next, 0.0)
+            records += page.records
+        if page.era != era:
+            raise HistoryLostError("the store was restored between two reads")
+        return records
 
     async def append(
         self, topic: str, key: str, value: bytes, *, after: int | None = None
@@ -177,7 +205,7 @@
             raise StoreError(f"no answer from the store: {exc or type(exc).__name__}") from exc
         self._check_era(resp.headers.get(_names.STORE_ERA, ""))
         if resp.status == 410:
-            raise HistoryLostError("the store answered status 410")
+            raise HistoryLostError("the store answered status 410", _first_kept(answer))
         if resp.status != 200:
             raise StoreError(f"the store answered status {resp.status}")
         self.answered_at = time.monotonic()
@@ -206,6 +234,14 @@
     return Failure(reason=LOG_UNAVAILABLE, verdict=Verdict.MAY_HAVE_RUN, detail=str(exc))
 
 
+def _first_kept(answer: bytes) -> int | None:
+    """Return the first offset that is kept, if an answer about deleted records names it."""
+    try:
+        return decode_json(answer, _Deleted).first
+    except msgspec.MsgspecError:
+        return None
+
+
 def _decode_item(item: _Item) -> KeyedRecord:
     value = base64.b64decode(item.value) if item.value is not None else None
     return KeyedRecord(key=item.key, value=value, offset=item.offset)
--- a/tests/_forward.py
+++ b/tests/_forward.py
@@ -155,6 +155,9 @@
         era: Era of the store that they name.
         last_save: The last save that the store has taken.
         store_answers: Whether the store answers this host, at once.
+        spare_part_is_up: Whether the other part is up, to which they save otherwise.
+        offset: Offset of the last entry of the list of endpoints that it has read.
+        history: Entries of that list that the store has kept when it starts.
         usual_part_is_up: Whether the part of the store is up to which hosts save first. What hosts
             saved can be read only if all parts are up.
     """
@@ -174,6 +177,9 @@
         own: frozenset[str] = frozenset(),
         era: int = 0,
         usual_part_is_up: bool = True,
+        spare_part_is_up: bool = True,
+        offset: int = 0,
+        history: tuple[Listing, ...] = (),
     ) -> None:
         self.now = at
         self.state = _state.State(make_settings(name, slack=slack))
@@ -182,7 +188,9 @@
         self._queue: list[tuple[float, int, str, str]] = []
         self._order = itertools.count()
         self._calls = itertools.count(1)
-        self._offset = 0
+        self.offset = offset
+        self.spare_part_is_up = spare_part_is_up
+        self.history = history
         self._told = 0
         self._checks_failed: dict[str, int] = {}
         self.stored: dict[str, SavedBuilds] = {} if stored is None else stored
@@ -198,8 +206,8 @@
             seed=7,
         )
         self.store_answers = True
-        if usual_part_is_up:
-            read = {"begun": begun, "builds": builds, "own": own}
+        if usual_part_is_up and spare_part_is_up:
+            read = {"begun": begun, "builds": builds, "own": own, "history": history}
             self.feed(_events.SavedStreamsRead, saved=dict(self.stored), era=era, **read)
         self.feed(_events.RoutesRead, table=table())
         self.read_list(*endpoints)
@@ -225,13 +233,16 @@
         return new_effects
 
     def _answer_for_store(self, effect: _effects.Effect) -> None:
-        if isinstance(effect, SaveStreams) and not (effect.spare or self.usual_part_is_up):
+        is_up = self.usual_part_is_up and self.spare_part_is_up
+        if isinstance(effect, SaveStreams) and not (
+            self.spare_part_is_up if effect.spare else self.usual_part_is_up
+        ):
             self.fail_save()
         elif isinstance(effect, SaveStreams):
             self.last_save = effect
             self.stored[self.state.owner.host] = effect.saved
             self.feed(_events.StreamsSaved, failure=None)
-        elif isinstance(effect, ReadSavedStreams) and self.usual_part_is_up:
+        elif isinstance(effect, ReadSavedStreams) and is_up:
             self.read_saved()
 
     def read_saved(self) -> None:
@@ -243,6 +254,7 @@
             own=frozenset(),
             saved=dict(self.stored),
             era=self.era,
+            history=self.history,
         )
 
     def fail_save(self) -> None:
@@ -255,12 +267,14 @@
         self.store_answers = True
         if self.state["builds_saving"].is_saving:
             self.fail_save()
-        if self.state["builds_saving"].is_reading and self.usual_part_is_up:
+        if self.state["builds_saving"].is_reading and (
+            self.usual_part_is_up and self.spare_part_is_up
+        ):
             self.read_saved()
 
     def usual_part_returns(self) -> None:
-        """Let the part of the store be up again to which hosts save first."""
-        self.usual_part_is_up = True
+        """Let all parts of the store be up again to which hosts save."""
+        self.usual_part_is_up = self.spare_part_is_up = True
         if self.store_answers and self.state["builds_saving"].is_reading:
             self.read_saved()
 
@@ -281,16 +295,16 @@
         """Let the host read new entries of the list of endpoints, or the whole list."""
         listings = []
         for one in endpoints:
-            self._offset += 1
-            listings.append(Listing(name=one.name, offset=self._offset, endpoint=one))
+            self.offset += 1
+            listings.append(Listing(name=one.name, offset=self.offset, endpoint=one))
         return self.feed(
-            _events.EndpointsRead, listings=tuple(listings), upto=self._offset + 1, whole=whole
+            _events.EndpointsRead, listings=tuple(listings), upto=self.offset + 1, whole=whole
         )
 
     def restore_list(self, *endpoints: Endpoint) -> list[_effects.Effect]:
         """Let the host read the list as it came back from a copy, whose offsets begin anew."""
         self.note_era(self.era + 1)
-        self._offset = 0
+        self.offset = 0
         return self.read_list(*endpoints, whole=True)
 
     def note_era(self, era: int) -> None:
@@ -301,9 +315,9 @@
 
     def drop(self, name: str) -> list[_effects.Effect]:
         """Let the host read that an endpoint was removed from the list."""
-        self._offset += 1
-        gone = Listing(name=name, offset=self._offset, endpoint=None)
-        return self.feed(_events.EndpointsRead, listings=(gone,), upto=self._offset + 1)
+        self.offset += 1
+        gone = Listing(name=name, offset=self.offset, endpoint=None)
+        return self.feed(_events.EndpointsRead, listings=(gone,), upto=self.offset + 1)
 
     def hear(
         self,
--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -13,11 +13,12 @@
 )
 from wasabiwick._errors import LOG_UNAVAILABLE, Failure
 from wasabiwick._forwarding import Endpoint, SavedBuilds
-from wasabiwick._handlers import builds, builds_saving, neighbours, rejecting
+from wasabiwick._handlers import builds, builds_saving, neighbours, rejecting, unsaved_builds
 from wasabiwick._handlers.forwarding import call as open_call
 from wasabiwick._verdict import Verdict
 
 from ._forward import BROKEN, DECODE, EPOCH, MODEL, PREFILL, Host, engine, plain
+from ._unsaved_release import STREAMS, UnsavedRelease
 
 OLD, NEW = "v1", "v1.1"
 STRIDE = 12  # Tokens in an event.
@@ -615,6 +616,82 @@
         self.assertFalse(host.is_open(call))
 
 
+class TestUnsavedRelease(unittest.TestCase):
+    """Hosts can save nowhere while a release comes and is taken back, and all lose power."""
+
+    def setUp(self) -> None:
+        self.release = UnsavedRelease()
+
+    def test_no_stream_is_joined(self) -> None:
+        """Hosts that started took the older record for all builds, and bound all streams to it."""
+        host = self.release.restart()
+        self.assertEqual(self.release.joined(host), [])
+
+    def test_streams_of_the_saved_build_go_on(self) -> None:
+        """Refusing all streams whose build isn't known would refuse these, too."""
+        host = self.release.restart()
+        old = [name for name, build in self.release.began.items() if build == OLD]
+        gone_on = [name for name in old if self.release.resumes(host, name) == OLD]
+        self.assertGreaterEqual(2 * len(gone_on), len(old))
+
+    def test_release_is_served_while_nothing_can_be_saved(self) -> None:
+        found = list(self.release.began.values())
+        self.assertEqual(len(found), STREAMS)
+        self.assertGreater(found.count(NEW), STREAMS // 4)
+
+    def test_host_that_was_not_restarted_joins_no_stream(self) -> None:
+        """A record of before the release stands in the store for hosts that are down."""
+        self.assertEqual(self.release.joined(self.release.restart(name="b")), [])
+        self.assertEqual(self.release.joined(self.release.restart(name="new")), [])
+
+    def test_what_was_used_unsaved_is_kept_through_a_second_loss(self) -> None:
+        first = self.release.restart()
+        again = self.release.restart(stored=first.stored, history=())
+        self.assertEqual(self.release.joined(again), [])
+        self.assertTrue(any(self.release.resumes(again, name) for name in self.release.began))
+
+    def test_host_started_while_nothing_can_be_saved_keeps_to_the_share(self) -> None:
+        """It knows no record, so that it may not take the new build for the safe one."""
+        self.release.began.clear()
+        started = self.release.restart(can_save=False)
+        started.read_list(*MIXED[3:])
+        started.run(builds.SAVE_PATIENCE_S)
+        self.release.begin(started)
+        self.assertIn(NEW, self.release.began.values())
+        self.assertEqual(self.release.joined(self.release.restart()), [])
+
+    def test_every_stream_is_refused_if_the_saved_build_was_not_there_throughout(self) -> None:
+        """Any stream begins at a new build once no engine of a saved one takes streams."""
+        host = self.release.restart(listed=MIXED[:1] + (engine("d9", DECODE, build=OLD),))
+        self.assertFalse(any(self.release.resumes(host, name) for name in self.release.began))
+
+    def test_every_stream_is_refused_if_a_host_of_an_earlier_version_saved(self) -> None:
+        """Such a host begins any stream at a build that it could not save."""
+        for saved in self.release.stored.values():
+            saved.listed_upto = None
+        host = self.release.restart()
+        self.assertFalse(any(self.release.resumes(host, name) for name in self.release.began))
+
+    def test_build_that_left_before_the_save_is_not_counted(self) -> None:
+        for saved in self.release.stored.values():
+            saved.listed_upto = self.release.history[-1].offset + 1
+        host = self.release.restart()
+        self.assertEqual(self.release.resumes(host, "t-elsewhere"), OLD)
+
+    def test_plain_streams_keep_to_the_share(self) -> None:
+        host = Host(endpoints=(plain("s0", build=OLD),))
+        host.store_answers = False
+        host.read_list(plain("s1", build=NEW))
+        host.run(builds.SAVE_PATIENCE_S)
+        used = {"s0": [], "s1": []}
+        for number in range(60):
+            call = host.ask("feed", trace_id=f"n{number}")
+            used[host.last_effect(Forward, call).endpoint].append(f"n{number}")
+            host.feed(_events.ForwardLeft, call_id=call)
+        self.assertTrue(used["s0"] and used["s1"])
+        self.assertLess(max(map(unsaved_builds.position, used["s1"])), 0.5)
+
+
 class TestRestoredStore(unittest.TestCase):
     """What was read from a copy may lack the builds that hosts saved last."""
 
--- a/tests/test_on_platform.py
+++ b/tests/test_on_platform.py
@@ -719,6 +719,35 @@
         self.assertEqual((read.era, read.saved["b"].era), (1, 0))
         self.assertAlmostEqual(read.saved["b"].era_age, 4.0, delta=1.0)
 
+    async def test_entries_listed_since_the_earliest_save_are_read(self) -> None:
+        """A build that left before the host started again is in no page of the list."""
+        register, now = self.site.daemon.runner.ports.register, self.site.daemon.runner.now()
+        store, topic = self.site.store, TOPIC_PREFIX + "servers"
+        await store.put(TOPIC_PREFIX + "streams", self.site.state.owner.host, None)
+        listed_upto = len(store.topics[topic])
+        for host, position in (("b", listed_upto), ("c", listed_upto + 1)):
+            saved = SavedBuilds(
+                age=0.0,
+                begun={},
+                lost={MODEL: {"v0": 1.0, "v1": 1.0}},
+                era=0,
+                shares={MODEL: {"v1": 0.2501}},
+                listed_upto=position,
+            )
+            effect = SaveStreams(begun=(), builds={}, saved=saved)
+            self.assertIsNone(await register.save_streams(host, effect, now))
+        entry = Endpoint("left", "decode").entry(address="127.0.0.1:1", version="v2")
+        await store.put(topic, "left", entry)
+        await store.put(topic, "left", None)
+        read = await register.saved_streams(now, history=True)
+        self.assertEqual(read.saved["b"].shares, {MODEL: {"v1": 0.251}})
+        self.assertEqual(read.saved["c"].listed_upto, listed_upto + 1)
+        found = [one for one in read.history if one.name == "left"]
+        self.assertEqual([one.endpoint and one.endpoint.build for one in found], ["v2", None])
+        store.first_kept[topic] = found[1].offset
+        read = await register.saved_streams(now, history=True)
+        self.assertEqual(read.history[0].offset, found[1].offset)
+
     async def test_record_of_a_version_that_saves_no_builds_is_read(self) -> None:
         """Hosts of the version before write, and read, records without these fields."""
         record = {"saved_ms": 0, "streams": [["t-0", MODEL, "v1", 5]], "builds": {}}
