--- a/src/wasabiwick/_handlers/forward_plain.py
+++ b/src/wasabiwick/_handlers/forward_plain.py
@@ -42,7 +42,6 @@
 )
 from .forwarding import ForwardedCall
 
-SERVER_ERROR = 500  # Lowest HTTP status of an endpoint's own failures.
 # Seconds after which refused callers are told to retry. By then other endpoints or hosts may be
 # able to answer.
 RETRY_AFTER = 0.5
@@ -158,7 +157,7 @@
         yield Count(metric="endpoint_refusals", label=req.service)
         yield from _retry(state, req, event.at, ENDPOINT_REFUSED, answer=event)
         return
-    if event.status < SERVER_ERROR:
+    if not forwarding.is_failure(event.status):
         health.record_success(state, event.endpoint)
         yield from _relay(state, req, event)
         return
@@ -166,10 +165,6 @@
     if _may_retry(state, req, event.at):
         yield from _retry(state, req, event.at, ENDPOINT_FAILED, answer=event)
         return
-    # The request is not retried, so the caller gets the endpoint's own error.
-    yield forwarding.log(
-        "relayed_failure", req, state, event.at, endpoint=event.endpoint, status=event.status
-    )
     yield from _relay(state, req, event)
 
 
@@ -177,12 +172,9 @@
     """Relay an answer; a stream that has begun takes only the rest of that stream."""
     if event.streams and event.status == 200:
         yield forwarding.begin_relay(state, req, event.at, req.place.build)
-    elif req.relay_begun:
-        yield from forwarding.refuse_call(
-            state, req, event.at, ENDPOINT_FAILED, endpoint=event.endpoint, status=event.status
-        )
+        yield Relay(call_id=req.ask.call_id, number=req.number)
         return
-    yield Relay(call_id=req.ask.call_id, number=req.number)
+    yield from forwarding.relay_answer(state, req, event, endpoint=event.endpoint)
 
 
 def on_failure(state: State, req: ForwardedCall, event: TryFailed) -> typing.Iterator[Step]:
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -345,15 +345,7 @@
         req.avoid.append(event.endpoint)
         yield from _retry(state, req, at, event.endpoint, f"status {event.status}", refused=False)
         return
-    if req.relay_begun:
-        yield from forwarding.refuse_call(
-            state, req, at, ENDPOINT_FAILED, endpoint=event.endpoint, status=event.status
-        )
-        return
-    yield forwarding.log(
-        "relayed_failure", req, state, at, endpoint=event.endpoint, status=event.status
-    )
-    yield Relay(call_id=req.ask.call_id, number=req.number)
+    yield from forwarding.relay_answer(state, req, event, endpoint=event.endpoint)
 
 
 def on_failure(state: State, req: ForwardedCall, event: TryFailed) -> typing.Iterator[Step]:
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -7,9 +7,23 @@
 import typing
 
 from .._effects import Count, LogLine, Observe, StartTimer, StopTimer
-from .._effects_forwarding import CutForward, DropHold, DropTry, FreeHandle, RefuseForward
+from .._effects_forwarding import (
+    CutForward,
+    DropHold,
+    DropTry,
+    FreeHandle,
+    RefuseForward,
+    Relay,
+)
 from .._errors import ENDPOINT_FAILED, ENDPOINT_UNREACHABLE, UNREAD, Failure, Reason
-from .._events import ForwardAnswered, LoadChanged, PermitSettled, PlacesChanged, StepFailed
+from .._events import (
+    AnswerCame,
+    ForwardAnswered,
+    LoadChanged,
+    PermitSettled,
+    PlacesChanged,
+    StepFailed,
+)
 from .._forwarding import Ask, BegunStream, Endpoint, Organisation, Route, StreamLoad
 from .._reducer import Step, handles
 from .._settings import Settings
@@ -32,6 +46,7 @@
 
 # HTTP statuses by which a caller knows that its request has not run and never will.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+SERVER_ERROR = 500  # Lowest HTTP status of an endpoint's own failures.
 
 # Phases of a call: waiting for a place at an endpoint, asking whether an endpoint's limit has room,
 # reserving the place, having the prompt prefilled, sent to the endpoint, and relaying the answer.
@@ -507,6 +522,38 @@
     yield from close_call(state, req, at)
 
 
+def relay_answer(
+    state: State, req: ForwardedCall, event: AnswerCame, **inputs: object
+) -> typing.Iterator[Step]:
+    """Relay an endpoint's answer that is no stream, unless its status would break a promise.
+
+    Some statuses promise that the request has not run. An endpoint that has not run a request says
+    so in another way (`AnswerCame.not_run`), and such an answer is never relayed. Without that, the
+    request may have run, and the caller gets an error of this host that promises nothing. Neither
+    can the answer stand in a stream that has begun.
+
+    Args:
+        state: The host's state.
+        req: The call.
+        event: The answer.
+        **inputs: Who gave it, for the log.
+    """
+    if req.relay_begun or event.status in NOT_RUN_STATUSES:
+        detail = f"the endpoint answered status {event.status}"
+        yield from refuse_call(
+            state, req, event.at, ENDPOINT_FAILED, detail=detail, status=event.status, **inputs
+        )
+        return
+    if event.status >= SERVER_ERROR:
+        yield log("relayed_failure", req, state, event.at, status=event.status, **inputs)
+    yield Relay(call_id=req.ask.call_id, number=req.number)
+
+
+def is_failure(status: int) -> bool:
+    """Return whether an answer that does not say `not_run` shows that an endpoint failed."""
+    return status >= SERVER_ERROR or status in NOT_RUN_STATUSES
+
+
 @handles(ForwardAnswered)
 def call_answered(state: State, event: ForwardAnswered) -> typing.Iterator[Step]:
     """Count and remove a call whose answer was written to its end."""
--- a/src/wasabiwick/_handlers/hops.py
+++ b/src/wasabiwick/_handlers/hops.py
@@ -17,7 +17,6 @@
 from .._effects_forwarding import Relay
 from .._effects_hops import PassOn, ReadHosts
 from .._errors import (
-    ENDPOINT_FAILED,
     HOST_FULL,
     HOST_REFUSED,
     HOST_UNREACHABLE,
@@ -65,7 +64,6 @@
 REREAD_INTERVAL_S = 5.0  # Time between reads of it while a service is unreached.
 RETRY_AFTER_S = 1.0  # When callers are told to retry what no host reaches.
 OTHER_HOST_RETRY_AFTER_S = 0.1  # When they are told to retry what another host reaches.
-SERVER_ERROR = 500  # Lowest HTTP status of an endpoint's own failures.
 # Reasons for which a host turns a request down before anything is sent to an endpoint.
 TURNED_DOWN = (HOST_FULL, HOST_REFUSED, HOST_UNREACHABLE, NOT_REACHED, OTHER_VERSION, STOPPING)
 
@@ -254,19 +252,16 @@
     if event.streams and event.status == 200:
         req.build = req.build or event.build
         yield forwarding.begin_relay(state, req, at, event.build)
-    elif (
-        event.status >= SERVER_ERROR
+        yield Relay(call_id=req.ask.call_id, number=req.number)
+        return
+    if (
+        forwarding.is_failure(event.status)
         and req.has_attempt_left
         and retry_budget.try_spend_retry(state, req.service, at)
     ):
         yield from _try_again(state, req, at, f"status {event.status}")
         return
-    if req.relay_begun and not (event.streams and event.status == 200):
-        yield from forwarding.refuse_call(
-            state, req, at, ENDPOINT_FAILED, host=req.host, status=event.status
-        )
-        return
-    yield Relay(call_id=req.ask.call_id, number=req.number)
+    yield from forwarding.relay_answer(state, req, event, host=req.host)
 
 
 def on_failure(state: State, req: ForwardedCall, event: TryFailed) -> typing.Iterator[Step]:
--- a/tests/_platform.py
+++ b/tests/_platform.py
@@ -198,7 +198,8 @@
         open_holds: Holds that were granted and neither used nor dropped.
         kv_handles: Handles of the KV caches that were not freed.
         refusals_left: How many of the next requests it refuses as not executed.
-        failures_left: How many of the next requests it answers with its own 500.
+        failures_left: How many of the next requests it runs and answers with its own failure.
+        failure_status: Status of these answers.
         cuts_left: How many of the next streams it cuts off in the middle of an event.
         cut_before: Number of that event; 0 to cut off right behind the head of the answer.
         states_length: Whether its streams come in chunks; otherwise they end with the connection,
@@ -239,6 +240,7 @@
         self.kv_handles: set[str] = set()
         self.refusals_left = 0
         self.failures_left = 0
+        self.failure_status = 500
         self.cuts_left = 0
         self.cut_before = 3
         self.states_length = True
@@ -381,7 +383,7 @@
             seal = echo
         if self.failures_left:
             self.failures_left -= 1
-            return web.Response(status=500, headers=seal, text="own failure")
+            return web.Response(status=self.failure_status, headers=seal, text="own failure")
         if not self.stage:
             await asyncio.sleep(self.answer_delay)
             answer = req.raw_path.encode() + b" " + body
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -158,6 +158,48 @@
         self.assertEqual(len(host.effects_of(Forward, call)), 1)
         self.assertEqual(host.last_effect(Relay, call).number, 1)
 
+    def test_a_status_that_says_not_run_is_never_relayed(self) -> None:
+        """An endpoint that fails behind its work may answer so; its caller would come again."""
+        for path in ("unsafe", "draft", "news"):
+            for status in NOT_RUN_STATUSES:
+                with self.subTest(path=path, status=status):
+                    host = Host()
+                    call = host.ask(path)
+                    if path == "draft":
+                        host.answer_hold(call)
+                        host.answer_prefill(call)
+                    host.answer(call, status)
+                    self.assertEqual(len(host.effects_of(Forward, call)), 1)
+                    self.assertEqual(host.effects_of(Relay, call), [])
+                    self.assertEqual(host.refusal(call).reason.status, 502)
+                    self.assertIs(host.refusal(call).verdict, Verdict.MAY_HAVE_RUN)
+                    self.assertIsNone(host.refusal(call).retry_after)
+
+    def test_a_refusal_after_a_try_that_may_have_run_is_not_relayed(self) -> None:
+        """The last endpoint says that it has not run the request; the one before may have."""
+        for slack, path in ((50.0, "safe"), (1.0, "safe"), (50.0, "stream")):
+            with self.subTest(slack=slack, path=path):
+                host = Host(slack=slack)
+                call = host.ask(path)
+                for not_run in (False, True, True):
+                    holds = host.effects_of(TakeHold, call)
+                    if len(holds) > len(host.effects_of(Forward, call)):
+                        host.answer_hold(call)
+                        host.answer_prefill(call)
+                    if host.is_open(call):
+                        host.answer(call, 503, not_run=not_run)
+                        host.run(0.1)
+                host.run(15.0)
+                self.assertEqual(host.effects_of(Relay, call), [])
+                self.assertNotIn(host.refusal(call).reason.status, NOT_RUN_STATUSES)
+
+    def test_a_safe_request_is_sent_again_after_such_a_status(self) -> None:
+        for status in NOT_RUN_STATUSES:
+            host = Host()
+            call = host.ask("safe")
+            host.answer(call, status)
+            self.assertEqual(len(host.effects_of(Forward, call)), 2)
+
     def test_a_time_out_after_a_send_does_not_say_not_run(self) -> None:
         host = Host()
         call = host.ask("unsafe")
@@ -183,8 +225,9 @@
                     host.fail(call, BROKEN)
                 elif choice == 3:
                     may_have_run += 1
-                    host.answer(call, rng.choice((200, 500)))
+                    host.answer(call, rng.choice((200, 500, *NOT_RUN_STATUSES)))
                     host.feed(_events.ForwardAnswered, call_id=call)
+                    self.assertLessEqual(len(host.effects_of(Relay, call)), 1)
                 else:
                     may_have_run += 1
                     host.run(1.0)
--- a/tests/test_hops.py
+++ b/tests/test_hops.py
@@ -199,6 +199,17 @@
         self.assertEqual(len(self.hosts_of(call_id)), 1)
         self.assertEqual(self.host.refusal(call_id).retry_after, 2.5)
 
+    def test_status_that_says_not_run_is_not_relayed(self) -> None:
+        """A host of an earlier version passes such a status of an endpoint back as it is."""
+        for status in (408, 421, 429, 503):
+            with self.subTest(status=status):
+                call_id = self.host.ask("unsafe")
+                self.host.answer_hop(call_id, status)
+                self.assertEqual(self.host.effects_of(Relay, call_id), [])
+                self.assertEqual(len(self.hosts_of(call_id)), 1)
+                self.assertEqual(self.host.refusal(call_id).reason.status, 502)
+                self.assertIs(self.host.refusal(call_id).verdict, Verdict.MAY_HAVE_RUN)
+
     def test_time_out_says_that_it_may_have_run(self) -> None:
         call_id = self.host.ask("unsafe", seconds=0.5)
         self.host.cut_off(APP, 0.6)
--- a/tests/test_on_platform.py
+++ b/tests/test_on_platform.py
@@ -214,6 +214,19 @@
             async with self.site.request("/safe/x", "GET", b"") as resp:
                 self.assertEqual(resp.status, 200)
 
+    async def test_sealed_status_that_says_not_run_reaches_no_caller(self) -> None:
+        """A caller takes it for a promise and comes again, though the request has run."""
+        await self.site.wait_for_feeds()
+        endpoints = [self.site.endpoints[name] for name in ("s0", "s1")]
+        for status in (503, 429, 408):
+            for one in endpoints:
+                one.failures_left, one.failure_status, one.retry_after = 1, status, "0.01"
+            async with self.site.request("/unsafe/x") as resp:
+                self.assertEqual(resp.status, 502)
+                self.assertNotIn("X-Wasabiwick-Response-Seal", resp.headers)
+                self.assertNotIn("Retry-After", resp.headers)
+            await asyncio.sleep(0.05)
+
     async def test_success_without_a_seal_is_not_relayed(self) -> None:
         """A success without the endpoint's seal may not be the endpoint's own answer."""
         await self.site.wait_for_feeds()
