--- a/src/wasabiwick/_forwarding.py
+++ b/src/wasabiwick/_forwarding.py
@@ -5,6 +5,9 @@
 streams only if their route is resumable.
 """
 
+import itertools
+import typing
+
 from ._record import Record
 
 SAFE = "safe"
@@ -16,6 +19,7 @@
 DECODE = "decode"
 # Longest request line or header field of a caller, in bytes, where the operator names no bound.
 DEFAULT_MAX_HEADER_BYTES = 16 * 1024
+MAX_LOGGED_PARTS = 64  # Most parts of prompts in a log line; a prompt may have thousands.
 
 
 class Route(Record):
@@ -334,7 +338,9 @@
         resumed: Whether the caller resumes a stream.
         resumes: Trace id of the call that brought the first event of a resumed stream, or empty.
         events_before: Number of events of a resumed stream that the caller has, as far as known.
-        parts: Identifiers of the parts of the prompt that other requests may share, in order.
+        parts: Identifiers of the parts of the prompt that other requests may share, in order; none
+            has a comma. They are kept joined in ``joined_parts``, as a prompt may have thousands.
+        joined_parts: The same, if they are joined by commas already.
         fingerprints: Identifiers of the whole request, the same if it comes again; the widest one
             first.
         key: Digest of the key that the caller named (`_caller_keys.digest`), or empty.
@@ -352,7 +358,7 @@
         "resumed",
         "resumes",
         "events_before",
-        "parts",
+        "joined_parts",
         "fingerprints",
         "key",
     )
@@ -372,6 +378,7 @@
         resumes: str = "",
         events_before: int = 0,
         parts: tuple[str, ...] = (),
+        joined_parts: str = "",
         fingerprints: tuple[str, ...] = (),
         key: str = "",
     ) -> None:
@@ -386,10 +393,20 @@
         self.resumed = resumed
         self.resumes = resumes
         self.events_before = events_before
-        self.parts = tuple(parts)
+        self.joined_parts = joined_parts or ",".join(parts)
         self.fingerprints = tuple(fingerprints)
         self.key = key
 
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """Identifiers of the parts of the prompt that other requests may share, in order."""
+        return tuple(self.joined_parts.split(",")) if self.joined_parts else ()
+
+    @property
+    def is_blockable(self) -> bool:
+        """Whether anything identifies what may make an endpoint end."""
+        return bool(self.joined_parts or self.fingerprints)
+
     @property
     def fingerprint(self) -> str:
         """The narrowest fingerprint, or an empty string if there is none."""
@@ -401,6 +418,13 @@
         return self.parts + self.fingerprints
 
 
+def listed(parts: typing.Collection[str]) -> str:
+    """Return identifiers for a log line: the first ones, and how many more there are."""
+    text = ",".join(itertools.islice(parts, MAX_LOGGED_PARTS))
+    more = len(parts) - MAX_LOGGED_PARTS
+    return f"{text},and {more} more" if more > 0 else text or "-"
+
+
 class StreamLoad(Record):
     """Size of one stream at an engine.
 
--- a/src/wasabiwick/_handlers/crash_watch.py
+++ b/src/wasabiwick/_handlers/crash_watch.py
@@ -20,7 +20,7 @@
     TimerFired,
     TryFailed,
 )
-from .._forwarding import Crash, Findings
+from .._forwarding import Crash, Findings, listed
 from .._reducer import Step, handles, on_timer
 from .._rendezvous import ranked
 from .._settings import Settings
@@ -46,15 +46,16 @@
 class Suspicion:
     """An endpoint that may have ended, with what it began to answer.
 
-    ``at`` is the monotonic time at which the first connection broke off.
+    ``left_out`` counts the parts that are not kept, as there are too many.
     """
 
-    __slots__ = ("crash", "address", "checks_left")
+    __slots__ = ("crash", "address", "checks_left", "left_out")
 
     def __init__(self, *, crash: Crash, address: str) -> None:
         self.crash = crash
         self.address = address
         self.checks_left = MAX_CHECKS
+        self.left_out = 0
 
 
 @state_slice("crash_watch")
@@ -110,7 +111,7 @@
 def _current_try(state: State, event: TryFailed | AnswerCame | StreamDone) -> ForwardedCall | None:
     """Return the call of a try if it is the newest one and could be recognized again."""
     req = forwarding.call(state, event.call_id)
-    if req is None or req.number != event.number or not req.ask.blockable or req.place is None:
+    if req is None or req.number != event.number or not req.ask.is_blockable or req.place is None:
         return None
     return req
 
@@ -140,7 +141,8 @@
         suspicion = suspicions[endpoint.name] = Suspicion(crash=crash, address=endpoint.address)
         yield _check(state, suspicion)
     parts = dict.fromkeys((*suspicion.crash.parts, *req.ask.blockable))
-    suspicion.crash.parts = tuple(parts)
+    suspicion.crash.parts = crashing_parts.bounded(state, req.service, parts)
+    suspicion.left_out += len(parts) - len(suspicion.crash.parts)
 
 
 def _check(state: State, suspicion: Suspicion) -> CheckEnded:
@@ -175,7 +177,8 @@
         "endpoint": crash.endpoint,
         "has_ended": event.has_ended,
         "why": event.failure.detail if event.failure else "-",
-        "parts": ",".join(crash.parts),
+        "parts": listed(crash.parts),
+        "left_out": suspicion.left_out,
         "age": event.at - crash.at,
     }
     yield LogLine(event="endpoint_checked", fields=fields)
@@ -209,11 +212,12 @@
 
 def tell_sound_streams(state: State, at: float) -> typing.Iterator[Step]:
     """Note which suspected parts are sound by the streams that are being written, and tell that."""
-    has_changed = False
-    for req in state["forwarding"].calls.values():
-        if req.ask.blockable and _has_written_on(req, at, req.events):
-            has_changed |= crashing_parts.add_sound(state, req.service, req.ask.blockable, at)
-    if has_changed:
+    prompts = (
+        (req.service, req.ask.blockable)
+        for req in state["forwarding"].calls.values()
+        if req.ask.is_blockable and _has_written_on(req, at, req.events)
+    )
+    if crashing_parts.add_sound_suspects(state, prompts, at):
         yield from apply_blocks(state, at)
     if crashing_parts.has_untold(state):
         yield from neighbours.send_soon(state, at)
@@ -228,7 +232,7 @@
         yield Count(metric="parts_blocked", label=block.service)
         fields = {
             "service": block.service,
-            "parts": ",".join(sorted(block.parts)),
+            "parts": listed(sorted(block.parts)),
             "crashes": len(block.endpoints),
             "endpoints": ",".join(block.endpoints[-crashing_parts.MIN_CRASHES :]),
         }
@@ -242,15 +246,17 @@
 
 def refuse_blocked(state: State, req: ForwardedCall, at: float) -> typing.Iterator[Step]:
     """Refuse a call if it or its prompt is blocked, unless it is a block's trial."""
+    if req.is_trial or not crashing_parts.blocks(state):
+        return
     blocks = crashing_parts.blocks_of(state, req.service, req.ask.blockable)
-    if not blocks or req.is_trial:
+    if not blocks:
         return
     block = blocks[0]
     if len(blocks) == 1 and _is_trial_due(state, block, at):
         state["crash_watch"].trials[block.service, *block.parts] = at
         req.is_trial = True
         yield Count(metric="part_trials", label=block.service)
-        yield forwarding.log("part_trial", req, state, at, parts=",".join(sorted(block.parts)))
+        yield forwarding.log("part_trial", req, state, at, parts=listed(sorted(block.parts)))
     else:
         yield from forwarding.refuse_call(
             state,
@@ -258,7 +264,7 @@
             at,
             REQUEST_BLOCKED if block.is_whole_request else PART_BLOCKED,
             retry_after=BLOCKED_RETRY_AFTER_S,
-            parts=",".join(sorted(block.parts)),
+            parts=listed(sorted(block.parts)),
             crashes=len(block.endpoints),
         )
 
--- a/src/wasabiwick/_handlers/crashing_parts.py
+++ b/src/wasabiwick/_handlers/crashing_parts.py
@@ -44,15 +44,19 @@
 # software changed meanwhile may end with it, so it is not sound forever.
 SOUND_TIME_S = 60.0
 MAX_CRASHES = 128  # Most crashes that are kept.
-# Most parts that are kept for a crash; an endpoint serves and queues some 30 requests.
-MAX_PARTS = 64
+# Most parts that are kept for all crashes; they take some 5 MB. A header of 16 KiB names 2,800.
+MAX_SUSPECTS = 24_576
+# Most parts that are kept for a crash, so that as many crashes are kept as a block needs.
+MAX_PARTS = MAX_SUSPECTS // MIN_CRASHES
 # A shared part is blocked instead of a whole request if it was in this many more crashes. One more
 # may be an endpoint that was lost for another reason.
 SHARED_LEAD = 2
-MAX_SOUND = 4096  # Most sound parts that are remembered; the last ones seen are kept.
+MAX_SOUND = 16_384  # Most sound parts that are remembered; the last ones seen are kept.
 MAX_SAVED = 32  # Most crashes, and most sound parts, in one save.
+MAX_SAVED_CHARS = 49_152  # Most characters of parts in one save, three largest headers.
 TELLS = 3  # Datagrams in which a crash or a sound part is told, as datagrams get lost.
 MAX_TOLD = 4  # Most crashes, and most sound parts, in one datagram, which has to stay small.
+MAX_TOLD_CHARS = 4_096  # Most characters of crashes' parts in one; the rest follows in the next.
 
 CrashKey = tuple[str, int]  # Name of the endpoint, and Unix milliseconds of its start.
 PartKey = tuple[str, str]  # Service, and identifier of the part or fingerprint.
@@ -108,7 +112,8 @@
     seen to be sound around their crashes. ``own_crashes`` are those that this host has found, and
     ``own_sound`` the suspected parts that it tells to be sound, with the time that it tells.
     ``untold_crashes`` and ``untold_sound`` say in how many datagrams each of these is still to be
-    told. ``version`` rises with each change of what this host has to tell.
+    told, and ``told_parts`` how many parts of a crash were told of those that one datagram can't
+    hold. ``version`` rises with each change of what this host has to tell.
     """
 
     __slots__ = (
@@ -119,6 +124,7 @@
         "own_sound",
         "untold_crashes",
         "untold_sound",
+        "told_parts",
         "blocks",
         "version",
     )
@@ -132,6 +138,7 @@
         self.own_sound: dict[PartKey, float] = {}
         self.untold_crashes: dict[CrashKey, int] = {}
         self.untold_sound: dict[PartKey, int] = {}
+        self.told_parts: dict[CrashKey, int] = {}
         self.blocks: list[Block] = []
         self.version = 0
 
@@ -143,11 +150,27 @@
 
 def blocks_of(state: State, service: str, parts: typing.Collection[str]) -> list[Block]:
     """Return all blocks that refuse a prompt with these parts."""
-    return [
-        block
-        for block in state["crashing_parts"].blocks
-        if block.service == service and block.parts <= set(parts)
-    ]
+    found = [one for one in state["crashing_parts"].blocks if one.service == service]
+    if not found:
+        return []
+    named = set(parts)
+    return [one for one in found if one.parts <= named]
+
+
+def bounded(state: State, service: str, parts: typing.Collection[str]) -> tuple[str, ...]:
+    """Return the parts that are kept for a crash: all, unless they are more than `MAX_PARTS`.
+
+    Those that are suspected of other crashes come first, as only these can explain several, and
+    whole requests before parts.
+    """
+    if len(parts) <= MAX_PARTS:
+        return tuple(parts)
+    suspected = state["crashing_parts"].suspected
+
+    def rank(part: str) -> tuple[bool, bool]:
+        return (service, part) not in suspected, not is_fingerprint(part)
+
+    return tuple(sorted(parts, key=rank)[:MAX_PARTS])
 
 
 def version(state: State) -> int:
@@ -190,6 +213,25 @@
     return is_news and _update_blocks(state)
 
 
+def add_sound_suspects(
+    state: State, prompts: typing.Iterable[tuple[str, tuple[str, ...]]], at: float
+) -> bool:
+    """Record which suspected parts endpoints write on with; returns whether blocks have changed.
+
+    Args:
+        state: The host's state.
+        prompts: Service and parts of each request whose answer is being written.
+        at: Monotonic time.
+    """
+    suspected = state["crashing_parts"].suspected
+    names = {part for _, part in suspected}
+    has_changed = False
+    for service, parts in prompts:
+        found = [part for part in parts if part in names and (service, part) in suspected]
+        has_changed |= add_sound(state, service, found, at)
+    return has_changed
+
+
 def _see(state: State, key: PartKey, at: float) -> Seen:
     sound = state["crashing_parts"].sound
     seen = sound.setdefault(key, Seen())
@@ -223,28 +265,31 @@
     state: State, crashes: typing.Iterable[Crash], sound: typing.Iterable[SoundPart], at: float
 ) -> bool:
     parts_state = state["crashing_parts"]
+    is_news = False
     for one in sound:
         key = (one.service, one.part)
+        is_news |= key in parts_state.suspected
         _see(state, key, one.at)
         # Another host tells it already.
         parts_state.untold_sound.pop(key, None)
     for crash in crashes:
         if at - crash.at < CRASH_KEEP_S:
-            _merge(state, crash)
-    return _update_blocks(state)
+            is_news |= _merge(state, crash)
+    # Most findings are told and read several times.
+    return is_news and _update_blocks(state)
 
 
-def _merge(state: State, crash: Crash) -> None:
-    """Add a crash, or the parts that one more host suspects of a known one."""
+def _merge(state: State, crash: Crash) -> bool:
+    """Add a crash, or the parts that one more host suspects of it; returns whether any is new."""
     parts_state = state["crashing_parts"]
     key = (crash.endpoint, crash.born)
     known = parts_state.crashes.get(key)
     parts = dict.fromkeys((*(known.parts if known else ()), *crash.parts))
-    parts_state.crashes[key] = Crash(
+    parts_state.crashes[key] = merged = Crash(
         endpoint=crash.endpoint,
         born=crash.born,
         service=crash.service,
-        parts=tuple(parts)[:MAX_PARTS],
+        parts=bounded(state, crash.service, parts),
         at=min(crash.at, known.at) if known else crash.at,
     )
     for part in crash.parts:
@@ -253,6 +298,7 @@
             told_at = parts_state.own_sound.get((crash.service, part), float("-inf"))
             if crash.at > told_at + SOUND_TIME_S:
                 _tell_sound(state, (crash.service, part))
+    return known is None or merged != known
 
 
 def _tell_sound(state: State, key: PartKey) -> None:
@@ -273,16 +319,19 @@
     parts_state = state["crashing_parts"]
     crashes = parts_state.crashes
     old_keys = [key for key, one in crashes.items() if at - one.at >= CRASH_KEEP_S]
-    for key in old_keys:
-        _forget(state, key)
+    _forget(state, old_keys)
     return bool(old_keys) and _update_blocks(state)
 
 
-def _forget(state: State, key: CrashKey) -> None:
+def _forget(state: State, keys: list[CrashKey]) -> None:
+    if not keys:
+        return
     parts_state = state["crashing_parts"]
-    del parts_state.crashes[key]
-    parts_state.own_crashes.pop(key, None)
-    parts_state.untold_crashes.pop(key, None)
+    for key in keys:
+        del parts_state.crashes[key]
+        parts_state.own_crashes.pop(key, None)
+        parts_state.untold_crashes.pop(key, None)
+        parts_state.told_parts.pop(key, None)
     named = {(one.service, part) for one in parts_state.crashes.values() for part in one.parts}
     for part_key in [one for one in parts_state.own_sound if one not in named]:
         del parts_state.own_sound[part_key]
@@ -375,10 +424,18 @@
 
 
 def _limit_crashes(state: State, suspects: dict[str, dict[CrashKey, set[str]]]) -> None:
-    """Forget crashes beyond `MAX_CRASHES`: those that explain nothing, then the oldest."""
+    """Forget crashes beyond `MAX_CRASHES` or `MAX_SUSPECTS` parts.
+
+    Parts that are sound are forgotten first, then crashes that explain nothing, then the oldest.
+    """
     parts_state = state["crashing_parts"]
-    excess = len(parts_state.crashes) - MAX_CRASHES
-    if excess <= 0:
+    crashes = parts_state.crashes
+    if sum(len(one.parts) for one in crashes.values()) > MAX_SUSPECTS:
+        for one in crashes.values():
+            one.parts = tuple(part for part in one.parts if not _is_sound(state, one, part))
+    excess_parts = sum(len(one.parts) for one in crashes.values()) - MAX_SUSPECTS
+    excess = len(crashes) - MAX_CRASHES
+    if max(excess, excess_parts) <= 0:
         return
     suspected = {key for keys in suspects.values() for key in keys}
     blamed = {endpoint for block in parts_state.blocks for endpoint in block.endpoints}
@@ -386,19 +443,56 @@
         parts_state.crashes,
         key=lambda key: (key[0] in blamed, key in suspected, parts_state.crashes[key].at),
     )
-    for key in by_use[:excess]:
-        _forget(state, key)
+    dropped = []
+    for key in by_use:
+        if max(excess, excess_parts) <= 0:
+            break
+        excess -= 1
+        excess_parts -= len(crashes[key].parts)
+        dropped.append(key)
+    _forget(state, dropped)
 
 
 def take_untold(state: State) -> tuple[tuple[Crash, ...], tuple[SoundPart, ...]]:
     """Return the findings that the next datagram tells, and count them as told once more."""
+    part_keys = _take(state["crashing_parts"].untold_sound)
+    return _take_crashes(state), _sound_parts(state, part_keys)
+
+
+def _take_crashes(state: State) -> tuple[Crash, ...]:
+    """Return the crashes that the next datagram tells, one of them with a part of its parts.
+
+    Hosts put together what they are told of a crash.
+    """
     parts_state = state["crashing_parts"]
-    crash_keys = _take(parts_state.untold_crashes)
-    part_keys = _take(parts_state.untold_sound)
-    return (
-        tuple(parts_state.crashes[key] for key in crash_keys),
-        _sound_parts(state, part_keys),
-    )
+    taken = []
+    room = MAX_TOLD_CHARS
+    for key in list(parts_state.untold_crashes)[:MAX_TOLD]:
+        if room <= 0:
+            break
+        crash = parts_state.crashes[key]
+        begin = parts_state.told_parts.pop(key, 0)
+        parts, room = _fitting(crash.parts[begin:], room)
+        taken.append(_with_parts(crash, parts))
+        if begin + len(parts) < len(crash.parts):
+            parts_state.told_parts[key] = begin + len(parts)
+        elif left := parts_state.untold_crashes.pop(key) - 1:
+            parts_state.untold_crashes[key] = left  # At the end, as `_take` does.
+    return tuple(taken)
+
+
+def _fitting(parts: tuple[str, ...], room: int) -> tuple[tuple[str, ...], int]:
+    """Return the first parts that fit, at least one, and how many characters are left then."""
+    for number, part in enumerate(parts):
+        room -= len(part)
+        if room < 0:
+            return parts[: max(1, number)], 0
+    return parts, room
+
+
+def _with_parts(crash: Crash, parts: tuple[str, ...]) -> Crash:
+    fields = {name: getattr(crash, name) for name in crash._fields}
+    return Crash(**{**fields, "parts": parts})
 
 
 def _take(untold: dict[typing.Any, int]) -> list[typing.Any]:
@@ -431,6 +525,7 @@
     for named, known in (
         (parts_state.own_crashes, parts_state.crashes),
         (parts_state.untold_crashes, parts_state.crashes),
+        (parts_state.told_parts, parts_state.untold_crashes),
         (parts_state.untold_sound, parts_state.own_sound),
     ):
         for key in [one for one in named if one not in known]:
@@ -438,16 +533,41 @@
 
 
 def own_findings(state: State) -> Findings:
-    """Return what this host has found, the newest if there is too much for one save."""
+    """Return what this host has found, the newest if there is too much for one save.
+
+    If that has too many parts, those are kept that are in most of all known crashes.
+    """
     parts_state = state["crashing_parts"]
     crash_keys = list(parts_state.own_crashes)[-MAX_SAVED:]
+    crashes = [parts_state.crashes[key] for key in crash_keys]
+    if sum(len(part) for one in crashes for part in one.parts) > MAX_SAVED_CHARS:
+        crashes = _with_frequent_parts(state, crashes)
     return Findings(
         host=state.owner.host,
-        crashes=tuple(parts_state.crashes[key] for key in crash_keys),
+        crashes=tuple(crashes),
         sound=_sound_parts(state, list(parts_state.own_sound)[-MAX_SAVED:]),
     )
 
 
+def _with_frequent_parts(state: State, crashes: list[Crash]) -> list[Crash]:
+    """Return crashes with those parts that are in most crashes, as many as fit into a save."""
+    counts = collections.Counter(
+        part for one in state["crashing_parts"].crashes.values() for part in one.parts
+    )
+    kept: list[list[str]] = [[] for _ in crashes]
+    room = MAX_SAVED_CHARS
+    # The newest crashes come first where parts are in equally many.
+    entries = [
+        (number, part) for number, one in reversed([*enumerate(crashes)]) for part in one.parts
+    ]
+    for number, part in sorted(entries, key=lambda one: -counts[one[1]]):
+        room -= len(part)
+        if room < 0:
+            break
+        kept[number].append(part)
+    return [_with_parts(one, tuple(parts)) for one, parts in zip(crashes, kept, strict=True)]
+
+
 def _sound_parts(state: State, keys: list[PartKey]) -> tuple[SoundPart, ...]:
     told = state["crashing_parts"].own_sound
     return tuple(
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -30,7 +30,7 @@
     TimerFired,
     TryFailed,
 )
-from .._forwarding import Endpoint, StreamLoad
+from .._forwarding import Endpoint, StreamLoad, listed
 from .._reducer import Step, handles, on_timer
 from .._state import State
 from .._verdict import Verdict
@@ -380,7 +380,7 @@
         endpoint=event.endpoint,
         cause=event.failure.detail,
         begun_ago=event.at - req.begun_at if req.phase == forwarding.RELAYING else "-",
-        parts=",".join(req.ask.blockable) or "-",
+        parts=listed(req.ask.blockable),
     )
 
 
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -24,7 +24,15 @@
     PlacesChanged,
     StepFailed,
 )
-from .._forwarding import Ask, BegunStream, Endpoint, Organisation, Route, StreamLoad
+from .._forwarding import (
+    Ask,
+    BegunStream,
+    Endpoint,
+    Organisation,
+    Route,
+    StreamLoad,
+    listed,
+)
 from .._reducer import Step, handles
 from .._settings import Settings
 from .._state import State, state_slice
@@ -327,7 +335,7 @@
         cause=cause,
         events=req.events,
         begun_ago=at - req.begun_at if req.phase == RELAYING else "-",
-        parts=",".join(req.ask.blockable) or "-",
+        parts=listed(req.ask.blockable),
     )
 
 
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -5,6 +5,7 @@
 import typing
 
 import msgspec
+import xxhash
 
 from .._adapters._endpoint_answer import EndpointAnswer
 from .._caller_headers import (
@@ -55,7 +56,9 @@
 # HTTP status: the address belongs to another endpoint now, or the engine has another stage.
 MISDIRECTED = 421
 UNAVAILABLE = 503  # HTTP status with which an endpoint turns a request away for now.
-MAX_PARTS = 16  # Most parts of a prompt that are read; prompts have a few.
+# Longest identifier of a part of a prompt that is kept as it is; of longer ones, a digest is kept.
+MAX_PART_CHARS = 32
+LONG_PART = "part:"  # Begins such digests; no identifier has a colon.
 
 
 class _Hold(msgspec.Struct):
@@ -447,7 +450,7 @@
             resumed=_names.LAST_EVENT_ID in values,
             resumes=values.get(_names.RESUMES, ""),
             events_before=int(_header_number(values.get(_names.LAST_EVENT_ID, ""))),
-            parts=_shared_parts(values.get(_names.PREFIX_HASH, "")),
+            joined_parts=_shared_parts(values.get(_names.PREFIX_HASH, "")),
             fingerprints=fingerprints(
                 method=exchange.method,
                 host=host,
@@ -484,10 +487,22 @@
     return name.lower() in _names.CALLER_HEADERS
 
 
-def _shared_parts(text: str) -> tuple[str, ...]:
-    """Return the identifiers of a prompt's parts, except the last, which no other request has."""
-    entries = [entry.partition(":")[0].strip() for entry in text.split(",")]
-    return tuple(entries[:-1][:MAX_PARTS])
+def _shared_parts(text: str) -> str:
+    """Return the identifiers of a prompt's parts, except the last, which no other request has.
+
+    They are joined by commas, each named once.
+    """
+    names = [entry.partition(":")[0].strip() for entry in text.split(",")[:-1]]
+    if any(len(name) > MAX_PART_CHARS for name in names):
+        names = list(map(_bounded_part, names))
+    return ",".join(filter(None, dict.fromkeys(names)))
+
+
+def _bounded_part(name: str) -> str:
+    """Return a part's identifier, or a digest of a long one."""
+    if len(name) <= MAX_PART_CHARS:
+        return name
+    return LONG_PART + xxhash.xxh3_128_hexdigest(name.encode())
 
 
 def _header_number(text: str) -> float:
--- a/tests/test_crashing_parts_live.py
+++ b/tests/test_crashing_parts_live.py
@@ -84,6 +84,19 @@
             await self.settle()
         self.assertLessEqual(self.received(CRASHING_PART), received + MAX_MORE)
 
+    async def test_part_behind_hundreds_of_others_reaches_no_more_engines(self) -> None:
+        """Hosts read the first 16 parts of a prompt, so that one behind them was never blocked."""
+        before = tuple(f"5c{number:06x}" for number in range(400))
+        for number in range(5):
+            await self.send(self.hosts[number % 2], *before, CRASHING_PART)
+            await self.settle()
+        self.assertLessEqual(self.ended(), MAX_ENDED)
+        received = self.received(CRASHING_PART)
+        for host in self.hosts:
+            self.assertEqual(await self.send(host, *before, CRASHING_PART), 503)
+            self.assertEqual(await self.send(host, *before), 200)
+        self.assertLessEqual(self.received(CRASHING_PART), received)
+
     async def test_sound_requests_with_the_same_first_part_are_served(self) -> None:
         for number in range(5):
             await self.send(self.hosts[number % 2], FIRST_PART, CRASHING_PART)
