Date records by when they were read, not by the host's start

Cause: a record's age is that at the time of reading, but was taken off the host's start, some seconds earlier. So all engines seemed younger than the record.

Evidence: build_used_unsaved share=1 at hosts that had waited 1.5 to 2 s for the store, 0.5 at others.

Records that name every build of the list's history are passed over before their entries are compared, as a large fleet has some hundred records.

Test: test_streams_go_on_at_a_host_that_waits_for_the_store fails on the code before.

--- a/src/wasabiwick/_handlers/builds.py
+++ b/src/wasabiwick/_handlers/builds.py
@@ -373,12 +373,22 @@
         return
     if not directory.all_endpoints(state):
         return
-    for saved in builds_state.unproven:
-        for service in sorted(routes.stream_services(state)):
-            yield from _note_unnamed_builds(state, service, saved)
+    for service in sorted(routes.stream_services(state)):
+        listed = _listed_builds(state, service)
+        for saved in builds_state.unproven:
+            if not listed <= {"", *saved.begun.get(service, ())}:
+                yield from _note_unnamed_builds(state, service, saved)
     builds_state.unproven, builds_state.history = (), ()
 
 
+def _listed_builds(state: State, service: str) -> set[str]:
+    """Return the builds of a service that are listed, or are in the list's history."""
+    builds_state = state["builds"]
+    earlier = [one.endpoint for one in builds_state.history if one.endpoint is not None]
+    endpoints = earlier + directory.all_endpoints(state)
+    return {one.build for one in endpoints if one.service == service}
+
+
 def _note_unnamed_builds(state: State, service: str, saved: SavedBuilds) -> typing.Iterator[Step]:
     """Count the builds of a service as lost that were listed but are not in a host's record."""
     builds_state = state["builds"]
@@ -399,7 +409,7 @@
     share = unsaved_builds.WHOLE_SHARE
     # Hosts of an earlier version begin any stream at a build that they could not save.
     if saved.listed_upto is not None:
-        saved_ms = (state.wall(builds_state.booted_at) - saved.age) * MS_PER_S
+        saved_ms = (state.wall(builds_state.watched_since) - saved.age) * MS_PER_S
         share = unsaved_builds.largest_share(listings, current, begun, saved_ms)
     for build in sorted(unnamed):
         _add_lost(state, service, build, share)
--- a/tests/_unsaved_release.py
+++ b/tests/_unsaved_release.py
@@ -5,17 +5,20 @@
 from wasabiwick._forwarding import Endpoint, Listing, SavedBuilds
 from wasabiwick._handlers import builds
 
-from ._forward import DECODE, MODEL, PREFILL, Host, engine
+from ._forward import DECODE, EPOCH, MODEL, PREFILL, Host, engine
 
 OLD, NEW = "v1", "v1.1"
 STREAMS = 40
+SAVED_AT, DARK_S = 100.0, 6.0  # When hosts saved last, and until they have started again.
+# The engines of the old build start shortly before that, those of the new one shortly after.
+EARLIER = {"build": OLD, "born": int((EPOCH + SAVED_AT - 1.0) * 1000)}
+LATER = {"build": NEW, "born": int((EPOCH + SAVED_AT + 0.5) * 1000)}
 BEFORE = (
-    engine("p0", PREFILL, build=OLD),
-    engine("d0", DECODE, build=OLD),
-    engine("d1", DECODE, build=OLD),
+    engine("p0", PREFILL, **EARLIER),
+    engine("d0", DECODE, **EARLIER),
+    engine("d1", DECODE, **EARLIER),
 )
-COME = (engine("d2", DECODE, build=NEW), engine("d3", DECODE, build=NEW))
-DARK_S = 6.0  # Seconds from the last save of a host until it has started again.
+COME = (engine("d2", DECODE, **LATER), engine("d3", DECODE, **LATER))
 
 
 class UnsavedRelease:
@@ -70,7 +73,7 @@
         """Return a host that has started after the release was taken back."""
         return Host(
             name=name,
-            at=100.0 + DARK_S,
+            at=SAVED_AT + DARK_S,
             endpoints=listed,
             stored=dict(self.stored if stored is None else stored),
             history=self.history if history is None else history,
--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -18,7 +18,7 @@
 from wasabiwick._verdict import Verdict
 
 from ._forward import BROKEN, DECODE, EPOCH, MODEL, PREFILL, Host, engine, plain
-from ._unsaved_release import STREAMS, UnsavedRelease
+from ._unsaved_release import BEFORE, COME, STREAMS, UnsavedRelease
 
 OLD, NEW = "v1", "v1.1"
 STRIDE = 12  # Tokens in an event.
@@ -654,15 +654,26 @@
         """It knows no record, so that it may not take the new build for the safe one."""
         self.release.began.clear()
         started = self.release.restart(can_save=False)
-        started.read_list(*MIXED[3:])
+        started.read_list(*COME)
         started.run(builds.SAVE_PATIENCE_S)
         self.release.begin(started)
         self.assertIn(NEW, self.release.began.values())
         self.assertEqual(self.release.joined(self.release.restart()), [])
 
+    def test_streams_go_on_at_a_host_that_waits_for_the_store(self) -> None:
+        """Records were dated by the host's start, so that all engines seemed younger than them."""
+        host = self.release.restart(can_save=False)
+        host.run(2.0)
+        for saved in host.stored.values():
+            saved.age += 2.0
+        host.usual_part_returns()
+        self.assertEqual(self.release.joined(host), [])
+        self.assertIn(OLD, [self.release.resumes(host, name) for name in self.release.began])
+
     def test_every_stream_is_refused_if_the_saved_build_was_not_there_throughout(self) -> None:
         """Any stream begins at a new build once no engine of a saved one takes streams."""
-        host = self.release.restart(listed=MIXED[:1] + (engine("d9", DECODE, build=OLD),))
+        late = engine("d9", DECODE, build=OLD, born=COME[0].born)
+        host = self.release.restart(listed=(BEFORE[0], late))
         self.assertFalse(any(self.release.resumes(host, name) for name in self.release.began))
 
     def test_every_stream_is_refused_if_a_host_of_an_earlier_version_saved(self) -> None:
