--- a/src/wasabiwick/_forwarding.py
+++ b/src/wasabiwick/_forwarding.py
@@ -5,9 +5,6 @@
 streams only if their route is resumable.
 """
 
-import itertools
-import typing
-
 from ._record import Record
 
 SAFE = "safe"
@@ -19,7 +16,6 @@
 DECODE = "decode"
 # Longest request line or header field of a caller, in bytes, where the operator names no bound.
 DEFAULT_MAX_HEADER_BYTES = 16 * 1024
-MAX_LOGGED_PARTS = 64  # Most parts of prompts in a log line; a prompt may have thousands.
 
 
 class Route(Record):
@@ -418,13 +414,6 @@
         return self.parts + self.fingerprints
 
 
-def listed(parts: typing.Collection[str]) -> str:
-    """Return identifiers for a log line: the first ones, and how many more there are."""
-    text = ",".join(itertools.islice(parts, MAX_LOGGED_PARTS))
-    more = len(parts) - MAX_LOGGED_PARTS
-    return f"{text},and {more} more" if more > 0 else text or "-"
-
-
 class StreamLoad(Record):
     """Size of one stream at an engine.
 
--- a/src/wasabiwick/_handlers/crash_watch.py
+++ b/src/wasabiwick/_handlers/crash_watch.py
@@ -20,7 +20,8 @@
     TimerFired,
     TryFailed,
 )
-from .._forwarding import Crash, Findings, listed
+from .._forwarding import Crash, Findings
+from .._prompt_parts import listed
 from .._reducer import Step, handles, on_timer
 from .._rendezvous import ranked
 from .._settings import Settings
--- a/src/wasabiwick/_handlers/forward_streams.py
+++ b/src/wasabiwick/_handlers/forward_streams.py
@@ -30,7 +30,8 @@
     TimerFired,
     TryFailed,
 )
-from .._forwarding import Endpoint, StreamLoad, listed
+from .._forwarding import Endpoint, StreamLoad
+from .._prompt_parts import listed
 from .._reducer import Step, handles, on_timer
 from .._state import State
 from .._verdict import Verdict
--- a/src/wasabiwick/_handlers/forwarding.py
+++ b/src/wasabiwick/_handlers/forwarding.py
@@ -31,8 +31,8 @@
     Organisation,
     Route,
     StreamLoad,
-    listed,
 )
+from .._prompt_parts import listed
 from .._reducer import Step, handles
 from .._settings import Settings
 from .._state import State, state_slice
--- a/src/wasabiwick/_ports/neighbours.py
+++ b/src/wasabiwick/_ports/neighbours.py
@@ -56,6 +56,14 @@
         self.era = era
         self.history: tuple[Listing, ...] = ()
 
+    @property
+    def listed_upto(self) -> int:
+        """Earliest position up to which a host had read the list of endpoints when it saved."""
+        return min(
+            (one.listed_upto or 0 if one.era == self.era else 0 for one in self.saved.values()),
+            default=0,
+        )
+
 
 class HostRegister(typing.Protocol):
     """Register that the hosts share: hosts, their streams, and claims to order stage changes."""
--- a/src/wasabiwick/_topics.py
+++ b/src/wasabiwick/_topics.py
@@ -71,3 +71,27 @@
             HistoryLostError: If some of these records have been deleted.
             StoreError: If the store refused the call or gave no usable answer.
         """
+
+
+async def kept_records(store: Topics, topic: str, start: int) -> list[KeyedRecord]:
+    """Return the records from an offset on that are kept, up to where the topic ends now.
+
+    Raises:
+        HistoryLostError: If records are deleted while they are read.
+        StoreError: If the store refused a call or gave no usable answer.
+    """
+    try:
+        page = await store.read(topic, start, 0.0)
+    except HistoryLostError as exc:
+        if exc.first is None:
+            raise
+        page = await store.read(topic, exc.first, 0.0)
+    end = page.end or 0
+    records = list(page.records)
+    era = page.era
+    while page.next < end and page.records:
+        page = await store.read(topic, page.next, 0.0)
+        records += page.records
+    if page.era != era:
+        raise HistoryLostError("the store was restored between two reads")
+    return records
--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -5,7 +5,6 @@
 import typing
 
 import msgspec
-import xxhash
 
 from .._adapters._endpoint_answer import EndpointAnswer
 from .._caller_headers import (
@@ -37,6 +36,7 @@
     encode_request,
 )
 from .._ports import EndpointListener, Exchange
+from .._prompt_parts import joined
 from .._verdict import Verdict
 from . import _names
 
@@ -56,9 +56,6 @@
 # HTTP status: the address belongs to another endpoint now, or the engine has another stage.
 MISDIRECTED = 421
 UNAVAILABLE = 503  # HTTP status with which an endpoint turns a request away for now.
-# Longest identifier of a part of a prompt that is kept as it is; of longer ones, a digest is kept.
-MAX_PART_CHARS = 32
-LONG_PART = "part:"  # Begins such digests; no identifier has a colon.
 
 
 class _Hold(msgspec.Struct):
@@ -488,21 +485,8 @@
 
 
 def _shared_parts(text: str) -> str:
-    """Return the identifiers of a prompt's parts, except the last, which no other request has.
-
-    They are joined by commas, each named once.
-    """
-    names = [entry.partition(":")[0].strip() for entry in text.split(",")[:-1]]
-    if any(len(name) > MAX_PART_CHARS for name in names):
-        names = list(map(_bounded_part, names))
-    return ",".join(filter(None, dict.fromkeys(names)))
-
-
-def _bounded_part(name: str) -> str:
-    """Return a part's identifier, or a digest of a long one."""
-    if len(name) <= MAX_PART_CHARS:
-        return name
-    return LONG_PART + xxhash.xxh3_128_hexdigest(name.encode())
+    """Return the identifiers of a prompt's parts, except the last, which no other request has."""
+    return joined([entry.partition(":")[0].strip() for entry in text.split(",")[:-1]])
 
 
 def _header_number(text: str) -> float:
--- a/src/wasabiwick/platform/_feeds.py
+++ b/src/wasabiwick/platform/_feeds.py
@@ -12,7 +12,7 @@
 from .._hosts_codec import HostRecord, decode_host
 from .._logging import log_event
 from .._ports import SavedStreams
-from .._topics import HistoryLostError, KeyedRecord, Page, StoreError
+from .._topics import HistoryLostError, KeyedRecord, Page, StoreError, kept_records
 from . import _names, _records
 from ._store import Store, store_failure
 
@@ -136,9 +136,7 @@
     async def saved_streams(self, now: float, *, history: bool = False) -> SavedStreams | Failure:
         """Return the streams that each host saved last, in either topic.
 
-        Args:
-            now: Monotonic time.
-            history: Whether to add the entries of the list of endpoints since the earliest save.
+        With ``history``, the entries of the list of endpoints since the earliest save are added.
         """
         topics = (_names.STREAMS_TOPIC, _names.SPARE_STREAMS_TOPIC)
         try:
@@ -154,24 +152,14 @@
                 log_event("streams_unreadable", level="WARNING", host=one.key, error=str(exc))
                 continue
             _saved_codec.add_streams(saved, one.key, record, now)
-        if history:
+        if history and saved.saved:
             try:
-                saved.history = await self._listed_since(saved)
+                kept = await kept_records(self._store, _names.SERVERS_TOPIC, saved.listed_upto)
             except (StoreError, HistoryLostError) as exc:
                 return store_failure(exc)
+            saved.history = tuple(map(_decode_listing, kept))
         return saved
 
-    async def _listed_since(self, saved: SavedStreams) -> tuple[Listing, ...]:
-        """Return the entries of the list of endpoints that came since hosts saved their builds."""
-        positions = [
-            one.listed_upto or 0 if one.era == saved.era else 0 for one in saved.saved.values()
-        ]
-        if not positions:
-            return ()
-        return tuple(
-            map(_decode_listing, await self._store.kept(_names.SERVERS_TOPIC, min(positions)))
-        )
-
     async def save_findings(self, findings: Findings, now: float) -> Failure | None:
         """Save what a host has found in place of what it saved before."""
         value = _saved_codec.encode_findings(findings, now)
--- a/src/wasabiwick/platform/_store.py
+++ b/src/wasabiwick/platform/_store.py
@@ -128,29 +128,6 @@
                 records.append(record)
         return Page(records=records, next=start + len(contents), era=self._known_era(), end=end)
 
-    async def kept(self, topic: str, start: int) -> list[KeyedRecord]:
-        """Return the records from an offset on that are kept, up to where the topic ends now.
-
-        Raises:
-            HistoryLostError: If records are deleted while they are read.
-            StoreError: If the store refused a call or gave no usable answer.
-        """
-        try:
-            page = await self.read(topic, start, 0.0)
-        except HistoryLostError as exc:
-            if exc.first is None:
-                raise
-            page = await self.read(topic, exc.first, 0.0)
-        end = page.end or 0
-        records = list(page.records)
-        era = page.era
-        while page.next < end and page.records:
-            page = await self.read(topic, page.next, 0.0)
-            records += page.records
-        if page.era != era:
-            raise HistoryLostError("the store was restored between two reads")
-        return records
-
     async def append(
         self, topic: str, key: str, value: bytes, *, after: int | None = None
     ) -> int | Failure:
--- a/tests/test_large_prompts.py
+++ b/tests/test_large_prompts.py
@@ -4,10 +4,11 @@
 
 from wasabiwick._effects import LogLine
 from wasabiwick._effects_forwarding import TellLoad
-from wasabiwick._forwarding import DEFAULT_MAX_HEADER_BYTES, MAX_LOGGED_PARTS, Crash, Findings
+from wasabiwick._forwarding import DEFAULT_MAX_HEADER_BYTES, Crash, Findings
 from wasabiwick._handlers import crashing_parts
 from wasabiwick._ports import Exchange
-from wasabiwick.platform._endpoints import MAX_PART_CHARS, PlatformDialect
+from wasabiwick._prompt_parts import MAX_CHARS, MAX_LOGGED
+from wasabiwick.platform._endpoints import PlatformDialect
 
 from ._forward import DECODE, MODEL, PREFILL, Host, engine
 
@@ -128,7 +129,7 @@
     def test_long_identifier_is_kept_short(self) -> None:
         name = "a" * 9_000
         (found,) = parts_of(f"{name}:1,ffff:1")
-        self.assertLess(len(found), 2 * MAX_PART_CHARS)
+        self.assertLess(len(found), 2 * MAX_CHARS)
         self.assertEqual(parts_of(f"{name}:5,eeee:1"), (found,))
         self.assertNotEqual(parts_of(f"{name}b:5,eeee:1"), (found,))
 
@@ -142,7 +143,7 @@
         lines = [one.fields for one in self.host.effects if isinstance(one, LogLine)]
         listed = [one["parts"] for one in lines if "parts" in one]
         self.assertTrue(listed)
-        self.assertLessEqual(max(one.count(",") for one in listed), MAX_LOGGED_PARTS)
+        self.assertLessEqual(max(one.count(",") for one in listed), MAX_LOGGED)
 
     def crashes(self, host: Host) -> dict[tuple[str, int], Crash]:
         """Return the crashes that a host knows."""
