Compare builds once the routes are read, and let bound streams go on at an unsaved build

What callers might have seen: ORDER, at a host whose routes came after the list of endpoints and the saved builds: no service was known to stream then, so no build was compared, and what had been read was dropped. LOST: a stream of a plain service that had begun at an unsaved build did not go on there once the share of that build had fallen below its name.

Fix: the comparison waits for the routes, as for the list. A stream whose build is decided is held to that build only.

Test: test_routes_that_are_read_last_change_nothing and test_stream_of_an_unsaved_build_goes_on_there_whatever_its_name fail without their part of the fix.

--- a/src/wasabiwick/_handlers/builds.py
+++ b/src/wasabiwick/_handlers/builds.py
@@ -369,7 +369,7 @@
     a host saved later than that before this one's start, nor at endpoints that are younger.
     """
     builds_state = state["builds"]
-    if not (builds_state.unproven and builds_state.is_restored):
+    if not (builds_state.unproven and builds_state.is_restored and routes.is_known(state)):
         return
     if not directory.all_endpoints(state):
         return
--- a/src/wasabiwick/_handlers/builds_saving.py
+++ b/src/wasabiwick/_handlers/builds_saving.py
@@ -192,6 +192,7 @@
 def routes_read(state: State, event: RoutesRead) -> typing.Iterator[Step]:
     """Save the builds of services to which streams go from now on."""
     builds.note_listed(state, event.at)
+    yield from builds.note_used_unsaved(state)
     yield from _save_new_builds(state, event.at)
 
 
--- a/src/wasabiwick/_handlers/forward_plain.py
+++ b/src/wasabiwick/_handlers/forward_plain.py
@@ -71,7 +71,7 @@
             at,
             req.avoid,
             req.build,
-            stream=req.stream_name if req.route.kind == STREAM else None,
+            stream=_beginning_stream(req),
         )
 
     endpoint = yield from permits.first_permitted(state, req, choose, at)
@@ -81,6 +81,13 @@
         yield from _refuse_unplaced(state, req, at)
 
 
+def _beginning_stream(req: ForwardedCall) -> str | None:
+    """Return a stream's name, empty if its build is decided; None if the call is no stream."""
+    if req.route.kind != STREAM:
+        return None
+    return "" if req.build else req.stream_name
+
+
 @handles(PermitSettled)
 def permit_settled(state: State, event: PermitSettled) -> typing.Iterator[Step]:
     """Send a request once its endpoint's limit has room; otherwise choose another endpoint."""
--- a/src/wasabiwick/_handlers/forward_waiting.py
+++ b/src/wasabiwick/_handlers/forward_waiting.py
@@ -111,7 +111,7 @@
     ]
     candidates = placing.decode_candidates(state, service, at) if waiting_calls else []
     has_room = len(waiting_calls) == 1 and placing.has_idle_engine(
-        _open_to(state, waiting_calls[0], candidates)
+        placing.open_to(state, service, candidates, waiting_calls[0].stream_name)
     )
     decoding = directory.usable_endpoints(state, service, DECODE) if waiting_calls else []
     wait = placing.shortest_wait(state, (one.name for one in decoding), at)
@@ -140,7 +140,7 @@
                 if misses < MAX_MISSES and (yield from _assign_place(state, req, places_open, at)):
                     continue
                 # Other engines may have room for calls that any build can serve.
-                misses += len(places_open) == len(candidates)
+                misses += not req.build and len(places_open) == len(candidates)
                 still_waiting_calls.append(req)
         except Exception as exc:  # noqa: BLE001 - reported with its traceback
             yield forwarding.failed(req, at, exc)
--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -670,6 +670,33 @@
         self.assertEqual(self.release.joined(host), [])
         self.assertIn(OLD, [self.release.resumes(host, name) for name in self.release.began])
 
+    def test_routes_that_are_read_last_change_nothing(self) -> None:
+        """Which services stream is not known before, so that no build was compared."""
+        host = self.release.restart(can_save=False)
+        routes_read = host.state["routes"].table
+        host.state["routes"].__init__(host.state.cfg)
+        host.usual_part_returns()
+        host.feed(_events.RoutesRead, table=routes_read)
+        self.assertEqual(self.release.joined(host), [])
+
+    def test_stream_of_an_unsaved_build_goes_on_there_whatever_its_name(self) -> None:
+        host = Host(endpoints=(plain("s0", build=OLD), plain("s1", build=OLD)))
+        host.store_answers = False
+        host.read_list(plain("s2", build=NEW), plain("s3", build=NEW), plain("s4", build=NEW))
+        host.run(builds.SAVE_PATIENCE_S)
+        calls = [host.ask("feed", trace_id=f"n{number}") for number in range(12)]
+        for call in calls:
+            first = host.last_effect(Forward, call).endpoint
+            host.answer(call, streams=True)
+            if first in ("s2", "s3"):
+                break
+        host.drop("s4")
+        host.drop("s2" if first == "s3" else "s3")
+        host.read_list(*(plain(f"o{number}", build=OLD) for number in range(30)))
+        host.read_list(plain("s9", build=NEW))
+        host.fail(call, BROKEN, events=3)
+        self.assertEqual(host.last_effect(Forward, call).endpoint, "s9")
+
     def test_every_stream_is_refused_if_the_saved_build_was_not_there_throughout(self) -> None:
         """Any stream begins at a new build once no engine of a saved one takes streams."""
         late = engine("d9", DECODE, build=OLD, born=COME[0].born)
