--- a/src/wasabiwick/platform/_endpoints.py
+++ b/src/wasabiwick/platform/_endpoints.py
@@ -432,6 +432,8 @@
     def ask(self, call_id: str, host: str, exchange: Exchange, now: float) -> Ask:
         """Decode a request; a number in its headers that can't be parsed counts as missing."""
         values = {name.lower(): value.decode("latin-1") for name, value in exchange.headers}
+        # A list may be sent as several fields of one name.
+        prefix = [value for name, value in exchange.headers if name.lower() == _names.PREFIX_HASH]
         host = host.partition(":")[0].lower()
         prompt, _, max_output = values.get(_names.TOKEN_COUNT, "").partition(",")
         seconds = _header_number(values.get(_names.DEADLINE_MS, "")) / 1000 or DEFAULT_DEADLINE_S
@@ -447,7 +449,7 @@
             resumed=_names.LAST_EVENT_ID in values,
             resumes=values.get(_names.RESUMES, ""),
             events_before=int(_header_number(values.get(_names.LAST_EVENT_ID, ""))),
-            joined_parts=_shared_parts(values.get(_names.PREFIX_HASH, "")),
+            joined_parts=_shared_parts(b",".join(prefix).decode("latin-1")),
             fingerprints=fingerprints(
                 method=exchange.method,
                 host=host,
--- a/tests/test_large_prompts.py
+++ b/tests/test_large_prompts.py
@@ -16,9 +16,9 @@
 BAD = "dead0000"
 
 
-def parts_of(prefix: str) -> tuple[str, ...]:
+def parts_of(*fields: str) -> tuple[str, ...]:
     """Return the parts that a host reads from a request's header."""
-    headers = [(b"X-Wasabiwick-Prefix-Hash", prefix.encode())]
+    headers = [(b"X-Wasabiwick-Prefix-Hash", one.encode()) for one in fields]
     exchange = Exchange(method="POST", target="/stream/x", headers=headers, body=b"")
     return PlatformDialect().ask("c", "example", exchange, 0.0).parts
 
@@ -66,6 +66,10 @@
         self.assertGreater(len(found), 1_000)
         self.assertEqual((found[0], found[-1]), ("00070000", BAD))
 
+    def test_parts_of_all_fields_are_read(self) -> None:
+        """Only those of the last field were read where a header is sent as several."""
+        self.assertEqual(parts_of("a:1,b:2", "c:3", "d:4"), ("a", "b", "c"))
+
     def test_only_the_part_that_ends_engines_is_blocked(self) -> None:
         self.end_engines()
         self.assertTrue(self.is_blocked(self.host, *prompt(9, last=BAD)))
