Tell in logs and metrics which routes a host has heard of

A host that refused a request with 404 no_route named the version of the routes in force there. Nothing told how old that was, and whether the host had heard of a newer one, though other hosts tell theirs in each datagram. So a refusal by a host that was behind could not be told from a right one.

Hosts now keep the highest version that another told, with its name: versions only rise, so it holds also once that host is gone. Lines refused name it beside the age of the version in force, routes_behind is logged once when a host falls behind, routes_in_force tells for how long it was, and two gauges show the same. No decision changes.

--- a/src/wasabiwick/_handlers/forward_arrivals.py
+++ b/src/wasabiwick/_handlers/forward_arrivals.py
@@ -171,17 +171,17 @@
     state: State, event: ForwardArrived | CallPassedOn, reason: Reason, retry_after: float | None
 ) -> typing.Iterator[Step]:
     failure = Failure(reason=reason, verdict=Verdict.NOT_RUN, retry_after=retry_after)
-    yield from _note_refusal(state, event.ask, failure)
+    yield from _note_refusal(state, event.ask, failure, event.at)
     yield RefuseForward(call_id=event.ask.call_id, failure=failure)
 
 
 @handles(HeadRefused)
 def head_refused(state: State, event: HeadRefused) -> typing.Iterator[Step]:
     """Count a request that was answered before its body was read."""
-    yield from _note_refusal(state, event.ask, event.failure)
+    yield from _note_refusal(state, event.ask, event.failure, event.at)
 
 
-def _note_refusal(state: State, ask: Ask, failure: Failure) -> typing.Iterator[Step]:
+def _note_refusal(state: State, ask: Ask, failure: Failure, at: float) -> typing.Iterator[Step]:
     fields = {
         "request": ask.trace_id,
         "call": ask.call_id,
@@ -189,7 +189,7 @@
         "path": ask.path,
         "reason": failure.reason.code,
         "verdict": failure.verdict.value,
-        "routes_version": routes.version(state),
+        **routes.log_fields(state, at),
     }
     yield Count(metric="forward_refused", label=failure.reason.code)
     yield LogLine(event="refused", fields=fields)
--- a/src/wasabiwick/_handlers/routes.py
+++ b/src/wasabiwick/_handlers/routes.py
@@ -1,7 +1,9 @@
 """Route table in force: the newest version read, which maps requests to services."""
 
+import typing
+
 from .._effects import Count, LogLine
-from .._events import PlacesChanged, RoutesRead
+from .._events import LoadTold, PlacesChanged, RoutesRead
 from .._forwarding import DEFAULT_MAX_HEADER_BYTES, STREAM, Route, RouteTable, ServiceTraits
 from .._reducer import Step, handles
 from .._settings import Settings
@@ -18,6 +20,11 @@
     ``stream_timeout`` is the longest time-out of its stream routes, in seconds, and
     ``stream_services`` has the services that these routes name. ``retired`` holds services that are
     no longer listed, with the monotonic time since then, as calls may still use them.
+
+    ``heard_version`` is the highest version that another host told to be in force there, and
+    ``heard_from`` names the first host that told it. ``behind_since`` is the monotonic time since
+    which other hosts have told newer versions than the one in force here; None if none does.
+    ``heard_at`` is the monotonic time of the last telling, whatever its version.
     """
 
     __slots__ = (
@@ -28,6 +35,10 @@
         "stream_timeout",
         "stream_services",
         "retired",
+        "heard_version",
+        "heard_from",
+        "heard_at",
+        "behind_since",
     )
 
     def __init__(self, cfg: Settings) -> None:
@@ -38,6 +49,10 @@
         self.stream_timeout = 0.0
         self.stream_services: frozenset[str] = frozenset()
         self.retired: dict[str, tuple[ServiceTraits, float]] = {}
+        self.heard_version = 0
+        self.heard_from = ""
+        self.heard_at = 0.0
+        self.behind_since: float | None = None
 
 
 def version(state: State) -> int:
@@ -51,6 +66,33 @@
     return state["routes"].table is not None
 
 
+def heard_version(state: State) -> int:
+    """Return the highest version that another host told, or 0 if none told any."""
+    return state["routes"].heard_version
+
+
+def behind_for(state: State, at: float) -> float:
+    """Return for how many seconds other hosts have told newer versions; 0 if none does."""
+    behind_since = state["routes"].behind_since
+    return at - behind_since if behind_since is not None else 0.0
+
+
+def behind_at_last_telling(state: State) -> float:
+    """Return for how many seconds this host was behind when another last told its version."""
+    return max(0.0, behind_for(state, state["routes"].heard_at))
+
+
+def log_fields(state: State, at: float) -> dict[str, object]:
+    """Return the fields that tell on which version a decision rests, and which one was heard of."""
+    routes_state = state["routes"]
+    return {
+        "routes_version": version(state),
+        "routes_age": at - routes_state.read_at if is_known(state) else "-",
+        "heard_version": routes_state.heard_version or "-",
+        "heard_from": routes_state.heard_from or "-",
+    }
+
+
 def match_route(state: State, host: str, path: str) -> Route | None:
     """Return the route for a host with the longest matching path prefix, or None."""
     for route in state["routes"].by_host.get(host, ()):
@@ -107,6 +149,20 @@
     return state.rng.choices(names, weights)[0]
 
 
+@handles(LoadTold)
+def note_heard(state: State, event: LoadTold) -> typing.Iterator[Step]:
+    """Record the version that another host told; versions only rise, so an old telling holds."""
+    routes_state = state["routes"]
+    routes_state.heard_at = event.at
+    if event.routes_version <= routes_state.heard_version:
+        return
+    routes_state.heard_version = event.routes_version
+    routes_state.heard_from = event.sender.host
+    if event.routes_version > version(state) and routes_state.behind_since is None:
+        routes_state.behind_since = event.at
+        yield LogLine(event="routes_behind", fields=log_fields(state, event.at))
+
+
 @handles(RoutesRead)
 def apply_routes(state: State, event: RoutesRead) -> list[Step]:
     """Put a newer version of the routes in force; a host never goes back to an older version."""
@@ -138,7 +194,11 @@
         "version": table.version,
         "routes": len(table.routes),
         "services_gone": ",".join(sorted(gone)) or "-",
+        "behind_for": behind_for(state, event.at),
+        "heard_version": routes_state.heard_version or "-",
     }
+    if routes_state.heard_version <= table.version:
+        routes_state.behind_since = None
     return [
         Count(metric="routes_changed"),
         LogLine(event="routes_in_force", fields=fields),
--- a/src/wasabiwick/_metrics.py
+++ b/src/wasabiwick/_metrics.py
@@ -395,6 +395,19 @@
     return {"": routes.version(state)}
 
 
+@gauge("routes_version_heard", "Highest version of the routes that another host told; 0 if none.")
+def _routes_version_heard(state: State) -> GaugeValues:
+    return {"": routes.heard_version(state)}
+
+
+@gauge(
+    "routes_behind_seconds",
+    "Time for which other hosts had told newer routes when the last told any; 0 if none had.",
+)
+def _routes_behind(state: State) -> GaugeValues:
+    return {"": routes.behind_at_last_telling(state)}
+
+
 @gauge("organisations", "Organisations of the version of the routes in force; 0 if none are named.")
 def _organisations(state: State) -> GaugeValues:
     return {"": len(organisations.known(state))}
