Let a host that is behind read until it has got there

Callers saw 404 for routes that exist at hosts that rely on others of their zone. Such a host was told that something was new but too large to tell, read once and failed; after that each telling of "nothing new", also of a host that was itself behind, counted as its turn's result and put its own read off.

A feed now remembers the furthest end of the topic that it was told of in this era, and reads for itself until it has read up to there, whatever others tell meanwhile. It counts as connected only then. An end that a later read does not confirm is forgotten, as is all at a new era and a lost history.

The tests with a host that is behind and one whose connection is lost failed on the code before (the conditions never held); the two on unconfirmed ends and on the spread guard the new code.

--- a/src/wasabiwick/_feed.py
+++ b/src/wasabiwick/_feed.py
@@ -5,6 +5,7 @@
 import typing
 
 from ._events import Event, FeedChanged
+from ._feed_lag import SPREAD_S, FeedLag
 from ._logging import log_event, log_exception
 from ._read_turns import ToldPage
 from ._runner import Runner
@@ -22,6 +23,7 @@
     """Follows one topic, a log of keyed records: reads each key's newest record, then later ones.
 
     Where other hosts read for this one (`ReadTurns`), what they tell is applied like what it reads.
+    A host that was told that more exists than it has read reads for itself until it has got there.
     Once the store was restored from a copy, offsets begin anew, so all is read again.
 
     Args:
@@ -48,6 +50,7 @@
         "_content",
         "_is_short",
         "_contents",
+        "_lag",
         "_up",
     )
 
@@ -72,6 +75,7 @@
         self._content = content
         self._is_short = is_short
         self._contents: dict[str, object] = {}
+        self._lag = FeedLag()
         self._up = True
 
     async def run(self, runner: Runner) -> None:
@@ -90,15 +94,21 @@
         era = 0
         retry = FIRST_RETRY_S
         turns = runner.ports.turns
+        lag = self._lag
+        lag.forget()
         while True:
             told = None
             if position is not None:
-                told = await turns.next_page(self._name, self._pause if self._up else 0.0)
-            if told is not None and told.follows(position, era):
-                self._set_connected(runner, True)
-                if told.upto > position:
+                pause = self._pause if self._up else 0.0
+                told = await turns.next_page(self._name, pause, lag.due)
+            if told is not None and told.era == era:
+                if told.follows(position, era) and told.upto > position:
                     position = told.upto
+                    lag.reach(position)
                     self._post(runner, Page(records=told.records, next=position, era=era), False)
+                lag.hear(told.upto, SPREAD_S)
+                if not lag.missing:
+                    self._set_connected(runner, True)
                 continue
             try:
                 has_all_keys = position is None
@@ -107,10 +117,12 @@
                 wait = self._wait
                 if self._is_short:
                     wait = turns.short_wait(wait, self._pause)
+                lag.ask()
                 page = await self._read_telling(runner, position, era, wait if is_poll else 0.0)
             except HistoryLostError as exc:
                 log_event("history_lost", feed=self._name, error=str(exc))
                 position = None
+                lag.forget()
                 await asyncio.sleep(FIRST_RETRY_S)
                 continue
             except StoreError as exc:
@@ -123,9 +135,11 @@
             if not is_current or (position is not None and page.era != era):
                 log_event("feed_begins_again", feed=self._name, era=page.era)
                 position = None
+                lag.forget()
                 continue
             news = self._news(page, position)
             position, era = page.next, page.era
+            lag.read(page.next, page.end)
             self._set_connected(runner, True)
             self._post(runner, page, has_all_keys)
             if news is not None and turns.addresses:
--- a/src/wasabiwick/_read_turns.py
+++ b/src/wasabiwick/_read_turns.py
@@ -119,12 +119,13 @@
             del pages[:-MAX_KEPT_PAGES]
             self._changed.set()
 
-    async def next_page(self, feed: str, pause: float) -> ToldPage | None:
+    async def next_page(self, feed: str, pause: float, due: float | None = None) -> ToldPage | None:
         """Return a page that was told, or None once it is this host's turn to read.
 
         Args:
             feed: Name of the feed.
             pause: Seconds between two reads of a host that reads.
+            due: Time of the event loop at which it is this host's turn in any case.
         """
         loop = asyncio.get_running_loop()
         began = loop.time()
@@ -132,7 +133,8 @@
         while True:
             if pages:
                 return pages.pop(0)
-            left = began + self._pause(pause) - loop.time()
+            turn = began + self._pause(pause)
+            left = (turn if due is None else min(turn, due)) - loop.time()
             if left <= 0.0:
                 return None
             self._changed.clear()
--- a/tests/test_read_turns.py
+++ b/tests/test_read_turns.py
@@ -5,7 +5,9 @@
 import unittest
 
 from wasabiwick._effects_forwarding import SetReadTurn
+from wasabiwick._events import Event, FeedChanged
 from wasabiwick._feed import Feed
+from wasabiwick._feed_lag import SPREAD_S, FeedLag
 from wasabiwick._handlers import neighbours, read_turns
 from wasabiwick._read_turns import MAX_KEPT_PAGES, MAX_TOLD_BYTES, ReadTurns, ToldPage
 from wasabiwick._topics import KeyedRecord, Page, StoreError
@@ -119,14 +121,15 @@
         self.turns = ReadTurns(self.silence)
         self.seen: list[bytes | None] = []
         self.sent: list[ToldPage] = []
+        self.posted: list[Event] = []
         self.topics.add("a", b"first")
         datagrams = types.SimpleNamespace(send_page=lambda addresses, page: self.sent.append(page))
         self.runner = types.SimpleNamespace(
             ports=types.SimpleNamespace(turns=self.turns, datagrams=datagrams),
             now=lambda: 0.0,
-            post=lambda event: None,
+            post=self.posted.append,
         )
-        feed = Feed(
+        self.feed = Feed(
             store=self.topics,
             name="feed",
             topic="t",
@@ -135,7 +138,7 @@
             pause=0.005,
             content=lambda record: record.value and record.value.partition(b" ")[0],
         )
-        task = asyncio.create_task(feed.run(self.runner))
+        task = asyncio.create_task(self.feed.run(self.runner))
         self.addCleanup(task.cancel)
         await self.until(lambda: self.seen)
 
@@ -198,6 +201,54 @@
         self.turns.deliver(page.fitting())
         await self.until(lambda: self.seen[-1] == large)
 
+    async def test_host_that_is_behind_reads_although_others_tell_nothing_new(self) -> None:
+        """One failed read kept a host at an old version while a reader told nothing new."""
+        self.topics.is_down = True
+        self.turns.deliver(ToldPage(feed="feed", era=0, after=1, upto=3, records=None))
+        await self.until(lambda: self.topics.reads > self.reads)
+        for value in (b"second", b"third"):
+            self.topics.add("a", value)
+        self.topics.is_down = False
+
+        def has_read() -> bool:
+            self.tell(1)
+            return self.seen[-1] == b"third"
+
+        await self.until(has_read)
+        self.assertEqual(self.seen, [b"first", b"second", b"third"])
+        self.assertIsNone(self.feed._lag.due)
+
+    async def test_connection_counts_as_lost_until_what_was_told_is_read(self) -> None:
+        """A host that was behind and could not read said in turn that it could and could not."""
+        self.topics.is_down = True
+        self.turns.deliver(ToldPage(feed="feed", era=0, after=1, upto=2, records=None))
+        await self.until(lambda: self.topics.reads > self.reads)
+        reads = self.topics.reads
+
+        def has_tried_again() -> bool:
+            self.tell(1)
+            return self.topics.reads > reads + 1
+
+        await self.until(has_tried_again)
+        changes = [one.up for one in self.posted if isinstance(one, FeedChanged)]
+        self.assertEqual(changes, [False])
+
+    async def test_end_that_the_store_does_not_confirm_is_read_for_once(self) -> None:
+        self.tell(5, b"of no such topic")
+        await self.until(lambda: self.topics.reads > self.reads)
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.topics.reads, self.reads + 1)
+
+    async def test_reads_of_hosts_told_at_one_moment_are_spread(self) -> None:
+        """All hosts of a zone read a large record at one moment."""
+        now = asyncio.get_running_loop().time()
+        dues = []
+        for _ in range(20):
+            lag = FeedLag()
+            lag.hear(1, SPREAD_S)
+            dues.append(lag.due - now)
+        self.assertGreater(max(dues) - min(dues), SPREAD_S / 4)
+
     async def test_page_of_another_era_is_not_applied(self) -> None:
         self.topics.era = 1
         self.topics.add("a", b"of the copy")
