--- a/tests/_partition.py
+++ b/tests/_partition.py
@@ -25,6 +25,8 @@
 HANGS, RESETS, REFUSES = "hangs", "resets", "refuses"
 FORMS = (HANGS, RESETS, REFUSES)
 QUEUED = 4  # Connections that fill the queue of a listener that accepts none.
+# Where one direction of a connection comes from and goes to.
+Ends = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 _numbers = itertools.count(1)
 
 
@@ -101,12 +103,16 @@
             return
         self._writers |= {writer, upward}
         try:
-            await asyncio.gather(self._pump(reader, upward), self._pump(upstream, writer))
+            await self._carry((reader, upward), (upstream, writer))
         finally:
             self._writers -= {writer, upward}
             writer.transport.abort()
             upward.transport.abort()
 
+    async def _carry(self, up: Ends, down: Ends) -> None:
+        """Carry bytes of one connection to the target and back until both directions end."""
+        await asyncio.gather(self._pump(*up), self._pump(*down))
+
     async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(65_536):
--- a/tests/_soak_hosts.py
+++ b/tests/_soak_hosts.py
@@ -177,6 +177,11 @@
             await self._proc.wait()
             await self._reading
 
+    @property
+    def pid(self) -> int:
+        """Its process."""
+        return self._proc.pid
+
     @property
     def is_running(self) -> bool:
         """Whether its process runs."""
--- a/tests/_soak_record.py
+++ b/tests/_soak_record.py
@@ -228,6 +228,10 @@
             if (found := _REQUEST.search(line)) and found[1] == name
         ]
 
+    def logged(self, event: str) -> list[str]:
+        """Return the lines of the log about an event."""
+        return [line for _, line in self._lines if f" event={event} " in line]
+
     def warnings(self) -> list[tuple[float, str]]:
         """Return the lines of the log that are no routine, and those on the stop."""
         return [one for one in self._lines if "level=INFO" not in one[1] or " event=stop" in one[1]]
