Bound calls to the store by the progress of their answers

Seen: hosts stayed at an old version of the configuration and answered 404 for routes that exist, for as long as one read of the newer version took longer than a second on their path.

Cause: a call had a whole time-out of 1.0 s (beside a long poll's wait), whatever the length of its answer, and the next call began at its first byte again.

Now a call has to connect within 0.5 s, and its answer to begin within the wait and 1.0 s (an upload gets its size at 32,000 B/s more), to bring bytes at least every 1.0 s and 32,000 B/s on average, and to end within 4 MiB. The text of a failure names the phase, the bytes and the seconds. `Topics.read` tells the topic's end as soon as the answer has named it, so that a host can know that it is behind before it has read what is new. The era is checked at the head, before anything is passed on, and again with each part, as another answer may name a later one meanwhile. Bytes of an answer in progress count as the store answering. An answer without a length that is reset was taken for whole; the check of the adapters is shared. Records are decoded while the answer comes, so no second copy of it is made.

--- a/src/wasabiwick/_adapters/_http.py
+++ b/src/wasabiwick/_adapters/_http.py
@@ -10,6 +10,7 @@
 from .._decoding import decode_json
 from .._errors import ENDPOINT_FAILED, ENDPOINT_REFUSED, ENDPOINT_SILENT, SUPERSEDED, Failure
 from .._http1 import FIRST_STATUS, LAST_STATUS, MAX_BODY_BYTES
+from .._progress_http import reset_check
 from .._verdict import Verdict
 
 T = typing.TypeVar("T")
@@ -75,31 +76,21 @@
 async def read_body(resp: aiohttp.ClientResponse) -> bytes:
     """Return the whole body of an answer.
 
-    The client library takes any end of the connection for the end of an answer that has neither a
-    length nor chunks. Such an answer is complete only if the connection was closed, not reset.
-
     Raises:
         aiohttp.ClientError: If the body is incomplete, or has more than `MAX_BODY_BYTES`, or if
             what came is no answer.
     """
     check_status(resp)
-    protocol = None if resp.connection is None else resp.connection.protocol
+    has_come = reset_check(resp)
     body = bytearray()
     while part := await resp.content.readany():
         body += part
         if len(body) > MAX_BODY_BYTES:
             raise aiohttp.ClientPayloadError(f"the body has more than {MAX_BODY_BYTES} bytes")
-    if _has_length(resp) or protocol is None:
-        return bytes(body)
-    if isinstance(protocol.exception(), OSError):
-        raise aiohttp.ClientPayloadError("reset within an answer without a length")
+    has_come()
     return bytes(body)
 
 
-def _has_length(resp: aiohttp.ClientResponse) -> bool:
-    return "Content-Length" in resp.headers or "Transfer-Encoding" in resp.headers
-
-
 async def request_json(
     session: aiohttp.ClientSession,
     method: str,
--- a/src/wasabiwick/_decoding.py
+++ b/src/wasabiwick/_decoding.py
@@ -17,11 +17,11 @@
 class Decoder(typing.Protocol):
     """A decoder of `msgspec`, for JSON or MessagePack."""
 
-    def decode(self, data: bytes) -> typing.Any:
+    def decode(self, data: bytes | bytearray) -> typing.Any:
         """Decode one value."""
 
 
-def decode(decoder: Decoder, data: bytes) -> typing.Any:
+def decode(decoder: Decoder, data: bytes | bytearray) -> typing.Any:
     """Decode a value.
 
     Raises:
@@ -33,7 +33,7 @@
         raise msgspec.DecodeError("nested too deeply") from exc
 
 
-def decode_json(data: bytes, form: type) -> typing.Any:
+def decode_json(data: bytes | bytearray, form: type) -> typing.Any:
     """Decode JSON; raises as `decode` does."""
     return decode(msgspec.json.Decoder(form), data)
 
--- a/src/wasabiwick/_topics.py
+++ b/src/wasabiwick/_topics.py
@@ -55,7 +55,7 @@
 
     Attributes:
         era: Highest era that an answer named, or None; offsets are comparable within one era only.
-        answered_at: Monotonic time of the last call that succeeded.
+        answered_at: Monotonic time when bytes of a usable answer came last.
     """
 
     era: int | None
@@ -64,9 +64,18 @@
     async def newest(self, topic: str) -> Page:
         """Return the newest record of each key of a topic; raises `StoreError`."""
 
-    async def read(self, topic: str, start: int, wait: float) -> Page:
+    async def read(
+        self,
+        topic: str,
+        start: int,
+        wait: float,
+        *,
+        on_end: typing.Callable[[int], None] | None = None,
+    ) -> Page:
         """Return the records from an offset on, after ``wait`` seconds at most if there are none.
 
+        ``on_end`` is called once with the offset of the topic's end, before the records have come.
+
         Raises:
             HistoryLostError: If some of these records have been deleted.
             StoreError: If the store refused the call or gave no usable answer.
--- a/src/wasabiwick/platform/_store.py
+++ b/src/wasabiwick/platform/_store.py
@@ -2,26 +2,20 @@
 
 import base64
 import binascii
-import struct
 import time
 import typing
 
-import aiohttp
 import msgspec
 
 from .._decoding import decode_json
 from .._errors import LOG_UNAVAILABLE, Failure
-from .._keepalive import keepalive_socket
+from .._keyed_log import LogAnswer, encode_keyed
+from .._progress_http import BrokenCallError, CallLimits, ProgressClient
 from .._topics import HistoryLostError, KeyedRecord, Page, StoreError
 from .._verdict import Verdict
 from . import _names
 
-# Time-out of a call, added to the wait of a long poll; a slow store answers within 0.25 s.
-CALL_TIMEOUT_S = 1.0
-CONNECT_TIMEOUT_S = 0.5  # Time to connect; short, as TCP repeats a lost SYN only after 1 s.
 ERA_SHIFT = 40  # Bits of an offset; an era counts above them.
-_LENGTH = struct.Struct(">I")  # Length of the record that follows, in bytes.
-_OFFSETS = struct.Struct(">QQ")  # Offsets of the topic's end and of its first kept record.
 
 
 class _Item(msgspec.Struct):
@@ -49,20 +43,20 @@
 
     Args:
         url: Its base URL.
+        limits: What bounds a call.
 
     Attributes:
         era: Highest era that an answer named; None before the first answer with one. Offsets are
             comparable within one era only.
-        answered_at: Monotonic time of the last call that succeeded.
+        answered_at: Monotonic time when bytes of a usable answer came last.
     """
 
-    __slots__ = ("era", "answered_at", "_url", "_session", "_report_restored")
+    __slots__ = ("era", "answered_at", "_client", "_report_restored")
 
-    def __init__(self, url: str) -> None:
+    def __init__(self, url: str, limits: CallLimits | None = None) -> None:
         self.era: int | None = None
         self.answered_at = float("-inf")
-        self._url = url
-        self._session: aiohttp.ClientSession | None = None
+        self._client = ProgressClient(url, limits or CallLimits())
         self._report_restored: typing.Callable[[int], None] | None = None
 
     def on_restored(self, report: typing.Callable[[int], None]) -> None:
@@ -77,21 +71,22 @@
         """
         records: list[KeyedRecord] = []
         first_end = -1
-        era = 0
+        first_era = 0
         after = ""
         while True:
             query = {"topic": topic, "part": "0"}
             if after:
                 query["after"] = after
-            body = await self._call("GET", _names.LOG_NEWEST, query)
+            body = bytearray()
+            era = await self._call("GET", _names.LOG_NEWEST, query, receive=body.extend)
             try:
                 page = decode_json(body, _Newest)
                 records.extend(map(_decode_item, page.items))
             except (msgspec.MsgspecError, binascii.Error) as exc:
                 raise StoreError(f"unreadable answer: {exc}") from exc
-            if first_end >= 0 and self._known_era() != era:
+            if first_end >= 0 and era != first_era:
                 raise HistoryLostError("the store was restored between two pages")
-            era = self._known_era()
+            first_era = era
             # The topic may change between two pages. So the next read starts where the topic ended
             # at the first page, and returns all changes since then, some for the second time.
             first_end = page.end_offset if first_end < 0 else first_end
@@ -99,34 +94,33 @@
                 return Page(records=records, next=first_end, era=era)
             after = page.items[-1].key
 
-    async def read(self, topic: str, start: int, wait: float) -> Page:
+    async def read(
+        self,
+        topic: str,
+        start: int,
+        wait: float,
+        *,
+        on_end: typing.Callable[[int], None] | None = None,
+    ) -> Page:
         """Return the records from an offset on; waits for the first if there are none.
 
         Args:
             topic: Name of the topic.
             start: Offset of the first record.
             wait: Longest wait for records, in seconds.
+            on_end: Function to call with the topic's end offset once the answer has named it,
+                which is before its records have come.
 
         Raises:
             HistoryLostError: If some of these records have been deleted.
             StoreError: If the store refused the call or gave no usable answer.
         """
         query = {"topic": topic, "part": "0", "from": str(start), "wait-ms": str(int(wait * 1000))}
-        body = await self._call("GET", _names.LOG_READ, query, timeout=wait + CALL_TIMEOUT_S)
-        try:
-            end, first = _OFFSETS.unpack_from(body)
-            contents = list(_split_contents(body[_OFFSETS.size :]))
-        except (struct.error, ValueError) as exc:
-            raise StoreError(f"unreadable answer: {exc}") from exc
-        if first > start or end < start:
-            detail = f"offset {start} requested, but {first} to {end} are kept"
-            raise HistoryLostError(detail, first)
-        records = []
-        for position, content in enumerate(contents, start):
-            record = _decode_keyed(content, position)
-            if record is not None:
-                records.append(record)
-        return Page(records=records, next=start + len(contents), era=self._known_era(), end=end)
+        log = LogAnswer(start, on_end)
+        era = await self._call("GET", _names.LOG_READ, query, wait=wait, receive=log.receive)
+        if not log.is_whole:
+            raise StoreError("unreadable answer: a record is cut short")
+        return Page(records=log.records, next=log.next, era=era, end=log.end)
 
     async def append(
         self, topic: str, key: str, value: bytes, *, after: int | None = None
@@ -142,23 +136,22 @@
         Returns:
             The offset, which rises over all eras, or the failure.
         """
-        name = key.encode()
-        content = bytes([len(name)]) + name + value
-        body = _LENGTH.pack(len(content)) + content
+        body = encode_keyed(key, value)
+        answer = bytearray()
         query = {"topic": topic, "part": "0"}
         if after is not None:
             query["at"] = str(after)
         try:
-            answer = await self._call("POST", _names.LOG_APPEND, query, body=body)
-            offset = decode_json(answer, _Appended).offset
-            return (self._known_era() << ERA_SHIFT) + offset
+            era = await self._call(
+                "POST", _names.LOG_APPEND, query, body=body, receive=answer.extend
+            )
+            return (era << ERA_SHIFT) + decode_json(answer, _Appended).offset
         except (StoreError, HistoryLostError, msgspec.MsgspecError) as exc:
             return store_failure(exc)
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
+        await self._client.close()
 
     async def _call(
         self,
@@ -167,43 +160,55 @@
         query: dict[str, str],
         *,
         body: bytes | None = None,
-        timeout: float = CALL_TIMEOUT_S,
-    ) -> bytes:
-        if self._session is None:
-            connector = aiohttp.TCPConnector(limit=0, socket_factory=keepalive_socket)
-            self._session = aiohttp.ClientSession(connector=connector)
-        limit = aiohttp.ClientTimeout(total=timeout, sock_connect=CONNECT_TIMEOUT_S)
+        wait: float = 0.0,
+        receive: typing.Callable[[bytes], object],
+    ) -> int:
+        """Call the store, and pass on the parts of its answer; return the answer's era.
+
+        Raises:
+            HistoryLostError: If the store has deleted what was asked for.
+            StoreError: If the store refused the call, or its answer is older than the last restore
+                or not whole.
+        """
+        refusal = bytearray()
         try:
-            async with self._session.request(
-                method, self._url + path, params=query, data=body, timeout=limit
-            ) as resp:
-                answer = await resp.read()
-        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-            raise StoreError(f"no answer from the store: {exc or type(exc).__name__}") from exc
-        self._check_era(resp.headers.get(_names.STORE_ERA, ""))
-        if resp.status == 410:
-            raise HistoryLostError("the store answered status 410", _first_kept(answer))
-        if resp.status != 200:
-            raise StoreError(f"the store answered status {resp.status}")
+            async with self._client.open(method, path, query, body=body, wait=wait) as answer:
+                if answer.status != 200:
+                    while part := await answer.read_part():
+                        refusal += part
+                era = self._check_era(answer.header(_names.STORE_ERA))
+                if answer.status == 410:
+                    raise HistoryLostError("the store answered status 410", _first_kept(refusal))
+                if answer.status != 200:
+                    raise StoreError(f"the store answered status {answer.status}")
+                while part := await answer.read_part():
+                    # Another answer may have named a later era since this one began.
+                    self._refuse_older(era)
+                    receive(part)
+                    self.answered_at = time.monotonic()
+        except BrokenCallError as exc:
+            raise StoreError(f"no answer from the store: {exc}") from exc
+        self._refuse_older(era)
         self.answered_at = time.monotonic()
-        return answer
-
-    def _known_era(self) -> int:
-        return self.era or 0
+        return era or 0
 
-    def _check_era(self, text: str) -> None:
-        """Note the era that an answer names.
+    def _check_era(self, text: str) -> int | None:
+        """Note and return the era that an answer names.
 
         Raises:
             StoreError: If the answer is older than the last restore.
         """
         era = int(text) if text.isdecimal() else None
-        if self.era is not None and (era is None or era < self.era):
-            raise StoreError("the answer is older than the restored store")
+        self._refuse_older(era)
         was_restored = self.era is not None and era > self.era
         self.era = era
         if was_restored and self._report_restored is not None:
             self._report_restored(era)
+        return era
+
+    def _refuse_older(self, era: int | None) -> None:
+        if self.era is not None and (era is None or era < self.era):
+            raise StoreError("the answer is older than the restored store")
 
 
 def store_failure(exc: Exception) -> Failure:
@@ -211,7 +216,7 @@
     return Failure(reason=LOG_UNAVAILABLE, verdict=Verdict.MAY_HAVE_RUN, detail=str(exc))
 
 
-def _first_kept(answer: bytes) -> int | None:
+def _first_kept(answer: bytearray) -> int | None:
     """Return the first offset that is kept, if an answer about deleted records names it."""
     try:
         return decode_json(answer, _Deleted).first
@@ -222,25 +227,3 @@
 def _decode_item(item: _Item) -> KeyedRecord:
     value = base64.b64decode(item.value) if item.value is not None else None
     return KeyedRecord(key=item.key, value=value, offset=item.offset)
-
-
-def _split_contents(data: bytes) -> typing.Iterator[bytes]:
-    position = 0
-    while position < len(data):
-        (length,) = _LENGTH.unpack_from(data, position)
-        position += _LENGTH.size
-        if position + length > len(data):
-            raise ValueError("a record is cut short")
-        yield data[position : position + length]
-        position += length
-
-
-def _decode_keyed(content: bytes, offset: int) -> KeyedRecord | None:
-    """Decode a record's key and value from its bytes; return None if it has no key."""
-    if not content or len(content) < 1 + content[0]:
-        return None
-    value_start = 1 + content[0]
-    value = content[value_start:] or None
-    return KeyedRecord(
-        key=content[1:value_start].decode("utf-8", "replace"), value=value, offset=offset
-    )
--- a/tests/test_read_turns.py
+++ b/tests/test_read_turns.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import types
+import typing
 import unittest
 
 from wasabiwick._effects_forwarding import SetReadTurn
@@ -95,7 +96,14 @@
         """Return all records."""
         return await self.read(topic, 0, 0.0)
 
-    async def read(self, topic: str, start: int, wait: float) -> Page:
+    async def read(
+        self,
+        topic: str,
+        start: int,
+        wait: float,
+        *,
+        on_end: typing.Callable[[int], None] | None = None,
+    ) -> Page:
         """Return the records from an offset on."""
         self.reads += 1
         if self.fault is not None:
@@ -108,6 +116,8 @@
             self.waiting += 1
             await self.waits.wait()
             self.waiting -= 1
+        if on_end is not None:
+            on_end(len(self.records))
         return Page(records=self.records[start:], next=len(self.records), era=self.era or 0)
 
 
