Tell "nothing new" only where a reader knows it, and growth at once

Callers saw 404 for routes that exist at hosts that rely on others of their zone. A reader whose own read of a large record did not end, or had failed, went on telling them that nothing was new, and told that something was only once its whole read was done.

A reader now tells "nothing new" neither while a read is past its wait, nor after one that failed, nor once the store has said that the topic has grown.

The four tests failed on the code before: eight tellings where none may be (past the wait; after a failed read), and on_end was not asked for (growth; the test that small news are not told twice).

--- a/src/wasabiwick/_feed.py
+++ b/src/wasabiwick/_feed.py
@@ -15,6 +15,9 @@
 # Longest delay after a failed read, short compared to the time within which a configuration has to
 # apply.
 MAX_RETRY_S = 1.0
+# Time from the start of an answer to its end within which its records are told without saying
+# before that there are some.
+SHORT_ANSWER_S = 0.05
 
 PageDecoder = typing.Callable[[float, Page, bool], Event | None]
 
@@ -148,27 +151,55 @@
     async def _read_telling(
         self, runner: Runner, position: int | None, era: int, wait: float
     ) -> Page:
-        """Read a page; meanwhile, tell the hosts that rely on this one that nothing is new.
+        """Read a page; meanwhile, tell the hosts that rely on this one what is known of its end.
 
-        They are told so only while the store answers this host's other calls.
+        That nothing is new is told only while this host knows so: while the read waits for news,
+        the last one did not fail, and the store answers this host's other calls. That more exists
+        is told as soon as it is known, if the read then goes on.
         """
-        reading = asyncio.ensure_future(self._read_page(position, wait))
         turns = runner.ports.turns
+        grown: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+
+        def on_end(end: int) -> None:
+            if not grown.done() and end > position and era == (self._store.era or 0):
+                grown.set_result(end)
+
+        wait_ends = runner.now() + wait
+        reading = asyncio.ensure_future(self._read_page(position, wait, on_end))
         try:
-            while position is not None and turns.tell_interval is not None:
-                done, _ = await asyncio.wait({reading}, timeout=turns.tell_interval)
+            while position is not None:
+                done, _ = await asyncio.wait(
+                    {reading, grown},
+                    timeout=turns.tell_interval,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
                 if done:
                     break
-                if runner.now() - self._store.answered_at > turns.answered_within:
-                    continue
-                unchanged = ToldPage(
-                    feed=self._name, era=era, after=position, upto=position, records=()
-                )
-                runner.ports.datagrams.send_page(turns.addresses, unchanged)
+                is_answered = runner.now() - self._store.answered_at <= turns.answered_within
+                if self._up and is_answered and runner.now() <= wait_ends:
+                    self._tell(runner, era, position, position, ())
+            if grown.done():
+                await asyncio.wait({reading}, timeout=SHORT_ANSWER_S)
+                if not reading.done():
+                    self._lag.hear(grown.result())
+                    self._tell(runner, era, position, grown.result(), None)
             return await reading
         finally:
             reading.cancel()
 
+    def _tell(
+        self,
+        runner: Runner,
+        era: int,
+        after: int,
+        upto: int,
+        records: tuple[KeyedRecord, ...] | None,
+    ) -> None:
+        addresses = runner.ports.turns.addresses
+        if addresses:
+            page = ToldPage(feed=self._name, era=era, after=after, upto=upto, records=records)
+            runner.ports.datagrams.send_page(addresses, page)
+
     def _news(self, page: Page, after: int | None) -> ToldPage | None:
         """Return what a page says that is new, to be told to other hosts; None for a first page.
 
@@ -207,10 +238,12 @@
         if event is not None:
             runner.post(event)
 
-    async def _read_page(self, position: int | None, wait: float) -> Page:
+    async def _read_page(
+        self, position: int | None, wait: float, on_end: typing.Callable[[int], None]
+    ) -> Page:
         if position is None:
             return await self._store.newest(self._topic)
-        return await self._store.read(self._topic, position, wait)
+        return await self._store.read(self._topic, position, wait, on_end=on_end)
 
     def _set_connected(self, runner: Runner, up: bool, why: str = "") -> None:
         if up != self._up:
--- a/src/wasabiwick/_topics.py
+++ b/src/wasabiwick/_topics.py
@@ -74,7 +74,12 @@
     ) -> Page:
         """Return the records from an offset on, after ``wait`` seconds at most if there are none.
 
-        ``on_end`` is called once with the offset of the topic's end, before the records have come.
+        Args:
+            topic: Name of the topic.
+            start: Offset of the first record.
+            wait: Longest wait for records, in seconds.
+            on_end: Called once with the topic's end, as soon as the answer has said it and before
+                its records have come.
 
         Raises:
             HistoryLostError: If some of these records have been deleted.
--- a/tests/test_read_turns.py
+++ b/tests/test_read_turns.py
@@ -87,6 +87,7 @@
         self.waiting = 0  # Reads that wait for this event.
         self.fault: Exception | None = None
         self.answered_at = 0.0
+        self.on_end: typing.Callable[[int], None] | None = None
 
     def add(self, key: str, value: bytes) -> None:
         """Append a record."""
@@ -104,8 +105,9 @@
         *,
         on_end: typing.Callable[[int], None] | None = None,
     ) -> Page:
-        """Return the records from an offset on."""
+        """Return the records from an offset on; ``on_end`` is left for the test to call."""
         self.reads += 1
+        self.on_end = on_end
         if self.fault is not None:
             fault, self.fault = self.fault, None
             raise fault
@@ -116,8 +118,6 @@
             self.waiting += 1
             await self.waits.wait()
             self.waiting -= 1
-        if on_end is not None:
-            on_end(len(self.records))
         return Page(records=self.records[start:], next=len(self.records), era=self.era or 0)
 
 
@@ -132,11 +132,12 @@
         self.seen: list[bytes | None] = []
         self.sent: list[ToldPage] = []
         self.posted: list[Event] = []
+        self.now = 0.0
         self.topics.add("a", b"first")
         datagrams = types.SimpleNamespace(send_page=lambda addresses, page: self.sent.append(page))
         self.runner = types.SimpleNamespace(
             ports=types.SimpleNamespace(turns=self.turns, datagrams=datagrams),
-            now=lambda: 0.0,
+            now=lambda: self.now,
             post=self.posted.append,
         )
         self.feed = Feed(
@@ -350,6 +351,53 @@
         self.topics.waits.set()
         await self.until(lambda: len(self.sent) > told + 1)
 
+    async def begin_long_read(self) -> None:
+        """Have a host that tells others begin a read that goes on."""
+        self.turns.set_turn(reads=True, addresses=("b:1",))
+        self.topics.is_down = False
+        self.topics.waits = asyncio.Event()
+        await self.until(lambda: self.topics.waiting)
+
+    async def test_nothing_is_told_of_a_read_that_should_have_ended(self) -> None:
+        """A reader whose own read did not end kept others at an old version."""
+        await self.begin_long_read()
+        self.now = self.topics.answered_at = 1.0
+        told = len(self.sent)
+        await asyncio.sleep(3 * self.silence)
+        self.assertEqual(len(self.sent), told)
+
+    async def test_nothing_is_told_after_a_read_that_failed(self) -> None:
+        """A reader that had failed to read a change told that nothing was new."""
+        self.topics.is_down = True
+        await self.until(lambda: self.posted)
+        await self.begin_long_read()
+        told = len(self.sent)
+        await asyncio.sleep(3 * self.silence)
+        self.assertEqual(len(self.sent), told)
+
+    async def test_growth_is_told_before_the_records_have_come(self) -> None:
+        """Hosts on fast paths learned of a large record only once a reader on a slow one had it."""
+        await self.begin_long_read()
+        told = len(self.sent)
+        self.topics.on_end(4)
+        await self.until(lambda: self.sent[told:])
+        await asyncio.sleep(3 * self.silence)
+        pages = [(one.after, one.upto, one.records) for one in self.sent[told:]]
+        self.assertEqual(pages, [(1, 4, None)])
+        for value in (b"second", b"third", b"fourth"):
+            self.topics.add("a", value)
+        self.topics.waits.set()
+        await self.until(lambda: any(one.records for one in self.sent[told:]))
+
+    async def test_growth_is_not_told_apart_from_records_that_come_at_once(self) -> None:
+        await self.begin_long_read()
+        told = len(self.sent)
+        self.topics.add("a", b"second")
+        self.topics.on_end(2)
+        self.topics.waits.set()
+        await self.until(lambda: any(one.upto == 2 for one in self.sent[told:]))
+        self.assertNotIn(None, [one.records for one in self.sent[told:]])
+
     def test_short_reads_show_in_time_that_the_store_is_reached(self) -> None:
         """Otherwise those who listen would read for themselves whenever nothing is new."""
         turns = ReadTurns(0.8)
