Read the newest configuration only where several are missing

Callers saw 404 for routes that exist while versions came closer together than a host could read them: it read each superseded version in turn, and was later with each.

A feed of which only a key's newest record counts (newest_only, set for the routes) gives up its read of the log where the start of the answer says that two or more records are missing, and reads the newest record of each key. For one missing record the log is shorter. After a failed read of the newest records the log is read through, so that no read is given up again and again. Other hosts are told nothing of a page that lacks a key known before, as it can't tell of a dropped key, but that they have to read for themselves.

--- a/src/wasabiwick/_feed.py
+++ b/src/wasabiwick/_feed.py
@@ -18,6 +18,9 @@
 # Time from the start of an answer to its end within which its records are told without saying
 # before that there are some.
 SHORT_ANSWER_S = 0.05
+# Fewest missing records for which the newest one of each key is read instead. Its form is a third
+# larger.
+MIN_SKIPPED = 2
 
 PageDecoder = typing.Callable[[float, Page, bool], Event | None]
 
@@ -41,6 +44,8 @@
         content: Function that returns what of a record is told to other hosts once it changes.
         is_short: Whether its reads are kept short where other hosts rely on this one, so that they
             show whether the store is reached; one feed has to do so for all.
+        newest_only: Whether only a key's newest record counts, so that superseded ones need not be
+            read.
     """
 
     __slots__ = (
@@ -52,6 +57,8 @@
         "_pause",
         "_content",
         "_is_short",
+        "_newest_only",
+        "_can_skip",
         "_contents",
         "_lag",
         "_up",
@@ -68,6 +75,7 @@
         pause: float = 0.0,
         content: typing.Callable[[KeyedRecord], object] = lambda record: record.offset,
         is_short: bool = False,
+        newest_only: bool = False,
     ) -> None:
         self._store = store
         self._name = name
@@ -77,6 +85,8 @@
         self._pause = pause
         self._content = content
         self._is_short = is_short
+        self._newest_only = newest_only
+        self._can_skip = newest_only
         self._contents: dict[str, object] = {}
         self._lag = FeedLag()
         self._up = True
@@ -114,14 +124,14 @@
                     self._set_connected(runner, True)
                 continue
             try:
-                has_all_keys = position is None
                 # The first read after a failure does not wait, so missed changes apply at once.
                 is_poll = self._up and told is None and turns.reads
                 wait = self._wait
                 if self._is_short:
                     wait = turns.short_wait(wait, self._pause)
                 lag.ask()
-                page = await self._read_telling(runner, position, era, wait if is_poll else 0.0)
+                wait = wait if is_poll else 0.0
+                page, has_all_keys = await self._read_telling(runner, position, era, wait)
             except HistoryLostError as exc:
                 log_event("history_lost", feed=self._name, error=str(exc))
                 position = None
@@ -140,9 +150,10 @@
                 position = None
                 lag.forget()
                 continue
-            news = self._news(page, position)
+            news = self._news(page, position, has_all_keys)
             position, era = page.next, page.era
             lag.read(page.next, page.end)
+            self._can_skip = self._newest_only and (self._can_skip or not lag.missing)
             self._set_connected(runner, True)
             self._post(runner, page, has_all_keys)
             if news is not None and turns.addresses:
@@ -150,12 +161,15 @@
 
     async def _read_telling(
         self, runner: Runner, position: int | None, era: int, wait: float
-    ) -> Page:
+    ) -> tuple[Page, bool]:
         """Read a page; meanwhile, tell the hosts that rely on this one what is known of its end.
 
         That nothing is new is told only while this host knows so: while the read waits for news,
         the last one did not fail, and the store answers this host's other calls. That more exists
         is told as soon as it is known, if the read then goes on.
+
+        Returns:
+            The page, and whether it has the newest record of every key.
         """
         turns = runner.ports.turns
         grown: asyncio.Future[int] = asyncio.get_running_loop().create_future()
@@ -164,6 +178,7 @@
             if not grown.done() and end > position and era == (self._store.era or 0):
                 grown.set_result(end)
 
+        has_all_keys = position is None
         wait_ends = runner.now() + wait
         reading = asyncio.ensure_future(self._read_page(position, wait, on_end))
         try:
@@ -178,15 +193,31 @@
                 is_answered = runner.now() - self._store.answered_at <= turns.answered_within
                 if self._up and is_answered and runner.now() <= wait_ends:
                     self._tell(runner, era, position, position, ())
+            if grown.done() and not reading.done() and self._skips(grown.result() - position):
+                reading.cancel()
+                has_all_keys = True
+                reading = asyncio.ensure_future(self._store.newest(self._topic))
             if grown.done():
                 await asyncio.wait({reading}, timeout=SHORT_ANSWER_S)
                 if not reading.done():
                     self._lag.hear(grown.result())
                     self._tell(runner, era, position, grown.result(), None)
-            return await reading
+            page = await reading
+            self._can_skip = self._newest_only if has_all_keys else self._can_skip
+            return page, has_all_keys
         finally:
             reading.cancel()
 
+    def _skips(self, missing: int) -> bool:
+        """Return whether to read the newest record of each key instead of all that are missing.
+
+        It is not tried again after a failure, until the feed has read all there is.
+        """
+        if missing < MIN_SKIPPED or not self._can_skip:
+            return False
+        self._can_skip = False
+        return True
+
     def _tell(
         self,
         runner: Runner,
@@ -200,14 +231,17 @@
             page = ToldPage(feed=self._name, era=era, after=after, upto=upto, records=records)
             runner.ports.datagrams.send_page(addresses, page)
 
-    def _news(self, page: Page, after: int | None) -> ToldPage | None:
+    def _news(self, page: Page, after: int | None, has_all_keys: bool) -> ToldPage | None:
         """Return what a page says that is new, to be told to other hosts; None for a first page.
 
         A first page has every key. One that is missing there is new once it is back, also with the
-        content that it had, as hosts that read the page without it have dropped it.
+        content that it had, as hosts that read the page without it have dropped it. A key that is
+        missing in a later page of every key can't be told, so that the others read for themselves.
         """
         new = []
-        if after is None:
+        keys = {record.key for record in page.records}
+        has_lost_keys = has_all_keys and not self._contents.keys() <= keys
+        if after is None or has_lost_keys:
             self._contents.clear()
         for record in page.records:
             content = self._content_of(record)
@@ -216,8 +250,9 @@
                 new.append(record)
         if after is None:
             return None
+        records = None if has_lost_keys else tuple(new)
         return ToldPage(
-            feed=self._name, era=page.era, after=after, upto=page.next, records=tuple(new)
+            feed=self._name, era=page.era, after=after, upto=page.next, records=records
         ).fitting()
 
     def _content_of(self, record: KeyedRecord) -> object:
--- a/src/wasabiwick/platform/__init__.py
+++ b/src/wasabiwick/platform/__init__.py
@@ -61,6 +61,7 @@
             topic=_names.OPERATOR_TOPIC,
             decode=decode_routes,
             wait=ROUTES_POLL_WAIT_S,
+            newest_only=True,
         )
         endpoints = Feed(
             store=self._store,
--- a/tests/test_read_turns.py
+++ b/tests/test_read_turns.py
@@ -87,15 +87,24 @@
         self.waiting = 0  # Reads that wait for this event.
         self.fault: Exception | None = None
         self.answered_at = 0.0
+        self.newest_reads = 0
+        self.newest_is_down = False
         self.on_end: typing.Callable[[int], None] | None = None
 
-    def add(self, key: str, value: bytes) -> None:
+    def add(self, key: str, value: bytes | None) -> None:
         """Append a record."""
         self.records.append(KeyedRecord(key=key, value=value, offset=len(self.records)))
 
     async def newest(self, topic: str) -> Page:
-        """Return all records."""
-        return await self.read(topic, 0, 0.0)
+        """Return the newest record of each key that has a value; never waits."""
+        self.newest_reads += 1
+        self.reads += 1
+        await self._fail()
+        if self.newest_is_down:
+            raise StoreError("down")
+        newest = {record.key: record for record in self.records}
+        kept = [record for record in newest.values() if record.value is not None]
+        return Page(records=kept, next=len(self.records), era=self.era or 0)
 
     async def read(
         self,
@@ -108,23 +117,27 @@
         """Return the records from an offset on; ``on_end`` is left for the test to call."""
         self.reads += 1
         self.on_end = on_end
+        await self._fail()
+        if self.waits is not None:
+            self.waiting += 1
+            await self.waits.wait()
+            self.waiting -= 1
+        return Page(records=self.records[start:], next=len(self.records), era=self.era or 0)
+
+    async def _fail(self) -> None:
         if self.fault is not None:
             fault, self.fault = self.fault, None
             raise fault
         if self.is_down:
             raise StoreError("down")
         await asyncio.sleep(0)
-        if self.waits is not None:
-            self.waiting += 1
-            await self.waits.wait()
-            self.waiting -= 1
-        return Page(records=self.records[start:], next=len(self.records), era=self.era or 0)
 
 
 class FeedCase(unittest.IsolatedAsyncioTestCase):
     """Base with a feed on a fake store; ``seen`` holds the records that came from it, by value."""
 
     silence = SILENCE
+    newest_only = False
 
     async def asyncSetUp(self) -> None:
         self.topics = FakeTopics()
@@ -148,6 +161,7 @@
             wait=0.0,
             pause=0.005,
             content=lambda record: record.value and record.value.partition(b" ")[0],
+            newest_only=self.newest_only,
         )
         task = asyncio.create_task(self.feed.run(self.runner))
         self.addCleanup(task.cancel)
@@ -416,3 +430,68 @@
         self.topics.add("a", b"second")
         await self.until(lambda: self.seen[-1] == b"second")
         self.assertEqual(self.sent, [])
+
+
+class TestNewestOnly(FeedCase):
+    """Records that others supersede are not read where only the newest one of a key counts."""
+
+    newest_only = True
+
+    async def begin_long_read(self) -> None:
+        """Have the host begin a read that goes on."""
+        self.topics.waits = asyncio.Event()
+        waiting = self.topics.waiting
+        await self.until(lambda: self.topics.waiting > waiting)
+
+    async def test_superseded_records_are_not_read(self) -> None:
+        """A host on a slow path read each version in turn, and was later with each."""
+        await self.begin_long_read()
+        for value in (b"second", b"third", b"fourth"):
+            self.topics.add("a", value)
+        self.topics.on_end(4)
+        await self.until(lambda: self.seen[-1] == b"fourth")
+        self.assertEqual(self.seen, [b"first", b"fourth"])
+
+    async def test_one_missing_record_is_read_from_the_log(self) -> None:
+        await self.begin_long_read()
+        self.topics.add("a", b"second")
+        self.topics.on_end(2)
+        self.topics.waits.set()
+        await self.until(lambda: self.seen[-1] == b"second")
+        self.assertEqual(self.topics.newest_reads, 1)
+
+    async def test_log_is_read_through_after_the_newest_could_not_be_read(self) -> None:
+        """Each read that was given up for another one that failed would keep a host behind."""
+        await self.begin_long_read()
+        for value in (b"second", b"third", b"fourth"):
+            self.topics.add("a", value)
+        self.topics.newest_is_down = True
+        waiting = self.topics.waiting
+        self.topics.on_end(4)
+        await self.until(lambda: self.topics.waiting > waiting)
+        self.topics.on_end(4)
+        await asyncio.sleep(0.02)
+        self.assertEqual(self.topics.newest_reads, 2)
+        self.topics.waits.set()
+        await self.until(lambda: self.seen[-1] == b"fourth")
+        self.assertEqual(self.seen, [b"first", b"second", b"third", b"fourth"])
+        self.topics.newest_is_down = False
+        await self.begin_long_read()
+        for value in (b"fifth", b"sixth"):
+            self.topics.add("a", value)
+        self.topics.on_end(6)
+        await self.until(lambda: self.seen[-1] == b"sixth")
+        self.assertNotIn(b"fifth", self.seen)
+
+    async def test_others_read_for_themselves_what_the_newest_records_lack(self) -> None:
+        """A key that was dropped is in no page of the newest records."""
+        self.topics.add("b", b"dropped later")
+        await self.until(lambda: self.seen[-1] == b"dropped later")
+        await self.begin_long_read()
+        self.turns.set_turn(reads=True, addresses=("b:1",))
+        self.topics.add("b", None)
+        self.topics.add("a", b"second")
+        self.topics.on_end(4)
+        await self.until(lambda: self.seen[-1] == b"second")
+        told = [(one.upto, one.records) for one in self.sent if one.after < one.upto]
+        self.assertEqual(told, [(4, None)])
