Let handlers know how far a feed is behind, and have it read now

Callers saw 404 for routes that exist at hosts that other hosts had told of a newer version: the reducer learned neither that records were missing nor could it have a feed read, as a host that listens waits for its zone's readers.

FeedBehind tells on each change how many records are known and not read, 0 once the host has caught up. The effect ReadFeed has a host that listens read a feed at once for itself; a host that reads keeps its pace.

The tests use the new event and effect, so they can't pass on the code before.

--- a/src/wasabiwick/_effects_forwarding.py
+++ b/src/wasabiwick/_effects_forwarding.py
@@ -294,6 +294,15 @@
         self.addresses = tuple(addresses)
 
 
+class ReadFeed(Effect):
+    """Read a feed of the platform's store once at this host, also if it listens to others."""
+
+    __slots__ = ("feed",)
+
+    def __init__(self, *, feed: str) -> None:
+        self.feed = feed
+
+
 class AskPermit(ForwardEffect):
     """Ask another host whether a call may be sent to an endpoint that has a limit.
 
--- a/src/wasabiwick/_events/_forwarding.py
+++ b/src/wasabiwick/_events/_forwarding.py
@@ -69,6 +69,21 @@
         self.why = why
 
 
+class FeedBehind(Event):
+    """The number of records that a feed's topic is known to have, and this host has not read.
+
+    ``missing`` is 0 once the host has caught up. Records that are read as soon as they are known do
+    not count.
+    """
+
+    __slots__ = ("feed", "missing")
+
+    def __init__(self, *, at: float, feed: str, missing: int) -> None:
+        super().__init__(at=at)
+        self.feed = feed
+        self.missing = missing
+
+
 class StoreRestored(Event):
     """The store came back from a copy: what was written since the copy is gone.
 
--- a/src/wasabiwick/_feed.py
+++ b/src/wasabiwick/_feed.py
@@ -4,7 +4,7 @@
 import random
 import typing
 
-from ._events import Event, FeedChanged
+from ._events import Event, FeedBehind, FeedChanged
 from ._feed_lag import SPREAD_S, FeedLag
 from ._logging import log_event, log_exception
 from ._read_turns import ToldPage
@@ -61,6 +61,7 @@
         "_can_skip",
         "_contents",
         "_lag",
+        "_missing",
         "_up",
     )
 
@@ -89,6 +90,7 @@
         self._can_skip = newest_only
         self._contents: dict[str, object] = {}
         self._lag = FeedLag()
+        self._missing = 0
         self._up = True
 
     async def run(self, runner: Runner) -> None:
@@ -120,6 +122,7 @@
                     lag.reach(position)
                     self._post(runner, Page(records=told.records, next=position, era=era), False)
                 lag.hear(told.upto, SPREAD_S)
+                self._report_missing(runner)
                 if not lag.missing:
                     self._set_connected(runner, True)
                 continue
@@ -153,6 +156,7 @@
             news = self._news(page, position, has_all_keys)
             position, era = page.next, page.era
             lag.read(page.next, page.end)
+            self._report_missing(runner)
             self._can_skip = self._newest_only and (self._can_skip or not lag.missing)
             self._set_connected(runner, True)
             self._post(runner, page, has_all_keys)
@@ -201,6 +205,7 @@
                 await asyncio.wait({reading}, timeout=SHORT_ANSWER_S)
                 if not reading.done():
                     self._lag.hear(grown.result())
+                    self._report_missing(runner)
                     self._tell(runner, era, position, grown.result(), None)
             page = await reading
             self._can_skip = self._newest_only if has_all_keys else self._can_skip
@@ -280,6 +285,11 @@
             return await self._store.newest(self._topic)
         return await self._store.read(self._topic, position, wait, on_end=on_end)
 
+    def _report_missing(self, runner: Runner) -> None:
+        if self._lag.missing != self._missing:
+            self._missing = self._lag.missing
+            runner.post(FeedBehind(at=runner.now(), feed=self._name, missing=self._missing))
+
     def _set_connected(self, runner: Runner, up: bool, why: str = "") -> None:
         if up != self._up:
             self._up = up
--- a/src/wasabiwick/_performers/forwarding.py
+++ b/src/wasabiwick/_performers/forwarding.py
@@ -12,6 +12,7 @@
     FreeHandle,
     OrderStage,
     ReadClaims,
+    ReadFeed,
     ReadPrompt,
     ReadSavedStreams,
     RefuseForward,
@@ -189,6 +190,12 @@
     runner.ports.turns.set_turn(reads=effect.reads, addresses=effect.addresses)
 
 
+@performs(ReadFeed)
+def read_feed(runner: Runner, effect: ReadFeed) -> None:
+    """Read a feed of the store at this host's next turn, which is now."""
+    runner.ports.turns.read_now(effect.feed)
+
+
 @performs(SaveStreams)
 def save_streams(runner: Runner, effect: SaveStreams) -> None:
     """Save this host's streams."""
--- a/src/wasabiwick/_read_turns.py
+++ b/src/wasabiwick/_read_turns.py
@@ -73,13 +73,14 @@
         silence: As given.
     """
 
-    __slots__ = ("reads", "addresses", "silence", "_told", "_changed")
+    __slots__ = ("reads", "addresses", "silence", "_told", "_wanted", "_changed")
 
     def __init__(self, silence: float) -> None:
         self.reads = True
         self.addresses: tuple[str, ...] = ()
         self.silence = silence
         self._told: dict[str, list[ToldPage]] = {}
+        self._wanted: set[str] = set()
         self._changed = asyncio.Event()
 
     @property
@@ -109,8 +110,15 @@
         self.addresses = addresses
         for pages in self._told.values():
             pages.clear()
+        self._wanted.clear()
         self._changed.set()
 
+    def read_now(self, feed: str) -> None:
+        """Have a host that listens read a feed for itself; a host that reads does so anyway."""
+        if not self.reads:
+            self._wanted.add(feed)
+            self._changed.set()
+
     def deliver(self, page: ToldPage) -> None:
         """Keep what another host told, until the feed asks; a host that reads needs none."""
         pages = self._told.get(page.feed)
@@ -131,6 +139,9 @@
         began = loop.time()
         pages = self._told.setdefault(feed, [])
         while True:
+            if feed in self._wanted:
+                self._wanted.remove(feed)
+                return None
             if pages:
                 return pages.pop(0)
             turn = began + self._pause(pause)
--- a/tests/test_read_turns.py
+++ b/tests/test_read_turns.py
@@ -5,11 +5,12 @@
 import typing
 import unittest
 
-from wasabiwick._effects_forwarding import SetReadTurn
-from wasabiwick._events import Event, FeedChanged
+from wasabiwick._effects_forwarding import ReadFeed, SetReadTurn
+from wasabiwick._events import Event, FeedBehind, FeedChanged
 from wasabiwick._feed import Feed
 from wasabiwick._feed_lag import SPREAD_S, FeedLag
 from wasabiwick._handlers import neighbours, read_turns
+from wasabiwick._performers import forwarding
 from wasabiwick._read_turns import MAX_KEPT_PAGES, MAX_TOLD_BYTES, ReadTurns, ToldPage
 from wasabiwick._topics import KeyedRecord, Page, StoreError
 
@@ -274,6 +275,26 @@
             dues.append(lag.due - now)
         self.assertGreater(max(dues) - min(dues), SPREAD_S / 4)
 
+    async def test_host_reads_a_feed_now_once_it_is_to(self) -> None:
+        """A host that knew better than its readers could only wait for them."""
+        self.topics.add("a", b"second")
+        forwarding.read_feed(self.runner, ReadFeed(feed="feed"))
+        await self.until(lambda: self.seen[-1] == b"second")
+        self.assertEqual(self.topics.reads, self.reads + 1)
+
+    async def test_missing_records_are_reported_until_they_are_read(self) -> None:
+        self.topics.is_down = True
+        for upto in (3, 3, 4):
+            page = ToldPage(feed="feed", era=0, after=1, upto=upto, records=None)
+            self.turns.deliver(page)
+        await self.until(lambda: self.topics.reads > self.reads)
+        for value in (b"second", b"third", b"fourth"):
+            self.topics.add("a", value)
+        self.topics.is_down = False
+        await self.until(lambda: self.seen[-1] == b"fourth")
+        missing = [one.missing for one in self.posted if isinstance(one, FeedBehind)]
+        self.assertEqual(missing, [2, 3, 0])
+
     async def test_page_of_another_era_is_not_applied(self) -> None:
         self.topics.era = 1
         self.topics.add("a", b"of the copy")
@@ -297,6 +318,21 @@
         self.assertLessEqual(len(self.turns._told["feed"]), MAX_KEPT_PAGES)
 
 
+class TestReadNow(unittest.IsolatedAsyncioTestCase):
+    """A read that is wanted at once is not made twice, nor later."""
+
+    async def test_a_host_that_reads_keeps_its_pace(self) -> None:
+        turns = ReadTurns(SILENCE)
+        turns.read_now("feed")
+        with self.assertRaises(TimeoutError):
+            await asyncio.wait_for(turns.next_page("feed", LONG), SILENCE)
+        turns.set_turn(reads=False, addresses=())
+        turns.read_now("feed")
+        turns.set_turn(reads=True, addresses=())
+        with self.assertRaises(TimeoutError):
+            await asyncio.wait_for(turns.next_page("feed", LONG), SILENCE)
+
+
 class TestSilence(FeedCase):
     """A host that is told nothing reads for itself."""
 
@@ -395,6 +431,7 @@
         told = len(self.sent)
         self.topics.on_end(4)
         await self.until(lambda: self.sent[told:])
+        self.assertEqual(self.posted, [FeedBehind(at=0.0, feed="feed", missing=3)])
         await asyncio.sleep(3 * self.silence)
         pages = [(one.after, one.upto, one.records) for one in self.sent[told:]]
         self.assertEqual(pages, [(1, 4, None)])
