Log how far a feed is behind and why its reads go on failing

Callers saw 404 for routes that exist, and the log had one line feed_lost for each time a host lost its feed: neither that newer records were known, nor how many, nor why later reads failed.

feed_behind, feed_caught_up and feed_read_fails tell it, each at most once in 5 s for a feed. A feed that is behind for a short time again and again writes no more than that.

The tests of the feed that look for these lines failed before, as there were none; those of the bounds test the new module.

--- a/src/wasabiwick/_feed.py
+++ b/src/wasabiwick/_feed.py
@@ -6,6 +6,7 @@
 
 from ._events import Event, FeedBehind, FeedChanged
 from ._feed_lag import SPREAD_S, FeedLag
+from ._feed_log import FeedLog
 from ._logging import log_event, log_exception
 from ._read_turns import ToldPage
 from ._runner import Runner
@@ -61,6 +62,7 @@
         "_can_skip",
         "_contents",
         "_lag",
+        "_log",
         "_missing",
         "_up",
     )
@@ -90,6 +92,7 @@
         self._can_skip = newest_only
         self._contents: dict[str, object] = {}
         self._lag = FeedLag()
+        self._log = FeedLog(name)
         self._missing = 0
         self._up = True
 
@@ -143,10 +146,14 @@
                 continue
             except StoreError as exc:
                 self._set_connected(runner, False, str(exc))
+                self._log.failed(runner.now(), str(exc))
+                if lag.missing:
+                    self._log.behind(runner.now(), lag.position, lag.missing)
                 await asyncio.sleep(retry * random.uniform(0.5, 1.0))
                 retry = min(MAX_RETRY_S, 2 * retry)
                 continue
             retry = FIRST_RETRY_S
+            self._log.succeeded()
             is_current = page.era == (self._store.era or 0)
             if not is_current or (position is not None and page.era != era):
                 log_event("feed_begins_again", feed=self._name, era=page.era)
@@ -289,6 +296,7 @@
         if self._lag.missing != self._missing:
             self._missing = self._lag.missing
             runner.post(FeedBehind(at=runner.now(), feed=self._name, missing=self._missing))
+            self._log.behind(runner.now(), self._lag.position, self._missing)
 
     def _set_connected(self, runner: Runner, up: bool, why: str = "") -> None:
         if up != self._up:
--- a/tests/test_read_turns.py
+++ b/tests/test_read_turns.py
@@ -4,7 +4,9 @@
 import types
 import typing
 import unittest
+from unittest import mock
 
+from wasabiwick import _feed_log
 from wasabiwick._effects_forwarding import ReadFeed, SetReadTurn
 from wasabiwick._events import Event, FeedBehind, FeedChanged
 from wasabiwick._feed import Feed
@@ -147,6 +149,12 @@
         self.sent: list[ToldPage] = []
         self.posted: list[Event] = []
         self.now = 0.0
+        self.logged: list[str] = []
+        patch = mock.patch.object(
+            _feed_log, "log_event", lambda event, **fields: self.logged.append(event)
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
         self.topics.add("a", b"first")
         datagrams = types.SimpleNamespace(send_page=lambda addresses, page: self.sent.append(page))
         self.runner = types.SimpleNamespace(
@@ -256,6 +264,8 @@
             return self.topics.reads > reads + 1
 
         await self.until(has_tried_again)
+        self.assertIn("feed_read_fails", self.logged)
+        self.assertEqual(self.logged.count("feed_behind"), 1)
         changes = [one.up for one in self.posted if isinstance(one, FeedChanged)]
         self.assertEqual(changes, [False])
 
@@ -292,6 +302,7 @@
             self.topics.add("a", value)
         self.topics.is_down = False
         await self.until(lambda: self.seen[-1] == b"fourth")
+        await self.until(lambda: "feed_caught_up" in self.logged)
         missing = [one.missing for one in self.posted if isinstance(one, FeedBehind)]
         self.assertEqual(missing, [2, 3, 0])
 
@@ -318,6 +329,48 @@
         self.assertLessEqual(len(self.turns._told["feed"]), MAX_KEPT_PAGES)
 
 
+class TestFeedLog(unittest.TestCase):
+    """The log tells why a host stays at an old version, in few lines."""
+
+    def setUp(self) -> None:
+        self.lines: list[tuple[str, dict[str, object]]] = []
+        patch = mock.patch.object(_feed_log, "log_event", self.write)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.log = _feed_log.FeedLog("feed")
+
+    def write(self, event: str, **fields: object) -> None:
+        """Keep a line."""
+        self.assertEqual(fields.pop("feed"), "feed")
+        self.lines.append((event, fields))
+
+    def test_a_feed_behind_and_its_end_are_told_once(self) -> None:
+        self.log.behind(10.0, 1, 2)
+        self.log.behind(11.0, 2, 1)
+        self.log.behind(12.5, 3, 0)
+        self.log.behind(12.6, 3, 0)
+        behind = {"position": 1, "end": 3, "missing": 2}
+        caught_up = {"position": 3, "after": 2.5}
+        self.assertEqual(self.lines, [("feed_behind", behind), ("feed_caught_up", caught_up)])
+
+    def test_lines_of_a_feed_that_is_often_behind_are_bounded(self) -> None:
+        for number in range(100):
+            self.log.behind(0.1 * number, number, 1)
+            self.log.behind(0.1 * number + 0.05, number + 1, 0)
+        self.assertEqual(len(self.lines), 4)
+
+    def test_why_reads_go_on_failing_is_told_at_intervals(self) -> None:
+        """A host logged the first failure alone, while the cause changed."""
+        for number in range(100):
+            self.log.failed(0.1 * number, f"cause {number}")
+        failed = {"error": "cause 1", "fails": 2, "since": 0.1}
+        self.assertEqual(self.lines[0], ("feed_read_fails", failed))
+        self.assertEqual([event for event, _ in self.lines], 2 * ["feed_read_fails"])
+        self.log.succeeded()
+        self.log.failed(20.0, "lost again")
+        self.assertEqual(len(self.lines), 2)
+
+
 class TestReadNow(unittest.IsolatedAsyncioTestCase):
     """A read that is wanted at once is not made twice, nor later."""
 
