Do not tell an answer without the records that exist as "nothing new"

Hosts that rely on others of their zone were told that nothing was new by a reader whose answer had said that the topic goes on, and had brought no record.

Such an answer is not told. The test failed before (it was told).

--- a/src/wasabiwick/_feed.py
+++ b/src/wasabiwick/_feed.py
@@ -167,7 +167,9 @@
             self._can_skip = self._newest_only and (self._can_skip or not lag.missing)
             self._set_connected(runner, True)
             self._post(runner, page, has_all_keys)
-            if news is not None and turns.addresses:
+            # An answer that brought nothing of what exists does not say that nothing is new.
+            is_told = news is not None and (news.upto > news.after or not lag.missing)
+            if is_told and turns.addresses:
                 runner.ports.datagrams.send_page(turns.addresses, news)
 
     async def _read_telling(
--- a/tests/test_read_turns.py
+++ b/tests/test_read_turns.py
@@ -90,6 +90,7 @@
         self.waiting = 0  # Reads that wait for this event.
         self.fault: Exception | None = None
         self.answered_at = 0.0
+        self.page_size: int | None = None  # Most records of one answer.
         self.newest_reads = 0
         self.newest_is_down = False
         self.on_end: typing.Callable[[int], None] | None = None
@@ -125,7 +126,9 @@
             self.waiting += 1
             await self.waits.wait()
             self.waiting -= 1
-        return Page(records=self.records[start:], next=len(self.records), era=self.era or 0)
+        records = self.records[start:][: self.page_size]
+        end = len(self.records)
+        return Page(records=records, next=start + len(records), era=self.era or 0, end=end)
 
     async def _fail(self) -> None:
         if self.fault is not None:
@@ -285,6 +288,25 @@
             dues.append(lag.due - now)
         self.assertGreater(max(dues) - min(dues), SPREAD_S / 4)
 
+    async def test_the_rest_of_a_page_that_broke_off_is_read_at_once(self) -> None:
+        """A host that listens would go on only after a silence."""
+        self.topics.page_size = 1
+        for value in (b"second", b"third", b"fourth"):
+            self.topics.add("a", value)
+        self.tell(4)
+        await self.until(lambda: self.seen[-1] == b"fourth")
+        self.assertEqual(self.topics.reads, self.reads + 3)
+        self.assertEqual([one for one in self.posted if isinstance(one, FeedChanged)], [])
+
+    async def test_pages_that_bring_nothing_are_not_read_without_a_pause(self) -> None:
+        self.topics.page_size = 0
+        self.topics.add("a", b"second")
+        self.tell(2)
+        await self.until(lambda: self.topics.reads > self.reads)
+        reads = self.topics.reads
+        await asyncio.sleep(SPREAD_S / 2)
+        self.assertLessEqual(self.topics.reads, reads + 1)
+
     async def test_host_reads_a_feed_now_once_it_is_to(self) -> None:
         """A host that knew better than its readers could only wait for them."""
         self.topics.add("a", b"second")
@@ -478,6 +500,17 @@
         await asyncio.sleep(3 * self.silence)
         self.assertEqual(len(self.sent), told)
 
+    async def test_an_answer_without_the_records_that_exist_is_not_told_as_nothing_new(
+        self,
+    ) -> None:
+        """Others would not read what this host could not."""
+        self.topics.page_size = 0
+        self.topics.add("a", b"second")
+        self.turns.set_turn(reads=True, addresses=("b:1",))
+        reads = self.topics.reads
+        await self.until(lambda: self.topics.reads > reads + 3)
+        self.assertEqual(self.sent, [])
+
     async def test_growth_is_told_before_the_records_have_come(self) -> None:
         """Hosts on fast paths learned of a large record only once a reader on a slow one had it."""
         await self.begin_long_read()
