Refuse a request without a route for now while newer routes are known

Callers got 404 no_route for routes that a confirmed version had added, from hosts that had not read it, and did not come back. Such a host could know that it was behind, as the others tell their version in each datagram; that counted for unknown keys only, and only while the host that told was heard.

Now a request that no route takes gets 503 routes_behind, not run, with Retry-After of 0.5 s, while another host has told a newer version, or records of the routes are known to exist that were not read here. Keys are judged by the same knowledge.

A version that is told wrongly, or that a store restored from a copy has lost, must not turn each 404 into 503 for good: once the store has answered for 60 s and shown all that it has, the version is not believed any more (line routes_not_believed), and lower ones that others tell still are.

--- a/src/wasabiwick/_errors.py
+++ b/src/wasabiwick/_errors.py
@@ -91,6 +91,7 @@
 KEY_REUSED = Reason("key_reused", 422, "the Idempotency-Key was used for another request")
 NOT_FOUND = Reason("not_found", 404, "the path does not exist")
 NO_ROUTE = Reason("no_route", 404, "no route takes this host and path")
+ROUTES_BEHIND = Reason("routes_behind", 503, "no route takes this host and path here yet")
 UNKNOWN_MODEL = Reason("unknown_model", 404, "the model does not exist")
 UNKNOWN_SERVICE = Reason("unknown_service", 404, "the service does not exist")
 NOT_ALLOWED = Reason("not_allowed", 403, "the plan does not include this")
--- a/src/wasabiwick/_handlers/caller_keys.py
+++ b/src/wasabiwick/_handlers/caller_keys.py
@@ -17,7 +17,7 @@
 from .._reducer import Step, handles
 from .._state import State
 from .._verdict import Verdict
-from . import forwarding, neighbours, organisations, routes
+from . import forwarding, organisations, routes
 from .forwarding import ForwardedCall
 
 # Seconds after which callers are told to retry whose key may be known by then, or at another host.
@@ -50,10 +50,7 @@
 
 def _is_behind(state: State, at: float) -> bool:
     """Return whether there may be a newer version than the one in force here."""
-    if organisations.may_be_old(state):
-        return True
-    hosts, version = state["neighbours"].hosts, routes.version(state)
-    return any(hosts[name].routes_version > version for name in neighbours.live_names(state, at))
+    return organisations.may_be_old(state) or routes.may_be_behind(state, at)
 
 
 def told_name(state: State, req: ForwardedCall) -> str | None:
--- a/src/wasabiwick/_handlers/forward_arrivals.py
+++ b/src/wasabiwick/_handlers/forward_arrivals.py
@@ -16,6 +16,7 @@
     ORGANISATION_LIMIT,
     OTHER_VERSION,
     OVERLOADED,
+    ROUTES_BEHIND,
     STOPPING,
     Failure,
     Reason,
@@ -57,6 +58,8 @@
 
 # Seconds after which callers are told to retry while this host has read no routes.
 NO_ROUTES_RETRY_AFTER = 0.5
+# Seconds after which callers are told to retry whose route may be one of a version not read here.
+ROUTES_BEHIND_RETRY_AFTER = 0.5
 # Seconds after which callers are told to retry whose stream this host does not know; by then other
 # hosts should have told it.
 BUILD_RETRY_AFTER = 0.5
@@ -70,6 +73,9 @@
         yield from _refuse_arrival(state, event, NO_CONFIGURATION, NO_ROUTES_RETRY_AFTER)
         return
     route = routes.match_route(state, ask.host, ask.path)
+    if route is None and routes.may_be_behind(state, at):
+        yield from _refuse_arrival(state, event, ROUTES_BEHIND, ROUTES_BEHIND_RETRY_AFTER)
+        return
     if route is None:
         yield from _refuse_arrival(state, event, NO_ROUTE, None)
         return
--- a/src/wasabiwick/_handlers/routes.py
+++ b/src/wasabiwick/_handlers/routes.py
@@ -3,14 +3,17 @@
 import typing
 
 from .._effects import Count, LogLine
-from .._events import LoadTold, PlacesChanged, RoutesRead
+from .._events import FeedBehind, FeedChanged, LoadTold, PlacesChanged, RoutesRead
 from .._forwarding import DEFAULT_MAX_HEADER_BYTES, STREAM, Route, RouteTable, ServiceTraits
 from .._reducer import Step, handles
 from .._settings import Settings
 from .._state import State, state_slice
+from . import organisations
 
 # Time for which a service is known after it was dropped; longer than any caller waits.
 RETIRED_TIME_S = 120.0
+# Time for which the store has to show nothing newer until a version that was told is not believed.
+BEHIND_BOUND_S = 60.0
 
 
 @state_slice("routes")
@@ -25,6 +28,11 @@
     ``heard_from`` names the first host that told it. ``behind_since`` is the monotonic time since
     which other hosts have told newer versions than the one in force here; None if none does.
     ``heard_at`` is the monotonic time of the last telling, whatever its version.
+
+    ``unread`` is the number of records that are known to exist and were not read here.
+    ``shown_since`` is the monotonic time since which the store has shown all that it has, or None
+    while it does not, and ``shown_for`` for how many seconds it did before, while this host was
+    behind. ``not_believed`` is the lowest version that was told and that the store did not show.
     """
 
     __slots__ = (
@@ -39,6 +47,10 @@
         "heard_from",
         "heard_at",
         "behind_since",
+        "unread",
+        "shown_since",
+        "shown_for",
+        "not_believed",
     )
 
     def __init__(self, cfg: Settings) -> None:
@@ -53,6 +65,10 @@
         self.heard_from = ""
         self.heard_at = 0.0
         self.behind_since: float | None = None
+        self.unread = 0
+        self.shown_since: float | None = None
+        self.shown_for = 0.0
+        self.not_believed: int | None = None
 
 
 def version(state: State) -> int:
@@ -77,6 +93,38 @@
     return at - behind_since if behind_since is not None else 0.0
 
 
+def may_be_behind(state: State, at: float) -> bool:
+    """Return whether a newer version than the one in force here may be in force elsewhere.
+
+    It may if records are known to exist that this host has not read, or another host has told a
+    newer version. The latter ends once the store has answered and shown nothing newer for
+    `BEHIND_BOUND_S` in all: the version told is wrong then, or the store lost it as it came back
+    from a copy. Otherwise one wrong telling would keep callers from all final answers for good.
+    """
+    routes_state = state["routes"]
+    if routes_state.unread:
+        return True
+    return routes_state.behind_since is not None and not _is_refuted(state, at)
+
+
+def _is_refuted(state: State, at: float) -> bool:
+    """Return whether the store has long shown nothing newer, though another host told it."""
+    routes_state = state["routes"]
+    shown_for = routes_state.shown_for
+    if routes_state.shown_since is not None:
+        shown_for += at - routes_state.shown_since
+    return shown_for >= BEHIND_BOUND_S
+
+
+def _note_showing(state: State, at: float) -> None:
+    """Record from when on the store shows all that it has, or that it does not any more."""
+    routes_state = state["routes"]
+    if routes_state.shown_since is not None:
+        routes_state.shown_for += at - routes_state.shown_since
+    shows_all = is_known(state) and not routes_state.unread and not organisations.may_be_old(state)
+    routes_state.shown_since = at if shows_all else None
+
+
 def behind_at_last_telling(state: State) -> float:
     """Return for how many seconds this host was behind when another last told its version."""
     return max(0.0, behind_for(state, state["routes"].heard_at))
@@ -90,6 +138,7 @@
         "routes_age": at - routes_state.read_at if is_known(state) else "-",
         "heard_version": routes_state.heard_version or "-",
         "heard_from": routes_state.heard_from or "-",
+        "unread": routes_state.unread,
     }
 
 
@@ -154,15 +203,41 @@
     """Record the version that another host told; versions only rise, so an old telling holds."""
     routes_state = state["routes"]
     routes_state.heard_at = event.at
+    if routes_state.behind_since is not None and _is_refuted(state, event.at):
+        fields = {**log_fields(state, event.at), "behind_for": behind_for(state, event.at)}
+        yield LogLine(event="routes_not_believed", fields=fields)
+        routes_state.not_believed = routes_state.heard_version
+        routes_state.heard_version, routes_state.heard_from = 0, ""
+        routes_state.behind_since = None
+    not_believed = routes_state.not_believed
+    if not_believed is not None and event.routes_version >= not_believed:
+        return
     if event.routes_version <= routes_state.heard_version:
         return
     routes_state.heard_version = event.routes_version
     routes_state.heard_from = event.sender.host
     if event.routes_version > version(state) and routes_state.behind_since is None:
         routes_state.behind_since = event.at
+        _note_showing(state, event.at)
+        routes_state.shown_for = 0.0
         yield LogLine(event="routes_behind", fields=log_fields(state, event.at))
 
 
+@handles(FeedBehind)
+def note_unread(state: State, event: FeedBehind) -> None:
+    """Record how many records of the routes are known to exist and were not read."""
+    if event.feed == organisations.ROUTES:
+        state["routes"].unread = event.missing
+        _note_showing(state, event.at)
+
+
+@handles(FeedChanged)
+def note_connection(state: State, event: FeedChanged) -> None:
+    """Record for how long the store answers; `organisations` records whether it does."""
+    if event.feed == organisations.ROUTES:
+        _note_showing(state, event.at)
+
+
 @handles(RoutesRead)
 def apply_routes(state: State, event: RoutesRead) -> list[Step]:
     """Put a newer version of the routes in force; a host never goes back to an older version."""
@@ -170,6 +245,7 @@
     if table.version <= version(state):
         return []
     routes_state.table = table
+    _note_showing(state, event.at)
     routes_state.read_at = event.at
     by_host: dict[str, list[Route]] = {}
     for route in sorted(table.routes, key=lambda one: -len(one.path_prefix)):
@@ -199,6 +275,8 @@
     }
     if routes_state.heard_version <= table.version:
         routes_state.behind_since = None
+    if routes_state.not_believed is not None and routes_state.not_believed <= table.version:
+        routes_state.not_believed = None
     return [
         Count(metric="routes_changed"),
         LogLine(event="routes_in_force", fields=fields),
--- a/tests/test_caller_keys.py
+++ b/tests/test_caller_keys.py
@@ -179,6 +179,19 @@
         self.read(3, ACME, organisation("other", OTHER))
         self.assertEqual(self.names_told(self.ask("safe", OTHER)), ["other"])
 
+    def test_unknown_key_is_undecided_after_the_host_that_told_is_gone(self) -> None:
+        """A new key got a 401 at hosts that had not read its version once its teller had ended."""
+        self.host.know("b", routes_version=3)
+        self.host.run(10.0)
+        self.assertIs(self.reason(self.ask("safe", OTHER)), KEY_UNDECIDED)
+
+    def test_unknown_key_is_decided_once_the_store_has_long_shown_nothing_newer(self) -> None:
+        """A host that told a wrong version kept all others from deciding on a key, for good."""
+        for _ in range(int(routes.BEHIND_BOUND_S) + 2):
+            self.host.run(1.0)
+            self.host.know("b", routes_version=10**18)
+        self.assertIs(self.reason(self.ask("safe", OTHER)), BAD_KEY)
+
     def test_unknown_key_is_undecided_while_no_version_can_be_read(self) -> None:
         self.host.feed(_events.FeedChanged, feed="routes", up=False)
         self.assertIs(self.reason(self.ask("safe", OTHER)), KEY_UNDECIDED)
--- a/tests/test_routes_behind.py
+++ b/tests/test_routes_behind.py
@@ -1,12 +1,16 @@
 """Tests of hosts that hear of newer routes than those in force there, without a network."""
 
+import random
 import unittest
 
 from wasabiwick import _events, _metrics
 from wasabiwick._effects import LogLine
-from wasabiwick._errors import NO_ROUTE
+from wasabiwick._errors import NO_CONFIGURATION, NO_ROUTE, ROUTES_BEHIND
+from wasabiwick._forwarding import SAFE, RouteTable
+from wasabiwick._handlers import routes
+from wasabiwick._verdict import Verdict
 
-from ._forward import Host, table
+from ._forward import APP, Host, route, table
 
 
 class BehindTest(unittest.TestCase):
@@ -93,3 +97,172 @@
         self.assertEqual(self.host.state["neighbours"].hosts, {})
         self.assertEqual(self.gauge("routes_version_heard"), 3)
         self.assertIs(self.reason(), NO_ROUTE)
+
+
+class TestRefusals(BehindTest):
+    """A request without a route is refused for good only by a host that knows of no newer routes.
+
+    Such a host answered 404 for routes that a version had added that it had not read.
+    """
+
+    def wait_for_datagrams(self, seconds: float, version: int) -> None:
+        """Let time pass, while another host tells a version every second."""
+        end = self.host.now + seconds
+        while self.host.now < end:
+            self.host.run(1.0)
+            self.host.know("b", routes_version=version)
+
+    def test_missing_route_is_refused_for_now_while_another_host_has_newer_routes(self) -> None:
+        self.assertIs(self.reason(), NO_ROUTE)
+        self.host.know("b", routes_version=3)
+        failure = self.host.refusal(self.host.ask("nowhere"))
+        self.assertIs(failure.reason, ROUTES_BEHIND)
+        self.assertEqual((failure.reason.status, failure.verdict), (503, Verdict.NOT_RUN))
+        self.assertGreater(failure.retry_after, 0.0)
+        self.read(3)
+        self.assertIs(self.reason(), NO_ROUTE)
+
+    def test_routes_in_force_are_served_meanwhile(self) -> None:
+        self.host.know("b", routes_version=3)
+        self.assertIsNone(self.reason("safe"))
+
+    def test_missing_route_is_refused_for_now_until_the_newest_version_heard_is_read(self) -> None:
+        for name, version in (("b", 3), ("c", 5), ("d", 4)):
+            self.host.know(name, routes_version=version)
+        for version in (3, 4):
+            self.read(version)
+            self.assertIs(self.reason(), ROUTES_BEHIND)
+        self.read(5)
+        self.assertIs(self.reason(), NO_ROUTE)
+
+    def test_missing_route_is_refused_for_now_while_the_host_that_told_is_gone(self) -> None:
+        self.host.know("b", routes_version=3)
+        self.host.run(40.0)
+        self.assertIs(self.reason(), ROUTES_BEHIND)
+
+    def test_missing_route_is_refused_for_now_while_records_are_unread(self) -> None:
+        """No other host need have put the newest version in force yet."""
+        self.host.feed(_events.FeedBehind, feed="endpoints", missing=4)
+        self.assertIs(self.reason(), NO_ROUTE)
+        self.host.feed(_events.FeedBehind, feed="routes", missing=1)
+        self.assertIs(self.reason(), ROUTES_BEHIND)
+        self.assertEqual(self.lines("refused")[-1]["unread"], 1)
+        self.host.feed(_events.FeedBehind, feed="routes", missing=0)
+        self.assertIs(self.reason(), NO_ROUTE)
+
+    def test_absurd_version_ends_no_final_answers_for_good(self) -> None:
+        """One host with a wrong version would keep all others from any 404."""
+        self.wait_for_datagrams(1.0, 10**18)
+        self.assertIs(self.reason(), ROUTES_BEHIND)
+        self.wait_for_datagrams(routes.BEHIND_BOUND_S + 1.0, 10**18)
+        self.assertIs(self.reason(), NO_ROUTE)
+        self.wait_for_datagrams(3 * routes.BEHIND_BOUND_S, 10**18)
+        self.assertIs(self.reason(), NO_ROUTE)
+        self.assertEqual(len(self.lines("routes_behind")), 1)
+        (line,) = self.lines("routes_not_believed")
+        self.assertEqual((line["heard_version"], line["heard_from"]), (10**18, "b"))
+
+    def test_absurd_version_hides_no_newer_version_of_other_hosts(self) -> None:
+        self.wait_for_datagrams(routes.BEHIND_BOUND_S + 2.0, 10**18)
+        self.host.know("c", routes_version=3)
+        self.assertIs(self.reason(), ROUTES_BEHIND)
+        self.read(3)
+        self.assertIs(self.reason(), NO_ROUTE)
+
+    def test_absurd_version_ends_without_further_datagrams(self) -> None:
+        self.host.know("b", routes_version=10**18)
+        self.host.run(routes.BEHIND_BOUND_S + 1.0)
+        self.assertIs(self.reason(), NO_ROUTE)
+
+    def test_versions_that_come_meanwhile_do_not_prolong_belief_in_an_absurd_one(self) -> None:
+        for version in range(3, 20):
+            self.wait_for_datagrams(routes.BEHIND_BOUND_S / 8, 10**18)
+            self.host.feed(_events.FeedBehind, feed="routes", missing=1)
+            self.read(version)
+            self.host.feed(_events.FeedBehind, feed="routes", missing=0)
+        self.assertIs(self.reason(), NO_ROUTE)
+
+    def test_version_is_believed_for_as_long_as_the_store_shows_nothing(self) -> None:
+        """A host that could not read the newer version said 404 as if there were none."""
+        self.host.feed(_events.FeedChanged, feed="routes", up=False)
+        self.wait_for_datagrams(5 * routes.BEHIND_BOUND_S, 3)
+        self.assertIs(self.reason(), ROUTES_BEHIND)
+        self.host.feed(_events.FeedChanged, feed="routes", up=True)
+        self.assertIs(self.reason(), ROUTES_BEHIND)
+        self.host.feed(_events.FeedBehind, feed="routes", missing=1)
+        self.wait_for_datagrams(5 * routes.BEHIND_BOUND_S, 3)
+        self.assertIs(self.reason(), ROUTES_BEHIND)
+        self.host.feed(_events.FeedBehind, feed="routes", missing=0)
+        self.assertIs(self.reason(), ROUTES_BEHIND)
+        self.wait_for_datagrams(routes.BEHIND_BOUND_S + 1.0, 3)
+        self.assertIs(self.reason(), NO_ROUTE)
+
+    def test_first_version_that_a_host_reads_does_not_end_the_belief_in_newer_ones(self) -> None:
+        self.host.state["routes"].table = None
+        self.host.know("b", routes_version=3)
+        self.wait_for_datagrams(2 * routes.BEHIND_BOUND_S, 3)
+        self.assertIs(self.reason(), NO_CONFIGURATION)
+        self.read(2)
+        self.assertIs(self.reason(), ROUTES_BEHIND)
+
+    def test_version_that_was_not_believed_can_be_told_again_once_it_is_read(self) -> None:
+        self.wait_for_datagrams(routes.BEHIND_BOUND_S + 2.0, 4)
+        self.assertIs(self.reason(), NO_ROUTE)
+        self.read(4)
+        self.wait_for_datagrams(1.0, 5)
+        self.assertIs(self.reason(), ROUTES_BEHIND)
+
+
+class TestFleet(unittest.TestCase):
+    """Versions add routes while hosts read them late, and one host tells wrong versions at times.
+
+    No request for a route that a host has heard of the version of is refused for good there.
+    """
+
+    HOSTS = 6
+    STEPS = 80
+
+    def test_hosts_read_late(self) -> None:
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                self.run_fleet(random.Random(seed))
+
+    def run_fleet(self, rng: random.Random) -> None:
+        """Add routes at random, and ask hosts of all ages of news for the newest."""
+        hosts = [Host(name=f"h{number}") for number in range(self.HOSTS)]
+        newest = 1
+        told: dict[str, int] = {}
+        for _ in range(self.STEPS):
+            newest += rng.random() < 0.3
+            for host in hosts:
+                if rng.random() < 0.3:
+                    version = rng.randint(routes.version(host.state), newest)
+                    host.feed(_events.RoutesRead, table=self.version(version))
+                for other in hosts:
+                    name, version = other.state.owner.host, routes.version(other.state)
+                    if other is not host and rng.random() < 0.5:
+                        host.know(name, routes_version=version)
+                        told[host.state.owner.host] = max(
+                            version, told.get(host.state.owner.host, 0)
+                        )
+                if rng.random() < 0.1:
+                    host.know("wrong", routes_version=rng.choice((-5, 0, 1)))
+            for host in hosts:
+                held = routes.version(host.state)
+                wanted = rng.randint(2, max(2, newest))
+                call_id = host.ask(f"added-{wanted}")
+                failure = host.refusal(call_id)
+                if wanted <= held:
+                    self.assertIsNone(failure)
+                    host.answer(call_id)
+                    host.feed(_events.ForwardAnswered, call_id=call_id)
+                    continue
+                is_behind = told.get(host.state.owner.host, 0) > held
+                self.assertIs(failure.reason, ROUTES_BEHIND if is_behind else NO_ROUTE)
+                host.run(0.3)
+
+    def version(self, number: int) -> RouteTable:
+        """Return a version that has a route for itself and for each one before it."""
+        known = table(number)
+        added = tuple(route(SAFE, APP, name=f"added-{one}") for one in range(2, number + 1))
+        return RouteTable(version=number, routes=(*known.routes, *added), services=known.services)
--- a/tools/explained.py
+++ b/tools/explained.py
@@ -18,7 +18,7 @@
 
 REQUEST = re.compile(r"request ([0-9a-f]{16}) ")
 # Reasons for which a request is refused before any endpoint is chosen.
-EARLY_REASONS = ("no_route", "no_configuration", "stopping")
+EARLY_REASONS = ("no_route", "routes_behind", "no_configuration", "stopping")
 
 
 def main() -> int:
