--- a/src/wasabiwick/_handlers/read_turns.py
+++ b/src/wasabiwick/_handlers/read_turns.py
@@ -38,6 +38,11 @@
         self.addresses: tuple[str, ...] = ()
 
 
+def has_turn(state: State) -> bool:
+    """Return whether this host reads at its own pace; otherwise others of its zone tell it."""
+    return state["read_turns"].reads
+
+
 def is_reader(state: State, zone_hosts: typing.Sequence[str]) -> bool:
     """Return whether this host reads for its zone.
 
--- a/src/wasabiwick/_handlers/routes.py
+++ b/src/wasabiwick/_handlers/routes.py
@@ -101,10 +101,12 @@
     `BEHIND_BOUND_S` in all: the version told is wrong then, or the store lost it as it came back
     from a copy. Otherwise one wrong telling would keep callers from all final answers for good.
     """
-    routes_state = state["routes"]
-    if routes_state.unread:
-        return True
-    return routes_state.behind_since is not None and not _is_refuted(state, at)
+    return state["routes"].unread > 0 or is_behind_others(state, at)
+
+
+def is_behind_others(state: State, at: float) -> bool:
+    """Return whether another host has told a newer version, which is still believed."""
+    return state["routes"].behind_since is not None and not _is_refuted(state, at)
 
 
 def _is_refuted(state: State, at: float) -> bool:
