Return the records that came whole before a read of the store broke off

Seen: several versions of a configuration that don't come within one call were read again from the first on after each call that broke off.

Cause: an answer counted as a whole or not at all.

Now a read whose answer stalls, is reset, closed or too long returns a page of the whole records, with `next` behind the last of them and `end` as the store said; without a whole record it fails as before. The line `read_broken_off` tells it. Records of an era before that which another answer named meanwhile are not returned. `kept_records` goes on as long as offsets rise: it took a page whose records all lack a key for the last.

The tests of TestBrokenOff, run on the commit before: all fail but the one that a read without a whole record fails, which guards what must stay. With the old loop of `kept_records` alone, the test of the record without a key fails.

--- a/src/wasabiwick/_keyed_log.py
+++ b/src/wasabiwick/_keyed_log.py
@@ -3,7 +3,8 @@
 import struct
 import typing
 
-from ._topics import HistoryLostError, KeyedRecord
+from ._logging import log_event
+from ._topics import HistoryLostError, KeyedRecord, Page, StoreError
 
 _LENGTH = struct.Struct(">I")  # Length of the record that follows, in bytes.
 _OFFSETS = struct.Struct(">QQ")  # Offsets of the topic's end and of its first kept record.
@@ -15,6 +16,7 @@
     Only the bytes of a record that is still incomplete are kept beside the records.
 
     Args:
+        topic: Name of the topic.
         start: Offset of the first record that was asked for.
         on_end: Function to call with the topic's end offset, before the records have come.
 
@@ -24,21 +26,19 @@
         end: Offset of the topic's end, once it has come.
     """
 
-    __slots__ = ("records", "next", "end", "_start", "_on_end", "_data")
+    __slots__ = ("records", "next", "end", "_topic", "_start", "_on_end", "_data")
 
-    def __init__(self, start: int, on_end: typing.Callable[[int], None] | None = None) -> None:
+    def __init__(
+        self, topic: str, start: int, on_end: typing.Callable[[int], None] | None = None
+    ) -> None:
         self.records: list[KeyedRecord] = []
         self.next = start
         self.end: int | None = None
+        self._topic = topic
         self._start = start
         self._on_end = on_end
         self._data = bytearray()
 
-    @property
-    def is_whole(self) -> bool:
-        """Whether the bytes so far end behind a record, or behind the offsets."""
-        return self.end is not None and not self._data
-
     def receive(self, part: bytes) -> None:
         """Decode the next part of the answer.
 
@@ -59,6 +59,31 @@
                 self._on_end(end)
         self._take_records()
 
+    def page(self, era: int, why: str = "") -> Page:
+        """Return the whole records.
+
+        Args:
+            era: Era of the answer.
+            why: Why the answer broke off; empty if it did not.
+
+        Raises:
+            StoreError: If the answer broke off without a whole record.
+        """
+        if not why and (self.end is None or self._data):
+            why = "unreadable answer: a record is cut short"
+        if why and self.next == self._start:
+            raise StoreError(why)
+        if why:
+            log_event(
+                "read_broken_off",
+                topic=self._topic,
+                start=self._start,
+                next=self.next,
+                end=self.end,
+                why=why,
+            )
+        return Page(records=self.records, next=self.next, era=era, end=self.end)
+
     def _take_records(self) -> None:
         position = 0
         with memoryview(self._data) as data:
--- a/src/wasabiwick/_topics.py
+++ b/src/wasabiwick/_topics.py
@@ -74,12 +74,8 @@
     ) -> Page:
         """Return the records from an offset on, after ``wait`` seconds at most if there are none.
 
-        Args:
-            topic: Name of the topic.
-            start: Offset of the first record.
-            wait: Longest wait for records, in seconds.
-            on_end: Called once with the topic's end, as soon as the answer has said it and before
-                its records have come.
+        An answer that breaks off returns the records before; then ``next`` is below ``end``.
+        ``on_end`` is called once with the offset of the topic's end, before the records have come.
 
         Raises:
             HistoryLostError: If some of these records have been deleted.
@@ -103,8 +99,10 @@
     end = page.end or 0
     records = list(page.records)
     era = page.era
-    while page.next < end and page.records:
-        page = await store.read(topic, page.next, 0.0)
+    read_upto = -1
+    while read_upto < page.next < end:
+        read_upto = page.next
+        page = await store.read(topic, read_upto, 0.0)
         records += page.records
     if page.era != era:
         raise HistoryLostError("the store was restored between two reads")
--- a/src/wasabiwick/platform/_store.py
+++ b/src/wasabiwick/platform/_store.py
@@ -38,6 +38,14 @@
     first: int
 
 
+class _BrokenOffError(StoreError):
+    """No answer, or none to its end; ``era`` is that of its head, if it has one."""
+
+    def __init__(self, message: str, era: int | None) -> None:
+        super().__init__(message)
+        self.era = era
+
+
 class Store:
     """Client of the store.
 
@@ -104,6 +112,8 @@
     ) -> Page:
         """Return the records from an offset on; waits for the first if there are none.
 
+        If the answer breaks off, those before are returned, so that a next read goes on from there.
+
         Args:
             topic: Name of the topic.
             start: Offset of the first record.
@@ -116,11 +126,13 @@
             StoreError: If the store refused the call or gave no usable answer.
         """
         query = {"topic": topic, "part": "0", "from": str(start), "wait-ms": str(int(wait * 1000))}
-        log = LogAnswer(start, on_end)
-        era = await self._call("GET", _names.LOG_READ, query, wait=wait, receive=log.receive)
-        if not log.is_whole:
-            raise StoreError("unreadable answer: a record is cut short")
-        return Page(records=log.records, next=log.next, era=era, end=log.end)
+        log = LogAnswer(topic, start, on_end)
+        try:
+            era = await self._call("GET", _names.LOG_READ, query, wait=wait, receive=log.receive)
+        except _BrokenOffError as exc:
+            self._refuse_older(exc.era)
+            return log.page(exc.era or 0, str(exc))
+        return log.page(era)
 
     async def append(
         self, topic: str, key: str, value: bytes, *, after: int | None = None
@@ -170,6 +182,7 @@
             StoreError: If the store refused the call, or its answer is older than the last restore
                 or not whole.
         """
+        era: int | None = None
         refusal = bytearray()
         try:
             async with self._client.open(method, path, query, body=body, wait=wait) as answer:
@@ -187,7 +200,7 @@
                     receive(part)
                     self.answered_at = time.monotonic()
         except BrokenCallError as exc:
-            raise StoreError(f"no answer from the store: {exc}") from exc
+            raise _BrokenOffError(f"no answer from the store: {exc}", era) from exc
         self._refuse_older(era)
         self.answered_at = time.monotonic()
         return era or 0
--- a/tests/test_store_progress.py
+++ b/tests/test_store_progress.py
@@ -6,7 +6,7 @@
 
 from wasabiwick._errors import Failure
 from wasabiwick._progress_http import CallLimits
-from wasabiwick._topics import StoreError
+from wasabiwick._topics import StoreError, kept_records
 from wasabiwick.platform import _store
 
 from ._processes import until
@@ -193,3 +193,72 @@
         store = await self.store([head() + offsets(1) + record("k", b"v"), SHORT, CLOSE])
         page = await store.read(TOPIC, 0, 0.0)
         self.assertEqual((page.next, page.records[0].value), (1, b"v"))
+
+
+class TestBrokenOff(StoreCase):
+    """A read that breaks off returns the records that came whole, and the next one goes on."""
+
+    async def first_two(self, *rest: Step, **limits: float) -> None:
+        """Check that two whole records are returned, of three, if the answer goes on like this."""
+        body = offsets(3) + record("a", b"1") + record("b", b"2") + record("c", VALUE)[:9]
+        store = await self.store([head(length=10_000) + body, *rest], **limits)
+        page = await store.read(TOPIC, 0, 0.0)
+        self.assertEqual([(one.key, one.offset) for one in page.records], [("a", 0), ("b", 1)])
+        self.assertEqual((page.next, page.end, page.era), (2, 3, 1))
+
+    async def test_records_before_a_stall_are_returned(self) -> None:
+        """Several versions that don't come within one call were read again from the first on."""
+        await self.first_two(LONG, silence=SHORT)
+
+    async def test_records_before_a_reset_are_returned(self) -> None:
+        """A path that breaks connections now and then let no long answer come to its end."""
+        await self.first_two(SHORT, RESET)
+
+    async def test_records_before_a_close_are_returned(self) -> None:
+        """A proxy that ends closes its connections, and does not reset them."""
+        await self.first_two(CLOSE)
+
+    async def test_records_before_the_bound_are_returned(self) -> None:
+        """More records than one answer may bring could never be read."""
+        await self.first_two(SHORT, VALUE, max_bytes=1_000)
+
+    async def test_records_before_a_slow_end_are_returned(self) -> None:
+        """A path that becomes too slow keeps none of what came before."""
+        trickle = [b"v", 0.02] * 1_000
+        await self.first_two(*trickle, speed=1e5, slow_start=SHORT, silence=LONG)
+
+    async def test_read_without_a_whole_record_fails(self) -> None:
+        """An empty page would be taken for no news."""
+        for rest in ((SHORT, RESET), (CLOSE,)):
+            body = offsets(1) + record("a", VALUE)[:-1]
+            for length in (len(body) + 1, None):
+                store = await self.store([head(length=length) + body, *rest])
+                with self.assertRaises(StoreError):
+                    await store.read(TOPIC, 0, 0.0)
+
+    async def test_records_of_an_older_era_are_not_returned(self) -> None:
+        """They would count as those of the era that another answer named meanwhile."""
+        begun, restored = asyncio.Event(), asyncio.Event()
+        slow = [head(length=99) + offsets(2) + record("a", b"1"), restored, CLOSE]
+        store = await self.store(slow, answer(newest("a", end=1), era=2))
+        reading = asyncio.ensure_future(store.read(TOPIC, 0, 0.0, on_end=lambda _: begun.set()))
+        await begun.wait()
+        await store.newest(TOPIC)
+        restored.set()
+        with self.assertRaisesRegex(StoreError, "older than the restored store"):
+            await reading
+
+    async def test_history_is_read_whole_over_answers_that_break_off(self) -> None:
+        """What hosts resume streams by must not lack the entries behind a break."""
+        cut = [head(length=99) + offsets(3) + record("a", b"1"), CLOSE]
+        rest = answer(offsets(3) + record("b", b"2") + record("c", b"3"))
+        store = await self.store(cut, rest)
+        records = await kept_records(store, TOPIC, 0)
+        self.assertEqual([one.offset for one in records], [0, 1, 2])
+
+    async def test_history_is_read_on_behind_a_record_without_a_key(self) -> None:
+        """A page of such records only was taken for the last."""
+        cut = [head(length=99) + offsets(2) + bytes(4), CLOSE]
+        store = await self.store(cut, answer(offsets(2) + record("b", b"2")))
+        records = await kept_records(store, TOPIC, 0)
+        self.assertEqual([one.offset for one in records], [1])
