--- a/tests/test_narrow_store.py
+++ b/tests/test_narrow_store.py
@@ -25,7 +25,9 @@
         readers = [one.served_after for one in members if one.reads]
         listeners = [one.served_after for one in members if not one.reads]
         self.assertEqual((len(readers), len(listeners)), (2, 3))
-        self.assertLess(max(listeners), min(readers))
+        # Those that wait for the readers are served at the same time as these, within an interval
+        # of asking.
+        self.assertLess(max(listeners), min(readers) / 2)
 
 
 async def _run(plan: Plan) -> typing.Sequence[Member]:
