Show whole rates and the gap in the line on a run over narrow paths

A line named a rate of 1,250,000 as 1.25e+06, and not the gap between versions unless it was given, so that two lines could not be told apart.

--- a/tests/_narrow_report.py
+++ b/tests/_narrow_report.py
@@ -38,7 +38,7 @@
 def _inputs(plan: Plan) -> list[str]:
     """Return the options that differ from those of a plain run, and the ones every line has."""
     usual = Plan()._asdict()
-    shown = {"hosts", "zones", "rate", "versions", "seed"}
+    shown = {"hosts", "zones", "rate", "versions", "gap", "seed"}
     return [
         f"{name}={_number(value)}"
         for name, value in plan._asdict().items()
@@ -47,7 +47,8 @@
 
 
 def _number(value: object) -> str:
-    return f"{value:g}" if isinstance(value, float) else str(value)
+    is_whole = isinstance(value, float) and value.is_integer()
+    return f"{value:.0f}" if is_whole else str(value)
 
 
 def _groups(members: typing.Sequence[Member]) -> list[str]:
