Ask again for a page of the newest records that breaks off

Seen: a list of several pages was read again from the first page on whenever one call for a page broke off, so over an unsteady path it could not be read however often the host tried.

Cause: any failure ended the whole read.

Now a page behind the first is asked for again from the key before it, at most twice, if its call broke off within the same era. A refusal by the store ends the read as before, and so does a first page, as nothing is lost with it.

--- a/src/wasabiwick/_topics.py
+++ b/src/wasabiwick/_topics.py
@@ -50,6 +50,14 @@
     """The store refused a call, did not answer it, or gave an unreadable answer."""
 
 
+class BrokenOffError(StoreError):
+    """No answer came, or none to its end; ``era`` is that of its head, if one came with it."""
+
+    def __init__(self, message: str, era: int | None) -> None:
+        super().__init__(message)
+        self.era = era
+
+
 class Topics(typing.Protocol):
     """A store of topics.
 
@@ -72,10 +80,17 @@
         *,
         on_end: typing.Callable[[int], None] | None = None,
     ) -> Page:
-        """Return the records from an offset on, after ``wait`` seconds at most if there are none.
+        """Return the records from an offset on; waits for the first if there are none.
+
+        If the answer breaks off, the whole records before are returned; then ``next`` is below
+        ``end``, and a next read goes on from there.
 
-        An answer that breaks off returns the records before; then ``next`` is below ``end``.
-        ``on_end`` is called once with the offset of the topic's end, before the records have come.
+        Args:
+            topic: Name of the topic.
+            start: Offset of the first record.
+            wait: Longest wait for records, in seconds.
+            on_end: Function to call once with the topic's end offset when the answer has named
+                it, which is before its records have come.
 
         Raises:
             HistoryLostError: If some of these records have been deleted.
--- a/src/wasabiwick/platform/_store.py
+++ b/src/wasabiwick/platform/_store.py
@@ -11,10 +11,11 @@
 from .._errors import LOG_UNAVAILABLE, Failure
 from .._keyed_log import LogAnswer, encode_keyed
 from .._progress_http import BrokenCallError, CallLimits, ProgressClient
-from .._topics import HistoryLostError, KeyedRecord, Page, StoreError
+from .._topics import BrokenOffError, HistoryLostError, KeyedRecord, Page, StoreError
 from .._verdict import Verdict
 from . import _names
 
+PAGE_RETRIES = 2  # Most repetitions of a call for one page, so that those before stay of use.
 ERA_SHIFT = 40  # Bits of an offset; an era counts above them.
 
 
@@ -38,14 +39,6 @@
     first: int
 
 
-class _BrokenOffError(StoreError):
-    """No answer, or none to its end; ``era`` is that of its head, if it has one."""
-
-    def __init__(self, message: str, era: int | None) -> None:
-        super().__init__(message)
-        self.era = era
-
-
 class Store:
     """Client of the store.
 
@@ -85,8 +78,7 @@
             query = {"topic": topic, "part": "0"}
             if after:
                 query["after"] = after
-            body = bytearray()
-            era = await self._call("GET", _names.LOG_NEWEST, query, receive=body.extend)
+            body, era = await self._newest_page(query, PAGE_RETRIES if after else 0)
             try:
                 page = decode_json(body, _Newest)
                 records.extend(map(_decode_item, page.items))
@@ -102,6 +94,18 @@
                 return Page(records=records, next=first_end, era=era)
             after = page.items[-1].key
 
+    async def _newest_page(self, query: dict[str, str], retries: int) -> tuple[bytearray, int]:
+        """Return one page's body and era; repeat a call that broke off within the same era."""
+        known = self.era
+        while True:
+            body = bytearray()
+            try:
+                return body, await self._call("GET", _names.LOG_NEWEST, query, receive=body.extend)
+            except BrokenOffError:
+                if not retries or self.era != known:
+                    raise
+                retries -= 1
+
     async def read(
         self,
         topic: str,
@@ -110,26 +114,12 @@
         *,
         on_end: typing.Callable[[int], None] | None = None,
     ) -> Page:
-        """Return the records from an offset on; waits for the first if there are none.
-
-        If the answer breaks off, those before are returned, so that a next read goes on from there.
-
-        Args:
-            topic: Name of the topic.
-            start: Offset of the first record.
-            wait: Longest wait for records, in seconds.
-            on_end: Function to call with the topic's end offset once the answer has named it,
-                which is before its records have come.
-
-        Raises:
-            HistoryLostError: If some of these records have been deleted.
-            StoreError: If the store refused the call or gave no usable answer.
-        """
+        """Return the records from an offset on, as `Topics.read` does."""
         query = {"topic": topic, "part": "0", "from": str(start), "wait-ms": str(int(wait * 1000))}
         log = LogAnswer(topic, start, on_end)
         try:
             era = await self._call("GET", _names.LOG_READ, query, wait=wait, receive=log.receive)
-        except _BrokenOffError as exc:
+        except BrokenOffError as exc:
             self._refuse_older(exc.era)
             return log.page(exc.era or 0, str(exc))
         return log.page(era)
@@ -200,7 +190,7 @@
                     receive(part)
                     self.answered_at = time.monotonic()
         except BrokenCallError as exc:
-            raise _BrokenOffError(f"no answer from the store: {exc}", era) from exc
+            raise BrokenOffError(f"no answer from the store: {exc}", era) from exc
         self._refuse_older(era)
         self.answered_at = time.monotonic()
         return era or 0
--- a/tests/test_store_progress.py
+++ b/tests/test_store_progress.py
@@ -262,3 +262,47 @@
         store = await self.store(cut, answer(offsets(2) + record("b", b"2")))
         records = await kept_records(store, TOPIC, 0)
         self.assertEqual([one.offset for one in records], [1])
+
+
+class TestPages(StoreCase):
+    """A page of the newest records that does not come is asked for again, and not those before."""
+
+    first = answer(newest("a", end=2, more=True))
+    last = answer(newest("b", end=2))
+    cut: list[Step] = [head(length=99) + b"{", CLOSE]
+
+    async def test_page_that_breaks_off_is_read_again(self) -> None:
+        """A list of many pages began again with each connection that broke."""
+        store = await self.store(self.first, self.cut, self.cut, self.last)
+        page = await store.newest(TOPIC)
+        self.assertEqual([one.key for one in page.records], ["a", "b"])
+        self.assertEqual(["after=a" in call for call in self.server.calls], [False] + 3 * [True])
+
+    async def test_page_is_not_read_again_without_end(self) -> None:
+        """The caller would never learn that the store is lost, and each call has its price."""
+        store = await self.store(self.first, self.cut, self.cut, self.cut, self.last)
+        with self.assertRaises(StoreError):
+            await store.newest(TOPIC)
+        self.assertEqual(len(self.server.calls), 4)
+
+    async def test_first_page_is_not_read_again(self) -> None:
+        """Nothing is lost with it, and its caller waits before it tries again."""
+        store = await self.store(self.cut, self.first, self.last)
+        with self.assertRaises(StoreError):
+            await store.newest(TOPIC)
+        self.assertEqual(len(self.server.calls), 1)
+
+    async def test_page_that_the_store_refuses_is_not_read_again(self) -> None:
+        """A store that turns calls away must not get more of them."""
+        store = await self.store(self.first, answer(b"", status=429), self.last)
+        with self.assertRaises(StoreError):
+            await store.newest(TOPIC)
+        self.assertEqual(len(self.server.calls), 2)
+
+    async def test_page_is_not_read_again_from_a_restored_store(self) -> None:
+        """The pages before are of another era."""
+        cut = [head(length=99, era=2) + b"{", CLOSE]
+        store = await self.store(self.first, cut, answer(newest("b", end=2), era=2))
+        with self.assertRaises(StoreError):
+            await store.newest(TOPIC)
+        self.assertEqual(len(self.server.calls), 2)
