Use no connection to the store from before a silence

Callers got 503 routes_behind, and 404 before, for 3.8 to 6.8 s from hosts whose path to the store had gone silent for the connections that were open, though new ones worked.

Cause: connections are kept open for later calls. A path that goes silent takes them all with it, and each later call tried one of them, a second each.

Once a call has met with silence, later calls take a new pool of connections; calls in progress end on the pool that they began with, which is closed after the last one.

test_no_later_call_uses_a_connection_from_before_the_silence failed before (3 connections in place of 4, and the call after the silent one was silent too). The other test guards calls in progress on the pool that is replaced.

--- a/src/wasabiwick/_progress_http.py
+++ b/src/wasabiwick/_progress_http.py
@@ -57,6 +57,10 @@
     """A call failed or made no progress; the text names its phase, bytes received and seconds."""
 
 
+class _SilentCallError(BrokenCallError):
+    """Nothing came on the call's connection for too long."""
+
+
 class Answer:
     """An answer whose head has come, and whose body is read part by part.
 
@@ -112,8 +116,9 @@
             if not part:
                 self._check_end()
         except TimeoutError as exc:
-            why = "too slow" if self._slow_at < self._silent_at else "silent"
-            raise self._broken(why) from exc
+            if self._slow_at < self._silent_at:
+                raise self._broken("too slow") from exc
+            raise self._broken("silent", _SilentCallError) from exc
         except (aiohttp.ClientError, OSError) as exc:
             raise self._broken(_text(exc)) from exc
         now = asyncio.get_running_loop().time()
@@ -126,24 +131,39 @@
         self._silent_at = now + limits.silence
         return part
 
-    def _broken(self, why: str) -> BrokenCallError:
-        return _broken("body", why, self.received, self._began)
+    def _broken(self, why: str, kind: type[BrokenCallError] = BrokenCallError) -> BrokenCallError:
+        return _broken("body", why, self.received, self._began, kind)
+
+
+class _Pool:
+    """Connections that calls share, and the number of calls in progress on them."""
+
+    __slots__ = ("session", "calls")
+
+    def __init__(self) -> None:
+        connector = aiohttp.TCPConnector(limit=0, socket_factory=keepalive_socket)
+        self.session = aiohttp.ClientSession(connector=connector)
+        self.calls = 0
 
 
 class ProgressClient:
     """Client of one server.
 
+    A path that goes silent takes all its connections with it. So once a call has met with silence,
+    no later one uses a connection from before.
+
     Args:
         url: Base URL.
         limits: What bounds a call.
     """
 
-    __slots__ = ("_url", "_limits", "_session")
+    __slots__ = ("_url", "_limits", "_pool", "_pools")
 
     def __init__(self, url: str, limits: CallLimits) -> None:
         self._url = url
         self._limits = limits
-        self._session: aiohttp.ClientSession | None = None
+        self._pool: _Pool | None = None  # For new calls.
+        self._pools: set[_Pool] = set()
 
     @contextlib.asynccontextmanager
     async def open(
@@ -169,34 +189,64 @@
         Raises:
             BrokenCallError: If no connection was established, or no head came.
         """
-        limits = self._limits
-        if self._session is None:
-            connector = aiohttp.TCPConnector(limit=0, socket_factory=keepalive_socket)
-            self._session = aiohttp.ClientSession(connector=connector)
         began = asyncio.get_running_loop().time()
-        due = began + wait + limits.first_byte + len(body or b"") / limits.speed
-        timeout = aiohttp.ClientTimeout(sock_connect=limits.connect)
+        due = began + wait + self._limits.first_byte + len(body or b"") / self._limits.speed
+        async with self._pooled() as session:
+            resp = await self._send(session, method, path, query, body, began=began, due=due)
+            try:
+                yield Answer(resp, self._limits, began=began, due=due)
+            finally:
+                # One that was read to its end has given its connection back, which stays open.
+                resp.close()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for pool in self._pools:
+            await pool.session.close()
+
+    @contextlib.asynccontextmanager
+    async def _pooled(self) -> typing.AsyncIterator[aiohttp.ClientSession]:
+        """Lend the pool of connections to a call, and replace it if the call meets with silence."""
+        if self._pool is None:
+            self._pool = _Pool()
+            self._pools.add(self._pool)
+        pool = self._pool
+        pool.calls += 1
+        try:
+            yield pool.session
+        except _SilentCallError:
+            if self._pool is pool:
+                self._pool = None
+            raise
+        finally:
+            pool.calls -= 1
+            if pool is not self._pool and not pool.calls:
+                self._pools.discard(pool)
+                await pool.session.close()
+
+    async def _send(
+        self,
+        session: aiohttp.ClientSession,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        body: bytes | None,
+        *,
+        began: float,
+        due: float,
+    ) -> aiohttp.ClientResponse:
+        timeout = aiohttp.ClientTimeout(sock_connect=self._limits.connect)
         try:
             async with asyncio.timeout_at(due):
-                resp = await self._session.request(
+                return await session.request(
                     method, self._url + path, params=query, data=body, timeout=timeout
                 )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             raise _broken("connect", _text(exc), 0, began) from exc
         except TimeoutError as exc:
-            raise _broken("first byte", "silent", 0, began) from exc
+            raise _broken("first byte", "silent", 0, began, _SilentCallError) from exc
         except (aiohttp.ClientError, OSError) as exc:
             raise _broken("first byte", _text(exc), 0, began) from exc
-        try:
-            yield Answer(resp, limits, began=began, due=due)
-        finally:
-            # One that was read to its end has given its connection back, which stays open.
-            resp.close()
-
-    async def close(self) -> None:
-        """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
 
 
 def reset_check(resp: aiohttp.ClientResponse) -> typing.Callable[[], None]:
@@ -221,6 +271,12 @@
     return str(exc) or type(exc).__name__
 
 
-def _broken(phase: str, why: str, received: int, began: float) -> BrokenCallError:
+def _broken(
+    phase: str,
+    why: str,
+    received: int,
+    began: float,
+    kind: type[BrokenCallError] = BrokenCallError,
+) -> BrokenCallError:
     seconds = asyncio.get_running_loop().time() - began
-    return BrokenCallError(f"{phase}: {why}, {received} bytes in {seconds:.2f} s")
+    return kind(f"{phase}: {why}, {received} bytes in {seconds:.2f} s")
--- a/tests/test_store_progress.py
+++ b/tests/test_store_progress.py
@@ -116,6 +116,53 @@
         self.assertEqual(self.server.connections, 1)
 
 
+class TestSilentPath(StoreCase):
+    """A path that goes silent costs each caller one call."""
+
+    async def store_with_idle_connections(self) -> _store.Store:
+        """Return the client of a store with three idle connections that have gone silent."""
+        waiting, ready = asyncio.Event(), answer(newest("a", end=1))
+        store = await self.store(*([waiting, *ready],) * 3, [LONG], ready, ready, ready)
+        calls = [asyncio.ensure_future(store.newest(TOPIC)) for _ in range(3)]
+
+        async def are_open() -> bool:
+            return len(self.server.calls) == 3
+
+        await until(are_open)
+        waiting.set()
+        await asyncio.gather(*calls)
+        return store
+
+    async def test_no_later_call_uses_a_connection_from_before_the_silence(self) -> None:
+        """Each of the connections that were kept open cost another call, one after the other."""
+        store = await self.store_with_idle_connections()
+        self.limit_first_byte(store)
+        with self.assertRaisesRegex(StoreError, "silent"):
+            await store.newest(TOPIC)
+        await store.newest(TOPIC)
+        self.assertEqual(self.server.connections, 4)
+
+    async def test_calls_in_progress_on_a_connection_from_before_end_as_they_are(self) -> None:
+        """Closing what is in use would cut answers that still come."""
+        begun, ended = asyncio.Event(), asyncio.Event()
+        body = offsets(1) + record("k", b"v")
+        slow = [head(length=len(body)) + body[:-1], ended, body[-1:]]
+        store = await self.store(slow, [LONG], answer(newest("a", end=1)))
+        reading = asyncio.ensure_future(store.read(TOPIC, 0, 0.0, on_end=lambda _: begun.set()))
+        await begun.wait()
+        self.limit_first_byte(store)
+        with self.assertRaisesRegex(StoreError, "silent"):
+            await store.newest(TOPIC)
+        await store.newest(TOPIC)
+        ended.set()
+        self.assertEqual((await reading).records[0].value, b"v")
+        self.assertEqual(len(store._client._pools), 1)
+
+    def limit_first_byte(self, store: _store.Store) -> None:
+        """Let later calls give up soon."""
+        store._client._limits.first_byte = SHORT
+
+
 class TestPassedOn(StoreCase):
     """What an answer says is passed on as soon as it is known to count."""
 
