Read of the saved streams only what was saved since the last read

A caller that takes up a stream of which its host was not told waits up to 0.8 s until the host has read what all hosts saved. Each such read fetched the newest record of every host, however little had changed, and began again at its first record if it broke off. With 349 hosts of 250 streams that is 5.2 MB for each read, more than a path of 10 Mbit/s carries in 0.8 s, so that callers are refused with `build_unknown` while reads fill the path.

The host now keeps what it decoded for 30 s, and reads the log from there; the list of all newest records is read the first time, once the store was restored or has deleted the records, and where the log since then is likely longer than the list, as each save repeats all streams of its host. What a read that broke off has fetched counts for the next. Reads of a topic follow each other, and each begins after it was asked for, so what callers rely on stays: the result is at least as new as the question. A read that takes longer than a caller waits goes on as before, and its result is used.

--- a/src/wasabiwick/_saved_codec.py
+++ b/src/wasabiwick/_saved_codec.py
@@ -16,7 +16,7 @@
     encode_crashes,
     encode_sound,
 )
-from ._forwarding import Findings, SavedBuilds
+from ._forwarding import BegunStream, Findings, SavedBuilds
 from ._ports import SavedStreams
 
 MS_PER_S = 1000.0
@@ -82,23 +82,40 @@
     return msgspec.json.encode(record)
 
 
-def decode_streams_record(value: bytes) -> StreamsRecord:
-    """Decode the streams that an entry host saved.
+class HostStreams:
+    """What a host saved: its record without rows of streams, and these streams."""
+
+    __slots__ = ("record", "streams")
+
+    def __init__(self, *, record: StreamsRecord, streams: tuple[BegunStream, ...]) -> None:
+        self.record = record
+        self.streams = streams
+
+
+def decode_streams_record(value: bytes, now: float) -> HostStreams:
+    """Decode the streams that an entry host saved; ``now`` is monotonic time.
 
     Raises:
         msgspec.MsgspecError: If the value is not a valid record.
     """
-    return decode(_STREAMS, value)
+    record = decode(_STREAMS, value)
+    streams = decode_streams(record.streams, now - _passed(record))
+    record.streams = []  # They take more memory as rows.
+    return HostStreams(record=record, streams=streams)
+
+
+def _passed(record: StreamsRecord) -> float:
+    """Return the seconds since a record was saved."""
+    return max(0.0, time.time() - record.saved_ms / MS_PER_S)
 
 
-def add_streams(saved: SavedStreams, host: str, record: StreamsRecord, now: float) -> None:
-    """Add the streams that a host saved to those of other hosts; ``now`` is monotonic time.
+def add_streams(saved: SavedStreams, host: str, found: HostStreams) -> None:
+    """Add the streams that a host saved to those of other hosts.
 
     Of two records of a host, the builds of the younger one count.
     """
-    passed = max(0.0, time.time() - record.saved_ms / MS_PER_S)
-    streams = decode_streams(record.streams, now - passed)
-    saved.streams[host] = saved.streams.get(host, ()) + streams
+    record, passed = found.record, _passed(found.record)
+    saved.streams[host] = saved.streams.get(host, ()) + found.streams
     saved.builds.append(decode_ages(record.builds, passed))
     if host in saved.saved and saved.saved[host].age <= passed:
         return
--- a/src/wasabiwick/platform/_feeds.py
+++ b/src/wasabiwick/platform/_feeds.py
@@ -1,7 +1,5 @@
 """Posts routes and endpoints from the store as events, and keeps the register of hosts there."""
 
-import asyncio
-
 import msgspec
 
 from .. import _saved_codec
@@ -12,6 +10,7 @@
 from .._hosts_codec import HostRecord, decode_host
 from .._logging import log_event
 from .._ports import SavedStreams
+from .._saved_streams import SavedStreamsReader
 from .._topics import HistoryLostError, KeyedRecord, Page, StoreError, kept_records
 from . import _names, _records
 from ._store import Store, store_failure
@@ -83,10 +82,12 @@
         store: Client of the store.
     """
 
-    __slots__ = ("_store",)
+    __slots__ = ("_store", "_streams")
 
     def __init__(self, store: Store) -> None:
         self._store = store
+        topics = (_names.STREAMS_TOPIC, _names.SPARE_STREAMS_TOPIC)
+        self._streams = SavedStreamsReader(store, topics)
 
     async def announce(self, host: str, record: HostRecord) -> Failure | None:
         """Register a host."""
@@ -138,20 +139,10 @@
 
         With ``history``, the entries of the list of endpoints since the earliest save are added.
         """
-        topics = (_names.STREAMS_TOPIC, _names.SPARE_STREAMS_TOPIC)
         try:
-            pages = await asyncio.gather(*map(self._store.newest, topics))
+            saved = await self._streams.read(now)
         except (StoreError, HistoryLostError) as exc:
             return store_failure(exc)
-        # Records read before a restore name an earlier era, too.
-        saved = SavedStreams(streams={}, builds=[], saved={}, era=max(page.era for page in pages))
-        for one in (record for page in pages for record in page.records):
-            try:
-                record = _saved_codec.decode_streams_record(one.value or b"")
-            except msgspec.MsgspecError as exc:
-                log_event("streams_unreadable", level="WARNING", host=one.key, error=str(exc))
-                continue
-            _saved_codec.add_streams(saved, one.key, record, now)
         if history and saved.saved:
             try:
                 kept = await kept_records(self._store, _names.SERVERS_TOPIC, saved.listed_upto)
