Read the list's history only as far back as a host's save is believed

A host that starts reads the entries of the list of endpoints since the earliest save of any host, to find builds that were used unsaved. What a host saved last stays in the store for good, also once the host is gone. So from then on each start of any host read all the history that the store keeps, 300 s of it on the users' platform, before it knew any saved stream; if that broke off, it began again. Of what was read, only entries since saves of at most 150 s (`MAX_SAVED_AGE_S`) ago are used.

The history is now read since the earliest of these saves, and not at all if there is none. The bound moves to where both the port and the handler can import it.

--- a/src/wasabiwick/_forwarding.py
+++ b/src/wasabiwick/_forwarding.py
@@ -450,6 +450,10 @@
         self.began = began
 
 
+# What a host saved is believed for this long; a running host saves more often.
+MAX_SAVED_AGE_S = 150.0
+
+
 class SavedBuilds(Record):
     """The builds at which a host's streams may have begun, as the host saved them.
 
--- a/src/wasabiwick/_handlers/builds.py
+++ b/src/wasabiwick/_handlers/builds.py
@@ -23,7 +23,7 @@
 
 from .._effects import LogLine
 from .._events import EndpointsRead, ForwarderBooted, LoadTold
-from .._forwarding import DECODE, BegunStream, Listing, SavedBuilds
+from .._forwarding import DECODE, MAX_SAVED_AGE_S, BegunStream, Listing, SavedBuilds
 from .._reducer import Step, handles
 from .._settings import Settings
 from .._state import State, state_slice
@@ -38,8 +38,6 @@
 # A build that could not be saved for this long is used all the same: the store is slow or down, and
 # the engines of other builds may have left.
 SAVE_PATIENCE_S = 3.0
-# What a host saved is believed for this long; a running host saves more often.
-MAX_SAVED_AGE_S = 150.0
 # Stands for builds that aren't known, where those are named that were lost. No endpoint states it,
 # so a host of an earlier version that knows of no other build refuses the stream, too.
 UNKNOWN_BUILD = "?"
--- a/src/wasabiwick/_ports/neighbours.py
+++ b/src/wasabiwick/_ports/neighbours.py
@@ -4,7 +4,7 @@
 
 from .._effects_forwarding import AnswerPermit, AskPermit, SaveStreams, TellLoad
 from .._errors import Failure
-from .._forwarding import BegunStream, Findings, Listing, SavedBuilds
+from .._forwarding import MAX_SAVED_AGE_S, BegunStream, Findings, Listing, SavedBuilds
 from .._hosts_codec import HostRecord
 from .._read_turns import ToldPage
 from .._wire import Owner
@@ -57,11 +57,15 @@
         self.history: tuple[Listing, ...] = ()
 
     @property
-    def listed_upto(self) -> int:
-        """Earliest position up to which a host had read the list of endpoints when it saved."""
+    def listed_upto(self) -> int | None:
+        """Earliest position up to which a host had read the list of endpoints when it saved.
+
+        None if no host has saved anything that is believed.
+        """
+        believed = [one for one in self.saved.values() if one.age <= MAX_SAVED_AGE_S]
         return min(
-            (one.listed_upto or 0 if one.era == self.era else 0 for one in self.saved.values()),
-            default=0,
+            (one.listed_upto or 0 if one.era == self.era else 0 for one in believed),
+            default=None,
         )
 
 
--- a/src/wasabiwick/platform/_feeds.py
+++ b/src/wasabiwick/platform/_feeds.py
@@ -137,15 +137,17 @@
     async def saved_streams(self, now: float, *, history: bool = False) -> SavedStreams | Failure:
         """Return the streams that each host saved last, in either topic.
 
-        With ``history``, the entries of the list of endpoints since the earliest save are added.
+        With ``history``, the entries of the list of endpoints are added that were written since the
+        earliest save that is still believed.
         """
         try:
             saved = await self._streams.read(now)
         except (StoreError, HistoryLostError) as exc:
             return store_failure(exc)
-        if history and saved.saved:
+        start = saved.listed_upto
+        if history and start is not None:
             try:
-                kept = await kept_records(self._store, _names.SERVERS_TOPIC, saved.listed_upto)
+                kept = await kept_records(self._store, _names.SERVERS_TOPIC, start)
             except (StoreError, HistoryLostError) as exc:
                 return store_failure(exc)
             saved.history = tuple(map(_decode_listing, kept))
--- a/tests/test_saved_streams.py
+++ b/tests/test_saved_streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 import unittest
 from unittest import mock
 
@@ -15,6 +16,7 @@
 from ._platform import MODEL, TOPIC_PREFIX
 
 TOPIC, SPARE = TOPIC_PREFIX + "streams", TOPIC_PREFIX + "streams-spare"
+SERVERS = TOPIC_PREFIX + "servers"
 HOSTS = 20
 PAGE_RECORDS = 4  # Most records in one page of a log.
 
@@ -34,19 +36,20 @@
     def __init__(self) -> None:
         self.era = 0
         self.answered_at = 0.0
-        self.logs: dict[str, list[tuple[str, bytes | None]]] = {TOPIC: [], SPARE: []}
-        self.first: dict[str, int] = {TOPIC: 0, SPARE: 0}
+        topics = (TOPIC, SPARE, SERVERS)
+        self.logs: dict[str, list[tuple[str, bytes | None]]] = {topic: [] for topic in topics}
+        self.first = dict.fromkeys(topics, 0)
         self.read_count = 0
         self.lists = 0
         self.failing_in: int | None = None
         self.held: asyncio.Event | None = None
-        self.open_calls = {TOPIC: 0, SPARE: 0}
+        self.open_calls = dict.fromkeys(topics, 0)
         self.most_open = 0
 
-    def save(self, host: str, stream: str, *, topic: str = TOPIC) -> None:
+    def save(self, host: str, stream: str, *, topic: str = TOPIC, **fields: int) -> None:
         """Save one stream of a host."""
         record = {"saved_ms": 0, "streams": [[stream, MODEL, "v1", 5]], "builds": {}}
-        self.logs[topic].append((host, msgspec.json.encode(record)))
+        self.logs[topic].append((host, msgspec.json.encode(record | fields)))
 
     async def newest(self, topic: str) -> Page:
         await self._wait(topic)
@@ -170,6 +173,27 @@
         self.assertEqual(self.topics.lists, 2)
 
 
+class TestHistory(SavedStreamsTest):
+    """The list's history is read as far back as a host's save is believed."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.topics.logs[SERVERS] += [("left", None) for _ in range(40)]
+
+    async def test_history_is_not_read_from_the_save_of_a_host_that_left(self) -> None:
+        """What a host that is gone for good saved last made each start read all the history."""
+        self.topics.save("recent", "t", saved_ms=int(time.time() * 1000), listed_upto=30, era=0)
+        self.topics.read_count = 0
+        saved = await self.register.saved_streams(0.0, history=True)
+        self.assertEqual([one.offset for one in saved.history], list(range(30, 40)))
+        self.assertEqual(self.topics.read_count, HOSTS + 1 + 10)
+
+    async def test_no_history_is_read_where_no_save_is_believed(self) -> None:
+        self.topics.read_count = 0
+        saved = await self.register.saved_streams(0.0, history=True)
+        self.assertEqual((saved.history, self.topics.read_count), ((), HOSTS))
+
+
 class TestTruth(SavedStreamsTest):
     """What is read is what the store held when the read began, or newer."""
 
