Let a read of hosts or of saved streams go on when it is asked for again

Each host that starts, and each hop that fails, is a reason to read the list of hosts, at most once a second. The task of the read before was cancelled then, so that a read of more than a second began again at its first byte for as long as hosts went on starting; the list of 349 hosts has 80 kB, which takes that long on a path that carries other reads, too. A read of the saved streams was cancelled likewise if it was repeated after an error in a handler, 3 s later.

A read now goes on when its caller is cancelled. Calls that come meanwhile share the read that follows it, which fetches only what has changed since, so that what they get is not older than they are. The list of hosts is read in the same way as the saved streams: by what was added, for 30 s after a read.

Both new tests, a list of hosts and saved streams that are asked for four times while one read is under way, failed before: four reads of all records were begun.

--- a/src/wasabiwick/_topic_copy.py
+++ b/src/wasabiwick/_topic_copy.py
@@ -30,7 +30,8 @@
         "_topic",
         "_decode",
         "_rate",
-        "_lock",
+        "_current_read",
+        "_next_read",
         "_kept",
         "_next",
         "_era",
@@ -50,7 +51,8 @@
         self._topic = topic
         self._decode = decode
         self._rate = rate
-        self._lock = asyncio.Lock()
+        self._current_read: asyncio.Task | None = None
+        self._next_read: asyncio.Task | None = None
         self._kept: dict[str, tuple[int, Value | None]] = {}  # Offset and value, by key.
         self._next: int | None = None
         self._era = 0
@@ -60,7 +62,8 @@
     async def read(self, now: float) -> tuple[dict[str, Value], int]:
         """Return the value of each key, and the store's era.
 
-        They are at least as new as this call. Calls wait for each other.
+        They are at least as new as this call. One read is under way at a time; calls that come
+        meanwhile share the next. A read goes on if its callers are cancelled.
 
         Args:
             now: Monotonic time.
@@ -69,15 +72,22 @@
             HistoryLostError: If the store was restored meanwhile.
             StoreError: If the store refused a call or gave no usable answer.
         """
-        async with self._lock:
-            if self._expiry is not None:
-                self._expiry.cancel()
-            try:
-                await self._update(now)
-            finally:
-                self._expiry = asyncio.get_running_loop().call_later(KEEP_S, self._forget)
-            found = {key: value for key, (_, value) in self._kept.items() if value is not None}
-            return found, self._era
+        if self._next_read is None:
+            self._next_read = asyncio.create_task(self._read(self._current_read, now))
+        return await asyncio.shield(self._next_read)
+
+    async def _read(self, current: asyncio.Task | None, now: float) -> tuple[dict[str, Value], int]:
+        if current is not None:
+            await asyncio.wait({current})
+        self._current_read, self._next_read = self._next_read, None
+        if self._expiry is not None:
+            self._expiry.cancel()
+        try:
+            await self._update(now)
+        finally:
+            self._expiry = asyncio.get_running_loop().call_later(KEEP_S, self._expire)
+        found = {key: value for key, (_, value) in self._kept.items() if value is not None}
+        return found, self._era
 
     async def _update(self, now: float) -> None:
         start, era, gap = self._next, self._era, now - self._read_at
@@ -116,5 +126,9 @@
                 value = None if record.value is None else self._decode(record)
                 self._kept[record.key] = (record.offset, value)
 
+    def _expire(self) -> None:
+        self._current_read = None  # It has ended, and holds its result.
+        self._forget()
+
     def _forget(self) -> None:
         self._kept, self._next = {}, None
--- a/src/wasabiwick/platform/_feeds.py
+++ b/src/wasabiwick/platform/_feeds.py
@@ -1,5 +1,7 @@
 """Posts routes and endpoints from the store as events, and keeps the register of hosts there."""
 
+import time
+
 import msgspec
 
 from .. import _saved_codec
@@ -11,6 +13,7 @@
 from .._logging import log_event
 from .._ports import SavedStreams
 from .._saved_streams import SavedStreamsReader
+from .._topic_copy import TopicCopy
 from .._topics import HistoryLostError, KeyedRecord, Page, StoreError, kept_records
 from . import _names, _records
 from ._store import Store, store_failure
@@ -22,6 +25,7 @@
 # Pause between two reads of findings. It bounds the reads of a large fleet whose hosts all find
 # something at once.
 FINDINGS_PAUSE_S = 0.5
+ANNOUNCEMENTS_PER_S = 100.0  # Most registrations of all hosts together.
 
 
 def decode_routes(at: float, page: Page, has_all_keys: bool) -> RoutesRead | None:
@@ -73,6 +77,14 @@
     return FindingsRead(at=at, findings=tuple(found), whole=has_all_keys)
 
 
+def _decode_host(record: KeyedRecord) -> HostRecord | None:
+    try:
+        return decode_host(record.value or b"")
+    except msgspec.MsgspecError as exc:
+        log_event("host_unreadable", level="WARNING", host=record.key, error=str(exc))
+        return None
+
+
 class StoreHostRegister:
     """What entry hosts keep in the store: addresses, findings, and claims to order stage changes.
 
@@ -82,12 +94,15 @@
         store: Client of the store.
     """
 
-    __slots__ = ("_store", "_streams")
+    __slots__ = ("_store", "_streams", "_hosts")
 
     def __init__(self, store: Store) -> None:
         self._store = store
         topics = (_names.STREAMS_TOPIC, _names.SPARE_STREAMS_TOPIC)
         self._streams = SavedStreamsReader(store, topics)
+        self._hosts = TopicCopy(
+            store=store, topic=_names.HOSTS_TOPIC, decode=_decode_host, rate=ANNOUNCEMENTS_PER_S
+        )
 
     async def announce(self, host: str, record: HostRecord) -> Failure | None:
         """Register a host."""
@@ -116,15 +131,9 @@
     async def hosts(self) -> dict[str, HostRecord] | Failure:
         """Return the record of every host that ever registered, by name."""
         try:
-            page = await self._store.newest(_names.HOSTS_TOPIC)
+            found, _ = await self._hosts.read(time.monotonic())
         except (StoreError, HistoryLostError) as exc:
             return store_failure(exc)
-        found = {}
-        for record in page.records:
-            try:
-                found[record.key] = decode_host(record.value or b"")
-            except msgspec.MsgspecError as exc:
-                log_event("host_unreadable", level="WARNING", host=record.key, error=str(exc))
         return found
 
     async def save_streams(self, host: str, effect: SaveStreams, now: float) -> Failure | None:
--- a/tests/test_saved_streams.py
+++ b/tests/test_saved_streams.py
@@ -16,7 +16,7 @@
 from ._platform import MODEL, TOPIC_PREFIX
 
 TOPIC, SPARE = TOPIC_PREFIX + "streams", TOPIC_PREFIX + "streams-spare"
-SERVERS = TOPIC_PREFIX + "servers"
+SERVERS, HOSTS_TOPIC = TOPIC_PREFIX + "servers", TOPIC_PREFIX + "hosts"
 HOSTS = 20
 PAGE_RECORDS = 4  # Most records in one page of a log.
 
@@ -26,7 +26,7 @@
 
     Attributes:
         read_count: Number of records that answers held.
-        lists: Number of reads of the newest record of each key.
+        lists: Number of reads begun of the newest record of each key, by topic.
         failing_in: Reads of a log after which one fails; None for no failure.
         held: Answers wait for it, if it is not None.
         open_calls: Number of calls that wait for their answer, by topic.
@@ -36,11 +36,11 @@
     def __init__(self) -> None:
         self.era = 0
         self.answered_at = 0.0
-        topics = (TOPIC, SPARE, SERVERS)
+        topics = (TOPIC, SPARE, SERVERS, HOSTS_TOPIC)
         self.logs: dict[str, list[tuple[str, bytes | None]]] = {topic: [] for topic in topics}
         self.first = dict.fromkeys(topics, 0)
         self.read_count = 0
-        self.lists = 0
+        self.lists = dict.fromkeys(topics, 0)
         self.failing_in: int | None = None
         self.held: asyncio.Event | None = None
         self.open_calls = dict.fromkeys(topics, 0)
@@ -52,14 +52,13 @@
         self.logs[topic].append((host, msgspec.json.encode(record | fields)))
 
     async def newest(self, topic: str) -> Page:
+        self.lists[topic] += 1
         await self._wait(topic)
         records = [
             KeyedRecord(key=key, value=value, offset=offset)
             for key, (offset, value) in self.newest_of(topic).items()
             if value is not None
         ]
-        if topic == TOPIC:
-            self.lists += 1
         self.read_count += len(records)
         return Page(records=records, next=len(self.logs[topic]), era=self.era)
 
@@ -145,7 +144,34 @@
         """A read begun beside one that is under way makes both slower."""
         await asyncio.gather(*(self.read(0.0) for _ in range(3)))
         self.assertEqual(self.topics.most_open, 1)
-        self.assertEqual(self.topics.lists, 1)
+        self.assertEqual(self.topics.lists[TOPIC], 1)
+
+    async def test_read_goes_on_though_it_is_asked_for_again(self) -> None:
+        """A read that was repeated while it took long began again, and never ended."""
+        self.topics.held = asyncio.Event()
+        reads = [asyncio.create_task(self.read(0.0))]
+        for _ in range(3):
+            await asyncio.sleep(0.001)
+            reads[-1].cancel()
+            reads.append(asyncio.create_task(self.read(0.0)))
+        self.topics.held.set()
+        self.assertEqual(await reads[-1], self.truth)
+        self.assertEqual(self.topics.lists[TOPIC], 1)
+
+    async def test_list_of_hosts_is_read_though_hosts_go_on_starting(self) -> None:
+        """Each host that starts is a reason to read the list again, which ended the read before."""
+        record = {"address": "127.0.0.1:1", "zone": "zone-a"}
+        self.topics.logs[HOSTS_TOPIC].append(("h-0", msgspec.json.encode(record)))
+        self.topics.held = asyncio.Event()
+        reads = [asyncio.create_task(self.register.hosts())]
+        for number in range(1, 4):
+            await asyncio.sleep(0.001)
+            reads[-1].cancel()
+            self.topics.logs[HOSTS_TOPIC].append((f"h-{number}", msgspec.json.encode(record)))
+            reads.append(asyncio.create_task(self.register.hosts()))
+        self.topics.held.set()
+        self.assertEqual(set(await reads[-1]), {f"h-{number}" for number in range(4)})
+        self.assertEqual(self.topics.lists[HOSTS_TOPIC], 1)
 
     async def test_list_is_read_where_the_log_since_then_is_longer(self) -> None:
         await self.read(0.0)
@@ -170,7 +196,7 @@
             await self.read(0.0)
         await asyncio.sleep(0.01)
         self.assertEqual(await self.read(0.1), self.truth)
-        self.assertEqual(self.topics.lists, 2)
+        self.assertEqual(self.topics.lists[TOPIC], 2)
 
 
 class TestHistory(SavedStreamsTest):
