Read the list of saved streams again only where the log is longer

Whether the log since the last read is shorter than the list of the newest records was estimated, at first by the most saves that hosts make. After a first read that took long, over a narrow path, the second read therefore fetched the whole list again: of 349 hosts over 1,250 kB/s, 4.6 s twice.

The log's answer names its end before its first record. Where more records were appended than there are keys, the read is left there and then, and the list is read; otherwise the log is. The estimate is gone.

--- a/src/wasabiwick/_saved_streams.py
+++ b/src/wasabiwick/_saved_streams.py
@@ -11,8 +11,6 @@
 from ._topic_copy import TopicCopy
 from ._topics import KeyedRecord, Topics
 
-SAVES_PER_S = 100.0  # Most saves by all hosts together, as `builds_saving` bounds them.
-
 
 class SavedStreamsReader:
     """Reads what each host saved last, and keeps it for a while to read only what has changed.
@@ -27,8 +25,7 @@
     def __init__(self, store: Topics, topics: tuple[str, ...]) -> None:
         self._clock_offset = 0.0
         self._copies = [
-            TopicCopy(store=store, topic=topic, decode=self._decode, rate=SAVES_PER_S)
-            for topic in topics
+            TopicCopy(store=store, topic=topic, decode=self._decode) for topic in topics
         ]
 
     async def read(self, now: float) -> SavedStreams:
@@ -42,7 +39,7 @@
             StoreError: If the store refused a call or gave no usable answer.
         """
         self._clock_offset = now - time.monotonic()
-        reads = await asyncio.gather(*(copy.read(now) for copy in self._copies))
+        reads = await asyncio.gather(*(copy.read() for copy in self._copies))
         # Records read before a restore name an earlier era, too.
         saved = SavedStreams(streams={}, builds=[], saved={}, era=max(era for _, era in reads))
         for host, found in (one for values, _ in reads for one in values.items()):
--- a/src/wasabiwick/_topics.py
+++ b/src/wasabiwick/_topics.py
@@ -90,7 +90,8 @@
             start: Offset of the first record.
             wait: Longest wait for records, in seconds.
             on_end: Function to call once with the topic's end offset when the answer has named
-                it, which is before its records have come.
+                it, which is before its records have come. If it raises an exception, that ends
+                the read.
 
         Raises:
             HistoryLostError: If some of these records have been deleted.
--- a/src/wasabiwick/platform/_feeds.py
+++ b/src/wasabiwick/platform/_feeds.py
@@ -1,7 +1,5 @@
 """Posts routes and endpoints from the store as events, and keeps the register of hosts there."""
 
-import time
-
 import msgspec
 
 from .. import _saved_codec
@@ -25,7 +23,6 @@
 # Pause between two reads of findings. It bounds the reads of a large fleet whose hosts all find
 # something at once.
 FINDINGS_PAUSE_S = 0.5
-ANNOUNCEMENTS_PER_S = 100.0  # Most registrations of all hosts together.
 
 
 def decode_routes(at: float, page: Page, has_all_keys: bool) -> RoutesRead | None:
@@ -100,9 +97,7 @@
         self._store = store
         topics = (_names.STREAMS_TOPIC, _names.SPARE_STREAMS_TOPIC)
         self._streams = SavedStreamsReader(store, topics)
-        self._hosts = TopicCopy(
-            store=store, topic=_names.HOSTS_TOPIC, decode=_decode_host, rate=ANNOUNCEMENTS_PER_S
-        )
+        self._hosts = TopicCopy(store=store, topic=_names.HOSTS_TOPIC, decode=_decode_host)
 
     async def announce(self, host: str, record: HostRecord) -> Failure | None:
         """Register a host."""
@@ -131,7 +126,7 @@
     async def hosts(self) -> dict[str, HostRecord] | Failure:
         """Return the record of every host that ever registered, by name."""
         try:
-            found, _ = await self._hosts.read(time.monotonic())
+            found, _ = await self._hosts.read()
         except (StoreError, HistoryLostError) as exc:
             return store_failure(exc)
         return found
