--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -164,7 +164,7 @@
         decoders = (
             _records.decode_route_table,
             lambda value: _records.decode_endpoint("e", value),
-            _saved_codec.decode_streams_record,
+            lambda value: _saved_codec.decode_streams_record(value, 0.0),
             lambda value: _saved_codec.decode_findings("h", value, 0.0),
             _saved_codec.decode_claim,
         )
@@ -212,15 +212,19 @@
     def test_odd_records_of_hosts(self) -> None:
         nested = b'{"x":' + b"[" * 2_000
         huge = b"9" * 400
+
+        def decode_streams(value: bytes) -> object:
+            return _saved_codec.decode_streams_record(value, 0.0)
+
         for decode, value in (
             (_records.decode_route_table, nested),
-            (_saved_codec.decode_streams_record, nested),
+            (decode_streams, nested),
             (
-                _saved_codec.decode_streams_record,
+                decode_streams,
                 b'{"saved_ms": 1, "builds": {}, "streams": [["t", "m", "v", %s]]}' % huge,
             ),
             (
-                _saved_codec.decode_streams_record,
+                decode_streams,
                 b'{"saved_ms": %s, "builds": {}, "streams": []}' % huge,
             ),
             (lambda data: _saved_codec.decode_findings("h", data, 0.0), b'{"saved_ms": %s}' % huge),
