Close the client of the store also while calls end on replaced connections

A host that stopped after a silent call logged a RuntimeError and left what it closes afterwards open.

Cause: closing walked through the pools of connections, and a call that ended meanwhile discarded its own. Now it walks through a copy.

Found by a review.

--- a/src/wasabiwick/_progress_http.py
+++ b/src/wasabiwick/_progress_http.py
@@ -212,7 +212,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        for pool in self._pools:
+        for pool in tuple(self._pools):  # Calls that end meanwhile discard theirs.
             await pool.session.close()
 
     @contextlib.asynccontextmanager
--- a/tests/test_store_progress.py
+++ b/tests/test_store_progress.py
@@ -142,11 +142,7 @@
         waiting, ready = asyncio.Event(), answer(newest("a", end=1))
         store = await self.store(*([waiting, *ready],) * 3, [LONG], ready, ready, ready)
         calls = [asyncio.ensure_future(store.newest(TOPIC)) for _ in range(3)]
-
-        async def are_open() -> bool:
-            return len(self.server.calls) == 3
-
-        await until(are_open)
+        await self.until_called(3)
         waiting.set()
         await asyncio.gather(*calls)
         return store
@@ -176,6 +172,29 @@
         self.assertEqual((await reading).records[0].value, b"v")
         self.assertEqual(len(store._client._pools), 1)
 
+    async def test_client_with_calls_on_several_pools_closes(self) -> None:
+        """Closing failed once a call that ended with it discarded its pool."""
+        store = await self.store(*([LONG] for _ in range(6)))
+        self.limit_first_byte(store)
+        calls = []
+        for number in range(3):
+            calls.append(asyncio.ensure_future(store.read(TOPIC, 0, LONG)))
+            await self.until_called(2 * number + 1)
+            with self.assertRaisesRegex(StoreError, "silent"):
+                await store.newest(TOPIC)
+        await store.close()
+        for call in calls:
+            with self.assertRaises(StoreError):
+                await call
+
+    async def until_called(self, count: int) -> None:
+        """Wait until the store has been called so often."""
+
+        async def is_called() -> bool:
+            return len(self.server.calls) == count
+
+        await until(is_called)
+
     def limit_first_byte(self, store: _store.Store) -> None:
         """Let later calls give up soon."""
         store._client._limits.first_byte = SHORT
