Name why the store gave no answer also once an era is known

feed_lost and feed_read_fails of a host whose calls met with silence, or were refused a connection, said "the answer is older than the restored store": a call without a head has no era, and that was taken for one from before the restore.

Now the era is compared only where records of the answer have come.

test_silent_read_names_its_phase_once_an_era_is_known failed before.

--- a/src/wasabiwick/platform/_store.py
+++ b/src/wasabiwick/platform/_store.py
@@ -120,7 +120,8 @@
         try:
             era = await self._call("GET", _names.LOG_READ, query, wait=wait, receive=log.receive)
         except BrokenOffError as exc:
-            self._refuse_older(exc.era)
+            if log.end is not None:
+                self._refuse_older(exc.era)
             return log.page(exc.era or 0, str(exc))
         return log.page(era)
 
--- a/tests/test_store_progress.py
+++ b/tests/test_store_progress.py
@@ -112,6 +112,13 @@
         with self.assertRaisesRegex(StoreError, r"connect: .*, 0 bytes in"):
             await store.newest(TOPIC)
 
+    async def test_silent_read_names_its_phase_once_an_era_is_known(self) -> None:
+        """Log lines took a store that does not answer for one that is older than a restore."""
+        store = await self.store(answer(newest("a", end=1)), [LONG], first_byte=SHORT)
+        await store.newest(TOPIC)
+        with self.assertRaisesRegex(StoreError, "first byte: silent"):
+            await store.read(TOPIC, 1, 0.0)
+
     async def test_large_upload_gets_its_time(self) -> None:
         """A record too long for its path within 1 s could never be saved."""
         script = [3 * SHORT, *answer(b'{"offset":7}')]
