--- /dev/null
+++ b/tests/test_feed_behind.py
@@ -0,0 +1,116 @@
+"""Tests of feeds that are behind their topic, or read only what counts of it."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from wasabiwick import _feed_log
+
+from ._feed_case import FeedCase
+
+
+class TestFeedLog(unittest.TestCase):
+    """The log tells why a host stays at an old version, in few lines."""
+
+    def setUp(self) -> None:
+        self.lines: list[tuple[str, dict[str, object]]] = []
+        patch = mock.patch.object(_feed_log, "log_event", self.write)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.log = _feed_log.FeedLog("feed")
+
+    def write(self, event: str, **fields: object) -> None:
+        """Keep a line."""
+        self.assertEqual(fields.pop("feed"), "feed")
+        self.lines.append((event, fields))
+
+    def test_a_feed_behind_and_its_end_are_told_once(self) -> None:
+        self.log.behind(10.0, 1, 2)
+        self.log.behind(11.0, 2, 1)
+        self.log.behind(12.5, 3, 0)
+        self.log.behind(12.6, 3, 0)
+        behind = {"position": 1, "end": 3, "missing": 2}
+        caught_up = {"position": 3, "after": 2.5}
+        self.assertEqual(self.lines, [("feed_behind", behind), ("feed_caught_up", caught_up)])
+
+    def test_lines_of_a_feed_that_is_often_behind_are_bounded(self) -> None:
+        for number in range(100):
+            self.log.behind(0.1 * number, number, 1)
+            self.log.behind(0.1 * number + 0.05, number + 1, 0)
+        self.assertEqual(len(self.lines), 4)
+
+    def test_why_reads_go_on_failing_is_told_at_intervals(self) -> None:
+        """A host logged the first failure alone, while the cause changed."""
+        for number in range(100):
+            self.log.failed(0.1 * number, f"cause {number}")
+        failed = {"error": "cause 1", "fails": 2, "since": 0.1}
+        self.assertEqual(self.lines[0], ("feed_read_fails", failed))
+        self.assertEqual([event for event, _ in self.lines], 2 * ["feed_read_fails"])
+        self.log.succeeded()
+        self.log.failed(20.0, "lost again")
+        self.assertEqual(len(self.lines), 2)
+
+
+class TestNewestOnly(FeedCase):
+    """Records that others supersede are not read where only the newest one of a key counts."""
+
+    newest_only = True
+
+    async def begin_long_read(self) -> None:
+        """Have the host begin a read that goes on."""
+        self.topics.waits = asyncio.Event()
+        waiting = self.topics.waiting
+        await self.until(lambda: self.topics.waiting > waiting)
+
+    async def test_superseded_records_are_not_read(self) -> None:
+        """A host on a slow path read each version in turn, and was later with each."""
+        await self.begin_long_read()
+        for value in (b"second", b"third", b"fourth"):
+            self.topics.add("a", value)
+        self.topics.on_end(4)
+        await self.until(lambda: self.seen[-1] == b"fourth")
+        self.assertEqual(self.seen, [b"first", b"fourth"])
+
+    async def test_one_missing_record_is_read_from_the_log(self) -> None:
+        await self.begin_long_read()
+        self.topics.add("a", b"second")
+        self.topics.on_end(2)
+        self.topics.waits.set()
+        await self.until(lambda: self.seen[-1] == b"second")
+        self.assertEqual(self.topics.newest_reads, 1)
+
+    async def test_log_is_read_through_after_the_newest_could_not_be_read(self) -> None:
+        """Each read that was given up for another one that failed would keep a host behind."""
+        await self.begin_long_read()
+        for value in (b"second", b"third", b"fourth"):
+            self.topics.add("a", value)
+        self.topics.newest_is_down = True
+        waiting = self.topics.waiting
+        self.topics.on_end(4)
+        await self.until(lambda: self.topics.waiting > waiting)
+        self.topics.on_end(4)
+        await asyncio.sleep(0.02)
+        self.assertEqual(self.topics.newest_reads, 2)
+        self.topics.waits.set()
+        await self.until(lambda: self.seen[-1] == b"fourth")
+        self.assertEqual(self.seen, [b"first", b"second", b"third", b"fourth"])
+        self.topics.newest_is_down = False
+        await self.begin_long_read()
+        for value in (b"fifth", b"sixth"):
+            self.topics.add("a", value)
+        self.topics.on_end(6)
+        await self.until(lambda: self.seen[-1] == b"sixth")
+        self.assertNotIn(b"fifth", self.seen)
+
+    async def test_others_read_for_themselves_what_the_newest_records_lack(self) -> None:
+        """A key that was dropped is in no page of the newest records."""
+        self.topics.add("b", b"dropped later")
+        await self.until(lambda: self.seen[-1] == b"dropped later")
+        await self.begin_long_read()
+        self.turns.set_turn(reads=True, addresses=("b:1",))
+        self.topics.add("b", None)
+        self.topics.add("a", b"second")
+        self.topics.on_end(4)
+        await self.until(lambda: self.seen[-1] == b"second")
+        told = [(one.upto, one.records) for one in self.sent if one.after < one.upto]
+        self.assertEqual(told, [(4, None)])
--- a/tests/test_read_turns.py
+++ b/tests/test_read_turns.py
@@ -1,26 +1,19 @@
 """Tests of hosts that read the platform's store for the others of their zone."""
 
 import asyncio
-import types
-import typing
 import unittest
-from unittest import mock
 
-from wasabiwick import _feed_log
 from wasabiwick._effects_forwarding import ReadFeed, SetReadTurn
-from wasabiwick._events import Event, FeedBehind, FeedChanged
-from wasabiwick._feed import Feed
+from wasabiwick._events import FeedBehind, FeedChanged
 from wasabiwick._feed_lag import SPREAD_S, FeedLag
 from wasabiwick._handlers import neighbours, read_turns
 from wasabiwick._performers import forwarding
 from wasabiwick._read_turns import MAX_KEPT_PAGES, MAX_TOLD_BYTES, ReadTurns, ToldPage
-from wasabiwick._topics import KeyedRecord, Page, StoreError
+from wasabiwick._topics import KeyedRecord
 
+from ._feed_case import LONG, SILENCE, FeedCase
 from ._forward import ZONE, Host
-from ._processes import until
 
-SILENCE = 0.05  # Seconds after which a host that listens reads for itself.
-LONG = 30.0  # Seconds that no test waits for.
 NAMES = tuple(f"h{number:02}" for number in range(read_turns.MIN_ZONE_HOSTS + 4))
 
 
@@ -78,125 +71,6 @@
         self.assertTrue(host.state["read_turns"].reads)
 
 
-class FakeTopics:
-    """A store with one topic; counts reads, and fails them while it is down."""
-
-    def __init__(self) -> None:
-        self.era: int | None = None
-        self.records: list[KeyedRecord] = []
-        self.reads = 0
-        self.is_down = False
-        self.waits: asyncio.Event | None = None
-        self.waiting = 0  # Reads that wait for this event.
-        self.fault: Exception | None = None
-        self.answered_at = 0.0
-        self.page_size: int | None = None  # Most records of one answer.
-        self.newest_reads = 0
-        self.newest_is_down = False
-        self.on_end: typing.Callable[[int], None] | None = None
-
-    def add(self, key: str, value: bytes | None) -> None:
-        """Append a record."""
-        self.records.append(KeyedRecord(key=key, value=value, offset=len(self.records)))
-
-    async def newest(self, topic: str) -> Page:
-        """Return the newest record of each key that has a value; never waits."""
-        self.newest_reads += 1
-        self.reads += 1
-        await self._fail()
-        if self.newest_is_down:
-            raise StoreError("down")
-        newest = {record.key: record for record in self.records}
-        kept = [record for record in newest.values() if record.value is not None]
-        return Page(records=kept, next=len(self.records), era=self.era or 0)
-
-    async def read(
-        self,
-        topic: str,
-        start: int,
-        wait: float,
-        *,
-        on_end: typing.Callable[[int], None] | None = None,
-    ) -> Page:
-        """Return the records from an offset on; ``on_end`` is left for the test to call."""
-        self.reads += 1
-        self.on_end = on_end
-        await self._fail()
-        if self.waits is not None:
-            self.waiting += 1
-            await self.waits.wait()
-            self.waiting -= 1
-        records = self.records[start:][: self.page_size]
-        end = len(self.records)
-        return Page(records=records, next=start + len(records), era=self.era or 0, end=end)
-
-    async def _fail(self) -> None:
-        if self.fault is not None:
-            fault, self.fault = self.fault, None
-            raise fault
-        if self.is_down:
-            raise StoreError("down")
-        await asyncio.sleep(0)
-
-
-class FeedCase(unittest.IsolatedAsyncioTestCase):
-    """Base with a feed on a fake store; ``seen`` holds the records that came from it, by value."""
-
-    silence = SILENCE
-    newest_only = False
-
-    async def asyncSetUp(self) -> None:
-        self.topics = FakeTopics()
-        self.turns = ReadTurns(self.silence)
-        self.seen: list[bytes | None] = []
-        self.sent: list[ToldPage] = []
-        self.posted: list[Event] = []
-        self.now = 0.0
-        self.logged: list[str] = []
-        patch = mock.patch.object(
-            _feed_log, "log_event", lambda event, **fields: self.logged.append(event)
-        )
-        patch.start()
-        self.addCleanup(patch.stop)
-        self.topics.add("a", b"first")
-        datagrams = types.SimpleNamespace(send_page=lambda addresses, page: self.sent.append(page))
-        self.runner = types.SimpleNamespace(
-            ports=types.SimpleNamespace(turns=self.turns, datagrams=datagrams),
-            now=lambda: self.now,
-            post=self.posted.append,
-        )
-        self.feed = Feed(
-            store=self.topics,
-            name="feed",
-            topic="t",
-            decode=lambda at, page, whole: self.seen.extend(one.value for one in page.records),
-            wait=0.0,
-            pause=0.005,
-            content=lambda record: record.value and record.value.partition(b" ")[0],
-            newest_only=self.newest_only,
-        )
-        task = asyncio.create_task(self.feed.run(self.runner))
-        self.addCleanup(task.cancel)
-        await self.until(lambda: self.seen)
-
-    async def until(self, holds: object) -> None:
-        """Wait until a condition holds."""
-
-        async def condition() -> bool:
-            return bool(holds())
-
-        await until(condition)
-
-    def tell(self, after: int, *values: bytes | None, era: int = 0, upto: int = 0) -> None:
-        """Tell the host a page whose records follow ``after``."""
-        records = tuple(
-            KeyedRecord(key="a", value=value, offset=after + number)
-            for number, value in enumerate(values)
-        )
-        upto = upto or after + len(values)
-        self.turns.deliver(ToldPage(feed="feed", era=era, after=after, upto=upto, records=records))
-
-
 class TestListening(FeedCase):
     """A host that listens applies what it is told, and reads only what it would miss."""
 
@@ -351,48 +225,6 @@
         self.assertLessEqual(len(self.turns._told["feed"]), MAX_KEPT_PAGES)
 
 
-class TestFeedLog(unittest.TestCase):
-    """The log tells why a host stays at an old version, in few lines."""
-
-    def setUp(self) -> None:
-        self.lines: list[tuple[str, dict[str, object]]] = []
-        patch = mock.patch.object(_feed_log, "log_event", self.write)
-        patch.start()
-        self.addCleanup(patch.stop)
-        self.log = _feed_log.FeedLog("feed")
-
-    def write(self, event: str, **fields: object) -> None:
-        """Keep a line."""
-        self.assertEqual(fields.pop("feed"), "feed")
-        self.lines.append((event, fields))
-
-    def test_a_feed_behind_and_its_end_are_told_once(self) -> None:
-        self.log.behind(10.0, 1, 2)
-        self.log.behind(11.0, 2, 1)
-        self.log.behind(12.5, 3, 0)
-        self.log.behind(12.6, 3, 0)
-        behind = {"position": 1, "end": 3, "missing": 2}
-        caught_up = {"position": 3, "after": 2.5}
-        self.assertEqual(self.lines, [("feed_behind", behind), ("feed_caught_up", caught_up)])
-
-    def test_lines_of_a_feed_that_is_often_behind_are_bounded(self) -> None:
-        for number in range(100):
-            self.log.behind(0.1 * number, number, 1)
-            self.log.behind(0.1 * number + 0.05, number + 1, 0)
-        self.assertEqual(len(self.lines), 4)
-
-    def test_why_reads_go_on_failing_is_told_at_intervals(self) -> None:
-        """A host logged the first failure alone, while the cause changed."""
-        for number in range(100):
-            self.log.failed(0.1 * number, f"cause {number}")
-        failed = {"error": "cause 1", "fails": 2, "since": 0.1}
-        self.assertEqual(self.lines[0], ("feed_read_fails", failed))
-        self.assertEqual([event for event, _ in self.lines], 2 * ["feed_read_fails"])
-        self.log.succeeded()
-        self.log.failed(20.0, "lost again")
-        self.assertEqual(len(self.lines), 2)
-
-
 class TestReadNow(unittest.IsolatedAsyncioTestCase):
     """A read that is wanted at once is not made twice, nor later."""
 
@@ -553,68 +385,3 @@
         self.topics.add("a", b"second")
         await self.until(lambda: self.seen[-1] == b"second")
         self.assertEqual(self.sent, [])
-
-
-class TestNewestOnly(FeedCase):
-    """Records that others supersede are not read where only the newest one of a key counts."""
-
-    newest_only = True
-
-    async def begin_long_read(self) -> None:
-        """Have the host begin a read that goes on."""
-        self.topics.waits = asyncio.Event()
-        waiting = self.topics.waiting
-        await self.until(lambda: self.topics.waiting > waiting)
-
-    async def test_superseded_records_are_not_read(self) -> None:
-        """A host on a slow path read each version in turn, and was later with each."""
-        await self.begin_long_read()
-        for value in (b"second", b"third", b"fourth"):
-            self.topics.add("a", value)
-        self.topics.on_end(4)
-        await self.until(lambda: self.seen[-1] == b"fourth")
-        self.assertEqual(self.seen, [b"first", b"fourth"])
-
-    async def test_one_missing_record_is_read_from_the_log(self) -> None:
-        await self.begin_long_read()
-        self.topics.add("a", b"second")
-        self.topics.on_end(2)
-        self.topics.waits.set()
-        await self.until(lambda: self.seen[-1] == b"second")
-        self.assertEqual(self.topics.newest_reads, 1)
-
-    async def test_log_is_read_through_after_the_newest_could_not_be_read(self) -> None:
-        """Each read that was given up for another one that failed would keep a host behind."""
-        await self.begin_long_read()
-        for value in (b"second", b"third", b"fourth"):
-            self.topics.add("a", value)
-        self.topics.newest_is_down = True
-        waiting = self.topics.waiting
-        self.topics.on_end(4)
-        await self.until(lambda: self.topics.waiting > waiting)
-        self.topics.on_end(4)
-        await asyncio.sleep(0.02)
-        self.assertEqual(self.topics.newest_reads, 2)
-        self.topics.waits.set()
-        await self.until(lambda: self.seen[-1] == b"fourth")
-        self.assertEqual(self.seen, [b"first", b"second", b"third", b"fourth"])
-        self.topics.newest_is_down = False
-        await self.begin_long_read()
-        for value in (b"fifth", b"sixth"):
-            self.topics.add("a", value)
-        self.topics.on_end(6)
-        await self.until(lambda: self.seen[-1] == b"sixth")
-        self.assertNotIn(b"fifth", self.seen)
-
-    async def test_others_read_for_themselves_what_the_newest_records_lack(self) -> None:
-        """A key that was dropped is in no page of the newest records."""
-        self.topics.add("b", b"dropped later")
-        await self.until(lambda: self.seen[-1] == b"dropped later")
-        await self.begin_long_read()
-        self.turns.set_turn(reads=True, addresses=("b:1",))
-        self.topics.add("b", None)
-        self.topics.add("a", b"second")
-        self.topics.on_end(4)
-        await self.until(lambda: self.seen[-1] == b"second")
-        told = [(one.upto, one.records) for one in self.sent if one.after < one.upto]
-        self.assertEqual(told, [(4, None)])
