Keep the end that an answer named, also if it breaks off at once

A host whose path cut each answer soon after its first bytes went on answering 404 for routes that exist, and did not tell the hosts that rely on it that there is more: the end that an answer names counted only if the read went on for 0.05 s after it. Now it counts also if the read has failed by then.

test_end_of_an_answer_that_breaks_at_once_is_kept failed before (nothing was posted).

--- a/src/wasabiwick/_feed.py
+++ b/src/wasabiwick/_feed.py
@@ -212,7 +212,7 @@
                 reading = asyncio.ensure_future(self._store.newest(self._topic))
             if grown.done():
                 await asyncio.wait({reading}, timeout=SHORT_ANSWER_S)
-                if not reading.done():
+                if not reading.done() or reading.exception() is not None:
                     self._lag.hear(grown.result())
                     self._report_missing(runner)
                     self._tell(runner, era, position, grown.result(), None)
--- a/tests/test_feed_behind.py
+++ b/tests/test_feed_behind.py
@@ -1,10 +1,13 @@
 """Tests of feeds that are behind their topic, or read only what counts of it."""
 
 import asyncio
+import typing
 import unittest
 from unittest import mock
 
 from wasabiwick import _feed_log
+from wasabiwick._events import FeedBehind
+from wasabiwick._topics import Page, StoreError
 
 from ._feed_case import FeedCase
 
@@ -114,3 +117,25 @@
         await self.until(lambda: self.seen[-1] == b"second")
         told = [(one.upto, one.records) for one in self.sent if one.after < one.upto]
         self.assertEqual(told, [(4, None)])
+
+
+class TestWhatIsKnown(FeedCase):
+    """What a host knows to exist and has not read counts, however it learned of it."""
+
+    def missing(self) -> list[int]:
+        """Return the numbers of missing records that were posted."""
+        return [one.missing for one in self.posted if isinstance(one, FeedBehind)]
+
+    async def test_end_of_an_answer_that_breaks_at_once_is_kept(self) -> None:
+        """A path that cut each answer at once left a host unaware, so it went on answering 404."""
+
+        async def read(topic: str, start: int, wait: float, **options: typing.Any) -> Page:
+            await asyncio.sleep(0)
+            options["on_end"](start + 1)
+            raise StoreError("reset")
+
+        self.turns.set_turn(reads=True, addresses=("b:1",))
+        with mock.patch.object(self.topics, "read", read):
+            await self.until(self.missing)
+        self.assertEqual(self.missing(), [1])
+        self.assertIn((2, None), [(one.upto, one.records) for one in self.sent])
