Count records that were deleted before they were read as missing

A host whose next record the store had deleted answered 404 for routes that exist until it had read the whole list anew, which takes seconds on a narrow path: it forgot what it lacked, though the store's answer shows that there is more than it has read. Now the number of deleted records is told as missing until the list has been read.

test_records_that_were_deleted_unread_count_as_missing failed before (nothing was posted).

--- a/src/wasabiwick/_feed.py
+++ b/src/wasabiwick/_feed.py
@@ -125,7 +125,7 @@
                     lag.reach(position)
                     self._post(runner, Page(records=told.records, next=position, era=era), False)
                 lag.hear(told.upto, SPREAD_S)
-                self._report_missing(runner)
+                self._report_missing(runner, lag.missing)
                 if not lag.missing:
                     self._set_connected(runner, True)
                 continue
@@ -140,15 +140,18 @@
                 page, has_all_keys = await self._read_telling(runner, position, era, wait)
             except HistoryLostError as exc:
                 log_event("history_lost", feed=self._name, error=str(exc))
+                # What was deleted before it was read is superseded or gone, which is news as well.
+                deleted = 0 if position is None else (exc.first or 0) - position
                 position = None
                 lag.forget()
+                self._report_missing(runner, max(deleted, self._missing))
                 await asyncio.sleep(FIRST_RETRY_S)
                 continue
             except StoreError as exc:
                 self._set_connected(runner, False, str(exc))
                 self._log.failed(runner.now(), str(exc))
-                if lag.missing:
-                    self._log.behind(runner.now(), lag.position, lag.missing)
+                if self._missing:
+                    self._log.behind(runner.now(), lag.position, self._missing)
                 await asyncio.sleep(retry * random.uniform(0.5, 1.0))
                 retry = min(MAX_RETRY_S, 2 * retry)
                 continue
@@ -163,7 +166,7 @@
             news = self._news(page, position, has_all_keys)
             position, era = page.next, page.era
             lag.read(page.next, page.end)
-            self._report_missing(runner)
+            self._report_missing(runner, lag.missing)
             self._can_skip = self._newest_only and (self._can_skip or not lag.missing)
             self._set_connected(runner, True)
             self._post(runner, page, has_all_keys)
@@ -214,7 +217,7 @@
                 await asyncio.wait({reading}, timeout=SHORT_ANSWER_S)
                 if not reading.done() or reading.exception() is not None:
                     self._lag.hear(grown.result())
-                    self._report_missing(runner)
+                    self._report_missing(runner, self._lag.missing)
                     self._tell(runner, era, position, grown.result(), None)
             page = await reading
             self._can_skip = self._newest_only if has_all_keys else self._can_skip
@@ -294,9 +297,9 @@
             return await self._store.newest(self._topic)
         return await self._store.read(self._topic, position, wait, on_end=on_end)
 
-    def _report_missing(self, runner: Runner) -> None:
-        if self._lag.missing != self._missing:
-            self._missing = self._lag.missing
+    def _report_missing(self, runner: Runner, missing: int) -> None:
+        if missing != self._missing:
+            self._missing = missing
             runner.post(FeedBehind(at=runner.now(), feed=self._name, missing=self._missing))
             self._log.behind(runner.now(), self._lag.position, self._missing)
 
--- a/tests/test_feed_behind.py
+++ b/tests/test_feed_behind.py
@@ -7,7 +7,7 @@
 
 from wasabiwick import _feed_log
 from wasabiwick._events import FeedBehind
-from wasabiwick._topics import Page, StoreError
+from wasabiwick._topics import HistoryLostError, Page, StoreError
 
 from ._feed_case import FeedCase
 
@@ -139,3 +139,24 @@
             await self.until(self.missing)
         self.assertEqual(self.missing(), [1])
         self.assertIn((2, None), [(one.upto, one.records) for one in self.sent])
+
+    async def test_records_that_were_deleted_unread_count_as_missing(self) -> None:
+        """A host answered 404 while it read a list anew whose records it knew to be news."""
+        listed = asyncio.Event()
+
+        async def read(*args: object, **options: object) -> Page:
+            raise HistoryLostError("deleted", first=6)
+
+        async def newest(topic: str) -> Page:
+            await listed.wait()
+            return Page(records=self.topics.records, next=6, era=0)
+
+        with (
+            mock.patch.object(self.topics, "read", read),
+            mock.patch.object(self.topics, "newest", newest),
+        ):
+            await self.until(self.missing)
+            self.assertEqual(self.missing(), [5])
+            listed.set()
+            self.topics.waits = asyncio.Event()
+        await self.until(lambda: self.missing()[-1] == 0)
