Tell "nothing new" neither while records are missing nor of an era that is gone

Hosts that rely on others of their zone were told "nothing new" by a reader that had read a part of what exists and whose next call was silent, and, after the store was restored, of the era before by one whose other feeds knew the new one. Both conditions are checked now at each telling.

test_reader_that_knows_of_missing_records_tells_nothing and test_reader_does_not_speak_for_an_era_that_is_gone failed before.

--- a/src/wasabiwick/_feed.py
+++ b/src/wasabiwick/_feed.py
@@ -207,7 +207,8 @@
                 if done:
                     break
                 is_answered = runner.now() - self._store.answered_at <= turns.answered_within
-                if self._up and is_answered and runner.now() <= wait_ends:
+                is_current = era == (self._store.era or 0) and not self._lag.missing
+                if self._up and is_answered and is_current and runner.now() <= wait_ends:
                     self._tell(runner, era, position, position, ())
             if grown.done() and not reading.done() and self._skips(grown.result() - position):
                 reading.cancel()
--- a/tests/test_feed_behind.py
+++ b/tests/test_feed_behind.py
@@ -7,9 +7,10 @@
 
 from wasabiwick import _feed_log
 from wasabiwick._events import FeedBehind
+from wasabiwick._read_turns import ToldPage
 from wasabiwick._topics import HistoryLostError, Page, StoreError
 
-from ._feed_case import FeedCase
+from ._feed_case import SILENCE, FeedCase
 
 
 class TestFeedLog(unittest.TestCase):
@@ -160,3 +161,37 @@
             listed.set()
             self.topics.waits = asyncio.Event()
         await self.until(lambda: self.missing()[-1] == 0)
+
+
+class TestNothingNew(FeedCase):
+    """A reader tells "nothing new" only of what it knows to be all there is."""
+
+    async def told_while_reading(self) -> list[ToldPage]:
+        """Return what is told while a read waits."""
+        await self.until(lambda: self.topics.waiting)
+        told = len(self.sent)
+        await asyncio.sleep(3 * SILENCE)
+        return self.sent[told:]
+
+    async def test_reader_that_knows_of_missing_records_tells_nothing(self) -> None:
+        """After a page that broke off, listeners were told of its end that nothing is new."""
+        self.turns.set_turn(reads=True, addresses=("b:1",))
+        first = Page(records=(), next=2, era=0, end=3)
+        read = self.topics.read
+
+        async def read_page(topic: str, start: int, wait: float, **options: typing.Any) -> Page:
+            if start == 1:
+                return first
+            self.topics.waits = self.topics.waits or asyncio.Event()
+            return await read(topic, start, wait, **options)
+
+        with mock.patch.object(self.topics, "read", read_page):
+            self.assertEqual(await self.told_while_reading(), [])
+
+    async def test_reader_does_not_speak_for_an_era_that_is_gone(self) -> None:
+        """Listeners were told so of the store before its restore, which another feed knew of."""
+        self.turns.set_turn(reads=True, addresses=("b:1",))
+        self.topics.waits = asyncio.Event()
+        await self.until(lambda: self.topics.waiting)
+        self.topics.era = 1
+        self.assertEqual(await self.told_while_reading(), [])
