Pause after an answer of the store that brings nothing of what exists

A host that reads, with a feed without a pause such as the routes, asked again at once after an answer that named a further end and had no record: a review counted 1,230 to 1,972 calls in 0.5 s. Only hosts that listen waited.

test_reader_pauses_after_an_answer_that_brings_nothing failed before.

--- a/src/wasabiwick/_feed.py
+++ b/src/wasabiwick/_feed.py
@@ -164,6 +164,7 @@
                 lag.forget()
                 continue
             news = self._news(page, position, has_all_keys)
+            has_progress = page.next != position
             position, era = page.next, page.era
             lag.read(page.next, page.end)
             self._report_missing(runner, lag.missing)
@@ -174,6 +175,8 @@
             is_told = news is not None and (news.upto > news.after or not lag.missing)
             if is_told and turns.addresses:
                 runner.ports.datagrams.send_page(turns.addresses, news)
+            if lag.missing and not has_progress:
+                await asyncio.sleep(FIRST_RETRY_S)
 
     async def _read_telling(
         self, runner: Runner, position: int | None, era: int, wait: float
--- a/src/wasabiwick/_feed_lag.py
+++ b/src/wasabiwick/_feed_lag.py
@@ -46,11 +46,8 @@
         """
         if self._end <= self._asked:
             self._end = 0
-        has_progress = position != self.position
         self.reach(position)
         self.hear(position if end is None else end)
-        if self.missing and not has_progress:
-            self.due = asyncio.get_running_loop().time() + SPREAD_S
 
     def reach(self, position: int) -> None:
         """Note the offset at which the next read starts."""
--- a/tests/test_feed_behind.py
+++ b/tests/test_feed_behind.py
@@ -5,7 +5,7 @@
 import unittest
 from unittest import mock
 
-from wasabiwick import _feed_log
+from wasabiwick import _feed, _feed_log
 from wasabiwick._events import FeedBehind
 from wasabiwick._read_turns import ToldPage
 from wasabiwick._topics import HistoryLostError, Page, StoreError
@@ -195,3 +195,24 @@
         await self.until(lambda: self.topics.waiting)
         self.topics.era = 1
         self.assertEqual(await self.told_while_reading(), [])
+
+
+class TestPace(FeedCase):
+    """A store whose answers bring nothing is not asked without a pause."""
+
+    async def test_reader_pauses_after_an_answer_that_brings_nothing(self) -> None:
+        """A host that reads, with a feed without a pause, asked again at once, for ever."""
+        self.feed._pause = 0.0
+        self.topics.add("a", b"second")
+        self.topics.page_size = 0
+        sleeps = []
+        sleep = asyncio.sleep
+
+        async def note(seconds: float) -> None:
+            sleeps.append(seconds)
+            await sleep(0.0)
+
+        with mock.patch.object(_feed.asyncio, "sleep", note):
+            reads = self.topics.reads
+            await self.until(lambda: self.topics.reads > reads + 5)
+        self.assertGreaterEqual(sleeps.count(_feed.FIRST_RETRY_S), 4)
