Believe later versions again some time after one that was not believed

Once a version that a host told was found to be wrong, or lost in a restore, a host ignored all higher ones until it had put one in force, so that one that missed a later version answered 404 for good. It now ignores them for 10 min: a host that tells wrong versions again and again costs the others' callers a minute of 503 in eleven at most.

test_version_that_was_not_believed_hides_later_ones_for_a_bounded_time_only failed before. Found by a review, which asked that later versions be believed at once; that would leave callers without final answers for as long as a faulty host tells rising versions.

--- a/src/wasabiwick/_handlers/routes.py
+++ b/src/wasabiwick/_handlers/routes.py
@@ -14,6 +14,9 @@
 RETIRED_TIME_S = 120.0
 # Time for which the store has to show nothing newer until a version that was told is not believed.
 BEHIND_BOUND_S = 60.0
+# Time for which neither such a version nor a higher one is believed. It bounds how often a host
+# that tells wrong versions again and again keeps callers of the others from final answers.
+DISBELIEF_S = 600.0
 
 
 @state_slice("routes")
@@ -32,7 +35,8 @@
     ``unread`` is the number of records that are known to exist and were not read here.
     ``shown_since`` is the monotonic time since which the store has shown all that it has, or None
     while it does not, and ``shown_for`` for how many seconds it did before, while this host was
-    behind. ``not_believed`` is the lowest version that was told and that the store did not show.
+    behind. ``not_believed`` is the lowest version that was told and that the store did not show;
+    ``disbelieved_at`` is the monotonic time at which that was found.
     """
 
     __slots__ = (
@@ -51,6 +55,7 @@
         "shown_since",
         "shown_for",
         "not_believed",
+        "disbelieved_at",
     )
 
     def __init__(self, cfg: Settings) -> None:
@@ -69,6 +74,7 @@
         self.shown_since: float | None = None
         self.shown_for = 0.0
         self.not_believed: int | None = None
+        self.disbelieved_at = 0.0
 
 
 def version(state: State) -> int:
@@ -209,10 +215,12 @@
         fields = {**log_fields(state, event.at), "behind_for": behind_for(state, event.at)}
         yield LogLine(event="routes_not_believed", fields=fields)
         routes_state.not_believed = routes_state.heard_version
+        routes_state.disbelieved_at = event.at
         routes_state.heard_version, routes_state.heard_from = 0, ""
         routes_state.behind_since = None
     not_believed = routes_state.not_believed
-    if not_believed is not None and event.routes_version >= not_believed:
+    is_past = event.at - routes_state.disbelieved_at >= DISBELIEF_S
+    if not_believed is not None and event.routes_version >= not_believed and not is_past:
         return
     if event.routes_version <= routes_state.heard_version:
         return
--- a/tests/test_routes_behind.py
+++ b/tests/test_routes_behind.py
@@ -205,6 +205,13 @@
         self.read(2)
         self.assertIs(self.reason(), ROUTES_BEHIND)
 
+    def test_version_that_was_not_believed_hides_later_ones_for_a_bounded_time_only(self) -> None:
+        """A host that missed a later version answered 404 for good, though all others told it."""
+        self.wait_for_datagrams(routes.BEHIND_BOUND_S + 2.0, 3)
+        self.assertIs(self.reason(), NO_ROUTE)
+        self.wait_for_datagrams(routes.DISBELIEF_S, 4)
+        self.assertIs(self.reason(), ROUTES_BEHIND)
+
     def test_version_that_was_not_believed_can_be_told_again_once_it_is_read(self) -> None:
         self.wait_for_datagrams(routes.BEHIND_BOUND_S + 2.0, 4)
         self.assertIs(self.reason(), NO_ROUTE)
