Split what a feed does with a page or a telling from its loop

What applies a page that was read, or what another host told, are methods of their own now; the loop keeps position, era and retries.

--- a/src/wasabiwick/_feed.py
+++ b/src/wasabiwick/_feed.py
@@ -120,14 +120,7 @@
                 pause = self._pause if self._up else 0.0
                 told = await turns.next_page(self._name, pause, lag.due)
             if told is not None and told.era == era:
-                if told.follows(position, era) and told.upto > position:
-                    position = told.upto
-                    lag.reach(position)
-                    self._post(runner, Page(records=told.records, next=position, era=era), False)
-                lag.hear(told.upto, SPREAD_S)
-                self._report_missing(runner, lag.missing)
-                if not lag.missing:
-                    self._set_connected(runner, True)
+                position = self._apply_told(runner, told, position)
                 continue
             try:
                 # The first read after a failure does not wait, so missed changes apply at once.
@@ -163,21 +156,41 @@
                 position = None
                 lag.forget()
                 continue
-            news = self._news(page, position, has_all_keys)
+            self._apply_page(runner, page, position, has_all_keys)
             has_progress = page.next != position
             position, era = page.next, page.era
-            lag.read(page.next, page.end)
-            self._report_missing(runner, lag.missing)
-            self._can_skip = self._newest_only and (self._can_skip or not lag.missing)
-            self._set_connected(runner, True)
-            self._post(runner, page, has_all_keys)
-            # An answer that brought nothing of what exists does not say that nothing is new.
-            is_told = news is not None and (news.upto > news.after or not lag.missing)
-            if is_told and turns.addresses:
-                runner.ports.datagrams.send_page(turns.addresses, news)
             if lag.missing and not has_progress:
                 await asyncio.sleep(FIRST_RETRY_S)
 
+    def _apply_told(self, runner: Runner, told: ToldPage, position: int) -> int:
+        """Apply what another host told of this era, and return where the next read starts."""
+        if told.follows(position, told.era) and told.upto > position:
+            position = told.upto
+            self._lag.reach(position)
+            self._post(runner, Page(records=told.records, next=position, era=told.era), False)
+        self._lag.hear(told.upto, SPREAD_S)
+        self._report_missing(runner, self._lag.missing)
+        if not self._lag.missing:
+            self._set_connected(runner, True)
+        return position
+
+    def _apply_page(
+        self, runner: Runner, page: Page, position: int | None, has_all_keys: bool
+    ) -> None:
+        """Apply a page that was read from a position on, and tell other hosts what is new."""
+        news = self._news(page, position, has_all_keys)
+        self._lag.read(page.next, page.end)
+        missing = self._lag.missing
+        self._report_missing(runner, missing)
+        self._can_skip = self._newest_only and (self._can_skip or not missing)
+        self._set_connected(runner, True)
+        self._post(runner, page, has_all_keys)
+        # An answer that brought nothing of what exists does not say that nothing is new.
+        is_told = news is not None and (news.upto > news.after or not missing)
+        addresses = runner.ports.turns.addresses
+        if is_told and addresses:
+            runner.ports.datagrams.send_page(addresses, news)
+
     async def _read_telling(
         self, runner: Runner, position: int | None, era: int, wait: float
     ) -> tuple[Page, bool]:
