Let a read that was answered before be told in a test of "nothing new"

test_an_answer_without_the_records_that_exist_is_not_told_as_nothing_new failed in 42 of 96 runs of the module, eight side by side on a loaded machine (and once in a review): a read may have been answered before the test adds the record, and what it says is then told, rightly. The test now looks at what is told from the second read after that on, for three reads. It still fails with the condition that it guards taken out; 48 runs, eight side by side, hold.

--- a/tests/test_read_turns.py
+++ b/tests/test_read_turns.py
@@ -339,9 +339,12 @@
         self.topics.page_size = 0
         self.topics.add("a", b"second")
         self.turns.set_turn(reads=True, addresses=("b:1",))
+        # A read that was answered before the record came may still be told.
         reads = self.topics.reads
-        await self.until(lambda: self.topics.reads > reads + 3)
-        self.assertEqual(self.sent, [])
+        await self.until(lambda: self.topics.reads > reads + 1)
+        told = len(self.sent)
+        await self.until(lambda: self.topics.reads > reads + 4)
+        self.assertEqual(self.sent[told:], [])
 
     async def test_growth_is_told_before_the_records_have_come(self) -> None:
         """Hosts on fast paths learned of a large record only once a reader on a slow one had it."""
