--- a/tests/test_feed_behind.py
+++ b/tests/test_feed_behind.py
@@ -188,6 +188,15 @@
         with mock.patch.object(self.topics, "read", read_page):
             self.assertEqual(await self.told_while_reading(), [])
 
+    async def test_growth_of_an_era_that_is_gone_is_not_told(self) -> None:
+        """Hosts would read again and again for an offset that the restored store does not have."""
+        self.turns.set_turn(reads=True, addresses=("b:1",))
+        self.topics.waits = asyncio.Event()
+        await self.until(lambda: self.topics.waiting)
+        self.topics.era = 1
+        self.topics.on_end(4)
+        self.assertEqual(await self.told_while_reading(), [])
+
     async def test_reader_does_not_speak_for_an_era_that_is_gone(self) -> None:
         """Listeners were told so of the store before its restore, which another feed knew of."""
         self.turns.set_turn(reads=True, addresses=("b:1",))
